--- /dev/null
+++ b/core/names.cc
@@ -0,0 +1,49 @@
+// Names of enumerators as they appear in logs, headers and status.
+
+#include "core/core.h"
+
+namespace clementine {
+
+const char* RefusalReasonName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kUnknownModel:
+      return "unknown_model";
+    case RefusalReason::kUnknownOrganisation:
+      return "unknown_organisation";
+    case RefusalReason::kNoGroup:
+      return "no_group";
+    case RefusalReason::kOverloaded:
+      return "overloaded";
+    case RefusalReason::kQuarantined:
+      return "quarantined";
+    case RefusalReason::kKeyRequired:
+      return "key_required";
+    case RefusalReason::kKeyReused:
+      return "key_reused";
+    case RefusalReason::kStillRunning:
+      return "still_running";
+    case RefusalReason::kPlatformDown:
+      return "platform_down";
+    case RefusalReason::kRetriesExhausted:
+      return "retries_exhausted";
+    case RefusalReason::kDeadline:
+      return "deadline";
+    case RefusalReason::kDraining:
+      return "draining";
+  }
+  return "unknown";
+}
+
+const char* OutcomeName(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kComplete:
+      return "complete";
+    case Outcome::kNotRun:
+      return "not-run";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace clementine
