--- /dev/null
+++ b/net/backend_client.cc
@@ -0,0 +1,626 @@
+// One coroutine for each call: connect or reuse, write, read the header, read
+// the body. Each phase sets a deadline, and one timer checks the deadlines of
+// all calls, because arming a timer for each token would cost more than reading
+// it. How far a call got decides what its failure means: until the first byte
+// was handed to the kernel nothing can have run.
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <unordered_set>
+
+#include "fmt/format.h"
+#include "net/address.h"
+#include "net/connection_pool.h"
+#include "net/net.h"
+
+namespace clementine {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+/// Longest delay with which an exceeded deadline is noticed.
+constexpr std::chrono::milliseconds kSweepInterval{25};
+
+/// How long to wait for the end of the chunked coding after the last event.
+constexpr std::chrono::milliseconds kTrailerTimeout{1'000};
+
+constexpr std::size_t kReadBytes = 16'384;
+constexpr std::uint32_t kMaxHeaderBytes = 32'768;
+
+constexpr int kKeepAliveIdleSeconds = 10;
+constexpr int kKeepAliveIntervalSeconds = 3;
+constexpr int kKeepAliveProbes = 3;
+
+void SetOption(tcp::socket* socket, int name, int value) {
+  ::setsockopt(socket->native_handle(), IPPROTO_TCP, name, &value,
+               sizeof value);
+}
+
+void PrepareSocket(tcp::socket* socket, std::chrono::milliseconds timeout) {
+  error_code ignored;
+  socket->set_option(tcp::no_delay(true), ignored);
+  socket->set_option(asio::socket_base::keep_alive(true), ignored);
+  SetOption(socket, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(socket, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(socket, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(socket, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
+}
+
+bool SaysNotRun(const std::string& body) {
+  nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  if (!json.is_object()) return false;
+  auto found = json.find("not_run");
+  return found != json.end() && found->is_boolean() && found->get<bool>();
+}
+
+milliseconds RetryAfter(std::string_view text) {
+  int seconds = 0;
+  auto [stop, error] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (error != std::errc() || seconds < 0) return milliseconds(0);
+  return std::chrono::seconds(seconds);
+}
+
+const char* FaultName(EventStreamReader::Fault fault) {
+  switch (fault) {
+    case EventStreamReader::Fault::kGap:
+      return "event_gap";
+    case EventStreamReader::Fault::kOversized:
+      return "event_too_large";
+    case EventStreamReader::Fault::kErrorEvent:
+      return "error_event";
+    case EventStreamReader::Fault::kNone:
+      break;
+  }
+  return "none";
+}
+
+std::string FormatRequest(const BackendCall& call, const std::string& token) {
+  fmt::memory_buffer out;
+  auto append = [&out](std::string_view name, std::string_view value) {
+    if (value.find_first_of("\r\n") != std::string_view::npos) return;
+    fmt::format_to(std::back_inserter(out), "{}: {}\r\n", name, value);
+  };
+  fmt::format_to(std::back_inserter(out), "{} {} HTTP/1.1\r\n", call.method,
+                 call.target);
+  append("Host", call.address);
+  if (!token.empty()) append("Authorization", "Bearer " + token);
+  if (!call.attempt.empty()) append("X-Attempt-Id", call.attempt);
+  if (call.event_stream) {
+    append("X-Resume-Offset", std::to_string(call.resume_offset));
+  }
+  for (const auto& [name, value] : call.headers) append(name, value);
+  append("Content-Length", std::to_string(call.body ? call.body->size() : 0));
+  out.append(std::string_view("\r\n"));
+  return fmt::to_string(out);
+}
+
+}  // namespace
+
+class CallState;
+
+class BackendClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context* io, BackendOptions options)
+      : m_io(io),
+        m_options(std::move(options)),
+        m_pool(m_options.max_idle_per_address, m_options.idle_timeout),
+        m_sweep(*io) {}
+
+  std::shared_ptr<BackendAttempt> Start(BackendCall call,
+                                        BackendHandlers handlers);
+  void Probe(const std::string& address, std::chrono::milliseconds timeout,
+             bool fresh, std::function<void(std::optional<HostHealth>)> done);
+  void Stop();
+  /// Runs the deadline timer while there are calls or idle connections.
+  void EnsureSweep();
+
+  asio::io_context* m_io;
+  BackendOptions m_options;
+  ConnectionPool m_pool;
+  BackendStats m_stats;
+  std::unordered_set<CallState*> m_calls;
+
+ private:
+  static asio::awaitable<void> Sweep(std::shared_ptr<Impl> self);
+
+  asio::steady_timer m_sweep;
+  bool m_sweeping = false;
+  bool m_stopped = false;
+};
+
+/// A running call.
+class CallState : public BackendAttempt,
+                  public std::enable_shared_from_this<CallState> {
+ public:
+  CallState(std::shared_ptr<BackendClient::Impl> client, BackendCall call,
+            BackendHandlers handlers)
+      : m_client(std::move(client)),
+        m_call(std::move(call)),
+        m_handlers(std::move(handlers)),
+        m_socket(*m_client->m_io),
+        m_resumed(*m_client->m_io),
+        m_reader(m_call.attempt, m_call.resume_offset) {
+    m_resumed.expires_at(Clock::time_point::max());
+    m_client->m_calls.insert(this);
+    ++m_client->m_stats.calls;
+  }
+  ~CallState() override { m_client->m_calls.erase(this); }
+
+  void Start() {
+    asio::co_spawn(*m_client->m_io, Run(shared_from_this()), asio::detached);
+  }
+
+  void Cancel() override {
+    m_cancelled = true;
+    Close();
+    m_resumed.cancel();
+  }
+
+  void Pause() override {
+    m_paused = true;
+    m_deadline = Clock::time_point::max();
+  }
+
+  void Resume() override {
+    m_paused = false;
+    m_resumed.cancel();
+  }
+
+  void CheckDeadline(Clock::time_point now) {
+    if (now < m_deadline) return;
+    m_deadline = Clock::time_point::max();
+    m_timed_out = true;
+    Close();
+  }
+
+ private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  static asio::awaitable<void> Run(std::shared_ptr<CallState> self);
+  asio::awaitable<void> Perform();
+  asio::awaitable<bool> Connect();
+  asio::awaitable<bool> WriteRequest();
+  asio::awaitable<bool> ReadHeader(Parser* parser);
+  asio::awaitable<void> ReadStream(Parser* parser);
+  asio::awaitable<void> ReadBody(Parser* parser);
+  asio::awaitable<error_code> ReadSome(Parser* parser,
+                                       std::string_view* bytes);
+  asio::awaitable<void> FinishTrailer(Parser* parser);
+  asio::awaitable<bool> AddressRefuses();
+  void TakeTokens(std::string_view bytes);
+  void Classify(const Parser& parser);
+  void Fail(const char* phase, error_code error);
+  void Report();
+  void ReturnConnection(const Parser& parser);
+  void SetDeadline(std::chrono::milliseconds timeout) {
+    m_deadline = Clock::now() + timeout;
+  }
+  void Close() {
+    error_code ignored;
+    m_socket.close(ignored);
+  }
+
+  std::shared_ptr<BackendClient::Impl> m_client;
+  BackendCall m_call;
+  BackendHandlers m_handlers;
+  tcp::socket m_socket;
+  asio::steady_timer m_resumed;  ///< Cancelled by Resume.
+  EventStreamReader m_reader;
+  beast::flat_buffer m_buffer;
+  std::array<char, kReadBytes> m_bytes{};
+  BackendEnd m_end;
+  Clock::time_point m_deadline = Clock::time_point::max();
+  bool m_cancelled = false;
+  bool m_paused = false;
+  bool m_timed_out = false;
+  bool m_first_token = false;
+  bool m_broken = false;  ///< The connection failed after bytes were sent.
+  bool m_reported = false;
+};
+
+// ---------------------------------------------------------------------------
+// Client.
+
+void BackendClient::Impl::EnsureSweep() {
+  if (m_sweeping || m_stopped) return;
+  m_sweeping = true;
+  asio::co_spawn(*m_io, Sweep(shared_from_this()), asio::detached);
+}
+
+asio::awaitable<void> BackendClient::Impl::Sweep(std::shared_ptr<Impl> self) {
+  while (!self->m_stopped &&
+         (!self->m_calls.empty() || self->m_pool.size() > 0)) {
+    self->m_sweep.expires_after(
+        self->m_calls.empty() ? self->m_options.idle_timeout : kSweepInterval);
+    error_code error;
+    co_await self->m_sweep.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    Clock::time_point now = Clock::now();
+    std::vector<CallState*> calls(self->m_calls.begin(), self->m_calls.end());
+    for (CallState* call : calls) call->CheckDeadline(now);
+    self->m_pool.Expire(now);
+  }
+  self->m_sweeping = false;
+}
+
+std::shared_ptr<BackendAttempt> BackendClient::Impl::Start(
+    BackendCall call, BackendHandlers handlers) {
+  auto state = std::make_shared<CallState>(shared_from_this(), std::move(call),
+                                           std::move(handlers));
+  state->Start();
+  EnsureSweep();
+  m_sweep.cancel();
+  return state;
+}
+
+void BackendClient::Impl::Probe(
+    const std::string& address, std::chrono::milliseconds timeout, bool fresh,
+    std::function<void(std::optional<HostHealth>)> done) {
+  BackendCall call;
+  call.address = address;
+  call.method = "GET";
+  call.target = "/v1/health";
+  call.idempotent = !fresh;
+  call.first_byte_timeout = fresh ? timeout : timeout / 2;
+  BackendHandlers handlers;
+  handlers.end = [self = weak_from_this(), address, timeout,
+                  done = std::move(done)](const BackendEnd& end) {
+    std::shared_ptr<Impl> client = self.lock();
+    bool answered = end.result == AttemptResult::kComplete;
+    // A connection that no longer responds says nothing about its host.
+    if (!answered && end.reused && client) {
+      client->Probe(address, timeout / 2, true, done);
+      return;
+    }
+    done(answered && end.status == 200 ? ParseHealth(end.body) : std::nullopt);
+  };
+  Start(std::move(call), std::move(handlers));
+}
+
+void BackendClient::Impl::Stop() {
+  m_stopped = true;
+  std::vector<CallState*> calls(m_calls.begin(), m_calls.end());
+  for (CallState* call : calls) call->Cancel();
+  m_sweep.cancel();
+}
+
+// ---------------------------------------------------------------------------
+// Call.
+
+asio::awaitable<void> CallState::Run(std::shared_ptr<CallState> self) {
+  co_await self->Perform();
+  self->m_deadline = Clock::time_point::max();
+  if (!self->m_reported && !self->m_cancelled) {
+    if (self->m_timed_out) {
+      self->m_client->m_pool.Purge(self->m_call.address);
+    } else if (self->m_broken && co_await self->AddressRefuses()) {
+      self->m_end.result = AttemptResult::kCrashed;
+    }
+  }
+  self->Report();
+  self->m_handlers = {};
+}
+
+asio::awaitable<void> CallState::Perform() {
+  if (!co_await Connect() || !co_await WriteRequest()) co_return;
+  Parser parser;
+  if (!co_await ReadHeader(&parser)) co_return;
+  std::string_view type = parser.get()[http::field::content_type];
+  if (m_call.event_stream && parser.get().result_int() == 200 &&
+      type.starts_with("text/event-stream")) {
+    co_await ReadStream(&parser);
+  } else {
+    co_await ReadBody(&parser);
+  }
+}
+
+asio::awaitable<bool> CallState::Connect() {
+  if (m_call.idempotent) {
+    std::optional<tcp::socket> reused =
+        m_client->m_pool.Take(m_call.address);
+    if (reused) {
+      m_socket = std::move(*reused);
+      m_end.reused = true;
+      ++m_client->m_stats.reused;
+      co_return true;
+    }
+  }
+  ++m_client->m_stats.connects;
+  SetDeadline(m_client->m_options.connect_timeout);
+  error_code error;
+  try {
+    co_await m_socket.async_connect(
+        ParseEndpoint(m_call.address),
+        asio::redirect_error(asio::use_awaitable, error));
+  } catch (const std::runtime_error& fault) {
+    m_end.detail = fault.what();
+    error = asio::error::invalid_argument;
+  }
+  // The timer can close a socket whose successful connect is already queued.
+  if (!error && !m_socket.is_open()) error = asio::error::operation_aborted;
+  if (error) {
+    Fail("connect", error);
+    m_end.result = AttemptResult::kNotSent;
+    m_broken = m_timed_out = false;
+    co_return false;
+  }
+  PrepareSocket(&m_socket, m_client->m_options.user_timeout);
+  co_return true;
+}
+
+asio::awaitable<bool> CallState::WriteRequest() {
+  SetDeadline(m_call.first_byte_timeout);
+  std::string head = FormatRequest(m_call, m_client->m_options.token);
+  std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(head),
+      m_call.body ? asio::buffer(*m_call.body) : asio::const_buffer()};
+  error_code error;
+  std::size_t sent = co_await asio::async_write(
+      m_socket, buffers, asio::redirect_error(asio::use_awaitable, error));
+  if (!error) co_return true;
+  Fail("write", error);
+  // The kernel took no byte, so none can have been sent.
+  if (sent == 0) {
+    m_end.result = AttemptResult::kNotSent;
+    m_broken = m_timed_out = false;
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> CallState::ReadHeader(Parser* parser) {
+  parser->header_limit(kMaxHeaderBytes);
+  parser->body_limit(boost::none);
+  if (m_call.method == "HEAD") parser->skip(true);
+  error_code error;
+  co_await http::async_read_header(
+      m_socket, m_buffer, *parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    Fail("header", error);
+    co_return false;
+  }
+  const auto& answer = parser->get();
+  std::string_view attempt = answer["X-Attempt-Id"];
+  if (!attempt.empty() && attempt != m_call.attempt) {
+    ++m_end.dropped;
+    ++m_client->m_stats.frames_dropped;
+    m_end.detail = "answer of another attempt";
+    co_return false;
+  }
+  m_end.status = static_cast<int>(answer.result_int());
+  m_end.content_type = std::string(answer[http::field::content_type]);
+  m_end.retry_after = RetryAfter(answer[http::field::retry_after]);
+  std::string_view leaving = answer["leaving"];
+  m_end.leaving = !leaving.empty() && leaving != "false" && leaving != "0";
+  std::optional<LoadReport> load = ParseLoad(answer["X-Load"]);
+  if (load && m_handlers.load && !m_cancelled) m_handlers.load(*load);
+  co_return !m_cancelled;
+}
+
+asio::awaitable<error_code> CallState::ReadSome(Parser* parser,
+                                                std::string_view* bytes) {
+  auto& body = parser->get().body();
+  body.data = m_bytes.data();
+  body.size = m_bytes.size();
+  body.more = true;
+  error_code error;
+  co_await http::async_read_some(
+      m_socket, m_buffer, *parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  if (error == http::error::need_buffer) error = {};
+  *bytes = std::string_view(m_bytes.data(), m_bytes.size() - body.size);
+  co_return error;
+}
+
+asio::awaitable<void> CallState::ReadStream(Parser* parser) {
+  while (true) {
+    while (m_paused && !m_cancelled) {
+      m_deadline = Clock::time_point::max();
+      error_code ignored;
+      co_await m_resumed.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (m_cancelled) co_return;
+    if (m_first_token) SetDeadline(m_call.gap_timeout);
+    std::string_view bytes;
+    error_code error = co_await ReadSome(parser, &bytes);
+    if (m_cancelled) co_return;
+    TakeTokens(bytes);
+    if (m_cancelled) co_return;
+    if (m_reader.done()) break;
+    if (m_reader.fault() != EventStreamReader::Fault::kNone) {
+      m_end.detail = FaultName(m_reader.fault());
+      if (m_reader.fault() == EventStreamReader::Fault::kGap) {
+        ++m_client->m_stats.gaps;
+      }
+      Close();
+      co_return;
+    }
+    if (error || parser->is_done()) {
+      Fail("stream", error ? error : asio::error::eof);
+      co_return;
+    }
+  }
+  m_end.result = AttemptResult::kComplete;
+  Report();
+  co_await FinishTrailer(parser);
+}
+
+void CallState::TakeTokens(std::string_view bytes) {
+  std::uint64_t dropped = m_reader.dropped();
+  m_reader.Read(bytes, [this](std::string_view data) {
+    if (m_cancelled) return;
+    m_first_token = true;
+    m_handlers.token(data, m_reader.offset());
+  });
+  m_client->m_stats.frames_dropped += m_reader.dropped() - dropped;
+  m_end.dropped = m_reader.dropped();
+}
+
+asio::awaitable<void> CallState::FinishTrailer(Parser* parser) {
+  SetDeadline(kTrailerTimeout);
+  while (!parser->is_done()) {
+    std::string_view bytes;
+    error_code error = co_await ReadSome(parser, &bytes);
+    if (error || !bytes.empty()) co_return;
+  }
+  ReturnConnection(*parser);
+}
+
+asio::awaitable<void> CallState::ReadBody(Parser* parser) {
+  while (!parser->is_done()) {
+    std::string_view bytes;
+    error_code error = co_await ReadSome(parser, &bytes);
+    if (m_cancelled) co_return;
+    if (error) {
+      Fail("body", error);
+      co_return;
+    }
+    if (m_end.body.size() + bytes.size() >
+        m_client->m_options.max_body_bytes) {
+      m_end.detail = "answer too large";
+      Close();
+      co_return;
+    }
+    m_end.body.append(bytes);
+  }
+  Classify(*parser);
+  ReturnConnection(*parser);
+}
+
+void CallState::Classify(const Parser& parser) {
+  unsigned status = parser.get().result_int();
+  bool not_run =
+      (status == 409 || status == 429 || status == 503) &&
+      SaysNotRun(m_end.body);
+  if (not_run) {
+    m_end.result = status == 409 ? AttemptResult::kWrongEpoch
+                                 : AttemptResult::kRefused;
+  } else if (status >= 500 || m_call.event_stream) {
+    m_end.result = AttemptResult::kError;
+  } else {
+    m_end.result = AttemptResult::kComplete;
+  }
+}
+
+void CallState::Fail(const char* phase, error_code error) {
+  m_broken = true;
+  m_end.result =
+      m_timed_out ? AttemptResult::kTimedOut : AttemptResult::kBroken;
+  if (m_end.detail.empty()) {
+    m_end.detail = fmt::format(
+        "{}: {}", phase, m_timed_out ? "timeout" : error.message());
+  }
+  Close();
+}
+
+asio::awaitable<bool> CallState::AddressRefuses() {
+  tcp::socket probe(*m_client->m_io);
+  error_code error;
+  m_socket = std::move(probe);
+  SetDeadline(m_client->m_options.connect_timeout);
+  co_await m_socket.async_connect(
+      ParseEndpoint(m_call.address),
+      asio::redirect_error(asio::use_awaitable, error));
+  m_deadline = Clock::time_point::max();
+  Close();
+  co_return error == asio::error::connection_refused;
+}
+
+void CallState::Report() {
+  if (m_reported || m_cancelled) return;
+  m_reported = true;
+  m_end.offset = m_reader.offset();
+  if (m_handlers.end) m_handlers.end(std::move(m_end));
+}
+
+void CallState::ReturnConnection(const Parser& parser) {
+  if (!parser.keep_alive() || m_buffer.size() > 0 || !m_socket.is_open()) {
+    return;
+  }
+  m_client->m_pool.Put(m_call.address, std::move(m_socket), Clock::now());
+}
+
+// ---------------------------------------------------------------------------
+
+BackendClient::BackendClient(asio::io_context* io, BackendOptions options)
+    : m_impl(std::make_shared<Impl>(io, std::move(options))) {}
+
+BackendClient::~BackendClient() { m_impl->Stop(); }
+
+std::shared_ptr<BackendAttempt> BackendClient::Start(BackendCall call,
+                                                     BackendHandlers handlers) {
+  return m_impl->Start(std::move(call), std::move(handlers));
+}
+
+void BackendClient::Probe(
+    const std::string& address, std::chrono::milliseconds timeout,
+    std::function<void(std::optional<HostHealth>)> done) {
+  m_impl->Probe(address, timeout, /*fresh=*/false, std::move(done));
+}
+
+void BackendClient::SendOrder(
+    const std::string& address, const HostOrder& order,
+    std::chrono::milliseconds timeout,
+    std::function<void(bool accepted, bool sent)> done) {
+  nlohmann::json json = {{"kind", order.kind},       {"group", order.group},
+                         {"epoch", order.epoch},     {"rank", order.rank},
+                         {"hosts", order.hosts},     {"model", order.model},
+                         {"version", order.version}, {"weights", order.weights},
+                         {"adapters", order.adapters}, {"role", order.role},
+                         {"fence", order.fence}};
+  BackendCall call;
+  call.address = address;
+  call.target = "/v1/orders";
+  call.headers = {{"Content-Type", "application/json"}};
+  call.body = std::make_shared<const std::string>(json.dump());
+  call.idempotent = false;
+  call.first_byte_timeout = timeout;
+  BackendHandlers handlers;
+  handlers.end = [done = std::move(done)](const BackendEnd& end) {
+    done(end.result == AttemptResult::kComplete && end.status / 100 == 2,
+         end.result != AttemptResult::kNotSent);
+  };
+  Start(std::move(call), std::move(handlers));
+}
+
+void BackendClient::CancelRemote(const std::string& address,
+                                 const std::string& attempt) {
+  BackendCall call;
+  call.address = address;
+  call.method = "DELETE";
+  call.target = "/v1/attempts/" + attempt;
+  call.first_byte_timeout = std::chrono::seconds(2);
+  Start(std::move(call), {});
+}
+
+BackendStats BackendClient::stats() const {
+  BackendStats stats = m_impl->m_stats;
+  stats.idle = m_impl->m_pool.size();
+  return stats;
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/net/connection_pool.cc
@@ -0,0 +1,67 @@
+// A connection is checked just before reuse: a pending end of file means that
+// the server closed it, and pending bytes can't belong to the next answer.
+
+#include "net/connection_pool.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+namespace clementine {
+namespace {
+
+bool StillOpen(boost::asio::ip::tcp::socket* socket) {
+  char byte = 0;
+  ssize_t size =
+      ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+std::optional<ConnectionPool::Socket> ConnectionPool::Take(
+    const std::string& address) {
+  auto found = m_idle.find(address);
+  if (found == m_idle.end()) return std::nullopt;
+  std::vector<Idle>& idle = found->second;
+  while (!idle.empty()) {
+    Socket socket = std::move(idle.back().socket);
+    idle.pop_back();
+    if (StillOpen(&socket)) return socket;
+  }
+  m_idle.erase(found);
+  return std::nullopt;
+}
+
+void ConnectionPool::Put(const std::string& address, Socket socket,
+                         Clock::time_point now) {
+  std::vector<Idle>& idle = m_idle[address];
+  if (idle.size() >= m_max_per_address) idle.erase(idle.begin());
+  idle.push_back({std::move(socket), now});
+}
+
+void ConnectionPool::Purge(const std::string& address) {
+  m_idle.erase(address);
+}
+
+void ConnectionPool::Expire(Clock::time_point now) {
+  for (auto it = m_idle.begin(); it != m_idle.end();) {
+    std::vector<Idle>& idle = it->second;
+    auto fresh =
+        std::find_if(idle.begin(), idle.end(), [&](const Idle& entry) {
+          return now - entry.since < m_idle_timeout;
+        });
+    idle.erase(idle.begin(), fresh);
+    it = idle.empty() ? m_idle.erase(it) : std::next(it);
+  }
+}
+
+std::size_t ConnectionPool::size() const {
+  std::size_t total = 0;
+  for (const auto& [address, idle] : m_idle) total += idle.size();
+  return total;
+}
+
+}  // namespace clementine
--- a/net/net.h
+++ b/net/net.h
@@ -1,13 +1,33 @@
 // Asio, Beast and nng I/O layer around the pure library.
+//
+// Everything runs on one io_context and one thread; callbacks are called on
+// that thread. Nothing here decides: it carries bytes, checks their form and
+// reports what happened.
+//
+//   HttpServer      callers' requests; streamed answers with backpressure
+//   BackendClient   calls to backend servers; checked event streams
+//   PlatformClient  the platform's object API and host list
+//   PeerTransport   authenticated messages between daemons
+//   Metrics         counters, gauges and distributions as Prometheus text
+//
+//   boost::asio::io_context io;
+//   HttpServer server(&io, "127.0.0.1:0", HttpLimits{},
+//                     [](std::shared_ptr<HttpExchange> exchange) {
+//                       exchange->Answer(200, {}, "hello");
+//                     });
+//   io.run();
 #ifndef NET_NET_H_
 #define NET_NET_H_
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,6 +42,345 @@
 void LogEvent(const std::string& event,
               const std::vector<std::pair<std::string, std::string>>& fields);
 
+/// Compares secrets in a time that depends only on their lengths.
+bool SecretsEqual(std::string_view left, std::string_view right);
+
+/// HMAC-SHA256 of `text`, 32 bytes.
+std::string MessageCode(std::string_view key, std::string_view text);
+
+// ---------------------------------------------------------------------------
+// Metrics.
+
+/// Counters, gauges and distributions, written in Prometheus text format.
+/// Distributions are kept in constant memory: p50, p95 and p99 are estimated
+/// over windows of one minute; sum and count are over the process's lifetime.
+/// `labels` is empty or such as `class="counter"`.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  void Add(const std::string& name, const std::string& labels,
+           std::uint64_t count = 1);
+  /// Sets a counter that is counted elsewhere to its current total.
+  void SetTotal(const std::string& name, const std::string& labels,
+                std::uint64_t total);
+  void Set(const std::string& name, const std::string& labels, double value);
+
+  /// A distribution; the pointer stays valid as long as the registry.
+  class Distribution;
+  Distribution* Find(const std::string& name, const std::string& labels);
+  static void Observe(Distribution* distribution, double value, TimePoint now);
+
+  std::string Render() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+// ---------------------------------------------------------------------------
+// HTTP server.
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+class HttpSession;
+class CallState;
+
+/// Finds a header by name without regard to case; empty when absent.
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
+
+struct HttpRequest {
+  std::string method;
+  std::string path;   ///< Target without its query.
+  std::string query;  ///< Without the question mark.
+  HttpHeaders headers;
+  std::string body;
+};
+
+/// One request and its answer. Exactly one of Answer, or StartStream ...
+/// EndStream, is called; calls after the caller left are ignored.
+class HttpExchange {
+ public:
+  HttpExchange() = default;
+  virtual ~HttpExchange() = default;
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+
+  virtual const HttpRequest& request() const = 0;
+  virtual void Answer(int status, const HttpHeaders& headers,
+                      std::string_view body) = 0;
+
+  /// Starts an answer of unknown length.
+  virtual void StartStream(int status, const HttpHeaders& headers) = 0;
+  /// Queues bytes of a streamed answer; never blocks.
+  /// @return false when the caller reads too slowly: stop producing until the
+  ///         drain handler is called.
+  virtual bool Write(std::string_view bytes) = 0;
+  virtual void EndStream() = 0;
+  /// Closes the connection without completing a streamed answer, so that the
+  /// caller can't take it for a complete one.
+  virtual void Abort() = 0;
+
+  /// Called at most once, when the caller closes its connection or stops
+  /// reading for longer than the write timeout before the answer is complete.
+  virtual void SetLeaveHandler(std::function<void()> handler) = 0;
+  virtual void SetDrainHandler(std::function<void()> handler) = 0;
+};
+
+struct HttpLimits {
+  std::size_t max_header_bytes = 16'384;
+  std::size_t max_body_bytes = 1'048'576;
+  std::size_t max_connections = 4096;
+  std::size_t max_buffered_bytes = 65'536;  ///< Unsent bytes of one answer.
+  std::chrono::milliseconds header_timeout{10'000};
+  std::chrono::milliseconds body_timeout{30'000};
+  std::chrono::milliseconds write_timeout{30'000};  ///< No progress in writing.
+  std::chrono::milliseconds idle_timeout{60'000};   ///< Between requests.
+};
+
+struct HttpServerStats {
+  std::uint64_t connections = 0;  ///< Open now.
+  std::uint64_t exchanges = 0;    ///< Requests being answered now.
+  std::uint64_t requests = 0;
+  std::uint64_t malformed = 0;  ///< Rejected before the handler saw them.
+  std::uint64_t refused_connections = 0;
+  std::uint64_t callers_left = 0;
+};
+
+/// HTTP/1.1 server. Malformed, oversized, slow and truncated requests get a
+/// JSON error and a log line; the handler never sees them.
+class HttpServer {
+ public:
+  using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+  /// Listens at once.
+  /// @param address IP:port; port 0 takes a free one.
+  /// @throws std::runtime_error when the address can't be used.
+  HttpServer(boost::asio::io_context* io, const std::string& address,
+             HttpLimits limits, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  std::string address() const;  ///< Bound IP:port.
+  HttpServerStats stats() const;
+
+  /// Accepts no more connections, closes idle ones, and closes the others
+  /// after their current answer.
+  void Stop();
+
+ private:
+  friend class HttpSession;
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+// ---------------------------------------------------------------------------
+// Calls to backend servers.
+
+/// Parses `running=3;waiting=1;kv=0.42`.
+/// @return Nothing when the text is malformed; group and epoch are left empty.
+std::optional<LoadReport> ParseLoad(std::string_view text);
+
+/// Parses the JSON of `GET /v1/health`.
+/// @return Nothing when required members are missing or of a wrong type.
+std::optional<HostHealth> ParseHealth(const std::string& json);
+
+/// Splits a stream into server-sent events and checks that each belongs to one
+/// attempt and continues at the expected offset. Token events carry
+/// `id: <attempt>:<offset>`; offsets count from 0, so the offset of the next
+/// event equals the number of tokens delivered so far.
+class EventStreamReader {
+ public:
+  enum class Fault { kNone, kGap, kOversized, kErrorEvent };
+
+  /// @param attempt Attempt whose events are accepted.
+  /// @param offset  Offset of the first new event.
+  EventStreamReader(std::string attempt, std::uint64_t offset);
+
+  /// Consumes bytes; calls `token` with the data of each accepted event.
+  /// Returns early after a fault.
+  void Read(std::string_view bytes,
+            const std::function<void(std::string_view data)>& token);
+
+  std::uint64_t offset() const { return m_offset; }
+  bool done() const { return m_done; }  ///< `data: [DONE]` was read.
+  Fault fault() const { return m_fault; }
+  std::uint64_t dropped() const { return m_dropped; }  ///< Foreign or repeated.
+
+ private:
+  using TokenHandler = std::function<void(std::string_view data)>;
+  void Line(std::string_view line, const TokenHandler& token);
+  void EndEvent(const TokenHandler& token);
+  std::optional<std::uint64_t> OwnOffset() const;
+
+  std::string m_attempt;
+  std::uint64_t m_offset;
+  std::string m_partial;  ///< Unfinished line.
+  std::string m_id;
+  std::string m_data;
+  std::string m_event;
+  bool m_has_data = false;
+  bool m_done = false;
+  Fault m_fault = Fault::kNone;
+  std::uint64_t m_dropped = 0;
+};
+
+/// One call to a backend server.
+struct BackendCall {
+  std::string address;  ///< IP:port.
+  std::string method = "POST";
+  std::string target;
+  HttpHeaders headers;
+  std::shared_ptr<const std::string> body;  ///< May be null.
+  std::string attempt;             ///< Identifies the attempt on the wire.
+  bool event_stream = false;       ///< Expect and check a token stream.
+  std::uint64_t resume_offset = 0;
+  /// A call that must not run twice gets a new connection, because a reused one
+  /// may be closed by the server just when the call is written.
+  bool idempotent = true;
+  std::chrono::milliseconds first_byte_timeout{10'000};
+  std::chrono::milliseconds gap_timeout{2'000};
+};
+
+/// How a call ended.
+struct BackendEnd {
+  AttemptResult result = AttemptResult::kBroken;
+  int status = 0;            ///< HTTP status, 0 without an answer.
+  std::string content_type;  ///< Of `body`.
+  std::string body;          ///< Answer that isn't a token stream.
+  std::uint64_t offset = 0;  ///< Tokens delivered, earlier attempts included.
+  std::uint64_t dropped = 0;
+  milliseconds retry_after{0};
+  bool leaving = false;  ///< The answer had a `leaving` header.
+  bool reused = false;   ///< The connection came from the pool.
+  std::string detail;    ///< For the log.
+};
+
+struct BackendHandlers {
+  std::function<void(std::string_view data, std::uint64_t offset)> token;
+  std::function<void(const LoadReport& load)> load;
+  std::function<void(BackendEnd end)> end;  ///< Exactly once unless cancelled.
+};
+
+/// A running call. Dropping the pointer doesn't end it.
+class BackendAttempt {
+ public:
+  BackendAttempt() = default;
+  virtual ~BackendAttempt() = default;
+  BackendAttempt(const BackendAttempt&) = delete;
+  BackendAttempt& operator=(const BackendAttempt&) = delete;
+
+  /// Closes the connection; no handler is called any more.
+  virtual void Cancel() = 0;
+  /// Stops reading until Resume; the gap timeout doesn't run meanwhile.
+  virtual void Pause() = 0;
+  virtual void Resume() = 0;
+};
+
+struct BackendOptions {
+  std::string token;  ///< Bearer token; never logged.
+  std::chrono::milliseconds connect_timeout{500};
+  /// Unacknowledged bytes for this long end a connection (TCP_USER_TIMEOUT).
+  std::chrono::milliseconds user_timeout{5'000};
+  std::chrono::milliseconds idle_timeout{15'000};  ///< In the pool.
+  std::size_t max_idle_per_address = 32;
+  std::size_t max_body_bytes = 8'388'608;  ///< Of an answer.
+};
+
+struct BackendStats {
+  std::uint64_t calls = 0;
+  std::uint64_t connects = 0;
+  std::uint64_t reused = 0;
+  std::uint64_t idle = 0;            ///< Connections in the pool now.
+  std::uint64_t frames_dropped = 0;  ///< Events of another attempt or repeated.
+  std::uint64_t gaps = 0;            ///< Streams ended by a missing event.
+};
+
+/// Client of backend servers. Never repeats a call by itself. A result is
+/// kNotSent only if the connection was never established, and kCrashed only if
+/// the connection broke and the address then refuses a new one.
+class BackendClient {
+ public:
+  BackendClient(boost::asio::io_context* io, BackendOptions options);
+  ~BackendClient();
+  BackendClient(const BackendClient&) = delete;
+  BackendClient& operator=(const BackendClient&) = delete;
+
+  std::shared_ptr<BackendAttempt> Start(BackendCall call,
+                                        BackendHandlers handlers);
+
+  /// Asks a backend server for its health; nothing on any failure.
+  void Probe(const std::string& address, std::chrono::milliseconds timeout,
+             std::function<void(std::optional<HostHealth>)> done);
+
+  /// Sends an order. `sent` is false only if no byte could have arrived.
+  void SendOrder(const std::string& address, const HostOrder& order,
+                 std::chrono::milliseconds timeout,
+                 std::function<void(bool accepted, bool sent)> done);
+
+  /// Tells a backend server to stop an attempt; failures are ignored.
+  void CancelRemote(const std::string& address, const std::string& attempt);
+
+  BackendStats stats() const;
+
+ private:
+  friend class CallState;
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+// ---------------------------------------------------------------------------
+// Messages between daemons.
+
+struct PeerStats {
+  std::uint64_t sent = 0;
+  std::uint64_t sent_bytes = 0;
+  std::uint64_t not_sent = 0;  ///< No connection, or its queue is full.
+  std::uint64_t received = 0;
+  std::uint64_t received_bytes = 0;
+  std::uint64_t rejected = 0;  ///< Damaged, unauthenticated or other version.
+  std::uint64_t overflowed = 0;
+};
+
+/// Datagram-like messages over nng: one pull socket receives, and one push
+/// socket for each peer sends, so that a slow peer delays only its own queue.
+/// Messages may be lost, never altered: each carries an HMAC-SHA256.
+class PeerTransport {
+ public:
+  /// @param listen   IP:port; port 0 takes a free one.
+  /// @param key      Shared key; never logged.
+  /// @param received Called on the io_context with the authenticated bytes.
+  /// @throws std::runtime_error when the address can't be used.
+  PeerTransport(boost::asio::io_context* io, const std::string& listen,
+                std::string key, std::function<void(std::string)> received);
+  ~PeerTransport();
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+
+  std::string address() const;  ///< Bound IP:port.
+
+  /// Connects, now or as soon as the peer can be reached.
+  void Connect(const std::string& peer_address);
+  void Disconnect(const std::string& peer_address);
+
+  /// Sends to one peer (connecting first if needed), or to all connected peers
+  /// when `peer_address` is empty.
+  void Send(const std::string& peer_address, std::string_view bytes);
+
+  PeerStats stats() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+// ---------------------------------------------------------------------------
+// Platform.
+
 /// Client of the platform's object API and host list. All calls are
 /// asynchronous; callbacks run on the io_context, exactly once each, and also
 /// when the platform is unreachable. Counts its calls for /metrics.
