Add membership, peer messages and configuration deltas between daemons

Daemons find each other through seeds and watch each other by randomised pings (SWIM); configuration moves as deltas, pulled by whoever sees a higher generation.

--- /dev/null
+++ b/core/peer_message.cc
@@ -0,0 +1,194 @@
+// CBOR through nlohmann's codec. Arrays stand for small records, since repeated
+// key names would be most of the bytes.
+
+#include "core/peer_message.h"
+
+#include <nlohmann/json.hpp>
+
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kProtocolVersion = 1;
+
+json PeerToJson(const PeerInfo& peer) {
+  return json::array(
+      {peer.node, peer.data_centre, peer.peer_address, peer.incarnation});
+}
+
+PeerInfo PeerFromJson(const json& value) {
+  PeerInfo peer;
+  value.at(0).get_to(peer.node);
+  value.at(1).get_to(peer.data_centre);
+  value.at(2).get_to(peer.peer_address);
+  value.at(3).get_to(peer.incarnation);
+  return peer;
+}
+
+json MemberToJson(const MemberUpdate& update) {
+  return json::array({PeerToJson(update.peer), update.refutation,
+                      static_cast<int>(update.state)});
+}
+
+MemberUpdate MemberFromJson(const json& value) {
+  MemberUpdate update;
+  update.peer = PeerFromJson(value.at(0));
+  value.at(1).get_to(update.refutation);
+  int state = value.at(2).get<int>();
+  if (state < 0 || state > static_cast<int>(MemberState::kDead)) {
+    throw PeerMessageError(fmt::format("unknown member state {}", state));
+  }
+  update.state = static_cast<MemberState>(state);
+  return update;
+}
+
+json PresenceToJson(const PresenceUpdate& update) {
+  return json::array({update.reporter, update.sequence, update.host,
+                      update.group, update.epoch, update.present,
+                      update.leaving});
+}
+
+PresenceUpdate PresenceFromJson(const json& value) {
+  PresenceUpdate update;
+  value.at(0).get_to(update.reporter);
+  value.at(1).get_to(update.sequence);
+  value.at(2).get_to(update.host);
+  value.at(3).get_to(update.group);
+  value.at(4).get_to(update.epoch);
+  value.at(5).get_to(update.present);
+  value.at(6).get_to(update.leaving);
+  return update;
+}
+
+json QuarantineToJson(const QuarantineUpdate& update) {
+  return json::array({update.digest, update.remaining.count(), update.crashes});
+}
+
+QuarantineUpdate QuarantineFromJson(const json& value) {
+  QuarantineUpdate update;
+  value.at(0).get_to(update.digest);
+  update.remaining = milliseconds(value.at(1).get<std::int64_t>());
+  value.at(2).get_to(update.crashes);
+  return update;
+}
+
+json PullToJson(const ConfigPull& pull) {
+  return json::array({pull.generation, pull.head_digest, pull.sections});
+}
+
+ConfigPull PullFromJson(const json& value) {
+  ConfigPull pull;
+  value.at(0).get_to(pull.generation);
+  value.at(1).get_to(pull.head_digest);
+  value.at(2).get_to(pull.sections);
+  return pull;
+}
+
+json DeltaToJson(const ConfigDelta& delta) {
+  return json::array({delta.base, delta.head.generation, delta.head.apply_id,
+                      delta.head.author, delta.head.sections, delta.removed,
+                      delta.head_digest, delta.texts});
+}
+
+ConfigDelta DeltaFromJson(const json& value) {
+  ConfigDelta delta;
+  value.at(0).get_to(delta.base);
+  value.at(1).get_to(delta.head.generation);
+  value.at(2).get_to(delta.head.apply_id);
+  value.at(3).get_to(delta.head.author);
+  value.at(4).get_to(delta.head.sections);
+  value.at(5).get_to(delta.removed);
+  value.at(6).get_to(delta.head_digest);
+  value.at(7).get_to(delta.texts);
+  return delta;
+}
+
+template <typename T, typename Convert>
+void AddList(json* out, const char* key, const std::vector<T>& items,
+             Convert convert) {
+  if (items.empty()) return;
+  json list = json::array();
+  for (const T& item : items) list.push_back(convert(item));
+  (*out)[key] = std::move(list);
+}
+
+template <typename T, typename Convert>
+void ReadList(const json& in, const char* key, std::vector<T>* items,
+              Convert convert) {
+  auto found = in.find(key);
+  if (found == in.end()) return;
+  for (const json& item : *found) items->push_back(convert(item));
+}
+
+PeerMessage FromJson(const json& value) {
+  int version = value.at("v").get<int>();
+  if (version != kProtocolVersion) {
+    throw PeerMessageError(
+        fmt::format("unknown peer message version {}", version));
+  }
+  int kind = value.at("k").get<int>();
+  if (kind < 0 || kind > static_cast<int>(PeerMessageKind::kLeave)) {
+    throw PeerMessageError(fmt::format("unknown peer message kind {}", kind));
+  }
+  PeerMessage message;
+  message.kind = static_cast<PeerMessageKind>(kind);
+  message.sender = PeerFromJson(value.at("f"));
+  value.at("s").get_to(message.sequence);
+  message.generation = value.value("g", std::uint64_t{0});
+  message.head_digest = value.value("d", std::string());
+  message.members_digest = value.value("h", std::uint64_t{0});
+  message.want_members = value.value("w", false);
+  if (value.contains("t")) message.target = PeerFromJson(value.at("t"));
+  ReadList(value, "m", &message.members, MemberFromJson);
+  ReadList(value, "p", &message.presence, PresenceFromJson);
+  ReadList(value, "q", &message.quarantine, QuarantineFromJson);
+  if (value.contains("cp")) message.pull = PullFromJson(value.at("cp"));
+  if (value.contains("cd")) message.delta = DeltaFromJson(value.at("cd"));
+  return message;
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  json out = {{"v", kProtocolVersion},
+              {"k", static_cast<int>(message.kind)},
+              {"f", PeerToJson(message.sender)},
+              {"s", message.sequence}};
+  if (message.generation > 0) {
+    out["g"] = message.generation;
+    out["d"] = message.head_digest;
+  }
+  if (message.members_digest != 0) out["h"] = message.members_digest;
+  if (message.want_members) out["w"] = true;
+  if (!message.target.node.empty()) out["t"] = PeerToJson(message.target);
+  AddList(&out, "m", message.members, MemberToJson);
+  AddList(&out, "p", message.presence, PresenceToJson);
+  AddList(&out, "q", message.quarantine, QuarantineToJson);
+  if (message.kind == PeerMessageKind::kConfigPull) {
+    out["cp"] = PullToJson(message.pull);
+  }
+  if (message.kind == PeerMessageKind::kConfigDelta) {
+    out["cd"] = DeltaToJson(message.delta);
+  }
+  std::vector<std::uint8_t> bytes = json::to_cbor(out);
+  return std::string(bytes.begin(), bytes.end());
+}
+
+PeerMessage DecodePeerMessage(const std::string& bytes) {
+  if (bytes.size() > kMaxPeerMessageBytes) {
+    throw PeerMessageError(
+        fmt::format("peer message of {} bytes exceeds the limit of {}",
+                    bytes.size(), kMaxPeerMessageBytes));
+  }
+  try {
+    return FromJson(json::from_cbor(bytes));
+  } catch (const json::exception& error) {
+    throw PeerMessageError(
+        fmt::format("damaged peer message: {}", error.what()));
+  }
+}
+
+}  // namespace clementine
