Parse declarative files and settings with collected findings

One table of fields per section serves parsing, canonical sections and the check of the documentation.

--- /dev/null
+++ b/config/settings.cc
@@ -0,0 +1,160 @@
+// A daemon's settings: one table of sections and fields, then checks that
+// concern two keys.
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "config/config.h"
+#include "config/fields.h"
+#include "config/ini_file.h"
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::size_t kMaxCount = 1'000'000;
+constexpr std::size_t kMaxBytes = 1'000'000'000;
+constexpr char kTokenSection[] = "organisation_tokens";
+
+// Every section with its fields, bound to `settings`.
+std::map<std::string, std::vector<Field>> SettingsTable(Settings* settings) {
+  Settings& s = *settings;
+  auto wait = [](const char* key, milliseconds* target) {
+    return DurationField(key, milliseconds(1), hours(1), target);
+  };
+  std::map<std::string, std::vector<Field>> table;
+  table["node"] = {
+      NameField("name", NameKind::kPath, &s.node),
+      NameField("region", NameKind::kPlain, &s.region),
+      Required(NameField("data_centre", NameKind::kPlain, &s.data_centre)),
+      SeedField("seed", &s.seed)};
+  table["listen"] = {
+      AddressField("address", true, &s.listen),
+      NameField("idempotency_header", NameKind::kPlain, &s.idempotency_header)};
+  table["platform"] = {Required(AddressField("address", false, &s.platform)),
+                       SecretField("token", &s.platform_token)};
+  table["peers"] = {AddressField("listen", true, &s.peer_listen),
+                    AddressListField("seeds", &s.peer_seeds),
+                    Required(SecretField("key", &s.peer_key))};
+  table["backend"] = {SecretField("token", &s.backend_token)};
+  table["limits"] = {
+      SizeField("max_header_bytes", 1'024, kMaxCount, &s.max_header_bytes),
+      SizeField("max_body_bytes", 1'024, kMaxBytes, &s.max_body_bytes),
+      SizeField("max_connections", 1, kMaxCount, &s.max_connections),
+      SizeField("max_queued", 1, kMaxCount, &s.max_queued)};
+  table["timeouts"] = {
+      wait("header_timeout", &s.header_timeout),
+      wait("body_timeout", &s.body_timeout),
+      wait("probe_interval", &s.probe_interval),
+      wait("presence_timeout", &s.presence_timeout),
+      wait("lease_duration", &s.lease_duration),
+      wait("longest_order", &s.longest_order),
+      wait("first_token_timeout", &s.first_token_timeout),
+      wait("token_gap_timeout", &s.token_gap_timeout),
+      wait("connect_timeout", &s.connect_timeout),
+      DurationField("drain_wait", milliseconds(0), hours(1), &s.drain_wait),
+      DurationField("claim_retention", seconds(1), hours(24 * 365),
+                    &s.claim_retention)};
+  return table;
+}
+
+// Tokens are compared but never repeated in a message.
+void ReadTokens(const IniSection& section, FindingList* findings,
+                std::map<std::string, std::string>* tokens) {
+  std::map<std::string, std::string> owners;
+  for (const IniKey& key : section.keys) {
+    std::string problem = CheckName(key.name, NameKind::kPlain);
+    if (problem.empty() && key.value.empty()) {
+      problem = fmt::format("token of {} is empty", Quote(key.name));
+    }
+    if (problem.empty() && tokens->count(key.name) != 0) {
+      problem =
+          fmt::format("key {} is repeated in the section", Quote(key.name));
+    }
+    if (problem.empty() && owners.count(key.value) != 0) {
+      problem = fmt::format("{} has the same token as {}", Quote(key.name),
+                            Quote(owners[key.value]));
+    }
+    if (!problem.empty()) {
+      findings->Add(key.line, problem);
+      continue;
+    }
+    owners[key.value] = key.name;
+    (*tokens)[key.name] = key.value;
+  }
+}
+
+// Checks that concern two settings; `lines` holds the line of each section.
+void CheckTogether(const Settings& settings,
+                   const std::map<std::string, int>& lines,
+                   FindingList* findings) {
+  auto found = lines.find("timeouts");
+  int line = found == lines.end() ? 0 : found->second;
+  if (settings.presence_timeout <= settings.probe_interval) {
+    findings->Add(line, "presence_timeout must be longer than probe_interval");
+  }
+  if (settings.lease_duration <= settings.longest_order) {
+    findings->Add(line, "lease_duration must be longer than longest_order");
+  }
+}
+
+bool HasFixedPort(const std::string& address) {
+  return address.size() < 2 || address.substr(address.size() - 2) != ":0";
+}
+
+}  // namespace
+
+SettingsResult ParseSettings(const SourceFile& file) {
+  SettingsResult result;
+  FindingList findings(file.name);
+  auto table = SettingsTable(&result.settings);
+  std::vector<std::string> names = {kTokenSection};
+  for (const auto& [name, fields] : table) names.push_back(name);
+  std::map<std::string, int> lines;
+  for (const IniSection& section : ReadIni(file, &findings)) {
+    if (section.name.empty()) continue;
+    auto fields = table.find(section.name);
+    if (fields == table.end() && section.name != kTokenSection) {
+      findings.Add(section.line,
+                   fmt::format("unknown section {}{}", Quote(section.name),
+                               Suggestion(section.name, names)));
+    } else if (!lines.emplace(section.name, section.line).second) {
+      findings.Add(section.line,
+                   fmt::format("section [{}] is repeated", section.name));
+    } else if (fields == table.end()) {
+      ReadTokens(section, &findings, &result.settings.organisation_tokens);
+    } else {
+      ReadFields(section, fields->second, &findings);
+    }
+  }
+  for (const auto& [name, fields] : table) {
+    if (lines.count(name) != 0) continue;
+    for (const Field& field : fields) {
+      if (!field.required) continue;
+      findings.Add(0, fmt::format("[{}] lacks key '{}'", name, field.key));
+    }
+  }
+  CheckTogether(result.settings, lines, &findings);
+  if (result.settings.node.empty() && HasFixedPort(result.settings.listen)) {
+    result.settings.node = result.settings.listen;
+  }
+  result.findings = findings.Take();
+  return result;
+}
+
+std::vector<KnownKey> KnownSettingKeys() {
+  Settings settings;
+  std::vector<KnownKey> keys;
+  for (const auto& [name, fields] : SettingsTable(&settings)) {
+    for (const Field& field : fields) keys.push_back({name, field.key});
+  }
+  return keys;
+}
+
+}  // namespace clementine
