Add thin control plane: configuration, presence and gates

The daemon needs a ControlPlane to run against. It lists hosts, watches config/head and placement/<dc>, reads sections by digest, probes hosts and publishes gates. Lease, placement and orders follow.

ObjectsChanged gains the prefix of its watch: an empty reply couldn't be assigned to one of several watches otherwise.

--- /dev/null
+++ b/core/config_watch.h
@@ -0,0 +1,73 @@
+// Adopts configurations: a head with a higher generation and all its sections.
+#ifndef CORE_CONFIG_WATCH_H_
+#define CORE_CONFIG_WATCH_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "core/platform_calls.h"
+
+namespace clementine {
+
+/// Accepts heads and sections from any source (platform or another daemon).
+/// Invariant: the adopted generation never decreases, and an adopted
+/// configuration consists of sections whose text matches their digest.
+class ConfigWatch {
+ public:
+  using Actions = std::vector<ControlAction>;
+
+  ConfigWatch(PlatformCalls* calls, Jitter* jitter)
+      : m_calls(calls), m_jitter(jitter) {}
+
+  /// Considers a head as stored or received; damaged ones are logged.
+  void OfferHead(const std::string& json, TimePoint now, Actions* out);
+  /// Considers the text of a section; `source` appears in the log.
+  void OfferSection(const std::string& digest, const std::string& text,
+                    const std::string& source, TimePoint now, Actions* out);
+  /// Reply to a section read from the platform.
+  void Replied(const std::string& key, const ObjectReply& reply, TimePoint now,
+               Actions* out);
+  /// Requests missing sections that are due.
+  void Advance(TimePoint now, Actions* out);
+
+  /// Digests that are wanted but not known here.
+  std::vector<std::string> MissingSections() const;
+  /// Text of a known section, for spreading to other daemons.
+  const std::string* FindSection(const std::string& digest) const;
+
+  const std::shared_ptr<const Configuration>& configuration() const {
+    return m_configuration;
+  }
+  const ConfigHead& head() const { return m_adopted; }
+  std::uint64_t generation() const { return m_adopted.generation; }
+
+ private:
+  struct Fetch {
+    bool pending = false;
+    TimePoint next;
+    Backoff backoff;
+  };
+
+  void TryAdopt(TimePoint now, Actions* out);
+  void RetryLater(const std::string& digest, const char* fault, TimePoint now,
+                  Actions* out);
+
+  PlatformCalls* m_calls;
+  Jitter* m_jitter;
+  std::shared_ptr<const Configuration> m_configuration;
+  ConfigHead m_adopted;
+  std::optional<ConfigHead> m_wanted;  ///< Higher than adopted, incomplete.
+  std::uint64_t m_rejected_generation = 0;     ///< Complete, but didn't parse.
+  std::map<std::string, std::string> m_texts;  ///< Digest to text.
+  std::map<std::string, Fetch> m_fetches;      ///< Missing digests.
+};
+
+}  // namespace clementine
+
+#endif  // CORE_CONFIG_WATCH_H_
--- /dev/null
+++ b/core/control_plane.cc
@@ -0,0 +1,192 @@
+// Composes the jobs of the control plane and hands each event to its owner.
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "core/config_watch.h"
+#include "core/core.h"
+#include "core/jitter.h"
+#include "core/placement_object.h"
+#include "core/platform_calls.h"
+#include "core/presence.h"
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+constexpr char kHeadKey[] = "config/head";
+constexpr milliseconds kListInterval{2'000};
+constexpr milliseconds kWatchTimeout{30'000};
+/// A watch without a reply for this long after its timeout is lost.
+constexpr milliseconds kWatchGrace{5'000};
+constexpr milliseconds kReplyTimeout{10'000};
+
+/// A periodic or repeated call outside the object calls.
+struct Repeated {
+  bool pending = false;
+  TimePoint sent;
+  TimePoint next;
+  std::uint64_t since = 0;
+  Backoff backoff;
+};
+
+}  // namespace
+
+class ControlPlane::Impl {
+ public:
+  explicit Impl(ControlPlaneOptions options)
+      : m_options(std::move(options)),
+        m_jitter(m_options.seed),
+        m_config(&m_calls, &m_jitter),
+        m_presence({m_options.data_centre, m_options.probe_interval,
+                    m_options.presence_timeout},
+                   &m_jitter),
+        m_placement_key("placement/" + m_options.data_centre) {
+    m_watches[kHeadKey];
+    m_watches[m_placement_key];
+  }
+
+  std::vector<ControlAction> Handle(const ControlEvent& event, TimePoint now) {
+    m_now = now;
+    m_out.clear();
+    std::visit([this](const auto& typed) { On(typed); }, event);
+    Advance();
+    return std::move(m_out);
+  }
+
+  ControlStatus status(TimePoint /*now*/) const {
+    ControlStatus status;
+    status.generation = m_config.generation();
+    nlohmann::json json = {{"data_centre", m_options.data_centre}};
+    status.json = json.dump();
+    return status;
+  }
+
+ private:
+  void On(const HostsListed& event) {
+    m_list.pending = false;
+    m_list.backoff.Succeeded();
+    m_list.next = m_now + m_jitter.Between(kListInterval / 2, kListInterval);
+    m_presence.SetHosts(event.hosts, m_now, &m_out);
+  }
+  void On(const HostsUnavailable&) {
+    m_list.pending = false;
+    m_list.next = m_list.backoff.Failed(m_now, &m_jitter);
+  }
+  void On(const ObjectsChanged& event) {
+    for (const auto& entry : event.entries) {
+      if (entry.key == kHeadKey) {
+        m_config.OfferHead(entry.value, m_now, &m_out);
+      } else if (entry.key == m_placement_key) {
+        OfferPlacement(entry.value);
+      }
+    }
+    auto watch = m_watches.find(WatchOf(event));
+    if (watch != m_watches.end()) {
+      watch->second.pending = false;
+      watch->second.since = event.revision;
+      watch->second.next = m_now;
+      watch->second.backoff.Succeeded();
+    }
+  }
+  void On(const WatchFailed& event) {
+    auto watch = m_watches.find(event.prefix);
+    if (watch != m_watches.end()) {
+      watch->second.pending = false;
+      // A restarted platform can have forgotten revisions; start over.
+      watch->second.since = 0;
+      watch->second.next = watch->second.backoff.Failed(m_now, &m_jitter);
+    }
+  }
+  void On(const ProbeAnswered& event) {
+    m_presence.Answered(event.health, m_now, &m_out);
+  }
+  void On(const ProbeFailed& event) { m_presence.Failed(event.host, m_now); }
+  void On(const HostSuspected& event) {
+    m_presence.Suspected(event.host, event.leaving, m_now, &m_out);
+  }
+  void On(const ObjectReply& reply) {
+    std::optional<PendingCall> call = m_calls.Take(reply.call);
+    if (call && call->owner == CallOwner::kConfig) {
+      m_config.Replied(call->key, reply, m_now, &m_out);
+    }
+  }
+  void On(const OrderAnswered&) {}
+  void On(const PeerMessageReceived&) {}
+  void On(const QuarantineFound&) {}
+  void On(const DrainStarted&) {}
+  void On(const Tick&) {}
+
+  /// The watch that a reply belongs to.
+  std::string WatchOf(const ObjectsChanged& event) const {
+    if (!event.prefix.empty() || event.entries.empty()) {
+      return event.prefix;
+    }
+    return event.entries.front().key;
+  }
+
+  void OfferPlacement(const std::string& value) {
+    try {
+      Placement placement = DecodePlacement(value);
+      m_presence.SetPlacement(placement);
+    } catch (const std::runtime_error& error) {
+      m_out.push_back(
+          LogDecision{"placement_damaged", {{"why", error.what()}}});
+    }
+  }
+
+  void Advance() {
+    if (!m_list.pending && m_now >= m_list.next) {
+      m_list.pending = m_calls.List(m_now, &m_out);
+    }
+    for (auto& [prefix, watch] : m_watches) {
+      if (watch.pending && m_now - watch.sent > kWatchTimeout + kWatchGrace) {
+        watch.pending = false;
+      }
+      if (!watch.pending && m_now >= watch.next) {
+        watch.pending = m_calls.StartWatch(prefix, watch.since, kWatchTimeout,
+                                           m_now, &m_out);
+        watch.sent = m_now;
+      }
+    }
+    for (const auto& [id, call] :
+         m_calls.TakeOlderThan(m_now - kReplyTimeout)) {
+      if (call.owner == CallOwner::kConfig) {
+        m_config.Replied(call.key, ObjectReply{}, m_now, &m_out);
+      }
+    }
+    m_config.Advance(m_now, &m_out);
+    m_presence.SetConfiguration(m_config.configuration());
+    m_presence.Advance(m_now, &m_out);
+  }
+
+  ControlPlaneOptions m_options;
+  Jitter m_jitter;
+  PlatformCalls m_calls;
+  ConfigWatch m_config;
+  Presence m_presence;
+  std::string m_placement_key;
+  Repeated m_list;
+  std::map<std::string, Repeated> m_watches;
+  TimePoint m_now;
+  std::vector<ControlAction> m_out;
+};
+
+ControlPlane::ControlPlane(ControlPlaneOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options))) {}
+ControlPlane::~ControlPlane() = default;
+
+std::vector<ControlAction> ControlPlane::Handle(const ControlEvent& event,
+                                                TimePoint now) {
+  return m_impl->Handle(event, now);
+}
+
+ControlStatus ControlPlane::status(TimePoint now) const {
+  return m_impl->status(now);
+}
+
+}  // namespace clementine
--- a/core/core.h
+++ b/core/core.h
@@ -387,6 +387,7 @@
     std::string value;
   };
   std::vector<Entry> entries;
+  std::string prefix;  ///< Of the watch that this answers.
 };
 struct WatchFailed {
   std::string prefix;
--- /dev/null
+++ b/core/platform_calls.cc
@@ -0,0 +1,108 @@
+// A token bucket bounds calls. A replaced or restarted daemon needs one call
+// for each section at once, hence the burst.
+
+#include "core/platform_calls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine {
+namespace {
+
+constexpr double kCallsPerSecond = 20.0;
+constexpr double kBurst = 40.0;
+constexpr int kLargestShift = 10;
+
+}  // namespace
+
+TimePoint Backoff::Failed(TimePoint now, Jitter* jitter) {
+  milliseconds limit =
+      std::min(m_longest, m_first * (1 << std::min(m_failures, kLargestShift)));
+  ++m_failures;
+  return now + jitter->Between(m_first / 2, limit);
+}
+
+bool PlatformCalls::Spend(CallOwner owner, TimePoint now) {
+  std::chrono::duration<double> elapsed = now - m_refilled;
+  m_tokens = std::min(kBurst, m_tokens + elapsed.count() * kCallsPerSecond);
+  m_refilled = now;
+  if (owner == CallOwner::kLease) {
+    return true;
+  }
+  if (m_tokens < 1.0) {
+    return false;
+  }
+  m_tokens -= 1.0;
+  return true;
+}
+
+CallId PlatformCalls::Get(CallOwner owner, const std::string& key,
+                          TimePoint now, Actions* out) {
+  if (!Spend(owner, now)) {
+    return 0;
+  }
+  CallId id = NextId();
+  m_pending[id] = {owner, key, false, now};
+  ++m_counts["get"];
+  out->push_back(GetObject{id, key});
+  return id;
+}
+
+CallId PlatformCalls::Put(CallOwner owner, const std::string& key,
+                          std::string value, std::uint64_t if_version,
+                          TimePoint now, Actions* out) {
+  if (!Spend(owner, now)) {
+    return 0;
+  }
+  CallId id = NextId();
+  m_pending[id] = {owner, key, true, now};
+  ++m_counts["put"];
+  out->push_back(PutObject{id, key, std::move(value), if_version});
+  return id;
+}
+
+bool PlatformCalls::List(TimePoint now, Actions* out) {
+  if (!Spend(CallOwner::kStatus, now)) {
+    return false;
+  }
+  ++m_counts["list"];
+  out->push_back(ListHosts{});
+  return true;
+}
+
+bool PlatformCalls::StartWatch(const std::string& prefix, std::uint64_t since,
+                               milliseconds timeout, TimePoint now,
+                               Actions* out) {
+  if (!Spend(CallOwner::kStatus, now)) {
+    return false;
+  }
+  ++m_counts["watch"];
+  out->push_back(Watch{prefix, since, timeout});
+  return true;
+}
+
+std::optional<PendingCall> PlatformCalls::Take(CallId call) {
+  auto found = m_pending.find(call);
+  if (found == m_pending.end()) {
+    return std::nullopt;
+  }
+  PendingCall pending = std::move(found->second);
+  m_pending.erase(found);
+  return pending;
+}
+
+std::vector<std::pair<CallId, PendingCall>> PlatformCalls::TakeOlderThan(
+    TimePoint deadline) {
+  std::vector<std::pair<CallId, PendingCall>> taken;
+  for (auto it = m_pending.begin(); it != m_pending.end();) {
+    if (it->second.sent < deadline) {
+      taken.emplace_back(it->first, std::move(it->second));
+      it = m_pending.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return taken;
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/core/presence.h
@@ -0,0 +1,115 @@
+// What this node knows of each host, and the gates that follow from it.
+#ifndef CORE_PRESENCE_H_
+#define CORE_PRESENCE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "core/jitter.h"
+#include "core/placement_object.h"
+
+namespace clementine {
+
+/// Everything known of one host.
+struct HostRecord {
+  HostInfo info;
+  bool listed = false;  ///< In the platform's last host list.
+  std::optional<HostHealth> health;
+  TimePoint asked;  ///< Sending time of the probe that gave `health`.
+  TimePoint first_seen;
+  TimePoint last_ok;       ///< `asked` of the last answer, or `first_seen`.
+  TimePoint trusted_from;  ///< Health asked before this doesn't count.
+  bool leaving = false;    ///< By host list, health, header or a peer.
+  TimePoint leaving_since;
+  int failures = 0;  ///< Failed probes since the last answer.
+  // Probing by this node.
+  bool probing = false;
+  bool probe_again = false;  ///< A suspicion arrived during a probe.
+  TimePoint probe_sent;
+  TimePoint next_probe;
+};
+
+/// Owns host records; decides gates.
+/// Invariant: a published view is open only if the placement known here lists
+/// the group as serving and the latest health of each of its hosts is younger
+/// than the presence timeout, was asked after any suspicion, and names the
+/// group, its epoch and its hosts. Ages count from the sending of the probe.
+class Presence {
+ public:
+  using Actions = std::vector<ControlAction>;
+
+  struct Options {
+    std::string data_centre;
+    milliseconds probe_interval{1'000};
+    milliseconds presence_timeout{3'000};
+  };
+
+  Presence(Options options, Jitter* jitter)
+      : m_options(std::move(options)), m_jitter(jitter) {}
+
+  void SetHosts(const std::vector<HostInfo>& hosts, TimePoint now,
+                Actions* out);
+  void SetPlacement(const Placement& placement) { m_placement = placement; }
+  void SetConfiguration(std::shared_ptr<const Configuration> configuration) {
+    m_configuration = std::move(configuration);
+  }
+
+  void Answered(const HostHealth& health, TimePoint now, Actions* out);
+  void Failed(const std::string& host, TimePoint now);
+  void Suspected(const std::string& host, bool leaving, TimePoint now,
+                 Actions* out);
+  /// A report from another daemon.
+  /// @param age Time since that daemon sent its probe, plus transmission.
+  void Reported(const HostHealth& health, milliseconds age, TimePoint now,
+                Actions* out);
+
+  /// Sends due probes and publishes changed views.
+  void Advance(TimePoint now, Actions* out);
+
+  const std::map<std::string, HostRecord>& hosts() const { return m_hosts; }
+  const HostRecord* Find(const std::string& host) const;
+  const std::vector<GroupView>& views() const { return m_views; }
+  bool Fresh(const HostRecord& host, TimePoint now) const;
+
+  /// Decides which hosts this node probes; empty means all.
+  std::function<bool(const std::string& host)> probes;
+  /// Test-only mutations.
+  bool ignore_health_age_for_test = false;
+  bool ignore_epoch_for_test = false;
+  bool ignore_leaving_for_test = false;
+
+ private:
+  void Probe(HostRecord* record, TimePoint now, Actions* out);
+  void MarkLeaving(HostRecord* record, const char* signal, TimePoint now,
+                   Actions* out);
+  void Learn(HostRecord* record, const HostHealth& health, TimePoint asked,
+             TimePoint now, Actions* out);
+  GroupView ViewOfGroup(const std::string& name, const PlacedGroup& group,
+                        TimePoint now) const;
+  GroupView ViewOfPlainHost(const std::string& service,
+                            const HostRecord& record, TimePoint now) const;
+  bool Confirms(const std::string& name, const PlacedGroup& group,
+                const HostRecord& record, TimePoint now) const;
+  void Publish(std::vector<GroupView> views, Actions* out);
+
+  Options m_options;
+  Jitter* m_jitter;
+  std::map<std::string, HostRecord> m_hosts;
+  Placement m_placement;
+  std::shared_ptr<const Configuration> m_configuration;
+  std::vector<GroupView> m_views;
+};
+
+/// @return Whether a host's health says that it serves exactly this group.
+bool HealthMatches(const std::string& name, const PlacedGroup& group,
+                   const HostHealth& health);
+
+}  // namespace clementine
+
+#endif  // CORE_PRESENCE_H_
