--- /dev/null
+++ b/daemon/daemon.cc
@@ -0,0 +1,333 @@
+// Events of both facades go through one queue, so that a callback inside an
+// action is handled after that action and not within it.
+
+#include "daemon/daemon.h"
+
+#include <utility>
+
+#include "daemon/answers.h"
+#include "daemon/request_reader.h"
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kTickInterval{50};
+
+/// Longest wait for the platform's answer to the lease's release.
+constexpr std::chrono::milliseconds kReleaseTimeout{3'000};
+
+std::uint64_t MillisecondsSinceEpoch() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+/// Attempt ids appear in paths and before a colon, so other bytes are replaced.
+std::string AttemptPrefix(const std::string& node, std::uint64_t incarnation) {
+  std::string prefix = node;
+  for (char& c : prefix) {
+    bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                 (c >= '0' && c <= '9') || c == '.' || c == '-';
+    if (!plain) c = '.';
+  }
+  return fmt::format("{}-{:x}", prefix, incarnation);
+}
+
+HttpLimits ServerLimits(const Settings& settings) {
+  HttpLimits limits;
+  limits.max_header_bytes = settings.max_header_bytes;
+  limits.max_body_bytes = settings.max_body_bytes;
+  limits.max_connections = settings.max_connections;
+  limits.header_timeout = settings.header_timeout;
+  limits.body_timeout = settings.body_timeout;
+  limits.write_timeout = settings.body_timeout;
+  return limits;
+}
+
+}  // namespace
+
+Daemon::Daemon(boost::asio::io_context* io, Settings settings)
+    : m_io(io),
+      m_settings(std::move(settings)),
+      m_incarnation(MillisecondsSinceEpoch()),
+      m_tick(*io),
+      m_stop_timer(*io) {
+  m_platform = std::make_unique<PlatformClient>(io, m_settings.platform,
+                                                m_settings.platform_token);
+  BackendOptions backend_options;
+  backend_options.token = m_settings.backend_token;
+  backend_options.connect_timeout = m_settings.connect_timeout;
+  m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
+  m_peers = std::make_unique<PeerTransport>(
+      io, m_settings.peer_listen, m_settings.peer_key,
+      [this](std::string bytes) {
+        Feed(ControlEvent(PeerMessageReceived{std::move(bytes)}));
+      });
+  m_server = std::make_unique<HttpServer>(
+      io, m_settings.listen, ServerLimits(m_settings),
+      [this](const std::shared_ptr<HttpExchange>& exchange) {
+        OnExchange(exchange);
+      });
+  if (m_settings.node.empty()) m_settings.node = m_server->address();
+  CreateCore();
+  CreateExecutors();
+  ScheduleTick();
+}
+
+Daemon::~Daemon() = default;
+
+void Daemon::CreateCore() {
+  RequestPathOptions request_options;
+  request_options.node = m_settings.node;
+  request_options.data_centre = m_settings.data_centre;
+  request_options.seed = m_settings.seed;
+  request_options.max_queued = m_settings.max_queued;
+  request_options.claim_retention = m_settings.claim_retention;
+  m_request_path = std::make_unique<RequestPath>(std::move(request_options));
+  ControlPlaneOptions control_options;
+  control_options.node = m_settings.node;
+  control_options.region = m_settings.region;
+  control_options.data_centre = m_settings.data_centre;
+  control_options.peer_address = m_peers->address();
+  control_options.peer_seeds = m_settings.peer_seeds;
+  control_options.incarnation = m_incarnation;
+  control_options.seed = m_settings.seed;
+  control_options.probe_interval = m_settings.probe_interval;
+  control_options.presence_timeout = m_settings.presence_timeout;
+  control_options.lease_duration = m_settings.lease_duration;
+  control_options.longest_order = m_settings.longest_order;
+  m_control_plane = std::make_unique<ControlPlane>(std::move(control_options));
+}
+
+void Daemon::CreateExecutors() {
+  auto feed_request = [this](RequestEvent event) { Feed(std::move(event)); };
+  auto feed_control = [this](ControlEvent event) { Feed(std::move(event)); };
+  RequestContext request_context;
+  request_context.settings = &m_settings;
+  request_context.backends = m_backends.get();
+  request_context.platform = m_platform.get();
+  request_context.metrics = &m_metrics;
+  request_context.attempt_prefix =
+      AttemptPrefix(m_settings.node, m_incarnation);
+  request_context.feed = feed_request;
+  request_context.feed_control = feed_control;
+  m_request_executor =
+      std::make_unique<RequestExecutor>(std::move(request_context));
+  ControlContext control_context;
+  control_context.settings = &m_settings;
+  control_context.backends = m_backends.get();
+  control_context.platform = m_platform.get();
+  control_context.peers = m_peers.get();
+  control_context.feed = feed_control;
+  control_context.pass_on = [this](const RequestEvent& event) {
+    PassOn(event);
+  };
+  m_control_executor =
+      std::make_unique<ControlExecutor>(std::move(control_context));
+}
+
+// ---------------------------------------------------------------------------
+// Events.
+
+void Daemon::Feed(AnyEvent event) {
+  m_queue.push_back(std::move(event));
+  HandleQueue();
+}
+
+void Daemon::HandleQueue() {
+  if (m_handling) return;
+  m_handling = true;
+  while (!m_queue.empty()) {
+    AnyEvent event = std::move(m_queue.front());
+    m_queue.pop_front();
+    try {
+      HandleOne(event);
+    } catch (const std::exception& error) {
+      m_metrics.Add("clementine_internal_errors_total", "");
+      LogEvent("internal_error", {{"error", error.what()}});
+    }
+  }
+  m_handling = false;
+}
+
+void Daemon::HandleOne(const AnyEvent& event) {
+  TimePoint now = Clock::now();
+  if (const auto* request_event = std::get_if<RequestEvent>(&event)) {
+    for (const RequestAction& action :
+         m_request_path->Handle(*request_event, now)) {
+      m_request_executor->Execute(action);
+    }
+  } else {
+    for (const ControlAction& action :
+         m_control_plane->Handle(std::get<ControlEvent>(event), now)) {
+      m_control_executor->Execute(action);
+    }
+  }
+}
+
+void Daemon::PassOn(const RequestEvent& event) {
+  if (const auto* groups = std::get_if<GroupsChanged>(&event)) {
+    m_request_executor->SetGroups(groups->groups);
+    m_open_groups = 0;
+    for (const GroupView& group : groups->groups) {
+      if (group.open) ++m_open_groups;
+    }
+  } else if (const auto* changed = std::get_if<ConfigurationChanged>(&event)) {
+    m_configuration = changed->configuration;
+    m_generation = changed->generation;
+    LogEvent("configuration_adopted",
+             {{"generation", std::to_string(m_generation)}});
+  }
+  Feed(event);
+}
+
+void Daemon::ScheduleTick() {
+  m_tick.expires_after(kTickInterval);
+  m_tick.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    Feed(ControlEvent(Tick{}));
+    Feed(RequestEvent(Tick{}));
+    CheckFinished();
+    ScheduleTick();
+  });
+}
+
+// ---------------------------------------------------------------------------
+// Callers.
+
+void Daemon::OnExchange(const std::shared_ptr<HttpExchange>& exchange) {
+  if (AnswerAdminPage(exchange.get())) return;
+  static const Configuration kEmpty;
+  const Configuration& configuration =
+      m_configuration ? *m_configuration : kEmpty;
+  ReadResult read = ReadCallerRequest(m_settings, configuration,
+                                      exchange->request(), Clock::now());
+  if (!read.request) {
+    const RequestFault& fault = read.fault;
+    m_metrics.Add("clementine_rejected_total",
+                  fmt::format("reason=\"{}\"", fault.type));
+    LogEvent("request_rejected", {{"status", std::to_string(fault.status)},
+                                  {"reason", fault.type},
+                                  {"path", exchange->request().path}});
+    AnswerError(exchange.get(), fault.status, fault.type, fault.message,
+                Outcome::kNotRun, milliseconds(1'000));
+    return;
+  }
+  m_request_executor->Accept(exchange, std::move(*read.request));
+}
+
+bool Daemon::Ready() const {
+  return m_phase == Phase::kServing && m_configuration != nullptr;
+}
+
+bool Daemon::AnswerAdminPage(HttpExchange* exchange) {
+  const HttpRequest& request = exchange->request();
+  if (request.path == "/healthz") {
+    exchange->Answer(200, {{"Content-Type", "text/plain"}}, "ok\n");
+  } else if (request.path == "/readyz") {
+    bool ready = Ready();
+    exchange->Answer(ready ? 200 : 503, {{"Content-Type", "text/plain"}},
+                     ready                          ? "ready\n"
+                     : m_phase == Phase::kServing ? "no configuration\n"
+                                                    : "stopping\n");
+  } else if (request.path == "/metrics") {
+    exchange->Answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                     RenderMetrics());
+  } else if (request.path == "/status") {
+    exchange->Answer(200, {{"Content-Type", "application/json"}},
+                     m_control_plane->status(Clock::now()).json);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+std::string Daemon::RenderMetrics() {
+  RequestPathStats path = m_request_path->stats();
+  m_metrics.SetTotal("clementine_dispatched_total", "", path.dispatched);
+  m_metrics.SetTotal("clementine_retried_total", "", path.retried);
+  m_metrics.SetTotal("clementine_quarantined_total", "", path.quarantined);
+  m_metrics.Set("clementine_in_flight", "",
+                static_cast<double>(path.in_flight));
+  m_metrics.Set("clementine_queued", "", static_cast<double>(path.queued));
+  HttpServerStats server = m_server->stats();
+  m_metrics.Set("clementine_connections", "",
+                static_cast<double>(server.connections));
+  m_metrics.SetTotal("clementine_malformed_total", "", server.malformed);
+  m_metrics.SetTotal("clementine_callers_left_total", "", server.callers_left);
+  m_metrics.SetTotal("clementine_refused_connections_total", "",
+                     server.refused_connections);
+  BackendStats backend = m_backends->stats();
+  m_metrics.SetTotal("clementine_backend_calls_total", "", backend.calls);
+  m_metrics.SetTotal("clementine_backend_connects_total", "", backend.connects);
+  m_metrics.SetTotal("clementine_frames_dropped_total", "",
+                     backend.frames_dropped);
+  m_metrics.SetTotal("clementine_stream_gaps_total", "", backend.gaps);
+  PeerStats peers = m_peers->stats();
+  m_metrics.SetTotal("clementine_peer_messages_total", "direction=\"out\"",
+                     peers.sent);
+  m_metrics.SetTotal("clementine_peer_messages_total", "direction=\"in\"",
+                     peers.received);
+  m_metrics.SetTotal("clementine_peer_bytes_total", "direction=\"out\"",
+                     peers.sent_bytes);
+  m_metrics.SetTotal("clementine_peer_bytes_total", "direction=\"in\"",
+                     peers.received_bytes);
+  m_metrics.SetTotal("clementine_peer_rejected_total", "", peers.rejected);
+  m_metrics.SetTotal("clementine_peer_not_sent_total", "", peers.not_sent);
+  m_metrics.SetTotal("clementine_peer_overflowed_total", "", peers.overflowed);
+  m_metrics.SetTotal("clementine_platform_calls_total", "",
+                     m_platform->calls());
+  ControlStatus control = m_control_plane->status(Clock::now());
+  m_metrics.Set("clementine_generation", "",
+                static_cast<double>(m_generation));
+  m_metrics.Set("clementine_open_groups", "",
+                static_cast<double>(m_open_groups));
+  m_metrics.Set("clementine_holds_lease", "", control.holds_lease ? 1 : 0);
+  m_metrics.Set("clementine_live_daemons", "", control.live_daemons);
+  return m_metrics.Render();
+}
+
+// ---------------------------------------------------------------------------
+// Stopping.
+
+void Daemon::Stop() {
+  if (m_phase != Phase::kServing) return;
+  m_phase = Phase::kUnready;
+  LogEvent("stopping",
+           {{"drain_wait_ms", std::to_string(m_settings.drain_wait.count())}});
+  m_stop_timer.expires_after(m_settings.drain_wait);
+  m_stop_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) OnDrainWaited();
+  });
+}
+
+void Daemon::OnDrainWaited() {
+  m_phase = Phase::kFinishing;
+  Feed(RequestEvent(DrainStarted{}));
+  LogEvent("draining", {{"unfinished",
+                         std::to_string(m_request_executor->unfinished())}});
+  CheckFinished();
+}
+
+void Daemon::CheckFinished() {
+  if (m_phase == Phase::kFinishing && m_request_executor->unfinished() == 0) {
+    m_phase = Phase::kReleasing;
+    m_release_deadline = Clock::now() + kReleaseTimeout;
+    m_server->Stop();
+    Feed(ControlEvent(DrainStarted{}));
+  }
+  if (m_phase != Phase::kReleasing) return;
+  // Answers that are complete here may still be on their way to callers.
+  bool written = m_server->stats().exchanges == 0;
+  bool released = m_control_executor->unfinished() == 0 ||
+                  Clock::now() >= m_release_deadline;
+  if (!written || !released) return;
+  LogEvent("stopped", {});
+  m_io->stop();
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/daemon/daemon.h
@@ -0,0 +1,81 @@
+// Wires the pure library to the I/O layer: one thread, one event queue.
+#ifndef DAEMON_DAEMON_H_
+#define DAEMON_DAEMON_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "core/core.h"
+#include "daemon/control_executor.h"
+#include "daemon/request_executor.h"
+#include "net/net.h"
+
+namespace clementine {
+
+/// A running daemon. Invariant: events are handled one at a time, in the order
+/// in which they were fed; an action that feeds an event doesn't recurse.
+class Daemon {
+ public:
+  /// Binds its addresses and starts.
+  /// @throws std::runtime_error when an address can't be used.
+  Daemon(boost::asio::io_context* io, Settings settings);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  std::string listen_address() const { return m_server->address(); }
+  std::string peer_address() const { return m_peers->address(); }
+  const std::string& node() const { return m_settings.node; }
+
+  /// Stops gracefully: unready, wait for the load balancer, refuse new
+  /// requests, finish the others, release the lease, stop the io_context.
+  void Stop();
+
+ private:
+  using AnyEvent = std::variant<RequestEvent, ControlEvent>;
+
+  void CreateCore();
+  void CreateExecutors();
+  void Feed(AnyEvent event);
+  void HandleQueue();
+  void HandleOne(const AnyEvent& event);
+  void PassOn(const RequestEvent& event);
+  void OnExchange(const std::shared_ptr<HttpExchange>& exchange);
+  bool AnswerAdminPage(HttpExchange* exchange);
+  std::string RenderMetrics();
+  bool Ready() const;
+  void ScheduleTick();
+  void OnDrainWaited();
+  void CheckFinished();
+
+  boost::asio::io_context* m_io;
+  Settings m_settings;
+  std::uint64_t m_incarnation;  ///< Start time in ms since 1970.
+  Metrics m_metrics;
+  std::unique_ptr<PlatformClient> m_platform;
+  std::unique_ptr<BackendClient> m_backends;
+  std::unique_ptr<PeerTransport> m_peers;
+  std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<RequestPath> m_request_path;
+  std::unique_ptr<ControlPlane> m_control_plane;
+  std::unique_ptr<RequestExecutor> m_request_executor;
+  std::unique_ptr<ControlExecutor> m_control_executor;
+  std::shared_ptr<const Configuration> m_configuration;  ///< Null before one.
+  std::uint64_t m_generation = 0;
+  std::uint64_t m_open_groups = 0;
+  std::deque<AnyEvent> m_queue;
+  bool m_handling = false;
+  boost::asio::steady_timer m_tick;
+  boost::asio::steady_timer m_stop_timer;
+  enum class Phase { kServing, kUnready, kFinishing, kReleasing };
+  Phase m_phase = Phase::kServing;
+  TimePoint m_release_deadline;
+};
+
+}  // namespace clementine
+
+#endif  // DAEMON_DAEMON_H_
--- /dev/null
+++ b/daemon/main.cc
@@ -0,0 +1,90 @@
+// clementined: the daemon of an entry host.
+//
+// Exit codes: 0 graceful stop; 1 the daemon can't start (an address is in use);
+// 2 the command line or the settings are invalid.
+
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include "config/config.h"
+#include "daemon/daemon.h"
+#include "net/net.h"
+
+namespace clementine {
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+/// Connections to callers and backend servers need more descriptors than the
+/// usual soft limit.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+int Run(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::fprintf(stderr, "%s: can't be read\n", path.c_str());
+    return kExitUsage;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  SettingsResult parsed = ParseSettings({path, text.str()});
+  for (const Finding& finding : parsed.findings) {
+    std::fprintf(stderr, "%s\n", FormatFinding(finding).c_str());
+  }
+  if (!parsed.findings.empty()) return kExitUsage;
+  RaiseDescriptorLimit();
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context io(1);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  Daemon daemon(&io, std::move(parsed.settings));
+  LogEvent("started", {{"version", CLEMENTINE_VERSION},
+                       {"node", daemon.node()},
+                       {"listen", daemon.listen_address()},
+                       {"peer_listen", daemon.peer_address()},
+                       {"pid", std::to_string(::getpid())}});
+  // Later signals are caught and ignored: a stop is always graceful.
+  signals.async_wait(
+      [&daemon](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) daemon.Stop();
+      });
+  io.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace clementine
+
+int main(int argc, char** argv) {
+  CLI::App app{
+      "clementined: daemon of an entry host.\n"
+      "Exit codes: 0 graceful stop, 1 can't start, 2 invalid command line or "
+      "settings."};
+  std::string path;
+  app.add_option("--config", path, "INI file with the daemon's settings")
+      ->required();
+  app.set_version_flag("--version", CLEMENTINE_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : clementine::kExitUsage;
+  }
+  try {
+    return clementine::Run(path);
+  } catch (const std::exception& error) {
+    clementine::LogEvent("start_failed", {{"error", error.what()}});
+    return clementine::kExitFailed;
+  }
+}
--- /dev/null
+++ b/daemon/request_executor.h
@@ -0,0 +1,92 @@
+// Carries out the request path's actions: attempts on backend servers and
+// answers to callers.
+#ifndef DAEMON_REQUEST_EXECUTOR_H_
+#define DAEMON_REQUEST_EXECUTOR_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/core.h"
+#include "daemon/request_reader.h"
+#include "net/net.h"
+
+namespace clementine {
+
+/// What the executor works with; everything outlives it.
+struct RequestContext {
+  const Settings* settings = nullptr;
+  BackendClient* backends = nullptr;
+  PlatformClient* platform = nullptr;
+  Metrics* metrics = nullptr;
+  std::string attempt_prefix;  ///< Makes attempt ids unique over restarts.
+  std::function<void(RequestEvent)> feed;
+  std::function<void(ControlEvent)> feed_control;
+};
+
+/// Invariant: bytes of an attempt reach a caller only while it is the current
+/// attempt of that caller's request and continues at the delivered offset.
+class RequestExecutor {
+ public:
+  explicit RequestExecutor(RequestContext context);
+  ~RequestExecutor();
+  RequestExecutor(const RequestExecutor&) = delete;
+  RequestExecutor& operator=(const RequestExecutor&) = delete;
+
+  /// Takes a caller's request and feeds RequestArrived.
+  void Accept(std::shared_ptr<HttpExchange> exchange, ReadRequest read);
+
+  void Execute(const RequestAction& action);
+
+  /// Learns which host leads each group, for HostSuspected.
+  void SetGroups(const std::vector<GroupView>& groups);
+
+  /// Callers, attempts and platform calls that aren't finished.
+  std::size_t unfinished() const;
+
+ private:
+  struct Caller;
+  struct Attempt;
+
+  void On(const Dispatch& dispatch);
+  void On(const CancelAttempt& cancel);
+  void On(const Refuse& refuse);
+  void On(const Finish& finish);
+  void On(const Replay& replay);
+  void On(const ShareQuarantine& share);
+  void On(const GetObject& get);
+  void On(const PutObject& put);
+  void On(const DeleteObject& del);
+  void On(const LogDecision& log);
+
+  BackendCall MakeCall(const Dispatch& dispatch, const Caller& caller,
+                       const std::string& wire_attempt) const;
+  void OnToken(Attempt* attempt, std::string_view data, std::uint64_t offset);
+  void OnEnd(const std::shared_ptr<Attempt>& attempt, BackendEnd end);
+  void SuspectHost(const Attempt& attempt, const BackendEnd& end);
+  void KeepAnswer(Attempt* attempt, BackendEnd* end);
+  void Relay(Caller* caller, Attempt* attempt, std::string_view data);
+  void StartStream(Caller* caller);
+  void Observe(Caller* caller);
+  void FinishStream(Caller* caller);
+  void LogAnswer(const Caller& caller, const char* outcome, int status);
+  std::shared_ptr<Caller> TakeCaller(RequestId id);
+  std::function<void(ObjectReply)> ReplyHandler();
+
+  RequestContext m_context;
+  std::unordered_map<RequestId, std::shared_ptr<Caller>> m_callers;
+  std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
+  std::unordered_map<std::string, std::string> m_leaders;  ///< Group to host.
+  std::size_t m_platform_calls = 0;
+  RequestId m_last_request = 0;
+  std::string m_event;  ///< Reused for each relayed event.
+  /// Tells late callbacks that the executor is gone.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace clementine
+
+#endif  // DAEMON_REQUEST_EXECUTOR_H_
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -528,6 +528,7 @@
 
 void CallState::Fail(const char* phase, error_code error) {
   m_broken = true;
+  m_end.lost = !m_timed_out;
   m_end.result =
       m_timed_out ? AttemptResult::kTimedOut : AttemptResult::kBroken;
   if (m_end.detail.empty()) {
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -462,6 +462,7 @@
   m_pending = FormatHead(fault.status,
                          {{"Content-Type", "application/json"},
                           {"X-Clementine-Outcome", "not-run"},
+                          {"Retry-After", "1"},
                           {"Content-Length", std::to_string(body.size())}},
                          true) +
               "\r\n" + body;
--- a/net/net.h
+++ b/net/net.h
@@ -257,6 +257,7 @@
   milliseconds retry_after{0};
   bool leaving = false;  ///< The answer had a `leaving` header.
   bool reused = false;   ///< The connection came from the pool.
+  bool lost = false;     ///< The connection couldn't be made or broke.
   std::string detail;    ///< For the log.
 };
 
