--- a/net/net.h
+++ b/net/net.h
@@ -24,14 +24,17 @@
 
 /// Client of the platform's object API and host list. All calls are
 /// asynchronous; callbacks run on the io_context, exactly once each, and also
-/// when the platform is unreachable. Counts its calls for /metrics.
+/// when the platform is unreachable; none runs after the client's destruction.
+/// Counts its calls for /metrics.
 class PlatformClient {
  public:
   using ObjectCallback = std::function<void(ObjectReply)>;
 
+  /// @param io      Must outlive the client.
   /// @param address IP:port of the platform's API.
   /// @param token   Bearer token; never logged.
   /// @param timeout Longest wait for an answer; a watch adds its own time.
+  /// @throws std::runtime_error when the address isn't IP:port.
   PlatformClient(boost::asio::io_context* io, std::string address,
                  std::string token,
                  std::chrono::milliseconds timeout = std::chrono::seconds(2));
