--- a/core/config_watch.cc
+++ b/core/config_watch.cc
@@ -28,8 +28,9 @@
     out->push_back(LogDecision{"config_head_damaged", {{"why", error.what()}}});
     return;
   }
-  if (head.generation <= m_adopted.generation ||
-      head.generation <= m_rejected_generation ||
+  bool reverts = head.generation <= m_adopted.generation &&
+                 m_mutation != Mutation::kRevertGeneration;
+  if (reverts || head.generation <= m_rejected_generation ||
       (m_wanted && head.generation <= m_wanted->generation)) {
     return;
   }
--- a/core/config_watch.h
+++ b/core/config_watch.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "core/mutation.h"
 #include "core/platform_calls.h"
 
 namespace clementine {
@@ -22,8 +23,9 @@
  public:
   using Actions = std::vector<ControlAction>;
 
-  ConfigWatch(PlatformCalls* calls, Jitter* jitter)
-      : m_calls(calls), m_jitter(jitter) {}
+  ConfigWatch(PlatformCalls* calls, Jitter* jitter,
+              Mutation mutation = Mutation::kNone)
+      : m_calls(calls), m_jitter(jitter), m_mutation(mutation) {}
 
   /// Considers a head as stored or received; damaged ones are logged.
   void OfferHead(const std::string& json, TimePoint now, Actions* out);
@@ -60,6 +62,7 @@
 
   PlatformCalls* m_calls;
   Jitter* m_jitter;
+  Mutation m_mutation;
   std::shared_ptr<const Configuration> m_configuration;
   ConfigHead m_adopted;
   std::optional<ConfigHead> m_wanted;  ///< Higher than adopted, incomplete.
--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -2,17 +2,16 @@
 
 #include <algorithm>
 #include <map>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 #include <utility>
 
 #include "core/config_watch.h"
 #include "core/core.h"
 #include "core/jitter.h"
-#include "core/placement_object.h"
+#include "core/placement_control.h"
 #include "core/platform_calls.h"
 #include "core/presence.h"
+#include "core/status.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -24,6 +23,7 @@
 /// A watch without a reply for this long after its timeout is lost.
 constexpr milliseconds kWatchGrace{5'000};
 constexpr milliseconds kReplyTimeout{10'000};
+constexpr milliseconds kMeasureInterval{100};
 
 /// A periodic or repeated call outside the object calls.
 struct Repeated {
@@ -41,10 +41,13 @@
   explicit Impl(ControlPlaneOptions options)
       : m_options(std::move(options)),
         m_jitter(m_options.seed),
-        m_config(&m_calls, &m_jitter),
+        m_config(&m_calls, &m_jitter, m_options.mutation),
         m_presence({m_options.data_centre, m_options.probe_interval,
-                    m_options.presence_timeout},
+                    m_options.presence_timeout, m_options.mutation},
                    &m_jitter),
+        m_placement(m_options, &m_calls, &m_jitter),
+        m_status("status/" + m_options.data_centre, m_options.status_interval,
+                 &m_calls, &m_jitter),
         m_placement_key("placement/" + m_options.data_centre) {
     m_watches[kHeadKey];
     m_watches[m_placement_key];
@@ -58,11 +61,12 @@
     return std::move(m_out);
   }
 
-  ControlStatus status(TimePoint /*now*/) const {
+  ControlStatus status(TimePoint now) const {
     ControlStatus status;
     status.generation = m_config.generation();
-    nlohmann::json json = {{"data_centre", m_options.data_centre}};
-    status.json = json.dump();
+    status.holds_lease = m_placement.lease().Proven(now);
+    status.fence = m_placement.lease().fence();
+    status.json = m_status.Json(Sources());
     return status;
   }
 
@@ -82,7 +86,7 @@
       if (entry.key == kHeadKey) {
         m_config.OfferHead(entry.value, m_now, &m_out);
       } else if (entry.key == m_placement_key) {
-        OfferPlacement(entry.value);
+        m_placement.ObservedPlacement(entry.version, entry.value, &m_out);
       }
     }
     auto watch = m_watches.find(WatchOf(event));
@@ -111,14 +115,16 @@
   }
   void On(const ObjectReply& reply) {
     std::optional<PendingCall> call = m_calls.Take(reply.call);
-    if (call && call->owner == CallOwner::kConfig) {
-      m_config.Replied(call->key, reply, m_now, &m_out);
+    if (call) {
+      Route(*call, reply);
     }
   }
-  void On(const OrderAnswered&) {}
+  void On(const OrderAnswered& event) {
+    m_placement.OrderReplied(event, m_now, &m_out);
+  }
   void On(const PeerMessageReceived&) {}
   void On(const QuarantineFound&) {}
-  void On(const DrainStarted&) {}
+  void On(const DrainStarted&) { m_placement.Drain(); }
   void On(const Tick&) {}
 
   /// The watch that a reply belongs to.
@@ -129,14 +135,39 @@
     return event.entries.front().key;
   }
 
-  void OfferPlacement(const std::string& value) {
-    try {
-      Placement placement = DecodePlacement(value);
-      m_presence.SetPlacement(placement);
-    } catch (const std::runtime_error& error) {
-      m_out.push_back(
-          LogDecision{"placement_damaged", {{"why", error.what()}}});
+  void Route(const PendingCall& call, const ObjectReply& reply) {
+    switch (call.owner) {
+      case CallOwner::kLease:
+      case CallOwner::kPlacement:
+        m_placement.Replied(call, reply, m_now, &m_out);
+        break;
+      case CallOwner::kConfig:
+        m_config.Replied(call.key, reply, m_now, &m_out);
+        break;
+      case CallOwner::kStatus:
+        m_status.Replied(call, reply, m_now);
+        break;
+    }
+  }
+
+  StatusSources Sources() const {
+    StatusSources sources;
+    sources.data_centre = m_options.data_centre;
+    sources.nodes = {{m_options.node, m_config.generation(), true}};
+    sources.configuration = m_config.configuration().get();
+    sources.presence = &m_presence;
+    sources.placement = &m_placement;
+    sources.calls = &m_calls;
+    for (const std::string& digest : m_config.MissingSections()) {
+      sources.waiting_for.push_back("configuration section " + digest);
+    }
+    for (const std::string& reason : {m_placement.lease().waiting_for(),
+                                      m_placement.store().waiting_for()}) {
+      if (!reason.empty()) {
+        sources.waiting_for.push_back(reason);
+      }
     }
+    return sources;
   }
 
   void Advance() {
@@ -155,13 +186,25 @@
     }
     for (const auto& [id, call] :
          m_calls.TakeOlderThan(m_now - kReplyTimeout)) {
-      if (call.owner == CallOwner::kConfig) {
-        m_config.Replied(call.key, ObjectReply{}, m_now, &m_out);
-      }
+      Route(call, ObjectReply{});
     }
     m_config.Advance(m_now, &m_out);
     m_presence.SetConfiguration(m_config.configuration());
+    // Competing is left to every daemon while only this node is known.
+    m_placement.Advance(m_presence, m_config.configuration().get(), true, m_now,
+                        &m_out);
+    if (m_placement_changes != m_placement.store().changes()) {
+      m_placement_changes = m_placement.store().changes();
+      m_presence.SetPlacement(m_placement.store().placement());
+    }
     m_presence.Advance(m_now, &m_out);
+    if (m_now >= m_next_measure) {
+      m_next_measure = m_now + kMeasureInterval;
+      m_status.Measure(Sources(), m_now);
+      if (m_placement.lease().Proven(m_now)) {
+        m_status.Advance(Sources(), m_now, &m_out);
+      }
+    }
   }
 
   ControlPlaneOptions m_options;
@@ -169,7 +212,11 @@
   PlatformCalls m_calls;
   ConfigWatch m_config;
   Presence m_presence;
+  PlacementControl m_placement;
+  Status m_status;
   std::string m_placement_key;
+  std::uint64_t m_placement_changes = 0;
+  TimePoint m_next_measure;
   Repeated m_list;
   std::map<std::string, Repeated> m_watches;
   TimePoint m_now;
--- a/core/core.h
+++ b/core/core.h
@@ -461,6 +461,13 @@
                  GroupsChanged, ConfigurationChanged, DaemonsChanged,
                  QuarantineLearned, LoadReported, LogDecision>;
 
+struct PlannerInput;   ///< See core/placement.h.
+struct PlannerResult;  ///< See core/placement.h.
+/// Computes the next placement from all that is known; a pure function.
+using PlacementPlanner = std::function<PlannerResult(const PlannerInput&)>;
+
+enum class Mutation : int;  ///< See core/mutation.h.
+
 struct ControlPlaneOptions {
   std::string node;
   std::string region;
@@ -476,6 +483,8 @@
   milliseconds heartbeat_interval{1'000};
   milliseconds peer_timeout{4'000};
   milliseconds status_interval{2'000};
+  PlacementPlanner placement_planner;  ///< Empty: the weighted planner.
+  Mutation mutation{};                 ///< A deliberate fault; tests only.
 };
 
 /// Status of this node as JSON members; see docs/status.md.
--- /dev/null
+++ b/core/lease.cc
@@ -0,0 +1,270 @@
+// Renewals and takeovers are conditional updates of one object, so at most one
+// of several writers is granted each version. The version that a holder was
+// granted stays valid for the lease's duration from before the holder sent the
+// write. A candidate that received a version waits for that duration plus the
+// longest order before it writes: by then the holder has stopped and its last
+// order has ended.
+//
+// A write without an answer may take effect at any later time. The next step is
+// a read; a stored record that carries our incarnation and renewal number is
+// counted from the sending of the write with that number.
+
+#include "core/lease.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+/// Parts of the lease after which it's renewed, and after which candidates
+/// read.
+constexpr int kRenewalsPerLease = 3;
+/// Clocks of two hosts may differ in rate; the holder stops this part earlier.
+constexpr int kDriftParts = 50;
+/// A gap between calls of this part of the lease counts as a pause.
+constexpr int kPauseParts = 5;
+constexpr milliseconds kTakeoverSpread{500};
+constexpr std::size_t kRememberedWrites = 16;
+
+bool SameWrite(const LeaseRecord& a, const LeaseRecord& b) {
+  return a.holder == b.holder && a.incarnation == b.incarnation &&
+         a.term == b.term && a.renewal == b.renewal;
+}
+
+}  // namespace
+
+std::string EncodeLease(const LeaseRecord& record) {
+  nlohmann::json json = {{"holder", record.holder},
+                         {"incarnation", record.incarnation},
+                         {"term", record.term},
+                         {"fence", record.fence},
+                         {"renewal", record.renewal}};
+  return json.dump();
+}
+
+LeaseRecord DecodeLease(const std::string& json) {
+  try {
+    nlohmann::json value = nlohmann::json::parse(json);
+    LeaseRecord record;
+    record.holder = value.at("holder").get<std::string>();
+    record.incarnation = value.at("incarnation").get<std::uint64_t>();
+    record.term = value.at("term").get<std::uint64_t>();
+    record.fence = value.at("fence").get<std::uint64_t>();
+    record.renewal = value.at("renewal").get<std::uint64_t>();
+    return record;
+  } catch (const nlohmann::json::exception& error) {
+    throw std::runtime_error(fmt::format("invalid lease: {}", error.what()));
+  }
+}
+
+Lease::Lease(Options options, PlatformCalls* calls, Jitter* jitter)
+    : m_options(std::move(options)), m_calls(calls), m_jitter(jitter) {}
+
+bool Lease::Proven(TimePoint now) const {
+  milliseconds valid = m_options.duration - m_options.duration / kDriftParts;
+  return m_state == State::kHeld && m_granted >= m_prove_from &&
+         now - m_last_now <= m_options.duration / kPauseParts &&
+         now < m_granted + valid;
+}
+
+bool Lease::CanOrder(TimePoint now) const {
+  return Proven(now) && !m_releasing && Proven(now + m_options.longest_order);
+}
+
+void Lease::RaiseFence(std::uint64_t placement_fence) {
+  if (placement_fence + 1 > m_least_fence) {
+    m_least_fence = placement_fence + 1;
+    if (m_state == State::kHeld && m_record.fence < m_least_fence) {
+      m_next = TimePoint{};
+    }
+  }
+}
+
+void Lease::Release(bool orders_settled) {
+  if (orders_settled && !m_orders_settled) {
+    m_next = TimePoint{};
+  }
+  m_releasing = true;
+  m_orders_settled = orders_settled;
+}
+
+const Lease::Write* Lease::FindWrite(const LeaseRecord& record) const {
+  for (const Write& write : m_writes) {
+    if (SameWrite(write.record, record)) {
+      return &write;
+    }
+  }
+  return nullptr;
+}
+
+void Lease::Read(TimePoint now, Actions* out) {
+  m_pending = m_calls->Get(CallOwner::kLease, m_options.key, now, out) != 0;
+}
+
+void Lease::Put(LeaseRecord record, TimePoint now, Actions* out) {
+  record.incarnation = m_options.incarnation;
+  record.renewal = ++m_renewal;
+  record.fence = std::max(record.fence, m_least_fence);
+  m_writes.push_back({record, now});
+  if (m_writes.size() > kRememberedWrites) {
+    m_writes.pop_front();
+  }
+  m_pending = m_calls->Put(CallOwner::kLease, m_options.key,
+                           EncodeLease(record), m_version, now, out) != 0;
+}
+
+void Lease::Replied(const PendingCall& call, const ObjectReply& reply,
+                    TimePoint now, Actions* out) {
+  m_pending = false;
+  bool failed = reply.status == ObjectStatus::kUnavailable ||
+                reply.status == ObjectStatus::kUnknown;
+  if (failed) {
+    m_must_read |= call.write;
+    m_next = m_backoff.Failed(now, m_jitter);
+    m_waiting = "platform unavailable";
+    return;
+  }
+  m_backoff.Succeeded();
+  if (call.write && reply.status == ObjectStatus::kOk) {
+    Write write = m_writes.back();
+    m_must_read = false;
+    m_seen = write.record;
+    m_seen_any = true;
+    m_first_seen = now;
+    Granted(write.record, reply.version, write.sent, out);
+    return;
+  }
+  if (call.write) {
+    // The reply's value can be missing; only a read shows who was granted it.
+    m_must_read = true;
+    m_next = now;
+    return;
+  }
+  SawVersion(reply, now, out);
+}
+
+void Lease::SawVersion(const ObjectReply& reply, TimePoint now, Actions* out) {
+  m_must_read = false;
+  m_next = now + m_jitter->Between(m_options.duration / (2 * kRenewalsPerLease),
+                                   m_options.duration / kRenewalsPerLease);
+  LeaseRecord record;
+  if (reply.status == ObjectStatus::kOk) {
+    try {
+      record = DecodeLease(reply.value);
+    } catch (const std::runtime_error& error) {
+      // A damaged lease is waited for like one whose holder is unknown.
+      record.holder = "damaged";
+      record.term = record.fence = m_seen.term;
+      out->push_back(LogDecision{"lease_damaged", {{"why", error.what()}}});
+    }
+  }
+  std::uint64_t version = reply.status == ObjectStatus::kOk ? reply.version : 0;
+  if (!m_seen_any || version != m_version) {
+    m_first_seen = now;
+    m_spread = m_jitter->Between(milliseconds(0), kTakeoverSpread);
+  }
+  m_seen_any = true;
+  m_version = version;
+  m_seen = record;
+  const Write* own = FindWrite(record);
+  if (own != nullptr && record.holder == m_options.node) {
+    Granted(own->record, version, own->sent, out);
+  } else if (m_state == State::kHeld) {
+    Lost("taken over", out);
+  }
+}
+
+void Lease::Granted(const LeaseRecord& record, std::uint64_t version,
+                    TimePoint sent, Actions* out) {
+  m_version = version;
+  if (record.holder.empty()) {
+    m_state = State::kReleased;
+    out->push_back(LogDecision{"lease_released",
+                               {{"fence", std::to_string(record.fence)}}});
+    return;
+  }
+  bool changed = m_state != State::kHeld || m_record.fence != record.fence;
+  m_state = State::kHeld;
+  m_record = record;
+  m_granted = std::max(m_granted, sent);
+  m_next = sent + m_options.duration / kRenewalsPerLease;
+  m_waiting.clear();
+  if (changed) {
+    out->push_back(LogDecision{"lease_granted",
+                               {{"holder", record.holder},
+                                {"term", std::to_string(record.term)},
+                                {"fence", std::to_string(record.fence)}}});
+  }
+}
+
+void Lease::Lost(const char* why, Actions* out) {
+  m_state = State::kIdle;
+  out->push_back(LogDecision{"lease_lost",
+                             {{"why", why},
+                              {"holder", m_seen.holder},
+                              {"fence", std::to_string(m_seen.fence)}}});
+}
+
+void Lease::Advance(bool may_compete, TimePoint now, Actions* out) {
+  bool paused = m_last_now != TimePoint{} &&
+                now - m_last_now > m_options.duration / kPauseParts;
+  if (paused && m_state == State::kHeld) {
+    m_prove_from = now;
+    m_next = now;
+    out->push_back(LogDecision{"lease_unproven",
+                               {{"fence", std::to_string(m_record.fence)}}});
+  }
+  m_last_now = now;
+  if (m_pending || now < m_next || m_state == State::kReleased) {
+    return;
+  }
+  if (m_must_read) {
+    if (may_compete || m_state == State::kHeld) {
+      Read(now, out);
+    }
+  } else if (m_state == State::kHeld) {
+    AdvanceHolder(now, out);
+  } else if (may_compete) {
+    AdvanceCandidate(now, out);
+  }
+}
+
+void Lease::AdvanceHolder(TimePoint now, Actions* out) {
+  LeaseRecord record = m_record;
+  if (m_releasing) {
+    if (!m_orders_settled) {
+      return;
+    }
+    record.holder.clear();
+  }
+  Put(record, now, out);
+}
+
+void Lease::AdvanceCandidate(TimePoint now, Actions* out) {
+  if (m_releasing) {
+    m_state = State::kReleased;
+    return;
+  }
+  milliseconds wait = m_options.duration + m_options.longest_order;
+  bool absent_new = m_version == 0 && m_least_fence == 0;
+  if (absent_new || (m_version != 0 && m_seen.holder.empty()) ||
+      m_options.mutation == Mutation::kTakeLeaseEarly) {
+    wait = milliseconds(0);
+  }
+  if (now < m_first_seen + wait + m_spread) {
+    m_waiting = "lease of " + m_seen.holder;
+    Read(now, out);
+    return;
+  }
+  LeaseRecord record;
+  record.holder = m_options.node;
+  record.term = m_seen.term + 1;
+  record.fence = m_seen.fence + 1;
+  Put(record, now, out);
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/core/order_dispatch.cc
@@ -0,0 +1,217 @@
+// Orders follow from the difference between stored placement and health, so a
+// lost order is simply found missing and sent again. A host in the wrong group
+// is unloaded first and loaded only after it confirmed that.
+
+#include "core/order_dispatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine {
+namespace {
+
+bool IsIdle(const HostHealth& health) {
+  return health.state == "idle" && health.group.empty();
+}
+
+/// Groups in the order in which they are loaded: those of a spec with the
+/// fewest working replicas first.
+std::vector<std::string> LoadOrder(const Placement& stored,
+                                   const Presence& presence) {
+  std::map<std::string, int> working;
+  for (const GroupView& view : presence.views()) {
+    auto group = stored.groups.find(view.group);
+    if (group != stored.groups.end() && view.open) {
+      ++working[group->second.spec];
+    }
+  }
+  std::vector<std::string> names;
+  for (const auto& [name, group] : stored.groups) {
+    names.push_back(name);
+  }
+  std::stable_sort(names.begin(), names.end(),
+                   [&](const auto& a, const auto& b) {
+                     return working[stored.groups.at(a).spec] <
+                            working[stored.groups.at(b).spec];
+                   });
+  return names;
+}
+
+}  // namespace
+
+bool OrderDispatch::Unsettled(const HostOrders& orders, TimePoint now) const {
+  return orders.call != 0 && now - orders.sent <= m_longest_order;
+}
+
+bool OrderDispatch::AllSettled(TimePoint now) const {
+  return std::none_of(m_orders.begin(), m_orders.end(), [&](const auto& entry) {
+    return Unsettled(entry.second, now);
+  });
+}
+
+bool OrderDispatch::ConfirmedIdle(const HostRecord& host,
+                                  const Presence& presence,
+                                  TimePoint now) const {
+  if (!presence.Fresh(host, now) || !IsIdle(*host.health) ||
+      host.asked < m_settled_floor) {
+    return false;
+  }
+  auto found = m_orders.find(host.info.host);
+  if (found == m_orders.end()) {
+    return true;
+  }
+  const HostOrders& orders = found->second;
+  TimePoint settled =
+      orders.call != 0 ? orders.sent + m_longest_order : orders.settled;
+  return !Unsettled(orders, now) && host.asked >= settled;
+}
+
+bool OrderDispatch::Due(const HostRecord& host, const Presence& presence,
+                        TimePoint now) const {
+  if (!host.info.engine || !presence.Fresh(host, now) ||
+      host.asked < m_settled_floor) {
+    return false;
+  }
+  auto found = m_orders.find(host.info.host);
+  if (found == m_orders.end()) {
+    return true;
+  }
+  // Health asked before the last order was settled doesn't show its effect.
+  return !Unsettled(found->second, now) && now >= found->second.next &&
+         host.asked >= found->second.settled;
+}
+
+void OrderDispatch::Send(const HostRecord& host, HostOrder order, TimePoint now,
+                         Actions* out) {
+  HostOrders& orders = m_orders[host.info.host];
+  orders.call = m_calls->NextId();
+  orders.sent = now;
+  orders.settled = now;
+  orders.next = orders.backoff.Failed(now, m_jitter);
+  out->push_back(LogDecision{"order",
+                             {{"host", host.info.host},
+                              {"kind", order.kind},
+                              {"group", order.group},
+                              {"epoch", std::to_string(order.epoch)},
+                              {"fence", std::to_string(order.fence)}}});
+  out->push_back(SendOrder{orders.call, host.info.host, host.info.address,
+                           std::move(order)});
+}
+
+void OrderDispatch::Unload(const HostRecord& host, std::uint64_t fence,
+                           TimePoint now, Actions* out) {
+  HostOrder order;
+  order.kind = "unload";
+  order.group = host.health->group;
+  order.epoch = host.health->epoch;
+  order.fence = fence;
+  Send(host, std::move(order), now, out);
+}
+
+void OrderDispatch::OrderMember(const std::string& name,
+                                const PlacedGroup& group, int rank,
+                                const HostRecord& host, std::uint64_t fence,
+                                TimePoint now, Actions* out) {
+  const HostHealth& health = *host.health;
+  bool same_group = health.group == name && health.epoch <= group.epoch;
+  if (!health.group.empty() && !same_group) {
+    Unload(host, fence, now, out);
+    return;
+  }
+  HostOrder order;
+  order.group = name;
+  order.epoch = group.epoch;
+  order.rank = rank;
+  order.hosts = group.hosts;
+  order.model = group.model;
+  order.version = group.version;
+  order.weights = group.weights;
+  order.adapters = group.adapters;
+  order.fence = fence;
+  bool member = health.epoch == group.epoch && health.group == name &&
+                health.hosts == group.hosts;
+  if (!member) {
+    order.kind = "load";
+    Send(host, std::move(order), now, out);
+    return;
+  }
+  if (health.state != "serving") {
+    return;
+  }
+  std::erase_if(order.adapters, [&](const std::string& adapter) {
+    return std::find(health.adapters.begin(), health.adapters.end(), adapter) !=
+           health.adapters.end();
+  });
+  if (!order.adapters.empty()) {
+    order.kind = "load_adapter";
+    Send(host, std::move(order), now, out);
+    return;
+  }
+  auto found = m_orders.find(host.info.host);
+  if (found != m_orders.end()) {
+    found->second.backoff.Succeeded();
+  }
+}
+
+void OrderDispatch::Advance(const Placement& stored, const Presence& presence,
+                            std::uint64_t fence, int max_loading, TimePoint now,
+                            Actions* out) {
+  std::set<std::string> members;
+  int loading = 0;
+  std::vector<std::string> names = LoadOrder(stored, presence);
+  auto in_progress = [&](const std::string& name) {
+    const PlacedGroup& group = stored.groups.at(name);
+    return std::any_of(
+        group.hosts.begin(), group.hosts.end(), [&](const auto& host) {
+          const HostRecord* record = presence.Find(host);
+          return record != nullptr && presence.Fresh(*record, now) &&
+                 record->health->state == "loading";
+        });
+  };
+  for (const std::string& name : names) {
+    loading += in_progress(name) ? 1 : 0;
+  }
+  for (const std::string& name : names) {
+    const PlacedGroup& group = stored.groups.at(name);
+    members.insert(group.hosts.begin(), group.hosts.end());
+    bool may_load = in_progress(name) || loading < max_loading;
+    if (!may_load || group.phase == GroupPhase::kDraining) {
+      continue;
+    }
+    std::size_t before = out->size();
+    for (std::size_t rank = 0; rank < group.hosts.size(); ++rank) {
+      const HostRecord* host = presence.Find(group.hosts[rank]);
+      if (host != nullptr && Due(*host, presence, now)) {
+        OrderMember(name, group, static_cast<int>(rank), *host, fence, now,
+                    out);
+      }
+    }
+    loading += out->size() > before && !in_progress(name) ? 1 : 0;
+  }
+  for (const auto& [name, host] : presence.hosts()) {
+    if (members.count(name) == 0 && host.health && Due(host, presence, now) &&
+        !IsIdle(*host.health)) {
+      Unload(host, fence, now, out);
+    }
+  }
+}
+
+bool OrderDispatch::Answered(const OrderAnswered& answer, TimePoint now,
+                             Actions* out) {
+  auto found = m_orders.find(answer.host);
+  if (found == m_orders.end() || found->second.call != answer.call) {
+    return false;
+  }
+  HostOrders& orders = found->second;
+  bool stale_fence = !answer.accepted && answer.sent;
+  if (answer.accepted || !answer.sent) {
+    orders.call = 0;
+    orders.settled = now;
+  }
+  if (stale_fence) {
+    out->push_back(LogDecision{"order_refused", {{"host", answer.host}}});
+  }
+  return stale_fence;
+}
+
+}  // namespace clementine
--- a/core/placement_object.cc
+++ b/core/placement_object.cc
@@ -14,8 +14,8 @@
 namespace clementine {
 namespace {
 
-constexpr std::array<const char*, 4> kPhaseNames = {"loading", "serving",
-                                                    "draining", "unloading"};
+constexpr std::array<const char*, 3> kPhaseNames = {"loading", "serving",
+                                                    "draining"};
 
 GroupPhase ParsePhase(const std::string& name) {
   for (std::size_t i = 0; i < kPhaseNames.size(); ++i) {
--- a/core/placement_object.h
+++ b/core/placement_object.h
@@ -11,10 +11,9 @@
 namespace clementine {
 
 enum class GroupPhase {
-  kLoading,    ///< Hosts are assigned; not all have confirmed the group.
-  kServing,    ///< Health of every host confirmed group, epoch and host list.
-  kDraining,   ///< Finishes its requests and takes no new ones.
-  kUnloading,  ///< Hosts leave as each confirms that it has unloaded.
+  kLoading,   ///< Hosts are assigned; not all have confirmed the group.
+  kServing,   ///< Health of every host confirmed group, epoch and host list.
+  kDraining,  ///< Finishes its requests and takes no new ones.
 };
 
 const char* GroupPhaseName(GroupPhase phase);
--- a/core/presence.cc
+++ b/core/presence.cc
@@ -14,6 +14,8 @@
 /// The host list and health lag; a leaving mark isn't withdrawn earlier.
 constexpr milliseconds kLeavingHold{10'000};
 constexpr int kPlainMaxRunning = 8;
+/// All hosts and gates are looked at this often, or at once after a change.
+constexpr milliseconds kPassInterval{50};
 
 bool SameView(const GroupView& a, const GroupView& b) {
   return a.group == b.group && a.model == b.model && a.version == b.version &&
@@ -45,6 +47,13 @@
 
 void Presence::SetHosts(const std::vector<HostInfo>& hosts, TimePoint now,
                         Actions* out) {
+  if (hosts.empty() && !m_hosts.empty()) {
+    // More likely a fault of the list than the loss of every host.
+    out->push_back(LogDecision{"host_list_empty", {}});
+    return;
+  }
+  m_dirty = true;
+  m_listed = true;
   std::set<std::string> listed;
   for (const HostInfo& info : hosts) {
     if (info.engine && info.data_centre != m_options.data_centre) {
@@ -63,6 +72,7 @@
     }
     if (moved) {
       record.trusted_from = now;
+      m_dirty = true;
       record.next_probe = now;
     }
     if (info.leaving) {
@@ -93,6 +103,7 @@
   }
   HostRecord& record = found->second;
   record.probing = false;
+  m_dirty |= record.probe_again;
   bool stale = record.probe_again;
   record.probe_again = false;
   record.next_probe =
@@ -115,6 +126,7 @@
   record.probe_again = false;
   ++record.failures;
   record.trusted_from = now;
+  m_dirty = true;
   record.next_probe = now + m_jitter->Between(m_options.probe_interval / 2,
                                               m_options.probe_interval);
 }
@@ -131,6 +143,7 @@
     return;
   }
   record.trusted_from = now;
+  m_dirty = true;
   record.next_probe = now;
   record.probe_again = record.probing;
 }
@@ -154,6 +167,12 @@
 
 void Presence::Learn(HostRecord* record, const HostHealth& health,
                      TimePoint asked, TimePoint now, Actions* out) {
+  m_dirty |= !record->health || !Fresh(*record, now) ||
+             record->health->group != health.group ||
+             record->health->epoch != health.epoch ||
+             record->health->state != health.state ||
+             record->health->hosts != health.hosts ||
+             record->health->adapters != health.adapters;
   record->health = health;
   record->asked = asked;
   record->last_ok = asked;
@@ -163,6 +182,7 @@
   } else if (record->leaving && record->listed && !record->info.leaving &&
              asked - record->leaving_since > kLeavingHold) {
     record->leaving = false;
+    m_dirty = true;
     out->push_back(LogDecision{"host_stays", {{"host", record->info.host}}});
   }
   auto group = m_placement.groups.find(health.group);
@@ -177,12 +197,13 @@
 
 void Presence::MarkLeaving(HostRecord* record, const char* signal,
                            TimePoint now, Actions* out) {
-  if (ignore_leaving_for_test) {
+  if (m_options.mutation == Mutation::kIgnoreLeaving) {
     return;
   }
   record->leaving_since = now;
   if (!record->leaving) {
     record->leaving = true;
+    m_dirty = true;
     out->push_back(LogDecision{
         "host_leaving", {{"host", record->info.host}, {"signal", signal}}});
   }
@@ -194,13 +215,22 @@
   out->push_back(ProbeHost{record->info.host, record->info.address});
 }
 
-void Presence::Advance(TimePoint now, Actions* out) {
+void Presence::SendProbes(TimePoint now, Actions* out) {
   for (auto& [name, record] : m_hosts) {
     if (!record.probing && now >= record.next_probe &&
         (!probes || probes(name))) {
       Probe(&record, now, out);
     }
   }
+}
+
+void Presence::Advance(TimePoint now, Actions* out) {
+  if (!m_dirty && now - m_last_pass < kPassInterval) {
+    return;
+  }
+  m_dirty = false;
+  m_last_pass = now;
+  SendProbes(now, out);
   std::vector<GroupView> views;
   for (const auto& [name, group] : m_placement.groups) {
     if (!group.hosts.empty()) {
@@ -222,10 +252,11 @@
 
 bool Presence::Confirms(const std::string& name, const PlacedGroup& group,
                         const HostRecord& record, TimePoint now) const {
-  if (!record.health || (!Fresh(record, now) && !ignore_health_age_for_test)) {
+  if (!record.health || (!Fresh(record, now) &&
+                         m_options.mutation != Mutation::kIgnoreHealthAge)) {
     return false;
   }
-  if (ignore_epoch_for_test) {
+  if (m_options.mutation == Mutation::kIgnoreEpoch) {
     return record.health->state == "serving";
   }
   return HealthMatches(name, group, *record.health);
@@ -244,8 +275,7 @@
   view.max_running = group.max_running;
   view.open = group.phase == GroupPhase::kServing ||
               group.phase == GroupPhase::kDraining;
-  view.leaving = group.phase == GroupPhase::kDraining ||
-                 group.phase == GroupPhase::kUnloading;
+  view.leaving = group.phase == GroupPhase::kDraining;
   view.adapters = group.adapters;
   for (const std::string& host : group.hosts) {
     const HostRecord* record = Find(host);
--- a/core/presence.h
+++ b/core/presence.h
@@ -12,6 +12,7 @@
 
 #include "core/core.h"
 #include "core/jitter.h"
+#include "core/mutation.h"
 #include "core/placement_object.h"
 
 namespace clementine {
@@ -48,6 +49,7 @@
     std::string data_centre;
     milliseconds probe_interval{1'000};
     milliseconds presence_timeout{3'000};
+    Mutation mutation = Mutation::kNone;
   };
 
   Presence(Options options, Jitter* jitter)
@@ -55,8 +57,12 @@
 
   void SetHosts(const std::vector<HostInfo>& hosts, TimePoint now,
                 Actions* out);
-  void SetPlacement(const Placement& placement) { m_placement = placement; }
+  void SetPlacement(const Placement& placement) {
+    m_placement = placement;
+    m_dirty = true;
+  }
   void SetConfiguration(std::shared_ptr<const Configuration> configuration) {
+    m_dirty |= m_configuration != configuration;
     m_configuration = std::move(configuration);
   }
 
@@ -75,14 +81,11 @@
   const std::map<std::string, HostRecord>& hosts() const { return m_hosts; }
   const HostRecord* Find(const std::string& host) const;
   const std::vector<GroupView>& views() const { return m_views; }
+  bool listed() const { return m_listed; }
   bool Fresh(const HostRecord& host, TimePoint now) const;
 
   /// Decides which hosts this node probes; empty means all.
   std::function<bool(const std::string& host)> probes;
-  /// Test-only mutations.
-  bool ignore_health_age_for_test = false;
-  bool ignore_epoch_for_test = false;
-  bool ignore_leaving_for_test = false;
 
  private:
   void Probe(HostRecord* record, TimePoint now, Actions* out);
@@ -96,6 +99,7 @@
                             const HostRecord& record, TimePoint now) const;
   bool Confirms(const std::string& name, const PlacedGroup& group,
                 const HostRecord& record, TimePoint now) const;
+  void SendProbes(TimePoint now, Actions* out);
   void Publish(std::vector<GroupView> views, Actions* out);
 
   Options m_options;
@@ -104,6 +108,9 @@
   Placement m_placement;
   std::shared_ptr<const Configuration> m_configuration;
   std::vector<GroupView> m_views;
+  bool m_listed = false;  ///< A host list has arrived.
+  bool m_dirty = true;    ///< A gate can have changed.
+  TimePoint m_last_pass;  ///< Last look at all hosts and gates.
 };
 
 /// @return Whether a host's health says that it serves exactly this group.
--- /dev/null
+++ b/core/status.h
@@ -0,0 +1,84 @@
+// Status documents of a node and of its data centre; see docs/placement.md.
+#ifndef CORE_STATUS_H_
+#define CORE_STATUS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "core/placement_control.h"
+#include "core/platform_calls.h"
+#include "core/presence.h"
+
+namespace clementine {
+
+/// A daemon as listed in the status; the set of live daemons has one owner.
+struct NodeStatus {
+  std::string node;
+  std::uint64_t generation = 0;
+  bool live = true;
+};
+
+/// What a status document is made from.
+struct StatusSources {
+  std::string data_centre;
+  std::vector<NodeStatus> nodes;
+  const Configuration* configuration = nullptr;
+  const Presence* presence = nullptr;
+  const PlacementControl* placement = nullptr;
+  const PlatformCalls* calls = nullptr;
+  std::vector<std::string> waiting_for;
+};
+
+/// Accumulates the two measures and writes status/<data centre>.
+class Status {
+ public:
+  using Actions = std::vector<ControlAction>;
+
+  Status(std::string key, milliseconds interval, PlatformCalls* calls,
+         Jitter* jitter)
+      : m_key(std::move(key)),
+        m_interval(interval),
+        m_calls(calls),
+        m_jitter(jitter) {}
+
+  /// Adds the time since the last call to the measures.
+  void Measure(const StatusSources& sources, TimePoint now);
+  std::string Json(const StatusSources& sources) const;
+  /// Writes the object when due; only the lease holder calls this.
+  void Advance(const StatusSources& sources, TimePoint now, Actions* out);
+  void Replied(const PendingCall& call, const ObjectReply& reply,
+               TimePoint now);
+
+ private:
+  struct Measured {
+    std::string group;
+    std::string model;
+    std::string state;  ///< "missing", "loading", "serving", ...
+    std::vector<std::string> hosts;
+    std::uint64_t epoch = 0;
+    bool open = false;
+  };
+
+  std::vector<Measured> Groups(const StatusSources& sources) const;
+
+  std::string m_key;
+  milliseconds m_interval;
+  PlatformCalls* m_calls;
+  Jitter* m_jitter;
+  TimePoint m_measured;
+  std::map<std::string, milliseconds> m_downtime;  ///< By group.
+  int m_stranded = 0;
+  double m_stranded_seconds = 0.0;
+  bool m_pending = false;
+  bool m_must_read = true;
+  std::uint64_t m_version = 0;
+  TimePoint m_next;
+  Backoff m_backoff{milliseconds(1'000), milliseconds(30'000)};
+};
+
+}  // namespace clementine
+
+#endif  // CORE_STATUS_H_
