--- a/core/core.h
+++ b/core/core.h
@@ -189,13 +189,17 @@
 struct QuarantineLearned {
   std::string digest;
   milliseconds remaining{0};
+  std::string crash;  ///< Names the replica crash, so that each counts once.
 };
 /// Live daemons in this data centre; limits are divided by it.
 struct DaemonsChanged {
   int live = 1;
 };
 struct DrainStarted {};
-struct Tick {};
+struct Tick {
+  /// Wall clock, for the retention of claims; zero when unknown.
+  std::chrono::system_clock::time_point wall{};
+};
 
 using RequestEvent =
     std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
@@ -216,6 +220,7 @@
   kRetriesExhausted,
   kDeadline,
   kDraining,
+  kOutcomeUnknown,  ///< It may have run and must not be repeated.
 };
 const char* RefusalReasonName(RefusalReason reason);
 
@@ -257,9 +262,11 @@
   int status = 200;
   std::string body;
 };
+/// Tells other daemons that a digest was in flight at a replica crash.
 struct ShareQuarantine {
   std::string digest;
   milliseconds remaining{0};
+  std::string crash;  ///< As in QuarantineLearned.
 };
 
 using RequestAction = std::variant<Dispatch, CancelAttempt, Refuse, Finish,
@@ -274,6 +281,7 @@
 
 struct RequestPathOptions {
   std::string node;
+  std::uint64_t incarnation = 0;  ///< Start time; part of claim ids.
   std::string data_centre;
   std::uint64_t seed = 1;
   bool admission = true;     ///< Off: the no-admission baseline.
@@ -284,6 +292,8 @@
   milliseconds quarantine_time{600'000};
   std::size_t max_queued = 4096;
   std::chrono::seconds claim_retention{86'400};
+  std::string
+      broken_rule;  ///< Tests only: rule to break, see docs/requests.md.
 };
 
 /// Counters and gauges of the request path, for /metrics and status.
@@ -416,6 +426,7 @@
 struct QuarantineFound {
   std::string digest;
   milliseconds remaining{0};
+  std::string crash;  ///< As in QuarantineLearned.
 };
 
 using ControlEvent =
--- a/core/names.cc
+++ b/core/names.cc
@@ -30,6 +30,8 @@
       return "deadline";
     case RefusalReason::kDraining:
       return "draining";
+    case RefusalReason::kOutcomeUnknown:
+      return "outcome_unknown";
   }
   return "unknown";
 }
