--- a/daemon/control_executor.cc
+++ b/daemon/control_executor.cc
@@ -51,8 +51,8 @@
 
 void ControlExecutor::On(const Watch& watch) {
   m_context.platform->WatchObjects(
-      watch, [this, alive = m_alive, prefix = watch.prefix](
-                 std::optional<ObjectsChanged> changed) {
+      watch, [this, alive = m_alive,
+              prefix = watch.prefix](std::optional<ObjectsChanged> changed) {
         if (!*alive) return;
         if (changed) {
           m_context.feed(std::move(*changed));
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -231,9 +231,9 @@
   } else if (request.path == "/readyz") {
     bool ready = Ready();
     exchange->Answer(ready ? 200 : 503, {{"Content-Type", "text/plain"}},
-                     ready                          ? "ready\n"
+                     ready                        ? "ready\n"
                      : m_phase == Phase::kServing ? "no configuration\n"
-                                                    : "stopping\n");
+                                                  : "stopping\n");
   } else if (request.path == "/metrics") {
     exchange->Answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                      RenderMetrics());
@@ -282,8 +282,7 @@
   m_metrics.SetTotal("clementine_platform_calls_total", "",
                      m_platform->calls());
   ControlStatus control = m_control_plane->status(Clock::now());
-  m_metrics.Set("clementine_generation", "",
-                static_cast<double>(m_generation));
+  m_metrics.Set("clementine_generation", "", static_cast<double>(m_generation));
   m_metrics.Set("clementine_open_groups", "",
                 static_cast<double>(m_open_groups));
   m_metrics.Set("clementine_holds_lease", "", control.holds_lease ? 1 : 0);
@@ -308,8 +307,8 @@
 void Daemon::OnDrainWaited() {
   m_phase = Phase::kFinishing;
   Feed(RequestEvent(DrainStarted{}));
-  LogEvent("draining", {{"unfinished",
-                         std::to_string(m_request_executor->unfinished())}});
+  LogEvent("draining",
+           {{"unfinished", std::to_string(m_request_executor->unfinished())}});
   CheckFinished();
 }
 
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -5,7 +5,6 @@
 #include "daemon/request_executor.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "daemon/answers.h"
@@ -109,10 +108,12 @@
   read.request.id = caller->id;
   Request request = read.request;
   std::string label = ClassLabel(request.request_class);
-  caller->first_token_time =
-      m_context.metrics->Find("clementine_first_token_seconds", label);
-  caller->token_gap =
-      m_context.metrics->Find("clementine_token_gap_seconds", label);
+  if (request.service.empty()) {
+    caller->first_token_time =
+        m_context.metrics->Find("clementine_first_token_seconds", label);
+    caller->token_gap =
+        m_context.metrics->Find("clementine_token_gap_seconds", label);
+  }
   m_context.metrics->Add("clementine_requests_total", label);
   exchange->SetLeaveHandler([this, alive = m_alive, id = caller->id] {
     if (!*alive) return;
@@ -155,8 +156,8 @@
   call.attempt = wire_attempt;
   call.body = caller.read.body;
   call.idempotent = request.idempotent;
-  milliseconds remaining = std::chrono::ceil<milliseconds>(
-      request.deadline - Clock::now());
+  milliseconds remaining =
+      std::chrono::ceil<milliseconds>(request.deadline - Clock::now());
   remaining = std::max(remaining, milliseconds(1));
   if (request.service.empty()) {
     call.target = "/v1/chat/completions";
@@ -312,14 +313,13 @@
   if (found == m_attempts.end()) return;
   m_attempts.erase(found);
   Caller* caller = attempt->caller.get();
-  LogEvent("attempt_ended",
-           {{"request", std::to_string(caller->id)},
-            {"attempt", attempt->wire_id},
-            {"group", attempt->group},
-            {"result", ResultName(end.result)},
-            {"status", std::to_string(end.status)},
-            {"offset", std::to_string(caller->delivered)},
-            {"detail", end.detail}});
+  LogEvent("attempt_ended", {{"request", std::to_string(caller->id)},
+                             {"attempt", attempt->wire_id},
+                             {"group", attempt->group},
+                             {"result", ResultName(end.result)},
+                             {"status", std::to_string(end.status)},
+                             {"offset", std::to_string(caller->delivered)},
+                             {"detail", end.detail}});
   m_context.metrics->Add("clementine_attempts_total",
                          fmt::format("result=\"{}\"", ResultName(end.result)));
   SuspectHost(*attempt, end);
@@ -428,10 +428,9 @@
 void RequestExecutor::On(const Refuse& refuse) {
   std::shared_ptr<Caller> caller = TakeCaller(refuse.request);
   const char* reason = RefusalReasonName(refuse.reason);
-  m_context.metrics->Add(
-      "clementine_refused_total",
-      fmt::format("reason=\"{}\",outcome=\"{}\"", reason,
-                  OutcomeName(refuse.outcome)));
+  m_context.metrics->Add("clementine_refused_total",
+                         fmt::format("reason=\"{}\",outcome=\"{}\"", reason,
+                                     OutcomeName(refuse.outcome)));
   if (!caller || !caller->exchange) return;
   std::string message = RefusalMessage(refuse.reason);
   if (caller->head_sent) {
@@ -457,15 +456,14 @@
                                 int status) {
   const Request& request = caller.read.request;
   Clock::duration total = Clock::now() - caller.arrived;
-  LogEvent("answer",
-           {{"request", std::to_string(caller.id)},
-            {"organisation", request.organisation},
-            {"class", RequestClassName(request.request_class)},
-            {"path", request.path},
-            {"outcome", outcome},
-            {"status", std::to_string(status)},
-            {"tokens", std::to_string(caller.delivered)},
-            {"total_ms", Milliseconds(total)}});
+  LogEvent("answer", {{"request", std::to_string(caller.id)},
+                      {"organisation", request.organisation},
+                      {"class", RequestClassName(request.request_class)},
+                      {"path", request.path},
+                      {"outcome", outcome},
+                      {"status", std::to_string(status)},
+                      {"tokens", std::to_string(caller.delivered)},
+                      {"total_ms", Milliseconds(total)}});
   std::string label = ClassLabel(request.request_class);
   m_context.metrics->Add("clementine_answers_total",
                          fmt::format("{},outcome=\"{}\"", label, outcome));
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -253,10 +253,9 @@
                            const std::string& path) {
   const RouteSpec* best = nullptr;
   for (const auto& [prefix, route] : configuration.routes) {
-    bool matches =
-        path.starts_with(prefix) &&
-        (path.size() == prefix.size() || prefix.ends_with('/') ||
-         path[prefix.size()] == '/');
+    bool matches = path.starts_with(prefix) &&
+                   (path.size() == prefix.size() || prefix.ends_with('/') ||
+                    path[prefix.size()] == '/');
     if (matches && (best == nullptr || prefix.size() > best->path.size())) {
       best = &route;
     }
--- a/daemon/request_reader.h
+++ b/daemon/request_reader.h
@@ -19,7 +19,7 @@
   Request request;
   bool streamed = false;  ///< The caller asked for server-sent events.
   std::string method;
-  std::string target;  ///< Path and query, for plain services.
+  std::string target;   ///< Path and query, for plain services.
   HttpHeaders headers;  ///< Sent on, for plain services.
   std::shared_ptr<const std::string> body;
 };
--- a/net/address.cc
+++ b/net/address.cc
@@ -22,8 +22,7 @@
       host = host.substr(1, host.size() - 2);
     }
     const char* end = address.data() + address.size();
-    auto [stop, fault] =
-        std::from_chars(address.data() + colon + 1, end, port);
+    auto [stop, fault] = std::from_chars(address.data() + colon + 1, end, port);
     if (fault == std::errc() && stop == end) {
       ip = boost::asio::ip::make_address(host, error);
     }
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -206,8 +206,7 @@
   asio::awaitable<bool> ReadHeader(Parser* parser);
   asio::awaitable<void> ReadStream(Parser* parser);
   asio::awaitable<void> ReadBody(Parser* parser);
-  asio::awaitable<error_code> ReadSome(Parser* parser,
-                                       std::string_view* bytes);
+  asio::awaitable<error_code> ReadSome(Parser* parser, std::string_view* bytes);
   asio::awaitable<void> FinishTrailer(Parser* parser);
   asio::awaitable<bool> AddressRefuses();
   void TakeTokens(std::string_view bytes);
@@ -316,8 +315,9 @@
   if (!self->m_reported && !self->m_cancelled) {
     if (self->m_timed_out) {
       self->m_client->m_pool.Purge(self->m_call.address);
-    } else if (self->m_broken && co_await self->AddressRefuses()) {
-      self->m_end.result = AttemptResult::kCrashed;
+    } else if (self->m_broken) {
+      bool refused = co_await self->AddressRefuses();
+      if (refused) self->m_end.result = AttemptResult::kCrashed;
     }
   }
   self->Report();
@@ -325,9 +325,14 @@
 }
 
 asio::awaitable<void> CallState::Perform() {
-  if (!co_await Connect() || !co_await WriteRequest()) co_return;
+  // GCC 12 miscompiles co_await inside && and ||, so each has its statement.
+  bool connected = co_await Connect();
+  if (!connected) co_return;
+  bool written = co_await WriteRequest();
+  if (!written) co_return;
   Parser parser;
-  if (!co_await ReadHeader(&parser)) co_return;
+  bool answered = co_await ReadHeader(&parser);
+  if (!answered) co_return;
   std::string_view type = parser.get()[http::field::content_type];
   if (m_call.event_stream && parser.get().result_int() == 200 &&
       type.starts_with("text/event-stream")) {
@@ -339,8 +344,7 @@
 
 asio::awaitable<bool> CallState::Connect() {
   if (m_call.idempotent) {
-    std::optional<tcp::socket> reused =
-        m_client->m_pool.Take(m_call.address);
+    std::optional<tcp::socket> reused = m_client->m_pool.Take(m_call.address);
     if (reused) {
       m_socket = std::move(*reused);
       m_end.reused = true;
@@ -499,8 +503,7 @@
       Fail("body", error);
       co_return;
     }
-    if (m_end.body.size() + bytes.size() >
-        m_client->m_options.max_body_bytes) {
+    if (m_end.body.size() + bytes.size() > m_client->m_options.max_body_bytes) {
       m_end.detail = "answer too large";
       Close();
       co_return;
@@ -513,12 +516,11 @@
 
 void CallState::Classify(const Parser& parser) {
   unsigned status = parser.get().result_int();
-  bool not_run =
-      (status == 409 || status == 429 || status == 503) &&
-      SaysNotRun(m_end.body);
+  bool not_run = (status == 409 || status == 429 || status == 503) &&
+                 SaysNotRun(m_end.body);
   if (not_run) {
-    m_end.result = status == 409 ? AttemptResult::kWrongEpoch
-                                 : AttemptResult::kRefused;
+    m_end.result =
+        status == 409 ? AttemptResult::kWrongEpoch : AttemptResult::kRefused;
   } else if (status >= 500 || m_call.event_stream) {
     m_end.result = AttemptResult::kError;
   } else {
@@ -532,8 +534,8 @@
   m_end.result =
       m_timed_out ? AttemptResult::kTimedOut : AttemptResult::kBroken;
   if (m_end.detail.empty()) {
-    m_end.detail = fmt::format(
-        "{}: {}", phase, m_timed_out ? "timeout" : error.message());
+    m_end.detail =
+        fmt::format("{}: {}", phase, m_timed_out ? "timeout" : error.message());
   }
   Close();
 }
@@ -577,9 +579,9 @@
   return m_impl->Start(std::move(call), std::move(handlers));
 }
 
-void BackendClient::Probe(
-    const std::string& address, std::chrono::milliseconds timeout,
-    std::function<void(std::optional<HostHealth>)> done) {
+void BackendClient::Probe(const std::string& address,
+                          std::chrono::milliseconds timeout,
+                          std::function<void(std::optional<HostHealth>)> done) {
   m_impl->Probe(address, timeout, /*fresh=*/false, std::move(done));
 }
 
@@ -587,12 +589,13 @@
     const std::string& address, const HostOrder& order,
     std::chrono::milliseconds timeout,
     std::function<void(bool accepted, bool sent)> done) {
-  nlohmann::json json = {{"kind", order.kind},       {"group", order.group},
-                         {"epoch", order.epoch},     {"rank", order.rank},
-                         {"hosts", order.hosts},     {"model", order.model},
-                         {"version", order.version}, {"weights", order.weights},
-                         {"adapters", order.adapters}, {"role", order.role},
-                         {"fence", order.fence}};
+  nlohmann::json json = {
+      {"kind", order.kind},         {"group", order.group},
+      {"epoch", order.epoch},       {"rank", order.rank},
+      {"hosts", order.hosts},       {"model", order.model},
+      {"version", order.version},   {"weights", order.weights},
+      {"adapters", order.adapters}, {"role", order.role},
+      {"fence", order.fence}};
   BackendCall call;
   call.address = address;
   call.target = "/v1/orders";
--- a/net/connection_pool.cc
+++ b/net/connection_pool.cc
@@ -49,10 +49,9 @@
 void ConnectionPool::Expire(Clock::time_point now) {
   for (auto it = m_idle.begin(); it != m_idle.end();) {
     std::vector<Idle>& idle = it->second;
-    auto fresh =
-        std::find_if(idle.begin(), idle.end(), [&](const Idle& entry) {
-          return now - entry.since < m_idle_timeout;
-        });
+    auto fresh = std::find_if(idle.begin(), idle.end(), [&](const Idle& entry) {
+      return now - entry.since < m_idle_timeout;
+    });
     idle.erase(idle.begin(), fresh);
     it = idle.empty() ? m_idle.erase(it) : std::next(it);
   }
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -315,13 +315,12 @@
   if (m_sessions.size() >= m_limits.max_connections) {
     ++m_stats.refused_connections;
     LogEvent("connection_refused", {{"reason", "max_connections"}});
-    std::string answer =
-        FormatHead(503,
-                   {{"Content-Length", "0"},
-                    {"X-Clementine-Outcome", "not-run"},
-                    {"Retry-After", "1"}},
-                   true) +
-        "\r\n";
+    std::string answer = FormatHead(503,
+                                    {{"Content-Length", "0"},
+                                     {"X-Clementine-Outcome", "not-run"},
+                                     {"Retry-After", "1"}},
+                                    true) +
+                         "\r\n";
     error_code ignored;
     socket.non_blocking(true, ignored);
     socket.write_some(asio::buffer(answer), ignored);
@@ -368,12 +367,14 @@
 
 asio::awaitable<void> HttpSession::Run(std::shared_ptr<HttpSession> self) {
   while (!self->m_server->stopping() || self->m_buffer.size() > 0) {
-    if (!co_await self->WaitForRequest()) break;
+    bool more = co_await self->WaitForRequest();
+    if (!more) break;
     self->m_reading_request = true;
     bool complete = co_await self->ReadRequest();
     self->m_reading_request = false;
     if (!complete) break;
-    if (!co_await self->WriteAnswer()) break;
+    bool reusable = co_await self->WriteAnswer();
+    if (!reusable) break;
   }
   error_code ignored;
   self->m_socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -386,8 +387,8 @@
                       : m_server->limits().idle_timeout);
   error_code error;
   std::size_t size = co_await m_socket.async_read_some(
-      m_buffer.prepare(std::min<std::size_t>(
-          4096, m_server->limits().max_header_bytes)),
+      m_buffer.prepare(
+          std::min<std::size_t>(4096, m_server->limits().max_header_bytes)),
       asio::redirect_error(asio::use_awaitable, error));
   m_buffer.commit(size);
   m_first = false;
@@ -400,7 +401,8 @@
       static_cast<std::uint32_t>(m_server->limits().max_header_bytes));
   parser.body_limit(m_server->limits().max_body_bytes);
   error_code error;
-  if (!co_await ReadParts(&parser, &error)) {
+  bool complete = co_await ReadParts(&parser, &error);
+  if (!complete) {
     co_await RejectRequest(error);
     co_return false;
   }
@@ -454,10 +456,9 @@
 asio::awaitable<void> HttpSession::RejectRequest(error_code error) {
   ++m_server->m_stats.malformed;
   ReadFault fault = Explain(error);
-  LogEvent("request_rejected",
-           {{"status", std::to_string(fault.status)},
-            {"reason", fault.type},
-            {"detail", error.message()}});
+  LogEvent("request_rejected", {{"status", std::to_string(fault.status)},
+                                {"reason", fault.type},
+                                {"detail", error.message()}});
   std::string body = ErrorBody(fault.type, fault.message);
   m_pending = FormatHead(fault.status,
                          {{"Content-Type", "application/json"},
@@ -601,8 +602,8 @@
   self->m_watching = false;
   if (!self->m_answering || !self->m_socket.is_open()) co_return;
   char byte = 0;
-  ssize_t size = ::recv(self->m_socket.native_handle(), &byte, 1,
-                        MSG_PEEK | MSG_DONTWAIT);
+  ssize_t size =
+      ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // A pipelined request ends the watch: the socket stays readable until the
   // request is read, so a caller that leaves later is noticed when writing.
   if (size <= 0) self->Leave("closed");
--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -3,13 +3,13 @@
 // report covers the last full minute and an old peak doesn't stay for ever.
 
 // Boost's header below uses std::ostringstream without including it.
-#include <sstream>
-
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <cstdint>
+#include <sstream>
 
 #include "fmt/format.h"
 #include "net/net.h"
@@ -26,9 +26,40 @@
     acc::accumulator_set<double,
                          acc::stats<acc::tag::extended_p_square_quantile>>;
 
-Estimator MakeEstimator() {
-  return Estimator(acc::tag::extended_p_square::probabilities = kQuantiles);
-}
+/// Samples of up to one minute.
+class Window {
+ public:
+  void Observe(double value) {
+    if (m_count < m_first.size()) m_first[m_count] = value;
+    m_estimator(value);
+    ++m_count;
+  }
+
+  double Quantile(double probability) const {
+    if (m_count > m_first.size()) {
+      return acc::quantile(m_estimator,
+                           acc::quantile_probability = probability);
+    }
+    // The estimator needs at least as many samples as it has markers.
+    if (m_count == 0) return 0.0;
+    std::array<double, kExactSamples> sorted = m_first;
+    auto end = sorted.begin() + static_cast<std::ptrdiff_t>(m_count);
+    std::sort(sorted.begin(), end);
+    auto rank = static_cast<std::size_t>(probability *
+                                         static_cast<double>(m_count - 1));
+    return sorted[rank];
+  }
+
+  bool empty() const { return m_count == 0; }
+
+ private:
+  static constexpr std::size_t kExactSamples = 32;
+
+  Estimator m_estimator =
+      Estimator(acc::tag::extended_p_square::probabilities = kQuantiles);
+  std::array<double, kExactSamples> m_first{};
+  std::size_t m_count = 0;
+};
 
 }  // namespace
 
@@ -40,30 +71,25 @@
     }
     if (now - m_window_start >= kWindow) {
       m_last = m_current;
-      m_last_count = m_current_count;
-      m_current = MakeEstimator();
-      m_current_count = 0;
+      m_current = Window();
       m_window_start = now;
     }
-    m_current(value);
-    ++m_current_count;
+    m_current.Observe(value);
     ++m_count;
     m_sum += value;
   }
 
   double Quantile(double probability) const {
-    const Estimator& window = m_last_count > 0 ? m_last : m_current;
-    return acc::quantile(window, acc::quantile_probability = probability);
+    const Window& window = m_last.empty() ? m_current : m_last;
+    return window.Quantile(probability);
   }
 
   std::uint64_t count() const { return m_count; }
   double sum() const { return m_sum; }
 
  private:
-  Estimator m_current = MakeEstimator();
-  Estimator m_last = MakeEstimator();
-  std::uint64_t m_current_count = 0;
-  std::uint64_t m_last_count = 0;
+  Window m_current;
+  Window m_last;
   std::uint64_t m_count = 0;
   double m_sum = 0.0;
   TimePoint m_window_start;
--- a/net/net.h
+++ b/net/net.h
@@ -236,8 +236,8 @@
   std::string target;
   HttpHeaders headers;
   std::shared_ptr<const std::string> body;  ///< May be null.
-  std::string attempt;             ///< Identifies the attempt on the wire.
-  bool event_stream = false;       ///< Expect and check a token stream.
+  std::string attempt;        ///< Identifies the attempt on the wire.
+  bool event_stream = false;  ///< Expect and check a token stream.
   std::uint64_t resume_offset = 0;
   /// A call that must not run twice gets a new connection, because a reused one
   /// may be closed by the server just when the call is written.
--- a/net/peer_transport.cc
+++ b/net/peer_transport.cc
@@ -56,9 +56,8 @@
        std::function<void(std::string)> received)
       : m_io(io),
         m_key(std::move(key)),
-        m_received(
-            std::make_shared<std::function<void(std::string)>>(
-                std::move(received))) {
+        m_received(std::make_shared<std::function<void(std::string)>>(
+            std::move(received))) {
     Check(nng_pull0_open(&m_pull), "nng_pull0_open");
     try {
       Listen(listen);
@@ -140,8 +139,8 @@
           "nng_listener_create");
     int result = nng_listener_start(listener, 0);
     if (result != 0) {
-      throw std::runtime_error(fmt::format("can't listen on {}: {}", listen,
-                                           nng_strerror(result)));
+      throw std::runtime_error(
+          fmt::format("can't listen on {}: {}", listen, nng_strerror(result)));
     }
     int port = endpoint.port();
     if (port == 0) {
