--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -47,13 +47,14 @@
     --rumour.sends_left;
     message->presence.push_back(rumour.update);
   }
-  for (auto& [digest, rumour] : m_quarantine) {
+  for (auto& [key, rumour] : m_quarantine) {
     if (message->quarantine.size() >= kUpdatesPerMessage) break;
     if (rumour.sends_left <= 0 || rumour.expires <= now) continue;
     --rumour.sends_left;
     message->quarantine.push_back(
-        {digest, std::chrono::duration_cast<milliseconds>(rumour.expires - now),
-         rumour.crashes});
+        {key.first,
+         std::chrono::duration_cast<milliseconds>(rumour.expires - now),
+         key.second});
   }
 }
 
@@ -145,30 +146,29 @@
   result->presence.push_back(update);
 }
 
-void PeerExchange::SpreadQuarantine(const QuarantineLearned& entry,
-                                    TimePoint now) {
-  if (m_quarantine.size() >= kMaxQuarantine &&
-      m_quarantine.count(entry.digest) == 0) {
-    return;
-  }
-  m_quarantine[entry.digest] = {0, now + entry.remaining, Sends()};
+bool PeerExchange::AddQuarantine(const std::string& digest,
+                                 const std::string& crash, TimePoint expires) {
+  std::pair<std::string, std::string> key(digest, crash);
+  if (m_quarantine.count(key) > 0) return false;
+  if (m_quarantine.size() >= kMaxQuarantine) return false;
+  m_quarantine[key] = {expires, Sends()};
   m_urgent = true;
+  return true;
+}
+
+void PeerExchange::SpreadQuarantine(const QuarantineFound& entry,
+                                    TimePoint now) {
+  AddQuarantine(entry.digest, entry.crash, now + entry.remaining);
 }
 
 void PeerExchange::ReceiveQuarantine(const QuarantineUpdate& update,
                                      TimePoint now,
                                      PeerExchangeResult* result) {
-  auto found = m_quarantine.find(update.digest);
-  bool news =
-      found == m_quarantine.end() || update.crashes > found->second.crashes;
-  if (!news || update.remaining <= milliseconds(0)) return;
-  if (found == m_quarantine.end() && m_quarantine.size() >= kMaxQuarantine) {
-    return;
+  if (update.remaining <= milliseconds(0)) return;
+  if (AddQuarantine(update.digest, update.crash, now + update.remaining)) {
+    result->quarantine.push_back(
+        {update.digest, update.remaining, update.crash});
   }
-  m_quarantine[update.digest] = {update.crashes, now + update.remaining,
-                                 Sends()};
-  m_urgent = true;
-  result->quarantine.push_back({update.digest, update.remaining});
 }
 
 void PeerExchange::SetConfiguration(ConfigCandidate current) {
--- a/core/peer_exchange.h
+++ b/core/peer_exchange.h
@@ -51,7 +51,7 @@
   /// here. Unchanged verdicts aren't sent again.
   void SpreadPresence(PresenceUpdate update);
 
-  void SpreadQuarantine(const QuarantineLearned& entry, TimePoint now);
+  void SpreadQuarantine(const QuarantineFound& entry, TimePoint now);
 
   /// Records the configuration in force, which others may then pull.
   void SetConfiguration(ConfigCandidate current);
@@ -67,7 +67,6 @@
     int sends_left = 0;
   };
   struct QuarantineRumour {
-    int crashes = 0;
     TimePoint expires;
     int sends_left = 0;
   };
@@ -80,6 +79,8 @@
             PeerExchangeResult* result);
   void ReceivePresence(const PresenceUpdate& update,
                        PeerExchangeResult* result);
+  bool AddQuarantine(const std::string& digest, const std::string& crash,
+                     TimePoint expires);
   void ReceiveQuarantine(const QuarantineUpdate& update, TimePoint now,
                          PeerExchangeResult* result);
   void ReceiveConfig(const PeerMessage& message, TimePoint now,
@@ -93,7 +94,8 @@
   std::uint64_t m_presence_sequence = 0;
   /// Keyed by reporter and host; the newest verdict of each.
   std::map<std::pair<std::string, std::string>, PresenceRumour> m_presence;
-  std::map<std::string, QuarantineRumour> m_quarantine;  ///< Keyed by digest.
+  /// Keyed by digest and crash.
+  std::map<std::pair<std::string, std::string>, QuarantineRumour> m_quarantine;
   bool m_urgent = false;
   TimePoint m_next_burst{};
   TimePoint m_next_pull{};
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -58,7 +58,7 @@
 struct QuarantineUpdate {
   std::string digest;
   milliseconds remaining{0};
-  int crashes = 0;
+  std::string crash;  ///< Names the replica crash, so that each counts once.
 };
 
 struct ConfigPull {
--- a/daemon/answers.cc
+++ b/daemon/answers.cc
@@ -62,6 +62,8 @@
       return "the deadline has passed";
     case RefusalReason::kDraining:
       return "the daemon is stopping";
+    case RefusalReason::kOutcomeUnknown:
+      return "the call may have run and must not be repeated";
   }
   return "the request was refused";
 }
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -83,6 +83,7 @@
 void Daemon::CreateCore() {
   RequestPathOptions request_options;
   request_options.node = m_settings.node;
+  request_options.incarnation = m_incarnation;
   request_options.data_centre = m_settings.data_centre;
   request_options.seed = m_settings.seed;
   request_options.max_queued = m_settings.max_queued;
@@ -189,8 +190,8 @@
   m_tick.expires_after(kTickInterval);
   m_tick.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    Feed(ControlEvent(Tick{}));
-    Feed(RequestEvent(Tick{}));
+    Feed(ControlEvent(Tick{std::chrono::system_clock::now()}));
+    Feed(RequestEvent(Tick{std::chrono::system_clock::now()}));
     CheckFinished();
     ScheduleTick();
   });
