--- a/core/lease.cc
+++ b/core/lease.cc
@@ -64,15 +64,18 @@
 Lease::Lease(Options options, PlatformCalls* calls, Jitter* jitter)
     : m_options(std::move(options)), m_calls(calls), m_jitter(jitter) {}
 
-bool Lease::Proven(TimePoint now) const {
+bool Lease::ValidAt(TimePoint time) const {
   milliseconds valid = m_options.duration - m_options.duration / kDriftParts;
   return m_state == State::kHeld && m_granted >= m_prove_from &&
-         now - m_last_now <= m_options.duration / kPauseParts &&
-         now < m_granted + valid;
+         time < m_granted + valid;
+}
+
+bool Lease::Proven(TimePoint now) const {
+  return ValidAt(now) && now - m_last_now <= m_options.duration / kPauseParts;
 }
 
 bool Lease::CanOrder(TimePoint now) const {
-  return Proven(now) && !m_releasing && Proven(now + m_options.longest_order);
+  return Proven(now) && !m_releasing && ValidAt(now + m_options.longest_order);
 }
 
 void Lease::RaiseFence(std::uint64_t placement_fence) {
@@ -163,13 +166,15 @@
     }
   }
   std::uint64_t version = reply.status == ObjectStatus::kOk ? reply.version : 0;
-  if (!m_seen_any || version != m_version) {
+  // Versions start again when an operator deleted the object in between.
+  if (!m_seen_any || version != m_version || !SameWrite(record, m_seen)) {
     m_first_seen = now;
     m_spread = m_jitter->Between(milliseconds(0), kTakeoverSpread);
   }
   m_seen_any = true;
   m_version = version;
   m_seen = record;
+  m_next = std::min(m_next, std::max(now, TakeoverTime()));
   const Write* own = FindWrite(record);
   if (own != nullptr && record.holder == m_options.node) {
     Granted(own->record, version, own->sent, out);
@@ -244,18 +249,22 @@
   Put(record, now, out);
 }
 
-void Lease::AdvanceCandidate(TimePoint now, Actions* out) {
-  if (m_releasing) {
-    m_state = State::kReleased;
-    return;
-  }
+TimePoint Lease::TakeoverTime() const {
   milliseconds wait = m_options.duration + m_options.longest_order;
   bool absent_new = m_version == 0 && m_least_fence == 0;
   if (absent_new || (m_version != 0 && m_seen.holder.empty()) ||
       m_options.mutation == Mutation::kTakeLeaseEarly) {
     wait = milliseconds(0);
   }
-  if (now < m_first_seen + wait + m_spread) {
+  return m_first_seen + wait + m_spread;
+}
+
+void Lease::AdvanceCandidate(TimePoint now, Actions* out) {
+  if (m_releasing) {
+    m_state = State::kReleased;
+    return;
+  }
+  if (now < TakeoverTime()) {
     m_waiting = "lease of " + m_seen.holder;
     Read(now, out);
     return;
--- a/core/lease.h
+++ b/core/lease.h
@@ -82,6 +82,8 @@
     TimePoint sent;
   };
 
+  bool ValidAt(TimePoint time) const;
+  TimePoint TakeoverTime() const;
   void Read(TimePoint now, Actions* out);
   void Put(LeaseRecord record, TimePoint now, Actions* out);
   void SawVersion(const ObjectReply& reply, TimePoint now, Actions* out);
--- a/core/placement.cc
+++ b/core/placement.cc
@@ -69,9 +69,9 @@
     return found == m_input.hosts.end() ? nullptr : &found->second;
   }
   const GroupFacts& Facts(const std::string& name, const PlacedGroup&) const {
-    static const GroupFacts kNone;
+    static const GroupFacts no_facts;
     auto found = m_input.groups.find(name);
-    return found == m_input.groups.end() ? kNone : found->second;
+    return found == m_input.groups.end() ? no_facts : found->second;
   }
   const ModelSpec* ModelOf(const GroupSpec& spec) const {
     const auto& models = m_input.configuration->models;
@@ -204,12 +204,12 @@
 }
 
 double Plan::Rank(const std::string& spec, int hosts) const {
-  constexpr int accelerators_per_host = 4;
+  constexpr int kAcceleratorsPerHost = 4;
   PlacementSpec weights = m_input.configuration->placement;
   if (Serving(spec) == 0) {
     weights.downtime_weight *= kNoReplicaFactor;
   }
-  return ReplicaGain(weights, hosts * accelerators_per_host) /
+  return ReplicaGain(weights, hosts * kAcceleratorsPerHost) /
          std::max(1, hosts);
 }
 
--- a/core/placement_store.cc
+++ b/core/placement_store.cc
@@ -15,15 +15,27 @@
 
 void PlacementStore::Observed(std::uint64_t version, const std::string& value,
                               Actions* out) {
-  if (version > m_version || (!m_known && version != 0)) {
+  if (version == 0 && m_known) {
+    // Deleted by an operator; the known placement stays in force, and versions
+    // start again.
+    m_version = 0;
+  } else if (version > m_version) {
     Adopt(version, value, out);
   }
 }
 
 void PlacementStore::Adopt(std::uint64_t version, const std::string& value,
                            Actions* out) {
+  if (version == 0) {
+    // Nothing is stored. What is known here is written again, so that deleting
+    // the object doesn't unload every group.
+    m_damaged = false;
+    m_known = true;
+    m_version = 0;
+    return;
+  }
   Placement read;
-  if (version != 0) {
+  {
     try {
       read = DecodePlacement(value);
     } catch (const std::runtime_error& error) {
@@ -65,9 +77,7 @@
   if (!call.write) {
     m_must_read = false;
     bool found = reply.status == ObjectStatus::kOk;
-    if (!found || reply.version >= m_version || m_damaged) {
-      Adopt(found ? reply.version : 0, reply.value, out);
-    }
+    Adopt(found ? reply.version : 0, reply.value, out);
     return;
   }
   if (reply.status != ObjectStatus::kOk) {
@@ -88,6 +98,14 @@
   }
 }
 
+bool PlacementStore::FenceTooLow(std::uint64_t fence) const {
+  if (m_pending || m_must_read || m_claimed || m_version == 0) {
+    return false;
+  }
+  bool ours = m_placement.write_id.starts_with(m_writer + "/");
+  return ours ? m_placement.fence > fence : m_placement.fence >= fence;
+}
+
 bool PlacementStore::Claimed(std::uint64_t fence) const {
   return m_claimed && !m_damaged && !m_pending && !m_must_read &&
          !m_must_claim && m_placement.fence == fence;
--- a/core/placement_store.h
+++ b/core/placement_store.h
@@ -44,10 +44,7 @@
 
   bool Claimed(std::uint64_t fence) const;
   /// Whether the stored fence isn't below `fence` though it isn't ours.
-  bool FenceTooLow(std::uint64_t fence) const {
-    return m_known && !m_must_read && !m_claimed && m_version != 0 &&
-           m_placement.fence >= fence;
-  }
+  bool FenceTooLow(std::uint64_t fence) const;
   bool known() const { return m_known; }
   const Placement& placement() const { return m_placement; }
   std::uint64_t version() const { return m_version; }
--- a/core/status.cc
+++ b/core/status.cc
@@ -113,7 +113,7 @@
   }
   std::vector<std::string> waiting_for = sources.waiting_for;
   for (const auto& [subject, reason] : waiting) {
-    waiting_for.push_back(subject + ": " + reason);
+    waiting_for.push_back(fmt::format("{}: {}", subject, reason));
   }
   const Lease& lease = sources.placement->lease();
   nlohmann::json json = {
--- /dev/null
+++ b/testing/control_world.h
@@ -0,0 +1,609 @@
+// Platform, engines and several ControlPlanes under one virtual clock, with
+// faults and an oracle. A stand-in for tests of decisions: no sockets, no time.
+#ifndef TESTING_CONTROL_WORLD_H_
+#define TESTING_CONTROL_WORLD_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/core.h"
+#include "core/mutation.h"
+#include "core/placement_object.h"
+#include "fmt/format.h"
+
+namespace clementine {
+
+struct WorldOptions {
+  int daemons = 2;
+  int domains = 2;
+  int hosts_per_domain = 3;
+  std::uint64_t seed = 1;
+  milliseconds load_time{3'000};
+  Mutation mutation{};
+  PlacementPlanner planner;
+  milliseconds lease_duration{10'000};
+  milliseconds longest_order{5'000};
+};
+
+/// A model engine; it follows orders like testing/backend_standin.cc.
+struct WorldEngine {
+  HostInfo info;
+  bool listed = true;
+  bool up = true;
+  bool leaving = false;
+  TimePoint leaving_since;
+  bool ignore_fence = false;
+  HostHealth health;
+  TimePoint loaded_at;
+  /// Last time at which it served each group and epoch.
+  std::map<std::pair<std::string, std::uint64_t>, TimePoint> served;
+};
+
+struct WorldDaemon {
+  ControlPlaneOptions options;
+  std::unique_ptr<ControlPlane> plane;
+  bool paused = false;
+  bool requests_cut = false;  ///< To the platform.
+  bool replies_cut = false;   ///< From the platform.
+  std::set<std::string> hosts_cut;
+  std::vector<ControlEvent> backlog;
+  std::vector<GroupView> views;
+  std::shared_ptr<const Configuration> configuration;
+  std::uint64_t generation = 0;
+  std::uint64_t life = 0;  ///< Rises with restarts; older replies are lost.
+  TimePoint resumed;
+};
+
+class ControlWorld {
+ public:
+  explicit ControlWorld(WorldOptions world_options)
+      : options(std::move(world_options)), m_random(options.seed) {
+    now = TimePoint{} + std::chrono::hours(1);
+    for (int i = 0; i < options.domains * options.hosts_per_domain; ++i) {
+      WorldEngine engine;
+      engine.info.host = fmt::format("h{:03}", i);
+      engine.info.data_centre = "dc";
+      engine.info.fabric_domain =
+          fmt::format("f{}", i / options.hosts_per_domain);
+      engine.info.address = "address-" + engine.info.host;
+      engine.health.host = engine.info.host;
+      engine.health.state = "idle";
+      engines[engine.info.host] = engine;
+    }
+    daemons.resize(static_cast<std::size_t>(options.daemons));
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      Restart(i);
+    }
+  }
+
+  // --- Platform ---
+  struct Object {
+    std::uint64_t version = 0;
+    std::uint64_t revision = 0;
+    std::string value;
+  };
+
+  void StoreConfiguration(const Configuration& configuration,
+                          std::uint64_t generation) {
+    ConfigHead head;
+    head.generation = generation;
+    head.apply_id = fmt::format("apply-{}", generation);
+    for (const ConfigSection& section : SplitSections(configuration)) {
+      Store("config/section/" + section.digest, section.text);
+      head.sections[section.name] = section.digest;
+    }
+    Store("config/head", EncodeHead(head));
+  }
+
+  void Store(const std::string& key, const std::string& value) {
+    Object& object = objects[key];
+    CheckWrite(key, object.value, value);
+    object = {object.version + 1, ++m_revision, value};
+    std::vector<Pending> waiting = std::move(m_watches);
+    m_watches.clear();
+    for (Pending& watch : waiting) {
+      AnswerWatch(std::move(watch));
+    }
+  }
+
+  Placement StoredPlacement() const {
+    auto found = objects.find("placement/dc");
+    return found == objects.end() || found->second.value.empty()
+               ? Placement()
+               : DecodePlacement(found->second.value);
+  }
+
+  // --- Daemons ---
+  void Restart(std::size_t index) {
+    WorldDaemon& daemon = daemons[index];
+    std::uint64_t life = daemon.life + 1;
+    daemon = WorldDaemon();
+    daemon.life = life;
+    daemon.options.node = fmt::format("node{}", index);
+    daemon.options.data_centre = "dc";
+    daemon.options.incarnation = life;
+    daemon.options.seed = options.seed * 31 + index * 7 + life;
+    daemon.options.mutation = options.mutation;
+    daemon.options.placement_planner = options.planner;
+    daemon.options.lease_duration = options.lease_duration;
+    daemon.options.longest_order = options.longest_order;
+    daemon.plane = std::make_unique<ControlPlane>(daemon.options);
+  }
+
+  void Pause(std::size_t index) { daemons[index].paused = true; }
+  void Resume(std::size_t index) {
+    WorldDaemon& daemon = daemons[index];
+    if (!daemon.paused) {
+      return;
+    }
+    daemon.paused = false;
+    daemon.resumed = now;
+    std::vector<ControlEvent> backlog = std::move(daemon.backlog);
+    daemon.backlog.clear();
+    for (const ControlEvent& event : backlog) {
+      Deliver(index, daemon.life, event);
+    }
+  }
+
+  void SetLeaving(const std::string& host) {
+    WorldEngine& engine = engines.at(host);
+    if (!engine.leaving) {
+      engine.leaving = true;
+      engine.leaving_since = now;
+    }
+  }
+
+  void Kill(const std::string& host) { engines.at(host).up = false; }
+  void Revive(const std::string& host) {
+    WorldEngine& engine = engines.at(host);
+    if (!engine.up) {
+      engine.up = true;
+      engine.health = HostHealth();
+      engine.health.host = host;
+      engine.health.state = "idle";
+    }
+  }
+
+  // --- Time ---
+  void Run(milliseconds duration) {
+    for (TimePoint end = now + duration; now < end;) {
+      Step();
+    }
+  }
+
+  void Step() {
+    now += milliseconds(100);
+    while (!m_events.empty() && m_events.begin()->first <= now) {
+      auto event = std::move(m_events.begin()->second);
+      m_events.erase(m_events.begin());
+      event();
+    }
+    for (auto& [name, engine] : engines) {
+      if (engine.health.state == "loading" && now >= engine.loaded_at) {
+        engine.health.state = "serving";
+      }
+      engine.health.leaving = engine.leaving;
+      if (engine.up && engine.health.state == "serving") {
+        engine.served[{engine.health.group, engine.health.epoch}] = now;
+      }
+    }
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      if (!daemons[i].paused) {
+        Deliver(i, daemons[i].life, Tick{});
+      }
+    }
+    Check();
+  }
+
+  int OpenGroups(std::size_t index) const {
+    const auto& views = daemons[index].views;
+    return static_cast<int>(std::count_if(
+        views.begin(), views.end(), [](const GroupView& v) { return v.open; }));
+  }
+
+  int Holder() const {
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      if (!daemons[i].paused && daemons[i].plane->status(now).holds_lease) {
+        return static_cast<int>(i);
+      }
+    }
+    return -1;
+  }
+
+  WorldOptions options;
+  TimePoint now;
+  std::map<std::string, WorldEngine> engines;
+  std::vector<WorldDaemon> daemons;
+  std::map<std::string, Object> objects;
+  bool platform_down = false;
+  int lose_answers = 0;  ///< Next writes apply without an answer.
+  int delay_writes = 0;  ///< Next writes apply late, without an answer.
+  milliseconds write_delay{8'000};
+  int delay_orders = 0;  ///< Next orders take almost the longest order.
+  milliseconds latency{20};
+  std::vector<std::string> violations;
+  std::vector<std::string> log;
+  int orders = 0;
+  int loads = 0;
+  int probes = 0;
+
+ private:
+  struct Pending {
+    std::size_t daemon = 0;
+    std::uint64_t life = 0;
+    Watch watch;
+    TimePoint end;
+    std::uint64_t number = 0;
+  };
+
+  void At(milliseconds delay, std::function<void()> what) {
+    m_events.emplace(now + delay, std::move(what));
+  }
+  milliseconds Delay() {
+    auto span = static_cast<std::uint64_t>(latency.count()) + 1;
+    return milliseconds(1 + m_random() % span);
+  }
+  void Violation(std::string text) { violations.push_back(std::move(text)); }
+
+  void Deliver(std::size_t index, std::uint64_t life,
+               const ControlEvent& event) {
+    WorldDaemon& daemon = daemons[index];
+    if (daemon.life != life) {
+      return;
+    }
+    if (daemon.paused) {
+      daemon.backlog.push_back(event);
+      return;
+    }
+    for (const ControlAction& action : daemon.plane->Handle(event, now)) {
+      std::visit([&](const auto& typed) { Execute(index, typed); }, action);
+    }
+  }
+  void Reply(std::size_t index, milliseconds delay, ControlEvent event) {
+    std::uint64_t life = daemons[index].life;
+    At(delay, [this, index, life, event] { Deliver(index, life, event); });
+  }
+
+  template <typename Action>
+  void Execute(std::size_t, const Action&) {}
+
+  void Execute(std::size_t index, const LogDecision& entry) {
+    std::string line = fmt::format(
+        "{} {} {}",
+        std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
+                .count() -
+            3'600'000,
+        daemons[index].options.node, entry.event);
+    for (const auto& [key, value] : entry.fields) {
+      line += fmt::format(" {}={}", key, value);
+    }
+    log.push_back(std::move(line));
+  }
+  void Execute(std::size_t index, const GroupsChanged& changed) {
+    daemons[index].views = changed.groups;
+  }
+  void Execute(std::size_t index, const ConfigurationChanged& changed) {
+    WorldDaemon& daemon = daemons[index];
+    if (changed.generation <= daemon.generation) {
+      Violation("I8: generation doesn't rise");
+    }
+    daemon.generation = changed.generation;
+    daemon.configuration = changed.configuration;
+  }
+
+  bool Cut(std::size_t index) const {
+    return platform_down || daemons[index].requests_cut;
+  }
+
+  void Execute(std::size_t index, const ListHosts&) {
+    if (Cut(index) || daemons[index].replies_cut) {
+      Reply(index, milliseconds(100), HostsUnavailable{});
+      return;
+    }
+    HostsListed listed;
+    for (const auto& [name, engine] : engines) {
+      if (engine.listed) {
+        listed.hosts.push_back(engine.info);
+      }
+    }
+    Reply(index, Delay(), listed);
+  }
+
+  void Execute(std::size_t index, const Watch& watch) {
+    if (Cut(index) || daemons[index].replies_cut) {
+      Reply(index, milliseconds(100), WatchFailed{watch.prefix});
+      return;
+    }
+    Pending pending{index, daemons[index].life, watch, now + watch.timeout,
+                    ++m_watch_number};
+    std::uint64_t number = pending.number;
+    AnswerWatch(std::move(pending));
+    At(watch.timeout, [this, number] {
+      for (auto it = m_watches.begin(); it != m_watches.end(); ++it) {
+        if (it->number == number) {
+          Pending found = *it;
+          m_watches.erase(it);
+          ObjectsChanged changed;
+          changed.prefix = found.watch.prefix;
+          changed.revision = m_revision;
+          At(Delay(), [this, found, changed] {
+            Deliver(found.daemon, found.life, changed);
+          });
+          return;
+        }
+      }
+    });
+  }
+
+  void AnswerWatch(Pending pending) {
+    ObjectsChanged changed;
+    changed.prefix = pending.watch.prefix;
+    changed.revision = m_revision;
+    for (const auto& [key, object] : objects) {
+      if (key.starts_with(pending.watch.prefix) &&
+          object.revision > pending.watch.since) {
+        changed.entries.push_back({key, object.version, object.value});
+      }
+    }
+    if (changed.entries.empty() && pending.watch.since > 0) {
+      m_watches.push_back(std::move(pending));
+      return;
+    }
+    bool cut = Cut(pending.daemon) || daemons[pending.daemon].replies_cut;
+    ControlEvent event = changed;
+    if (cut) {
+      event = WatchFailed{pending.watch.prefix};
+    }
+    At(Delay(), [this, pending, event] {
+      Deliver(pending.daemon, pending.life, event);
+    });
+  }
+
+  void Execute(std::size_t index, const GetObject& get) {
+    ObjectReply reply;
+    reply.call = get.call;
+    if (Cut(index) || daemons[index].replies_cut) {
+      reply.status = ObjectStatus::kUnavailable;
+      Reply(index, milliseconds(500), reply);
+      return;
+    }
+    std::uint64_t life = daemons[index].life;
+    At(Delay(), [this, index, life, get, reply]() mutable {
+      auto found = objects.find(get.key);
+      bool exists = found != objects.end() && found->second.version != 0;
+      reply.status = exists ? ObjectStatus::kOk : ObjectStatus::kNotFound;
+      if (exists) {
+        reply.version = found->second.version;
+        reply.value = found->second.value;
+      }
+      At(Delay(), [this, index, life, reply] { Deliver(index, life, reply); });
+    });
+  }
+
+  void Execute(std::size_t index, const PutObject& put) {
+    ObjectReply unknown;
+    unknown.call = put.call;
+    if (Cut(index)) {
+      unknown.status = ObjectStatus::kUnavailable;
+      Reply(index, milliseconds(500), unknown);
+      return;
+    }
+    bool late = delay_writes > 0;
+    bool lost = late || lose_answers > 0 || daemons[index].replies_cut;
+    delay_writes -= late ? 1 : 0;
+    lose_answers -= !late && lose_answers > 0 ? 1 : 0;
+    std::uint64_t life = daemons[index].life;
+    if (lost) {
+      Reply(index, milliseconds(2'000), unknown);
+    }
+    At(late ? write_delay : Delay(), [this, index, life, put, lost] {
+      ObjectReply reply = Apply(put);
+      if (!lost) {
+        At(Delay(),
+           [this, index, life, reply] { Deliver(index, life, reply); });
+      }
+    });
+  }
+
+  ObjectReply Apply(const PutObject& put) {
+    ObjectReply reply;
+    reply.call = put.call;
+    Object& object = objects[put.key];
+    if (object.version != put.if_version) {
+      reply.status = ObjectStatus::kConflict;
+      reply.version = object.version;
+      reply.value = object.value;
+      return reply;
+    }
+    Store(put.key, put.value);
+    reply.status = ObjectStatus::kOk;
+    reply.version = objects[put.key].version;
+    return reply;
+  }
+
+  void Execute(std::size_t index, const ProbeHost& probe) {
+    ++probes;
+    std::uint64_t life = daemons[index].life;
+    std::string host = probe.host;
+    bool cut = daemons[index].hosts_cut.count(host) != 0;
+    At(Delay(), [this, index, life, host, cut] {
+      const WorldEngine& engine = engines.at(host);
+      if (cut || !engine.up) {
+        At(milliseconds(200), [this, index, life, host] {
+          Deliver(index, life, ProbeFailed{host});
+        });
+        return;
+      }
+      ProbeAnswered answer{host, engine.health};
+      answer.health.leaving = engine.leaving;
+      At(Delay(),
+         [this, index, life, answer] { Deliver(index, life, answer); });
+    });
+  }
+
+  void Execute(std::size_t index, const SendOrder& send) {
+    ++orders;
+    loads += send.order.kind == "load" ? 1 : 0;
+    std::uint64_t life = daemons[index].life;
+    bool cut = daemons[index].hosts_cut.count(send.host) != 0;
+    bool late = delay_orders > 0;
+    delay_orders -= late ? 1 : 0;
+    milliseconds delay =
+        late ? options.longest_order - milliseconds(200) : Delay();
+    At(delay, [this, index, life, send, cut, late] {
+      WorldEngine& engine = engines.at(send.host);
+      OrderAnswered answer;
+      answer.host = send.host;
+      answer.call = send.call;
+      answer.sent = !cut;
+      if (!cut && engine.up) {
+        answer.accepted = Obey(&engine, send.order);
+      }
+      if (!late) {
+        At(Delay(),
+           [this, index, life, answer] { Deliver(index, life, answer); });
+      }
+    });
+  }
+
+  bool Obey(WorldEngine* engine, const HostOrder& order) {
+    HostHealth& health = engine->health;
+    if (!engine->ignore_fence && order.fence < health.fence) {
+      return false;
+    }
+    health.fence = order.fence;
+    if (order.kind == "unload") {
+      std::uint64_t fence = health.fence;
+      health = HostHealth();
+      health.host = engine->info.host;
+      health.state = "idle";
+      health.fence = fence;
+    } else if (order.kind == "load" &&
+               (health.group != order.group || health.epoch != order.epoch)) {
+      health.state = "loading";
+      health.group = order.group;
+      health.epoch = order.epoch;
+      health.hosts = order.hosts;
+      health.model = order.model;
+      health.version = order.version;
+      health.adapters = order.adapters;
+      engine->loaded_at = now + options.load_time;
+    }
+    return true;
+  }
+
+  // --- Oracle ---
+  void CheckWrite(const std::string& key, const std::string& before,
+                  const std::string& after) {
+    if (key != "placement/dc") {
+      return;
+    }
+    Placement old = before.empty() ? Placement() : DecodePlacement(before);
+    Placement next;
+    try {
+      next = DecodePlacement(after);
+    } catch (const std::runtime_error& error) {
+      Violation(fmt::format("I2: stored placement: {}", error.what()));
+      return;
+    }
+    if (next.fence < old.fence) {
+      Violation("I2: placement written with a lower fence");
+    }
+    for (const auto& [name, group] : next.groups) {
+      m_members[{name, group.epoch}] = group.hosts;
+      auto previous = old.groups.find(name);
+      for (const std::string& host : group.hosts) {
+        bool stayed = previous != old.groups.end() &&
+                      std::count(previous->second.hosts.begin(),
+                                 previous->second.hosts.end(), host) != 0;
+        const WorldEngine& engine = engines.at(host);
+        if (!stayed && engine.up && !engine.health.group.empty()) {
+          Violation(fmt::format("I2: {} assigned to {} while in {}", host, name,
+                                engine.health.group));
+        }
+      }
+    }
+  }
+
+  void Check() {
+    int holders = 0;
+    for (const WorldDaemon& daemon : daemons) {
+      if (daemon.paused) {
+        continue;
+      }
+      holders += daemon.plane->status(now).holds_lease ? 1 : 0;
+      CheckViews(daemon);
+    }
+    if (holders > 1) {
+      Violation("lease: two holders");
+    }
+  }
+
+  void CheckViews(const WorldDaemon& daemon) {
+    std::set<std::string> used;
+    // A tick passes between the age limit and the closing of a gate.
+    milliseconds limit = daemon.options.presence_timeout + milliseconds(200);
+    for (const GroupView& view : daemon.views) {
+      if (!view.open) {
+        continue;
+      }
+      for (const std::string& host : m_members[{view.group, view.epoch}]) {
+        const WorldEngine& engine = engines.at(host);
+        if (!used.insert(host).second) {
+          Violation(fmt::format("I2: {} in two open groups", host));
+        }
+        auto served = engine.served.find({view.group, view.epoch});
+        if (served == engine.served.end() || now - served->second > limit) {
+          Violation(
+              fmt::format("I1: {} open, {} isn't in it", view.group, host));
+        }
+        bool known = engine.leaving && !view.leaving &&
+                     now - engine.leaving_since > limit &&
+                     now - daemon.resumed > limit;
+        if (known) {
+          Violation(
+              fmt::format("I6: {} leaves, {} takes work", host, view.group));
+        }
+      }
+    }
+  }
+
+  std::mt19937_64 m_random;
+  std::multimap<TimePoint, std::function<void()>> m_events;
+  std::vector<Pending> m_watches;
+  std::uint64_t m_watch_number = 0;
+  std::uint64_t m_revision = 0;
+  std::map<std::pair<std::string, std::uint64_t>, std::vector<std::string>>
+      m_members;
+};
+
+/// One group spec "chat" of model "m".
+inline Configuration WorldConfiguration(int replicas, int hosts_per_replica,
+                                        const std::string& version = "1") {
+  Configuration configuration;
+  ModelSpec model;
+  model.name = "m";
+  model.version = version;
+  model.weights = "w" + version;
+  model.hosts_per_replica = hosts_per_replica;
+  model.load_time = std::chrono::seconds(3);
+  configuration.models["m"] = model;
+  GroupSpec group;
+  group.name = "chat";
+  group.model = "m";
+  group.data_centre = "dc";
+  group.replicas = replicas;
+  configuration.groups["chat"] = group;
+  return configuration;
+}
+
+}  // namespace clementine
+
+#endif  // TESTING_CONTROL_WORLD_H_
