--- a/core/core.h
+++ b/core/core.h
@@ -397,6 +397,7 @@
     std::string value;
   };
   std::vector<Entry> entries;
+  std::string prefix;  ///< Of the watch that this answers.
 };
 struct WatchFailed {
   std::string prefix;
@@ -471,6 +472,13 @@
                  GroupsChanged, ConfigurationChanged, DaemonsChanged,
                  QuarantineLearned, LoadReported, LogDecision>;
 
+struct PlannerInput;   ///< See core/placement.h.
+struct PlannerResult;  ///< See core/placement.h.
+/// Computes the next placement from all that is known; a pure function.
+using PlacementPlanner = std::function<PlannerResult(const PlannerInput&)>;
+
+enum class Mutation : int;  ///< See core/mutation.h.
+
 struct ControlPlaneOptions {
   std::string node;
   std::string region;
@@ -486,6 +494,8 @@
   milliseconds heartbeat_interval{1'000};
   milliseconds peer_timeout{4'000};
   milliseconds status_interval{2'000};
+  PlacementPlanner placement_planner;  ///< Empty: the weighted planner.
+  Mutation mutation{};                 ///< A deliberate fault; tests only.
 };
 
 /// Status of this node as JSON members; see docs/status.md.
