Name the crash inside the shared quarantine digest

A separate field broke the build of the peer exchange, which forwards digest and time. The digest text now carries the crash, and the exchange passes it on unread.

--- a/core/core.h
+++ b/core/core.h
@@ -187,9 +187,8 @@
 };
 /// A crash-causing digest learned from another daemon.
 struct QuarantineLearned {
-  std::string digest;
+  std::string digest;  ///< As in ShareQuarantine.
   milliseconds remaining{0};
-  std::string crash;  ///< Names the replica crash, so that each counts once.
 };
 /// Live daemons in this data centre; limits are divided by it.
 struct DaemonsChanged {
@@ -262,11 +261,12 @@
   int status = 200;
   std::string body;
 };
-/// Tells other daemons that a digest was in flight at a replica crash.
+/// Tells other daemons that a request was in flight at a replica crash.
 struct ShareQuarantine {
+  /// "<digest>/<crash>": digest over organisation and content, and the name of
+  /// the crash, so that each crash counts once. Others pass it on unread.
   std::string digest;
   milliseconds remaining{0};
-  std::string crash;  ///< As in QuarantineLearned.
 };
 
 using RequestAction = std::variant<Dispatch, CancelAttempt, Refuse, Finish,
@@ -427,7 +427,6 @@
 struct QuarantineFound {
   std::string digest;
   milliseconds remaining{0};
-  std::string crash;  ///< As in QuarantineLearned.
 };
 
 using ControlEvent =
--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -13,6 +13,7 @@
 
 // About 200 bytes an entry.
 constexpr std::size_t kMaxEntries = 4096;
+constexpr char kSeparator = '/';
 
 }  // namespace
 
@@ -56,13 +57,23 @@
   }
   std::string name = group + '#' + std::to_string(number);
   Add(digest, name, now + m_duration, now);
-  return ShareQuarantine{digest, m_duration, name};
+  return ShareQuarantine{digest + kSeparator + name, m_duration};
 }
 
 void Quarantine::Learned(const QuarantineLearned& learned, TimePoint now) {
-  if (learned.remaining > milliseconds(0)) {
-    Add(learned.digest, learned.crash,
-        now + std::min(learned.remaining, m_duration), now);
+  if (learned.remaining <= milliseconds(0)) {
+    return;
+  }
+  TimePoint expires = now + std::min(learned.remaining, m_duration);
+  std::size_t end = learned.digest.find(kSeparator);
+  if (end != std::string::npos) {
+    Add(learned.digest.substr(0, end), learned.digest.substr(end + 1), expires,
+        now);
+    return;
+  }
+  // Without the name of a crash the digest is quarantined outright.
+  for (std::size_t i = 0; i < m_crashes; ++i) {
+    Add(learned.digest, "unnamed#" + std::to_string(i), expires, now);
   }
 }
 
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -692,7 +692,7 @@
       m_quarantine.Crashed(digest, group, dispatched, m_now);
   if (share) {
     m_actions.push_back(
-        LogDecision{"crash", {{"digest", digest}, {"crash", share->crash}}});
+        LogDecision{"crash", {{"digest", digest}, {"group", group}}});
     m_actions.push_back(*share);
   }
 }
