--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -39,6 +39,7 @@
 // Suspects that run alone at a time: one, and one more for each so many groups.
 constexpr std::size_t kGroupsPerIsolation = 8;
 constexpr std::size_t kMaxCancelled = 1024;
+constexpr int kClientErrors = 400;
 constexpr int kServerErrors = 500;
 constexpr int kTooManyRequests = 429;
 
@@ -151,6 +152,7 @@
     std::string ran_on;
     TimePoint dispatched;
     TimePoint give_up;
+    bool alone = false;  ///< The group is still set apart.
   };
   /// Cancelled attempt; its crash still counts.
   struct Cancelled {
@@ -210,6 +212,7 @@
   void FinishActive(Active* active, const AttemptEnded& event);
   void Detach(Active* active);
   void Cancel(Active* active);
+  void RememberCancelled(AttemptId attempt, Cancelled cancelled);
   void SettleClaim(Active* active, ClaimState state, int status,
                    const std::string& body);
   void RefuseActive(Active* active, RefusalReason reason,
@@ -752,8 +755,8 @@
   Reserve(active, true);
   milliseconds pause = Backoff(*active, event.retry_after);
   std::optional<RefusalReason> reason = WhyNoRetry(*active, event, pause);
-  bool answered = event.result == AttemptResult::kError && event.status > 0 &&
-                  event.offset == 0;
+  bool answered = event.result == AttemptResult::kError &&
+                  event.status >= kClientErrors && event.offset == 0;
   if (reason && answered) {
     // The backend server's error answer is the best one to be had.
     FinishActive(active, event);
@@ -796,6 +799,13 @@
   if (event.result == AttemptResult::kCrashed) {
     OnCrash(detached.digest, detached.ran_on, detached.dispatched);
   }
+  if (detached.alone) {
+    m_router.SetIsolated(detached.group, false);
+    m_isolated_digests.erase(detached.digest);
+    if (event.result == AttemptResult::kComplete) {
+      m_quarantine.Cleared(detached.digest);
+    }
+  }
   m_router.Ended(detached.group);
   ClaimState state = ClaimState::kUnknown;
   if (event.result == AttemptResult::kComplete ||
@@ -837,21 +847,28 @@
   m_detached[active->attempt] = {
       active->request.id, active->group,
       active->digest,     active->ran_on,
-      active->dispatched, active->request.deadline + kClaimGrace};
-  ReleaseGroup(active);
+      active->dispatched, active->request.deadline + kClaimGrace,
+      active->alone};
+  active->alone = false;
+  active->group = nullptr;
   active->claimed = false;
 }
 
 void RequestPath::Impl::Cancel(Active* active) {
   m_actions.push_back(CancelAttempt{active->attempt});
-  m_cancelled[active->attempt] = {active->digest, active->ran_on,
-                                  active->dispatched};
-  m_cancelled_order.push_back(active->attempt);
+  RememberCancelled(active->attempt,
+                    {active->digest, active->ran_on, active->dispatched});
+  FreeGroup(active);
+}
+
+void RequestPath::Impl::RememberCancelled(AttemptId attempt,
+                                          Cancelled cancelled) {
+  m_cancelled[attempt] = std::move(cancelled);
+  m_cancelled_order.push_back(attempt);
   if (m_cancelled_order.size() > kMaxCancelled) {
     m_cancelled.erase(m_cancelled_order.front());
     m_cancelled_order.pop_front();
   }
-  FreeGroup(active);
 }
 
 void RequestPath::Impl::SettleClaim(Active* active, ClaimState state,
@@ -1045,6 +1062,9 @@
   std::sort(expired.begin(), expired.end());
   for (AttemptId attempt : expired) {
     m_actions.push_back(CancelAttempt{attempt});
+    const Detached& detached = m_detached[attempt];
+    RememberCancelled(attempt,
+                      {detached.digest, detached.ran_on, detached.dispatched});
     EndDetached({attempt, AttemptResult::kTimedOut, 0, milliseconds(0), 0, ""});
   }
 }
