--- a/config/config.h
+++ b/config/config.h
@@ -124,12 +124,18 @@
   std::string text;    ///< Canonical INI text of the section.
 };
 
+/// Apply ids that a head remembers.
+inline constexpr std::size_t kMaxEarlierApplies = 16;
+
 /// What one accepted configuration consists of. Stored as `config/head`.
 struct ConfigHead {
   std::uint64_t generation = 0;  ///< Rises by one with each accepted apply.
   std::string apply_id;  ///< Unique for each apply; settles lost answers.
   std::string author;
   std::map<std::string, std::string> sections;  ///< Name to digest.
+  /// Apply ids of the generations before, newest first. Tells an operator whose
+  /// answer was lost whether a generation that was superseded was theirs.
+  std::vector<std::string> earlier_applies{};
 };
 
 /// Splits a configuration into sections in canonical form.
--- a/config/declarations.cc
+++ b/config/declarations.cc
@@ -24,8 +24,8 @@
 constexpr std::size_t kMaxInputBytes = 64'000'000;
 /// Bytes of a head for each section besides its name: digest and punctuation.
 constexpr std::size_t kHeadEntryBytes = 40;
-/// Bytes of a head besides its sections: generation, apply id, author.
-constexpr std::size_t kHeadBaseBytes = 1'000;
+/// Bytes of a head besides its sections: generation, apply ids, author.
+constexpr std::size_t kHeadBaseBytes = 2'000;
 
 /// A wrong reference gets a suggestion among at most this many names. Bounds
 /// the time for a file with many of both.
--- a/config/fields.h
+++ b/config/fields.h
@@ -1,6 +1,7 @@
 // Keys of a section as a table: each field knows its key, how to read its value
 // and how to write it in canonical form. The same table serves parsing,
-// splitting into sections and checking the documentation. Internal to config/.
+// splitting into sections and checking the documentation. Internal to
+// config/ and to programs with INI files of their own.
 #ifndef CONFIG_FIELDS_H_
 #define CONFIG_FIELDS_H_
 
--- a/config/head.cc
+++ b/config/head.cc
@@ -28,7 +28,8 @@
   nlohmann::json json = {{"generation", head.generation},
                          {"apply_id", head.apply_id},
                          {"author", head.author},
-                         {"sections", head.sections}};
+                         {"sections", head.sections},
+                         {"earlier_applies", head.earlier_applies}};
   return json.dump();
 }
 
@@ -40,6 +41,7 @@
     head.apply_id = value.at("apply_id").get<std::string>();
     head.author = value.value("author", "");
     value.at("sections").get_to(head.sections);
+    head.earlier_applies = value.value("earlier_applies", head.earlier_applies);
     return head;
   } catch (const nlohmann::json::exception& error) {
     throw std::runtime_error(
--- a/config/ini_file.h
+++ b/config/ini_file.h
@@ -1,4 +1,5 @@
-// An INI file as sections and keys with their lines. Internal to config/.
+// An INI file as sections and keys with their lines. Internal to config/
+// and to programs with INI files of their own.
 #ifndef CONFIG_INI_FILE_H_
 #define CONFIG_INI_FILE_H_
 
