--- a/config/ini_file.h
+++ b/config/ini_file.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config/config.h"
@@ -37,6 +38,7 @@
   explicit FindingList(std::string file) : m_file(std::move(file)) {}
 
   void Add(int line, std::string message);
+  bool empty() const { return m_findings.empty(); }
 
   /// Returns the findings in line order and forgets them.
   std::vector<Finding> Take();
--- /dev/null
+++ b/testing/statechart_test.cc
@@ -0,0 +1,154 @@
+#include "statechart/statechart.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <stdexcept>
+#include <string>
+
+using clementine::BuiltinChart;
+using clementine::ChartMachine;
+using clementine::ParseChart;
+
+namespace {
+
+const char kValid[] =
+    "chart door\n"
+    "initial shut  # comment\n"
+    "state shut open\n"
+    "final gone\n"
+    "event push remove\n"
+    "on shut push -> open\n"
+    "on shut remove -> ignore\n"
+    "on open push -> shut\n"
+    "on open remove -> gone\n";
+
+// The findings of kValid after replacing `from` by `to`.
+std::string Changed(const std::string& from, const std::string& to) {
+  std::string text = kValid;
+  std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  text.replace(at, from.size(), to);
+  std::string all;
+  for (const auto& finding : ParseChart({"c", text}).findings) {
+    all += clementine::FormatFinding(finding) + "\n";
+  }
+  return all;
+}
+
+}  // namespace
+
+// Guards against a chart of the repository that has a fault, or that the build
+// doesn't embed.
+TEST_CASE("every file of charts/ is valid and built in") {
+  int count = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(
+           std::string(CLEMENTINE_SOURCE_DIR) + "/charts")) {
+    std::ifstream stream(entry.path());
+    std::string text(std::istreambuf_iterator<char>(stream), {});
+    auto result = ParseChart({entry.path().string(), text});
+    for (const auto& finding : result.findings) {
+      FAIL_CHECK(clementine::FormatFinding(finding));
+    }
+    CHECK(result.chart.name == entry.path().stem().string());
+    CHECK(BuiltinChart(result.chart.name).transitions ==
+          result.chart.transitions);
+    ++count;
+  }
+  CHECK(count >= 5);
+  CHECK_THROWS_AS(BuiltinChart("absent"), std::invalid_argument);
+}
+
+// Guards against each fault that the checks exist for passing unnoticed.
+TEST_CASE("each check of a chart bites") {
+  CHECK(Changed("chart door", "chart door") == "");
+  CHECK(Changed("chart door\n", "") == "c: no 'chart' line\n");
+  CHECK(Changed("initial shut", "#") == "c: no 'initial' line\n");
+  CHECK(Changed("initial shut", "initial shun") ==
+        "c:2: unknown state 'shun' (did you mean 'shut'?)\n");
+  CHECK(Changed("initial shut", "initial gone") ==
+        "c:2: the initial state is final\n");
+  CHECK(Changed("initial shut", "initial shut open") ==
+        "c: no 'initial' line\nc:2: expected 'initial NAME'\n");
+  CHECK(Changed("state shut", "stat shut")
+            .find("c:3: unknown line 'stat' (did you mean 'state'?)") !=
+        std::string::npos);
+  CHECK(Changed("state shut open", "state shut open open") ==
+        "c:3: 'open' is declared twice\n");
+  CHECK(Changed("event push", "event push ignore") ==
+        "c:5: 'ignore' is not a name\n");
+  CHECK(Changed("on shut remove -> ignore\n", "") ==
+        "c:3: state shut doesn't name event remove\n");
+  CHECK(Changed("on shut remove -> ignore", "on shut remove -> shot") ==
+        "c:3: state shut doesn't name event remove\n"
+        "c:7: unknown state 'shot' (did you mean 'shut'?)\n");
+  CHECK(Changed("on shut remove ->", "on shut remove") ==
+        "c:3: state shut doesn't name event remove\n"
+        "c:7: expected 'on STATE EVENT -> STATE' or '-> ignore'\n");
+  CHECK(Changed("on open remove -> gone\n",
+                "on open remove -> gone\non open remove -> shut\n") ==
+        "c:10: second transition for open remove\n");
+  CHECK(Changed("on open remove -> gone\n",
+                "on open remove -> gone\non gone push -> shut\n") ==
+        "c:10: final state gone has a transition\n");
+  CHECK(Changed("final gone", "final gone lost") ==
+        "c:4: state lost can't be reached from shut\n");
+  CHECK(Changed("on open remove -> gone", "on open remove -> ignore") ==
+        "c:5: event remove changes no state\n");
+  CHECK(Changed("on shut push -> open\non shut remove -> ignore",
+                "on shut push -> ignore\non shut remove -> ignore") ==
+        "c:3: state open can't be reached from shut\n"
+        "c:3: state shut has no path to another state\n"
+        "c:4: state gone can't be reached from shut\n");
+  CHECK(Changed("state shut open\n",
+                "state shut open\nstate stuck jam\n"
+                "on stuck push -> jam\non stuck remove -> jam\n"
+                "on jam push -> stuck\non jam remove -> stuck\n") ==
+        "c:4: state stuck can't be reached from shut\n"
+        "c:4: state jam can't be reached from shut\n");
+  std::string trap = Changed("on shut remove -> ignore\n",
+                             "on shut remove -> stuck\nstate stuck jam\n"
+                             "on stuck push -> jam\non stuck remove -> jam\n"
+                             "on jam push -> stuck\non jam remove -> stuck\n");
+  CHECK(trap ==
+        "c:8: state stuck has no path to a final state\n"
+        "c:8: state jam has no path to a final state\n");
+}
+
+// Guards against a crash on a damaged chart.
+TEST_CASE("random mutations of a chart never crash the parser") {
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 2'000; ++round) {
+    std::string text = kValid;
+    for (int i = 0; i < 8; ++i) {
+      std::size_t at = random() % text.size();
+      if (random() % 2 == 0) {
+        text[at] = static_cast<char>(random() % 128);
+      } else {
+        text.erase(at, random() % 6);
+      }
+    }
+    auto result = ParseChart({"c", text});
+    if (result.findings.empty()) ChartMachine(&result.chart).Apply("push");
+  }
+  auto large = ParseChart({"c", std::string(100'000, 'x')});
+  CHECK(large.findings.size() == 1);
+}
+
+// Guards against a machine that takes a transition which its chart doesn't
+// name.
+TEST_CASE("a machine follows its chart") {
+  ChartMachine lease(&BuiltinChart("lease"));
+  CHECK(lease.state() == "candidate");
+  CHECK_FALSE(lease.Apply("expired"));
+  CHECK(lease.Apply("granted"));
+  CHECK_FALSE(lease.Apply("granted"));
+  CHECK(lease.Apply("stop"));
+  CHECK_FALSE(lease.Finished());
+  CHECK(lease.Apply("orders_settled"));
+  CHECK(lease.Finished());
+  CHECK_THROWS_AS(lease.Apply("unheard"), std::invalid_argument);
+}
