--- a/testing/backend_standin.cc
+++ b/testing/backend_standin.cc
@@ -17,21 +17,21 @@
 //       after half of its tokens, a plain call after it has run
 //   {"leaving": bool}    as before a planned stop
 //   {"crash": true}      exit at once without an answer
-// With /faults, a fault of a call that is answered later still applies.
 
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <deque>
 #include <list>
 
 #include "fmt/format.h"
 #include "net/net.h"
+#include "testing/standin_cache.h"
 #include "testing/standin_http.h"
 #include "testing/standin_tokens.h"
 
@@ -60,9 +60,9 @@
   int slots = 8;
   double token_ms = 5;
   double prefill_us = 100;
-  int cache_blocks = 4096;
+  std::size_t cache_blocks = 4096;
   int cache_event_delay_ms = 100;
-  int cache_event_gap = 0;
+  std::uint64_t cache_event_gap = 0;
   int load_lag_ms = 100;
   int load_ms = 100;
   int run_ms = 0;
@@ -117,6 +117,9 @@
   Backend(asio::io_context* io, BackendOptions options)
       : m_io(io),
         m_options(std::move(options)),
+        m_cache({m_options.cache_blocks,
+                 milliseconds(m_options.cache_event_delay_ms),
+                 m_options.cache_event_gap}),
         m_server(io, m_options.listen,
                  [this](Exchange* exchange) { return Handle(exchange); }) {
     m_load_header = LoadHeader();
@@ -129,11 +132,6 @@
   std::string address() const { return m_server.address(); }
 
  private:
-  struct CacheEvent {
-    Clock::time_point visible;
-    Json event;
-  };
-
   bool plain() const { return m_options.kind == "plain"; }
 
   asio::awaitable<void> Handle(Exchange* exchange);
@@ -166,10 +164,6 @@
   asio::awaitable<void> Load(std::uint64_t order_number, bool fetch);
   void EndAttempts();
 
-  /// Puts blocks into the cache; returns how many leading ones it held.
-  std::size_t TouchCache(const std::vector<std::uint64_t>& blocks);
-  Json VisibleCacheEvents(std::uint64_t since) const;
-
   Json Health() const;
   std::string LoadHeader() const;
   Headers AnswerHeaders(const Exchange& exchange) const;
@@ -182,10 +176,7 @@
   std::uint64_t m_fence = 0;
   std::uint64_t m_order_number = 0;  ///< Ends the load of an earlier order.
   std::list<Attempt> m_attempts;     ///< In order of arrival.
-  std::list<std::uint64_t> m_cache;  ///< Most recently used first.
-  std::map<std::uint64_t, std::list<std::uint64_t>::iterator> m_cached;
-  std::deque<CacheEvent> m_cache_events;
-  std::uint64_t m_cache_sequence = 0;
+  PrefixCache m_cache;
   Json m_runs = Json::array();
   Json m_orders = Json::array();
   Faults m_faults;
@@ -229,8 +220,7 @@
   } else if (path.starts_with(attempts) && method == "DELETE") {
     co_await HandleCancel(exchange, path.substr(attempts.size()));
   } else if (path == "/v1/cache-events" && method == "GET") {
-    Json answer =
-        VisibleCacheEvents(exchange->QueryNumber("since").value_or(0));
+    Json answer = m_cache.Events(exchange->QueryNumber("since").value_or(0));
     co_await exchange->Answer(200, answer);
   } else if (path.starts_with("/v1/kv/") && method == "POST") {
     co_await HandleKv(exchange);
@@ -380,9 +370,8 @@
   Schedule();
   while (!attempt->running) {
     auto poll_end = Clock::now() + kCallerPoll;
-    if (!co_await Work(exchange, attempt, poll_end) && !attempt->running) {
-      co_return "cancelled";
-    }
+    bool wanted = co_await Work(exchange, attempt, poll_end);
+    if (!wanted && !attempt->running) co_return "cancelled";
   }
   m_runs[attempt->run]["outcome"] = "running";
   std::string prompt = PromptText(request);
@@ -391,16 +380,22 @@
     LogEvent("crash", {{"attempt", attempt->id}});
     ::_exit(kCrashStatus);
   }
-  std::size_t cached = TouchCache(PrefixBlocks(prompt)) * kBytesPerBlock;
+  std::size_t cached = m_cache.Touch(PrefixBlocks(prompt)) * kBytesPerBlock;
   double uncached = static_cast<double>(prompt.size() - cached) /
                     static_cast<double>(kBytesPerToken);
   auto prefill = microseconds(static_cast<std::int64_t>(
       uncached * m_options.prefill_us * m_faults.slow));
   auto prefill_end = Clock::now() + prefill;
-  if (!co_await Work(exchange, attempt, prefill_end)) co_return "cancelled";
+  bool wanted = co_await Work(exchange, attempt, prefill_end);
+  if (!wanted) co_return "cancelled";
   bool stream = request.value("stream", false);
-  if (stream) co_return co_await StreamTokens(exchange, attempt, request);
-  co_return co_await AnswerWhole(exchange, attempt, request);
+  std::string outcome;
+  if (stream) {
+    outcome = co_await StreamTokens(exchange, attempt, request);
+  } else {
+    outcome = co_await AnswerWhole(exchange, attempt, request);
+  }
+  co_return outcome;
 }
 
 asio::awaitable<std::string> Backend::StreamTokens(Exchange* exchange,
@@ -417,7 +412,8 @@
   for (std::uint64_t offset = first; offset < count; ++offset) {
     due += microseconds(
         static_cast<std::int64_t>(m_options.token_ms * 1000 * m_faults.slow));
-    if (!co_await Work(exchange, attempt, due)) co_return "cancelled";
+    bool wanted = co_await Work(exchange, attempt, due);
+    if (!wanted) co_return "cancelled";
     if (broken && offset - first >= (count - first) / 2) co_return "broken";
     co_await SendFrame(exchange, *attempt, seed, offset);
     m_runs[attempt->run]["tokens"] = offset + 1 - first;
@@ -463,7 +459,8 @@
   auto end =
       Clock::now() + microseconds(static_cast<std::int64_t>(
                          count * m_options.token_ms * 1000 * m_faults.slow));
-  if (!co_await Work(exchange, attempt, end)) co_return "cancelled";
+  bool wanted = co_await Work(exchange, attempt, end);
+  if (!wanted) co_return "cancelled";
   m_runs[attempt->run]["tokens"] = count;
   if (TakeFault(&m_faults.broken)) co_return "broken";
   Json message = {{"role", "assistant"}, {"content", AnswerText(request)}};
@@ -593,59 +590,14 @@
            {{"group", m_role.group}, {"epoch", std::to_string(m_role.epoch)}});
 }
 
-std::size_t Backend::TouchCache(const std::vector<std::uint64_t>& blocks) {
-  std::size_t held = 0;
-  Json added = Json::array();
-  Json removed = Json::array();
-  for (std::uint64_t block : blocks) {
-    auto found = m_cached.find(block);
-    if (found != m_cached.end()) {
-      if (added.empty()) ++held;
-      m_cache.splice(m_cache.begin(), m_cache, found->second);
-      continue;
-    }
-    m_cache.push_front(block);
-    m_cached[block] = m_cache.begin();
-    added.push_back(block);
-  }
-  while (m_cache.size() > static_cast<std::size_t>(m_options.cache_blocks)) {
-    removed.push_back(m_cache.back());
-    m_cached.erase(m_cache.back());
-    m_cache.pop_back();
-  }
-  if (added.empty() && removed.empty()) return held;
-  ++m_cache_sequence;
-  auto gap = static_cast<std::uint64_t>(m_options.cache_event_gap);
-  if (gap == 0 || m_cache_sequence % gap != 0) {
-    Json event = {{"sequence", m_cache_sequence},
-                  {"added", std::move(added)},
-                  {"removed", std::move(removed)}};
-    auto visible = Clock::now() + milliseconds(m_options.cache_event_delay_ms);
-    m_cache_events.push_back({visible, std::move(event)});
-  }
-  constexpr std::size_t kMaxKeptEvents = 1024;
-  if (m_cache_events.size() > kMaxKeptEvents) m_cache_events.pop_front();
-  return held;
-}
-
-Json Backend::VisibleCacheEvents(std::uint64_t since) const {
-  Json events = Json::array();
-  for (const CacheEvent& entry : m_cache_events) {
-    if (entry.visible <= Clock::now() && entry.event["sequence"] > since) {
-      events.push_back(entry.event);
-    }
-  }
-  return {{"events", std::move(events)}};
-}
-
 asio::awaitable<void> Backend::HandleKv(Exchange* exchange) {
   Json request = Json::parse(exchange->body());
   auto blocks = request.at("blocks").get<std::vector<std::uint64_t>>();
   Json answer;
   if (exchange->path() == "/v1/kv/import") {
-    answer["held"] = TouchCache(blocks);
+    answer["held"] = m_cache.Touch(blocks);
   } else {
-    std::erase_if(blocks, [this](auto b) { return !m_cached.contains(b); });
+    std::erase_if(blocks, [this](auto b) { return !m_cache.Contains(b); });
     answer["blocks"] = blocks;
   }
   co_await exchange->Answer(200, answer);
@@ -653,8 +605,6 @@
 
 Json Backend::Health() const {
   int running = CountRunning();
-  double cache =
-      static_cast<double>(m_cache.size()) / std::max(1, m_options.cache_blocks);
   return {{"host", m_options.host},
           {"kind", m_options.kind},
           {"state", plain() ? "serving" : m_role.state},
@@ -669,16 +619,15 @@
           {"leaving", m_faults.leaving},
           {"running", running},
           {"waiting", static_cast<int>(m_attempts.size()) - running},
-          {"kv_used", cache},
+          {"kv_used", m_cache.used()},
           {"fence", m_fence}};
 }
 
 std::string Backend::LoadHeader() const {
   int running = CountRunning();
-  double cache =
-      static_cast<double>(m_cache.size()) / std::max(1, m_options.cache_blocks);
   return fmt::format("running={};waiting={};kv={:.2f}", running,
-                     static_cast<int>(m_attempts.size()) - running, cache);
+                     static_cast<int>(m_attempts.size()) - running,
+                     m_cache.used());
 }
 
 Headers Backend::AnswerHeaders(const Exchange& exchange) const {
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -74,7 +74,8 @@
 }  // namespace
 
 asio::awaitable<void> Sleep(std::chrono::microseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
+  auto executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor, time);
   co_await timer.async_wait(asio::use_awaitable);
 }
 
@@ -83,11 +84,12 @@
     : m_server(server),
       m_connection(std::move(connection)),
       m_request(std::move(request)) {
-  std::string target(m_request.target());
+  std::string copy(m_request.target());
+  std::string_view target = copy;
   std::size_t question = target.find('?');
-  m_path = PercentDecode(std::string_view(target).substr(0, question));
-  if (question != std::string::npos) {
-    m_query = ParseQuery(std::string_view(target).substr(question + 1));
+  m_path = PercentDecode(target.substr(0, question));
+  if (question != std::string_view::npos) {
+    m_query = ParseQuery(target.substr(question + 1));
   }
 }
 
@@ -96,7 +98,7 @@
 }
 
 std::string Exchange::Query(const std::string& name,
-                            std::string fallback) const {
+                            const std::string& fallback) const {
   auto found = m_query.find(name);
   return found == m_query.end() ? fallback : found->second;
 }
@@ -280,7 +282,8 @@
                                  std::chrono::milliseconds timeout) {
   HttpAnswer answer;
   try {
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    auto executor = co_await asio::this_coro::executor;
+    beast::tcp_stream stream(executor);
     stream.expires_after(timeout);
     co_await stream.async_connect(ParseAddress(address), asio::use_awaitable);
     HttpRequest request;
@@ -302,7 +305,7 @@
                                   std::string(field.value()));
     }
     answer.body = parser.get().body();
-    answer.status = parser.get().result_int();
+    answer.status = static_cast<int>(parser.get().result_int());
   } catch (const boost::system::system_error&) {
     answer = HttpAnswer{};
   }
--- a/testing/standin_http.h
+++ b/testing/standin_http.h
@@ -54,7 +54,8 @@
   /// Value of a header, or "".
   std::string Header(const std::string& name) const;
   /// Value of a query parameter, or `fallback`.
-  std::string Query(const std::string& name, std::string fallback = "") const;
+  std::string Query(const std::string& name,
+                    const std::string& fallback = "") const;
   /// Numeric query parameter; empty when it's missing or no number.
   std::optional<std::uint64_t> QueryNumber(const std::string& name) const;
 
--- a/testing/standin_tokens.h
+++ b/testing/standin_tokens.h
@@ -13,7 +13,7 @@
 /// Bytes of the prompt that count as one token.
 inline constexpr std::size_t kBytesPerToken = 4;
 /// Bytes of the prompt in one block of the prefix cache.
-inline constexpr std::size_t kBytesPerBlock = 64;
+inline constexpr std::size_t kBytesPerBlock = 256;
 /// Tokens answered when the request has no "max_tokens".
 inline constexpr int kDefaultMaxTokens = 16;
 
