--- a/testing/process_harness.cc
+++ b/testing/process_harness.cc
@@ -37,8 +37,6 @@
 #include "fmt/format.h"
 #include "testing/standin_http.h"
 
-extern char** environ;
-
 namespace clementine::testing {
 namespace {
 
@@ -455,7 +453,9 @@
   while (!error) {
     std::size_t size = co_await from.async_read_some(
         asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
-    while (cut[direction] || pair->silent) co_await standin::Sleep(kPoll);
+    while (cut[direction] || pair->silent) {
+      co_await standin::Sleep(kPoll);
+    }
     if (error) break;
     co_await asio::async_write(
         to, asio::buffer(buffer.data(), size),
