--- a/core/core.h
+++ b/core/core.h
@@ -189,13 +189,17 @@
 struct QuarantineLearned {
   std::string digest;
   milliseconds remaining{0};
+  std::string crash;  ///< Names the replica crash, so that each counts once.
 };
 /// Live daemons in this data centre; limits are divided by it.
 struct DaemonsChanged {
   int live = 1;
 };
 struct DrainStarted {};
-struct Tick {};
+struct Tick {
+  /// Wall clock, for the retention of claims; zero when unknown.
+  std::chrono::system_clock::time_point wall{};
+};
 
 using RequestEvent =
     std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
@@ -216,6 +220,7 @@
   kRetriesExhausted,
   kDeadline,
   kDraining,
+  kOutcomeUnknown,  ///< It may have run and must not be repeated.
 };
 const char* RefusalReasonName(RefusalReason reason);
 
@@ -257,9 +262,11 @@
   int status = 200;
   std::string body;
 };
+/// Tells other daemons that a digest was in flight at a replica crash.
 struct ShareQuarantine {
   std::string digest;
   milliseconds remaining{0};
+  std::string crash;  ///< As in QuarantineLearned.
 };
 
 using RequestAction = std::variant<Dispatch, CancelAttempt, Refuse, Finish,
@@ -274,6 +281,7 @@
 
 struct RequestPathOptions {
   std::string node;
+  std::uint64_t incarnation = 0;  ///< Start time; part of claim ids.
   std::string data_centre;
   std::uint64_t seed = 1;
   bool admission = true;     ///< Off: the no-admission baseline.
@@ -284,6 +292,8 @@
   milliseconds quarantine_time{600'000};
   std::size_t max_queued = 4096;
   std::chrono::seconds claim_retention{86'400};
+  std::string
+      broken_rule;  ///< Tests only: rule to break, see docs/requests.md.
 };
 
 /// Counters and gauges of the request path, for /metrics and status.
@@ -417,6 +427,7 @@
 struct QuarantineFound {
   std::string digest;
   milliseconds remaining{0};
+  std::string crash;  ///< As in QuarantineLearned.
 };
 
 using ControlEvent =
@@ -461,6 +472,13 @@
                  GroupsChanged, ConfigurationChanged, DaemonsChanged,
                  QuarantineLearned, LoadReported, LogDecision>;
 
+struct PlannerInput;   ///< See core/placement.h.
+struct PlannerResult;  ///< See core/placement.h.
+/// Computes the next placement from all that is known; a pure function.
+using PlacementPlanner = std::function<PlannerResult(const PlannerInput&)>;
+
+enum class Mutation : int;  ///< See core/mutation.h.
+
 struct ControlPlaneOptions {
   std::string node;
   std::string region;
@@ -476,6 +494,8 @@
   milliseconds heartbeat_interval{1'000};
   milliseconds peer_timeout{4'000};
   milliseconds status_interval{2'000};
+  PlacementPlanner placement_planner;  ///< Empty: the weighted planner.
+  Mutation mutation{};                 ///< A deliberate fault; tests only.
 };
 
 /// Status of this node as JSON members; see docs/status.md.
