--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -47,14 +47,13 @@
     --rumour.sends_left;
     message->presence.push_back(rumour.update);
   }
-  for (auto& [key, rumour] : m_quarantine) {
+  for (auto& [digest, rumour] : m_quarantine) {
     if (message->quarantine.size() >= kUpdatesPerMessage) break;
     if (rumour.sends_left <= 0 || rumour.expires <= now) continue;
     --rumour.sends_left;
     message->quarantine.push_back(
-        {key.first,
-         std::chrono::duration_cast<milliseconds>(rumour.expires - now),
-         key.second});
+        {digest,
+         std::chrono::duration_cast<milliseconds>(rumour.expires - now)});
   }
 }
 
@@ -146,28 +145,25 @@
   result->presence.push_back(update);
 }
 
-bool PeerExchange::AddQuarantine(const std::string& digest,
-                                 const std::string& crash, TimePoint expires) {
-  std::pair<std::string, std::string> key(digest, crash);
-  if (m_quarantine.count(key) > 0) return false;
+bool PeerExchange::AddQuarantine(const std::string& digest, TimePoint expires) {
+  if (m_quarantine.count(digest) > 0) return false;
   if (m_quarantine.size() >= kMaxQuarantine) return false;
-  m_quarantine[key] = {expires, Sends()};
+  m_quarantine[digest] = {expires, Sends()};
   m_urgent = true;
   return true;
 }
 
 void PeerExchange::SpreadQuarantine(const QuarantineFound& entry,
                                     TimePoint now) {
-  AddQuarantine(entry.digest, entry.crash, now + entry.remaining);
+  AddQuarantine(entry.digest, now + entry.remaining);
 }
 
 void PeerExchange::ReceiveQuarantine(const QuarantineUpdate& update,
                                      TimePoint now,
                                      PeerExchangeResult* result) {
   if (update.remaining <= milliseconds(0)) return;
-  if (AddQuarantine(update.digest, update.crash, now + update.remaining)) {
-    result->quarantine.push_back(
-        {update.digest, update.remaining, update.crash});
+  if (AddQuarantine(update.digest, now + update.remaining)) {
+    result->quarantine.push_back({update.digest, update.remaining});
   }
 }
 
--- a/core/peer_exchange.h
+++ b/core/peer_exchange.h
@@ -79,8 +79,7 @@
             PeerExchangeResult* result);
   void ReceivePresence(const PresenceUpdate& update,
                        PeerExchangeResult* result);
-  bool AddQuarantine(const std::string& digest, const std::string& crash,
-                     TimePoint expires);
+  bool AddQuarantine(const std::string& digest, TimePoint expires);
   void ReceiveQuarantine(const QuarantineUpdate& update, TimePoint now,
                          PeerExchangeResult* result);
   void ReceiveConfig(const PeerMessage& message, TimePoint now,
@@ -94,8 +93,7 @@
   std::uint64_t m_presence_sequence = 0;
   /// Keyed by reporter and host; the newest verdict of each.
   std::map<std::pair<std::string, std::string>, PresenceRumour> m_presence;
-  /// Keyed by digest and crash.
-  std::map<std::pair<std::string, std::string>, QuarantineRumour> m_quarantine;
+  std::map<std::string, QuarantineRumour> m_quarantine;  ///< Keyed by digest.
   bool m_urgent = false;
   TimePoint m_next_burst{};
   TimePoint m_next_pull{};
--- a/core/peer_message.cc
+++ b/core/peer_message.cc
@@ -64,14 +64,13 @@
 }
 
 json QuarantineToJson(const QuarantineUpdate& update) {
-  return json::array({update.digest, update.remaining.count(), update.crash});
+  return json::array({update.digest, update.remaining.count()});
 }
 
 QuarantineUpdate QuarantineFromJson(const json& value) {
   QuarantineUpdate update;
   value.at(0).get_to(update.digest);
   update.remaining = milliseconds(value.at(1).get<std::int64_t>());
-  value.at(2).get_to(update.crash);
   return update;
 }
 
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -56,9 +56,8 @@
 };
 
 struct QuarantineUpdate {
-  std::string digest;
+  std::string digest;  ///< As in ShareQuarantine.
   milliseconds remaining{0};
-  std::string crash;  ///< Names the replica crash, so that each counts once.
 };
 
 struct ConfigPull {
--- a/testing/peer_exchange_test.cc
+++ b/testing/peer_exchange_test.cc
@@ -192,8 +192,7 @@
   PresenceUpdate lost;
   lost.host = "h1";
   net.node(3).SpreadPresence(lost);
-  net.node(8).SpreadQuarantine({"digest", milliseconds(60'000), "crash-1"},
-                               net.now());
+  net.node(8).SpreadQuarantine({"digest", milliseconds(60'000)}, net.now());
   net.Run(milliseconds(3'000));
   for (int i = 0; i < 109; ++i) {
     if (i != 3) CHECK(net.presence[i].count("h1") == 1);
