--- /dev/null
+++ b/testing/control_plane_fuzz_test.cc
@@ -0,0 +1,208 @@
+// Random histories of faults against the stand-in world. The seeds are fixed;
+// CLEMENTINE_FUZZ_SEEDS sets how many are run (default 24).
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+#include "testing/control_world.h"
+
+namespace clementine {
+namespace {
+
+using std::chrono::seconds;
+
+/// Applies random faults; every fault ends by itself or by a later step.
+class Fuzzer {
+ public:
+  Fuzzer(std::uint64_t seed, Mutation mutation)
+      : m_random(seed), m_world(MakeOptions(seed, mutation)) {
+    for (auto& [name, engine] : m_world.engines) {
+      engine.ignore_fence = Chance(3);
+    }
+    Apply();
+    m_world.Run(seconds(15));
+  }
+
+  /// @return The first violation, or an empty string.
+  std::string Run(int steps) {
+    for (int i = 0; i < steps && m_world.violations.empty(); ++i) {
+      Fault();
+      m_world.Run(milliseconds(200 + 100 * Below(30)));
+    }
+    if (m_world.violations.empty()) {
+      Heal();
+      m_world.Run(seconds(150));
+    }
+    return m_world.violations.empty() ? "" : m_world.violations.front();
+  }
+
+  ControlWorld& world() { return m_world; }
+
+ private:
+  static WorldOptions MakeOptions(std::uint64_t seed, Mutation mutation) {
+    WorldOptions options;
+    options.daemons = 2 + static_cast<int>(seed % 2);
+    options.domains = 2;
+    options.hosts_per_domain = 4;
+    options.seed = seed;
+    options.mutation = mutation;
+    options.load_time = milliseconds(1'000 + 500 * (seed % 5));
+    return options;
+  }
+
+  std::uint64_t Below(std::uint64_t limit) { return m_random() % limit; }
+  bool Chance(std::uint64_t one_in) { return Below(one_in) == 0; }
+  std::size_t AnyDaemon() { return Below(m_world.daemons.size()); }
+  std::string AnyHost() {
+    auto it = m_world.engines.begin();
+    std::advance(it,
+                 static_cast<std::ptrdiff_t>(Below(m_world.engines.size())));
+    return it->first;
+  }
+
+  void Apply() {
+    m_configuration = WorldConfiguration(1 + static_cast<int>(Below(3)), 2,
+                                         std::to_string(1 + Below(3)));
+    m_world.StoreConfiguration(m_configuration, ++m_generation);
+  }
+
+  void Fault() {
+    std::size_t index = AnyDaemon();
+    WorldDaemon& daemon = m_world.daemons[index];
+    switch (Below(16)) {
+      case 0:
+        m_world.Kill(AnyHost());
+        break;
+      case 1:
+        m_world.Revive(AnyHost());
+        break;
+      case 2:
+        m_world.Pause(index);
+        break;
+      case 3:
+        m_world.Resume(index);
+        break;
+      case 4:
+        m_world.Restart(index);
+        break;
+      case 5:
+        daemon.requests_cut = !daemon.requests_cut;
+        break;
+      case 6:
+        daemon.replies_cut = !daemon.replies_cut;
+        break;
+      case 7:
+        m_world.platform_down = !m_world.platform_down;
+        break;
+      case 8:
+        m_world.lose_answers += 1 + static_cast<int>(Below(3));
+        break;
+      case 9:
+        m_world.delay_writes += 1;
+        m_world.write_delay = milliseconds(1'000 * (3 + Below(20)));
+        break;
+      case 10:
+        m_world.delay_orders += 1 + static_cast<int>(Below(3));
+        break;
+      case 11:
+        daemon.hosts_cut.insert(AnyHost());
+        break;
+      case 12:
+        daemon.hosts_cut.clear();
+        break;
+      case 13:
+        m_world.SetLeaving(AnyHost());
+        break;
+      case 14:
+        m_world.latency = milliseconds(Chance(2) ? 20 : 700);
+        break;
+      default:
+        Operator();
+        break;
+    }
+  }
+
+  void Operator() {
+    switch (Below(5)) {
+      case 0:
+        // A restored backup of the head.
+        m_world.StoreConfiguration(m_configuration, 1 + Below(m_generation));
+        break;
+      case 1:
+        m_world.Store("config/head", "{damaged");
+        break;
+      case 2:
+        m_world.objects.erase("lease/dc");
+        break;
+      case 3:
+        m_world.operator_edits = 10;
+        break;
+      default:
+        Apply();
+        break;
+    }
+  }
+
+  void Heal() {
+    m_world.platform_down = false;
+    m_world.latency = milliseconds(20);
+    for (std::size_t i = 0; i < m_world.daemons.size(); ++i) {
+      m_world.Resume(i);
+      m_world.daemons[i].requests_cut = m_world.daemons[i].replies_cut = false;
+      m_world.daemons[i].hosts_cut.clear();
+    }
+    for (auto& [name, engine] : m_world.engines) {
+      m_world.Revive(name);
+      engine.leaving = false;
+    }
+    m_configuration = WorldConfiguration(2, 2);
+    m_world.StoreConfiguration(m_configuration, ++m_generation);
+  }
+
+  std::mt19937_64 m_random;
+  ControlWorld m_world;
+  Configuration m_configuration;
+  std::uint64_t m_generation = 0;
+};
+
+std::uint64_t Seeds(std::uint64_t normal) {
+  const char* text = std::getenv("CLEMENTINE_FUZZ_SEEDS");
+  return text == nullptr ? normal : std::strtoull(text, nullptr, 10);
+}
+
+}  // namespace
+
+TEST_CASE("random faults break no invariant and the groups recover") {
+  for (std::uint64_t seed = 1; seed <= Seeds(24); ++seed) {
+    CAPTURE(seed);
+    Fuzzer fuzzer(seed, Mutation{});
+    std::string violation = fuzzer.Run(60);
+    CHECK(violation == "");
+    if (violation.empty()) {
+      // Guards against a state from which the holder can't continue.
+      CHECK(fuzzer.world().Holder() >= 0);
+      for (std::size_t i = 0; i < fuzzer.world().daemons.size(); ++i) {
+        CHECK(fuzzer.world().OpenGroups(i) == 2);
+      }
+    }
+  }
+}
+
+TEST_CASE("the oracle notices each deliberate fault") {
+  for (Mutation mutation :
+       {Mutation::kIgnoreHealthAge, Mutation::kIgnoreEpoch,
+        Mutation::kIgnoreLeaving, Mutation::kSkipUnloadConfirmed,
+        Mutation::kTakeLeaseEarly, Mutation::kUnconditionalWrite,
+        Mutation::kRevertGeneration}) {
+    int number = static_cast<int>(mutation);
+    CAPTURE(number);
+    bool noticed = false;
+    for (std::uint64_t seed = 1; seed <= 200 && !noticed; ++seed) {
+      noticed = !Fuzzer(seed, mutation).Run(60).empty();
+    }
+    CHECK(noticed);
+  }
+}
+
+}  // namespace clementine
--- a/testing/control_world.h
+++ b/testing/control_world.h
@@ -199,6 +199,10 @@
         Deliver(i, daemons[i].life, Tick{});
       }
     }
+    if (operator_edits > 0) {
+      --operator_edits;
+      EditPlacement();
+    }
     Check();
   }
 
@@ -223,8 +227,9 @@
   std::vector<WorldDaemon> daemons;
   std::map<std::string, Object> objects;
   bool platform_down = false;
-  int lose_answers = 0;  ///< Next writes apply without an answer.
-  int delay_writes = 0;  ///< Next writes apply late, without an answer.
+  int lose_answers = 0;    ///< Next writes apply without an answer.
+  int operator_edits = 0;  ///< Next steps with an edit of the placement.
+  int delay_writes = 0;    ///< Next writes apply late, without an answer.
   milliseconds write_delay{8'000};
   int delay_orders = 0;  ///< Next orders take almost the longest order.
   milliseconds latency{20};
@@ -499,6 +504,16 @@
     return true;
   }
 
+  /// An operator's edit that a writer must not overwrite unread.
+  void EditPlacement() {
+    Placement placement = StoredPlacement();
+    if (!placement.epochs.empty()) {
+      placement.NextEpoch("chat/0");
+      placement.write_id = "operator";
+      Store("placement/dc", EncodePlacement(placement));
+    }
+  }
+
   // --- Oracle ---
   void CheckWrite(const std::string& key, const std::string& before,
                   const std::string& after) {
@@ -513,6 +528,11 @@
       Violation(fmt::format("I2: stored placement: {}", error.what()));
       return;
     }
+    for (const auto& [name, epoch] : old.epochs) {
+      if (next.epochs[name] < epoch) {
+        Violation("I2: an epoch decreases in the stored placement");
+      }
+    }
     if (next.fence < old.fence) {
       Violation("I2: placement written with a lower fence");
     }
