--- a/core/core.h
+++ b/core/core.h
@@ -187,7 +187,7 @@
 };
 /// A crash-causing digest learned from another daemon.
 struct QuarantineLearned {
-  std::string digest;
+  std::string digest;  ///< As in ShareQuarantine.
   milliseconds remaining{0};
 };
 /// Live daemons in this data centre; limits are divided by it.
@@ -195,7 +195,10 @@
   int live = 1;
 };
 struct DrainStarted {};
-struct Tick {};
+struct Tick {
+  /// Wall clock, for the retention of claims; zero when unknown.
+  std::chrono::system_clock::time_point wall{};
+};
 
 using RequestEvent =
     std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
@@ -216,6 +219,7 @@
   kRetriesExhausted,
   kDeadline,
   kDraining,
+  kOutcomeUnknown,  ///< It may have run and must not be repeated.
 };
 const char* RefusalReasonName(RefusalReason reason);
 
@@ -257,7 +261,10 @@
   int status = 200;
   std::string body;
 };
+/// Tells other daemons that a request was in flight at a replica crash.
 struct ShareQuarantine {
+  /// "<digest>/<crash>": digest over organisation and content, and the name of
+  /// the crash, so that each crash counts once. Others pass it on unread.
   std::string digest;
   milliseconds remaining{0};
 };
@@ -274,6 +281,7 @@
 
 struct RequestPathOptions {
   std::string node;
+  std::uint64_t incarnation = 0;  ///< Start time; part of claim ids.
   std::string data_centre;
   std::uint64_t seed = 1;
   bool admission = true;     ///< Off: the no-admission baseline.
@@ -284,6 +292,8 @@
   milliseconds quarantine_time{600'000};
   std::size_t max_queued = 4096;
   std::chrono::seconds claim_retention{86'400};
+  std::string
+      broken_rule;  ///< Tests only: rule to break, see docs/requests.md.
 };
 
 /// Counters and gauges of the request path, for /metrics and status.
