--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -85,6 +85,9 @@
 /// The head that lists `sections`, without generation, id and author.
 ConfigHead HeadOf(const std::vector<ConfigSection>& sections);
 
+/// Describes a head as "accepted: generation 7 by nikos".
+std::string FormatHead(const ConfigHead& head);
+
 /// Describes a change as "+ model chat", "- ..." or "~ ...".
 std::string FormatChange(const SectionChange& change);
 
--- a/ctl/diff.cc
+++ b/ctl/diff.cc
@@ -37,6 +37,12 @@
   return fmt::format("{} {}", mark, Printable(change.name));
 }
 
+std::string FormatHead(const ConfigHead& head) {
+  if (head.generation == 0) return "accepted: nothing so far";
+  return fmt::format("accepted: generation {} by {}", head.generation,
+                     Printable(head.author));
+}
+
 ConfigHead HeadOf(const std::vector<ConfigSection>& sections) {
   ConfigHead head;
   for (const ConfigSection& section : sections) {
@@ -71,9 +77,7 @@
   CurrentHead current;
   code = ReadHead(session, &current);
   if (code != kExitOk) return code;
-  session.out(fmt::format("accepted: generation {} by {}",
-                          current.head.generation,
-                          Printable(current.head.author)));
+  session.out(FormatHead(current.head));
   std::vector<ConfigSection> sections = SplitSections(configuration);
   std::map<std::string, std::string> texts;
   for (const ConfigSection& section : sections) {
--- a/ctl/status.cc
+++ b/ctl/status.cc
@@ -74,11 +74,7 @@
   }
   nlohmann::json all = {{"accepted", HeadSummary(current.head)},
                         {"data_centres", nlohmann::json::object()}};
-  if (!json) {
-    session.out(fmt::format(
-        "accepted: generation {} by {}, {} sections", current.head.generation,
-        Printable(current.head.author), current.head.sections.size()));
-  }
+  if (!json) session.out(FormatHead(current.head));
   for (const auto& entry : objects->entries) {
     if (entry.version == 0) continue;
     std::string name = entry.key.substr(sizeof(kStatusPrefix) - 1);
--- a/testing/statechart_test.cc
+++ b/testing/statechart_test.cc
@@ -107,8 +107,10 @@
                 "state shut open\nstate stuck jam\n"
                 "on stuck push -> jam\non stuck remove -> jam\n"
                 "on jam push -> stuck\non jam remove -> stuck\n") ==
+        "c:4: state jam can't be reached from shut\n"
         "c:4: state stuck can't be reached from shut\n"
-        "c:4: state jam can't be reached from shut\n");
+        "c:4: state stuck has no path to a final state\n"
+        "c:4: state jam has no path to a final state\n");
   std::string trap = Changed("on shut remove -> ignore\n",
                              "on shut remove -> stuck\nstate stuck jam\n"
                              "on stuck push -> jam\non stuck remove -> jam\n"
