--- a/config/declarations.cc
+++ b/config/declarations.cc
@@ -373,7 +373,9 @@
       {kPlacement, PlacementFields(&placement)}};
   std::vector<KnownKey> keys;
   for (const auto& [section, fields] : tables) {
-    for (const Field& field : fields) keys.push_back({section, field.key});
+    for (const Field& field : fields) {
+      keys.push_back({section, field.key, field.write(), field.required});
+    }
   }
   return keys;
 }
--- a/config/fields.h
+++ b/config/fields.h
@@ -78,6 +78,8 @@
 struct KnownKey {
   std::string section;  ///< Kind of the section, such as "model".
   std::string key;
+  std::string fallback;  ///< Default as a file would give it; may be empty.
+  bool required = false;
 };
 std::vector<KnownKey> KnownDeclarationKeys();
 std::vector<KnownKey> KnownSettingKeys();
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -152,7 +152,9 @@
   Settings settings;
   std::vector<KnownKey> keys;
   for (const auto& [name, fields] : SettingsTable(&settings)) {
-    for (const Field& field : fields) keys.push_back({name, field.key});
+    for (const Field& field : fields) {
+      keys.push_back({name, field.key, field.write(), field.required});
+    }
   }
   return keys;
 }
