--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -201,9 +201,9 @@
 
 void Daemon::OnExchange(const std::shared_ptr<HttpExchange>& exchange) {
   if (AnswerAdminPage(exchange.get())) return;
-  static const Configuration kEmpty;
+  static const Configuration empty;
   const Configuration& configuration =
-      m_configuration ? *m_configuration : kEmpty;
+      m_configuration ? *m_configuration : empty;
   ReadResult read = ReadCallerRequest(m_settings, configuration,
                                       exchange->request(), Clock::now());
   if (!read.request) {
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -469,7 +469,9 @@
               "\r\n" + body;
   SetDeadline(m_server->limits().write_timeout);
   error = co_await WritePending();
-  if (!error) co_await DrainInput();
+  if (!error) {
+    co_await DrainInput();
+  }
 }
 
 asio::awaitable<void> HttpSession::DrainInput() {
--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -3,13 +3,17 @@
 // report covers the last full minute and an old peak doesn't stay for ever.
 
 // Boost's header below uses std::ostringstream without including it.
+// clang-format off
+// The quantile header uses std::ostringstream without including it.
+#include <sstream>
+// clang-format on
+
 #include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <cstdint>
-#include <sstream>
 
 #include "fmt/format.h"
 #include "net/net.h"
