--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -2,7 +2,6 @@
 // quantiles, whatever the number of samples. Two windows alternate, so that a
 // report covers the last full minute and an old peak doesn't stay for ever.
 
-// Boost's header below uses std::ostringstream without including it.
 // clang-format off
 // The quantile header uses std::ostringstream without including it.
 #include <sstream>
