--- a/daemon/answers.cc
+++ b/daemon/answers.cc
@@ -58,8 +58,6 @@
       return "the call can't be recorded at the moment";
     case RefusalReason::kRetriesExhausted:
       return "the attempts failed";
-    case RefusalReason::kOutcomeUnknown:
-      return "the call may have run and must not be repeated";
     case RefusalReason::kDeadline:
       return "the deadline has passed";
     case RefusalReason::kDraining:
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -495,7 +495,7 @@
 }
 
 void RequestExecutor::On(const ShareQuarantine& share) {
-  m_context.feed_control(QuarantineFound{share.digest, share.remaining, share.crash});
+  m_context.feed_control(QuarantineFound{share.digest, share.remaining});
 }
 
 void RequestExecutor::On(const LogDecision& log) {
