--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -85,6 +85,7 @@
   request_options.node = m_settings.node;
   request_options.incarnation = m_incarnation;
   request_options.data_centre = m_settings.data_centre;
+  request_options.incarnation = m_incarnation;
   request_options.seed = m_settings.seed;
   request_options.max_queued = m_settings.max_queued;
   request_options.claim_retention = m_settings.claim_retention;
@@ -202,9 +203,9 @@
 
 void Daemon::OnExchange(const std::shared_ptr<HttpExchange>& exchange) {
   if (AnswerAdminPage(exchange.get())) return;
-  static const Configuration kEmpty;
+  static const Configuration empty;
   const Configuration& configuration =
-      m_configuration ? *m_configuration : kEmpty;
+      m_configuration ? *m_configuration : empty;
   ReadResult read = ReadCallerRequest(m_settings, configuration,
                                       exchange->request(), Clock::now());
   if (!read.request) {
--- a/net/metrics.cc
+++ b/net/metrics.cc
@@ -3,7 +3,7 @@
 // report covers the last full minute and an old peak doesn't stay for ever.
 
 // clang-format off
-// Boost's quantile header uses std::ostringstream without including it.
+// The quantile header uses std::ostringstream without including it.
 #include <sstream>
 // clang-format on
 
