Connect the control plane with other daemons

Daemons share the duties of watching the platform, competing for the lease and probing hosts by rendezvous hash, spread configuration, placement, verdicts and quarantine, and report their generation to the lease holder.

--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -8,9 +8,11 @@
 #include "core/config_watch.h"
 #include "core/core.h"
 #include "core/jitter.h"
+#include "core/peer_exchange.h"
 #include "core/placement_control.h"
 #include "core/platform_calls.h"
 #include "core/presence.h"
+#include "core/rendezvous.h"
 #include "core/status.h"
 #include "fmt/format.h"
 
@@ -19,11 +21,20 @@
 
 constexpr char kHeadKey[] = "config/head";
 constexpr milliseconds kListInterval{2'000};
+/// For daemons that other daemons tell of leaving hosts.
+constexpr milliseconds kSlowListInterval{20'000};
+/// Daemons of a data centre that watch the platform for the others.
+constexpr std::size_t kWatchers = 2;
+/// Daemons that compete for the lease; the others take over when these fail.
+constexpr std::size_t kCandidates = 2;
+/// Daemons that probe a host. With no more daemons than this all probe all.
+constexpr std::size_t kProbers = 3;
 constexpr milliseconds kWatchTimeout{30'000};
 /// A watch without a reply for this long after its timeout is lost.
 constexpr milliseconds kWatchGrace{5'000};
 constexpr milliseconds kReplyTimeout{10'000};
 constexpr milliseconds kMeasureInterval{100};
+constexpr milliseconds kSpreadInterval{50};
 
 /// A periodic or repeated call outside the object calls.
 struct Repeated {
@@ -34,6 +45,19 @@
   Backoff backoff;
 };
 
+MembershipOptions MembershipOf(const ControlPlaneOptions& options) {
+  MembershipOptions membership;
+  membership.self = {options.node, options.data_centre, options.peer_address,
+                     options.incarnation};
+  membership.seeds = options.peer_seeds;
+  membership.seed = options.seed;
+  membership.ping_interval = options.heartbeat_interval;
+  membership.ack_timeout = options.heartbeat_interval * 2 / 5;
+  membership.suspect_timeout =
+      options.peer_timeout - options.heartbeat_interval;
+  return membership;
+}
+
 }  // namespace
 
 class ControlPlane::Impl {
@@ -48,9 +72,14 @@
         m_placement(m_options, &m_calls, &m_jitter),
         m_status("status/" + m_options.data_centre, m_options.status_interval,
                  &m_calls, &m_jitter),
+        m_peers(MembershipOf(m_options)),
         m_placement_key("placement/" + m_options.data_centre) {
     m_watches[kHeadKey];
     m_watches[m_placement_key];
+    m_presence.probes = [this](const std::string& host) {
+      return ProbesHost(host);
+    };
+    LiveChanged();
   }
 
   std::vector<ControlAction> Handle(const ControlEvent& event, TimePoint now) {
@@ -74,7 +103,8 @@
   void On(const HostsListed& event) {
     m_list.pending = false;
     m_list.backoff.Succeeded();
-    m_list.next = m_now + m_jitter.Between(kListInterval / 2, kListInterval);
+    milliseconds interval = m_watcher ? kListInterval : kSlowListInterval;
+    m_list.next = m_now + m_jitter.Between(interval / 2, interval);
     m_presence.SetHosts(event.hosts, m_now, &m_out);
   }
   void On(const HostsUnavailable&) {
@@ -122,11 +152,92 @@
   void On(const OrderAnswered& event) {
     m_placement.OrderReplied(event, m_now, &m_out);
   }
-  void On(const PeerMessageReceived&) {}
-  void On(const QuarantineFound&) {}
-  void On(const DrainStarted&) { m_placement.Drain(); }
+  void On(const PeerMessageReceived& event) {
+    Take(m_peers.Receive(event.bytes, m_now));
+  }
+  void On(const QuarantineFound& event) {
+    m_peers.SpreadQuarantine(event, m_now);
+  }
+  void On(const DrainStarted&) {
+    m_placement.Drain();
+    m_draining = true;
+  }
   void On(const Tick&) {}
 
+  /// Carries out what the exchange with other daemons brought.
+  void Take(PeerExchangeResult result) {
+    for (SendPeer& send : result.send) m_out.push_back(std::move(send));
+    for (LogDecision& line : result.log) m_out.push_back(std::move(line));
+    if (result.live_changed) {
+      LiveChanged();
+      m_out.push_back(DaemonsChanged{static_cast<int>(m_live.size())});
+    }
+    for (const PresenceUpdate& update : result.presence) {
+      m_presence.Reported(update, m_now, &m_out);
+    }
+    for (QuarantineLearned& entry : result.quarantine) {
+      m_out.push_back(std::move(entry));
+    }
+    if (result.placement) {
+      m_placement.ObservedPlacement(result.placement->version,
+                                    result.placement->value, &m_out);
+    }
+    if (result.candidate) {
+      m_config.OfferHead(EncodeHead(result.candidate->head), m_now, &m_out);
+      for (const auto& [digest, text] : result.candidate->texts) {
+        m_config.OfferSection(digest, text, "peer", m_now, &m_out);
+      }
+    }
+  }
+
+  void LiveChanged() {
+    m_live = m_peers.LiveNodes();
+    m_probe_duties.clear();
+    m_watcher = HasDuty(m_options.node, "watch", m_live, kWatchers);
+    m_candidate = HasDuty(m_options.node, "lease", m_live, kCandidates);
+    m_presence.SetReporters(m_live);
+  }
+
+  bool ProbesHost(const std::string& host) {
+    // The lease holder acts on what hosts say themselves.
+    if (m_live.size() <= kProbers || m_placement.lease().Proven(m_now)) {
+      return true;
+    }
+    auto [found, added] = m_probe_duties.try_emplace(host, false);
+    if (added) {
+      found->second =
+          HasDuty(m_options.node, "probe " + host, m_live, kProbers);
+    }
+    return found->second;
+  }
+
+  /// Makes known to other daemons what changed here.
+  void Spread() {
+    if (m_peers_generation != m_config.generation()) {
+      m_peers_generation = m_config.generation();
+      ConfigCandidate current{m_config.head(), {}};
+      for (const auto& [name, digest] : current.head.sections) {
+        const std::string* text = m_config.FindSection(digest);
+        if (text != nullptr) current.texts[digest] = *text;
+      }
+      m_peers.SetConfiguration(std::move(current));
+    }
+    if (m_peers_placement != m_placement.store().version()) {
+      m_peers_placement = m_placement.store().version();
+      m_peers.SetPlacement({m_peers_placement,
+                            EncodePlacement(m_placement.store().placement())});
+    }
+    if (m_placement.lease().Proven(m_now)) {
+      m_peers.SetCoordinator(m_placement.lease().fence());
+    }
+    if (m_live.size() > kProbers) {
+      for (PresenceUpdate& verdict : m_presence.Verdicts(m_now)) {
+        m_peers.SpreadPresence(std::move(verdict));
+      }
+    }
+    Take(m_peers.Advance(m_now));
+  }
+
   /// The watch that a reply belongs to.
   std::string WatchOf(const ObjectsChanged& event) const {
     if (!event.prefix.empty() || event.entries.empty()) {
@@ -154,6 +265,9 @@
     StatusSources sources;
     sources.data_centre = m_options.data_centre;
     sources.nodes = {{m_options.node, m_config.generation(), true}};
+    for (const PeerGeneration& peer : m_peers.Generations()) {
+      sources.nodes.push_back({peer.node, peer.generation, true});
+    }
     sources.configuration = m_config.configuration().get();
     sources.presence = &m_presence;
     sources.placement = &m_placement;
@@ -178,7 +292,7 @@
       if (watch.pending && m_now - watch.sent > kWatchTimeout + kWatchGrace) {
         watch.pending = false;
       }
-      if (!watch.pending && m_now >= watch.next) {
+      if (!watch.pending && m_now >= watch.next && m_watcher) {
         watch.pending = m_calls.StartWatch(prefix, watch.since, kWatchTimeout,
                                            m_now, &m_out);
         watch.sent = m_now;
@@ -190,14 +304,17 @@
     }
     m_config.Advance(m_now, &m_out);
     m_presence.SetConfiguration(m_config.configuration());
-    // Competing is left to every daemon while only this node is known.
-    m_placement.Advance(m_presence, m_config.configuration().get(), true, m_now,
-                        &m_out);
+    m_placement.Advance(m_presence, m_config.configuration().get(), m_candidate,
+                        m_now, &m_out);
     if (m_placement_changes != m_placement.store().changes()) {
       m_placement_changes = m_placement.store().changes();
       m_presence.SetPlacement(m_placement.store().placement());
     }
     m_presence.Advance(m_now, &m_out);
+    if (m_now >= m_next_spread) {
+      m_next_spread = m_now + kSpreadInterval;
+      Spread();
+    }
     if (m_now >= m_next_measure) {
       m_next_measure = m_now + kMeasureInterval;
       m_status.Measure(Sources(), m_now);
@@ -214,6 +331,15 @@
   Presence m_presence;
   PlacementControl m_placement;
   Status m_status;
+  PeerExchange m_peers;
+  std::vector<std::string> m_live;  ///< Live daemons, this one included.
+  std::map<std::string, bool> m_probe_duties;  ///< By host, for m_live.
+  bool m_watcher = true;
+  bool m_candidate = true;
+  bool m_draining = false;
+  std::uint64_t m_peers_generation = 0;
+  std::uint64_t m_peers_placement = 0;
+  TimePoint m_next_spread;
   std::string m_placement_key;
   std::uint64_t m_placement_changes = 0;
   TimePoint m_next_measure;
--- a/core/membership.cc
+++ b/core/membership.cc
@@ -361,6 +361,13 @@
   return result;
 }
 
+MembershipResult Membership::PingNode(const std::string& node, TimePoint now) {
+  MembershipResult result;
+  std::string address = AddressOf(node);
+  if (!address.empty()) Ping(node, address, now, &result);
+  return result;
+}
+
 MembershipResult Membership::Leave(TimePoint) {
   MembershipResult result;
   m_leaving = true;
--- a/core/membership.h
+++ b/core/membership.h
@@ -58,6 +58,14 @@
   /// Pings `count` random daemons now, to spread urgent updates.
   MembershipResult PingRandom(std::size_t count, TimePoint now);
 
+  /// Pings one known daemon now. Nothing is sent when it isn't known.
+  MembershipResult PingNode(const std::string& node, TimePoint now);
+
+  /// Whether a daemon of any data centre is known.
+  bool Knows(const std::string& node) const {
+    return m_members.count(node) > 0;
+  }
+
   /// Tells others that this daemon stops. It no longer refutes.
   MembershipResult Leave(TimePoint now);
 
--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -1,7 +1,10 @@
 #include "core/peer_exchange.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <bit>
+#include <set>
 #include <utility>
 
 #include "fmt/format.h"
@@ -23,9 +26,24 @@
 constexpr std::size_t kUpdatesPerMessage = 32;
 constexpr std::size_t kMaxQuarantine = 4096;
 
+/// Shortest time between reports of a generation to the lease holder.
+constexpr milliseconds kReportInterval{1'000};
+
+/// Shortest time between fetches of all verdicts, which are some 50 KB in a
+/// data centre of 1,333 hosts.
+constexpr milliseconds kPresenceSyncInterval{5'000};
+constexpr std::size_t kPresencePerMessage = 256;
+
+/// Zero for a record that holds no verdict yet.
+std::uint64_t PresenceHash(const PresenceUpdate& update) {
+  if (update.sequence == 0) return 0;
+  std::string key = update.reporter + '/' + update.host;
+  return XXH3_64bits_withSeed(key.data(), key.size(), update.sequence);
+}
+
 bool SameVerdict(const PresenceUpdate& a, const PresenceUpdate& b) {
   return a.group == b.group && a.epoch == b.epoch && a.present == b.present &&
-         a.leaving == b.leaving;
+         a.leaving == b.leaving && a.adapters == b.adapters;
 }
 
 }  // namespace
@@ -41,6 +59,9 @@
 void PeerExchange::Fill(PeerMessage* message, TimePoint now) {
   message->generation = m_config.generation();
   message->head_digest = m_config.head_digest();
+  message->presence_digest = m_presence_digest;
+  message->placement_version = m_placement.version;
+  message->coordinator = m_coordinator;
   for (auto& [key, rumour] : m_presence) {
     if (message->presence.size() >= kUpdatesPerMessage) break;
     if (rumour.sends_left <= 0) continue;
@@ -79,7 +100,69 @@
     SendMessage(out.address, std::move(out.message), now, result);
   }
   for (LogDecision& line : members.log) result->log.push_back(std::move(line));
-  result->live_changed |= members.live_changed;
+  if (members.live_changed) {
+    result->live_changed = true;
+    DropDeadReporters();
+  }
+}
+
+// A verdict counts only while its reporter lives.
+void PeerExchange::DropDeadReporters() {
+  std::vector<std::string> nodes = LiveNodes();
+  std::set<std::string> live(nodes.begin(), nodes.end());
+  std::erase_if(m_presence, [&](const auto& item) {
+    return live.count(item.first.first) == 0;
+  });
+  std::erase_if(m_generations,
+                [&](const auto& item) { return live.count(item.first) == 0; });
+  UpdatePresenceDigest();
+}
+
+void PeerExchange::UpdatePresenceDigest() {
+  m_presence_digest = 0;
+  for (const auto& [key, rumour] : m_presence) {
+    m_presence_digest ^= PresenceHash(rumour.update);
+  }
+}
+
+std::vector<PeerGeneration> PeerExchange::Generations() const {
+  std::vector<PeerGeneration> generations;
+  for (const std::string& node : LiveNodes()) {
+    if (node == m_self.node) continue;
+    auto found = m_generations.find(node);
+    generations.push_back(
+        {node, found == m_generations.end() ? 0 : found->second});
+  }
+  return generations;
+}
+
+void PeerExchange::SetPlacement(PlacementCopy placement) {
+  if (placement.version <= m_placement.version) return;
+  m_placement = std::move(placement);
+  m_urgent = true;
+}
+
+void PeerExchange::SetCoordinator(std::uint64_t fence) {
+  if (fence <= m_coordinator.fence) return;
+  m_coordinator = {m_self.node, fence};
+  m_urgent = true;
+}
+
+// The generation in the header of an ordinary ping is the report; the ack
+// confirms it.
+void PeerExchange::ReportGeneration(TimePoint now, PeerExchangeResult* result) {
+  bool reported = m_reported_generation == m_config.generation() &&
+                  m_reported_fence == m_coordinator.fence;
+  if (reported || now < m_next_report || m_coordinator.node.empty() ||
+      m_coordinator.node == m_self.node) {
+    return;
+  }
+  m_next_report = now + kReportInterval;
+  MembershipResult ping = m_members.PingNode(m_coordinator.node, now);
+  if (ping.send.empty()) return;
+  m_report_sequence = ping.send.front().message.sequence;
+  m_report_generation = m_config.generation();
+  Take(std::move(ping), now, result);
 }
 
 PeerExchangeResult PeerExchange::Advance(TimePoint now) {
@@ -90,6 +173,7 @@
     m_next_burst = now + kBurstInterval;
     Take(m_members.PingRandom(kBurstPeers, now), now, &result);
   }
+  ReportGeneration(now, &result);
   std::erase_if(m_quarantine,
                 [&](const auto& item) { return item.second.expires <= now; });
   return result;
@@ -108,17 +192,96 @@
     result.log.push_back({"peer_message_dropped", {{"reason", error.what()}}});
     return result;
   }
+  bool newcomer = message.kind == PeerMessageKind::kPing &&
+                  message.sender.data_centre == m_self.data_centre &&
+                  !m_members.Knows(message.sender.node);
   Take(m_members.Receive(message, now), now, &result);
+  if (newcomer || message.want_presence) {
+    SendPresence(message.sender.peer_address, now, &result);
+  }
+  if (message.sender.data_centre == m_self.data_centre) {
+    ReceiveCoordinator(message);
+    ReceivePlacement(message, now, &result);
+  }
   for (const PresenceUpdate& update : message.presence) {
     ReceivePresence(update, &result);
   }
   for (const QuarantineUpdate& update : message.quarantine) {
     ReceiveQuarantine(update, now, &result);
   }
+  ComparePresence(message, now, &result);
   ReceiveConfig(message, now, &result);
   return result;
 }
 
+void PeerExchange::SendPresence(const std::string& address, TimePoint now,
+                                PeerExchangeResult* result) {
+  PeerMessage message;
+  message.kind = PeerMessageKind::kPresence;
+  message.sender = m_self;
+  for (const auto& [key, rumour] : m_presence) {
+    message.presence.push_back(rumour.update);
+    if (message.presence.size() < kPresencePerMessage) continue;
+    SendMessage(address, message, now, result);
+    message.presence.clear();
+  }
+  if (!message.presence.empty()) {
+    SendMessage(address, std::move(message), now, result);
+  }
+}
+
+// Repairs lost updates: where digests differ, all verdicts are fetched. The
+// digests also differ while news spread, so this is done rarely.
+void PeerExchange::ComparePresence(const PeerMessage& message, TimePoint now,
+                                   PeerExchangeResult* result) {
+  bool own = message.sender.data_centre == m_self.data_centre;
+  if (!own || message.kind != PeerMessageKind::kAck ||
+      message.presence_digest == m_presence_digest ||
+      now < m_next_presence_sync) {
+    return;
+  }
+  m_next_presence_sync = now + kPresenceSyncInterval;
+  MembershipResult ping = m_members.PingNode(message.sender.node, now);
+  if (ping.send.empty()) return;
+  ping.send.front().message.want_presence = true;
+  Take(std::move(ping), now, result);
+}
+
+void PeerExchange::ReceiveCoordinator(const PeerMessage& message) {
+  if (message.generation > 0) {
+    m_generations[message.sender.node] = message.generation;
+  }
+  if (message.coordinator.fence > m_coordinator.fence) {
+    m_coordinator = message.coordinator;
+  }
+  if (message.kind == PeerMessageKind::kAck && m_report_sequence != 0 &&
+      message.sequence == m_report_sequence) {
+    m_reported_generation = m_report_generation;
+    m_reported_fence = m_coordinator.fence;
+    m_report_sequence = 0;
+  }
+}
+
+void PeerExchange::ReceivePlacement(const PeerMessage& message, TimePoint now,
+                                    PeerExchangeResult* result) {
+  if (message.kind == PeerMessageKind::kPlacementPull) {
+    PeerMessage reply;
+    reply.kind = PeerMessageKind::kPlacement;
+    reply.placement = m_placement;
+    Reply(message, std::move(reply), now, result);
+  } else if (message.kind == PeerMessageKind::kPlacement) {
+    if (message.placement.version > m_placement.version) {
+      result->placement = message.placement;
+    }
+  } else if (message.placement_version > m_placement.version &&
+             now >= m_next_placement_pull) {
+    m_next_placement_pull = now + kPullInterval;
+    PeerMessage pull;
+    pull.kind = PeerMessageKind::kPlacementPull;
+    Reply(message, std::move(pull), now, result);
+  }
+}
+
 PeerExchangeResult PeerExchange::Leave(TimePoint now) {
   PeerExchangeResult result;
   Take(m_members.Leave(now), now, &result);
@@ -131,16 +294,23 @@
   if (rumour.update.sequence > 0 && SameVerdict(rumour.update, update)) return;
   // The incarnation orders verdicts across restarts of this daemon.
   update.sequence = (m_self.incarnation << 20U) + ++m_presence_sequence;
+  m_presence_digest ^= PresenceHash(rumour.update);
   rumour = {std::move(update), Sends()};
+  m_presence_digest ^= PresenceHash(rumour.update);
   m_urgent = true;
 }
 
 void PeerExchange::ReceivePresence(const PresenceUpdate& update,
                                    PeerExchangeResult* result) {
-  if (update.reporter == m_self.node) return;
+  // Verdicts of daemons that are not live here are dropped when they die.
+  if (update.reporter == m_self.node || !m_members.Knows(update.reporter)) {
+    return;
+  }
   PresenceRumour& rumour = m_presence[{update.reporter, update.host}];
   if (update.sequence <= rumour.update.sequence) return;
+  m_presence_digest ^= PresenceHash(rumour.update);
   rumour = {update, Sends()};
+  m_presence_digest ^= PresenceHash(update);
   m_urgent = true;
   result->presence.push_back(update);
 }
--- a/core/peer_exchange.h
+++ b/core/peer_exchange.h
@@ -19,6 +19,12 @@
 
 namespace clementine {
 
+/// A daemon of this data centre and the generation that it was last seen at.
+struct PeerGeneration {
+  std::string node;
+  std::uint64_t generation = 0;
+};
+
 struct PeerExchangeResult {
   std::vector<SendPeer> send;
   std::vector<LogDecision> log;
@@ -26,6 +32,7 @@
   std::vector<PresenceUpdate> presence;       ///< News from other daemons.
   std::vector<QuarantineLearned> quarantine;  ///< News from other daemons.
   std::optional<ConfigCandidate> candidate;   ///< A newer configuration.
+  std::optional<PlacementCopy> placement;     ///< A newer placement object.
 };
 
 struct PeerExchangeStats {
@@ -56,9 +63,19 @@
   /// Records the configuration in force, which others may then pull.
   void SetConfiguration(ConfigCandidate current);
 
+  /// Records the placement object known here, which others may then pull.
+  void SetPlacement(PlacementCopy placement);
+
+  /// Records that this daemon holds the lease with this fencing token.
+  void SetCoordinator(std::uint64_t fence);
+
   /// Names of the live daemons of this data centre, this one included.
   std::vector<std::string> LiveNodes() const { return m_members.LiveNodes(); }
 
+  /// Generations of the other live daemons. Each daemon reports a new
+  /// generation to the lease holder; elsewhere they can be out of date.
+  std::vector<PeerGeneration> Generations() const;
+
   const PeerExchangeStats& stats() const { return m_stats; }
 
  private:
@@ -72,6 +89,16 @@
   };
 
   int Sends() const;
+  void DropDeadReporters();
+  void UpdatePresenceDigest();
+  void SendPresence(const std::string& address, TimePoint now,
+                    PeerExchangeResult* result);
+  void ComparePresence(const PeerMessage& message, TimePoint now,
+                       PeerExchangeResult* result);
+  void ReceivePlacement(const PeerMessage& message, TimePoint now,
+                        PeerExchangeResult* result);
+  void ReceiveCoordinator(const PeerMessage& message);
+  void ReportGeneration(TimePoint now, PeerExchangeResult* result);
   void Fill(PeerMessage* message, TimePoint now);
   void SendMessage(const std::string& address, PeerMessage message,
                    TimePoint now, PeerExchangeResult* result);
@@ -94,9 +121,21 @@
   /// Keyed by reporter and host; the newest verdict of each.
   std::map<std::pair<std::string, std::string>, PresenceRumour> m_presence;
   std::map<std::string, QuarantineRumour> m_quarantine;  ///< Keyed by digest.
+  std::uint64_t m_presence_digest = 0;
+  std::map<std::string, std::uint64_t> m_generations;  ///< By node.
+  PlacementCopy m_placement;
+  Coordinator m_coordinator;
+  /// What the lease holder acknowledged, and the ping that waits for it.
+  std::uint64_t m_reported_generation = 0;
+  std::uint64_t m_reported_fence = 0;
+  std::uint64_t m_report_sequence = 0;
+  std::uint64_t m_report_generation = 0;
+  TimePoint m_next_report{};
+  TimePoint m_next_presence_sync{};
   bool m_urgent = false;
   TimePoint m_next_burst{};
   TimePoint m_next_pull{};
+  TimePoint m_next_placement_pull{};
   PeerExchangeStats m_stats;
 };
 
--- a/core/peer_message.cc
+++ b/core/peer_message.cc
@@ -48,7 +48,7 @@
 json PresenceToJson(const PresenceUpdate& update) {
   return json::array({update.reporter, update.sequence, update.host,
                       update.group, update.epoch, update.present,
-                      update.leaving});
+                      update.leaving, update.adapters});
 }
 
 PresenceUpdate PresenceFromJson(const json& value) {
@@ -60,6 +60,7 @@
   value.at(4).get_to(update.epoch);
   value.at(5).get_to(update.present);
   value.at(6).get_to(update.leaving);
+  value.at(7).get_to(update.adapters);
   return update;
 }
 
@@ -129,7 +130,7 @@
         fmt::format("unknown peer message version {}", version));
   }
   int kind = value.at("k").get<int>();
-  if (kind < 0 || kind > static_cast<int>(PeerMessageKind::kLeave)) {
+  if (kind < 0 || kind > static_cast<int>(PeerMessageKind::kPlacement)) {
     throw PeerMessageError(fmt::format("unknown peer message kind {}", kind));
   }
   PeerMessage message;
@@ -140,6 +141,17 @@
   message.head_digest = value.value("d", std::string());
   message.members_digest = value.value("h", std::uint64_t{0});
   message.want_members = value.value("w", false);
+  message.want_presence = value.value("wp", false);
+  message.presence_digest = value.value("i", std::uint64_t{0});
+  message.placement_version = value.value("pv", std::uint64_t{0});
+  if (value.contains("c")) {
+    value.at("c").at(0).get_to(message.coordinator.node);
+    value.at("c").at(1).get_to(message.coordinator.fence);
+  }
+  if (value.contains("pl")) {
+    value.at("pl").at(0).get_to(message.placement.version);
+    value.at("pl").at(1).get_to(message.placement.value);
+  }
   if (value.contains("t")) message.target = PeerFromJson(value.at("t"));
   ReadList(value, "m", &message.members, MemberFromJson);
   ReadList(value, "p", &message.presence, PresenceFromJson);
@@ -162,6 +174,17 @@
   }
   if (message.members_digest != 0) out["h"] = message.members_digest;
   if (message.want_members) out["w"] = true;
+  if (message.want_presence) out["wp"] = true;
+  if (message.presence_digest != 0) out["i"] = message.presence_digest;
+  if (message.placement_version != 0) out["pv"] = message.placement_version;
+  if (message.coordinator.fence != 0) {
+    out["c"] =
+        json::array({message.coordinator.node, message.coordinator.fence});
+  }
+  if (message.kind == PeerMessageKind::kPlacement) {
+    out["pl"] =
+        json::array({message.placement.version, message.placement.value});
+  }
   if (!message.target.node.empty()) out["t"] = PeerToJson(message.target);
   AddList(&out, "m", message.members, MemberToJson);
   AddList(&out, "p", message.presence, PresenceToJson);
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -24,12 +24,15 @@
 };
 
 enum class PeerMessageKind {
-  kPing,         ///< Asks for an ack; carries updates.
-  kAck,          ///< Answers a ping; carries updates.
-  kPingRequest,  ///< Asks the receiver to ping `target` for the sender.
-  kConfigPull,   ///< Asks for what changed since `pull.generation`.
-  kConfigDelta,  ///< Answers a pull.
-  kLeave,        ///< The sender stops; it is not suspected but removed.
+  kPing,           ///< Asks for an ack; carries updates.
+  kAck,            ///< Answers a ping; carries updates.
+  kPingRequest,    ///< Asks the receiver to ping `target` for the sender.
+  kConfigPull,     ///< Asks for what changed since `pull.generation`.
+  kConfigDelta,    ///< Answers a pull.
+  kLeave,          ///< The sender stops; it is not suspected but removed.
+  kPresence,       ///< Carries presence updates only.
+  kPlacementPull,  ///< Asks for the placement object.
+  kPlacement,      ///< Answers a placement pull.
 };
 
 enum class MemberState { kAlive, kSuspect, kDead };
@@ -49,12 +52,26 @@
   std::string reporter;
   std::uint64_t sequence = 0;
   std::string host;
+  /// What the host confirmed, only meaningful if `present`.
   std::string group;
   std::uint64_t epoch = 0;
-  bool present = false;
+  std::vector<std::string> adapters;
+  bool present = false;  ///< Answers, and serves the group as it is placed.
   bool leaving = false;
 };
 
+/// Who holds the placement lease of a data centre; a higher fence overrides.
+struct Coordinator {
+  std::string node;
+  std::uint64_t fence = 0;
+};
+
+/// The placement object as it is stored in the platform.
+struct PlacementCopy {
+  std::uint64_t version = 0;
+  std::string value;
+};
+
 struct QuarantineUpdate {
   std::string digest;  ///< As in ShareQuarantine.
   milliseconds remaining{0};
@@ -84,13 +101,18 @@
   PeerInfo target;               ///< Of a ping request.
   std::uint64_t generation = 0;  ///< In force at the sender.
   std::string head_digest;
-  std::uint64_t members_digest = 0;  ///< Over the live daemons at the sender.
-  bool want_members = false;         ///< Asks for all members in the ack.
+  std::uint64_t members_digest = 0;   ///< Over the live daemons at the sender.
+  std::uint64_t presence_digest = 0;  ///< Over the verdicts known there.
+  std::uint64_t placement_version = 0;
+  Coordinator coordinator;
+  bool want_members = false;   ///< Asks for all members in the ack.
+  bool want_presence = false;  ///< Asks for all verdicts.
   std::vector<MemberUpdate> members;
   std::vector<PresenceUpdate> presence;
   std::vector<QuarantineUpdate> quarantine;
   ConfigPull pull;
   ConfigDelta delta;
+  PlacementCopy placement;
 };
 
 /// Largest message, in bytes: one section of the largest size and a head. A
--- a/core/presence.cc
+++ b/core/presence.cc
@@ -148,21 +148,89 @@
   record.probe_again = record.probing;
 }
 
-void Presence::Reported(const HostHealth& health, milliseconds age,
-                        TimePoint now, Actions* out) {
-  auto found = m_hosts.find(health.host);
+void Presence::Reported(const PresenceUpdate& verdict, TimePoint now,
+                        Actions* out) {
+  auto found = m_hosts.find(verdict.host);
   if (found == m_hosts.end()) {
     return;
   }
   HostRecord& record = found->second;
-  TimePoint asked = now - age;
-  if (health.leaving) {
+  record.verdicts[verdict.reporter] = verdict;
+  m_dirty = true;
+  if (verdict.leaving) {
     MarkLeaving(&record, "peer", now, out);
   }
-  if (record.health && asked <= record.asked) {
-    return;
+}
+
+void Presence::SetReporters(const std::vector<std::string>& live) {
+  std::set<std::string> nodes(live.begin(), live.end());
+  for (auto& [name, record] : m_hosts) {
+    std::erase_if(record.verdicts, [&](const auto& item) {
+      return nodes.count(item.first) == 0;
+    });
   }
-  Learn(&record, health, asked, now, out);
+  m_dirty = true;
+}
+
+bool Presence::HasDuty(const HostRecord& record) const {
+  return !probes || probes(record.info.host);
+}
+
+bool Presence::ProbesItself(const HostRecord& record) const {
+  return HasDuty(record) || record.verdicts.empty() ||
+         record.trusted_from > record.asked;
+}
+
+// One live reporter that denies closes the gate: two daemons with opposite
+// beliefs must not both be right to route.
+bool Presence::ConfirmedByOthers(const std::string& name,
+                                 const PlacedGroup& group,
+                                 const HostRecord& record) const {
+  return std::all_of(record.verdicts.begin(), record.verdicts.end(),
+                     [&](const auto& item) {
+                       const PresenceUpdate& verdict = item.second;
+                       return verdict.present && verdict.group == name &&
+                              verdict.epoch == group.epoch;
+                     });
+}
+
+bool Presence::Present(const HostRecord& record, TimePoint now) const {
+  if (ProbesItself(record)) {
+    return Fresh(record, now);
+  }
+  return std::all_of(record.verdicts.begin(), record.verdicts.end(),
+                     [](const auto& item) { return item.second.present; });
+}
+
+const std::vector<std::string>* Presence::LoadedAdapters(
+    const HostRecord& record) const {
+  if (!ProbesItself(record)) {
+    return &record.verdicts.begin()->second.adapters;
+  }
+  return record.health ? &record.health->adapters : nullptr;
+}
+
+std::vector<PresenceUpdate> Presence::Verdicts(TimePoint now) const {
+  std::vector<PresenceUpdate> verdicts;
+  for (const auto& [name, record] : m_hosts) {
+    if (!HasDuty(record) && !record.info.leaving) {
+      continue;
+    }
+    PresenceUpdate verdict;
+    verdict.host = name;
+    verdict.leaving = record.leaving;
+    verdict.present = Present(record, now);
+    if (record.info.engine && verdict.present && record.health) {
+      auto group = m_placement.groups.find(record.health->group);
+      verdict.present = group != m_placement.groups.end() &&
+                        Confirms(group->first, group->second, record, now);
+      verdict.group = record.health->group;
+      verdict.epoch = record.health->epoch;
+      verdict.adapters = record.health->adapters;
+    }
+    verdicts.push_back(std::move(verdict));
+  }
+  return verdicts;
 }
 
 void Presence::Learn(HostRecord* record, const HostHealth& health,
@@ -217,8 +285,7 @@
 
 void Presence::SendProbes(TimePoint now, Actions* out) {
   for (auto& [name, record] : m_hosts) {
-    if (!record.probing && now >= record.next_probe &&
-        (!probes || probes(name))) {
+    if (!record.probing && now >= record.next_probe && ProbesItself(record)) {
       Probe(&record, now, out);
     }
   }
@@ -252,6 +319,9 @@
 
 bool Presence::Confirms(const std::string& name, const PlacedGroup& group,
                         const HostRecord& record, TimePoint now) const {
+  if (!ProbesItself(record)) {
+    return ConfirmedByOthers(name, group, record);
+  }
   if (!record.health || (!Fresh(record, now) &&
                          m_options.mutation != Mutation::kIgnoreHealthAge)) {
     return false;
@@ -285,14 +355,15 @@
     if (record != nullptr && record->leaving) {
       view.leaving = true;
     }
-    if (record == nullptr || !record->health) {
+    const auto* loaded = record ? LoadedAdapters(*record) : nullptr;
+    if (loaded == nullptr) {
       view.adapters.clear();
       continue;
     }
     // Only adapters that every host has loaded can be asked for.
-    const auto& loaded = record->health->adapters;
     std::erase_if(view.adapters, [&](const std::string& adapter) {
-      return std::find(loaded.begin(), loaded.end(), adapter) == loaded.end();
+      return std::find(loaded->begin(), loaded->end(), adapter) ==
+             loaded->end();
     });
   }
   if (const HostRecord* leader = Find(view.leader_host)) {
@@ -312,7 +383,7 @@
   view.leader_host = record.info.host;
   view.leader_address = record.info.address;
   view.max_running = kPlainMaxRunning;
-  view.open = Fresh(record, now);
+  view.open = Present(record, now);
   view.leaving = record.leaving;
   return view;
 }
--- a/core/presence.h
+++ b/core/presence.h
@@ -13,6 +13,7 @@
 #include "core/core.h"
 #include "core/jitter.h"
 #include "core/mutation.h"
+#include "core/peer_message.h"
 #include "core/placement_object.h"
 
 namespace clementine {
@@ -29,6 +30,8 @@
   bool leaving = false;    ///< By host list, health, header or a peer.
   TimePoint leaving_since;
   int failures = 0;  ///< Failed probes since the last answer.
+  /// Verdicts of other live daemons, by reporter.
+  std::map<std::string, PresenceUpdate> verdicts;
   // Probing by this node.
   bool probing = false;
   bool probe_again = false;  ///< A suspicion arrived during a probe.
@@ -70,10 +73,13 @@
   void Failed(const std::string& host, TimePoint now);
   void Suspected(const std::string& host, bool leaving, TimePoint now,
                  Actions* out);
-  /// A report from another daemon.
-  /// @param age Time since that daemon sent its probe, plus transmission.
-  void Reported(const HostHealth& health, milliseconds age, TimePoint now,
-                Actions* out);
+  /// A verdict of another live daemon.
+  void Reported(const PresenceUpdate& verdict, TimePoint now, Actions* out);
+  /// Drops verdicts of daemons that are no longer live.
+  void SetReporters(const std::vector<std::string>& live);
+  /// This node's verdicts: about hosts whose probing is its duty, and about
+  /// those that the host list calls leaving.
+  std::vector<PresenceUpdate> Verdicts(TimePoint now) const;
 
   /// Sends due probes and publishes changed views.
   void Advance(TimePoint now, Actions* out);
@@ -84,7 +90,9 @@
   bool listed() const { return m_listed; }
   bool Fresh(const HostRecord& host, TimePoint now) const;
 
-  /// Decides which hosts this node probes; empty means all.
+  /// Whether probing a host is this node's duty; empty means that all are. A
+  /// host is also probed without duty while no other daemon vouches for it, and
+  /// after a suspicion until it answered.
   std::function<bool(const std::string& host)> probes;
 
  private:
@@ -100,6 +108,13 @@
   bool Confirms(const std::string& name, const PlacedGroup& group,
                 const HostRecord& record, TimePoint now) const;
   void SendProbes(TimePoint now, Actions* out);
+  bool HasDuty(const HostRecord& record) const;
+  bool ProbesItself(const HostRecord& record) const;
+  bool ConfirmedByOthers(const std::string& name, const PlacedGroup& group,
+                         const HostRecord& record) const;
+  bool Present(const HostRecord& record, TimePoint now) const;
+  const std::vector<std::string>* LoadedAdapters(
+      const HostRecord& record) const;
   void Publish(std::vector<GroupView> views, Actions* out);
 
   Options m_options;
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -85,7 +85,6 @@
   request_options.node = m_settings.node;
   request_options.incarnation = m_incarnation;
   request_options.data_centre = m_settings.data_centre;
-  request_options.incarnation = m_incarnation;
   request_options.seed = m_settings.seed;
   request_options.max_queued = m_settings.max_queued;
   request_options.claim_retention = m_settings.claim_retention;
