--- a/core/lease.cc
+++ b/core/lease.cc
@@ -62,11 +62,24 @@
 }
 
 Lease::Lease(Options options, PlatformCalls* calls, Jitter* jitter)
-    : m_options(std::move(options)), m_calls(calls), m_jitter(jitter) {}
+    : m_options(std::move(options)),
+      m_calls(calls),
+      m_jitter(jitter),
+      m_machine(&BuiltinChart("lease")) {}
+
+void Lease::Apply(const char* event, Actions* out) {
+  if (m_machine.Apply(event)) {
+    out->push_back(LogDecision{"lease",
+                               {{"event", event},
+                                {"state", m_machine.state()},
+                                {"holder", m_seen.holder},
+                                {"fence", std::to_string(m_seen.fence)}}});
+  }
+}
 
 bool Lease::ValidAt(TimePoint time) const {
   milliseconds valid = m_options.duration - m_options.duration / kDriftParts;
-  return m_state == State::kHeld && m_granted >= m_prove_from &&
+  return m_machine.state() == "held" && m_granted >= m_prove_from &&
          time < m_granted + valid;
 }
 
@@ -75,24 +88,29 @@
 }
 
 bool Lease::CanOrder(TimePoint now) const {
-  return Proven(now) && !m_releasing && ValidAt(now + m_options.longest_order);
+  return Proven(now) && ValidAt(now + m_options.longest_order);
 }
 
 void Lease::RaiseFence(std::uint64_t placement_fence) {
   if (placement_fence + 1 > m_least_fence) {
     m_least_fence = placement_fence + 1;
-    if (m_state == State::kHeld && m_record.fence < m_least_fence) {
+    if (m_own && m_record.fence < m_least_fence) {
       m_next = TimePoint{};
     }
   }
 }
 
-void Lease::Release(bool orders_settled) {
-  if (orders_settled && !m_orders_settled) {
-    m_next = TimePoint{};
+void Lease::Release(bool orders_settled, TimePoint now, Actions* out) {
+  Apply("stop", out);
+  if (m_machine.state() == "releasing" && orders_settled && !m_pending) {
+    if (!m_must_read) {
+      // If this write is lost, others wait until the lease has run out.
+      LeaseRecord record = m_record;
+      record.holder.clear();
+      Put(record, now, out);
+    }
+    Apply("orders_settled", out);
   }
-  m_releasing = true;
-  m_orders_settled = orders_settled;
 }
 
 const Lease::Write* Lease::FindWrite(const LeaseRecord& record) const {
@@ -138,7 +156,8 @@
     m_seen = write.record;
     m_seen_any = true;
     m_first_seen = now;
-    Granted(write.record, reply.version, write.sent, out);
+    m_version = reply.version;
+    Granted(write.record, write.sent, now, out);
     return;
   }
   if (call.write) {
@@ -176,79 +195,65 @@
   m_seen = record;
   m_next = std::min(m_next, std::max(now, TakeoverTime()));
   const Write* own = FindWrite(record);
+  m_own = false;
   if (own != nullptr && record.holder == m_options.node) {
-    Granted(own->record, version, own->sent, out);
-  } else if (m_state == State::kHeld) {
-    Lost("taken over", out);
+    Granted(own->record, own->sent, now, out);
+  } else {
+    Apply("superseded", out);
   }
 }
 
-void Lease::Granted(const LeaseRecord& record, std::uint64_t version,
-                    TimePoint sent, Actions* out) {
-  m_version = version;
-  if (record.holder.empty()) {
-    m_state = State::kReleased;
-    out->push_back(LogDecision{"lease_released",
-                               {{"fence", std::to_string(record.fence)}}});
+void Lease::Granted(const LeaseRecord& record, TimePoint sent, TimePoint now,
+                    Actions* out) {
+  m_own = record.holder == m_options.node;
+  if (!m_own) {
     return;
   }
-  bool changed = m_state != State::kHeld || m_record.fence != record.fence;
-  m_state = State::kHeld;
+  if (m_record.fence != record.fence) {
+    out->push_back(LogDecision{"lease_fence",
+                               {{"holder", record.holder},
+                                {"term", std::to_string(record.term)},
+                                {"fence", std::to_string(record.fence)}}});
+  }
   m_record = record;
   m_granted = std::max(m_granted, sent);
   m_next = sent + m_options.duration / kRenewalsPerLease;
   m_waiting.clear();
-  if (changed) {
-    out->push_back(LogDecision{"lease_granted",
-                               {{"holder", record.holder},
-                                {"term", std::to_string(record.term)},
-                                {"fence", std::to_string(record.fence)}}});
+  milliseconds valid = m_options.duration - m_options.duration / kDriftParts;
+  if (m_granted >= m_prove_from && now < m_granted + valid) {
+    Apply("granted", out);
   }
 }
 
-void Lease::Lost(const char* why, Actions* out) {
-  m_state = State::kIdle;
-  out->push_back(LogDecision{"lease_lost",
-                             {{"why", why},
-                              {"holder", m_seen.holder},
-                              {"fence", std::to_string(m_seen.fence)}}});
-}
-
 void Lease::Advance(bool may_compete, TimePoint now, Actions* out) {
   bool paused = m_last_now != TimePoint{} &&
                 now - m_last_now > m_options.duration / kPauseParts;
-  if (paused && m_state == State::kHeld) {
+  m_last_now = now;
+  if (paused) {
     m_prove_from = now;
+    m_next = m_own ? now : m_next;
+  }
+  if (m_machine.state() == "held" && !ValidAt(now)) {
     m_next = now;
-    out->push_back(LogDecision{"lease_unproven",
-                               {{"fence", std::to_string(m_record.fence)}}});
+    Apply("expired", out);
   }
-  m_last_now = now;
-  if (m_pending || now < m_next || m_state == State::kReleased) {
+  if (m_machine.Finished() || m_machine.state() == "releasing") {
+    return;
+  }
+  if (m_pending || now < m_next) {
     return;
   }
   if (m_must_read) {
-    if (may_compete || m_state == State::kHeld) {
+    if (may_compete || m_own) {
       Read(now, out);
     }
-  } else if (m_state == State::kHeld) {
-    AdvanceHolder(now, out);
+  } else if (m_own) {
+    Put(m_record, now, out);
   } else if (may_compete) {
     AdvanceCandidate(now, out);
   }
 }
 
-void Lease::AdvanceHolder(TimePoint now, Actions* out) {
-  LeaseRecord record = m_record;
-  if (m_releasing) {
-    if (!m_orders_settled) {
-      return;
-    }
-    record.holder.clear();
-  }
-  Put(record, now, out);
-}
-
 TimePoint Lease::TakeoverTime() const {
   milliseconds wait = m_options.duration + m_options.longest_order;
   bool absent_new = m_version == 0 && m_least_fence == 0;
@@ -260,10 +265,6 @@
 }
 
 void Lease::AdvanceCandidate(TimePoint now, Actions* out) {
-  if (m_releasing) {
-    m_state = State::kReleased;
-    return;
-  }
   if (now < TakeoverTime()) {
     m_waiting = "lease of " + m_seen.holder;
     Read(now, out);
--- a/core/lease.h
+++ b/core/lease.h
@@ -59,15 +59,15 @@
   /// higher one if needed, which happens after an operator deleted the lease.
   void RaiseFence(std::uint64_t placement_fence);
   /// Stops renewing and releases when `orders_settled`.
-  void Release(bool orders_settled);
+  void Release(bool orders_settled, TimePoint now, Actions* out);
 
   /// Whether this daemon holds the lease, by a renewal sent after any pause.
   bool Proven(TimePoint now) const;
   /// Whether an order sent now ends before the lease does.
   bool CanOrder(TimePoint now) const;
-  /// Whether the lease is or may be ours.
-  bool Holding() const { return m_state == State::kHeld; }
-  bool released() const { return m_state == State::kReleased; }
+  /// Whether the lease as last read names this daemon.
+  bool Holding() const { return m_own; }
+  const std::string& state() const { return m_machine.state(); }
   std::uint64_t fence() const { return m_record.fence; }
   /// Holder as last read from the platform.
   const std::string& known_holder() const { return m_seen.holder; }
@@ -75,8 +75,6 @@
   std::string waiting_for() const { return m_waiting; }
 
  private:
-  enum class State { kIdle, kHeld, kReleased };
-
   struct Write {
     LeaseRecord record;
     TimePoint sent;
@@ -87,9 +85,9 @@
   void Read(TimePoint now, Actions* out);
   void Put(LeaseRecord record, TimePoint now, Actions* out);
   void SawVersion(const ObjectReply& reply, TimePoint now, Actions* out);
-  void Granted(const LeaseRecord& record, std::uint64_t version, TimePoint sent,
+  void Granted(const LeaseRecord& record, TimePoint sent, TimePoint now,
                Actions* out);
-  void Lost(const char* why, Actions* out);
+  void Apply(const char* event, Actions* out);
   void AdvanceHolder(TimePoint now, Actions* out);
   void AdvanceCandidate(TimePoint now, Actions* out);
   const Write* FindWrite(const LeaseRecord& record) const;
@@ -97,7 +95,8 @@
   Options m_options;
   PlatformCalls* m_calls;
   Jitter* m_jitter;
-  State m_state = State::kIdle;
+  ChartMachine m_machine;  ///< charts/lease.chart
+  bool m_own = false;      ///< The stored record is one of our writes.
 
   bool m_pending = false;   ///< A call of this job has no reply yet.
   bool m_must_read = true;  ///< The stored lease isn't known.
@@ -116,8 +115,6 @@
   std::uint64_t m_renewal = 0;
   std::deque<Write> m_writes;  ///< Recent writes; a late one can be granted.
   std::uint64_t m_least_fence = 0;
-  bool m_releasing = false;
-  bool m_orders_settled = false;
   TimePoint m_last_now;
   TimePoint m_prove_from;  ///< A renewal sent before this proves nothing.
 };
--- a/core/placement_control.cc
+++ b/core/placement_control.cc
@@ -61,7 +61,7 @@
     m_history.Update(presence, now, out);
   }
   if (m_draining) {
-    m_lease.Release(m_orders.AllSettled(now));
+    m_lease.Release(m_orders.AllSettled(now), now, out);
   }
   if (m_store.known() && !m_lease.Holding()) {
     m_lease.RaiseFence(m_store.placement().fence);
--- a/core/status.cc
+++ b/core/status.cc
@@ -23,13 +23,9 @@
   std::vector<Measured> groups;
   std::map<std::string, int> live;
   for (const auto& [name, group] : placement.groups) {
-    std::string state = GroupPhaseName(group.phase);
-    if (group.phase == GroupPhase::kServing && !open[name]) {
-      state = "closed";
-    }
     live[group.spec] += group.phase == GroupPhase::kDraining ? 0 : 1;
-    groups.push_back(
-        {name, group.model, state, group.hosts, group.epoch, open[name]});
+    groups.push_back({name, group.model, m_states.StateOf(name), group.hosts,
+                      group.epoch, open[name]});
   }
   if (sources.configuration == nullptr) {
     return groups;
@@ -54,6 +50,8 @@
   auto elapsed = std::chrono::duration_cast<milliseconds>(now - m_measured);
   bool first = m_measured == TimePoint{};
   m_measured = now;
+  m_states.Observe(sources.placement->store().placement(),
+                   sources.presence->views());
   std::set<std::string> working;
   for (const Measured& group : Groups(sources)) {
     if (group.open) {
--- a/core/status.h
+++ b/core/status.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "core/group_state.h"
 #include "core/placement_control.h"
 #include "core/platform_calls.h"
 #include "core/presence.h"
@@ -56,7 +57,7 @@
   struct Measured {
     std::string group;
     std::string model;
-    std::string state;  ///< "missing", "loading", "serving", ...
+    std::string state;  ///< Of charts/group.chart.
     std::vector<std::string> hosts;
     std::uint64_t epoch = 0;
     bool open = false;
@@ -68,6 +69,7 @@
   milliseconds m_interval;
   PlatformCalls* m_calls;
   Jitter* m_jitter;
+  GroupStates m_states;
   TimePoint m_measured;
   std::map<std::string, milliseconds> m_downtime;  ///< By group.
   int m_stranded = 0;
