Wait for hosts that unload before draining without spares; add tests

A roll-out with spares drained a replica in place when the spares were those of the replica dissolved before: capacity fell to 1 of 2 in placement_test. Only the first missing replica of a spec counts as its only one; otherwise a large spec without replicas kept all load slots from a small one.

--- a/core/placement.cc
+++ b/core/placement.cc
@@ -123,7 +123,8 @@
   std::string CheapestDomain(std::size_t count) const;
   std::vector<std::string> Live(const std::string& spec) const;
   int Serving(const std::string& spec) const;
-  double Rank(const std::string& spec, int hosts) const;
+  double Rank(bool only_replica, int hosts) const;
+  bool AwaitsHosts() const;
 
   const PlannerInput& m_input;
   PlannerResult m_result;
@@ -203,10 +204,10 @@
   return serving;
 }
 
-double Plan::Rank(const std::string& spec, int hosts) const {
+double Plan::Rank(bool only_replica, int hosts) const {
   constexpr int kAcceleratorsPerHost = 4;
   PlacementSpec weights = m_input.configuration->placement;
-  if (Serving(spec) == 0) {
+  if (only_replica) {
     weights.downtime_weight *= kNoReplicaFactor;
   }
   return ReplicaGain(weights, hosts * kAcceleratorsPerHost) /
@@ -291,7 +292,7 @@
   for (const auto& [name, group] : m_result.next.groups) {
     if (group.phase != GroupPhase::kDraining && !Bad(group).empty()) {
       int hosts = static_cast<int>(group.hosts.size());
-      needs.push_back({name, group.spec, Rank(group.spec, hosts),
+      needs.push_back({name, group.spec, Rank(Serving(group.spec) == 0, hosts),
                        static_cast<int>(Bad(group).size())});
     }
   }
@@ -348,7 +349,8 @@
 bool Plan::CompletesAnother(const std::string& name, const PlacedGroup& group,
                             int survivors) const {
   int spares = static_cast<int>(SparesIn(group.fabric_domain).size());
-  double own = Rank(group.spec, static_cast<int>(group.hosts.size()));
+  double own =
+      Rank(Serving(group.spec) == 0, static_cast<int>(group.hosts.size()));
   for (const auto& [other_name, other] : m_result.next.groups) {
     int missing = static_cast<int>(Bad(other).size());
     if (other_name == name || missing == 0 ||
@@ -357,7 +359,8 @@
         missing > spares + survivors) {
       continue;
     }
-    double rank = Rank(other.spec, static_cast<int>(other.hosts.size()));
+    double rank =
+        Rank(Serving(other.spec) == 0, static_cast<int>(other.hosts.size()));
     // Of two equal groups the later name gives way, so that only one does.
     if (rank > own || (rank == own && other_name < name)) {
       return true;
@@ -436,11 +439,25 @@
   if (CreateOne(spec_name, spec, model, "replacement")) {
     return;
   }
+  if (AwaitsHosts()) {
+    Wait(old.front(), "hosts that unload");
+    return;
+  }
   DrainGroup(old.front(), HasLeaving(m_result.next.groups.at(old.front()))
                               ? "host leaving"
                               : "version change without spares");
 }
 
+/// Whether released hosts become spares soon.
+bool Plan::AwaitsHosts() const {
+  return std::any_of(m_result.next.released.begin(),
+                     m_result.next.released.end(), [this](const auto& entry) {
+                       const HostFacts* facts = Facts(entry.first);
+                       return facts != nullptr && facts->up &&
+                              !facts->leaving && !facts->held;
+                     });
+}
+
 void Plan::Surplus() {
   for (const auto& [spec_name, spec] : m_input.configuration->groups) {
     const ModelSpec* model = ModelOf(spec);
@@ -481,9 +498,10 @@
     if (spec.data_centre != m_input.data_centre || model == nullptr) {
       continue;
     }
-    int missing = spec.replicas - static_cast<int>(Live(name).size());
+    auto live = static_cast<int>(Live(name).size());
+    int missing = spec.replicas - live;
     for (int i = 0; i < missing; ++i) {
-      needs.push_back({"", name, Rank(name, model->hosts_per_replica),
+      needs.push_back({"", name, Rank(live + i == 0, model->hosts_per_replica),
                        model->hosts_per_replica});
     }
   }
