--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -130,6 +130,8 @@
   };
   m_control_executor =
       std::make_unique<ControlExecutor>(std::move(control_context));
+  m_cache_poller =
+      std::make_unique<CachePoller>(m_backends.get(), feed_request);
 }
 
 // ---------------------------------------------------------------------------
@@ -161,6 +163,9 @@
   if (const auto* request_event = std::get_if<RequestEvent>(&event)) {
     for (const RequestAction& action :
          m_request_path->Handle(*request_event, now)) {
+      if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+        m_cache_poller->Used(dispatch->group, now);
+      }
       m_request_executor->Execute(action);
     }
   } else {
@@ -174,6 +179,7 @@
 void Daemon::PassOn(const RequestEvent& event) {
   if (const auto* groups = std::get_if<GroupsChanged>(&event)) {
     m_request_executor->SetGroups(groups->groups);
+    m_cache_poller->SetGroups(groups->groups);
     m_open_groups = 0;
     for (const GroupView& group : groups->groups) {
       if (group.open) ++m_open_groups;
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "core/core.h"
+#include "daemon/cache_poller.h"
 #include "daemon/control_executor.h"
 #include "daemon/request_executor.h"
 #include "net/net.h"
@@ -64,6 +65,7 @@
   std::unique_ptr<ControlPlane> m_control_plane;
   std::unique_ptr<RequestExecutor> m_request_executor;
   std::unique_ptr<ControlExecutor> m_control_executor;
+  std::unique_ptr<CachePoller> m_cache_poller;
   std::shared_ptr<const Configuration> m_configuration;  ///< Null before one.
   std::uint64_t m_generation = 0;
   std::uint64_t m_open_groups = 0;
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -323,6 +323,7 @@
   m_context.metrics->Add("clementine_attempts_total",
                          fmt::format("result=\"{}\"", ResultName(end.result)));
   SuspectHost(*attempt, end);
+  CancelUnfinished(*attempt, end);
   KeepAnswer(attempt.get(), &end);
   AttemptEnded ended;
   ended.attempt = attempt->id;
@@ -334,6 +335,16 @@
   m_context.feed(std::move(ended));
 }
 
+void RequestExecutor::CancelUnfinished(const Attempt& attempt,
+                                       const BackendEnd& end) {
+  // The engine may still be running what nobody waits for any more.
+  bool abandoned = end.result == AttemptResult::kTimedOut ||
+                   (end.result == AttemptResult::kBroken && !end.lost);
+  if (abandoned && attempt.caller->read.request.service.empty()) {
+    m_context.backends->CancelRemote(attempt.address, attempt.wire_id);
+  }
+}
+
 void RequestExecutor::SuspectHost(const Attempt& attempt,
                                   const BackendEnd& end) {
   if (!end.leaving && !end.lost) return;
--- a/daemon/request_executor.h
+++ b/daemon/request_executor.h
@@ -67,6 +67,7 @@
   void OnToken(Attempt* attempt, std::string_view data, std::uint64_t offset);
   void OnEnd(const std::shared_ptr<Attempt>& attempt, BackendEnd end);
   void SuspectHost(const Attempt& attempt, const BackendEnd& end);
+  void CancelUnfinished(const Attempt& attempt, const BackendEnd& end);
   void KeepAnswer(Attempt* attempt, BackendEnd* end);
   void Relay(Caller* caller, Attempt* attempt, std::string_view data);
   void StartStream(Caller* caller);
--- a/testing/net_daemon_test.cc
+++ b/testing/net_daemon_test.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "daemon/cache_poller.h"
 #include "daemon/chat_answer.h"
 #include "daemon/request_executor.h"
 #include "daemon/request_reader.h"
@@ -305,6 +306,40 @@
   CHECK(fixture.executor->unfinished() == 0);
 }
 
+// Guards against cache knowledge that misses an event unnoticed: the request
+// path forgets a group whose numbers aren't consecutive.
+TEST_CASE("cache poller turns a gap of the engine into a gap") {
+  asio::io_context io;
+  ScriptedServer engine(&io, [](RawConnection& raw, const std::string&) {
+    raw.Send(HttpAnswer(200, R"({"events":[
+        {"sequence":1,"added":[7,8],"removed":[]},
+        {"sequence":2,"added":[9],"removed":[7]},
+        {"sequence":4,"added":[5],"removed":[]}]})"));
+  });
+  BackendClient backends(&io, {});
+  std::vector<CacheEvents> fed;
+  CachePoller poller(&backends, [&](const RequestEvent& event) {
+    fed.push_back(std::get<CacheEvents>(event));
+  });
+  GroupView group;
+  group.group = "chat/0";
+  group.model = "chat";
+  group.leader_address = engine.address;
+  group.open = true;
+  poller.SetGroups({group});
+  auto now = TimePoint{} + std::chrono::hours(1);
+  poller.Poll(now);
+  RunFor(&io, milliseconds(50));
+  CHECK(engine.requests.empty());
+  poller.Used("chat/0", now);
+  poller.Poll(now);
+  REQUIRE(RunUntil(&io, [&] { return fed.size() == 3; }));
+  CHECK(fed[0].first_sequence == 1);
+  CHECK(fed[1].first_sequence == 3);
+  CHECK(fed[2].first_sequence == 6);
+  CHECK(fed[1].removed == std::vector<std::uint64_t>{7});
+}
+
 // Guards against a joined answer without the tokens of the first attempt.
 TEST_CASE("request executor joins a stream for a caller who doesn't stream") {
   ExecutorFixture fixture([](RawConnection& raw, const std::string&) {
