--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -17,8 +17,8 @@
 /// for 100 ms.
 struct Fixture {
   Fixture() : admission(100) {
-    admission.SetOrganisations({{"ash", {"ash", 1.0, 40, 30}},
-                                {"elm", {"elm", 3.0, 40, 30}}});
+    admission.SetOrganisations(
+        {{"ash", {"ash", 1.0, 40, 30}}, {"elm", {"elm", 3.0, 40, 30}}});
     admission.Measured(kPool, RequestClass::kCounter, milliseconds(100),
                        kStart);
   }
@@ -151,15 +151,13 @@
   for (int service : {1000, 4000}) {
     Fixture f;
     for (int i = 0; i < 200; ++i) {
-      f.admission.Measured(kPool, RequestClass::kCounter,
-                           milliseconds(service), kStart);
+      f.admission.Measured(kPool, RequestClass::kCounter, milliseconds(service),
+                           kStart);
     }
-    while (f.Offer("ash", RequestClass::kCounter).verdict ==
-           Verdict::kQueue) {
+    while (f.Offer("ash", RequestClass::kCounter).verdict == Verdict::kQueue) {
     }
-    milliseconds advice =
-        f.Offer("ash", RequestClass::kCounter).retry_after;
-    CHECK(advice.count() == doctest::Approx(30 * service / 4).epsilon(0.05));
+    milliseconds advice = f.Offer("ash", RequestClass::kCounter).retry_after;
+    CHECK(advice.count() == doctest::Approx(7.5 * service).epsilon(0.05));
   }
 }
 
--- a/testing/request_path_fuzz_test.cc
+++ b/testing/request_path_fuzz_test.cc
@@ -90,7 +90,9 @@
   };
 
   std::uint64_t Random(std::uint64_t n) { return m_random() % n; }
-  bool Chance(int percent) { return Random(100) < std::uint64_t(percent); }
+  bool Chance(int percent) {
+    return Random(100) < static_cast<std::uint64_t>(percent);
+  }
   milliseconds Pause(int low, int high) {
     return milliseconds(low + static_cast<int>(Random(high - low + 1)));
   }
@@ -159,7 +161,8 @@
   }
 
   /// As After, unless the daemon is restarted meanwhile.
-  void AfterInLife(int index, milliseconds pause, std::function<void()> what) {
+  void AfterInLife(int index, milliseconds pause,
+                   const std::function<void()>& what) {
     std::uint64_t life = m_daemons[index].life;
     After(pause, [this, index, life, what] {
       if (m_daemons[index].life == life) {
@@ -768,7 +771,9 @@
       {"quarantine", "one request crashed more than two replicas"},
       {"isolation", "suspect not alone"},
   };
-  for (const auto& [rule, expected] : rules) {
+  for (const auto& entry : rules) {
+    const std::string& rule = entry.first;
+    const std::string& expected = entry.second;
     CAPTURE(rule);
     bool caught = false;
     for (std::uint64_t seed = 1; seed <= 20 && !caught; ++seed) {
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -126,8 +126,7 @@
     CHECK(router.Pick(ChatRequest(), pool, avoid, kStart) != avoid);
   }
   router.SetGroups(MakeGroups(1));
-  CHECK(router.Pick(ChatRequest(), pool, pool.near.front(), kStart) ==
-        nullptr);
+  CHECK(router.Pick(ChatRequest(), pool, pool.near.front(), kStart) == nullptr);
 }
 
 // Guards against computing a prompt again that a group has cached.
@@ -139,14 +138,12 @@
   Pool& pool = *router.FindPool(request);
   router.ApplyCacheEvents({"chat/70", 5, {11, 12, 13, 14}, {}});
   for (int i = 0; i < 20; ++i) {
-    CHECK(router.Pick(request, pool, nullptr, kStart)->view.group ==
-          "chat/70");
+    CHECK(router.Pick(request, pool, nullptr, kStart)->view.group == "chat/70");
   }
   router.ApplyCacheEvents({"chat/70", 12, {99}, {}});
   int hits = 0;
   for (int i = 0; i < 20; ++i) {
-    hits += router.Pick(request, pool, nullptr, kStart)->view.group ==
-                    "chat/70"
+    hits += router.Pick(request, pool, nullptr, kStart)->view.group == "chat/70"
                 ? 1
                 : 0;
   }
