--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -19,11 +19,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 
 #include "fmt/format.h"
+#include "net/address.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -57,30 +56,6 @@
   std::string body;
 };
 
-tcp::endpoint ParseAddress(const std::string& address) {
-  std::size_t colon = address.rfind(':');
-  boost::system::error_code error = asio::error::invalid_argument;
-  asio::ip::address host;
-  std::uint16_t port = 0;
-  if (colon != std::string::npos) {
-    std::string text = address.substr(0, colon);
-    if (text.size() > 2 && text.front() == '[' && text.back() == ']') {
-      text = text.substr(1, text.size() - 2);
-    }
-    host = asio::ip::make_address(text, error);
-    const char* end = address.data() + address.size();
-    auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    if (parsed.ec != std::errc() || parsed.ptr != end) {
-      error = asio::error::invalid_argument;
-    }
-  }
-  if (error) {
-    throw std::runtime_error(
-        fmt::format("platform address {} is not IP:port", address));
-  }
-  return {host, port};
-}
-
 // Percent-encodes all but unreserved characters and those in `kept`.
 std::string PercentEncode(const std::string& text, const std::string& kept) {
   const std::string unreserved = "-._~" + kept;
@@ -188,7 +163,7 @@
   Impl(asio::io_context* io, std::string address, std::string token,
        std::chrono::milliseconds timeout)
       : m_io(io),
-        m_endpoint(ParseAddress(address)),
+        m_endpoint(ParseEndpoint(address)),
         m_address(std::move(address)),
         m_token(std::move(token)),
         m_timeout(timeout) {}
