Count only verdicts of daemons whose duty the probing is

Cause: gates stayed closed at 11 of 12 daemons, because a daemon that had lost its probing duty never updated its verdict, and any denial closes a gate. Ruled out: lost placement (all daemons had the views) and lost messages. Change: verdicts count only while the reporter has the duty by the receiver's view; a verdict carries what a host list entry holds, so that a daemon that starts during a platform outage knows addresses; host history uses verdicts too, since daemons took hosts that they don't probe for failed.

--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -79,6 +79,10 @@
     m_presence.probes = [this](const std::string& host) {
       return ProbesHost(host);
     };
+    m_presence.reports = [this](const std::string& node,
+                                const std::string& host) {
+      return IsProber(node, host);
+    };
     LiveChanged();
   }
 
@@ -192,25 +196,31 @@
 
   void LiveChanged() {
     m_live = m_peers.LiveNodes();
-    m_probe_duties.clear();
+    m_probers.clear();
     m_watcher = HasDuty(m_options.node, "watch", m_live, kWatchers);
     m_candidate = HasDuty(m_options.node, "lease", m_live, kCandidates);
     m_presence.SetReporters(m_live);
   }
 
-  bool ProbesHost(const std::string& host) {
-    // The lease holder acts on what hosts say themselves.
-    if (m_live.size() <= kProbers || m_placement.lease().Proven(m_now)) {
-      return true;
-    }
-    auto [found, added] = m_probe_duties.try_emplace(host, false);
+  /// Daemons whose duty it is to probe a host.
+  const std::vector<std::string>& Probers(const std::string& host) {
+    auto [found, added] = m_probers.try_emplace(host);
     if (added) {
-      found->second =
-          HasDuty(m_options.node, "probe " + host, m_live, kProbers);
+      found->second = RankNodes("probe " + host, m_live, kProbers);
     }
     return found->second;
   }
 
+  bool IsProber(const std::string& node, const std::string& host) {
+    const std::vector<std::string>& probers = Probers(host);
+    return std::find(probers.begin(), probers.end(), node) != probers.end();
+  }
+
+  bool ProbesHost(const std::string& host) {
+    // The lease holder acts on what hosts say themselves.
+    return m_placement.lease().Proven(m_now) || IsProber(m_options.node, host);
+  }
+
   /// Makes known to other daemons what changed here.
   void Spread() {
     if (m_peers_generation != m_config.generation()) {
@@ -230,10 +240,8 @@
     if (m_placement.lease().Proven(m_now)) {
       m_peers.SetCoordinator(m_placement.lease().fence());
     }
-    if (m_live.size() > kProbers) {
-      for (PresenceUpdate& verdict : m_presence.Verdicts(m_now)) {
-        m_peers.SpreadPresence(std::move(verdict));
-      }
+    for (PresenceUpdate& verdict : m_presence.Verdicts(m_now)) {
+      m_peers.SpreadPresence(std::move(verdict));
     }
     Take(m_peers.Advance(m_now));
   }
@@ -333,7 +341,8 @@
   Status m_status;
   PeerExchange m_peers;
   std::vector<std::string> m_live;  ///< Live daemons, this one included.
-  std::map<std::string, bool> m_probe_duties;  ///< By host, for m_live.
+  /// By host, for m_live.
+  std::map<std::string, std::vector<std::string>> m_probers;
   bool m_watcher = true;
   bool m_candidate = true;
   bool m_draining = false;
--- a/core/host_history.cc
+++ b/core/host_history.cc
@@ -43,7 +43,7 @@
     if (!record.info.engine) {
       continue;
     }
-    bool fresh = presence.Fresh(record, now);
+    bool fresh = presence.Reachable(record, now);
     UpdateHost(name, record, fresh, now, out);
     bool reachable = fresh || now - record.last_ok < m_fail_after / 2;
     Domain& domain = domains[record.info.fabric_domain];
--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -43,7 +43,8 @@
 
 bool SameVerdict(const PresenceUpdate& a, const PresenceUpdate& b) {
   return a.group == b.group && a.epoch == b.epoch && a.present == b.present &&
-         a.leaving == b.leaving && a.adapters == b.adapters;
+         a.leaving == b.leaving && a.adapters == b.adapters &&
+         a.info.address == b.info.address;
 }
 
 }  // namespace
--- a/core/peer_message.cc
+++ b/core/peer_message.cc
@@ -48,7 +48,9 @@
 json PresenceToJson(const PresenceUpdate& update) {
   return json::array({update.reporter, update.sequence, update.host,
                       update.group, update.epoch, update.present,
-                      update.leaving, update.adapters});
+                      update.leaving, update.adapters, update.info.data_centre,
+                      update.info.fabric_domain, update.info.address,
+                      update.info.accelerators, update.info.engine});
 }
 
 PresenceUpdate PresenceFromJson(const json& value) {
@@ -61,6 +63,12 @@
   value.at(5).get_to(update.present);
   value.at(6).get_to(update.leaving);
   value.at(7).get_to(update.adapters);
+  update.info.host = update.host;
+  value.at(8).get_to(update.info.data_centre);
+  value.at(9).get_to(update.info.fabric_domain);
+  value.at(10).get_to(update.info.address);
+  value.at(11).get_to(update.info.accelerators);
+  value.at(12).get_to(update.info.engine);
   return update;
 }
 
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -52,11 +52,14 @@
   std::string reporter;
   std::uint64_t sequence = 0;
   std::string host;
-  /// What the host confirmed, only meaningful if `present`.
+  /// As in the host list, for daemons that can't read it. `info.leaving` isn't
+  /// sent; see `leaving`.
+  HostInfo info;
+  /// What the host serves as it is placed; empty when it serves nothing.
   std::string group;
   std::uint64_t epoch = 0;
   std::vector<std::string> adapters;
-  bool present = false;  ///< Answers, and serves the group as it is placed.
+  bool present = false;  ///< The host answers.
   bool leaving = false;
 };
 
--- a/core/presence.cc
+++ b/core/presence.cc
@@ -150,11 +150,12 @@
 
 void Presence::Reported(const PresenceUpdate& verdict, TimePoint now,
                         Actions* out) {
-  auto found = m_hosts.find(verdict.host);
-  if (found == m_hosts.end()) {
-    return;
-  }
+  auto [found, added] = m_hosts.try_emplace(verdict.host);
   HostRecord& record = found->second;
+  if (added) {
+    record.info = verdict.info;
+    record.first_seen = record.last_ok = record.next_probe = now;
+  }
   record.verdicts[verdict.reporter] = verdict;
   m_dirty = true;
   if (verdict.leaving) {
@@ -176,9 +177,20 @@
   return !probes || probes(record.info.host);
 }
 
+std::vector<const PresenceUpdate*> Presence::CountedVerdicts(
+    const HostRecord& record) const {
+  std::vector<const PresenceUpdate*> verdicts;
+  for (const auto& [reporter, verdict] : record.verdicts) {
+    if (!reports || reports(reporter, record.info.host)) {
+      verdicts.push_back(&verdict);
+    }
+  }
+  return verdicts;
+}
+
 bool Presence::ProbesItself(const HostRecord& record) const {
-  return HasDuty(record) || record.verdicts.empty() ||
-         record.trusted_from > record.asked;
+  return HasDuty(record) || record.trusted_from > record.asked ||
+         CountedVerdicts(record).empty();
 }
 
 // One live reporter that denies closes the gate: two daemons with opposite
@@ -186,26 +198,28 @@
 bool Presence::ConfirmedByOthers(const std::string& name,
                                  const PlacedGroup& group,
                                  const HostRecord& record) const {
-  return std::all_of(record.verdicts.begin(), record.verdicts.end(),
-                     [&](const auto& item) {
-                       const PresenceUpdate& verdict = item.second;
-                       return verdict.present && verdict.group == name &&
-                              verdict.epoch == group.epoch;
+  auto verdicts = CountedVerdicts(record);
+  return std::all_of(verdicts.begin(), verdicts.end(),
+                     [&](const PresenceUpdate* verdict) {
+                       return verdict->present && verdict->group == name &&
+                              verdict->epoch == group.epoch;
                      });
 }
 
-bool Presence::Present(const HostRecord& record, TimePoint now) const {
+bool Presence::Reachable(const HostRecord& record, TimePoint now) const {
   if (ProbesItself(record)) {
     return Fresh(record, now);
   }
-  return std::all_of(record.verdicts.begin(), record.verdicts.end(),
-                     [](const auto& item) { return item.second.present; });
+  auto verdicts = CountedVerdicts(record);
+  return std::all_of(
+      verdicts.begin(), verdicts.end(),
+      [](const PresenceUpdate* verdict) { return verdict->present; });
 }
 
 const std::vector<std::string>* Presence::LoadedAdapters(
     const HostRecord& record) const {
   if (!ProbesItself(record)) {
-    return &record.verdicts.begin()->second.adapters;
+    return &CountedVerdicts(record).front()->adapters;
   }
   return record.health ? &record.health->adapters : nullptr;
 }
@@ -218,15 +232,17 @@
     }
     PresenceUpdate verdict;
     verdict.host = name;
+    verdict.info = record.info;
     verdict.leaving = record.leaving;
-    verdict.present = Present(record, now);
-    if (record.info.engine && verdict.present && record.health) {
+    verdict.present = Reachable(record, now);
+    if (verdict.present && record.health) {
       auto group = m_placement.groups.find(record.health->group);
-      verdict.present = group != m_placement.groups.end() &&
-                        Confirms(group->first, group->second, record, now);
-      verdict.group = record.health->group;
-      verdict.epoch = record.health->epoch;
-      verdict.adapters = record.health->adapters;
+      if (group != m_placement.groups.end() &&
+          Confirms(group->first, group->second, record, now)) {
+        verdict.group = group->first;
+        verdict.epoch = group->second.epoch;
+        verdict.adapters = record.health->adapters;
+      }
     }
     verdicts.push_back(std::move(verdict));
   }
@@ -383,7 +399,7 @@
   view.leader_host = record.info.host;
   view.leader_address = record.info.address;
   view.max_running = kPlainMaxRunning;
-  view.open = Present(record, now);
+  view.open = Reachable(record, now);
   view.leaving = record.leaving;
   return view;
 }
--- a/core/presence.h
+++ b/core/presence.h
@@ -89,11 +89,17 @@
   const std::vector<GroupView>& views() const { return m_views; }
   bool listed() const { return m_listed; }
   bool Fresh(const HostRecord& host, TimePoint now) const;
+  /// Whether the host answers, by this node's probes or by those of others.
+  bool Reachable(const HostRecord& host, TimePoint now) const;
 
   /// Whether probing a host is this node's duty; empty means that all are. A
   /// host is also probed without duty while no other daemon vouches for it, and
   /// after a suspicion until it answered.
   std::function<bool(const std::string& host)> probes;
+  /// Whether probing a host is another daemon's duty; empty means that all
+  /// verdicts count. A daemon that lost the duty doesn't update its verdict.
+  std::function<bool(const std::string& reporter, const std::string& host)>
+      reports;
 
  private:
   void Probe(HostRecord* record, TimePoint now, Actions* out);
@@ -109,10 +115,11 @@
                 const HostRecord& record, TimePoint now) const;
   void SendProbes(TimePoint now, Actions* out);
   bool HasDuty(const HostRecord& record) const;
+  std::vector<const PresenceUpdate*> CountedVerdicts(
+      const HostRecord& record) const;
   bool ProbesItself(const HostRecord& record) const;
   bool ConfirmedByOthers(const std::string& name, const PlacedGroup& group,
                          const HostRecord& record) const;
-  bool Present(const HostRecord& record, TimePoint now) const;
   const std::vector<std::string>* LoadedAdapters(
       const HostRecord& record) const;
   void Publish(std::vector<GroupView> views, Actions* out);
