--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -23,7 +23,7 @@
 /// A watch without a reply for this long after its timeout is lost.
 constexpr milliseconds kWatchGrace{5'000};
 constexpr milliseconds kReplyTimeout{10'000};
-constexpr milliseconds kMeasureInterval{100};
+constexpr milliseconds kMeasureInterval{200};
 
 /// A periodic or repeated call outside the object calls.
 struct Repeated {
