--- a/core/claim_ledger.cc
+++ b/core/claim_ledger.cc
@@ -174,8 +174,10 @@
   entry.number = ++m_last;
   entry.request = request.id;
   entry.key = ClaimKey(request);
-  entry.record.id = fmt::format("{}/{}/{}", m_options.node,
-                                m_options.incarnation, entry.number);
+  // The time keeps ids apart even if a restart didn't raise the incarnation.
+  entry.record.id =
+      fmt::format("{}/{}/{}-{:x}", m_options.node, m_options.incarnation,
+                  entry.number, now.time_since_epoch().count());
   entry.record.content = request.content_digest;
   if (m_wall_offset) {
     entry.record.claimed_at = WallMs(now);
@@ -469,7 +471,9 @@
   }
   auto found =
       m_entries.find(std::strtoull(id.c_str() + prefix.size(), nullptr, 10));
-  return found == m_entries.end() ? nullptr : &found->second;
+  return found == m_entries.end() || found->second.record.id != id
+             ? nullptr
+             : &found->second;
 }
 
 bool ClaimLedger::OwnEarlierLife(const std::string& id) const {
--- a/core/claim_ledger.h
+++ b/core/claim_ledger.h
@@ -27,7 +27,7 @@
 
 /// A claim object.
 struct ClaimRecord {
-  std::string id;       ///< Node, incarnation and number of the claim.
+  std::string id;       ///< Node, incarnation, number and time of the claim.
   std::string content;  ///< Digest of the request's content.
   ClaimState state = ClaimState::kRunning;
   int status = 0;
--- a/testing/claim_ledger_test.cc
+++ b/testing/claim_ledger_test.cc
@@ -263,6 +263,17 @@
         RefusalReason::kOutcomeUnknown);
 }
 
+// Guards against taking the claim of an earlier life for one's own when the
+// incarnation wasn't raised.
+TEST_CASE("a restarted daemon doesn't win by its earlier life's claim") {
+  Store store;
+  Node one(&store);
+  CHECK(one.ClaimAndWork(1, "k").won);
+  Node again(&store);
+  again.SetClock(one.now);
+  CHECK_FALSE(again.ClaimAndWork(1, "k").won);
+}
+
 // Guards against outcomes lost in an outage of the platform.
 TEST_CASE("an outcome is recorded when the platform returns") {
   Store store;
