--- a/config/fields.h
+++ b/config/fields.h
@@ -1,6 +1,7 @@
 // Keys of a section as a table: each field knows its key, how to read its value
 // and how to write it in canonical form. The same table serves parsing,
-// splitting into sections and checking the documentation. Internal to config/.
+// splitting into sections and checking the documentation. Internal to
+// config/ and to programs with INI files of their own.
 #ifndef CONFIG_FIELDS_H_
 #define CONFIG_FIELDS_H_
 
@@ -77,6 +78,8 @@
 struct KnownKey {
   std::string section;  ///< Kind of the section, such as "model".
   std::string key;
+  std::string fallback;  ///< Default as a file would give it; may be empty.
+  bool required = false;
 };
 std::vector<KnownKey> KnownDeclarationKeys();
 std::vector<KnownKey> KnownSettingKeys();
--- a/config/ini_file.h
+++ b/config/ini_file.h
@@ -1,9 +1,11 @@
-// An INI file as sections and keys with their lines. Internal to config/.
+// An INI file as sections and keys with their lines. Internal to config/
+// and to programs with INI files of their own.
 #ifndef CONFIG_INI_FILE_H_
 #define CONFIG_INI_FILE_H_
 
 #include <cstddef>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config/config.h"
@@ -36,6 +38,7 @@
   explicit FindingList(std::string file) : m_file(std::move(file)) {}
 
   void Add(int line, std::string message);
+  bool empty() const { return m_findings.empty(); }
 
   /// Returns the findings in line order and forgets them.
   std::vector<Finding> Take();
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -56,9 +56,8 @@
 };
 
 struct QuarantineUpdate {
-  std::string digest;
+  std::string digest;  ///< As in ShareQuarantine.
   milliseconds remaining{0};
-  int crashes = 0;
 };
 
 struct ConfigPull {
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -83,7 +83,9 @@
 void Daemon::CreateCore() {
   RequestPathOptions request_options;
   request_options.node = m_settings.node;
+  request_options.incarnation = m_incarnation;
   request_options.data_centre = m_settings.data_centre;
+  request_options.incarnation = m_incarnation;
   request_options.seed = m_settings.seed;
   request_options.max_queued = m_settings.max_queued;
   request_options.claim_retention = m_settings.claim_retention;
@@ -189,8 +191,8 @@
   m_tick.expires_after(kTickInterval);
   m_tick.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    Feed(ControlEvent(Tick{}));
-    Feed(RequestEvent(Tick{}));
+    Feed(ControlEvent(Tick{std::chrono::system_clock::now()}));
+    Feed(RequestEvent(Tick{std::chrono::system_clock::now()}));
     CheckFinished();
     ScheduleTick();
   });
@@ -201,9 +203,9 @@
 
 void Daemon::OnExchange(const std::shared_ptr<HttpExchange>& exchange) {
   if (AnswerAdminPage(exchange.get())) return;
-  static const Configuration kEmpty;
+  static const Configuration empty;
   const Configuration& configuration =
-      m_configuration ? *m_configuration : kEmpty;
+      m_configuration ? *m_configuration : empty;
   ReadResult read = ReadCallerRequest(m_settings, configuration,
                                       exchange->request(), Clock::now());
   if (!read.request) {
@@ -231,9 +233,9 @@
   } else if (request.path == "/readyz") {
     bool ready = Ready();
     exchange->Answer(ready ? 200 : 503, {{"Content-Type", "text/plain"}},
-                     ready                          ? "ready\n"
+                     ready                        ? "ready\n"
                      : m_phase == Phase::kServing ? "no configuration\n"
-                                                    : "stopping\n");
+                                                  : "stopping\n");
   } else if (request.path == "/metrics") {
     exchange->Answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                      RenderMetrics());
@@ -282,8 +284,7 @@
   m_metrics.SetTotal("clementine_platform_calls_total", "",
                      m_platform->calls());
   ControlStatus control = m_control_plane->status(Clock::now());
-  m_metrics.Set("clementine_generation", "",
-                static_cast<double>(m_generation));
+  m_metrics.Set("clementine_generation", "", static_cast<double>(m_generation));
   m_metrics.Set("clementine_open_groups", "",
                 static_cast<double>(m_open_groups));
   m_metrics.Set("clementine_holds_lease", "", control.holds_lease ? 1 : 0);
@@ -308,8 +309,8 @@
 void Daemon::OnDrainWaited() {
   m_phase = Phase::kFinishing;
   Feed(RequestEvent(DrainStarted{}));
-  LogEvent("draining", {{"unfinished",
-                         std::to_string(m_request_executor->unfinished())}});
+  LogEvent("draining",
+           {{"unfinished", std::to_string(m_request_executor->unfinished())}});
   CheckFinished();
 }
 
