Don't delay a retry by the failed server's Retry-After

The retry goes to another group, so the advice of the one that refused doesn't concern it; a refusal with 5 s advice used to hold the retry back for 5 s.

--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -205,7 +205,7 @@
                                           const AttemptEnded& event,
                                           milliseconds pause);
   bool MayRetry(const Active& active, const AttemptEnded& event) const;
-  milliseconds Backoff(const Active& active, milliseconds at_least);
+  milliseconds Backoff(const Active& active);
   bool EndDetached(const AttemptEnded& event);
 
   // Ends of requests.
@@ -715,13 +715,13 @@
   return active.request.idempotent || Broken("run_once");
 }
 
-milliseconds RequestPath::Impl::Backoff(const Active& active,
-                                        milliseconds at_least) {
+// The failed server's Retry-After doesn't delay a retry on another group.
+milliseconds RequestPath::Impl::Backoff(const Active& active) {
   milliseconds longest = std::min(
       kLongestBackoff, kFirstBackoff * (1 << std::min(active.attempts - 1, 6)));
   milliseconds jitter(static_cast<std::int64_t>(m_random() % 1000) *
                       longest.count() / 2000);
-  return std::max(longest - jitter, at_least);
+  return longest - jitter;
 }
 
 std::optional<RefusalReason> RequestPath::Impl::WhyNoRetry(
@@ -753,7 +753,7 @@
     active->may_have_run = true;
   }
   Reserve(active, true);
-  milliseconds pause = Backoff(*active, event.retry_after);
+  milliseconds pause = Backoff(*active);
   std::optional<RefusalReason> reason = WhyNoRetry(*active, event, pause);
   bool answered = event.result == AttemptResult::kError &&
                   event.status >= kClientErrors && event.offset == 0;
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -168,6 +168,18 @@
   CHECK(f.One<Refuse>().outcome == Outcome::kUnknown);
 }
 
+// Guards against one busy server's advice holding back a retry on another.
+TEST_CASE("retry-after of a backend server delays no other group") {
+  Fixture f;
+  AttemptEnded busy;
+  busy.attempt = f.Send(f.MakeRequest()).attempt;
+  busy.result = AttemptResult::kRefused;
+  busy.retry_after = milliseconds(5000);
+  f.Feed(busy);
+  f.Pass(milliseconds(100));
+  CHECK(f.All<Dispatch>().size() == 1);
+}
+
 // Guards against a retry after the deadline and a not-run answer for a request
 // of which an earlier attempt may have run.
 TEST_CASE("no retry past the deadline, and the outcome covers all attempts") {
