--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -216,6 +216,25 @@
   CHECK(paces[0].slowness() == doctest::Approx(1.0));
 }
 
+// Guards against measured slowness that routing ignores, or ejects.
+TEST_CASE("a straggler is routed less work but some") {
+  Router router("east", 1, {});
+  router.SetGroups(MakeGroups(4));
+  for (GroupState* group : router.FindPool(ChatRequest())->near) {
+    bool slow = group->view.group == "chat/2";
+    for (int i = 0; i < 10; ++i) {
+      group->pace.AddFirstProgress(milliseconds(slow ? 400 : 100), kStart);
+    }
+  }
+  for (int second = 0; second < 5; ++second) {
+    router.Refresh(kStart + std::chrono::seconds(second));
+  }
+  auto counts = Fill(&router, ChatRequest(), 24);
+  CHECK(counts["chat/2"] >= 1);
+  CHECK(counts["chat/2"] <= 3);
+  CHECK(counts["chat/1"] >= 6);
+}
+
 // Guards the baselines, against which the weighted policy is measured.
 TEST_CASE("baseline policies pick in turn and by least in flight") {
   Router turn("east", 1, RoundRobinPolicy());
