Name the watch in its reply

A reply without changes carries no key, so the control plane could not tell which watch it answers and waited for its timeout: a daemon started before the first apply adopted it only after 35 s.

--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -372,10 +372,13 @@
   std::string target = fmt::format("/v1/watch?prefix={}&since={}&timeout_ms={}",
                                    PercentEncode(watch.prefix, ""), watch.since,
                                    watch.timeout.count());
-  m_impl->Start(http::verb::get, std::move(target), "", watch.timeout,
-                [done = std::move(done)](const Answer& answer) {
-                  done(DecodeObjects(answer));
-                });
+  m_impl->Start(
+      http::verb::get, std::move(target), "", watch.timeout,
+      [prefix = watch.prefix, done = std::move(done)](const Answer& answer) {
+        std::optional<ObjectsChanged> changed = DecodeObjects(answer);
+        if (changed) changed->prefix = prefix;
+        done(std::move(changed));
+      });
 }
 
 void PlatformClient::ListHosts(
--- a/testing/platform_client_test.cc
+++ b/testing/platform_client_test.cc
@@ -242,6 +242,8 @@
   auto changed = Await(&test.io, &watched);
   REQUIRE(changed.has_value());
   CHECK(changed->revision == 8);
+  // Without its prefix an empty reply can't be told from another watch's.
+  CHECK(changed->prefix == "a/");
   REQUIRE(changed->entries.size() == 1);
   CHECK(changed->entries[0].key == "a/b");
   CHECK(changed->entries[0].version == 0);
