--- a/testing/net_backend_client_test.cc
+++ b/testing/net_backend_client_test.cc
@@ -10,7 +10,8 @@
 namespace {
 
 struct Fixture {
-  explicit Fixture(ScriptedServer::Script script, BackendOptions options = {})
+  explicit Fixture(ScriptedServer::Script script,
+                   const BackendOptions& options = {})
       : server(&io, std::move(script)), client(&io, options) {
     call.address = server.address;
     call.target = "/v1/chat/completions";
@@ -26,7 +27,7 @@
       last_offset = offset;
     };
     handlers.load = [this](const LoadReport& report) { load = report; };
-    handlers.end = [this](BackendEnd result) { ends.push_back(result); };
+    handlers.end = [this](const BackendEnd& result) { ends.push_back(result); };
     return client.Start(call, std::move(handlers));
   }
 
@@ -106,7 +107,7 @@
   std::string bytes = ": comment\r\n" + Event("a:b", 0, "one") +
                       "id: a:b:1\r\ndata: two\r\ndata: lines\r\n\r\n" +
                       Event("a:b", 2, "three") + kDone;
-  CHECK(rc::check([&](std::vector<std::uint8_t> cuts) {
+  CHECK(rc::check([&](const std::vector<std::uint8_t>& cuts) {
     EventStreamReader reader("a:b", 0);
     std::string joined;
     std::size_t at = 0;
@@ -204,9 +205,10 @@
   });
   std::vector<std::optional<HostHealth>> healths;
   for (std::size_t i = 0; i < 2; ++i) {
-    fixture.client.Probe(
-        fixture.server.address, milliseconds(400),
-        [&](std::optional<HostHealth> health) { healths.push_back(health); });
+    fixture.client.Probe(fixture.server.address, milliseconds(400),
+                         [&](const std::optional<HostHealth>& health) {
+                           healths.push_back(health);
+                         });
     REQUIRE(RunUntil(&fixture.io, [&] { return healths.size() == i + 1; }));
     CHECK(healths[i].has_value());
   }
--- a/testing/net_daemon_test.cc
+++ b/testing/net_daemon_test.cc
@@ -205,15 +205,18 @@
 // Guards against text that is lost when a stream is joined for a caller who
 // doesn't stream.
 TEST_CASE("chat events are joined") {
-  auto answer = nlohmann::json::parse(JoinChatEvents(
-      {R"({"id":"x","object":"chat.completion.chunk",)"
-       R"("choices":[{"index":0,"delta":{"role":"assistant"}}]})",
-       Delta("a"), Delta("b"),
-       R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t",)"
-       R"("function":{"name":"f","arguments":"{"}}]}}]})",
-       R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,)"
-       R"("function":{"arguments":"}"}}]},"finish_reason":"stop"}],)"
-       R"("usage":{"total_tokens":5}})"}));
+  const std::string first =
+      R"({"id":"x","object":"chat.completion.chunk",)"
+      R"("choices":[{"index":0,"delta":{"role":"assistant"}}]})";
+  const std::string call =
+      R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t",)"
+      R"("function":{"name":"f","arguments":"{"}}]}}]})";
+  const std::string last =
+      R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,)"
+      R"("function":{"arguments":"}"}}]},"finish_reason":"stop"}],)"
+      R"("usage":{"total_tokens":5}})";
+  auto answer = nlohmann::json::parse(
+      JoinChatEvents({first, Delta("a"), Delta("b"), call, last}));
   CHECK(answer["object"] == "chat.completion");
   CHECK(answer["id"] == "x");
   const auto& choice = answer["choices"][0];
--- a/testing/net_http_server_test.cc
+++ b/testing/net_http_server_test.cc
@@ -159,7 +159,9 @@
   int left = 0;
   fixture.exchanges[0]->SetLeaveHandler([&] { ++left; });
   fixture.exchanges[0]->StartStream(200, {});
-  fixture.exchanges[0]->Write(std::string(32'000'000, 'x'));
+  // More than the kernel buffers for a connection.
+  std::string megabyte(1 << 20, 'x');
+  for (int i = 0; i < 32; ++i) fixture.exchanges[0]->Write(megabyte);
   CHECK(fixture.Until([&] { return left == 1; }));
 }
 
