--- a/testing/process_harness.cc
+++ b/testing/process_harness.cc
@@ -139,7 +139,8 @@
   std::string value;
   auto find = [&] {
     std::string log = Log();
-    std::size_t line = log.find("event=listening ");
+    std::size_t line =
+        std::min(log.find("event=listening "), log.find("event=started "));
     std::size_t end = log.find('\n', line);
     if (line == std::string::npos || end == std::string::npos) return false;
     std::size_t field = log.find(" " + key + "=", line);
--- a/testing/process_harness.h
+++ b/testing/process_harness.h
@@ -62,7 +62,8 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
-  /// Value of `key` in the first line of the log that has `event=listening`.
+  /// Value of `key` in the first line of the log that has `event=listening`
+  /// (stand-ins) or `event=started` (daemon).
   /// @throws std::runtime_error when there's none in time.
   std::string Listening(const std::string& key);
   std::string address() { return Listening("address"); }
