--- a/testing/process_path_test.cc
+++ b/testing/process_path_test.cc
@@ -91,9 +91,9 @@
     StartBackend("p1", "plain", "fd1", plain_options);
     StartDaemon("d1", "");
     StartDaemon("d2", m_daemons[0]->Listening("peer_listen"));
-    auto [status, output] = Apply(kSite);
-    INFO(output);
-    REQUIRE(status == 0);
+    auto applied = Apply(kSite);
+    INFO(applied.second);
+    REQUIRE(applied.first == 0);
     for (int i : {0, 1}) {
       INFO(m_daemons[static_cast<std::size_t>(i)]->Log());
       REQUIRE(
@@ -219,9 +219,9 @@
   Site site;
   std::string changed =
       std::string(kSite) + "[route /v1/kit-status]\nservice = orders\n";
-  auto [status, output] = site.Apply(changed);
-  INFO(output);
-  CHECK(status == 0);
+  auto applied = site.Apply(changed);
+  INFO(applied.second);
+  CHECK(applied.first == 0);
   for (int i : {0, 1}) {
     CHECK(site.Metric(i, "generation") == 2);
     CHECK(
