--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -91,6 +91,10 @@
     }
     auto watch = m_watches.find(WatchOf(event));
     if (watch != m_watches.end()) {
+      bool whole = watch->second.since == 0;
+      if (whole && event.entries.empty() && watch->first == m_placement_key) {
+        m_placement.ObservedAbsent();
+      }
       watch->second.pending = false;
       watch->second.since = event.revision;
       watch->second.next = m_now;
--- a/core/lease.cc
+++ b/core/lease.cc
@@ -92,6 +92,7 @@
 }
 
 void Lease::RaiseFence(std::uint64_t placement_fence) {
+  m_placement_absent = false;
   if (placement_fence + 1 > m_least_fence) {
     m_least_fence = placement_fence + 1;
     if (m_own && m_record.fence < m_least_fence) {
@@ -256,7 +257,8 @@
 
 TimePoint Lease::TakeoverTime() const {
   milliseconds wait = m_options.duration + m_options.longest_order;
-  bool absent_new = m_version == 0 && m_least_fence == 0;
+  // Without a lease and a placement there was no holder to wait for.
+  bool absent_new = m_version == 0 && m_placement_absent;
   if (absent_new || (m_version != 0 && m_seen.holder.empty()) ||
       m_options.mutation == Mutation::kTakeLeaseEarly) {
     wait = milliseconds(0);
--- a/core/lease.h
+++ b/core/lease.h
@@ -58,6 +58,8 @@
   /// Highest fence seen in the placement object. The lease is rewritten with a
   /// higher one if needed, which happens after an operator deleted the lease.
   void RaiseFence(std::uint64_t placement_fence);
+  /// There is no placement object, so no daemon has used a lease yet.
+  void PlacementAbsent() { m_placement_absent = true; }
   /// Stops renewing and releases when `orders_settled`.
   void Release(bool orders_settled, TimePoint now, Actions* out);
 
@@ -115,6 +117,7 @@
   std::uint64_t m_renewal = 0;
   std::deque<Write> m_writes;  ///< Recent writes; a late one can be granted.
   std::uint64_t m_least_fence = 0;
+  bool m_placement_absent = false;
   TimePoint m_last_now;
   TimePoint m_prove_from;  ///< A renewal sent before this proves nothing.
 };
--- a/core/placement_control.cc
+++ b/core/placement_control.cc
@@ -13,9 +13,9 @@
 namespace clementine {
 namespace {
 
-constexpr milliseconds kPlanInterval{250};
-constexpr milliseconds kOrderInterval{100};
-constexpr milliseconds kHistoryInterval{100};
+constexpr milliseconds kPlanInterval{500};
+constexpr milliseconds kOrderInterval{200};
+constexpr milliseconds kHistoryInterval{250};
 /// Other daemons learn within this time that a group takes no new work.
 constexpr milliseconds kDrainSettle{5'000};
 /// Loads that take longer than this many load times no longer hold up others.
@@ -65,6 +65,8 @@
   }
   if (m_store.known() && !m_lease.Holding()) {
     m_lease.RaiseFence(m_store.placement().fence);
+  } else if (m_store.absent()) {
+    m_lease.PlacementAbsent();
   }
   m_lease.Advance(may_compete, now, out);
   if (!m_lease.Proven(now) || m_draining) {
--- a/core/placement_control.h
+++ b/core/placement_control.h
@@ -32,6 +32,8 @@
                          Actions* out) {
     m_store.Observed(version, value, out);
   }
+  /// A whole listing of the platform had no placement object.
+  void ObservedAbsent() { m_store.ObservedAbsent(); }
   void Replied(const PendingCall& call, const ObjectReply& reply, TimePoint now,
                Actions* out);
   void OrderReplied(const OrderAnswered& answer, TimePoint now, Actions* out);
--- a/core/placement_store.h
+++ b/core/placement_store.h
@@ -29,6 +29,7 @@
 
   /// Content of the object from a watch or from another daemon.
   void Observed(std::uint64_t version, const std::string& value, Actions* out);
+  void ObservedAbsent() { m_absent = !m_known; }
   void Replied(const PendingCall& call, const ObjectReply& reply, TimePoint now,
                Actions* out);
   /// A new fence was granted: the object is read and claimed again.
@@ -46,6 +47,8 @@
   /// Whether the stored fence isn't below `fence` though it isn't ours.
   bool FenceTooLow(std::uint64_t fence) const;
   bool known() const { return m_known; }
+  /// Never stored, as far as is known.
+  bool absent() const { return m_absent && !m_known; }
   const Placement& placement() const { return m_placement; }
   std::uint64_t version() const { return m_version; }
   /// Rises whenever placement() changes.
@@ -63,6 +66,7 @@
   Mutation m_mutation;
   bool m_known = false;
   bool m_damaged = false;
+  bool m_absent = false;
   std::uint64_t m_version = 0;  ///< 0 when absent.
   Placement m_placement;
   std::uint64_t m_changes = 0;
--- a/core/presence.cc
+++ b/core/presence.cc
@@ -15,7 +15,7 @@
 constexpr milliseconds kLeavingHold{10'000};
 constexpr int kPlainMaxRunning = 8;
 /// All hosts and gates are looked at this often, or at once after a change.
-constexpr milliseconds kPassInterval{50};
+constexpr milliseconds kPassInterval{100};
 
 bool SameView(const GroupView& a, const GroupView& b) {
   return a.group == b.group && a.model == b.model && a.version == b.version &&
--- a/testing/control_world.h
+++ b/testing/control_world.h
@@ -271,7 +271,7 @@
       std::visit([&](const auto& typed) { Execute(index, typed); }, action);
     }
   }
-  void Reply(std::size_t index, milliseconds delay, ControlEvent event) {
+  void Reply(std::size_t index, milliseconds delay, const ControlEvent& event) {
     std::uint64_t life = daemons[index].life;
     At(delay, [this, index, life, event] { Deliver(index, life, event); });
   }
--- a/testing/lease_test.cc
+++ b/testing/lease_test.cc
@@ -16,7 +16,9 @@
   explicit Party(const std::string& node)
       : jitter(7),
         lease({node, 1, "lease/dc", seconds(10), seconds(5), Mutation::kNone},
-              &calls, &jitter) {}
+              &calls, &jitter) {
+    lease.PlacementAbsent();
+  }
 
   /// Advances, and returns the call that was issued or 0.
   CallId Advance(TimePoint now) {
@@ -163,6 +165,20 @@
   CHECK(party.Advance(kStart + seconds(30)) == 0);
 }
 
+TEST_CASE("an absent lease is waited for unless there is no placement") {
+  // Guards against a restarted daemon that takes a deleted lease at once while
+  // the holder still acts (control_plane_fuzz_test, seed 55).
+  Party party("a");
+  party.lease.RaiseFence(3);
+  for (TimePoint t = kStart; t < kStart + seconds(14); t += milliseconds(100)) {
+    CallId call = party.Advance(t);
+    if (call != 0 && party.put.call == 0) {
+      party.Reply(call, ObjectStatus::kNotFound, 0, "", t);
+    }
+  }
+  CHECK(party.put.call == 0);
+}
+
 TEST_CASE("a new lease gets a higher fence than the stored placement") {
   // Guards against fences that start again after the lease was deleted.
   Party party("a");
