--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -91,12 +91,13 @@
     }
     auto watch = m_watches.find(WatchOf(event));
     if (watch != m_watches.end()) {
-      bool whole = watch->second.since == 0;
+      bool whole = watch->second.since == 0 && !event.prefix.empty();
       if (whole && event.entries.empty() && watch->first == m_placement_key) {
         m_placement.ObservedAbsent();
       }
       watch->second.pending = false;
-      watch->second.since = event.revision;
+      bool guessed = event.prefix.empty() && event.entries.empty();
+      watch->second.since = guessed ? watch->second.since : event.revision;
       watch->second.next = m_now;
       watch->second.backoff.Succeeded();
     }
@@ -131,12 +132,24 @@
   void On(const DrainStarted&) { m_placement.Drain(); }
   void On(const Tick&) {}
 
-  /// The watch that a reply belongs to.
+  /// The watch that a reply belongs to. Without a prefix or entries it's taken
+  /// for the oldest; `since` is then kept, since the guess can be wrong.
   std::string WatchOf(const ObjectsChanged& event) const {
-    if (!event.prefix.empty() || event.entries.empty()) {
+    if (!event.prefix.empty()) {
       return event.prefix;
     }
-    return event.entries.front().key;
+    if (!event.entries.empty()) {
+      return event.entries.front().key;
+    }
+    std::string oldest;
+    TimePoint sent = TimePoint::max();
+    for (const auto& [prefix, watch] : m_watches) {
+      if (watch.pending && watch.sent < sent) {
+        oldest = prefix;
+        sent = watch.sent;
+      }
+    }
+    return oldest;
   }
 
   void Route(const PendingCall& call, const ObjectReply& reply) {
