Read the lease directly before taking it over

A takeover now follows a read sent less than 2 s before, and a holder whose lease ran out reads before it renews.

--- a/core/lease.cc
+++ b/core/lease.cc
@@ -28,6 +28,9 @@
 /// A gap between calls of this part of the lease counts as a pause.
 constexpr int kPauseParts = 5;
 constexpr milliseconds kTakeoverSpread{500};
+/// A takeover directly follows a read. Versions start again when an operator
+/// deleted the object, so an old version can match another holder's lease.
+constexpr milliseconds kTakeoverRead{2'000};
 constexpr std::size_t kRememberedWrites = 16;
 
 bool SameWrite(const LeaseRecord& a, const LeaseRecord& b) {
@@ -167,6 +170,7 @@
     m_next = now;
     return;
   }
+  m_last_read = call.sent;
   SawVersion(reply, now, out);
 }
 
@@ -236,6 +240,7 @@
   }
   if (m_machine.state() == "held" && !ValidAt(now)) {
     m_next = now;
+    m_must_read = true;
     Apply("expired", out);
   }
   if (m_machine.Finished() || m_machine.state() == "releasing") {
@@ -267,7 +272,7 @@
 }
 
 void Lease::AdvanceCandidate(TimePoint now, Actions* out) {
-  if (now < TakeoverTime()) {
+  if (now < TakeoverTime() || now - m_last_read > kTakeoverRead) {
     m_waiting = "lease of " + m_seen.holder;
     Read(now, out);
     return;
--- a/core/lease.h
+++ b/core/lease.h
@@ -110,6 +110,7 @@
   LeaseRecord m_seen;           ///< Content of that version.
   bool m_seen_any = false;
   TimePoint m_first_seen;    ///< When that version was first received.
+  TimePoint m_last_read;     ///< Sending time of the last good read.
   milliseconds m_spread{0};  ///< Keeps candidates from writing together.
 
   LeaseRecord m_record;  ///< As granted to this daemon.
--- a/testing/control_plane_fuzz_test.cc
+++ b/testing/control_plane_fuzz_test.cc
@@ -192,10 +192,9 @@
 TEST_CASE("the oracle notices each deliberate fault") {
   // Each fault starts at a seed that is known to show it.
   const std::vector<std::pair<Mutation, std::uint64_t>> mutations = {
-      {Mutation::kIgnoreHealthAge, 1},  {Mutation::kIgnoreEpoch, 41},
-      {Mutation::kIgnoreLeaving, 5},    {Mutation::kSkipUnloadConfirmed, 1},
-      {Mutation::kTakeLeaseEarly, 1},   {Mutation::kUnconditionalWrite, 57},
-      {Mutation::kRevertGeneration, 3},
+      {Mutation::kIgnoreHealthAge, 1}, {Mutation::kIgnoreEpoch, 41},
+      {Mutation::kIgnoreLeaving, 5},   {Mutation::kSkipUnloadConfirmed, 1},
+      {Mutation::kTakeLeaseEarly, 1},  {Mutation::kRevertGeneration, 3},
   };
   for (const auto& [mutation, first] : mutations) {
     int number = static_cast<int>(mutation);
@@ -208,4 +207,22 @@
   }
 }
 
+TEST_CASE("an edit of the placement is not overwritten unread") {
+  // Guards against a holder that repeats its write after a conflict. Random
+  // histories rarely meet an edit during a write, so edits come in each step.
+  for (Mutation mutation : {Mutation{}, Mutation::kUnconditionalWrite}) {
+    WorldOptions options;
+    options.mutation = mutation;
+    ControlWorld world(options);
+    world.StoreConfiguration(WorldConfiguration(1, 2), 1);
+    world.Run(seconds(12));
+    world.latency = milliseconds(300);
+    world.operator_edits = 100;
+    world.StoreConfiguration(WorldConfiguration(2, 2), 2);
+    world.Run(seconds(30));
+    bool overwritten = !world.violations.empty();
+    CHECK(overwritten == (mutation == Mutation::kUnconditionalWrite));
+  }
+}
+
 }  // namespace clementine
--- a/testing/lease_test.cc
+++ b/testing/lease_test.cc
@@ -140,11 +140,11 @@
   party.Acquire(kStart);
   CHECK(party.lease.Proven(kStart + seconds(1)));
   CHECK_FALSE(party.lease.Proven(kStart + seconds(5)));
-  CallId renewal = party.Advance(kStart + seconds(5));
+  CallId granted = party.put.call;
+  CallId read = party.Advance(kStart + seconds(5));
+  CHECK(party.put.call == granted);
   CHECK(party.lease.state() == "lapsed");
   CHECK_FALSE(party.lease.Proven(kStart + seconds(5)));
-  party.Reply(renewal, ObjectStatus::kConflict, 2, "", kStart + seconds(5));
-  CallId read = party.Advance(kStart + seconds(6));
   party.Reply(read, ObjectStatus::kOk, 2, LeaseOf("b", 1), kStart + seconds(6));
   CHECK(party.lease.state() == "candidate");
 }
