--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -125,8 +125,13 @@
     }
     auto watch = m_watches.find(WatchOf(event));
     if (watch != m_watches.end()) {
+      bool whole = watch->second.since == 0 && !event.prefix.empty();
+      if (whole && event.entries.empty() && watch->first == m_placement_key) {
+        m_placement.ObservedAbsent();
+      }
       watch->second.pending = false;
-      watch->second.since = event.revision;
+      bool guessed = event.prefix.empty() && event.entries.empty();
+      watch->second.since = guessed ? watch->second.since : event.revision;
       watch->second.next = m_now;
       watch->second.backoff.Succeeded();
     }
@@ -164,7 +169,7 @@
   }
   void On(const DrainStarted&) {
     m_placement.Drain();
-    m_draining = true;
+    Take(m_peers.Leave(m_now));
   }
   void On(const Tick&) {}
 
@@ -345,7 +350,6 @@
   std::map<std::string, std::vector<std::string>> m_probers;
   bool m_watcher = true;
   bool m_candidate = true;
-  bool m_draining = false;
   std::uint64_t m_peers_generation = 0;
   std::uint64_t m_peers_placement = 0;
   TimePoint m_next_spread;
