--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -23,10 +23,9 @@
 constexpr milliseconds kListInterval{2'000};
 /// For daemons that other daemons tell of leaving hosts.
 constexpr milliseconds kSlowListInterval{20'000};
-/// Daemons of a data centre that watch the platform for the others.
-constexpr std::size_t kWatchers = 2;
-/// Daemons that compete for the lease; the others take over when these fail.
-constexpr std::size_t kCandidates = 2;
+/// Daemons of a data centre that watch the platform for the others and compete
+/// for the lease; others take over when these fail.
+constexpr std::size_t kPlatformDaemons = 2;
 /// Daemons that probe a host. With no more daemons than this all probe all.
 constexpr std::size_t kProbers = 3;
 constexpr milliseconds kWatchTimeout{30'000};
@@ -107,7 +106,8 @@
   void On(const HostsListed& event) {
     m_list.pending = false;
     m_list.backoff.Succeeded();
-    milliseconds interval = m_watcher ? kListInterval : kSlowListInterval;
+    milliseconds interval =
+        m_attends_platform ? kListInterval : kSlowListInterval;
     m_list.next = m_now + m_jitter.Between(interval / 2, interval);
     m_presence.SetHosts(event.hosts, m_now, &m_out);
   }
@@ -130,8 +130,7 @@
         m_placement.ObservedAbsent();
       }
       watch->second.pending = false;
-      bool guessed = event.prefix.empty() && event.entries.empty();
-      watch->second.since = guessed ? watch->second.since : event.revision;
+      watch->second.since = event.revision;
       watch->second.next = m_now;
       watch->second.backoff.Succeeded();
     }
@@ -202,8 +201,8 @@
   void LiveChanged() {
     m_live = m_peers.LiveNodes();
     m_probers.clear();
-    m_watcher = HasDuty(m_options.node, "watch", m_live, kWatchers);
-    m_candidate = HasDuty(m_options.node, "lease", m_live, kCandidates);
+    m_attends_platform =
+        HasDuty(m_options.node, "platform", m_live, kPlatformDaemons);
     m_presence.SetReporters(m_live);
   }
 
@@ -305,7 +304,7 @@
       if (watch.pending && m_now - watch.sent > kWatchTimeout + kWatchGrace) {
         watch.pending = false;
       }
-      if (!watch.pending && m_now >= watch.next && m_watcher) {
+      if (!watch.pending && m_now >= watch.next && m_attends_platform) {
         watch.pending = m_calls.StartWatch(prefix, watch.since, kWatchTimeout,
                                            m_now, &m_out);
         watch.sent = m_now;
@@ -317,8 +316,8 @@
     }
     m_config.Advance(m_now, &m_out);
     m_presence.SetConfiguration(m_config.configuration());
-    m_placement.Advance(m_presence, m_config.configuration().get(), m_candidate,
-                        m_now, &m_out);
+    m_placement.Advance(m_presence, m_config.configuration().get(),
+                        m_attends_platform, m_now, &m_out);
     if (m_placement_changes != m_placement.store().changes()) {
       m_placement_changes = m_placement.store().changes();
       m_presence.SetPlacement(m_placement.store().placement());
@@ -348,8 +347,7 @@
   std::vector<std::string> m_live;  ///< Live daemons, this one included.
   /// By host, for m_live.
   std::map<std::string, std::vector<std::string>> m_probers;
-  bool m_watcher = true;
-  bool m_candidate = true;
+  bool m_attends_platform = true;
   std::uint64_t m_peers_generation = 0;
   std::uint64_t m_peers_placement = 0;
   TimePoint m_next_spread;
