--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -85,7 +85,6 @@
   request_options.node = m_settings.node;
   request_options.incarnation = m_incarnation;
   request_options.data_centre = m_settings.data_centre;
-  request_options.incarnation = m_incarnation;
   request_options.seed = m_settings.seed;
   request_options.max_queued = m_settings.max_queued;
   request_options.claim_retention = m_settings.claim_retention;
@@ -130,6 +129,8 @@
   };
   m_control_executor =
       std::make_unique<ControlExecutor>(std::move(control_context));
+  m_cache_poller =
+      std::make_unique<CachePoller>(m_backends.get(), feed_request);
 }
 
 // ---------------------------------------------------------------------------
@@ -161,6 +162,9 @@
   if (const auto* request_event = std::get_if<RequestEvent>(&event)) {
     for (const RequestAction& action :
          m_request_path->Handle(*request_event, now)) {
+      if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+        m_cache_poller->Used(dispatch->group, now);
+      }
       m_request_executor->Execute(action);
     }
   } else {
@@ -174,6 +178,7 @@
 void Daemon::PassOn(const RequestEvent& event) {
   if (const auto* groups = std::get_if<GroupsChanged>(&event)) {
     m_request_executor->SetGroups(groups->groups);
+    m_cache_poller->SetGroups(groups->groups);
     m_open_groups = 0;
     for (const GroupView& group : groups->groups) {
       if (group.open) ++m_open_groups;
--- a/testing/net_daemon_test.cc
+++ b/testing/net_daemon_test.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "daemon/cache_poller.h"
 #include "daemon/chat_answer.h"
 #include "daemon/request_executor.h"
 #include "daemon/request_reader.h"
@@ -204,15 +205,18 @@
 // Guards against text that is lost when a stream is joined for a caller who
 // doesn't stream.
 TEST_CASE("chat events are joined") {
-  auto answer = nlohmann::json::parse(JoinChatEvents(
-      {R"({"id":"x","object":"chat.completion.chunk",)"
-       R"("choices":[{"index":0,"delta":{"role":"assistant"}}]})",
-       Delta("a"), Delta("b"),
-       R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t",)"
-       R"("function":{"name":"f","arguments":"{"}}]}}]})",
-       R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,)"
-       R"("function":{"arguments":"}"}}]},"finish_reason":"stop"}],)"
-       R"("usage":{"total_tokens":5}})"}));
+  const std::string first =
+      R"({"id":"x","object":"chat.completion.chunk",)"
+      R"("choices":[{"index":0,"delta":{"role":"assistant"}}]})";
+  const std::string call =
+      R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"id":"t",)"
+      R"("function":{"name":"f","arguments":"{"}}]}}]})";
+  const std::string last =
+      R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,)"
+      R"("function":{"arguments":"}"}}]},"finish_reason":"stop"}],)"
+      R"("usage":{"total_tokens":5}})";
+  auto answer = nlohmann::json::parse(
+      JoinChatEvents({first, Delta("a"), Delta("b"), call, last}));
   CHECK(answer["object"] == "chat.completion");
   CHECK(answer["id"] == "x");
   const auto& choice = answer["choices"][0];
@@ -305,6 +309,40 @@
   CHECK(fixture.executor->unfinished() == 0);
 }
 
+// Guards against cache knowledge that misses an event unnoticed: the request
+// path forgets a group whose numbers aren't consecutive.
+TEST_CASE("cache poller turns a gap of the engine into a gap") {
+  asio::io_context io;
+  ScriptedServer engine(&io, [](RawConnection& raw, const std::string&) {
+    raw.Send(HttpAnswer(200, R"({"events":[
+        {"sequence":1,"added":[7,8],"removed":[]},
+        {"sequence":2,"added":[9],"removed":[7]},
+        {"sequence":4,"added":[5],"removed":[]}]})"));
+  });
+  BackendClient backends(&io, {});
+  std::vector<CacheEvents> fed;
+  CachePoller poller(&backends, [&](const RequestEvent& event) {
+    fed.push_back(std::get<CacheEvents>(event));
+  });
+  GroupView group;
+  group.group = "chat/0";
+  group.model = "chat";
+  group.leader_address = engine.address;
+  group.open = true;
+  poller.SetGroups({group});
+  auto now = TimePoint{} + std::chrono::hours(1);
+  poller.Poll(now);
+  RunFor(&io, milliseconds(50));
+  CHECK(engine.requests.empty());
+  poller.Used("chat/0", now);
+  poller.Poll(now);
+  REQUIRE(RunUntil(&io, [&] { return fed.size() == 3; }));
+  CHECK(fed[0].first_sequence == 1);
+  CHECK(fed[1].first_sequence == 3);
+  CHECK(fed[2].first_sequence == 6);
+  CHECK(fed[1].removed == std::vector<std::uint64_t>{7});
+}
+
 // Guards against a joined answer without the tokens of the first attempt.
 TEST_CASE("request executor joins a stream for a caller who doesn't stream") {
   ExecutorFixture fixture([](RawConnection& raw, const std::string&) {
