--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -169,7 +169,7 @@
   }
   void On(const DrainStarted&) {
     m_placement.Drain();
-    m_draining = true;
+    Take(m_peers.Leave(m_now));
   }
   void On(const Tick&) {}
 
@@ -251,24 +251,12 @@
     Take(m_peers.Advance(m_now));
   }
 
-  /// The watch that a reply belongs to. Without a prefix or entries it's taken
-  /// for the oldest; `since` is then kept, since the guess can be wrong.
+  /// The watch that a reply belongs to.
   std::string WatchOf(const ObjectsChanged& event) const {
-    if (!event.prefix.empty()) {
+    if (!event.prefix.empty() || event.entries.empty()) {
       return event.prefix;
     }
-    if (!event.entries.empty()) {
-      return event.entries.front().key;
-    }
-    std::string oldest;
-    TimePoint sent = TimePoint::max();
-    for (const auto& [prefix, watch] : m_watches) {
-      if (watch.pending && watch.sent < sent) {
-        oldest = prefix;
-        sent = watch.sent;
-      }
-    }
-    return oldest;
+    return event.entries.front().key;
   }
 
   void Route(const PendingCall& call, const ObjectReply& reply) {
@@ -362,7 +350,6 @@
   std::map<std::string, std::vector<std::string>> m_probers;
   bool m_watcher = true;
   bool m_candidate = true;
-  bool m_draining = false;
   std::uint64_t m_peers_generation = 0;
   std::uint64_t m_peers_placement = 0;
   TimePoint m_next_spread;
