Cache probing duties and measure the control plane's cost

Change: duties are cached until the live daemons change; verdicts are compared when a gate can have changed and every 200 ms. All verdicts are fetched only if digests differ from a state that lasted 3 s.

--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -34,6 +34,8 @@
 constexpr milliseconds kReplyTimeout{10'000};
 constexpr milliseconds kMeasureInterval{200};
 constexpr milliseconds kSpreadInterval{50};
+/// How often verdicts are compared for changes that only time brings.
+constexpr milliseconds kVerdictInterval{200};
 
 /// A periodic or repeated call outside the object calls.
 struct Repeated {
@@ -78,6 +80,9 @@
     m_presence.probes = [this](const std::string& host) {
       return ProbesHost(host);
     };
+    m_presence.spreads = [this](const std::string& host) {
+      return IsProber(m_options.node, host);
+    };
     m_presence.reports = [this](const std::string& node,
                                 const std::string& host) {
       return IsProber(node, host);
@@ -244,8 +249,11 @@
     if (m_placement.lease().Proven(m_now)) {
       m_peers.SetCoordinator(m_placement.lease().fence());
     }
-    for (PresenceUpdate& verdict : m_presence.Verdicts(m_now)) {
-      m_peers.SpreadPresence(std::move(verdict));
+    if (m_presence.verdicts_changed() || m_now >= m_next_verdicts) {
+      m_next_verdicts = m_now + kVerdictInterval;
+      for (PresenceUpdate& verdict : m_presence.Verdicts(m_now)) {
+        m_peers.SpreadPresence(std::move(verdict));
+      }
     }
     Take(m_peers.Advance(m_now));
   }
@@ -322,6 +330,11 @@
       m_placement_changes = m_placement.store().changes();
       m_presence.SetPlacement(m_placement.store().placement());
     }
+    // The lease holder probes all hosts.
+    if (m_held != m_placement.lease().Proven(m_now)) {
+      m_held = !m_held;
+      m_presence.RefreshDuties();
+    }
     m_presence.Advance(m_now, &m_out);
     if (m_now >= m_next_spread) {
       m_next_spread = m_now + kSpreadInterval;
@@ -351,6 +364,8 @@
   std::uint64_t m_peers_generation = 0;
   std::uint64_t m_peers_placement = 0;
   TimePoint m_next_spread;
+  TimePoint m_next_verdicts;
+  bool m_held = false;  ///< Whether the lease was proven at the last event.
   std::string m_placement_key;
   std::uint64_t m_placement_changes = 0;
   TimePoint m_next_measure;
--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -34,6 +34,10 @@
 constexpr milliseconds kPresenceSyncInterval{5'000};
 constexpr std::size_t kPresencePerMessage = 256;
 
+/// Verdicts that are still spreading make digests differ; only a difference
+/// from a state that has lasted is taken for a lost update.
+constexpr milliseconds kPresenceSettleTime{3'000};
+
 /// Zero for a record that holds no verdict yet.
 std::uint64_t PresenceHash(const PresenceUpdate& update) {
   if (update.sequence == 0) return 0;
@@ -231,14 +235,21 @@
   }
 }
 
-// Repairs lost updates: where digests differ, all verdicts are fetched. The
-// digests also differ while news spread, so this is done rarely.
+bool PeerExchange::PresenceSettled(TimePoint now) {
+  if (m_settled_digest != m_presence_digest) {
+    m_settled_digest = m_presence_digest;
+    m_settled_since = now;
+  }
+  return now - m_settled_since >= kPresenceSettleTime;
+}
+
+// Repairs lost updates: where digests differ, all verdicts are fetched.
 void PeerExchange::ComparePresence(const PeerMessage& message, TimePoint now,
                                    PeerExchangeResult* result) {
   bool own = message.sender.data_centre == m_self.data_centre;
   if (!own || message.kind != PeerMessageKind::kAck ||
       message.presence_digest == m_presence_digest ||
-      now < m_next_presence_sync) {
+      now < m_next_presence_sync || !PresenceSettled(now)) {
     return;
   }
   m_next_presence_sync = now + kPresenceSyncInterval;
--- a/core/peer_exchange.h
+++ b/core/peer_exchange.h
@@ -93,6 +93,7 @@
   void UpdatePresenceDigest();
   void SendPresence(const std::string& address, TimePoint now,
                     PeerExchangeResult* result);
+  bool PresenceSettled(TimePoint now);
   void ComparePresence(const PeerMessage& message, TimePoint now,
                        PeerExchangeResult* result);
   void ReceivePlacement(const PeerMessage& message, TimePoint now,
@@ -122,6 +123,8 @@
   std::map<std::pair<std::string, std::string>, PresenceRumour> m_presence;
   std::map<std::string, QuarantineRumour> m_quarantine;  ///< Keyed by digest.
   std::uint64_t m_presence_digest = 0;
+  std::uint64_t m_settled_digest = 0;  ///< As of the last comparison.
+  TimePoint m_settled_since{};
   std::map<std::string, std::uint64_t> m_generations;  ///< By node.
   PlacementCopy m_placement;
   Coordinator m_coordinator;
--- a/core/presence.cc
+++ b/core/presence.cc
@@ -62,6 +62,10 @@
     listed.insert(info.host);
     auto [it, added] = m_hosts.try_emplace(info.host);
     HostRecord& record = it->second;
+    if (added) {
+      record.info = info;
+      RefreshDuty(&record);
+    }
     bool moved = !added && record.info.address != info.address;
     record.info = info;
     record.listed = true;
@@ -155,8 +159,10 @@
   if (added) {
     record.info = verdict.info;
     record.first_seen = record.last_ok = record.next_probe = now;
+    RefreshDuty(&record);
   }
   record.verdicts[verdict.reporter] = verdict;
+  RefreshDuty(&record);
   m_dirty = true;
   if (verdict.leaving) {
     MarkLeaving(&record, "peer", now, out);
@@ -170,36 +176,39 @@
       return nodes.count(item.first) == 0;
     });
   }
-  m_dirty = true;
+  RefreshDuties();
 }
 
-bool Presence::HasDuty(const HostRecord& record) const {
-  return !probes || probes(record.info.host);
+void Presence::RefreshDuties() {
+  for (auto& [name, record] : m_hosts) {
+    RefreshDuty(&record);
+  }
+  m_dirty = true;
 }
 
-std::vector<const PresenceUpdate*> Presence::CountedVerdicts(
-    const HostRecord& record) const {
-  std::vector<const PresenceUpdate*> verdicts;
-  for (const auto& [reporter, verdict] : record.verdicts) {
-    if (!reports || reports(reporter, record.info.host)) {
-      verdicts.push_back(&verdict);
+void Presence::RefreshDuty(HostRecord* record) {
+  const std::string& host = record->info.host;
+  record->probed_here = !probes || probes(host);
+  record->told_others = !spreads || spreads(host);
+  record->counted.clear();
+  for (const auto& [reporter, verdict] : record->verdicts) {
+    if (!reports || reports(reporter, host)) {
+      record->counted.push_back(&verdict);
     }
   }
-  return verdicts;
 }
 
-bool Presence::ProbesItself(const HostRecord& record) const {
-  return HasDuty(record) || record.trusted_from > record.asked ||
-         CountedVerdicts(record).empty();
+bool Presence::ProbesItself(const HostRecord& record) {
+  return record.probed_here || record.trusted_from > record.asked ||
+         record.counted.empty();
 }
 
 // One live reporter that denies closes the gate: two daemons with opposite
 // beliefs must not both be right to route.
 bool Presence::ConfirmedByOthers(const std::string& name,
                                  const PlacedGroup& group,
-                                 const HostRecord& record) const {
-  auto verdicts = CountedVerdicts(record);
-  return std::all_of(verdicts.begin(), verdicts.end(),
+                                 const HostRecord& record) {
+  return std::all_of(record.counted.begin(), record.counted.end(),
                      [&](const PresenceUpdate* verdict) {
                        return verdict->present && verdict->group == name &&
                               verdict->epoch == group.epoch;
@@ -210,24 +219,24 @@
   if (ProbesItself(record)) {
     return Fresh(record, now);
   }
-  auto verdicts = CountedVerdicts(record);
   return std::all_of(
-      verdicts.begin(), verdicts.end(),
+      record.counted.begin(), record.counted.end(),
       [](const PresenceUpdate* verdict) { return verdict->present; });
 }
 
 const std::vector<std::string>* Presence::LoadedAdapters(
-    const HostRecord& record) const {
+    const HostRecord& record) {
   if (!ProbesItself(record)) {
-    return &CountedVerdicts(record).front()->adapters;
+    return &record.counted.front()->adapters;
   }
   return record.health ? &record.health->adapters : nullptr;
 }
 
-std::vector<PresenceUpdate> Presence::Verdicts(TimePoint now) const {
+std::vector<PresenceUpdate> Presence::Verdicts(TimePoint now) {
+  m_verdicts_changed = false;
   std::vector<PresenceUpdate> verdicts;
   for (const auto& [name, record] : m_hosts) {
-    if (!HasDuty(record) && !record.info.leaving) {
+    if (!record.told_others && !record.info.leaving) {
       continue;
     }
     PresenceUpdate verdict;
@@ -311,6 +320,7 @@
   if (!m_dirty && now - m_last_pass < kPassInterval) {
     return;
   }
+  m_verdicts_changed |= m_dirty;
   m_dirty = false;
   m_last_pass = now;
   SendProbes(now, out);
--- a/core/presence.h
+++ b/core/presence.h
@@ -32,6 +32,10 @@
   int failures = 0;  ///< Failed probes since the last answer.
   /// Verdicts of other live daemons, by reporter.
   std::map<std::string, PresenceUpdate> verdicts;
+  /// Those of `verdicts` that count; see Presence::RefreshDuties.
+  std::vector<const PresenceUpdate*> counted;
+  bool probed_here = true;   ///< Probing it is this node's duty.
+  bool told_others = false;  ///< Others count this node's verdict.
   // Probing by this node.
   bool probing = false;
   bool probe_again = false;  ///< A suspicion arrived during a probe.
@@ -77,9 +81,14 @@
   void Reported(const PresenceUpdate& verdict, TimePoint now, Actions* out);
   /// Drops verdicts of daemons that are no longer live.
   void SetReporters(const std::vector<std::string>& live);
+  /// Asks the hooks below anew; for when their answers can have changed.
+  void RefreshDuties();
+  /// Whether verdicts can have changed since the last call of Verdicts, other
+  /// than by the passing of time.
+  bool verdicts_changed() const { return m_verdicts_changed; }
   /// This node's verdicts: about hosts whose probing is its duty, and about
   /// those that the host list calls leaving.
-  std::vector<PresenceUpdate> Verdicts(TimePoint now) const;
+  std::vector<PresenceUpdate> Verdicts(TimePoint now);
 
   /// Sends due probes and publishes changed views.
   void Advance(TimePoint now, Actions* out);
@@ -96,6 +105,8 @@
   /// host is also probed without duty while no other daemon vouches for it, and
   /// after a suspicion until it answered.
   std::function<bool(const std::string& host)> probes;
+  /// Whether others rely on this node's verdict; empty means that they do.
+  std::function<bool(const std::string& host)> spreads;
   /// Whether probing a host is another daemon's duty; empty means that all
   /// verdicts count. A daemon that lost the duty doesn't update its verdict.
   std::function<bool(const std::string& reporter, const std::string& host)>
@@ -114,14 +125,13 @@
   bool Confirms(const std::string& name, const PlacedGroup& group,
                 const HostRecord& record, TimePoint now) const;
   void SendProbes(TimePoint now, Actions* out);
-  bool HasDuty(const HostRecord& record) const;
-  std::vector<const PresenceUpdate*> CountedVerdicts(
-      const HostRecord& record) const;
-  bool ProbesItself(const HostRecord& record) const;
-  bool ConfirmedByOthers(const std::string& name, const PlacedGroup& group,
-                         const HostRecord& record) const;
-  const std::vector<std::string>* LoadedAdapters(
-      const HostRecord& record) const;
+  void RefreshDuty(HostRecord* record);
+  static bool ProbesItself(const HostRecord& record);
+  static bool ConfirmedByOthers(const std::string& name,
+                                const PlacedGroup& group,
+                                const HostRecord& record);
+  static const std::vector<std::string>* LoadedAdapters(
+      const HostRecord& record);
   void Publish(std::vector<GroupView> views, Actions* out);
 
   Options m_options;
@@ -132,6 +142,7 @@
   std::vector<GroupView> m_views;
   bool m_listed = false;  ///< A host list has arrived.
   bool m_dirty = true;    ///< A gate can have changed.
+  bool m_verdicts_changed = true;
   TimePoint m_last_pass;  ///< Last look at all hosts and gates.
 };
 
--- a/testing/control_world.h
+++ b/testing/control_world.h
@@ -58,6 +58,12 @@
   std::shared_ptr<const Configuration> configuration;
   std::uint64_t generation = 0;
   std::uint64_t life = 0;  ///< Rises with restarts; older replies are lost.
+  // What it cost, for the bench.
+  std::chrono::nanoseconds handle_time{0};
+  std::size_t peer_bytes = 0;
+  std::size_t peer_messages = 0;
+  std::size_t platform_calls = 0;
+  std::size_t probes = 0;
   TimePoint resumed;
 };
 
@@ -276,10 +282,26 @@
       daemon.backlog.push_back(event);
       return;
     }
-    for (const ControlAction& action : daemon.plane->Handle(event, now)) {
+    auto begin = std::chrono::steady_clock::now();
+    std::vector<ControlAction> actions = daemon.plane->Handle(event, now);
+    daemon.handle_time += std::chrono::steady_clock::now() - begin;
+    for (const ControlAction& action : actions) {
+      CountCost(&daemon, action);
       std::visit([&](const auto& typed) { Execute(index, typed); }, action);
     }
   }
+  static void CountCost(WorldDaemon* daemon, const ControlAction& action) {
+    if (const auto* send = std::get_if<SendPeer>(&action)) {
+      daemon->peer_bytes += send->bytes.size();
+      ++daemon->peer_messages;
+    }
+    if (std::holds_alternative<ProbeHost>(action)) ++daemon->probes;
+    bool platform = std::holds_alternative<ListHosts>(action) ||
+                    std::holds_alternative<Watch>(action) ||
+                    std::holds_alternative<GetObject>(action) ||
+                    std::holds_alternative<PutObject>(action);
+    if (platform) ++daemon->platform_calls;
+  }
   void Reply(std::size_t index, milliseconds delay, const ControlEvent& event) {
     std::uint64_t life = daemons[index].life;
     At(delay, [this, index, life, event] { Deliver(index, life, event); });
--- a/testing/presence_test.cc
+++ b/testing/presence_test.cc
@@ -174,6 +174,7 @@
   // or on the word of a daemon that is gone.
   Gate gate;
   gate.presence.probes = [](const std::string&) { return false; };
+  gate.presence.RefreshDuties();
   for (const char* host : {"a", "b"}) {
     gate.presence.Reported(Vouch(host), gate.now, &gate.out);
   }
@@ -204,6 +205,7 @@
   // Guards against routing over a broken link because others have none.
   Gate gate;
   gate.presence.probes = [](const std::string&) { return false; };
+  gate.presence.RefreshDuties();
   for (const char* host : {"a", "b"}) {
     gate.presence.Reported(Vouch(host), gate.now, &gate.out);
   }
