Share the set-up of process tests; keep versions in the platform stand-in

Fault tests need the same site with other settings. The stand-in lists every stored version of a key, because a watch may skip versions that were soon replaced.

--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -7,6 +7,9 @@
 // version 0, an empty value and "deleted": true. The first revision is 1, so
 // that since=0 is never a revision seen before. A PUT's body is the value.
 //
+// GET /v1/history?key=K lists every version that a key had, so that tests can
+// check states that were soon replaced.
+//
 // POST /faults changes the fields that it names:
 //   {"down": false | true | "refuse"}  true closes each connection without an
 //       answer except for /faults; "refuse" closes the listening socket, so
@@ -113,6 +116,7 @@
   PlatformOptions m_options;
   TokenBucket m_weights;
   std::map<std::string, Object> m_objects;  ///< Deleted ones included.
+  std::map<std::string, Json> m_history;  ///< Stored versions by key.
   std::uint64_t m_revision =
       1;  ///< Before the first write; since=0 asks for all.
   std::set<asio::steady_timer*> m_watchers;
@@ -172,6 +176,9 @@
     co_await exchange->Answer(200, answer);
   } else if (path == "/v1/watch" && exchange->method() == "GET") {
     co_await HandleWatch(exchange);
+  } else if (path == "/v1/history") {
+    Json answer = {{"versions", m_history[exchange->Query("key")]}};
+    co_await exchange->Answer(200, answer);
   } else if (path == "/v1/hosts") {
     co_await HandleHosts(exchange);
   } else if (path.starts_with(weights) && exchange->method() == "GET") {
@@ -219,6 +226,7 @@
   object.version = remove ? 0 : object.version + 1;
   object.revision = ++m_revision;
   object.value = remove ? "" : value;
+  m_history[key].push_back({{"version", object.version}, {"value", value}});
   for (asio::steady_timer* watcher : m_watchers) watcher->cancel();
 }
 
--- a/testing/process_path_test.cc
+++ b/testing/process_path_test.cc
@@ -7,188 +7,23 @@
 #include <thread>
 
 #include "fmt/format.h"
-#include "testing/process_harness.h"
-#include "testing/standin_tokens.h"
+#include "testing/process_site.h"
 
 using clementine::testing::Answer;
-using clementine::testing::BinaryPath;
 using clementine::testing::ChatBody;
+using clementine::testing::ChatText;
 using clementine::testing::EventStream;
+using clementine::testing::ExpectedText;
 using clementine::testing::Fetch;
-using clementine::testing::Headers;
+using clementine::testing::kCaller;
+using clementine::testing::kChat;
 using clementine::testing::kLongWait;
-using clementine::testing::Process;
-using clementine::testing::Run;
+using clementine::testing::kOrders;
+using clementine::testing::kTwoGroups;
 using clementine::testing::SetFaults;
-using clementine::testing::TemporaryFolder;
+using clementine::testing::Site;
 using clementine::testing::WaitFor;
-using Json = nlohmann::json;
-
-namespace {
-
-const char* const kChat = "/v1/chat/completions";
-const char* const kOrders = "/v1/kit-orders";
-const char* const kPlatformToken = "platform-token";
-
-const char* const kSite = R"(
-[model chat]
-version = 1
-weights = chat-1
-hosts_per_replica = 2
-load_time = 1s
-
-[group chat]
-model = chat
-data_centre = dc1
-replicas = 2
-
-[organisation shop]
-
-[route /v1/chat/completions]
-model = chat
-timeout = 60s
-
-[route /v1/kit-orders]
-service = orders
-idempotent = no
-key_required = yes
-timeout = 60s
-
-[service orders]
-hosts = p1
-)";
-
-const Headers kCaller = {{"Authorization", "Bearer shop-token"}};
-
-Headers WithKey(const std::string& key) {
-  Headers headers = kCaller;
-  headers.emplace_back("Idempotency-Key", key);
-  return headers;
-}
-
-std::string ExpectedText(const std::string& body) {
-  return clementine::standin::AnswerText(Json::parse(body));
-}
-
-/// Text of a whole chat answer, or "" when it isn't one.
-std::string ChatText(const Answer& answer) {
-  Json json = answer.Json();
-  if (answer.status != 200 || !json.is_object()) return "";
-  return json["choices"].at(0).at("message").value("content", std::string());
-}
-
-/// Everything that a site needs, started and configured.
-class Site {
- public:
-  /// @param engine_options Further options of the engines.
-  /// @param plain_options  Further options of the plain service.
-  explicit Site(const std::vector<std::string>& engine_options = {},
-                const std::vector<std::string>& plain_options = {}) {
-    for (int i = 1; i <= 4; ++i) {
-      StartBackend(fmt::format("e{}", i), "engine",
-                   fmt::format("fd{}", (i + 1) / 2), engine_options);
-    }
-    StartBackend("p1", "plain", "fd1", plain_options);
-    StartDaemon("d1", "");
-    StartDaemon("d2", m_daemons[0]->Listening("peer_listen"));
-    auto applied = Apply(kSite);
-    INFO(applied.second);
-    REQUIRE(applied.first == 0);
-    for (int i : {0, 1}) {
-      INFO(m_daemons[static_cast<std::size_t>(i)]->Log());
-      REQUIRE(
-          WaitFor(kLongWait, [&] { return Metric(i, "open_groups") >= 3; }));
-    }
-  }
-
-  /// Applies a site file with --wait. @return Exit status and output.
-  std::pair<int, std::string> Apply(const std::string& text) {
-    ++m_files;
-    std::string path = m_folder.Write(fmt::format("site{}.ini", m_files), text);
-    return Run(
-        {BinaryPath("clementinectl"), "--platform", m_platform.address(),
-         "--token", kPlatformToken, "apply", "--wait", "--timeout", "25", path},
-        kLongWait);
-  }
-
-  Process& daemon(int index) {
-    return *m_daemons[static_cast<std::size_t>(index)];
-  }
-  std::string address(int index) { return daemon(index).Listening("listen"); }
-  Process& backend(const std::string& host) { return *m_backends.at(host); }
-
-  /// Value of a metric without labels; -1 when it's missing.
-  double Metric(int index, const std::string& name) {
-    std::string text = Fetch(address(index), "GET", "/metrics").body;
-    std::size_t line = text.find("\nclementine_" + name + " ");
-    if (line == std::string::npos) return -1;
-    return std::stod(text.substr(text.find(' ', line) + 1));
-  }
-
-  Json Runs(const std::string& host) {
-    return Fetch(backend(host).address(), "GET", "/runs").Json()["runs"];
-  }
-
-  /// Engines that run something now.
-  std::vector<std::string> BusyEngines() {
-    std::vector<std::string> busy;
-    for (const char* host : {"e1", "e2", "e3", "e4"}) {
-      Json health = Fetch(backend(host).address(), "GET", "/v1/health").Json();
-      if (health.is_object() && health["running"] > 0) busy.emplace_back(host);
-    }
-    return busy;
-  }
-
-  void SetEngineFaults(const Json& faults) {
-    for (const char* host : {"e1", "e2", "e3", "e4"}) {
-      SetFaults(backend(host).address(), faults);
-    }
-  }
-
- private:
-  void StartBackend(const std::string& host, const std::string& kind,
-                    const std::string& domain,
-                    const std::vector<std::string>& options) {
-    std::vector<std::string> arguments = {BinaryPath("backend_standin"),
-                                          "--platform",
-                                          m_platform.address(),
-                                          "--platform-token",
-                                          kPlatformToken,
-                                          "--host",
-                                          host,
-                                          "--kind",
-                                          kind,
-                                          "--fabric-domain",
-                                          domain,
-                                          "--load-ms",
-                                          "50"};
-    arguments.insert(arguments.end(), options.begin(), options.end());
-    m_backends[host] = std::make_unique<Process>(arguments);
-  }
-
-  void StartDaemon(const std::string& node, const std::string& seed) {
-    std::string settings = fmt::format(
-        "[node]\nname = {}\nregion = r1\ndata_centre = dc1\n"
-        "[platform]\naddress = {}\ntoken = {}\n"
-        "[peers]\nkey = peer-key\n{}"
-        "[timeouts]\nprobe_interval = 200ms\ndrain_wait = 300ms\n"
-        "[organisation_tokens]\nshop = shop-token\n",
-        node, m_platform.address(), kPlatformToken,
-        seed.empty() ? "" : "seeds = " + seed + "\n");
-    std::string path = m_folder.Write(node + ".ini", settings);
-    m_daemons.push_back(std::make_unique<Process>(
-        std::vector<std::string>{BinaryPath("clementined"), "--config", path}));
-  }
-
-  TemporaryFolder m_folder;
-  Process m_platform{
-      {BinaryPath("platform_standin"), "--token", kPlatformToken}};
-  std::map<std::string, std::unique_ptr<Process>> m_backends;
-  std::vector<std::unique_ptr<Process>> m_daemons;
-  int m_files = 0;
-};
-
-}  // namespace
+using clementine::testing::WithKey;
 
 // Guards against a daemon that serves only where placement was decided, and
 // against answers that lose or change a token on the way.
@@ -218,7 +53,7 @@
 TEST_CASE("an apply is in force on both daemons when it returns") {
   Site site;
   std::string changed =
-      std::string(kSite) + "[route /v1/kit-status]\nservice = orders\n";
+      std::string(kTwoGroups) + "[route /v1/kit-status]\nservice = orders\n";
   auto applied = site.Apply(changed);
   INFO(applied.second);
   CHECK(applied.first == 0);
@@ -233,7 +68,7 @@
 // Guards against tokens of another request reaching a caller (I3) when frames
 // arrive crossed, twice or again later.
 TEST_CASE("crossed, repeated and late frames don't reach callers") {
-  Site site({"--token-ms", "10"});
+  Site site({.engine_options = {"--token-ms", "10"}});
   site.SetEngineFaults({{"crossed", 20}, {"duplicate", 20}, {"late", 20}});
   std::vector<std::string> bodies;
   std::vector<std::unique_ptr<EventStream>> streams;
@@ -274,7 +109,7 @@
 // Guards against a stream that breaks off silently, repeats tokens or loses
 // some when the backend server under it is killed.
 TEST_CASE("a stream survives its backend server or ends with an error") {
-  Site site({"--token-ms", "20"});
+  Site site({.engine_options = {"--token-ms", "20"}});
   std::string body = ChatBody("chat", "long story", 100, true);
   EventStream stream(site.address(0), kChat, body, kCaller);
   REQUIRE(stream.WaitForTokens(10));
@@ -298,7 +133,7 @@
 // Guards against a kit order that runs twice because its caller resends it
 // through another daemon (I5).
 TEST_CASE("an order resent after its daemon was killed runs once") {
-  Site site({}, {"--run-ms", "1000"});
+  Site site({.plain_options = {"--run-ms", "1000"}});
   std::thread caller([&] {
     Fetch(site.address(0), "POST", kOrders, R"({"kit":1})", WithKey("k1"));
   });
@@ -326,7 +161,7 @@
 
 // Guards against a planned stop that cuts streams or loses an answer (I7).
 TEST_CASE("a daemon that is stopped finishes its streams") {
-  Site site({"--token-ms", "20"});
+  Site site({.engine_options = {"--token-ms", "20"}});
   std::string body = ChatBody("chat", "until the end", 100, true);
   EventStream stream(site.address(0), kChat, body, kCaller);
   REQUIRE(stream.WaitForTokens(5));
