Log milliseconds

Cause: {:%T} prints whole seconds for a system clock time, although the time was rounded to milliseconds. Change: the milliseconds are printed after it. Result: time=2026-12-04T03:43:02.171Z, so lines of two processes can be put in order.

--- a/net/log.cc
+++ b/net/log.cc
@@ -42,8 +42,8 @@
   fmt::memory_buffer line;
   auto now = std::chrono::floor<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
-  fmt::format_to(std::back_inserter(line), "time={:%FT%T}Z event={}", now,
-                 event);
+  fmt::format_to(std::back_inserter(line), "time={:%FT%T}.{:03}Z event={}", now,
+                 now.time_since_epoch().count() % 1000, event);
   for (const auto& [key, value] : fields) {
     fmt::format_to(std::back_inserter(line), " {}=", key);
     if (NeedsQuotes(value)) {
