--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -116,7 +116,7 @@
   PlatformOptions m_options;
   TokenBucket m_weights;
   std::map<std::string, Object> m_objects;  ///< Deleted ones included.
-  std::map<std::string, Json> m_history;  ///< Stored versions by key.
+  std::map<std::string, Json> m_history;    ///< Stored versions by key.
   std::uint64_t m_revision =
       1;  ///< Before the first write; since=0 asks for all.
   std::set<asio::steady_timer*> m_watchers;
--- a/testing/process_site.cc
+++ b/testing/process_site.cc
@@ -95,7 +95,7 @@
     m_daemons.push_back(StartDaemon(i));
   }
   if (m_options.file.empty()) return;
-  auto applied = Apply(m_options.file);
+  auto applied = Apply(m_options.file, {});
   INFO(applied.second);
   REQUIRE(applied.first == 0);
   bool open = WaitForOpenGroups(m_options.open_groups);
@@ -105,8 +105,7 @@
 
 std::pair<int, std::string> Site::Apply(
     const std::string& text, const std::vector<std::string>& options) {
-  std::string path =
-      m_folder.Write(fmt::format("site{}.ini", ++m_files), text);
+  std::string path = m_folder.Write(fmt::format("site{}.ini", ++m_files), text);
   std::vector<std::string> arguments = {BinaryPath("clementinectl"),
                                         "--platform",
                                         m_platform.address(),
--- a/testing/process_site.h
+++ b/testing/process_site.h
@@ -44,8 +44,8 @@
   std::string file = kTwoGroups;  ///< Applied before the constructor returns.
   int engines = 4;                ///< Named e1, e2, ...
   int domain_hosts = 2;           ///< Engines per fabric domain.
-  int open_groups = 3;  ///< Gates that open before the constructor returns.
-  int daemons = 2;      ///< Named d1, d2, ...
+  int open_groups = 3;     ///< Gates that open before the constructor returns.
+  int daemons = 2;         ///< Named d1, d2, ...
   std::string timeouts{};  ///< Further lines of section [timeouts].
   int linked_daemon = -1;  ///< Its calls to the platform pass platform_link().
 };
@@ -55,9 +55,9 @@
   explicit Site(SiteOptions options = {});
 
   /// Applies a site file. @return Exit status and output.
-  std::pair<int, std::string> Apply(
-      const std::string& text,
-      const std::vector<std::string>& options = {"--wait"});
+  std::pair<int, std::string> Apply(const std::string& text,
+                                    const std::vector<std::string>& options = {
+                                        "--wait"});
 
   Process& daemon(int index) {
     return *m_daemons[static_cast<std::size_t>(index)];
