Let a daemon's settings select the baselines for measurements

The section [experiment] passes route_policy and admission on to the request path, so that whole daemons can be compared and not only decisions.

--- a/config/config.h
+++ b/config/config.h
@@ -194,6 +194,11 @@
   std::chrono::milliseconds drain_wait{5'000};  ///< Unready before refusing.
   std::chrono::seconds claim_retention{86'400};
   std::uint64_t seed = 1;  ///< Seed for jitter and tie-breaking.
+  /// Baselines for measurements: how groups are chosen, one of
+  /// `weighted`, `round_robin` and `least_in_flight`; and whether requests are
+  /// queued and refused by load at all.
+  std::string route_policy = "weighted";
+  bool admission = true;
 };
 
 struct SettingsResult {
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -48,6 +48,9 @@
       SizeField("max_body_bytes", 1'024, kMaxBytes, &s.max_body_bytes),
       SizeField("max_connections", 1, kMaxCount, &s.max_connections),
       SizeField("max_queued", 1, kMaxCount, &s.max_queued)};
+  table["experiment"] = {
+      NameField("route_policy", NameKind::kPlain, &s.route_policy),
+      FlagField("admission", &s.admission)};
   table["timeouts"] = {
       wait("header_timeout", &s.header_timeout),
       wait("body_timeout", &s.body_timeout),
@@ -90,6 +93,11 @@
   }
 }
 
+bool IsRoutePolicy(const std::string& name) {
+  return name == "weighted" || name == "round_robin" ||
+         name == "least_in_flight";
+}
+
 // Checks that concern two settings; `lines` holds the line of each section.
 void CheckTogether(const Settings& settings,
                    const std::map<std::string, int>& lines,
@@ -102,6 +110,13 @@
   if (settings.lease_duration <= settings.longest_order) {
     findings->Add(line, "lease_duration must be longer than longest_order");
   }
+  if (!IsRoutePolicy(settings.route_policy)) {
+    auto experiment = lines.find("experiment");
+    findings->Add(experiment == lines.end() ? 0 : experiment->second,
+                  fmt::format("route_policy {} is not weighted, round_robin or "
+                              "least_in_flight",
+                              Quote(settings.route_policy)));
+  }
 }
 
 bool HasFixedPort(const std::string& address) {
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "core/router.h"
 #include "daemon/answers.h"
 #include "daemon/request_reader.h"
 #include "fmt/format.h"
@@ -48,6 +49,13 @@
   return limits;
 }
 
+/// Empty for the weighted policy, which is the default of RequestPath.
+RoutePolicy PolicyByName(const std::string& name) {
+  if (name == "round_robin") return RoundRobinPolicy();
+  if (name == "least_in_flight") return LeastInFlightPolicy();
+  return {};
+}
+
 }  // namespace
 
 Daemon::Daemon(boost::asio::io_context* io, Settings settings)
@@ -88,6 +96,8 @@
   request_options.seed = m_settings.seed;
   request_options.max_queued = m_settings.max_queued;
   request_options.claim_retention = m_settings.claim_retention;
+  request_options.route_policy = PolicyByName(m_settings.route_policy);
+  request_options.admission = m_settings.admission;
   m_request_path = std::make_unique<RequestPath>(std::move(request_options));
   ControlPlaneOptions control_options;
   control_options.node = m_settings.node;
