--- a/testing/load_bench.cc
+++ b/testing/load_bench.cc
@@ -47,13 +47,18 @@
   double timeout_seconds = 30;  ///< Given up after this.
   int max_tokens = 32;
   int prompt_bytes = 200;
-  int prompts = 1'000'000;  ///< Distinct prompts.
+  int prompts = 1'000'000;             ///< Distinct prompts.
+  double first_token_bound_ms = 1100;  ///< Later answers aren't good.
+  /// For direct calls to engines: group and epoch, one for each target.
+  std::vector<std::string> groups;
+  std::vector<std::uint64_t> epochs;
   std::uint64_t seed = 1;
 };
 
 struct ClassFigures {
   int sent = 0;
   int complete = 0;
+  int good = 0;  ///< Complete, with the first token within the bound.
   int not_run = 0;
   int unknown = 0;
   int broken = 0;  ///< Neither a whole answer nor an honest refusal.
@@ -72,6 +77,7 @@
   int events = 0;
   bool done = false;
   bool failed = false;
+  double first_token_ms = 0;
   Clock::time_point last;
 };
 
@@ -100,6 +106,7 @@
   asio::awaitable<void> Start() {
     std::exponential_distribution<double> pause(m_options.rate);
     auto begin = Clock::now();
+    m_begin = begin;
     double at = 0;
     for (int i = 0;; ++i) {
       at += pause(m_random);
@@ -117,6 +124,7 @@
     for (auto& [name, figures] : m_classes) {
       classes[name] = {{"sent", figures.sent},
                        {"complete", figures.complete},
+                       {"good", figures.good},
                        {"not_run", figures.not_run},
                        {"unknown", figures.unknown},
                        {"broken", figures.broken},
@@ -125,7 +133,10 @@
                        {"gap_ms", Percentiles(&figures.gap_ms)},
                        {"refusal_ms", Percentiles(&figures.refusal_ms)}};
     }
-    return {{"classes", classes}, {"complete_by_organisation", m_by_token}};
+    return {{"classes", classes},
+            {"complete_by_organisation", m_by_token},
+            {"good_at_s", m_good_at},
+            {"broken_status", m_broken_status}};
   }
 
  private:
@@ -138,15 +149,22 @@
                  {"max_tokens", m_options.max_tokens},
                  {"messages", {{{"role", "user"}, {"content", prompt}}}}};
     std::string text = body.dump();
+    std::string direct;
+    if (!m_options.groups.empty()) {
+      std::size_t index =
+          static_cast<std::size_t>(number) % m_options.groups.size();
+      direct = fmt::format(
+          "X-Attempt-Id: bench-{}\r\nX-Group: {}\r\nX-Group-Epoch: {}\r\n",
+          number, m_options.groups[index], m_options.epochs[index]);
+    }
     return fmt::format(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n"
         "Authorization: Bearer {}\r\nX-Request-Class: {}\r\n"
         "X-Request-Timeout-Ms: {}\r\nContent-Type: application/json\r\n"
-        "X-Attempt-Id: bench-{}\r\nX-Group: {}\r\nX-Group-Epoch: {}\r\n"
-        "Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+        "{}Connection: close\r\nContent-Length: {}\r\n\r\n{}",
         token, request_class,
-        static_cast<int>(m_options.timeout_seconds * 1000), number,
-        m_direct_group, m_direct_epoch, text.size(), text);
+        static_cast<int>(m_options.timeout_seconds * 1000), direct, text.size(),
+        text);
   }
 
   asio::awaitable<void> Request(int number) {
@@ -172,6 +190,11 @@
     if (answer.status == 200 && answer.done && !answer.failed) {
       ++figures->complete;
       ++m_by_token[token];
+      if (answer.first_token_ms <= m_options.first_token_bound_ms) {
+        ++figures->good;
+        m_good_at.push_back(
+            std::chrono::duration<double>(Clock::now() - m_begin).count());
+      }
     } else if (answer.outcome == "not-run") {
       ++figures->not_run;
       figures->refusal_ms.push_back(ms);
@@ -179,6 +202,7 @@
       ++figures->unknown;
     } else {
       ++figures->broken;
+      ++m_broken_status[std::to_string(answer.status)];
     }
   }
 
@@ -221,6 +245,7 @@
       text.erase(0, end + 4);
     }
     auto now = Clock::now();
+    if (text.find("event: error") != std::string::npos) answer->failed = true;
     std::size_t last_line = text.rfind('\n');
     if (last_line == std::string::npos) last_line = 0;
     for (std::size_t at = text.find("data: "); at < last_line;
@@ -229,15 +254,16 @@
         answer->done = true;
         continue;
       }
-      CountEvent(now, answer, figures);
+      // The data of an error event isn't a token.
+      if (!answer->failed) CountEvent(now, answer, figures);
     }
-    if (text.find("event: error") != std::string::npos) answer->failed = true;
     answer->tail = text.substr(last_line);
   }
 
   static void CountEvent(Clock::time_point now, Answer* answer,
                          ClassFigures* figures) {
     double ms = Milliseconds(now - answer->last).count();
+    if (answer->events == 0) answer->first_token_ms = ms;
     auto* list =
         answer->events == 0 ? &figures->first_token_ms : &figures->gap_ms;
     list->push_back(ms);
@@ -258,19 +284,12 @@
     answer->outcome = lower.substr(from, lower.find("\r\n", from) - from);
   }
 
- public:
-  /// Sends straight to an engine of this group and epoch.
-  void SetDirect(std::string group, std::uint64_t epoch) {
-    m_direct_group = std::move(group);
-    m_direct_epoch = epoch;
-  }
-
- private:
   asio::io_context* m_io;
   LoadOptions m_options;
   std::mt19937_64 m_random;
-  std::string m_direct_group;
-  std::uint64_t m_direct_epoch = 0;
+  Clock::time_point m_begin;
+  std::vector<double> m_good_at;  ///< Seconds after the start of the load.
+  std::map<std::string, int> m_broken_status;
   std::map<std::string, ClassFigures> m_classes;
   std::map<std::string, int> m_by_token;
 };
@@ -280,8 +299,6 @@
 int main(int argc, char** argv) {
   CLI::App app("Open-loop load for chat completions");
   LoadOptions options;
-  std::string group;
-  std::uint64_t epoch = 0;
   app.add_option("--target", options.targets, "IP:port, repeatable")
       ->required();
   app.add_option("--token", options.tokens, "Organisation token, repeatable")
@@ -295,12 +312,18 @@
   app.add_option("--prompt-bytes", options.prompt_bytes, "Prompt size");
   app.add_option("--prompts", options.prompts, "Distinct prompts");
   app.add_option("--seed", options.seed, "Seed of the start times");
-  app.add_option("--group", group, "Group, for a direct call to an engine");
-  app.add_option("--epoch", epoch, "Its epoch");
+  app.add_option("--first-token-bound-ms", options.first_token_bound_ms,
+                 "Answers whose first token is later aren't good");
+  app.add_option("--group", options.groups,
+                 "Group of the engine at each target, for direct calls");
+  app.add_option("--epoch", options.epochs, "Its epoch");
   CLI11_PARSE(app, argc, argv);
+  if (options.groups.size() != options.epochs.size()) {
+    std::cerr << "each --group needs an --epoch\n";
+    return 2;
+  }
   asio::io_context io(1);
   Load load(&io, options);
-  load.SetDirect(group, epoch);
   asio::co_spawn(io, load.Start(), asio::detached);
   io.run();
   std::cout << load.Report().dump(1) << "\n";
--- a/testing/relay_bench.cc
+++ b/testing/relay_bench.cc
@@ -1,5 +1,6 @@
 // Bare byte relay: the floor against which the daemon's cost per token is
 // compared. It accepts connections and copies bytes both ways, nothing else.
+// Each target gets a port of its own; one thread serves all of them.
 
 #include <CLI/CLI.hpp>
 #include <array>
@@ -10,8 +11,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <list>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "net/net.h"
 #include "testing/standin_http.h"
@@ -64,21 +67,24 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app("Copies bytes between callers and one target");
-  std::string listen = "127.0.0.1:0";
-  std::string target;
-  app.add_option("--listen", listen, "IP:port");
-  app.add_option("--target", target, "IP:port")->required();
+  CLI::App app("Copies bytes between callers and targets");
+  std::vector<std::string> targets;
+  app.add_option("--target", targets, "IP:port, repeatable")->required();
   CLI11_PARSE(app, argc, argv);
   asio::io_context io(1);
-  tcp::acceptor acceptor(io, clementine::standin::ParseAddress(listen));
-  auto bound = acceptor.local_endpoint();
-  clementine::LogEvent("listening",
-                       {{"address", bound.address().to_string() + ":" +
-                                        std::to_string(bound.port())}});
-  asio::co_spawn(io,
-                 Accept(&acceptor, clementine::standin::ParseAddress(target)),
-                 asio::detached);
+  std::list<tcp::acceptor> acceptors;
+  for (const std::string& target : targets) {
+    auto any_port = clementine::standin::ParseAddress("127.0.0.1:0");
+    tcp::acceptor& acceptor = acceptors.emplace_back(io, any_port);
+    auto bound = acceptor.local_endpoint();
+    clementine::LogEvent("listening",
+                         {{"address", bound.address().to_string() + ":" +
+                                          std::to_string(bound.port())},
+                          {"target", target}});
+    asio::co_spawn(io,
+                   Accept(&acceptor, clementine::standin::ParseAddress(target)),
+                   asio::detached);
+  }
   clementine::standin::RunUntilTerminated(&io);
   return 0;
 }
