--- a/testing/load_bench.cc
+++ b/testing/load_bench.cc
@@ -22,6 +22,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fmt/format.h"
@@ -42,9 +43,10 @@
   std::vector<std::string> tokens;  ///< One for each organisation.
   std::vector<std::string> classes = {"stream"};
   std::string model = "chat";
-  double rate = 10;             ///< Requests per second.
-  double seconds = 5;           ///< Time during which requests start.
-  double timeout_seconds = 30;  ///< Given up after this.
+  double rate = 10;                  ///< Requests per second.
+  double seconds = 5;                ///< Time during which requests start.
+  double timeout_seconds = 30;       ///< Given up after this.
+  double batch_timeout_seconds = 0;  ///< For class batch; 0: as the others.
   int max_tokens = 32;
   int prompt_bytes = 200;
   int prompts = 1'000'000;             ///< Distinct prompts.
@@ -135,11 +137,17 @@
     }
     return {{"classes", classes},
             {"complete_by_organisation", m_by_token},
-            {"good_at_s", m_good_at},
+            {"requests", m_requests},
             {"broken_status", m_broken_status}};
   }
 
  private:
+  double TimeoutSeconds(const std::string& request_class) const {
+    bool batch =
+        request_class == "batch" && m_options.batch_timeout_seconds > 0;
+    return batch ? m_options.batch_timeout_seconds : m_options.timeout_seconds;
+  }
+
   std::string RequestText(int number, const std::string& request_class,
                           const std::string& token) {
     std::string prompt = fmt::format("prompt {} ", number % m_options.prompts);
@@ -163,8 +171,8 @@
         "X-Request-Timeout-Ms: {}\r\nContent-Type: application/json\r\n"
         "{}Connection: close\r\nContent-Length: {}\r\n\r\n{}",
         token, request_class,
-        static_cast<int>(m_options.timeout_seconds * 1000), direct, text.size(),
-        text);
+        static_cast<int>(TimeoutSeconds(request_class) * 1000), direct,
+        text.size(), text);
   }
 
   asio::awaitable<void> Request(int number) {
@@ -182,7 +190,11 @@
     } catch (const boost::system::system_error&) {
       // Counted below from what arrived.
     }
+    int good = figures.good;
     Count(answer, token, Milliseconds(Clock::now() - begin).count(), &figures);
+    m_requests.emplace_back(
+        std::chrono::duration<double>(begin - m_begin).count(),
+        figures.good > good);
   }
 
   void Count(const Answer& answer, const std::string& token, double ms,
@@ -192,8 +204,6 @@
       ++m_by_token[token];
       if (answer.first_token_ms <= m_options.first_token_bound_ms) {
         ++figures->good;
-        m_good_at.push_back(
-            std::chrono::duration<double>(Clock::now() - m_begin).count());
       }
     } else if (answer.outcome == "not-run") {
       ++figures->not_run;
@@ -215,7 +225,7 @@
                           m_options.targets.size()];
     asio::steady_timer limit(*m_io);
     limit.expires_after(std::chrono::duration_cast<Clock::duration>(
-        std::chrono::duration<double>(m_options.timeout_seconds + 2)));
+        std::chrono::duration<double>(TimeoutSeconds(name) + 2)));
     limit.async_wait([&socket](boost::system::error_code error) {
       if (!error) socket.close(error);
     });
@@ -288,7 +298,8 @@
   LoadOptions m_options;
   std::mt19937_64 m_random;
   Clock::time_point m_begin;
-  std::vector<double> m_good_at;  ///< Seconds after the start of the load.
+  /// Of each request, seconds from the load's start to its own; was it good?
+  std::vector<std::pair<double, bool>> m_requests;
   std::map<std::string, int> m_broken_status;
   std::map<std::string, ClassFigures> m_classes;
   std::map<std::string, int> m_by_token;
@@ -308,6 +319,8 @@
   app.add_option("--rate", options.rate, "Requests per second");
   app.add_option("--seconds", options.seconds, "Time during which to start");
   app.add_option("--timeout", options.timeout_seconds, "Seconds per request");
+  app.add_option("--batch-timeout", options.batch_timeout_seconds,
+                 "Seconds per request of class batch; 0: as the others");
   app.add_option("--max-tokens", options.max_tokens, "Tokens per answer");
   app.add_option("--prompt-bytes", options.prompt_bytes, "Prompt size");
   app.add_option("--prompts", options.prompts, "Distinct prompts");
