Probe a refused address again before calling a lost connection no crash

Cause: an exiting process may close its connections a moment before its listening socket. The single probe was then accepted, the crash was reported as a broken connection and the quarantine didn't count it.

Change: up to three probes, 10 ms apart, until one is refused.

A process that keeps its port open for more than 20 ms after its connections is still taken for a lost connection.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -43,6 +43,10 @@
 /// Longest delay with which an exceeded deadline is noticed.
 constexpr std::chrono::milliseconds kSweepInterval{25};
 
+/// Connections made to tell a crash from a lost connection.
+constexpr int kCrashProbes = 3;
+constexpr std::chrono::milliseconds kCrashProbePause{10};
+
 /// How long to wait for the end of the chunked coding after the last event.
 constexpr std::chrono::milliseconds kTrailerTimeout{1'000};
 
@@ -540,17 +544,24 @@
   Close();
 }
 
+// A process that exits closes its connections before or after its listening
+// socket, so one accepted connection doesn't prove that it lives.
 asio::awaitable<bool> CallState::AddressRefuses() {
-  tcp::socket probe(*m_client->m_io);
-  error_code error;
-  m_socket = std::move(probe);
-  SetDeadline(m_client->m_options.connect_timeout);
-  co_await m_socket.async_connect(
-      ParseEndpoint(m_call.address),
-      asio::redirect_error(asio::use_awaitable, error));
-  m_deadline = Clock::time_point::max();
-  Close();
-  co_return error == asio::error::connection_refused;
+  asio::steady_timer pause(*m_client->m_io);
+  for (int probe = 1;; ++probe) {
+    error_code error;
+    m_socket = tcp::socket(*m_client->m_io);
+    SetDeadline(m_client->m_options.connect_timeout);
+    co_await m_socket.async_connect(
+        ParseEndpoint(m_call.address),
+        asio::redirect_error(asio::use_awaitable, error));
+    m_deadline = Clock::time_point::max();
+    Close();
+    if (error == asio::error::connection_refused) co_return true;
+    if (error || m_cancelled || probe == kCrashProbes) co_return false;
+    pause.expires_after(kCrashProbePause);
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
 }
 
 void CallState::Report() {
--- a/testing/net_backend_client_test.cc
+++ b/testing/net_backend_client_test.cc
@@ -2,6 +2,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <optional>
 
 #include "net/net.h"
 #include "testing/net_test_support.h"
@@ -159,6 +160,23 @@
   CHECK(fixture.Run().result == AttemptResult::kNotSent);
 }
 
+// Guards against missing a crash when the exiting process closes its
+// connections a moment before its listening socket.
+TEST_CASE("backend client recognises a crash whose port closes late") {
+  Fixture* current = nullptr;
+  std::optional<asio::steady_timer> exit;
+  Fixture fixture([&](RawConnection& raw, const std::string&) {
+    raw.Close();
+    exit.emplace(current->io, std::chrono::milliseconds(2));
+    exit->async_wait([&](const boost::system::error_code& error) {
+      if (!error) current->server.Stop();
+    });
+  });
+  current = &fixture;
+  CHECK(fixture.Run().result == AttemptResult::kCrashed);
+  exit.reset();
+}
+
 // Guards against waiting for ever in any phase of a call.
 TEST_CASE("backend client limits each phase") {
   bool silent = true;
