--- a/testing/load_bench.cc
+++ b/testing/load_bench.cc
@@ -22,6 +22,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fmt/format.h"
@@ -42,18 +43,24 @@
   std::vector<std::string> tokens;  ///< One for each organisation.
   std::vector<std::string> classes = {"stream"};
   std::string model = "chat";
-  double rate = 10;             ///< Requests per second.
-  double seconds = 5;           ///< Time during which requests start.
-  double timeout_seconds = 30;  ///< Given up after this.
+  double rate = 10;                  ///< Requests per second.
+  double seconds = 5;                ///< Time during which requests start.
+  double timeout_seconds = 30;       ///< Given up after this.
+  double batch_timeout_seconds = 0;  ///< For class batch; 0: as the others.
   int max_tokens = 32;
   int prompt_bytes = 200;
-  int prompts = 1'000'000;  ///< Distinct prompts.
+  int prompts = 1'000'000;             ///< Distinct prompts.
+  double first_token_bound_ms = 1100;  ///< Later answers aren't good.
+  /// For direct calls to engines: group and epoch, one for each target.
+  std::vector<std::string> groups;
+  std::vector<std::uint64_t> epochs;
   std::uint64_t seed = 1;
 };
 
 struct ClassFigures {
   int sent = 0;
   int complete = 0;
+  int good = 0;  ///< Complete, with the first token within the bound.
   int not_run = 0;
   int unknown = 0;
   int broken = 0;  ///< Neither a whole answer nor an honest refusal.
@@ -72,6 +79,7 @@
   int events = 0;
   bool done = false;
   bool failed = false;
+  double first_token_ms = 0;
   Clock::time_point last;
 };
 
@@ -100,6 +108,7 @@
   asio::awaitable<void> Start() {
     std::exponential_distribution<double> pause(m_options.rate);
     auto begin = Clock::now();
+    m_begin = begin;
     double at = 0;
     for (int i = 0;; ++i) {
       at += pause(m_random);
@@ -117,6 +126,7 @@
     for (auto& [name, figures] : m_classes) {
       classes[name] = {{"sent", figures.sent},
                        {"complete", figures.complete},
+                       {"good", figures.good},
                        {"not_run", figures.not_run},
                        {"unknown", figures.unknown},
                        {"broken", figures.broken},
@@ -125,10 +135,19 @@
                        {"gap_ms", Percentiles(&figures.gap_ms)},
                        {"refusal_ms", Percentiles(&figures.refusal_ms)}};
     }
-    return {{"classes", classes}, {"complete_by_organisation", m_by_token}};
+    return {{"classes", classes},
+            {"complete_by_organisation", m_by_token},
+            {"requests", m_requests},
+            {"broken_status", m_broken_status}};
   }
 
  private:
+  double TimeoutSeconds(const std::string& request_class) const {
+    bool batch =
+        request_class == "batch" && m_options.batch_timeout_seconds > 0;
+    return batch ? m_options.batch_timeout_seconds : m_options.timeout_seconds;
+  }
+
   std::string RequestText(int number, const std::string& request_class,
                           const std::string& token) {
     std::string prompt = fmt::format("prompt {} ", number % m_options.prompts);
@@ -138,15 +157,22 @@
                  {"max_tokens", m_options.max_tokens},
                  {"messages", {{{"role", "user"}, {"content", prompt}}}}};
     std::string text = body.dump();
+    std::string direct;
+    if (!m_options.groups.empty()) {
+      std::size_t index =
+          static_cast<std::size_t>(number) % m_options.groups.size();
+      direct = fmt::format(
+          "X-Attempt-Id: bench-{}\r\nX-Group: {}\r\nX-Group-Epoch: {}\r\n",
+          number, m_options.groups[index], m_options.epochs[index]);
+    }
     return fmt::format(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n"
         "Authorization: Bearer {}\r\nX-Request-Class: {}\r\n"
         "X-Request-Timeout-Ms: {}\r\nContent-Type: application/json\r\n"
-        "X-Attempt-Id: bench-{}\r\nX-Group: {}\r\nX-Group-Epoch: {}\r\n"
-        "Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+        "{}Connection: close\r\nContent-Length: {}\r\n\r\n{}",
         token, request_class,
-        static_cast<int>(m_options.timeout_seconds * 1000), number,
-        m_direct_group, m_direct_epoch, text.size(), text);
+        static_cast<int>(TimeoutSeconds(request_class) * 1000), direct,
+        text.size(), text);
   }
 
   asio::awaitable<void> Request(int number) {
@@ -164,7 +190,11 @@
     } catch (const boost::system::system_error&) {
       // Counted below from what arrived.
     }
+    int good = figures.good;
     Count(answer, token, Milliseconds(Clock::now() - begin).count(), &figures);
+    m_requests.emplace_back(
+        std::chrono::duration<double>(begin - m_begin).count(),
+        figures.good > good);
   }
 
   void Count(const Answer& answer, const std::string& token, double ms,
@@ -172,6 +202,9 @@
     if (answer.status == 200 && answer.done && !answer.failed) {
       ++figures->complete;
       ++m_by_token[token];
+      if (answer.first_token_ms <= m_options.first_token_bound_ms) {
+        ++figures->good;
+      }
     } else if (answer.outcome == "not-run") {
       ++figures->not_run;
       figures->refusal_ms.push_back(ms);
@@ -179,6 +212,7 @@
       ++figures->unknown;
     } else {
       ++figures->broken;
+      ++m_broken_status[std::to_string(answer.status)];
     }
   }
 
@@ -191,7 +225,7 @@
                           m_options.targets.size()];
     asio::steady_timer limit(*m_io);
     limit.expires_after(std::chrono::duration_cast<Clock::duration>(
-        std::chrono::duration<double>(m_options.timeout_seconds + 2)));
+        std::chrono::duration<double>(TimeoutSeconds(name) + 2)));
     limit.async_wait([&socket](boost::system::error_code error) {
       if (!error) socket.close(error);
     });
@@ -221,6 +255,7 @@
       text.erase(0, end + 4);
     }
     auto now = Clock::now();
+    if (text.find("event: error") != std::string::npos) answer->failed = true;
     std::size_t last_line = text.rfind('\n');
     if (last_line == std::string::npos) last_line = 0;
     for (std::size_t at = text.find("data: "); at < last_line;
@@ -229,15 +264,16 @@
         answer->done = true;
         continue;
       }
-      CountEvent(now, answer, figures);
+      // The data of an error event isn't a token.
+      if (!answer->failed) CountEvent(now, answer, figures);
     }
-    if (text.find("event: error") != std::string::npos) answer->failed = true;
     answer->tail = text.substr(last_line);
   }
 
   static void CountEvent(Clock::time_point now, Answer* answer,
                          ClassFigures* figures) {
     double ms = Milliseconds(now - answer->last).count();
+    if (answer->events == 0) answer->first_token_ms = ms;
     auto* list =
         answer->events == 0 ? &figures->first_token_ms : &figures->gap_ms;
     list->push_back(ms);
@@ -258,19 +294,13 @@
     answer->outcome = lower.substr(from, lower.find("\r\n", from) - from);
   }
 
- public:
-  /// Sends straight to an engine of this group and epoch.
-  void SetDirect(std::string group, std::uint64_t epoch) {
-    m_direct_group = std::move(group);
-    m_direct_epoch = epoch;
-  }
-
- private:
   asio::io_context* m_io;
   LoadOptions m_options;
   std::mt19937_64 m_random;
-  std::string m_direct_group;
-  std::uint64_t m_direct_epoch = 0;
+  Clock::time_point m_begin;
+  /// Of each request, seconds from the load's start to its own; was it good?
+  std::vector<std::pair<double, bool>> m_requests;
+  std::map<std::string, int> m_broken_status;
   std::map<std::string, ClassFigures> m_classes;
   std::map<std::string, int> m_by_token;
 };
@@ -280,8 +310,6 @@
 int main(int argc, char** argv) {
   CLI::App app("Open-loop load for chat completions");
   LoadOptions options;
-  std::string group;
-  std::uint64_t epoch = 0;
   app.add_option("--target", options.targets, "IP:port, repeatable")
       ->required();
   app.add_option("--token", options.tokens, "Organisation token, repeatable")
@@ -291,16 +319,24 @@
   app.add_option("--rate", options.rate, "Requests per second");
   app.add_option("--seconds", options.seconds, "Time during which to start");
   app.add_option("--timeout", options.timeout_seconds, "Seconds per request");
+  app.add_option("--batch-timeout", options.batch_timeout_seconds,
+                 "Seconds per request of class batch; 0: as the others");
   app.add_option("--max-tokens", options.max_tokens, "Tokens per answer");
   app.add_option("--prompt-bytes", options.prompt_bytes, "Prompt size");
   app.add_option("--prompts", options.prompts, "Distinct prompts");
   app.add_option("--seed", options.seed, "Seed of the start times");
-  app.add_option("--group", group, "Group, for a direct call to an engine");
-  app.add_option("--epoch", epoch, "Its epoch");
+  app.add_option("--first-token-bound-ms", options.first_token_bound_ms,
+                 "Answers whose first token is later aren't good");
+  app.add_option("--group", options.groups,
+                 "Group of the engine at each target, for direct calls");
+  app.add_option("--epoch", options.epochs, "Its epoch");
   CLI11_PARSE(app, argc, argv);
+  if (options.groups.size() != options.epochs.size()) {
+    std::cerr << "each --group needs an --epoch\n";
+    return 2;
+  }
   asio::io_context io(1);
   Load load(&io, options);
-  load.SetDirect(group, epoch);
   asio::co_spawn(io, load.Start(), asio::detached);
   io.run();
   std::cout << load.Report().dump(1) << "\n";
