State the outcome of a stream as unknown until its end

Cause: the head of a stream already said complete, so a caller that trusts the head takes a stream that was cut off for complete; seen with curl -i on a streamed request. Ruled out: an error event alone, which a lost connection doesn't carry. Change: the head says unknown; [DONE] alone means complete. The load tool counts a stream that just ends as broken, as before.

--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -301,7 +301,9 @@
 void RequestExecutor::StartStream(Caller* caller) {
   if (caller->head_sent) return;
   caller->head_sent = true;
-  HttpHeaders headers = OutcomeHeaders(Outcome::kComplete, kEventStream);
+  // The outcome isn't known yet; only the final event tells it. A stream that
+  // is cut off must not have called itself complete.
+  HttpHeaders headers = OutcomeHeaders(Outcome::kUnknown, kEventStream);
   headers.emplace_back("Cache-Control", "no-store");
   headers.emplace_back("X-Request-Id", std::to_string(caller->id));
   caller->exchange->StartStream(200, headers);
--- a/testing/load_bench.cc
+++ b/testing/load_bench.cc
@@ -208,7 +208,8 @@
     } else if (answer.outcome == "not-run") {
       ++figures->not_run;
       figures->refusal_ms.push_back(ms);
-    } else if (answer.outcome == "unknown" || answer.failed) {
+    } else if (answer.failed ||
+               (answer.outcome == "unknown" && answer.status != 200)) {
       ++figures->unknown;
     } else {
       ++figures->broken;
--- a/testing/net_daemon_test.cc
+++ b/testing/net_daemon_test.cc
@@ -285,6 +285,10 @@
         std::string::npos);
   CHECK(caller->received.find("\"outcome\":\"unknown\"") != std::string::npos);
   CHECK(caller->received.find("[DONE]") == std::string::npos);
+  CHECK(caller->received.find("X-Clementine-Outcome: unknown") !=
+        std::string::npos);
+  CHECK(caller->received.find("X-Clementine-Outcome: complete") ==
+        std::string::npos);
 }
 
 // Guards against engine work that goes on after its caller left, and against an
