Name attempt results and count sends in one place

Cause: the core and the daemon each had a table of attempt result names, and membership and the peer exchange each computed how often an update is sent; the status sources were collected twice for each measure at the lease holder. Change: AttemptResultName beside the other names, SendsToReach beside the membership, one collection.

--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -342,9 +342,10 @@
     }
     if (m_now >= m_next_measure) {
       m_next_measure = m_now + kMeasureInterval;
-      m_status.Measure(Sources(), m_now);
+      StatusSources sources = Sources();
+      m_status.Measure(sources, m_now);
       if (m_placement.lease().Proven(m_now)) {
-        m_status.Advance(Sources(), m_now, &m_out);
+        m_status.Advance(sources, m_now, &m_out);
       }
     }
   }
--- a/core/core.h
+++ b/core/core.h
@@ -145,6 +145,7 @@
   kCrashed,   ///< The backend server died while the attempt ran.
   kError,     ///< A final error answer from the backend server.
 };
+const char* AttemptResultName(AttemptResult result);
 
 // Events.
 struct RequestArrived {
--- a/core/membership.cc
+++ b/core/membership.cc
@@ -43,6 +43,10 @@
 
 }  // namespace
 
+int SendsToReach(std::size_t members) {
+  return kSendsPerDoubling * static_cast<int>(std::bit_width(members));
+}
+
 Membership::Membership(MembershipOptions options)
     : m_options(std::move(options)), m_random(m_options.seed) {
   m_self.peer = m_options.self;
@@ -74,8 +78,7 @@
 }
 
 void Membership::Announce(const std::string& node) {
-  auto doublings = static_cast<int>(std::bit_width(m_members.size() + 1));
-  m_announcements[node] = kSendsPerDoubling * doublings;
+  m_announcements[node] = SendsToReach(m_members.size() + 1);
 }
 
 // A claim that this daemon is suspect or dead is overridden by a higher
--- a/core/membership.h
+++ b/core/membership.h
@@ -45,6 +45,9 @@
   bool live_changed = false;  ///< The live daemons of this data centre changed.
 };
 
+/// How often an update is sent so that it reaches `members` daemons.
+int SendsToReach(std::size_t members);
+
 class Membership {
  public:
   explicit Membership(MembershipOptions options);
--- a/core/names.cc
+++ b/core/names.cc
@@ -36,6 +36,28 @@
   return "unknown";
 }
 
+const char* AttemptResultName(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kNotSent:
+      return "not_sent";
+    case AttemptResult::kRefused:
+      return "refused";
+    case AttemptResult::kWrongEpoch:
+      return "wrong_epoch";
+    case AttemptResult::kComplete:
+      return "complete";
+    case AttemptResult::kBroken:
+      return "broken";
+    case AttemptResult::kTimedOut:
+      return "timed_out";
+    case AttemptResult::kCrashed:
+      return "crashed";
+    case AttemptResult::kError:
+      return "error";
+  }
+  return "unknown";
+}
+
 const char* OutcomeName(Outcome outcome) {
   switch (outcome) {
     case Outcome::kComplete:
--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <bit>
 #include <set>
 #include <utility>
 
@@ -22,7 +21,6 @@
 /// Shortest time between two pulls; several daemons may be ahead at once.
 constexpr milliseconds kPullInterval{200};
 
-constexpr int kSendsPerDoubling = 3;
 constexpr std::size_t kUpdatesPerMessage = 32;
 constexpr std::size_t kMaxQuarantine = 4096;
 
@@ -57,8 +55,7 @@
     : m_self(options.self), m_members(std::move(options)) {}
 
 int PeerExchange::Sends() const {
-  std::size_t nodes = m_members.LiveNodes().size() + 1;
-  return kSendsPerDoubling * static_cast<int>(std::bit_width(nodes));
+  return SendsToReach(m_members.LiveNodes().size() + 1);
 }
 
 void PeerExchange::Fill(PeerMessage* message, TimePoint now) {
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -63,28 +63,6 @@
          result == AttemptResult::kWrongEpoch;
 }
 
-const char* ResultName(AttemptResult result) {
-  switch (result) {
-    case AttemptResult::kNotSent:
-      return "not_sent";
-    case AttemptResult::kRefused:
-      return "refused";
-    case AttemptResult::kWrongEpoch:
-      return "wrong_epoch";
-    case AttemptResult::kComplete:
-      return "complete";
-    case AttemptResult::kBroken:
-      return "broken";
-    case AttemptResult::kTimedOut:
-      return "timed_out";
-    case AttemptResult::kCrashed:
-      return "crashed";
-    case AttemptResult::kError:
-      return "error";
-  }
-  return "broken";
-}
-
 int StatusFor(RefusalReason reason, Outcome outcome) {
   switch (reason) {
     case RefusalReason::kUnknownModel:
@@ -772,7 +750,7 @@
   Log("retry", active->request,
       {{"attempt", std::to_string(event.attempt)},
        {"group", active->failed_group},
-       {"result", ResultName(event.result)},
+       {"result", AttemptResultName(event.result)},
        {"backoff_ms", std::to_string(pause.count())}});
   active->state = State::kBackoff;
   SetTimer(active, m_now + pause);
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -26,28 +26,6 @@
 constexpr const char* kEventStream = "text/event-stream";
 constexpr const char* kJson = "application/json";
 
-const char* ResultName(AttemptResult result) {
-  switch (result) {
-    case AttemptResult::kNotSent:
-      return "not_sent";
-    case AttemptResult::kRefused:
-      return "refused";
-    case AttemptResult::kWrongEpoch:
-      return "wrong_epoch";
-    case AttemptResult::kComplete:
-      return "complete";
-    case AttemptResult::kBroken:
-      return "broken";
-    case AttemptResult::kTimedOut:
-      return "timed_out";
-    case AttemptResult::kCrashed:
-      return "crashed";
-    case AttemptResult::kError:
-      return "error";
-  }
-  return "unknown";
-}
-
 double Seconds(Clock::duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -318,12 +296,13 @@
   LogEvent("attempt_ended", {{"request", std::to_string(caller->id)},
                              {"attempt", attempt->wire_id},
                              {"group", attempt->group},
-                             {"result", ResultName(end.result)},
+                             {"result", AttemptResultName(end.result)},
                              {"status", std::to_string(end.status)},
                              {"offset", std::to_string(caller->delivered)},
                              {"detail", end.detail}});
-  m_context.metrics->Add("clementine_attempts_total",
-                         fmt::format("result=\"{}\"", ResultName(end.result)));
+  m_context.metrics->Add(
+      "clementine_attempts_total",
+      fmt::format("result=\"{}\"", AttemptResultName(end.result)));
   SuspectHost(*attempt, end);
   CancelUnfinished(*attempt, end);
   KeepAnswer(attempt.get(), &end);
