--- a/config/config.h
+++ b/config/config.h
@@ -169,7 +169,11 @@
   std::string node;  ///< Unique name; defaults to listen address.
   std::string region;
   std::string data_centre;
-  std::string listen = "127.0.0.1:0";       ///< HTTP for callers.
+  /// What callers and the platform speak: `chat`, or `relay` for requests that
+  /// are passed on as they are to backend servers of the platform's registry.
+  std::string interface = "chat";
+  std::string listen = "127.0.0.1:0";  ///< HTTP for callers.
+  std::string health;  ///< Relay: address of /readyz and /metrics.
   std::string peer_listen = "127.0.0.1:0";  ///< nng for other daemons.
   std::vector<std::string> peer_seeds;      ///< Peer addresses to join through.
   std::string platform;                     ///< Address of the platform's API.
@@ -191,7 +195,9 @@
   std::chrono::milliseconds first_token_timeout{10'000};
   std::chrono::milliseconds token_gap_timeout{2'000};
   std::chrono::milliseconds connect_timeout{500};
-  std::chrono::milliseconds drain_wait{5'000};  ///< Unready before refusing.
+  std::chrono::milliseconds drain_wait{5'000};   ///< Unready before refusing.
+  std::chrono::milliseconds stop_limit{60'000};  ///< Longest graceful stop.
+  double retry_ratio = 0.1;  ///< Retries for each first attempt.
   std::chrono::seconds claim_retention{86'400};
   std::uint64_t seed = 1;  ///< Seed for jitter and tie-breaking.
   /// Baselines for measurements: how groups are chosen, one of
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -33,9 +33,11 @@
       NameField("name", NameKind::kPath, &s.node),
       NameField("region", NameKind::kPlain, &s.region),
       Required(NameField("data_centre", NameKind::kPlain, &s.data_centre)),
-      SeedField("seed", &s.seed)};
+      SeedField("seed", &s.seed),
+      NameField("interface", NameKind::kPlain, &s.interface)};
   table["listen"] = {
       AddressField("address", true, &s.listen),
+      AddressField("health", true, &s.health),
       NameField("idempotency_header", NameKind::kPlain, &s.idempotency_header)};
   table["platform"] = {Required(AddressField("address", false, &s.platform)),
                        SecretField("token", &s.platform_token)};
@@ -47,7 +49,8 @@
       SizeField("max_header_bytes", 1'024, kMaxCount, &s.max_header_bytes),
       SizeField("max_body_bytes", 1'024, kMaxBytes, &s.max_body_bytes),
       SizeField("max_connections", 1, kMaxCount, &s.max_connections),
-      SizeField("max_queued", 1, kMaxCount, &s.max_queued)};
+      SizeField("max_queued", 1, kMaxCount, &s.max_queued),
+      NumberField("retry_ratio", 0.0, 1.0, &s.retry_ratio)};
   table["experiment"] = {
       NameField("route_policy", NameKind::kPlain, &s.route_policy),
       FlagField("admission", &s.admission)};
@@ -62,6 +65,7 @@
       wait("token_gap_timeout", &s.token_gap_timeout),
       wait("connect_timeout", &s.connect_timeout),
       DurationField("drain_wait", milliseconds(0), hours(1), &s.drain_wait),
+      wait("stop_limit", &s.stop_limit),
       DurationField("claim_retention", seconds(1), hours(24 * 365),
                     &s.claim_retention)};
   return table;
@@ -110,6 +114,13 @@
   if (settings.lease_duration <= settings.longest_order) {
     findings->Add(line, "lease_duration must be longer than longest_order");
   }
+  bool known = settings.interface == "chat" || settings.interface == "relay";
+  if (!known) {
+    auto node = lines.find("node");
+    findings->Add(node == lines.end() ? 0 : node->second,
+                  fmt::format("interface {} is not chat or relay",
+                              Quote(settings.interface)));
+  }
   if (!IsRoutePolicy(settings.route_policy)) {
     auto experiment = lines.find("experiment");
     findings->Add(experiment == lines.end() ? 0 : experiment->second,
@@ -150,6 +161,8 @@
   }
   for (const auto& [name, fields] : table) {
     if (lines.count(name) != 0) continue;
+    // Daemons of this interface share state through the platform only.
+    if (name == "peers" && result.settings.interface == "relay") continue;
     for (const Field& field : fields) {
       if (!field.required) continue;
       findings.Add(0, fmt::format("[{}] lacks key '{}'", name, field.key));
--- a/core/core.h
+++ b/core/core.h
@@ -66,6 +66,9 @@
   std::string key;
 };
 
+/// As `if_version`: replaces any version, for objects with one writer.
+inline constexpr std::uint64_t kAnyVersion = ~std::uint64_t{0};
+
 /// Conditional update; `if_version` 0 creates.
 struct PutObject {
   CallId call = 0;
@@ -105,6 +108,7 @@
   bool idempotent = true;
   std::string idempotency_key;  ///< Empty when the caller gave none.
   TimePoint deadline;
+  int max_attempts = 0;  ///< 0: as in RequestPathOptions.
 };
 
 /// A routable replica or plain host as this node knows it.
@@ -290,6 +294,10 @@
   int max_attempts = 3;
   double retry_ratio = 0.1;  ///< Retries for each first attempt.
   int crashes_to_quarantine = 2;
+  /// Runs a request that was in flight at a crash alone on its next attempt.
+  bool isolate_suspects = true;
+  /// Least time that a refused caller is told to wait.
+  milliseconds least_retry_after{1'000};
   milliseconds quarantine_time{600'000};
   std::size_t max_queued = 4096;
   std::chrono::seconds claim_retention{86'400};
--- /dev/null
+++ b/core/fleet_control.cc
@@ -0,0 +1,382 @@
+// The list of backend servers is the only shared state. Every daemon derives
+// from it which groups may be used; the one that holds the lease also asks the
+// members of groups whether they live, and sends the planner's orders.
+
+#include "core/fleet_control.h"
+
+#include <algorithm>
+
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+constexpr char kLeaseKey[] = "clementine-lease/planner";
+/// Calls of the lease without a reply are read back after this time.
+constexpr milliseconds kCallTimeout{1'200};
+
+constexpr milliseconds kPlanInterval{100};
+/// A member of a group that stands is asked this often whether it lives.
+constexpr milliseconds kAskInterval{1'000};
+/// Failures in a row before a host is taken for gone. One lost packet delays an
+/// answer by less than the time of two calls.
+constexpr int kAskFailures = 3;
+/// A group that went silent gets no work for as long as a head takes to notice
+/// that a member is gone.
+constexpr milliseconds kEngineSuspicion{5'500};
+constexpr milliseconds kPlainSuspicion{2'000};
+/// Requests that may run or wait at a server, for each that runs. The servers
+/// queue a few, and the daemons' shares of the traffic are uneven.
+constexpr int kOvercommit = 2;
+
+bool SameView(const GroupView& a, const GroupView& b) {
+  return a.group == b.group && a.epoch == b.epoch && a.open == b.open &&
+         a.leaving == b.leaving && a.leader_host == b.leader_host &&
+         a.leader_address == b.leader_address && a.max_running == b.max_running;
+}
+
+}  // namespace
+
+FleetControl::FleetControl(FleetControlOptions options)
+    : m_options(std::move(options)),
+      m_jitter(m_options.seed),
+      m_lease(
+          {m_options.node, m_options.incarnation, kLeaseKey,
+           m_options.lease_duration, m_options.longest_order, Mutation::kNone},
+          &m_calls, &m_jitter),
+      m_nodes(m_options.node, m_options.incarnation, m_options.seed + 1) {
+  // Nothing is ordered without the lease, so its absence means that no daemon
+  // has held it yet.
+  m_lease.PlacementAbsent();
+}
+
+std::vector<FleetAction> FleetControl::Handle(const FleetEvent& event,
+                                              TimePoint now) {
+  m_now = now;
+  m_actions.clear();
+  std::visit([this](const auto& value) { On(value); }, event);
+  if (m_changed) {
+    m_changed = false;
+    PublishGroups();
+  }
+  return std::move(m_actions);
+}
+
+// ---------------------------------------------------------------------------
+// The list and the configuration.
+
+void FleetControl::On(const ServersListed& event) {
+  m_list.Replace(event.servers, m_now);
+  m_changed = true;
+}
+
+void FleetControl::On(const ServersChanged& event) {
+  m_list.Apply(event.changes, m_now);
+  m_changed = m_changed || !event.changes.empty();
+}
+
+void FleetControl::On(const ServersUnreachable& /*event*/) {
+  m_list.Unreachable(m_now);
+}
+
+void FleetControl::On(const FleetConfigured& event) {
+  m_configuration = event.configuration;
+  m_changed = true;
+}
+
+void FleetControl::On(const GroupSilent& event) {
+  // Plain hosts are named "<service>/<host>".
+  bool plain = event.group.find('/') != std::string::npos;
+  Suspicion& suspicion = m_suspected[event.group];
+  if (suspicion.epoch == event.epoch && suspicion.until > m_now) return;
+  suspicion = {event.epoch,
+               m_now + (plain ? kPlainSuspicion : kEngineSuspicion)};
+  m_changed = true;
+  Log("group_silent",
+      {{"group", event.group}, {"epoch", std::to_string(event.epoch)}});
+  for (const auto& [id, server] : m_list.servers()) {
+    auto asked = m_asked.find(id);
+    if (server.member.group == event.group && asked != m_asked.end()) {
+      asked->second.next = m_now;
+    }
+  }
+}
+
+bool FleetControl::Suspected(const std::string& group,
+                             std::uint64_t epoch) const {
+  auto found = m_suspected.find(group);
+  return found != m_suspected.end() && found->second.epoch == epoch &&
+         m_now < found->second.until;
+}
+
+// ---------------------------------------------------------------------------
+// Groups for the request path.
+
+void FleetControl::AddEngineGroups(const FleetService& service,
+                                   std::vector<GroupView>* groups) const {
+  std::map<std::string, int> sizes;
+  for (const EngineModel& model : service.engine->models) {
+    sizes[model.name] = model.hosts_per_group;
+  }
+  for (const auto& [key, group] :
+       CollectGroups(m_list.servers(), service.name)) {
+    const BackendServer* head =
+        group.members.empty() ? nullptr : group.members.front();
+    auto size = sizes.find(group.model);
+    if (head == nullptr || size == sizes.end() ||
+        head->member.state != MemberState::kOpen) {
+      continue;
+    }
+    GroupView view;
+    view.group = group.name;
+    view.model = service.name + "/" + group.model;
+    view.epoch = group.epoch;
+    view.data_centre = head->data_centre;
+    view.fabric_domain = head->fabric_domain;
+    view.leader_host = head->id;
+    view.leader_address = head->address;
+    view.max_running = service.engine->max_running * kOvercommit;
+    view.leaving = std::any_of(group.members.begin(), group.members.end(),
+                               [](const BackendServer* member) {
+                                 return member != nullptr && member->leaving;
+                               });
+    view.open = IsWhole(group, size->second) &&
+                !Suspected(group.name, group.epoch) &&
+                std::none_of(group.members.begin(), group.members.end(),
+                             [this](const BackendServer* member) {
+                               return m_failed.count(member->id) > 0;
+                             });
+    groups->push_back(std::move(view));
+  }
+}
+
+void FleetControl::AddPlainHosts(const FleetService& service,
+                                 std::vector<GroupView>* groups) const {
+  for (const auto& [id, server] : m_list.servers()) {
+    if (server.service != service.name) continue;
+    GroupView view;
+    view.group = service.name + "/" + id;
+    view.service = service.name;
+    view.epoch = static_cast<std::uint64_t>(server.born);
+    view.data_centre = server.data_centre;
+    view.leader_host = id;
+    view.leader_address = server.address;
+    view.max_running = server.slots * kOvercommit;
+    view.leaving = server.leaving;
+    view.open = !Suspected(view.group, view.epoch);
+    groups->push_back(std::move(view));
+  }
+}
+
+void FleetControl::PublishGroups() {
+  if (!m_configuration || !m_list.known()) return;
+  std::vector<GroupView> groups;
+  for (const auto& [name, service] : m_configuration->services) {
+    if (service.engine) {
+      AddEngineGroups(service, &groups);
+    } else {
+      AddPlainHosts(service, &groups);
+    }
+  }
+  if (groups.size() == m_published.size() &&
+      std::equal(groups.begin(), groups.end(), m_published.begin(), SameView)) {
+    return;
+  }
+  std::map<std::string, const GroupView*> before;
+  for (const GroupView& view : m_published) before[view.group] = &view;
+  m_open_groups = 0;
+  for (const GroupView& view : groups) {
+    bool usable = view.open && !view.leaving;
+    if (usable) ++m_open_groups;
+    auto old = before.find(view.group);
+    bool was = old != before.end() && old->second->open &&
+               !old->second->leaving && old->second->epoch == view.epoch;
+    if (usable != was) {
+      Log("gate", {{"group", view.group},
+                   {"epoch", std::to_string(view.epoch)},
+                   {"head", view.leader_host},
+                   {"open", usable ? "yes" : "no"},
+                   {"leaving", view.leaving ? "yes" : "no"}});
+    }
+    if (old != before.end()) before.erase(old);
+  }
+  for (const auto& [name, view] : before) {
+    if (view->open && !view->leaving) {
+      Log("gate", {{"group", name},
+                   {"epoch", std::to_string(view->epoch)},
+                   {"open", "no"},
+                   {"why", "not listed"}});
+    }
+  }
+  m_published = groups;
+  m_actions.emplace_back(GroupsChanged{std::move(groups)});
+}
+
+// ---------------------------------------------------------------------------
+// Lease, nodes, platform calls.
+
+void FleetControl::Take(std::vector<ControlAction> actions) {
+  for (ControlAction& action : actions) {
+    if (auto* get = std::get_if<GetObject>(&action)) {
+      m_actions.emplace_back(std::move(*get));
+    } else if (auto* put = std::get_if<PutObject>(&action)) {
+      m_actions.emplace_back(std::move(*put));
+    } else if (auto* log = std::get_if<LogDecision>(&action)) {
+      m_actions.emplace_back(std::move(*log));
+    }
+  }
+}
+
+void FleetControl::On(const ObjectReply& event) {
+  if (m_nodes.Replied(event, m_now)) return;
+  std::optional<PendingCall> call = m_calls.Take(event.call);
+  if (!call) return;
+  std::vector<ControlAction> out;
+  m_lease.Replied(*call, event, m_now, &out);
+  Take(std::move(out));
+}
+
+void FleetControl::On(const NodesListed& event) {
+  m_nodes.Listed(event, m_now);
+}
+
+void FleetControl::On(const DrainStarted& /*event*/) { m_stopping = true; }
+
+void FleetControl::AdvanceLease() {
+  std::vector<ControlAction> out;
+  for (const auto& [id, call] : m_calls.TakeOlderThan(m_now - kCallTimeout)) {
+    ObjectReply lost;
+    lost.call = id;
+    m_lease.Replied(call, lost, m_now, &out);
+  }
+  if (m_stopping) m_lease.Release(m_orders_running == 0, m_now, &out);
+  m_lease.Advance(m_configuration != nullptr && m_list.known(), m_now, &out);
+  Take(std::move(out));
+}
+
+void FleetControl::On(const Tick& /*event*/) {
+  if (m_list.Expire(m_now)) m_changed = true;
+  std::size_t suspected = m_suspected.size();
+  std::erase_if(m_suspected, [this](const auto& entry) {
+    return entry.second.until <= m_now;
+  });
+  if (m_suspected.size() != suspected) m_changed = true;
+  for (NodeDirectory::Action& action : m_nodes.Advance(m_now)) {
+    std::visit(
+        [this](auto& value) { m_actions.emplace_back(std::move(value)); },
+        action);
+  }
+  if (m_nodes.live() != m_live) {
+    m_live = m_nodes.live();
+    Log("nodes", {{"live", std::to_string(m_live)}});
+    m_actions.emplace_back(DaemonsChanged{m_live});
+  }
+  AdvanceLease();
+  if (m_now - m_planned < kPlanInterval) return;
+  m_planned = m_now;
+  bool planning = !m_stopping && m_lease.CanOrder(m_now);
+  if (planning != m_planning) {
+    m_planning = planning;
+    m_planner.Reset();
+    m_asked.clear();
+    m_changed = m_changed || !m_failed.empty();
+    m_failed.clear();
+    Log("planner", {{"active", planning ? "yes" : "no"}});
+  }
+  if (!planning) return;
+  AskMembers();
+  PlanOrders();
+}
+
+// ---------------------------------------------------------------------------
+// The planner's work.
+
+void FleetControl::AskMembers() {
+  std::erase_if(m_asked, [this](const auto& entry) {
+    return m_list.servers().count(entry.first) == 0;
+  });
+  for (const auto& [id, server] : m_list.servers()) {
+    bool member = server.member.state == MemberState::kOpen ||
+                  server.member.state == MemberState::kReady;
+    if (!member) continue;
+    auto [entry, added] = m_asked.try_emplace(id);
+    Asked& asked = entry->second;
+    if (added) {
+      asked.next = m_now + m_jitter.Between(milliseconds(0), kAskInterval);
+    }
+    if (asked.waiting || m_now < asked.next) continue;
+    asked.waiting = true;
+    m_actions.emplace_back(AskServer{id, server.address});
+  }
+}
+
+void FleetControl::On(const ServerAnswered& event) {
+  if (event.server) {
+    m_planner.OrdersCounted(event.host, event.server->born,
+                            event.server->orders);
+  }
+  auto found = m_asked.find(event.host);
+  if (found == m_asked.end()) return;
+  Asked& asked = found->second;
+  asked.waiting = false;
+  if (event.server) {
+    asked.failures = 0;
+    asked.next = m_now + kAskInterval;
+    if (m_failed.erase(event.host) > 0) {
+      m_changed = true;
+      Log("host_answers", {{"host", event.host}});
+    }
+    return;
+  }
+  asked.next = m_now;
+  if (++asked.failures == kAskFailures) {
+    m_failed.insert(event.host);
+    m_changed = true;
+    Log("host_failed",
+        {{"host", event.host}, {"failures", std::to_string(asked.failures)}});
+  }
+  if (asked.failures >= kAskFailures) asked.next = m_now + kAskInterval / 2;
+}
+
+void FleetControl::PlanOrders() {
+  if (!m_configuration || !m_list.known()) return;
+  for (GroupPlanner::Order& planned :
+       m_planner.Plan(*m_configuration, m_list.servers(), m_failed, m_now)) {
+    const GroupOrder& order = planned.order;
+    Log("order", {{"host", planned.host},
+                  {"kind", GroupOrderName(order.kind)},
+                  {"group", order.group},
+                  {"epoch", std::to_string(order.epoch)},
+                  {"model", order.model},
+                  {"expected", std::to_string(order.expected_orders)}});
+    ++m_orders_running;
+    m_actions.emplace_back(SendGroupOrder{std::move(planned.host),
+                                          std::move(planned.address),
+                                          std::move(planned.order)});
+  }
+}
+
+void FleetControl::On(const OrderEnded& event) {
+  if (m_orders_running > 0) --m_orders_running;
+  static const char* const kNames[] = {"accepted", "rejected", "unknown"};
+  Log("order_ended", {{"host", event.host},
+                      {"kind", GroupOrderName(event.order.kind)},
+                      {"group", event.order.group},
+                      {"expected", std::to_string(event.order.expected_orders)},
+                      {"result", kNames[static_cast<int>(event.result)]}});
+  m_planner.Answered(event.host, event.order, event.result, m_now);
+  // The count of orders that was expected may be wrong.
+  auto server = m_list.servers().find(event.host);
+  if (event.result == OrderResult::kRejected &&
+      server != m_list.servers().end()) {
+    m_actions.emplace_back(AskServer{event.host, server->second.address});
+  }
+}
+
+void FleetControl::Log(
+    const char* event,
+    std::vector<std::pair<std::string, std::string>> fields) {
+  m_actions.emplace_back(LogDecision{event, std::move(fields)});
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/core/fleet_control.h
@@ -0,0 +1,165 @@
+// What a daemon on a platform with its own registry of backend servers decides
+// besides requests: which groups may be used, whether this daemon is the
+// planner, and what it orders. A pure facade, as RequestPath and ControlPlane.
+#ifndef CORE_FLEET_CONTROL_H_
+#define CORE_FLEET_CONTROL_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/fleet.h"
+#include "core/group_planner.h"
+#include "core/jitter.h"
+#include "core/lease.h"
+#include "core/node_directory.h"
+#include "core/platform_calls.h"
+#include "core/server_list.h"
+
+namespace clementine {
+
+// Events (also ObjectReply, NodesListed, DrainStarted and Tick).
+struct ServersListed {
+  std::vector<BackendServer> servers;
+};
+struct ServersChanged {
+  std::vector<ServerList::Change> changes;
+};
+struct ServersUnreachable {};
+struct FleetConfigured {
+  std::shared_ptr<const FleetConfiguration> configuration;
+};
+/// A backend server's answer about itself; empty when it didn't answer.
+struct ServerAnswered {
+  std::string host;
+  std::optional<BackendServer> server;
+};
+struct OrderEnded {
+  std::string host;
+  GroupOrder order;
+  OrderResult result = OrderResult::kUnknown;
+};
+/// Nothing came from a group for longer than its answers may pause.
+struct GroupSilent {
+  std::string group;
+  std::uint64_t epoch = 0;
+};
+
+using FleetEvent =
+    std::variant<ServersListed, ServersChanged, ServersUnreachable,
+                 FleetConfigured, ServerAnswered, OrderEnded, GroupSilent,
+                 ObjectReply, NodesListed, DrainStarted, Tick>;
+
+// Actions (also GroupsChanged, DaemonsChanged, GetObject, PutObject, ListNodes
+// and LogDecision).
+struct SendGroupOrder {
+  std::string host;
+  std::string address;
+  GroupOrder order;
+};
+struct AskServer {
+  std::string host;
+  std::string address;
+};
+
+using FleetAction =
+    std::variant<SendGroupOrder, AskServer, GroupsChanged, DaemonsChanged,
+                 GetObject, PutObject, ListNodes, LogDecision>;
+
+struct FleetControlOptions {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  std::uint64_t seed = 1;
+  /// Long enough for two lost renewals, short enough that a lost host isn't
+  /// left without a planner for longer than its group is missed.
+  milliseconds lease_duration{3'000};
+  milliseconds longest_order{500};
+};
+
+/// Invariant: orders go out only while this daemon's lease outlasts them.
+class FleetControl {
+ public:
+  explicit FleetControl(FleetControlOptions options);
+  FleetControl(const FleetControl&) = delete;
+  FleetControl& operator=(const FleetControl&) = delete;
+
+  /// @param now Counts also while the machine is suspended.
+  std::vector<FleetAction> Handle(const FleetEvent& event, TimePoint now);
+
+  bool holds_lease() const { return m_lease.Holding(); }
+  bool servers_known() const { return m_list.known(); }
+  std::size_t open_groups() const { return m_open_groups; }
+  int live_nodes() const { return m_nodes.live(); }
+
+ private:
+  using Actions = std::vector<FleetAction>;
+
+  /// What is known of a member host by asking it.
+  struct Asked {
+    TimePoint next;
+    bool waiting = false;
+    int failures = 0;
+  };
+  struct Suspicion {
+    std::uint64_t epoch = 0;
+    TimePoint until;
+  };
+
+  void On(const ServersListed& event);
+  void On(const ServersChanged& event);
+  void On(const ServersUnreachable& event);
+  void On(const FleetConfigured& event);
+  void On(const ServerAnswered& event);
+  void On(const OrderEnded& event);
+  void On(const GroupSilent& event);
+  void On(const ObjectReply& event);
+  void On(const NodesListed& event);
+  void On(const DrainStarted& event);
+  void On(const Tick& event);
+
+  void AdvanceLease();
+  void AskMembers();
+  void PlanOrders();
+  void PublishGroups();
+  void AddEngineGroups(const FleetService& service,
+                       std::vector<GroupView>* groups) const;
+  void AddPlainHosts(const FleetService& service,
+                     std::vector<GroupView>* groups) const;
+  bool Suspected(const std::string& group, std::uint64_t epoch) const;
+  void Take(std::vector<ControlAction> actions);
+  void Log(const char* event,
+           std::vector<std::pair<std::string, std::string>> fields);
+
+  FleetControlOptions m_options;
+  Jitter m_jitter;
+  PlatformCalls m_calls;
+  Lease m_lease;
+  NodeDirectory m_nodes;
+  ServerList m_list;
+  GroupPlanner m_planner;
+  std::shared_ptr<const FleetConfiguration> m_configuration;
+  std::map<std::string, Asked> m_asked;  ///< By host; planner only.
+  std::set<std::string> m_failed;        ///< Hosts that don't answer.
+  std::map<std::string, Suspicion> m_suspected;
+  std::vector<GroupView> m_published;
+  std::size_t m_open_groups = 0;
+  bool m_changed = false;  ///< Something that groups depend on.
+  bool m_stopping = false;
+  bool m_planning = false;  ///< Held the lease at the last pass.
+  std::size_t m_orders_running = 0;
+  int m_live = 0;  ///< Daemons last reported to the request path.
+  TimePoint m_planned;
+
+  // Of the event being handled.
+  TimePoint m_now;
+  Actions m_actions;
+};
+
+}  // namespace clementine
+
+#endif  // CORE_FLEET_CONTROL_H_
--- /dev/null
+++ b/core/group_planner.cc
@@ -0,0 +1,590 @@
+// Each pass looks at the groups as their members report them now:
+//
+//   head open, a member gone      -> close the head, evicting its requests
+//   head open, a member leaving   -> close the head after its requests
+//   all members ready             -> open the head
+//   members still joining         -> wait
+//   head ready, broken or gone,
+//   and not all members there     -> the members are free
+//
+// Free hosts of a fabric domain form the group whose model is short of groups
+// and that can serve soonest: members of the model's last group rejoin at once,
+// hosts with staged weights start from those, others load them. Hosts that are
+// left over stage the model that they most likely replace a member of.
+
+#include "core/group_planner.h"
+
+#include <algorithm>
+
+namespace clementine {
+namespace {
+
+/// An order that was lost may be carried out this late.
+constexpr milliseconds kLateOrder{12'000};
+/// Repeating an order is safe at any time, since it is only carried out at the
+/// count of orders that it expects; this bounds how often it is repeated.
+constexpr milliseconds kRepeatOrder{1'500};
+/// An accepted order shows in the list within this time.
+constexpr milliseconds kListDelay{2'500};
+/// Joins of one group reach its members within this time of each other.
+constexpr milliseconds kJoinSpread{2'500};
+/// A closed head has ended its requests by then.
+constexpr milliseconds kEvictTime{500};
+/// Calls without an answer, so far apart, that show a head to be gone.
+constexpr int kOrphanTries = 3;
+constexpr milliseconds kOrphanInterval{400};
+/// A head that was never seen can't be asked; its members wait until a head
+/// that lost them would have noticed.
+constexpr milliseconds kUnknownHead{6'000};
+/// Joining takes at most this factor of the slowest load.
+constexpr int kJoinPatience = 4;
+constexpr milliseconds kLeastJoinPatience{20'000};
+/// Part of the permitted rate of loads that is used; the rest covers loads that
+/// hosts begin later than ordered.
+constexpr double kLoadRatePart = 0.85;
+constexpr double kLoadBurst = 3.0;
+/// Rejoining after a group of the same model, in seconds.
+constexpr double kRejoinSeconds = 0.2;
+/// Delay of a group that weighs as much as half of its model's need.
+constexpr double kHalfWorthSeconds = 8.0;
+/// Distance to the epochs that a predecessor may have used without our seeing.
+constexpr std::uint64_t kEpochStep = 16;
+
+bool IsServing(MemberState state) {
+  return state == MemberState::kOpen || state == MemberState::kClosing;
+}
+
+bool IsStaged(const BackendServer& host, const std::string& model) {
+  return std::find(host.staged.begin(), host.staged.end(), model) !=
+         host.staged.end();
+}
+
+const EngineModel* FindModel(const EngineSpec& engine,
+                             const std::string& name) {
+  for (const EngineModel& model : engine.models) {
+    if (model.name == name) return &model;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::string GroupName(const std::string& model, std::uint64_t number) {
+  return model + "." + std::to_string(number);
+}
+
+std::string GroupModel(const std::string& group) {
+  std::size_t dot = group.rfind('.');
+  return dot == std::string::npos ? "" : group.substr(0, dot);
+}
+
+std::map<std::pair<std::string, std::uint64_t>, ReportedGroup> CollectGroups(
+    const std::map<std::string, BackendServer>& servers,
+    const std::string& service) {
+  std::map<std::pair<std::string, std::uint64_t>, ReportedGroup> groups;
+  for (const auto& [id, server] : servers) {
+    const Membership& member = server.member;
+    if (server.service != service || member.state == MemberState::kNone ||
+        member.group.empty() || member.rank < 0) {
+      continue;
+    }
+    ReportedGroup& group = groups[{member.group, member.epoch}];
+    group.name = member.group;
+    group.epoch = member.epoch;
+    group.model = GroupModel(member.group);
+    auto rank = static_cast<std::size_t>(member.rank);
+    constexpr std::size_t kMostMembers = 1024;
+    if (rank >= kMostMembers) continue;
+    if (group.members.size() <= rank) group.members.resize(rank + 1, nullptr);
+    group.members[rank] = &server;
+  }
+  return groups;
+}
+
+bool IsWhole(const ReportedGroup& group, int hosts) {
+  return group.members.size() == static_cast<std::size_t>(hosts) &&
+         std::all_of(group.members.begin(), group.members.end(),
+                     [](const BackendServer* member) {
+                       return member != nullptr &&
+                              member->member.state != MemberState::kBroken;
+                     });
+}
+
+std::vector<GroupPlanner::Order> GroupPlanner::Plan(
+    const FleetConfiguration& configuration, const Servers& servers,
+    const std::set<std::string>& failed, TimePoint now) {
+  Settle(servers, now);
+  std::vector<Order> orders;
+  for (const auto& [name, service] : configuration.services) {
+    if (!service.engine) continue;
+    Pass pass;
+    pass.engine = &*service.engine;
+    pass.servers = &servers;
+    pass.failed = &failed;
+    pass.now = now;
+    PlanService(name, &pass);
+    std::move(pass.orders.begin(), pass.orders.end(),
+              std::back_inserter(orders));
+  }
+  return orders;
+}
+
+void GroupPlanner::PlanService(const std::string& service, Pass* pass) {
+  RememberHeads(service, pass);
+  ChaseOrphans(pass);
+  auto groups = CollectGroups(*pass->servers, service);
+  std::erase_if(m_seen, [&](const auto& seen) {
+    return groups.count(seen.first) == 0 &&
+           pass->now - seen.second > kLateOrder;
+  });
+  for (const auto& [key, group] : groups) {
+    m_epoch = std::max(m_epoch, group.epoch);
+    m_seen.emplace(key, pass->now);
+    JudgeGroup(group, pass);
+  }
+  FindFree(service, pass);
+  FormGroups(pass);
+  StageSpares(pass);
+}
+
+void GroupPlanner::Reset() {
+  m_sent.clear();
+  m_loads.clear();
+  m_heads.clear();
+  m_orphans.clear();
+  m_forming.clear();
+  m_seen.clear();
+  m_epoch += kEpochStep;
+}
+
+// ---------------------------------------------------------------------------
+// Orders and their effects.
+
+std::uint64_t GroupPlanner::Orders(const BackendServer& host) const {
+  auto found = m_counts.find(host.id);
+  if (found == m_counts.end() || found->second.born != host.born) {
+    return host.orders;
+  }
+  return std::max(host.orders, found->second.orders);
+}
+
+void GroupPlanner::OrdersCounted(const std::string& host, std::int64_t born,
+                                 std::uint64_t orders) {
+  Count& count = m_counts[host];
+  if (count.born != born) count = {born, 0, ""};
+  count.orders = std::max(count.orders, orders);
+}
+
+void GroupPlanner::Answered(const std::string& host, const GroupOrder& order,
+                            OrderResult result, TimePoint now) {
+  for (auto& [key, orphan] : m_orphans) {
+    if (orphan.head.id != host || order.kind != GroupOrder::Kind::kClose) {
+      continue;
+    }
+    if (result == OrderResult::kUnknown) {
+      ++orphan.unanswered;
+    } else {
+      orphan.free_at = std::min(orphan.free_at, now + kEvictTime);
+    }
+    return;
+  }
+  auto found = m_sent.find(host);
+  if (found == m_sent.end() ||
+      found->second.order.expected_orders != order.expected_orders ||
+      found->second.order.kind != order.kind) {
+    return;
+  }
+  if (result == OrderResult::kRejected) {
+    if (order.kind == GroupOrder::Kind::kJoin) m_epoch += kEpochStep;
+    m_sent.erase(found);
+    m_loads.erase(host);
+  } else if (result == OrderResult::kAccepted) {
+    found->second.accepted = true;
+    OrdersCounted(host, found->second.born, order.expected_orders + 1);
+    if (order.kind == GroupOrder::Kind::kStage) m_sent.erase(found);
+  }
+}
+
+void GroupPlanner::Settle(const Servers& servers, TimePoint now) {
+  std::erase_if(m_sent, [&](const auto& entry) {
+    const Sent& sent = entry.second;
+    auto host = servers.find(entry.first);
+    if (host == servers.end() || host->second.born != sent.born) return true;
+    if (host->second.orders > sent.order.expected_orders) return true;
+    milliseconds patience = kRepeatOrder;
+    if (sent.accepted) patience = kListDelay;
+    if (!sent.accepted && sent.order.kind == GroupOrder::Kind::kOpen) {
+      patience = kLateOrder;
+    }
+    return now - sent.at > patience;
+  });
+  std::erase_if(m_loads, [&](const auto& entry) {
+    auto host = servers.find(entry.first);
+    return host == servers.end() || entry.second.give_up <= now ||
+           IsStaged(host->second, entry.second.model);
+  });
+  std::erase_if(m_counts, [&](const auto& entry) {
+    return servers.count(entry.first) == 0;
+  });
+  std::erase_if(m_forming, [&](const auto& entry) {
+    return std::none_of(
+        entry.second.begin(), entry.second.end(), [&](const std::string& id) {
+          auto host = servers.find(id);
+          return host != servers.end() &&
+                 (Waiting(id) ||
+                  host->second.member.group == entry.first.first);
+        });
+  });
+}
+
+bool GroupPlanner::OpenMayBeLate(const std::string& host) const {
+  auto found = m_sent.find(host);
+  return found != m_sent.end() &&
+         found->second.order.kind == GroupOrder::Kind::kOpen;
+}
+
+void GroupPlanner::Send(const BackendServer& host, GroupOrder order,
+                        Pass* pass) {
+  order.expected_orders = Orders(host);
+  if (order.kind == GroupOrder::Kind::kJoin) {
+    Count& count = m_counts[host.id];
+    if (count.born != host.born) count = {host.born, 0, ""};
+    count.last_model = order.model;
+  }
+  m_sent[host.id] = {order, host.born, pass->now, false};
+  pass->orders.push_back({host.id, host.address, std::move(order)});
+}
+
+// ---------------------------------------------------------------------------
+// Heads that left the list.
+
+void GroupPlanner::RememberHeads(const std::string& service, Pass* pass) {
+  for (const auto& [key, head] : m_heads) {
+    if (head.service != service) continue;
+    auto listed = pass->servers->find(head.id);
+    if (listed == pass->servers->end()) {
+      m_orphans.emplace(key, Orphan{head, 0, pass->now});
+    }
+  }
+  std::erase_if(m_heads, [&](const auto& entry) {
+    return entry.second.service == service;
+  });
+  for (const auto& [id, server] : *pass->servers) {
+    const Membership& member = server.member;
+    if (server.service == service && member.rank == 0 &&
+        (IsServing(member.state) || OpenMayBeLate(id))) {
+      m_heads[{member.group, member.epoch}] = server;
+    }
+  }
+  std::erase_if(m_orphans, [&](const auto& entry) {
+    return pass->servers->count(entry.second.head.id) > 0 ||
+           entry.second.free_at + kLateOrder <= pass->now;
+  });
+}
+
+void GroupPlanner::ChaseOrphans(Pass* pass) {
+  for (auto& [key, orphan] : m_orphans) {
+    if (orphan.free_at != TimePoint::max()) continue;
+    if (orphan.unanswered >= kOrphanTries) {
+      orphan.free_at = pass->now;
+      continue;
+    }
+    if (pass->now < orphan.next) continue;
+    orphan.next = pass->now + kOrphanInterval;
+    GroupOrder close;
+    close.kind = GroupOrder::Kind::kClose;
+    close.group = key.first;
+    close.epoch = key.second;
+    close.evict = true;
+    close.expected_orders = Orders(orphan.head);
+    pass->orders.push_back({orphan.head.id, orphan.head.address, close});
+  }
+}
+
+bool GroupPlanner::HeadMayReturn(const ReportedGroup& group,
+                                 const Pass& pass) const {
+  GroupKey key{group.name, group.epoch};
+  auto orphan = m_orphans.find(key);
+  if (orphan != m_orphans.end()) return pass.now < orphan->second.free_at;
+  auto forming = m_forming.find(key);
+  if (forming != m_forming.end()) {
+    // This planner never opened it, or the head would be remembered.
+    const std::string& head = forming->second.front();
+    return Waiting(head) && pass.servers->count(head) > 0;
+  }
+  auto seen = m_seen.find(key);
+  return seen != m_seen.end() && pass.now - seen->second < kUnknownHead;
+}
+
+// ---------------------------------------------------------------------------
+// Groups that stand.
+
+void GroupPlanner::Bind(const ReportedGroup& group, Pass* pass) {
+  for (const BackendServer* member : group.members) {
+    if (member == nullptr) continue;
+    pass->bound.insert(member->id);
+    ++pass->placed[{member->fabric_domain, group.model}];
+  }
+}
+
+void GroupPlanner::JudgeGroup(const ReportedGroup& group, Pass* pass) {
+  const EngineModel* model = FindModel(*pass->engine, group.model);
+  const BackendServer* head =
+      group.members.empty() ? nullptr : group.members.front();
+  if (head == nullptr) {
+    if (HeadMayReturn(group, *pass)) Bind(group, pass);
+    return;
+  }
+  if (!IsServing(head->member.state)) {
+    if (OpenMayBeLate(head->id)) {
+      Bind(group, pass);
+      if (model != nullptr) ++pass->groups[model->name];
+    } else if (model != nullptr) {
+      JudgeForming(group, *model, pass);
+    }
+    return;
+  }
+  Bind(group, pass);
+  bool whole = model != nullptr && IsWhole(group, model->hosts_per_group);
+  bool leaving = false;
+  for (const BackendServer* member : group.members) {
+    if (member == nullptr) continue;
+    whole = whole && pass->failed->count(member->id) == 0;
+    leaving = leaving || member->leaving;
+  }
+  if (whole && !leaving) {
+    ++pass->groups[model->name];
+    return;
+  }
+  bool closing = head->member.state == MemberState::kClosing;
+  if (Waiting(head->id) || (closing && whole)) return;
+  GroupOrder close;
+  close.kind = GroupOrder::Kind::kClose;
+  close.group = group.name;
+  close.epoch = group.epoch;
+  close.evict = !whole;
+  Send(*head, close, pass);
+}
+
+// The head serves nothing: the group is opened, waited for, or given up.
+void GroupPlanner::JudgeForming(const ReportedGroup& group,
+                                const EngineModel& model, Pass* pass) {
+  bool lost = group.members.front()->member.state == MemberState::kBroken;
+  bool ready = IsWhole(group, model.hosts_per_group);
+  for (const BackendServer* member : group.members) {
+    if (member == nullptr) continue;
+    lost = lost || member->leaving || pass->failed->count(member->id) > 0 ||
+           member->member.state == MemberState::kBroken;
+    ready = ready && member->member.state == MemberState::kReady;
+  }
+  GroupKey key{group.name, group.epoch};
+  milliseconds age =
+      std::chrono::duration_cast<milliseconds>(pass->now - m_seen[key]);
+  if (!IsWhole(group, model.hosts_per_group)) {
+    auto forming = m_forming.find(key);
+    bool expected =
+        forming != m_forming.end() &&
+        std::all_of(
+            forming->second.begin(), forming->second.end(),
+            [&](const std::string& id) {
+              auto host = pass->servers->find(id);
+              return host != pass->servers->end() &&
+                     (Waiting(id) || host->second.member.group == group.name);
+            });
+    lost = lost || (forming != m_forming.end() && !expected) ||
+           (forming == m_forming.end() && age > kJoinSpread);
+  }
+  milliseconds patience =
+      std::max(kLeastJoinPatience, model.load_time * kJoinPatience);
+  if (lost || (!ready && age > patience)) return;
+  Bind(group, pass);
+  ++pass->groups[model.name];
+  if (ready && !Waiting(group.members.front()->id)) {
+    GroupOrder open;
+    open.kind = GroupOrder::Kind::kOpen;
+    open.group = group.name;
+    open.epoch = group.epoch;
+    Send(*group.members.front(), open, pass);
+  }
+}
+
+// ---------------------------------------------------------------------------
+// New groups.
+
+void GroupPlanner::FindFree(const std::string& service, Pass* pass) {
+  for (const auto& [id, server] : *pass->servers) {
+    if (server.service == service && !server.leaving && !Waiting(id) &&
+        pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
+      pass->free[server.fabric_domain].push_back(&server);
+    }
+  }
+  for (const auto& [id, sent] : m_sent) {
+    auto host = pass->servers->find(id);
+    if (host != pass->servers->end() && pass->bound.count(id) == 0 &&
+        sent.order.kind == GroupOrder::Kind::kJoin) {
+      ++pass->placed[{host->second.fabric_domain, sent.order.model}];
+    }
+  }
+}
+
+double GroupPlanner::JoinSeconds(const BackendServer& host,
+                                 const EngineModel& model) const {
+  auto count = m_counts.find(host.id);
+  bool rejoins = count != m_counts.end() && count->second.born == host.born &&
+                 count->second.last_model == model.name;
+  if (rejoins || GroupModel(host.member.group) == model.name) {
+    return kRejoinSeconds;
+  }
+  auto load = m_loads.find(host.id);
+  bool staged = IsStaged(host, model.name);
+  bool loading = load != m_loads.end() && load->second.model == model.name;
+  std::chrono::duration<double> time =
+      staged || loading ? model.start_time : model.load_time;
+  return loading && !staged
+             ? std::chrono::duration<double>(model.load_time).count() / 2
+             : time.count();
+}
+
+GroupPlanner::Candidate GroupPlanner::Consider(const std::string& domain,
+                                               const Hosts& free,
+                                               const EngineModel& model,
+                                               const Pass& pass) const {
+  Candidate candidate;
+  candidate.domain = domain;
+  candidate.model = &model;
+  auto size = static_cast<std::size_t>(model.hosts_per_group);
+  std::vector<std::pair<double, const BackendServer*>> ranked;
+  for (const BackendServer* host : free) {
+    ranked.emplace_back(JoinSeconds(*host, model), host);
+  }
+  // The head takes the connections; any member can be it.
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  ranked.resize(size);
+  double seconds = 0.0;
+  for (const auto& [time, host] : ranked) {
+    candidate.members.push_back(host);
+    seconds = std::max(seconds, time);
+    if (!IsStaged(*host, model.name) && time > kRejoinSeconds &&
+        m_loads.count(host->id) == 0) {
+      ++candidate.loads;
+    }
+  }
+  auto standing = pass.groups.find(model.name);
+  double groups = standing == pass.groups.end() ? 0.0 : standing->second;
+  candidate.score =
+      model.work_share / (groups + 1.0) / (1.0 + seconds / kHalfWorthSeconds);
+  return candidate;
+}
+
+std::optional<GroupPlanner::Candidate> GroupPlanner::BestCandidate(
+    const Pass& pass) {
+  std::optional<Candidate> best;
+  bool may_load = MayLoad(pass);
+  for (const auto& [domain, free] : pass.free) {
+    for (const EngineModel& model : pass.engine->models) {
+      if (model.hosts_per_group < 1 ||
+          free.size() < static_cast<std::size_t>(model.hosts_per_group)) {
+        continue;
+      }
+      Candidate candidate = Consider(domain, free, model, pass);
+      if (candidate.loads > 0 && !may_load) continue;
+      if (!best || candidate.score > best->score) best = std::move(candidate);
+    }
+  }
+  return best;
+}
+
+void GroupPlanner::FormGroups(Pass* pass) {
+  while (std::optional<Candidate> best = BestCandidate(*pass)) {
+    Form(*best, pass);
+  }
+}
+
+void GroupPlanner::Form(const Candidate& candidate, Pass* pass) {
+  GroupOrder join;
+  join.kind = GroupOrder::Kind::kJoin;
+  join.epoch = ++m_epoch;
+  join.group = GroupName(candidate.model->name, join.epoch);
+  join.model = candidate.model->name;
+  for (const BackendServer* member : candidate.members) {
+    join.members.push_back(member->id);
+  }
+  m_forming[{join.group, join.epoch}] = join.members;
+  m_seen[{join.group, join.epoch}] = pass->now;
+  Hosts& free = pass->free[candidate.domain];
+  for (const BackendServer* member : candidate.members) {
+    if (!IsStaged(*member, join.model) &&
+        JoinSeconds(*member, *candidate.model) > kRejoinSeconds) {
+      StartLoad(*member, *candidate.model, pass->now);
+    }
+    Send(*member, join, pass);
+    free.erase(std::find(free.begin(), free.end(), member));
+    ++pass->placed[{member->fabric_domain, join.model}];
+  }
+  ++pass->groups[join.model];
+}
+
+// ---------------------------------------------------------------------------
+// Loads.
+
+bool GroupPlanner::MayLoad(const Pass& pass) {
+  std::chrono::duration<double> elapsed = pass.now - m_refilled;
+  m_refilled = pass.now;
+  m_load_tokens =
+      std::min(kLoadBurst, m_load_tokens + elapsed.count() * kLoadRatePart *
+                                               pass.engine->loads_per_second);
+  return m_load_tokens >= 1.0 &&
+         m_loads.size() <
+             static_cast<std::size_t>(pass.engine->concurrent_loads);
+}
+
+void GroupPlanner::StartLoad(const BackendServer& host,
+                             const EngineModel& model, TimePoint now) {
+  auto found = m_loads.find(host.id);
+  if (found != m_loads.end() && found->second.model == model.name) return;
+  m_load_tokens -= 1.0;
+  m_loads[host.id] = {
+      model.name,
+      now + std::max(kLeastJoinPatience, model.load_time * kJoinPatience)};
+}
+
+// A spare that holds a model replaces a lost member of its domain in the time
+// of a start instead of a load.
+void GroupPlanner::StageSpares(Pass* pass) {
+  for (const auto& [domain, free] : pass->free) {
+    std::map<std::string, int> spares;
+    for (const BackendServer* host : free) {
+      auto load = m_loads.find(host->id);
+      if (load != m_loads.end()) {
+        ++spares[load->second.model];
+      } else if (!host->staged.empty()) {
+        ++spares[host->staged.back()];
+      }
+    }
+    for (const BackendServer* host : free) {
+      if (!host->staged.empty() || m_loads.count(host->id) > 0) continue;
+      if (!MayLoad(*pass)) return;
+      const EngineModel* best = nullptr;
+      double best_need = -1.0;
+      for (const EngineModel& model : pass->engine->models) {
+        double placed = pass->placed[{domain, model.name}];
+        double need = (placed + model.work_share) / (spares[model.name] + 1.0);
+        if (need > best_need) {
+          best_need = need;
+          best = &model;
+        }
+      }
+      if (best == nullptr) return;
+      GroupOrder stage;
+      stage.kind = GroupOrder::Kind::kStage;
+      stage.model = best->name;
+      ++spares[best->name];
+      StartLoad(*host, *best, pass->now);
+      Send(*host, stage, pass);
+    }
+  }
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/core/group_planner.h
@@ -0,0 +1,166 @@
+// Forms, opens, closes and repairs the groups of hosts that serve models.
+//
+// The planner keeps no state that must outlive it: group names carry the model,
+// and everything else is read from what the backend servers say of themselves,
+// so that a successor adopts the groups that it finds.
+#ifndef CORE_GROUP_PLANNER_H_
+#define CORE_GROUP_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/fleet.h"
+
+namespace clementine {
+
+/// A group as its members report it.
+struct ReportedGroup {
+  std::string name;
+  std::uint64_t epoch = 0;
+  std::string model;  ///< From the group's name; empty when foreign.
+  std::vector<const BackendServer*> members;  ///< By rank; gaps are null.
+};
+
+/// Name of a group: "<model>.<number>".
+std::string GroupName(const std::string& model, std::uint64_t number);
+/// The model that a group's name tells; empty when the name isn't ours.
+std::string GroupModel(const std::string& group);
+
+/// Collects the groups that the members of a service report, by name and epoch.
+/// Membership of another life or an older epoch makes a group of its own.
+std::map<std::pair<std::string, std::uint64_t>, ReportedGroup> CollectGroups(
+    const std::map<std::string, BackendServer>& servers,
+    const std::string& service);
+
+/// Hosts that this group's model needs are all there and stay.
+bool IsWhole(const ReportedGroup& group, int hosts);
+
+/// Invariants: a host is ordered to join another group only if no head that
+/// may be serving counts on it; a head is opened only after every member was
+/// seen ready under that name and epoch; loads that begin stay below the rate.
+class GroupPlanner {
+ public:
+  using Servers = std::map<std::string, BackendServer>;
+
+  struct Order {
+    std::string host;
+    std::string address;
+    GroupOrder order;
+  };
+
+  /// @param servers All listed servers.
+  /// @param failed  Hosts that don't answer, by id.
+  /// @return Orders to send now.
+  std::vector<Order> Plan(const FleetConfiguration& configuration,
+                          const Servers& servers,
+                          const std::set<std::string>& failed, TimePoint now);
+
+  /// The answer to an order of Plan.
+  void Answered(const std::string& host, const GroupOrder& order,
+                OrderResult result, TimePoint now);
+
+  /// A host's own count of its orders, which can be ahead of its list entry.
+  void OrdersCounted(const std::string& host, std::int64_t born,
+                     std::uint64_t orders);
+
+  /// Forgets everything that was sent; used when the lease was lost.
+  void Reset();
+
+ private:
+  using GroupKey = std::pair<std::string, std::uint64_t>;
+  using Hosts = std::vector<const BackendServer*>;
+
+  /// The last order to a host, until its effect was seen.
+  struct Sent {
+    GroupOrder order;
+    std::int64_t born = 0;
+    TimePoint at;
+    bool accepted = false;
+  };
+  /// Orders that a host of one life has accepted.
+  struct Count {
+    std::int64_t born = 0;
+    std::uint64_t orders = 0;
+    std::string last_model;  ///< Of its last group in this life.
+  };
+  /// A load from the weight store that a host was ordered to make.
+  struct Load {
+    std::string model;
+    TimePoint give_up;
+  };
+  /// A head that left the list while it was serving. Its members stay with it
+  /// until it was closed or doesn't answer.
+  struct Orphan {
+    BackendServer head;
+    int unanswered = 0;
+    TimePoint next;
+    TimePoint free_at = TimePoint::max();
+  };
+  /// What one call of Plan works on.
+  struct Pass {
+    const EngineSpec* engine = nullptr;
+    const Servers* servers = nullptr;
+    const std::set<std::string>* failed = nullptr;
+    TimePoint now;
+    std::set<std::string> bound;        ///< Hosts that no other group may take.
+    std::map<std::string, Hosts> free;  ///< By fabric domain.
+    std::map<std::string, int> groups;  ///< Standing and forming, by model.
+    /// Bound hosts by domain and model.
+    std::map<std::pair<std::string, std::string>, int> placed;
+    std::vector<Order> orders;
+  };
+  /// A group that could be formed.
+  struct Candidate {
+    std::string domain;
+    const EngineModel* model = nullptr;
+    Hosts members;
+    int loads = 0;
+    double score = 0.0;
+  };
+
+  void PlanService(const std::string& service, Pass* pass);
+  void Settle(const Servers& servers, TimePoint now);
+  void RememberHeads(const std::string& service, Pass* pass);
+  void ChaseOrphans(Pass* pass);
+  void JudgeGroup(const ReportedGroup& group, Pass* pass);
+  void JudgeForming(const ReportedGroup& group, const EngineModel& model,
+                    Pass* pass);
+  bool HeadMayReturn(const ReportedGroup& group, const Pass& pass) const;
+  void Bind(const ReportedGroup& group, Pass* pass);
+  void FindFree(const std::string& service, Pass* pass);
+  void FormGroups(Pass* pass);
+  std::optional<Candidate> BestCandidate(const Pass& pass);
+  Candidate Consider(const std::string& domain, const Hosts& free,
+                     const EngineModel& model, const Pass& pass) const;
+  void Form(const Candidate& candidate, Pass* pass);
+  void StageSpares(Pass* pass);
+  void Send(const BackendServer& host, GroupOrder order, Pass* pass);
+  void StartLoad(const BackendServer& host, const EngineModel& model,
+                 TimePoint now);
+
+  double JoinSeconds(const BackendServer& host, const EngineModel& model) const;
+  std::uint64_t Orders(const BackendServer& host) const;
+  bool Waiting(const std::string& host) const { return m_sent.count(host) > 0; }
+  bool OpenMayBeLate(const std::string& host) const;
+  bool MayLoad(const Pass& pass);
+
+  std::map<std::string, Sent> m_sent;         ///< By host.
+  std::map<std::string, Count> m_counts;      ///< By host.
+  std::map<std::string, Load> m_loads;        ///< By host.
+  std::map<GroupKey, TimePoint> m_seen;       ///< When a group was first seen.
+  std::map<GroupKey, BackendServer> m_heads;  ///< That serve, as last listed.
+  std::map<GroupKey, Orphan> m_orphans;
+  std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
+  std::uint64_t m_epoch = 0;  ///< Highest seen or used.
+  double m_load_tokens = 0.0;
+  TimePoint m_refilled;
+};
+
+}  // namespace clementine
+
+#endif  // CORE_GROUP_PLANNER_H_
--- /dev/null
+++ b/core/node_directory.cc
@@ -0,0 +1,80 @@
+// Renewing every few seconds keeps the calls to the platform few; a daemon that
+// died is divided by for some seconds longer, which only makes the others a
+// little more careful with what they share.
+
+#include "core/node_directory.h"
+
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+constexpr milliseconds kPutInterval{5'000};
+/// The first lists come sooner, since all daemons start at once.
+constexpr milliseconds kFirstListInterval{1'000};
+constexpr milliseconds kListInterval{5'000};
+constexpr int kFirstLists = 4;
+/// Two renewals may be lost, and a list may be some seconds old.
+constexpr milliseconds kLiveTime{18'000};
+/// Marks the replies of this directory; other callers count up from 1.
+constexpr CallId kOwnCall = ~CallId{0};
+
+}  // namespace
+
+const char NodeDirectory::kPrefix[] = "clementine-nodes/";
+
+NodeDirectory::NodeDirectory(std::string node, std::uint64_t incarnation,
+                             std::uint64_t seed)
+    : m_node(std::move(node)), m_incarnation(incarnation), m_jitter(seed) {}
+
+std::vector<NodeDirectory::Action> NodeDirectory::Advance(TimePoint now) {
+  std::vector<Action> actions;
+  if (now >= m_next_put) {
+    m_next_put = now + m_jitter.Between(kPutInterval * 4 / 5, kPutInterval);
+    actions.emplace_back(
+        PutObject{kOwnCall, kPrefix + m_node,
+                  fmt::format("{}/{}", m_incarnation, ++m_renewal), m_version});
+  }
+  if (now >= m_next_list) {
+    bool first = m_renewal <= kFirstLists && m_nodes.size() < kFirstLists;
+    milliseconds interval = first ? kFirstListInterval : kListInterval;
+    m_next_list = now + m_jitter.Between(interval * 4 / 5, interval);
+    actions.emplace_back(ListNodes{});
+  }
+  CountLive(now);
+  return actions;
+}
+
+bool NodeDirectory::Replied(const ObjectReply& reply, TimePoint now) {
+  if (reply.call != kOwnCall) return false;
+  bool created = m_version == 0;
+  if (reply.status == ObjectStatus::kNotFound) {
+    m_version = 0;
+  } else {
+    // Nobody else writes this object, so once it exists any version is ours.
+    m_version = kAnyVersion;
+  }
+  bool again = reply.status == ObjectStatus::kNotFound ||
+               (created && reply.status == ObjectStatus::kConflict);
+  if (again) m_next_put = now;
+  return true;
+}
+
+void NodeDirectory::Listed(const NodesListed& listed, TimePoint now) {
+  if (!listed.complete) return;
+  for (const auto& [name, value] : listed.nodes) {
+    Seen& seen = m_nodes[name];
+    if (seen.value != value) seen = {value, now};
+  }
+  CountLive(now);
+}
+
+void NodeDirectory::CountLive(TimePoint now) {
+  std::erase_if(m_nodes, [&](const auto& entry) {
+    return now - entry.second.changed > kLiveTime;
+  });
+  m_live = 1 + static_cast<int>(m_nodes.size()) -
+           static_cast<int>(m_nodes.count(m_node));
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/core/node_directory.h
@@ -0,0 +1,65 @@
+// Which daemons are alive, as told by objects that they renew on the platform.
+#ifndef CORE_NODE_DIRECTORY_H_
+#define CORE_NODE_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "core/jitter.h"
+
+namespace clementine {
+
+/// Objects of all daemons, by name. The list may be seconds old.
+struct NodesListed {
+  bool complete = false;  ///< False when the platform didn't answer.
+  std::vector<std::pair<std::string, std::string>> nodes;  ///< Name and value.
+};
+struct ListNodes {};
+
+/// A daemon counts as live while its object changes. No clock of another host
+/// is compared: each change is timed when it is first seen here.
+class NodeDirectory {
+ public:
+  using Action = std::variant<PutObject, ListNodes>;
+
+  /// Prefix of the daemons' object keys.
+  static const char kPrefix[];
+
+  NodeDirectory(std::string node, std::uint64_t incarnation,
+                std::uint64_t seed);
+
+  /// Renews the own object and reads the others' as due.
+  std::vector<Action> Advance(TimePoint now);
+  /// @return Whether the reply belongs to this directory.
+  bool Replied(const ObjectReply& reply, TimePoint now);
+  void Listed(const NodesListed& listed, TimePoint now);
+
+  /// Daemons that take requests, this one included.
+  int live() const { return m_live; }
+
+ private:
+  struct Seen {
+    std::string value;
+    TimePoint changed;
+  };
+
+  void CountLive(TimePoint now);
+
+  std::string m_node;
+  std::uint64_t m_incarnation;
+  Jitter m_jitter;
+  std::map<std::string, Seen> m_nodes;
+  std::uint64_t m_renewal = 0;
+  std::uint64_t m_version = kAnyVersion;  ///< As PutObject::if_version.
+  TimePoint m_next_put;
+  TimePoint m_next_list;
+  int m_live = 1;
+};
+
+}  // namespace clementine
+
+#endif  // CORE_NODE_DIRECTORY_H_
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -459,7 +459,8 @@
                  m_quarantine.Remaining(active->digest, m_now));
     return;
   }
-  if (verdict == Quarantine::Verdict::kSuspect && !Broken("isolation")) {
+  if (verdict == Quarantine::Verdict::kSuspect && m_options.isolate_suspects &&
+      !Broken("isolation")) {
     active->state = State::kIsolation;
     SetTimer(active, active->request.deadline);
     m_isolation.push_back(active->request.id);
@@ -680,7 +681,9 @@
 
 bool RequestPath::Impl::MayRetry(const Active& active,
                                  const AttemptEnded& event) const {
-  if (active.attempts >= m_options.max_attempts) {
+  int limit = active.request.max_attempts > 0 ? active.request.max_attempts
+                                              : m_options.max_attempts;
+  if (active.attempts >= limit) {
     return false;
   }
   if (ProvesNotRun(event.result)) {
@@ -873,7 +876,8 @@
                                const Request& request) {
   clementine::Refuse answer = refuse;
   if (answer.outcome == Outcome::kNotRun) {
-    answer.retry_after = std::max(answer.retry_after, kDefaultRetryAfter);
+    answer.retry_after =
+        std::max(answer.retry_after, m_options.least_retry_after);
   }
   ++(answer.outcome == Outcome::kUnknown ? m_stats.unknown : m_stats.refused);
   Log("refuse", request,
--- /dev/null
+++ b/core/route_table.cc
@@ -0,0 +1,144 @@
+// A path is looked up by cutting it at its slashes from the right, so the cost
+// is the number of its segments and doesn't grow with the number of routes.
+
+#include "core/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace clementine {
+namespace {
+
+/// Bounds of an organisation in the request path. Fairness between the
+/// organisations of a fleet comes from the weights; a limit of its own for each
+/// isn't part of the fleet's configuration.
+constexpr int kUnlimited = 100'000;
+
+std::string HostName(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return name;
+}
+
+}  // namespace
+
+const char kPublicOrganisation[] = "public";
+
+const char* MemberStateName(MemberState state) {
+  switch (state) {
+    case MemberState::kNone:
+      return "none";
+    case MemberState::kJoining:
+      return "joining";
+    case MemberState::kReady:
+      return "ready";
+    case MemberState::kOpen:
+      return "open";
+    case MemberState::kClosing:
+      return "closing";
+    case MemberState::kBroken:
+      return "broken";
+  }
+  return "none";
+}
+
+const char* GroupOrderName(GroupOrder::Kind kind) {
+  switch (kind) {
+    case GroupOrder::Kind::kJoin:
+      return "join";
+    case GroupOrder::Kind::kOpen:
+      return "open";
+    case GroupOrder::Kind::kClose:
+      return "close";
+    case GroupOrder::Kind::kStage:
+      return "stage";
+  }
+  return "join";
+}
+
+RouteTable::RouteTable(FleetConfiguration configuration)
+    : m_configuration(std::move(configuration)) {
+  for (const RouteRule& route : m_configuration.routes) {
+    m_hosts[route.host][route.path_prefix] = &route;
+  }
+  for (const FleetOrganisation& organisation : m_configuration.organisations) {
+    for (const std::string& key : organisation.keys) {
+      m_keys[key] = &organisation;
+    }
+  }
+}
+
+RouteTable::Match RouteTable::Find(std::string_view host, std::string_view path,
+                                   std::string_view key) const {
+  Match match;
+  auto prefixes = m_hosts.find(HostName(host));
+  if (prefixes == m_hosts.end()) return match;
+  std::string prefix(path.substr(0, path.rfind('/') + 1));
+  while (!prefix.empty() && match.route == nullptr) {
+    auto found = prefixes->second.find(prefix);
+    if (found != prefixes->second.end()) match.route = found->second;
+    prefix.pop_back();
+    prefix.resize(prefix.rfind('/') + 1);
+  }
+  if (match.route == nullptr) return match;
+  match.verdict = Verdict::kFound;
+  match.priority = match.route->priority;
+  if (match.route->open_to_all || m_configuration.organisations.empty()) {
+    return match;
+  }
+  auto owner = m_keys.find(std::string(key));
+  if (owner == m_keys.end()) {
+    match.verdict = Verdict::kNoKey;
+    return match;
+  }
+  match.organisation = owner->second->name;
+  match.priority = owner->second->priority.value_or(match.priority);
+  return match;
+}
+
+const std::string& RouteTable::PickService(const RouteRule& route,
+                                           std::uint64_t random) {
+  static const std::string none;
+  if (route.shares.empty()) return none;
+  double total = 0.0;
+  for (const ServiceShare& share : route.shares) total += share.weight;
+  // 53 bits give a uniform value in [0, 1).
+  double place = static_cast<double>(random >> 11) * 0x1.0p-53 * total;
+  for (const ServiceShare& share : route.shares) {
+    if (place < share.weight) return share.service;
+    place -= share.weight;
+  }
+  return route.shares.back().service;
+}
+
+Configuration ToRequestPathConfiguration(const FleetConfiguration& fleet) {
+  Configuration configuration;
+  for (const auto& [name, service] : fleet.services) {
+    if (!service.engine) {
+      configuration.services[name].name = name;
+      continue;
+    }
+    for (const EngineModel& model : service.engine->models) {
+      std::string full = name + "/" + model.name;
+      ModelSpec& spec = configuration.models[full];
+      spec.name = full;
+      spec.hosts_per_replica = model.hosts_per_group;
+      spec.max_running = service.engine->max_running;
+    }
+  }
+  auto add = [&](const std::string& name) {
+    OrganisationSpec& spec = configuration.organisations[name];
+    spec.name = name;
+    spec.max_in_flight = kUnlimited;
+    spec.max_queued = kUnlimited;
+  };
+  for (const FleetOrganisation& organisation : fleet.organisations) {
+    add(organisation.name);
+  }
+  add(kPublicOrganisation);
+  return configuration;
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/core/server_list.cc
@@ -0,0 +1,85 @@
+// A removal in normal times means that the server has left and is taken at
+// once. After an outage the list may lack servers that are well: they renew
+// their entries within two seconds of the platform's return.
+
+#include "core/server_list.h"
+
+namespace clementine {
+namespace {
+
+/// Entries that lapsed during an outage are back within two seconds of its end;
+/// the rest is for the delivery of the change.
+constexpr milliseconds kReturnTime{2'300};
+/// A shorter gap between two answers can't have made an entry lapse: servers
+/// renew about once a second and an entry outlives two missed renewals.
+constexpr milliseconds kShortestOutage{1'500};
+
+}  // namespace
+
+void ServerList::Reached(TimePoint now) {
+  if (m_known && !m_reachable && now - m_unreachable_since > kShortestOutage) {
+    m_grace_until = now + kReturnTime;
+  }
+  m_reachable = true;
+}
+
+void ServerList::Unreachable(TimePoint now) {
+  if (m_reachable || !m_known) m_unreachable_since = now;
+  m_reachable = false;
+}
+
+void ServerList::Remove(const std::string& id, TimePoint now) {
+  if (now >= m_grace_until) {
+    m_servers.erase(id);
+    m_lapsed.erase(id);
+  } else {
+    m_lapsed.emplace(id, m_grace_until);
+  }
+}
+
+void ServerList::Replace(const std::vector<BackendServer>& servers,
+                         TimePoint now) {
+  Reached(now);
+  m_known = true;
+  std::map<std::string, BackendServer> listed;
+  for (const BackendServer& server : servers) listed[server.id] = server;
+  std::vector<std::string> missing;
+  for (const auto& [id, server] : m_servers) {
+    if (listed.count(id) == 0) missing.push_back(id);
+  }
+  for (const std::string& id : missing) Remove(id, now);
+  for (auto& [id, server] : listed) {
+    m_lapsed.erase(id);
+    m_servers[id] = std::move(server);
+  }
+}
+
+void ServerList::Apply(const std::vector<Change>& changes, TimePoint now) {
+  Reached(now);
+  for (const Change& change : changes) {
+    if (change.server) {
+      m_lapsed.erase(change.id);
+      m_servers[change.id] = *change.server;
+    } else {
+      Remove(change.id, now);
+    }
+  }
+}
+
+bool ServerList::Expire(TimePoint now) {
+  bool removed = false;
+  // While the platform is away again, nothing says that an entry won't return.
+  if (!m_reachable) return removed;
+  for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
+    if (it->second <= now) {
+      m_servers.erase(it->first);
+      it = m_lapsed.erase(it);
+      removed = true;
+    } else {
+      ++it;
+    }
+  }
+  return removed;
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/core/server_list.h
@@ -0,0 +1,55 @@
+// The backend servers as the platform lists them.
+#ifndef CORE_SERVER_LIST_H_
+#define CORE_SERVER_LIST_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/fleet.h"
+
+namespace clementine {
+
+/// Keeps the last good list through outages of the platform. Entries lapse
+/// while their servers can't renew them, so a removal seen shortly after an
+/// outage only counts once the servers had time to come back.
+class ServerList {
+ public:
+  /// An entry that changed; without a server it was removed or can't be read.
+  struct Change {
+    std::string id;
+    std::optional<BackendServer> server;
+  };
+
+  /// The platform answered with the whole list.
+  void Replace(const std::vector<BackendServer>& servers, TimePoint now);
+  /// The platform answered with what has changed; may be empty.
+  void Apply(const std::vector<Change>& changes, TimePoint now);
+  /// The platform didn't answer, or refused.
+  void Unreachable(TimePoint now);
+  /// Removes entries whose grace is over. @return Whether any was removed.
+  bool Expire(TimePoint now);
+
+  const std::map<std::string, BackendServer>& servers() const {
+    return m_servers;
+  }
+  bool known() const { return m_known; }
+  bool reachable() const { return m_reachable; }
+
+ private:
+  void Reached(TimePoint now);
+  void Remove(const std::string& id, TimePoint now);
+
+  std::map<std::string, BackendServer> m_servers;
+  std::map<std::string, TimePoint> m_lapsed;  ///< End of an entry's grace.
+  bool m_known = false;
+  bool m_reachable = false;
+  TimePoint m_unreachable_since;
+  TimePoint m_grace_until;  ///< Removals before this wait until then.
+};
+
+}  // namespace clementine
+
+#endif  // CORE_SERVER_LIST_H_
--- /dev/null
+++ b/daemon/fleet_daemon.cc
@@ -0,0 +1,326 @@
+// Events of both facades go through one queue, as in daemon/daemon.cc. A daemon
+// is ready once it knows a configuration and the list of backend servers.
+
+#include "daemon/fleet_daemon.h"
+
+#include <ctime>
+#include <utility>
+
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+constexpr milliseconds kTickInterval{50};
+/// The platform answers within milliseconds; a longer wait would only delay the
+/// next try on another connection.
+constexpr milliseconds kPlatformTimeout{1'000};
+/// Longest wait for the platform's answer to the lease's release.
+constexpr milliseconds kReleaseTime{800};
+/// Closed idle connections: callers reuse theirs for a time that the platform
+/// sets, so the server's own limit is far above it.
+constexpr milliseconds kCallerIdleTimeout{120'000};
+
+std::uint64_t MillisecondsSinceEpoch() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+HttpLimits ServerLimits(const Settings& settings) {
+  HttpLimits limits;
+  limits.max_header_bytes = settings.max_header_bytes;
+  limits.max_body_bytes = settings.max_body_bytes;
+  limits.max_connections = settings.max_connections;
+  limits.header_timeout = settings.header_timeout;
+  limits.body_timeout = settings.body_timeout;
+  limits.write_timeout = settings.body_timeout;
+  limits.idle_timeout = kCallerIdleTimeout;
+  return limits;
+}
+
+}  // namespace
+
+TimePoint SuspendAwareNow() {
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
+}
+
+FleetDaemon::FleetDaemon(boost::asio::io_context* io, Settings settings)
+    : m_io(io),
+      m_settings(std::move(settings)),
+      m_incarnation(MillisecondsSinceEpoch()),
+      m_tick(*io) {
+  m_store = std::make_unique<platform::ObjectStore>(io, m_settings.platform,
+                                                    kPlatformTimeout);
+  BackendOptions backend_options;
+  backend_options.connect_timeout = m_settings.connect_timeout;
+  m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
+  RequestPathOptions path_options;
+  path_options.node = m_settings.node;
+  path_options.incarnation = m_incarnation;
+  path_options.data_centre = m_settings.data_centre;
+  path_options.seed = m_settings.seed ^ m_incarnation;
+  path_options.max_queued = m_settings.max_queued;
+  path_options.retry_ratio = m_settings.retry_ratio;
+  path_options.admission = m_settings.admission;
+  // Three crashes prove a request guilty; until then it runs like any other, as
+  // a group that is set apart for one request costs all the others.
+  path_options.crashes_to_quarantine = 3;
+  path_options.isolate_suspects = false;
+  path_options.least_retry_after = milliseconds(200);
+  m_request_path = std::make_unique<RequestPath>(std::move(path_options));
+  FleetControlOptions control_options;
+  control_options.node = m_settings.node;
+  control_options.incarnation = m_incarnation;
+  control_options.seed = m_settings.seed ^ m_incarnation;
+  m_control = std::make_unique<FleetControl>(std::move(control_options));
+  RelayContext context;
+  context.backends = m_backends.get();
+  context.metrics = &m_metrics;
+  context.seed = m_settings.seed ^ m_incarnation;
+  context.now = SuspendAwareNow;
+  context.feed = [this](RequestEvent event) { Feed(std::move(event)); };
+  context.feed_fleet = [this](FleetEvent event) { Feed(std::move(event)); };
+  m_executor = std::make_unique<RelayExecutor>(std::move(context));
+  m_server = std::make_unique<HttpServer>(
+      io, m_settings.listen, ServerLimits(m_settings),
+      [this](const std::shared_ptr<HttpExchange>& exchange) {
+        m_executor->Accept(exchange);
+      });
+  if (!m_settings.health.empty()) {
+    m_health = std::make_unique<HttpServer>(
+        io, m_settings.health, HttpLimits{},
+        [this](const std::shared_ptr<HttpExchange>& exchange) {
+          OnHealth(exchange.get());
+        });
+  }
+  if (m_settings.node.empty()) m_settings.node = m_server->address();
+  FleetFeed::Hooks hooks;
+  hooks.feed = [this](FleetEvent event) { Feed(std::move(event)); };
+  hooks.configured = [this](FleetConfiguration configuration) {
+    Adopt(std::move(configuration));
+  };
+  m_feed = std::make_unique<FleetFeed>(
+      io, m_store.get(), m_settings.seed ^ m_incarnation, std::move(hooks));
+  m_feed->Start();
+  ScheduleTick();
+}
+
+FleetDaemon::~FleetDaemon() = default;
+
+// ---------------------------------------------------------------------------
+// Events.
+
+void FleetDaemon::Feed(AnyEvent event) {
+  m_queue.push_back(std::move(event));
+  if (m_handling) return;
+  m_handling = true;
+  while (!m_queue.empty()) {
+    AnyEvent next = std::move(m_queue.front());
+    m_queue.pop_front();
+    try {
+      HandleOne(next);
+    } catch (const std::exception& error) {
+      m_metrics.Add("clementine_internal_errors_total", "");
+      LogEvent("internal_error", {{"error", error.what()}});
+    }
+  }
+  m_handling = false;
+}
+
+void FleetDaemon::HandleOne(const AnyEvent& event) {
+  TimePoint now = SuspendAwareNow();
+  if (const auto* request_event = std::get_if<RequestEvent>(&event)) {
+    for (const RequestAction& action :
+         m_request_path->Handle(*request_event, now)) {
+      m_executor->Execute(action);
+    }
+    return;
+  }
+  for (FleetAction& action :
+       m_control->Handle(std::get<FleetEvent>(event), now)) {
+    Execute(std::move(action));
+  }
+}
+
+void FleetDaemon::Execute(FleetAction action) {
+  auto reply = [this](ObjectReply answer) {
+    Feed(FleetEvent(std::move(answer)));
+  };
+  if (auto* order = std::get_if<SendGroupOrder>(&action)) {
+    SendOrder(*order);
+  } else if (auto* ask = std::get_if<AskServer>(&action)) {
+    Ask(*ask);
+  } else if (auto* groups = std::get_if<GroupsChanged>(&action)) {
+    m_groups_known = true;
+    m_executor->SetGroups(groups->groups);
+    Feed(RequestEvent(std::move(*groups)));
+  } else if (auto* daemons = std::get_if<DaemonsChanged>(&action)) {
+    Feed(RequestEvent(*daemons));
+  } else if (auto* get = std::get_if<GetObject>(&action)) {
+    m_store->Get(*get, reply);
+  } else if (auto* put = std::get_if<PutObject>(&action)) {
+    m_store->Put(*put, reply);
+  } else if (std::holds_alternative<ListNodes>(action)) {
+    ListAllNodes();
+  } else if (auto* log = std::get_if<LogDecision>(&action)) {
+    LogEvent(log->event, log->fields);
+  }
+}
+
+void FleetDaemon::Adopt(FleetConfiguration configuration) {
+  std::uint64_t version = configuration.version;
+  m_routes = std::make_shared<const RouteTable>(std::move(configuration));
+  std::shared_ptr<const FleetConfiguration> shared(m_routes,
+                                                   &m_routes->configuration());
+  ConfigurationChanged changed;
+  changed.generation = version;
+  changed.configuration = std::make_shared<const Configuration>(
+      ToRequestPathConfiguration(*shared));
+  LogEvent("configuration_adopted",
+           {{"version", std::to_string(version)},
+            {"routes", std::to_string(shared->routes.size())},
+            {"services", std::to_string(shared->services.size())}});
+  Feed(RequestEvent(std::move(changed)));
+  m_executor->SetRoutes(m_routes);
+  Feed(FleetEvent(FleetConfigured{std::move(shared)}));
+}
+
+void FleetDaemon::SendOrder(const SendGroupOrder& send) {
+  BackendHandlers handlers;
+  handlers.end = [this, host = send.host,
+                  order = send.order](const BackendEnd& end) {
+    Feed(FleetEvent(OrderEnded{host, order, platform::ReadOrderAnswer(end)}));
+  };
+  m_backends->Start(platform::OrderCall(send.host, send.address, send.order),
+                    std::move(handlers));
+}
+
+void FleetDaemon::Ask(const AskServer& ask) {
+  auto body = std::make_shared<std::string>();
+  BackendHandlers handlers;
+  handlers.bytes = [body](std::string_view bytes) { body->append(bytes); };
+  handlers.end = [this, host = ask.host, body](const BackendEnd& end) {
+    ServerAnswered answered;
+    answered.host = host;
+    if (end.result == AttemptResult::kComplete) {
+      answered.server = platform::DecodeReport(*body);
+    }
+    Feed(FleetEvent(std::move(answered)));
+  };
+  m_backends->Start(platform::ReportCall(ask.host, ask.address),
+                    std::move(handlers));
+}
+
+void FleetDaemon::ListAllNodes() {
+  std::string kind = NodeDirectory::kPrefix;
+  kind.pop_back();
+  m_store->List(kind, /*stale=*/true, [this](const platform::ObjectBatch& b) {
+    NodesListed listed;
+    listed.complete = b.status == platform::ObjectBatch::Status::kOk;
+    for (const platform::StoredObject& object : b.objects) {
+      listed.nodes.emplace_back(object.name, object.content);
+    }
+    Feed(FleetEvent(std::move(listed)));
+  });
+}
+
+void FleetDaemon::ScheduleTick() {
+  m_tick.expires_after(kTickInterval);
+  m_tick.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    Feed(FleetEvent(Tick{}));
+    Feed(RequestEvent(Tick{}));
+    CheckStopping();
+    ScheduleTick();
+  });
+}
+
+// ---------------------------------------------------------------------------
+// Health and metrics.
+
+bool FleetDaemon::Ready() const {
+  return m_phase == Phase::kServing && m_routes != nullptr && m_groups_known;
+}
+
+void FleetDaemon::OnHealth(HttpExchange* exchange) {
+  HttpHeaders headers = {{"Content-Type", "text/plain"}};
+  if (exchange->request().path == "/metrics") {
+    exchange->Answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                     RenderMetrics());
+  } else if (exchange->request().path == "/readyz") {
+    bool ready = Ready();
+    exchange->Answer(ready ? 200 : 503, headers, ready ? "ready\n" : "no\n");
+  } else {
+    exchange->Answer(404, headers, "no such page\n");
+  }
+}
+
+std::string FleetDaemon::RenderMetrics() {
+  RequestPathStats path = m_request_path->stats();
+  m_metrics.SetTotal("clementine_dispatched_total", "", path.dispatched);
+  m_metrics.SetTotal("clementine_retried_total", "", path.retried);
+  m_metrics.SetTotal("clementine_quarantined_total", "", path.quarantined);
+  m_metrics.Set("clementine_in_flight", "",
+                static_cast<double>(path.in_flight));
+  m_metrics.Set("clementine_queued", "", static_cast<double>(path.queued));
+  HttpServerStats server = m_server->stats();
+  m_metrics.Set("clementine_connections", "",
+                static_cast<double>(server.connections));
+  m_metrics.SetTotal("clementine_malformed_total", "", server.malformed);
+  m_metrics.SetTotal("clementine_callers_left_total", "", server.callers_left);
+  BackendStats backend = m_backends->stats();
+  m_metrics.SetTotal("clementine_backend_calls_total", "", backend.calls);
+  m_metrics.SetTotal("clementine_backend_connects_total", "", backend.connects);
+  m_metrics.SetTotal("clementine_frames_dropped_total", "",
+                     backend.frames_dropped);
+  m_metrics.SetTotal("clementine_platform_calls_total", "", m_store->calls());
+  m_metrics.Set("clementine_open_groups", "",
+                static_cast<double>(m_control->open_groups()));
+  m_metrics.Set("clementine_holds_lease", "", m_control->holds_lease() ? 1 : 0);
+  m_metrics.Set("clementine_live_daemons", "", m_control->live_nodes());
+  m_metrics.Set(
+      "clementine_generation", "",
+      m_routes ? static_cast<double>(m_routes->configuration().version) : 0.0);
+  return m_metrics.Render();
+}
+
+// ---------------------------------------------------------------------------
+// Stopping.
+
+void FleetDaemon::Stop() {
+  if (m_phase != Phase::kServing) return;
+  m_phase = Phase::kUnready;
+  m_stop_began = SuspendAwareNow();
+  LogEvent("stopping",
+           {{"unfinished", std::to_string(m_executor->unfinished())},
+            {"drain_wait_ms", std::to_string(m_settings.drain_wait.count())}});
+  m_server->StartDraining();
+  Feed(FleetEvent(DrainStarted{}));
+}
+
+void FleetDaemon::CheckStopping() {
+  if (m_phase == Phase::kServing) return;
+  auto elapsed = SuspendAwareNow() - m_stop_began;
+  if (m_phase == Phase::kUnready && elapsed >= m_settings.drain_wait) {
+    m_phase = Phase::kFinishing;
+    m_server->Stop();
+  }
+  if (m_phase != Phase::kFinishing && m_phase != Phase::kReleasing) return;
+  if (elapsed >= m_settings.stop_limit) m_executor->CutOff();
+  bool finished =
+      m_executor->unfinished() == 0 && m_server->stats().exchanges == 0;
+  if (m_phase == Phase::kFinishing && finished) m_phase = Phase::kReleasing;
+  bool over = elapsed >= m_settings.stop_limit + kReleaseTime;
+  if ((m_phase == Phase::kReleasing && !m_control->holds_lease()) ||
+      (finished && elapsed >= m_settings.drain_wait + kReleaseTime) || over) {
+    LogEvent("stopped", {});
+    m_io->stop();
+  }
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/daemon/fleet_daemon.h
@@ -0,0 +1,84 @@
+// The daemon's parts for the interface `relay`, wired together.
+#ifndef DAEMON_FLEET_DAEMON_H_
+#define DAEMON_FLEET_DAEMON_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "config/config.h"
+#include "core/core.h"
+#include "core/fleet_control.h"
+#include "core/route_table.h"
+#include "daemon/fleet_feed.h"
+#include "daemon/relay_executor.h"
+#include "net/net.h"
+#include "platform/platform.h"
+
+namespace clementine {
+
+/// Time that also counts while the machine is suspended, for everything that
+/// limits how long a belief may be used.
+TimePoint SuspendAwareNow();
+
+class FleetDaemon {
+ public:
+  /// Starts listening at once.
+  /// @throws std::runtime_error when an address can't be used.
+  FleetDaemon(boost::asio::io_context* io, Settings settings);
+  ~FleetDaemon();
+  FleetDaemon(const FleetDaemon&) = delete;
+  FleetDaemon& operator=(const FleetDaemon&) = delete;
+
+  /// Begins a graceful stop; the io_context stops when it's done.
+  void Stop();
+
+  const std::string& node() const { return m_settings.node; }
+  std::string listen_address() const { return m_server->address(); }
+  /// Daemons of this interface don't talk to each other.
+  static std::string peer_address() { return "none"; }
+
+ private:
+  using AnyEvent = std::variant<RequestEvent, FleetEvent>;
+  enum class Phase { kServing, kUnready, kFinishing, kReleasing };
+
+  void Feed(AnyEvent event);
+  void HandleOne(const AnyEvent& event);
+  void Execute(FleetAction action);
+  void Adopt(FleetConfiguration configuration);
+  void SendOrder(const SendGroupOrder& send);
+  void Ask(const AskServer& ask);
+  void ListAllNodes();
+  void ScheduleTick();
+  void CheckStopping();
+  bool Ready() const;
+  void OnHealth(HttpExchange* exchange);
+  std::string RenderMetrics();
+
+  boost::asio::io_context* m_io;
+  Settings m_settings;
+  std::uint64_t m_incarnation;
+  Metrics m_metrics;
+  std::unique_ptr<platform::ObjectStore> m_store;
+  std::unique_ptr<BackendClient> m_backends;
+  std::unique_ptr<RequestPath> m_request_path;
+  std::unique_ptr<FleetControl> m_control;
+  std::unique_ptr<RelayExecutor> m_executor;
+  std::unique_ptr<FleetFeed> m_feed;
+  std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<HttpServer> m_health;
+  std::shared_ptr<const RouteTable> m_routes;
+  boost::asio::steady_timer m_tick;
+  std::deque<AnyEvent> m_queue;
+  bool m_handling = false;
+  bool m_groups_known = false;
+  Phase m_phase = Phase::kServing;
+  TimePoint m_stop_began;
+};
+
+}  // namespace clementine
+
+#endif  // DAEMON_FLEET_DAEMON_H_
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -15,6 +15,7 @@
 
 #include "config/config.h"
 #include "daemon/daemon.h"
+#include "daemon/fleet_daemon.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -32,6 +33,26 @@
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+/// Runs a daemon until its graceful stop is done.
+template <typename AnyDaemon>
+int Serve(Settings settings) {
+  boost::asio::io_context io(1);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  AnyDaemon daemon(&io, std::move(settings));
+  LogEvent("started", {{"version", CLEMENTINE_VERSION},
+                       {"node", daemon.node()},
+                       {"listen", daemon.listen_address()},
+                       {"peer_listen", daemon.peer_address()},
+                       {"pid", std::to_string(::getpid())}});
+  // Later signals are caught and ignored: a stop is always graceful.
+  signals.async_wait(
+      [&daemon](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) daemon.Stop();
+      });
+  io.run();
+  return 0;
+}
+
 int Run(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
@@ -47,21 +68,12 @@
   if (!parsed.findings.empty()) return kExitUsage;
   RaiseDescriptorLimit();
   std::signal(SIGPIPE, SIG_IGN);
-  boost::asio::io_context io(1);
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  Daemon daemon(&io, std::move(parsed.settings));
-  LogEvent("started", {{"version", CLEMENTINE_VERSION},
-                       {"node", daemon.node()},
-                       {"listen", daemon.listen_address()},
-                       {"peer_listen", daemon.peer_address()},
-                       {"pid", std::to_string(::getpid())}});
-  // Later signals are caught and ignored: a stop is always graceful.
-  signals.async_wait(
-      [&daemon](const boost::system::error_code& error, int /*signal*/) {
-        if (!error) daemon.Stop();
-      });
-  io.run();
-  return 0;
+  // Settings are read at a start; a change of the file alone changes nothing.
+  std::signal(SIGHUP, SIG_IGN);
+  if (parsed.settings.interface == "relay") {
+    return Serve<FleetDaemon>(std::move(parsed.settings));
+  }
+  return Serve<Daemon>(std::move(parsed.settings));
 }
 
 }  // namespace
--- /dev/null
+++ b/daemon/relay_executor.cc
@@ -0,0 +1,505 @@
+// The head of a stream is passed on with its first event, so that until then
+// another server can take the request unnoticed. Answers that aren't streams
+// are collected and passed on when they are complete.
+
+#include "daemon/relay_executor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "daemon/relay_stream.h"
+#include "fmt/format.h"
+#include "platform/platform.h"
+
+namespace clementine {
+namespace {
+
+/// Callers give up on a stream that is silent for this long, so an attempt that
+/// is silent for a part of it is given to another server.
+constexpr milliseconds kFirstEventTimeout{1'400};
+constexpr milliseconds kEventGapTimeout{800};
+/// A shorter time isn't worth an attempt.
+constexpr milliseconds kLeastTimeout{1};
+/// Deadline of a request that names none.
+constexpr milliseconds kDefaultPatience{30'000};
+constexpr std::size_t kMostBodyBytes = 16'777'216;
+/// Told with refusals that come before any estimate.
+constexpr milliseconds kEarlyRetryAfter{500};
+/// How often the progress of an attempt is fed after its first event.
+constexpr milliseconds kProgressInterval{200};
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kOk = 200;
+
+std::string Seconds(milliseconds time) {
+  return fmt::format("{:.3f}", std::chrono::duration<double>(time).count());
+}
+
+std::string Milliseconds(TimePoint::duration time) {
+  return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+}  // namespace
+
+struct RelayExecutor::Caller {
+  RequestId id = 0;
+  std::shared_ptr<HttpExchange> exchange;
+  platform::CallerHeaders headers;
+  std::shared_ptr<const RouteTable> routes;  ///< Keeps `route` alive.
+  const RouteRule* route = nullptr;
+  Request request;
+  std::string told_organisation;  ///< Empty: none is told to servers.
+  std::shared_ptr<const std::string> body;
+  TimePoint arrived;
+  TimePoint first_event;
+  AttemptId current = 0;
+  RelayStream stream;
+  bool head_sent = false;
+  // The answer, once an attempt has one.
+  AttemptId answered_by = 0;
+  int status = 0;
+  HttpHeaders answer_headers;
+  std::string answer_body;
+  std::string group;  ///< Of the last attempt; for the log.
+};
+
+struct RelayExecutor::Attempt {
+  AttemptId id = 0;
+  std::shared_ptr<Caller> caller;
+  std::string group;
+  std::uint64_t epoch = 0;
+  std::string host;
+  std::shared_ptr<BackendAttempt> call;
+  TimePoint started;
+  TimePoint last_bytes;
+  TimePoint last_progress;
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  bool streams = false;  ///< The answer is a stream of events.
+};
+
+RelayExecutor::RelayExecutor(RelayContext context)
+    : m_context(std::move(context)), m_random(m_context.seed) {}
+
+RelayExecutor::~RelayExecutor() = default;
+
+void RelayExecutor::SetRoutes(std::shared_ptr<const RouteTable> routes) {
+  m_routes = std::move(routes);
+}
+
+void RelayExecutor::SetGroups(const std::vector<GroupView>& groups) {
+  m_heads.clear();
+  for (const GroupView& group : groups) {
+    m_heads[group.group] = group.leader_host;
+  }
+  std::erase_if(m_heard, [this](const auto& entry) {
+    return m_heads.count(entry.first) == 0;
+  });
+}
+
+// ---------------------------------------------------------------------------
+// Arrival.
+
+void RelayExecutor::RefuseNow(HttpExchange* exchange, int status,
+                              const char* reason,
+                              const std::string& request_id) {
+  LogEvent("refuse", {{"caller_request", request_id},
+                      {"status", std::to_string(status)},
+                      {"reason", reason},
+                      {"path", exchange->request().path}});
+  m_context.metrics->Add("clementine_refused_total",
+                         fmt::format("reason=\"{}\"", reason));
+  HttpHeaders headers = {{"Content-Type", "text/plain"}};
+  if (status == kUnavailable) {
+    headers.emplace_back("Retry-After", Seconds(kEarlyRetryAfter));
+  }
+  exchange->Answer(status, headers, std::string(reason) + "\n");
+}
+
+void RelayExecutor::Accept(const std::shared_ptr<HttpExchange>& exchange) {
+  const HttpRequest& request = exchange->request();
+  platform::CallerHeaders headers =
+      platform::ReadCallerHeaders(request.headers);
+  if (m_routes == nullptr) {
+    RefuseNow(exchange.get(), kUnavailable, "no_configuration",
+              headers.request_id);
+    return;
+  }
+  RouteTable::Match match =
+      m_routes->Find(headers.host, request.path, headers.key);
+  if (match.verdict == RouteTable::Verdict::kNoRoute) {
+    RefuseNow(exchange.get(), kNotFound, "no_route", headers.request_id);
+    return;
+  }
+  if (match.verdict == RouteTable::Verdict::kNoKey) {
+    RefuseNow(exchange.get(), kUnauthorized, "unknown_key", headers.request_id);
+    return;
+  }
+  std::shared_ptr<Caller> caller = MakeCaller(exchange, match);
+  caller->headers = std::move(headers);
+  Request& read = caller->request;
+  milliseconds patience =
+      std::min(caller->headers.patience.value_or(kDefaultPatience),
+               caller->route->timeout);
+  read.deadline = caller->arrived + patience;
+  const std::string& service =
+      RouteTable::PickService(*caller->route, m_random());
+  if (caller->headers.model.empty()) {
+    read.service = service;
+  } else {
+    read.model = service + "/" + caller->headers.model;
+  }
+  read.prompt_tokens = caller->headers.prompt_tokens;
+  read.max_tokens = caller->headers.likely_output_tokens > 0
+                        ? caller->headers.likely_output_tokens
+                        : caller->headers.most_output_tokens;
+  LogEvent("request",
+           {{"request", std::to_string(caller->id)},
+            {"caller_request", caller->headers.request_id},
+            {"route", caller->route->name},
+            {"version", std::to_string(m_routes->configuration().version)},
+            {"target",
+             service + (read.model.empty() ? "" : "/") + caller->headers.model},
+            {"organisation", read.organisation},
+            {"patience_ms", std::to_string(patience.count())}});
+  m_callers.emplace(caller->id, caller);
+  exchange->SetLeaveHandler([this, id = caller->id] {
+    std::shared_ptr<Caller> left = TakeCaller(id);
+    if (!left) return;
+    LogAnswer(*left, "caller_left", 0, "");
+    m_context.feed(CallerLeft{id});
+  });
+  m_context.feed(RequestArrived{read});
+}
+
+std::shared_ptr<RelayExecutor::Caller> RelayExecutor::MakeCaller(
+    const std::shared_ptr<HttpExchange>& exchange,
+    const RouteTable::Match& match) {
+  const HttpRequest& http = exchange->request();
+  auto caller = std::make_shared<Caller>();
+  caller->id = ++m_last_request;
+  caller->exchange = exchange;
+  caller->routes = m_routes;
+  caller->route = match.route;
+  caller->told_organisation = match.organisation;
+  caller->body = std::make_shared<const std::string>(http.body);
+  caller->arrived = m_context.now();
+  Request& request = caller->request;
+  request.id = caller->id;
+  request.organisation =
+      match.organisation.empty() ? kPublicOrganisation : match.organisation;
+  bool stream = match.route->kind == RouteKind::kStream;
+  request.request_class = stream ? RequestClass::kStream : RequestClass::kPlain;
+  request.path = http.path;
+  request.content_digest = TextDigest(http.path + "\n" + http.body);
+  request.idempotent = match.route->kind == RouteKind::kIdempotent ||
+                       (stream && match.route->resumable);
+  request.max_attempts = std::max(1, match.route->max_attempts);
+  return caller;
+}
+
+// ---------------------------------------------------------------------------
+// Attempts.
+
+void RelayExecutor::Execute(const RequestAction& action) {
+  std::visit([this](const auto& value) { On(value); }, action);
+}
+
+BackendCall RelayExecutor::MakeCall(const Dispatch& dispatch,
+                                    const Caller& caller) {
+  const HttpRequest& http = caller.exchange->request();
+  BackendCall call;
+  call.relay = true;
+  call.address = dispatch.address;
+  call.method = http.method;
+  call.target = http.query.empty() ? http.path : http.path + "?" + http.query;
+  call.body = caller.body;
+  call.idempotent = caller.request.idempotent;
+  auto remaining =
+      std::max(kLeastTimeout, std::chrono::floor<milliseconds>(
+                                  caller.request.deadline - m_context.now()));
+  platform::ForwardInfo info;
+  info.host = m_heads[dispatch.group];
+  info.organisation = caller.told_organisation;
+  info.remaining = remaining;
+  if (caller.stream.events() > 0) info.resume_after = caller.stream.last_id();
+  call.headers = platform::ForwardHeaders(http.headers, info);
+  bool stream = caller.route->kind == RouteKind::kStream;
+  call.event_stream = stream;
+  call.first_byte_timeout =
+      stream ? std::min(remaining, kFirstEventTimeout) : remaining;
+  call.gap_timeout = stream ? kEventGapTimeout : remaining;
+  return call;
+}
+
+void RelayExecutor::On(const Dispatch& dispatch) {
+  auto found = m_callers.find(dispatch.request);
+  if (found == m_callers.end()) {
+    AttemptEnded ended;
+    ended.attempt = dispatch.attempt;
+    ended.result = AttemptResult::kNotSent;
+    m_context.feed(std::move(ended));
+    return;
+  }
+  std::shared_ptr<Caller> caller = found->second;
+  auto attempt = std::make_shared<Attempt>();
+  attempt->id = dispatch.attempt;
+  attempt->caller = caller;
+  attempt->group = dispatch.group;
+  attempt->epoch = dispatch.epoch;
+  attempt->host = m_heads[dispatch.group];
+  attempt->started = attempt->last_bytes = m_context.now();
+  caller->current = dispatch.attempt;
+  caller->group = dispatch.group;
+  caller->stream.Restart();
+  BackendHandlers handlers;
+  handlers.head = [this, attempt](int status, const HttpHeaders& headers) {
+    return OnHead(attempt.get(), status, headers);
+  };
+  handlers.bytes = [this, attempt](std::string_view bytes) {
+    OnBytes(attempt.get(), bytes);
+  };
+  handlers.end = [this, attempt](BackendEnd end) {
+    OnEnd(attempt, std::move(end));
+  };
+  m_attempts.emplace(attempt->id, attempt);
+  attempt->call = m_context.backends->Start(MakeCall(dispatch, *caller),
+                                            std::move(handlers));
+  caller->exchange->SetDrainHandler(
+      [call = std::weak_ptr<BackendAttempt>(attempt->call)] {
+        if (auto running = call.lock()) running->Resume();
+      });
+}
+
+void RelayExecutor::On(const CancelAttempt& cancel) {
+  auto found = m_attempts.find(cancel.attempt);
+  if (found == m_attempts.end()) return;
+  std::shared_ptr<Attempt> attempt = found->second;
+  m_attempts.erase(found);
+  attempt->call->Cancel();
+  LogEvent("attempt_cancelled",
+           {{"request", std::to_string(attempt->caller->id)},
+            {"group", attempt->group}});
+}
+
+AnswerHead RelayExecutor::OnHead(Attempt* attempt, int status,
+                                 const HttpHeaders& headers) {
+  AnswerHead judged = platform::JudgeAnswer(attempt->caller->headers.request_id,
+                                            status, headers);
+  if (judged == AnswerHead::kAnswer) {
+    attempt->status = status;
+    attempt->headers = EndToEndHeaders(headers);
+    attempt->streams =
+        attempt->caller->route->kind == RouteKind::kStream && status == kOk;
+  }
+  m_heard[attempt->group] = m_context.now();
+  return judged;
+}
+
+void RelayExecutor::OnBytes(Attempt* attempt, std::string_view bytes) {
+  Caller* caller = attempt->caller.get();
+  attempt->last_bytes = m_context.now();
+  m_heard[attempt->group] = attempt->last_bytes;
+  if (caller->current != attempt->id) return;
+  if (!attempt->streams) {
+    // An answer over the limit is cut here and fails as broken at its end.
+    if (attempt->body.size() <= kMostBodyBytes) attempt->body.append(bytes);
+    return;
+  }
+  std::string events = caller->stream.Take(bytes);
+  if (events.empty()) return;
+  bool first = caller->first_event == TimePoint();
+  if (first) caller->first_event = attempt->last_bytes;
+  Deliver(caller, attempt, events);
+  if (attempt->last_bytes - attempt->last_progress >= kProgressInterval) {
+    attempt->last_progress = attempt->last_bytes;
+    m_context.feed(AttemptProgress{attempt->id, caller->stream.events()});
+  }
+}
+
+void RelayExecutor::Deliver(Caller* caller, Attempt* attempt,
+                            std::string_view bytes) {
+  if (!caller->head_sent) {
+    caller->head_sent = true;
+    caller->status = attempt->status;
+    caller->exchange->StartStream(attempt->status, attempt->headers);
+  }
+  if (!caller->exchange->Write(bytes) && attempt->call) attempt->call->Pause();
+}
+
+void RelayExecutor::OnEnd(const std::shared_ptr<Attempt>& attempt,
+                          BackendEnd end) {
+  auto found = m_attempts.find(attempt->id);
+  if (found == m_attempts.end()) return;
+  m_attempts.erase(found);
+  Caller* caller = attempt->caller.get();
+  bool complete = end.result == AttemptResult::kComplete;
+  if (complete && attempt->streams) {
+    std::string rest = caller->stream.Finish();
+    if (!rest.empty()) Deliver(caller, attempt.get(), rest);
+    if (caller->stream.gap()) end.result = AttemptResult::kBroken;
+  }
+  if (attempt->body.size() > kMostBodyBytes) {
+    end.result = AttemptResult::kBroken;
+    end.detail = "answer too large";
+  }
+  LogEvent("attempt_ended",
+           {{"request", std::to_string(caller->id)},
+            {"group", attempt->group},
+            {"host", attempt->host},
+            {"result", AttemptResultName(end.result)},
+            {"status", std::to_string(end.status)},
+            {"events", std::to_string(caller->stream.events())},
+            {"reused", end.reused ? "yes" : "no"},
+            {"ms", Milliseconds(m_context.now() - attempt->started)},
+            {"detail", end.detail}});
+  SuspectGroup(*attempt, end);
+  bool answered = end.result == AttemptResult::kComplete ||
+                  end.result == AttemptResult::kError;
+  if (answered) {
+    caller->answered_by = attempt->id;
+    caller->status = attempt->status;
+    caller->answer_headers = std::move(attempt->headers);
+    caller->answer_body = std::move(attempt->body);
+  }
+  AttemptEnded ended;
+  ended.attempt = attempt->id;
+  ended.result = end.result;
+  ended.offset = caller->stream.events();
+  ended.retry_after = end.retry_after;
+  ended.status = end.status;
+  m_context.feed(std::move(ended));
+}
+
+// A group is silent when nothing came from it, on any connection, for as long
+// as the attempt that timed out has waited. A head that refuses connections is
+// gone.
+void RelayExecutor::SuspectGroup(const Attempt& attempt,
+                                 const BackendEnd& end) {
+  bool silent = end.result == AttemptResult::kTimedOut;
+  bool unreachable = end.result == AttemptResult::kNotSent;
+  bool gone = end.result == AttemptResult::kCrashed;
+  if (!silent && !unreachable && !gone) return;
+  if (silent) {
+    auto heard = m_heard.find(attempt.group);
+    if (heard != m_heard.end() && heard->second > attempt.last_bytes) return;
+  }
+  m_context.feed_fleet(GroupSilent{attempt.group, attempt.epoch});
+}
+
+// ---------------------------------------------------------------------------
+// Final answers.
+
+std::shared_ptr<RelayExecutor::Caller> RelayExecutor::TakeCaller(RequestId id) {
+  auto found = m_callers.find(id);
+  if (found == m_callers.end()) return nullptr;
+  std::shared_ptr<Caller> caller = found->second;
+  m_callers.erase(found);
+  return caller;
+}
+
+void RelayExecutor::On(const Finish& finish) {
+  std::shared_ptr<Caller> caller = TakeCaller(finish.request);
+  if (!caller) return;
+  bool has_answer =
+      caller->answered_by == finish.attempt && caller->status != 0;
+  bool success = caller->status / 100 == 2;
+  if (caller->head_sent && has_answer && success) {
+    caller->exchange->EndStream();
+    LogAnswer(*caller, "complete", caller->status, "");
+  } else if (caller->head_sent || !has_answer) {
+    // The rest of a stream that has begun can't be told any other way.
+    caller->exchange->Abort();
+    LogAnswer(*caller, "cut_off", caller->status, "no_answer");
+  } else {
+    caller->exchange->Answer(caller->status, caller->answer_headers,
+                             caller->answer_body);
+    LogAnswer(*caller, success ? "complete" : "failed", caller->status, "");
+  }
+}
+
+void RelayExecutor::On(const Refuse& refuse) {
+  std::shared_ptr<Caller> caller = TakeCaller(refuse.request);
+  const char* reason = RefusalReasonName(refuse.reason);
+  m_context.metrics->Add("clementine_refused_total",
+                         fmt::format("reason=\"{}\"", reason));
+  if (!caller) return;
+  if (caller->head_sent) {
+    caller->exchange->Abort();
+    LogAnswer(*caller, "cut_off", caller->status, reason);
+    return;
+  }
+  bool not_run = refuse.outcome == Outcome::kNotRun;
+  int status = kBadGateway;
+  if (refuse.reason == RefusalReason::kDeadline) status = kGatewayTimeout;
+  if (not_run) status = kUnavailable;
+  HttpHeaders headers = {{"Content-Type", "text/plain"}};
+  if (not_run) {
+    headers.emplace_back("Retry-After", Seconds(refuse.retry_after));
+  }
+  caller->exchange->Answer(status, headers, std::string(reason) + "\n");
+  LogAnswer(*caller, OutcomeName(refuse.outcome), status, reason);
+}
+
+void RelayExecutor::LogAnswer(const Caller& caller, const char* outcome,
+                              int status, const char* reason) {
+  TimePoint now = m_context.now();
+  bool stream = caller.route->kind == RouteKind::kStream;
+  bool first = caller.first_event != TimePoint();
+  LogEvent("answer",
+           {{"request", std::to_string(caller.id)},
+            {"caller_request", caller.headers.request_id},
+            {"route", caller.route->name},
+            {"organisation", caller.request.organisation},
+            {"outcome", outcome},
+            {"status", std::to_string(status)},
+            {"reason", reason},
+            {"group", caller.group},
+            {"events", std::to_string(caller.stream.events())},
+            {"first_ms",
+             first ? Milliseconds(caller.first_event - caller.arrived) : "-"},
+            {"total_ms", Milliseconds(now - caller.arrived)}});
+  std::string label = stream ? "class=\"stream\"" : "class=\"plain\"";
+  m_context.metrics->Add("clementine_answers_total",
+                         fmt::format("{},outcome=\"{}\"", label, outcome));
+  std::chrono::duration<double> latency =
+      (stream && first ? caller.first_event : now) - caller.arrived;
+  Metrics::Observe(m_context.metrics->Find("clementine_latency_seconds", label),
+                   latency.count(), now);
+}
+
+void RelayExecutor::CutOff() {
+  std::vector<RequestId> ids;
+  for (const auto& [id, caller] : m_callers) ids.push_back(id);
+  for (RequestId id : ids) {
+    std::shared_ptr<Caller> caller = TakeCaller(id);
+    m_context.feed(CallerLeft{id});
+    if (caller->current == 0) {
+      RefuseNow(caller->exchange.get(), kUnavailable, "stopping",
+                caller->headers.request_id);
+    } else {
+      caller->exchange->Abort();
+      LogAnswer(*caller, "cut_off", caller->status, "stopping");
+    }
+  }
+}
+
+// Requests that are passed on have no keys, so nothing is recorded for them.
+void RelayExecutor::On(const Replay& /*replay*/) {}
+void RelayExecutor::On(const GetObject& /*get*/) {}
+void RelayExecutor::On(const PutObject& /*put*/) {}
+void RelayExecutor::On(const DeleteObject& /*del*/) {}
+
+void RelayExecutor::On(const ShareQuarantine& share) {
+  LogEvent("crash_counted", {{"digest", share.digest}});
+}
+
+void RelayExecutor::On(const LogDecision& log) {
+  LogEvent(log.event, log.fields);
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/daemon/relay_executor.h
@@ -0,0 +1,98 @@
+// Carries out the request path's actions for requests that are passed on as
+// they are.
+#ifndef DAEMON_RELAY_EXECUTOR_H_
+#define DAEMON_RELAY_EXECUTOR_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/core.h"
+#include "core/fleet_control.h"
+#include "core/route_table.h"
+#include "net/net.h"
+
+namespace clementine {
+
+/// What the executor works with; everything outlives it.
+struct RelayContext {
+  BackendClient* backends = nullptr;
+  Metrics* metrics = nullptr;
+  std::uint64_t seed = 1;
+  std::function<TimePoint()> now;
+  std::function<void(RequestEvent)> feed;
+  std::function<void(FleetEvent)> feed_fleet;
+};
+
+/// Invariant: bytes of an attempt reach a caller only while it is the current
+/// attempt of that caller's request, and only whole events of a stream.
+class RelayExecutor {
+ public:
+  explicit RelayExecutor(RelayContext context);
+  ~RelayExecutor();
+  RelayExecutor(const RelayExecutor&) = delete;
+  RelayExecutor& operator=(const RelayExecutor&) = delete;
+
+  /// Takes a caller's request and feeds RequestArrived, or answers it.
+  void Accept(const std::shared_ptr<HttpExchange>& exchange);
+
+  void Execute(const RequestAction& action);
+
+  void SetRoutes(std::shared_ptr<const RouteTable> routes);
+  void SetGroups(const std::vector<GroupView>& groups);
+
+  /// Callers and attempts that aren't finished.
+  std::size_t unfinished() const {
+    return m_callers.size() + m_attempts.size();
+  }
+
+  /// Ends all requests: those that weren't sent are refused.
+  void CutOff();
+
+ private:
+  struct Caller;
+  struct Attempt;
+
+  void On(const Dispatch& dispatch);
+  void On(const CancelAttempt& cancel);
+  void On(const Refuse& refuse);
+  void On(const Finish& finish);
+  void On(const Replay& replay);
+  void On(const ShareQuarantine& share);
+  void On(const GetObject& get);
+  void On(const PutObject& put);
+  void On(const DeleteObject& del);
+  void On(const LogDecision& log);
+
+  std::shared_ptr<Caller> MakeCaller(
+      const std::shared_ptr<HttpExchange>& exchange,
+      const RouteTable::Match& match);
+  BackendCall MakeCall(const Dispatch& dispatch, const Caller& caller);
+  AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
+  void OnBytes(Attempt* attempt, std::string_view bytes);
+  void OnEnd(const std::shared_ptr<Attempt>& attempt, BackendEnd end);
+  void SuspectGroup(const Attempt& attempt, const BackendEnd& end);
+  void Deliver(Caller* caller, Attempt* attempt, std::string_view bytes);
+  void RefuseNow(HttpExchange* exchange, int status, const char* reason,
+                 const std::string& request_id);
+  void LogAnswer(const Caller& caller, const char* outcome, int status,
+                 const char* reason);
+  std::shared_ptr<Caller> TakeCaller(RequestId id);
+
+  RelayContext m_context;
+  std::shared_ptr<const RouteTable> m_routes;
+  std::unordered_map<RequestId, std::shared_ptr<Caller>> m_callers;
+  std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
+  std::unordered_map<std::string, std::string> m_heads;  ///< Host by group.
+  std::unordered_map<std::string, TimePoint> m_heard;    ///< By group.
+  std::mt19937_64 m_random;
+  RequestId m_last_request = 0;
+};
+
+}  // namespace clementine
+
+#endif  // DAEMON_RELAY_EXECUTOR_H_
--- /dev/null
+++ b/daemon/relay_stream.cc
@@ -0,0 +1,89 @@
+// Nothing of an event is parsed but its id. Event ids increase; events of a
+// resumed answer that repeat delivered ones are dropped, and one that skips a
+// number ends the answer, since what lies between is lost.
+
+#include "daemon/relay_stream.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace clementine {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+std::string_view EventId(std::string_view event) {
+  while (!event.empty()) {
+    std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+      while (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+      return line;
+    }
+    event.remove_prefix(std::min(end + 1, event.size()));
+  }
+  return {};
+}
+
+std::optional<std::int64_t> Number(std::string_view text) {
+  std::int64_t number = 0;
+  auto [stop, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || stop != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+std::string RelayStream::Take(std::string_view bytes) {
+  m_partial.append(bytes);
+  std::string accepted;
+  std::size_t begin = 0;
+  for (std::size_t end = m_partial.find(kEventEnd, begin);
+       end != std::string::npos; end = m_partial.find(kEventEnd, begin)) {
+    end += kEventEnd.size();
+    std::string_view event =
+        std::string_view(m_partial).substr(begin, end - begin);
+    if (Accept(event)) accepted.append(event);
+    begin = end;
+  }
+  m_partial.erase(0, begin);
+  return accepted;
+}
+
+bool RelayStream::Accept(std::string_view event) {
+  if (m_gap) return false;
+  std::string_view id = EventId(event);
+  std::optional<std::int64_t> number = Number(id);
+  if (m_resumed && number && m_last_number) {
+    if (*number <= *m_last_number) return false;
+    if (*number != *m_last_number + 1) {
+      m_gap = true;
+      return false;
+    }
+  }
+  if (!id.empty()) {
+    m_last_id = id;
+    m_last_number = number;
+  }
+  ++m_events;
+  return true;
+}
+
+std::string RelayStream::Finish() {
+  std::string rest;
+  if (!m_gap) rest.swap(m_partial);
+  return rest;
+}
+
+void RelayStream::Restart() {
+  m_partial.clear();
+  m_resumed = m_events > 0;
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/daemon/relay_stream.h
@@ -0,0 +1,46 @@
+// Splits a relayed stream of server-sent events at its event boundaries.
+#ifndef DAEMON_RELAY_STREAM_H_
+#define DAEMON_RELAY_STREAM_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace clementine {
+
+/// Lets through whole events only, in order and each once, so that a stream
+/// that breaks inside an event can go on at another server.
+class RelayStream {
+ public:
+  /// Takes bytes of the running answer.
+  /// @return Bytes to deliver: whole events that weren't delivered before.
+  std::string Take(std::string_view bytes);
+
+  /// The running answer ended complete. @return What follows its last event.
+  std::string Finish();
+
+  /// A new answer begins, which goes on after the last delivered event.
+  void Restart();
+
+  /// Events delivered so far.
+  std::uint64_t events() const { return m_events; }
+  /// Id of the last delivered event; empty when it had none.
+  const std::string& last_id() const { return m_last_id; }
+  /// A number is missing between two events of a resumed stream.
+  bool gap() const { return m_gap; }
+
+ private:
+  bool Accept(std::string_view event);
+
+  std::string m_partial;  ///< Of an event that isn't complete.
+  std::string m_last_id;
+  std::optional<std::int64_t> m_last_number;
+  std::uint64_t m_events = 0;
+  bool m_resumed = false;
+  bool m_gap = false;
+};
+
+}  // namespace clementine
+
+#endif  // DAEMON_RELAY_STREAM_H_
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -109,14 +109,19 @@
   };
   fmt::format_to(std::back_inserter(out), "{} {} HTTP/1.1\r\n", call.method,
                  call.target);
-  append("Host", call.address);
-  if (!token.empty()) append("Authorization", "Bearer " + token);
-  if (!call.attempt.empty()) append("X-Attempt-Id", call.attempt);
-  if (call.event_stream) {
-    append("X-Resume-Offset", std::to_string(call.resume_offset));
+  if (!call.relay) {
+    append("Host", call.address);
+    if (!token.empty()) append("Authorization", "Bearer " + token);
+    if (!call.attempt.empty()) append("X-Attempt-Id", call.attempt);
+    if (call.event_stream) {
+      append("X-Resume-Offset", std::to_string(call.resume_offset));
+    }
   }
   for (const auto& [name, value] : call.headers) append(name, value);
-  append("Content-Length", std::to_string(call.body ? call.body->size() : 0));
+  bool has_body = call.body && !call.body->empty();
+  if (has_body || !call.relay || call.method != "GET") {
+    append("Content-Length", std::to_string(call.body ? call.body->size() : 0));
+  }
   out.append(std::string_view("\r\n"));
   return fmt::to_string(out);
 }
@@ -210,6 +215,8 @@
   asio::awaitable<bool> ReadHeader(Parser* parser);
   asio::awaitable<void> ReadStream(Parser* parser);
   asio::awaitable<void> ReadBody(Parser* parser);
+  asio::awaitable<void> RelayBody(Parser* parser);
+  AnswerHead JudgeHead(const Parser& parser);
   asio::awaitable<error_code> ReadSome(Parser* parser, std::string_view* bytes);
   asio::awaitable<void> FinishTrailer(Parser* parser);
   asio::awaitable<bool> AddressRefuses();
@@ -242,6 +249,7 @@
   bool m_first_token = false;
   bool m_broken = false;  ///< The connection failed after bytes were sent.
   bool m_reported = false;
+  bool m_not_run = false;  ///< Relayed: the head says so.
 };
 
 // ---------------------------------------------------------------------------
@@ -338,8 +346,10 @@
   bool answered = co_await ReadHeader(&parser);
   if (!answered) co_return;
   std::string_view type = parser.get()[http::field::content_type];
-  if (m_call.event_stream && parser.get().result_int() == 200 &&
-      type.starts_with("text/event-stream")) {
+  if (m_call.relay) {
+    co_await RelayBody(&parser);
+  } else if (m_call.event_stream && parser.get().result_int() == 200 &&
+             type.starts_with("text/event-stream")) {
     co_await ReadStream(&parser);
   } else {
     co_await ReadBody(&parser);
@@ -411,14 +421,17 @@
     co_return false;
   }
   const auto& answer = parser->get();
-  std::string_view attempt = answer["X-Attempt-Id"];
-  if (!attempt.empty() && attempt != m_call.attempt) {
+  m_end.status = static_cast<int>(answer.result_int());
+  AnswerHead judged = JudgeHead(*parser);
+  if (judged == AnswerHead::kForeign) {
     ++m_end.dropped;
     ++m_client->m_stats.frames_dropped;
+    m_end.status = 0;
     m_end.detail = "answer of another attempt";
+    Close();
     co_return false;
   }
-  m_end.status = static_cast<int>(answer.result_int());
+  m_not_run = judged == AnswerHead::kNotRun;
   m_end.content_type = std::string(answer[http::field::content_type]);
   m_end.retry_after = RetryAfter(answer[http::field::retry_after]);
   std::string_view leaving = answer["leaving"];
@@ -428,6 +441,51 @@
   co_return !m_cancelled;
 }
 
+AnswerHead CallState::JudgeHead(const Parser& parser) {
+  const auto& answer = parser.get();
+  if (!m_call.relay) {
+    std::string_view attempt = answer["X-Attempt-Id"];
+    return attempt.empty() || attempt == m_call.attempt ? AnswerHead::kAnswer
+                                                        : AnswerHead::kForeign;
+  }
+  if (m_cancelled || !m_handlers.head) return AnswerHead::kAnswer;
+  HttpHeaders headers;
+  for (const auto& field : answer) {
+    headers.emplace_back(std::string(field.name_string()),
+                         std::string(field.value()));
+  }
+  return m_handlers.head(m_end.status, headers);
+}
+
+// The head of an answer isn't progress: a server may send it and then wait for
+// its turn, so the first byte of the body ends the first phase.
+asio::awaitable<void> CallState::RelayBody(Parser* parser) {
+  while (!parser->is_done()) {
+    while (m_paused && !m_cancelled) {
+      error_code ignored;
+      co_await m_resumed.async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (m_first_token) SetDeadline(m_call.gap_timeout);
+    std::string_view bytes;
+    error_code error = co_await ReadSome(parser, &bytes);
+    if (m_cancelled) co_return;
+    if (!bytes.empty()) m_first_token = true;
+    if (!bytes.empty() && !m_not_run && m_handlers.bytes) {
+      m_handlers.bytes(bytes);
+    }
+    if (m_cancelled) co_return;
+    if (error) {
+      Fail("body", error);
+      co_return;
+    }
+  }
+  m_end.result = AttemptResult::kComplete;
+  if (m_end.status >= 500) m_end.result = AttemptResult::kError;
+  if (m_not_run) m_end.result = AttemptResult::kRefused;
+  ReturnConnection(*parser);
+}
+
 asio::awaitable<error_code> CallState::ReadSome(Parser* parser,
                                                 std::string_view* bytes) {
   auto& body = parser->get().body();
--- /dev/null
+++ b/net/end_to_end.cc
@@ -0,0 +1,53 @@
+// Headers that concern one connection must not be passed on: those that HTTP
+// names, and those that the Connection header names.
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+
+#include "net/net.h"
+
+namespace clementine {
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopByHop = {
+    "Connection",        "Keep-Alive", "Proxy-Authenticate",
+    "Proxy-Connection",  "TE",         "Trailer",
+    "Transfer-Encoding", "Upgrade",    "Content-Length"};
+
+bool SameName(std::string_view left, std::string_view right) {
+  return boost::beast::iequals({left.data(), left.size()},
+                               {right.data(), right.size()});
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  return text;
+}
+
+// Whether `name` is an element of the comma-separated `list`.
+bool IsListed(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    std::size_t comma = std::min(list.find(','), list.size());
+    if (SameName(Trim(list.substr(0, comma)), name)) return true;
+    list.remove_prefix(std::min(comma + 1, list.size()));
+  }
+  return false;
+}
+
+}  // namespace
+
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
+  std::string_view connection = FindHeader(headers, "Connection");
+  HttpHeaders kept;
+  for (const auto& [name, value] : headers) {
+    bool hop = std::any_of(
+        kHopByHop.begin(), kHopByHop.end(),
+        [&](std::string_view hop_name) { return SameName(hop_name, name); });
+    if (!hop && !IsListed(connection, name)) kept.emplace_back(name, value);
+  }
+  return kept;
+}
+
+}  // namespace clementine
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -114,6 +114,9 @@
   const HttpLimits& limits() const { return m_limits; }
   const Handler& handler() const { return m_handler; }
   bool stopping() const { return m_stopping; }
+  /// Whether answers end their connections.
+  bool draining() const { return m_draining || m_stopping; }
+  void StartDraining() { m_draining = true; }
 
   std::string m_address;
   HttpServerStats m_stats;
@@ -130,6 +133,7 @@
   tcp::acceptor m_acceptor;
   asio::steady_timer m_sweep;
   bool m_stopping = false;
+  bool m_draining = false;
 };
 
 /// One connection; at most one exchange at a time.
@@ -514,14 +518,14 @@
 
 void HttpSession::QueueHead(int status, const HttpHeaders& headers,
                             std::string_view body) {
-  m_keep_alive = m_keep_alive && !m_server->stopping();
+  m_keep_alive = m_keep_alive && !m_server->draining();
   m_pending += FormatHead(status, headers, !m_keep_alive);
   m_pending += fmt::format("Content-Length: {}\r\n\r\n", body.size());
   if (!m_head_request) m_pending += body;
 }
 
 void HttpSession::QueueStreamHead(int status, const HttpHeaders& headers) {
-  m_keep_alive = m_keep_alive && !m_server->stopping();
+  m_keep_alive = m_keep_alive && !m_server->draining();
   m_pending += FormatHead(status, headers, !m_keep_alive);
   m_pending += "Transfer-Encoding: chunked\r\n\r\n";
   m_chunked = true;
@@ -636,6 +640,7 @@
 
 std::string HttpServer::address() const { return m_impl->m_address; }
 HttpServerStats HttpServer::stats() const { return m_impl->m_stats; }
+void HttpServer::StartDraining() { m_impl->StartDraining(); }
 void HttpServer::Stop() { m_impl->Stop(/*abort=*/false); }
 
 }  // namespace clementine
--- a/net/net.h
+++ b/net/net.h
@@ -92,6 +92,10 @@
 /// Finds a header by name without regard to case; empty when absent.
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
 
+/// The headers that are passed on: without those that concern one connection,
+/// and without the length, which the sender of a message sets itself.
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
+
 struct HttpRequest {
   std::string method;
   std::string path;   ///< Target without its query.
@@ -168,6 +172,10 @@
   std::string address() const;  ///< Bound IP:port.
   HttpServerStats stats() const;
 
+  /// Closes each connection after its next answer, which says so. Goes on
+  /// accepting, so that callers who don't know yet are served.
+  void StartDraining();
+
   /// Accepts no more connections, closes idle ones, and closes the others
   /// after their current answer.
   void Stop();
@@ -244,6 +252,16 @@
   bool idempotent = true;
   std::chrono::milliseconds first_byte_timeout{10'000};
   std::chrono::milliseconds gap_timeout{2'000};
+  /// Passes the answer on unread: the hooks `head` and `bytes` get it, and
+  /// `headers` hold all headers of the call, Host included.
+  bool relay = false;
+};
+
+/// What the head of a relayed answer says, in the words of its protocol.
+enum class AnswerHead {
+  kAnswer,   ///< The answer to this call.
+  kNotRun,   ///< The backend server didn't run the call.
+  kForeign,  ///< Of another call, or not to be trusted.
 };
 
 /// How a call ended.
@@ -264,6 +282,10 @@
 struct BackendHandlers {
   std::function<void(std::string_view data, std::uint64_t offset)> token;
   std::function<void(const LoadReport& load)> load;
+  /// Relayed calls: judges the head; empty accepts every answer.
+  std::function<AnswerHead(int status, const HttpHeaders& headers)> head;
+  /// Relayed calls: the next bytes of an accepted answer's body.
+  std::function<void(std::string_view bytes)> bytes;
   std::function<void(BackendEnd end)> end;  ///< Exactly once unless cancelled.
 };
 
@@ -395,8 +417,8 @@
   /// @param token   Bearer token; never logged.
   /// @param timeout Longest wait for an answer; a watch adds its own time.
   /// @throws std::runtime_error when the address isn't IP:port.
-  PlatformClient(boost::asio::io_context* io, std::string address,
-                 std::string token,
+  PlatformClient(boost::asio::io_context* io, const std::string& address,
+                 const std::string& token,
                  std::chrono::milliseconds timeout = std::chrono::seconds(2));
   ~PlatformClient();
   PlatformClient(const PlatformClient&) = delete;
@@ -424,7 +446,7 @@
 
  private:
   class Impl;
-  std::shared_ptr<Impl> m_impl;
+  std::unique_ptr<Impl> m_impl;
 };
 
 }  // namespace clementine
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -1,60 +1,18 @@
-// Each call has a connection to itself until its answer is complete, so a
-// pending watch never delays another call. Connections are kept open between
-// calls. An answer counts only when it is complete; what a lost answer means
-// depends on whether any byte of the call was handed to the connection.
-//
-// GCC 12 destroys some temporaries in co_await expressions twice; arguments
-// with destructors are therefore named.
+// The object API and the host list of the platform, as its stand-in speaks
+// them.
 
-#include <sys/socket.h>
-
-#include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_to_string.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
 #include "fmt/format.h"
-#include "net/address.h"
+#include "net/http_transport.h"
 #include "net/net.h"
 
 namespace clementine {
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using Clock = std::chrono::steady_clock;
 using Json = nlohmann::json;
-using asio::ip::tcp;
-
-constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
-// The largest answers are the host list and the list of a data centre's
-// objects.
-constexpr std::size_t kMaxAnswerBytes = 16'000'000;
-constexpr std::size_t kMaxIdleConnections = 8;
-// Reached only when the platform is slow; bounds memory and descriptors.
-constexpr std::size_t kMaxConnections = 256;
-
-struct Connection {
-  explicit Connection(asio::io_context* io) : stream(*io) {}
-
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-};
-
-struct Answer {
-  bool sent = false;  ///< At least one byte may have reached the platform.
-  int status = 0;     ///< HTTP status; 0 without a complete answer.
-  std::string body;
-};
+using Answer = HttpTransport::Answer;
 
 // Percent-encodes all but unreserved characters and those in `kept`.
 std::string PercentEncode(const std::string& text, const std::string& kept) {
@@ -77,15 +35,6 @@
   return "/v1/objects/" + PercentEncode(key, "/");
 }
 
-// Whether the platform has neither closed an idle connection nor sent
-// something unasked.
-bool StillOpen(tcp::socket* socket) {
-  char byte = 0;
-  ssize_t count =
-      recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 // Decodes the answer to a call for one object. Answers that are malformed or
 // have an unexpected status say nothing about whether a write took effect.
 ObjectReply DecodeReply(CallId call, const Answer& answer) {
@@ -157,209 +106,65 @@
 
 }  // namespace
 
-class PlatformClient::Impl
-    : public std::enable_shared_from_this<PlatformClient::Impl> {
+class PlatformClient::Impl {
  public:
-  Impl(asio::io_context* io, std::string address, std::string token,
-       std::chrono::milliseconds timeout)
-      : m_io(io),
-        m_endpoint(ParseEndpoint(address)),
-        m_address(std::move(address)),
-        m_token(std::move(token)),
-        m_timeout(timeout) {}
+  Impl(asio::io_context* io, const std::string& address,
+       const std::string& token, std::chrono::milliseconds timeout)
+      : m_transport(io, address, Headers(token), timeout) {}
 
-  // Runs a call; `done` gets its answer unless the client was destroyed.
-  void Start(http::verb verb, std::string target, std::string body,
+  void Start(const char* method, std::string target, std::string body,
              std::chrono::milliseconds extra_time,
              std::function<void(const Answer&)> done) {
-    ++m_calls;
-    asio::co_spawn(
-        *m_io,
-        Run(shared_from_this(), verb, std::move(target), std::move(body),
-            m_timeout + extra_time, std::move(done)),
-        asio::detached);
-  }
-
-  // Ends all calls without running their callbacks.
-  void Stop() {
-    m_stopped = true;
-    m_idle.clear();
-    for (const auto& weak : m_open) {
-      if (auto connection = weak.lock()) connection->stream.close();
-    }
+    m_transport.Start(method, std::move(target), std::move(body), extra_time,
+                      std::move(done));
   }
-
-  std::uint64_t calls() const { return m_calls; }
+  std::uint64_t calls() const { return m_transport.calls(); }
 
  private:
-  using ConnectionPtr = std::shared_ptr<Connection>;
-
-  // `self` keeps the client's state until the call has ended.
-  static asio::awaitable<void> Run(std::shared_ptr<Impl> self, http::verb verb,
-                                   std::string target, std::string body,
-                                   std::chrono::milliseconds timeout,
-                                   std::function<void(const Answer&)> done) {
-    std::string message = self->Serialize(verb, target, body);
-    Answer answer = co_await self->Call(message, verb == http::verb::get,
-                                        Clock::now() + timeout);
-    if (!self->m_stopped) done(answer);
-  }
-
-  std::string Serialize(http::verb verb, const std::string& target,
-                        const std::string& body) const {
-    http::request<http::string_body> request(verb, target, 11);
-    request.set(http::field::host, m_address);
-    if (!m_token.empty()) {
-      request.set(http::field::authorization, "Bearer " + m_token);
-    }
-    request.body() = body;
-    request.prepare_payload();
-    std::string message;
-    http::request_serializer<http::string_body> serializer(request);
-    boost::system::error_code error;
-    while (!serializer.is_done()) {
-      serializer.next(error,
-                      [&](boost::system::error_code&, const auto& buffers) {
-                        message += beast::buffers_to_string(buffers);
-                        serializer.consume(beast::buffer_bytes(buffers));
-                      });
-    }
-    return message;
-  }
-
-  // A kept connection may be closed by the platform while it is idle. The call
-  // is then repeated on another one if it is a read or none of it was sent.
-  asio::awaitable<Answer> Call(const std::string& message, bool is_read,
-                               Clock::time_point deadline) {
-    while (true) {
-      ConnectionPtr connection = TakeIdle();
-      bool reused = connection != nullptr;
-      if (!reused) {
-        connection = co_await Connect(deadline);
-      }
-      if (connection == nullptr) co_return Answer{};
-      Answer answer = co_await Exchange(connection, message, deadline);
-      if (answer.status != 0 || !reused || m_stopped) co_return answer;
-      if (Clock::now() >= deadline || (answer.sent && !is_read)) {
-        co_return answer;
-      }
-    }
-  }
-
-  ConnectionPtr TakeIdle() {
-    while (!m_idle.empty()) {
-      ConnectionPtr connection = std::move(m_idle.back());
-      m_idle.pop_back();
-      if (StillOpen(&connection->stream.socket())) return connection;
-    }
-    return nullptr;
-  }
-
-  asio::awaitable<ConnectionPtr> Connect(Clock::time_point deadline) {
-    std::erase_if(m_open, [](const auto& weak) { return weak.expired(); });
-    if (m_stopped || m_open.size() >= kMaxConnections) co_return nullptr;
-    auto connection = std::make_shared<Connection>(m_io);
-    m_open.push_back(connection);
-    connection->stream.expires_at(deadline);
-    auto [error] =
-        co_await connection->stream.async_connect(m_endpoint, kAwaitTuple);
-    if (error) co_return nullptr;
-    boost::system::error_code ignored;
-    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-    co_return connection;
-  }
-
-  asio::awaitable<Answer> Exchange(ConnectionPtr connection,
-                                   const std::string& message,
-                                   Clock::time_point deadline) {
-    Answer answer;
-    connection->stream.expires_at(deadline);
-    auto [write_error, written] = co_await asio::async_write(
-        connection->stream, asio::buffer(message), kAwaitTuple);
-    answer.sent = written > 0;
-    if (write_error) co_return answer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxAnswerBytes);
-    auto [read_error, bytes] = co_await http::async_read(
-        connection->stream, connection->buffer, parser, kAwaitTuple);
-    if (read_error) {
-      // Whatever stopped this connection may have stopped the idle ones too.
-      if (read_error == beast::error::timeout) m_idle.clear();
-      co_return answer;
-    }
-    answer.status = static_cast<int>(parser.get().result_int());
-    answer.body = std::move(parser.get().body());
-    LogUnexpected(answer.status);
-    if (parser.keep_alive() && connection->buffer.size() == 0 && !m_stopped &&
-        m_idle.size() < kMaxIdleConnections) {
-      connection->stream.expires_never();
-      m_idle.push_back(std::move(connection));
-    }
-    co_return answer;
-  }
-
-  // Logs a status that the protocol doesn't give, once until it changes.
-  void LogUnexpected(int status) {
-    bool expected = status == 200 || status == 404 || status == 409;
-    if (!expected && status != m_logged_status) {
-      LogEvent("platform_status", {{"status", std::to_string(status)}});
-    }
-    m_logged_status = expected ? 0 : status;
+  static HttpHeaders Headers(const std::string& token) {
+    if (token.empty()) return {};
+    return {{"Authorization", "Bearer " + token}};
   }
 
-  asio::io_context* m_io;
-  tcp::endpoint m_endpoint;
-  std::string m_address;
-  std::string m_token;
-  std::chrono::milliseconds m_timeout;
-  std::vector<ConnectionPtr> m_idle;
-  std::vector<std::weak_ptr<Connection>> m_open;  // Idle and busy.
-  std::uint64_t m_calls = 0;
-  int m_logged_status = 0;
-  bool m_stopped = false;
+  HttpTransport m_transport;
 };
 
-PlatformClient::PlatformClient(asio::io_context* io, std::string address,
-                               std::string token,
+PlatformClient::PlatformClient(asio::io_context* io, const std::string& address,
+                               const std::string& token,
                                std::chrono::milliseconds timeout)
-    : m_impl(std::make_shared<Impl>(io, std::move(address), std::move(token),
-                                    timeout)) {}
+    : m_impl(std::make_unique<Impl>(io, address, token, timeout)) {}
 
-PlatformClient::~PlatformClient() { m_impl->Stop(); }
+PlatformClient::~PlatformClient() = default;
 
 void PlatformClient::Get(const clementine::GetObject& get,
                          ObjectCallback done) {
-  m_impl->Start(
-      http::verb::get, ObjectTarget(get.key), "", std::chrono::milliseconds(0),
-      [call = get.call, done = std::move(done)](const Answer& answer) {
-        done(DecodeReply(call, answer));
-      });
+  m_impl->Start("GET", ObjectTarget(get.key), "", std::chrono::milliseconds(0),
+                [call = get.call, done = std::move(done)](
+                    const Answer& answer) { done(DecodeReply(call, answer)); });
 }
 
 void PlatformClient::Put(const PutObject& put, ObjectCallback done) {
   std::string target =
       fmt::format("{}?if_version={}", ObjectTarget(put.key), put.if_version);
-  m_impl->Start(http::verb::put, std::move(target), put.value,
-                std::chrono::milliseconds(0),
-                [call = put.call, done = std::move(done)](
-                    const Answer& answer) { done(DecodeReply(call, answer)); });
+  m_impl->Start(
+      "PUT", std::move(target), put.value, std::chrono::milliseconds(0),
+      [call = put.call, done = std::move(done)](const Answer& answer) {
+        done(DecodeReply(call, answer));
+      });
 }
 
 void PlatformClient::Delete(const DeleteObject& del, ObjectCallback done) {
   std::string target =
       fmt::format("{}?if_version={}", ObjectTarget(del.key), del.if_version);
-  m_impl->Start(
-      http::verb::delete_, std::move(target), "", std::chrono::milliseconds(0),
-      [call = del.call, done = std::move(done)](const Answer& answer) {
-        done(DecodeReply(call, answer));
-      });
+  m_impl->Start("DELETE", std::move(target), "", std::chrono::milliseconds(0),
+                [call = del.call, done = std::move(done)](
+                    const Answer& answer) { done(DecodeReply(call, answer)); });
 }
 
 void PlatformClient::List(
     const std::string& prefix,
     std::function<void(std::optional<ObjectsChanged>)> done) {
-  m_impl->Start(http::verb::get,
-                "/v1/objects?prefix=" + PercentEncode(prefix, ""), "",
+  m_impl->Start("GET", "/v1/objects?prefix=" + PercentEncode(prefix, ""), "",
                 std::chrono::milliseconds(0),
                 [done = std::move(done)](const Answer& answer) {
                   done(DecodeObjects(answer));
@@ -373,7 +178,7 @@
                                    PercentEncode(watch.prefix, ""), watch.since,
                                    watch.timeout.count());
   m_impl->Start(
-      http::verb::get, std::move(target), "", watch.timeout,
+      "GET", std::move(target), "", watch.timeout,
       [prefix = watch.prefix, done = std::move(done)](const Answer& answer) {
         std::optional<ObjectsChanged> changed = DecodeObjects(answer);
         if (changed) changed->prefix = prefix;
@@ -383,7 +188,7 @@
 
 void PlatformClient::ListHosts(
     std::function<void(std::optional<std::vector<HostInfo>>)> done) {
-  m_impl->Start(http::verb::get, "/v1/hosts", "", std::chrono::milliseconds(0),
+  m_impl->Start("GET", "/v1/hosts", "", std::chrono::milliseconds(0),
                 [done = std::move(done)](const Answer& answer) {
                   done(DecodeHosts(answer));
                 });
