Count a host's orders from its own report

Cause: the list entry's field sequence counts renewals of the entry, so every order expected a wrong count and was answered 409. Change: hosts are asked for their report before their first order; accepted orders are counted, a rejected one asks again.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kPlanInterval{100};
 /// A member of a group that stands is asked this often whether it lives.
 constexpr milliseconds kAskInterval{1'000};
+/// Reports can be this old.
+constexpr milliseconds kReportAge{250};
 /// Failures in a row before a host is taken for gone. One lost packet delays an
 /// answer by less than the time of two calls.
 constexpr int kAskFailures = 3;
@@ -292,16 +294,20 @@
 // The planner's work.
 
 void FleetControl::AskMembers() {
+  if (!m_configuration) return;
   std::erase_if(m_asked, [this](const auto& entry) {
     return m_list.servers().count(entry.first) == 0;
   });
   for (const auto& [id, server] : m_list.servers()) {
     bool member = server.member.state == MemberState::kOpen ||
                   server.member.state == MemberState::kReady;
-    if (!member) continue;
+    bool engine = m_configuration->services.count(server.service) > 0 &&
+                  m_configuration->services.at(server.service).engine;
+    bool uncounted = engine && !m_planner.Counted(server);
+    if (!member && !uncounted) continue;
     auto [entry, added] = m_asked.try_emplace(id);
     Asked& asked = entry->second;
-    if (added) {
+    if (added && !uncounted) {
       asked.next = m_now + m_jitter.Between(milliseconds(0), kAskInterval);
     }
     if (asked.waiting || m_now < asked.next) continue;
@@ -363,13 +369,14 @@
                       {"kind", GroupOrderName(event.order.kind)},
                       {"group", event.order.group},
                       {"expected", std::to_string(event.order.expected_orders)},
-                      {"result", kNames[static_cast<int>(event.result)]}});
+                      {"result", kNames[static_cast<int>(event.result)]},
+       {"detail", event.detail}});
   m_planner.Answered(event.host, event.order, event.result, m_now);
-  // The count of orders that was expected may be wrong.
-  auto server = m_list.servers().find(event.host);
-  if (event.result == OrderResult::kRejected &&
-      server != m_list.servers().end()) {
-    m_actions.emplace_back(AskServer{event.host, server->second.address});
+  // The count of orders that was expected may be wrong. Reports are some time
+  // old, so a rejection is followed by a pause.
+  auto asked = m_asked.find(event.host);
+  if (event.result == OrderResult::kRejected && asked != m_asked.end()) {
+    asked->second.next = m_now + kReportAge;
   }
 }
 
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -43,6 +43,7 @@
   std::string host;
   GroupOrder order;
   OrderResult result = OrderResult::kUnknown;
+  std::string detail;  ///< For the log.
 };
 /// Nothing came from a group for longer than its answers may pause.
 struct GroupSilent {
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -149,6 +149,7 @@
 
 void GroupPlanner::Reset() {
   m_sent.clear();
+  for (auto& [host, count] : m_counts) count.known = false;
   m_loads.clear();
   m_heads.clear();
   m_orphans.clear();
@@ -160,19 +161,25 @@
 // ---------------------------------------------------------------------------
 // Orders and their effects.
 
-std::uint64_t GroupPlanner::Orders(const BackendServer& host) const {
+bool GroupPlanner::Counted(const BackendServer& host) const {
   auto found = m_counts.find(host.id);
-  if (found == m_counts.end() || found->second.born != host.born) {
-    return host.orders;
-  }
-  return std::max(host.orders, found->second.orders);
+  return found != m_counts.end() && found->second.born == host.born &&
+         found->second.known;
 }
 
 void GroupPlanner::OrdersCounted(const std::string& host, std::int64_t born,
                                  std::uint64_t orders) {
   Count& count = m_counts[host];
-  if (count.born != born) count = {born, 0, ""};
+  if (count.born > born) return;  // A report of an earlier life came late.
+  if (count.born != born) count = {born, false, 0, ""};
+  // Reports are some hundred ms old; counts only rise within a life.
   count.orders = std::max(count.orders, orders);
+  count.known = true;
+  auto sent = m_sent.find(host);
+  if (sent != m_sent.end() && sent->second.born == born &&
+      orders > sent->second.order.expected_orders) {
+    sent->second.accepted = true;
+  }
 }
 
 void GroupPlanner::Answered(const std::string& host, const GroupOrder& order,
@@ -198,6 +205,7 @@
     if (order.kind == GroupOrder::Kind::kJoin) m_epoch += kEpochStep;
     m_sent.erase(found);
     m_loads.erase(host);
+    m_counts[host].known = false;
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
     OrdersCounted(host, found->second.born, order.expected_orders + 1);
@@ -210,7 +218,7 @@
     const Sent& sent = entry.second;
     auto host = servers.find(entry.first);
     if (host == servers.end() || host->second.born != sent.born) return true;
-    if (host->second.orders > sent.order.expected_orders) return true;
+    if (TookEffect(sent, host->second)) return true;
     milliseconds patience = kRepeatOrder;
     if (sent.accepted) patience = kListDelay;
     if (!sent.accepted && sent.order.kind == GroupOrder::Kind::kOpen) {
@@ -224,7 +232,11 @@
            IsStaged(host->second, entry.second.model);
   });
   std::erase_if(m_counts, [&](const auto& entry) {
-    return servers.count(entry.first) == 0;
+    return servers.count(entry.first) == 0 &&
+           std::none_of(m_orphans.begin(), m_orphans.end(),
+                        [&](const auto& orphan) {
+                          return orphan.second.head.id == entry.first;
+                        });
   });
   std::erase_if(m_forming, [&](const auto& entry) {
     return std::none_of(
@@ -237,6 +249,24 @@
   });
 }
 
+bool GroupPlanner::TookEffect(const Sent& sent,
+                              const BackendServer& host) const {
+  const Membership& member = host.member;
+  bool same =
+      member.group == sent.order.group && member.epoch == sent.order.epoch;
+  switch (sent.order.kind) {
+    case GroupOrder::Kind::kJoin:
+      return same && member.state != MemberState::kNone;
+    case GroupOrder::Kind::kOpen:
+      return same && member.state != MemberState::kReady;
+    case GroupOrder::Kind::kClose:
+      return !same || member.state != MemberState::kOpen;
+    case GroupOrder::Kind::kStage:
+      return sent.accepted;
+  }
+  return false;
+}
+
 bool GroupPlanner::OpenMayBeLate(const std::string& host) const {
   auto found = m_sent.find(host);
   return found != m_sent.end() &&
@@ -245,12 +275,9 @@
 
 void GroupPlanner::Send(const BackendServer& host, GroupOrder order,
                         Pass* pass) {
-  order.expected_orders = Orders(host);
-  if (order.kind == GroupOrder::Kind::kJoin) {
-    Count& count = m_counts[host.id];
-    if (count.born != host.born) count = {host.born, 0, ""};
-    count.last_model = order.model;
-  }
+  Count& count = m_counts[host.id];
+  order.expected_orders = count.orders;
+  if (order.kind == GroupOrder::Kind::kJoin) count.last_model = order.model;
   m_sent[host.id] = {order, host.born, pass->now, false};
   pass->orders.push_back({host.id, host.address, std::move(order)});
 }
@@ -296,7 +323,7 @@
     close.group = key.first;
     close.epoch = key.second;
     close.evict = true;
-    close.expected_orders = Orders(orphan.head);
+    close.expected_orders = m_counts[orphan.head.id].orders;
     pass->orders.push_back({orphan.head.id, orphan.head.address, close});
   }
 }
@@ -357,7 +384,7 @@
     return;
   }
   bool closing = head->member.state == MemberState::kClosing;
-  if (Waiting(head->id) || (closing && whole)) return;
+  if (Waiting(head->id) || !Counted(*head) || (closing && whole)) return;
   GroupOrder close;
   close.kind = GroupOrder::Kind::kClose;
   close.group = group.name;
@@ -399,7 +426,8 @@
   if (lost || (!ready && age > patience)) return;
   Bind(group, pass);
   ++pass->groups[model.name];
-  if (ready && !Waiting(group.members.front()->id)) {
+  if (ready && !Waiting(group.members.front()->id) &&
+      Counted(*group.members.front())) {
     GroupOrder open;
     open.kind = GroupOrder::Kind::kOpen;
     open.group = group.name;
@@ -414,7 +442,7 @@
 void GroupPlanner::FindFree(const std::string& service, Pass* pass) {
   for (const auto& [id, server] : *pass->servers) {
     if (server.service == service && !server.leaving && !Waiting(id) &&
-        pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
+        Counted(server) && pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
       pass->free[server.fabric_domain].push_back(&server);
     }
   }
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -64,9 +64,11 @@
   void Answered(const std::string& host, const GroupOrder& order,
                 OrderResult result, TimePoint now);
 
-  /// A host's own count of its orders, which can be ahead of its list entry.
+  /// A host's report says how many orders it has accepted in this life.
   void OrdersCounted(const std::string& host, std::int64_t born,
                      std::uint64_t orders);
+  /// Whether a host can be sent an order. If not, its report is needed first.
+  bool Counted(const BackendServer& host) const;
 
   /// Forgets everything that was sent; used when the lease was lost.
   void Reset();
@@ -85,6 +87,7 @@
   /// Orders that a host of one life has accepted.
   struct Count {
     std::int64_t born = 0;
+    bool known = false;
     std::uint64_t orders = 0;
     std::string last_model;  ///< Of its last group in this life.
   };
@@ -144,7 +147,7 @@
                  TimePoint now);
 
   double JoinSeconds(const BackendServer& host, const EngineModel& model) const;
-  std::uint64_t Orders(const BackendServer& host) const;
+  bool TookEffect(const Sent& sent, const BackendServer& host) const;
   bool Waiting(const std::string& host) const { return m_sent.count(host) > 0; }
   bool OpenMayBeLate(const std::string& host) const;
   bool MayLoad(const Pass& pass);
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kPlatformTimeout{1'000};
 /// Longest wait for the platform's answer to the lease's release.
 constexpr milliseconds kReleaseTime{800};
+/// Of the answer to an order.
+constexpr std::size_t kMostLoggedBytes = 200;
 /// Closed idle connections: callers reuse theirs for a time that the platform
 /// sets, so the server's own limit is far above it.
 constexpr milliseconds kCallerIdleTimeout{120'000};
@@ -191,10 +193,15 @@
 }
 
 void FleetDaemon::SendOrder(const SendGroupOrder& send) {
+  auto body = std::make_shared<std::string>();
   BackendHandlers handlers;
-  handlers.end = [this, host = send.host,
-                  order = send.order](const BackendEnd& end) {
-    Feed(FleetEvent(OrderEnded{host, order, platform::ReadOrderAnswer(end)}));
+  handlers.bytes = [body](std::string_view bytes) { body->append(bytes); };
+  handlers.end = [this, host = send.host, order = send.order,
+                  body](const BackendEnd& end) {
+    OrderEnded ended{host, order, platform::ReadOrderAnswer(end), ""};
+    ended.detail = fmt::format("{} {}{}", end.status, end.detail,
+                               body->substr(0, kMostLoggedBytes));
+    Feed(FleetEvent(std::move(ended)));
   };
   m_backends->Start(platform::OrderCall(send.host, send.address, send.order),
                     std::move(handlers));
