Load weights without limits before the first request

Cause: before the first request loads take a tenth of their time, don't slow each other down and don't count towards the rate, but the planner kept to the rate and to six loads at a time; 10 groups stood when traffic began. Change: the setting first_start; limits apply from the first request on.

--- a/config/config.h
+++ b/config/config.h
@@ -172,6 +172,8 @@
   /// What callers and the platform speak: `chat`, or `relay` for requests that
   /// are passed on as they are to backend servers of the platform's registry.
   std::string interface = "chat";
+  /// Relay: the whole system starts for the first time.
+  bool first_start = false;
   std::string listen = "127.0.0.1:0";  ///< HTTP for callers.
   std::string health;  ///< Relay: address of /readyz and /metrics.
   std::string peer_listen = "127.0.0.1:0";  ///< nng for other daemons.
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -34,7 +34,8 @@
       NameField("region", NameKind::kPlain, &s.region),
       Required(NameField("data_centre", NameKind::kPlain, &s.data_centre)),
       SeedField("seed", &s.seed),
-      NameField("interface", NameKind::kPlain, &s.interface)};
+      NameField("interface", NameKind::kPlain, &s.interface),
+      FlagField("first_start", &s.first_start)};
   table["listen"] = {
       AddressField("address", true, &s.listen),
       AddressField("health", true, &s.health),
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -50,6 +50,7 @@
   // Nothing is ordered without the lease, so its absence means that no daemon
   // has held it yet.
   m_lease.PlacementAbsent();
+  m_planner.SetFreeLoads(m_options.first_start);
 }
 
 std::vector<FleetAction> FleetControl::Handle(const FleetEvent& event,
@@ -67,12 +68,45 @@
 // ---------------------------------------------------------------------------
 // The list and the configuration.
 
+void FleetControl::On(const RequestsBegan& /*event*/) {
+  m_planner.SetFreeLoads(false);
+}
+
 void FleetControl::On(const ServersListed& event) {
   m_list.Replace(event.servers, m_now);
   m_changed = true;
 }
 
+void FleetControl::LogChanges(const std::vector<ServerList::Change>& changes) {
+  for (const ServerList::Change& change : changes) {
+    auto old = m_list.servers().find(change.id);
+    bool listed = old != m_list.servers().end();
+    if (!change.server) {
+      if (listed) Log("server_gone", {{"host", change.id}});
+      continue;
+    }
+    const BackendServer& server = *change.server;
+    const Membership& member = server.member;
+    bool same = listed && old->second.leaving == server.leaving &&
+                old->second.born == server.born &&
+                old->second.member.group == member.group &&
+                old->second.member.epoch == member.epoch &&
+                old->second.member.state == member.state &&
+                old->second.staged == server.staged;
+    if (same) continue;
+    Log("server",
+        {{"host", change.id},
+         {"leaving", server.leaving ? "yes" : "no"},
+         {"domain", server.fabric_domain},
+         {"group", member.group},
+         {"rank", std::to_string(member.rank)},
+         {"state", MemberStateName(member.state)},
+         {"staged", fmt::format("{}", fmt::join(server.staged, ","))}});
+  }
+}
+
 void FleetControl::On(const ServersChanged& event) {
+  if (m_planning) LogChanges(event.changes);
   m_list.Apply(event.changes, m_now);
   m_changed = m_changed || !event.changes.empty();
 }
@@ -370,7 +404,7 @@
                       {"group", event.order.group},
                       {"expected", std::to_string(event.order.expected_orders)},
                       {"result", kNames[static_cast<int>(event.result)]},
-       {"detail", event.detail}});
+                      {"detail", event.detail}});
   m_planner.Answered(event.host, event.order, event.result, m_now);
   // The count of orders that was expected may be wrong. Reports are some time
   // old, so a rejection is followed by a pause.
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -51,10 +51,13 @@
   std::uint64_t epoch = 0;
 };
 
-using FleetEvent =
-    std::variant<ServersListed, ServersChanged, ServersUnreachable,
-                 FleetConfigured, ServerAnswered, OrderEnded, GroupSilent,
-                 ObjectReply, NodesListed, DrainStarted, Tick>;
+/// The first caller's request of this daemon's life.
+struct RequestsBegan {};
+
+using FleetEvent = std::variant<RequestsBegan, ServersListed, ServersChanged,
+                                ServersUnreachable, FleetConfigured,
+                                ServerAnswered, OrderEnded, GroupSilent,
+                                ObjectReply, NodesListed, DrainStarted, Tick>;
 
 // Actions (also GroupsChanged, DaemonsChanged, GetObject, PutObject, ListNodes
 // and LogDecision).
@@ -80,6 +83,8 @@
   /// left without a planner for longer than its group is missed.
   milliseconds lease_duration{3'000};
   milliseconds longest_order{500};
+  /// The whole system starts for the first time, so no request ran before.
+  bool first_start = false;
 };
 
 /// Invariant: orders go out only while this daemon's lease outlasts them.
@@ -111,6 +116,7 @@
     TimePoint until;
   };
 
+  void On(const RequestsBegan& event);
   void On(const ServersListed& event);
   void On(const ServersChanged& event);
   void On(const ServersUnreachable& event);
@@ -123,6 +129,7 @@
   void On(const DrainStarted& event);
   void On(const Tick& event);
 
+  void LogChanges(const std::vector<ServerList::Change>& changes);
   void AdvanceLease();
   void AskMembers();
   void PlanOrders();
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -563,6 +563,7 @@
   m_load_tokens =
       std::min(kLoadBurst, m_load_tokens + elapsed.count() * kLoadRatePart *
                                                pass.engine->loads_per_second);
+  if (m_free_loads) return true;
   return m_load_tokens >= 1.0 &&
          m_loads.size() <
              static_cast<std::size_t>(pass.engine->concurrent_loads);
@@ -572,7 +573,7 @@
                              const EngineModel& model, TimePoint now) {
   auto found = m_loads.find(host.id);
   if (found != m_loads.end() && found->second.model == model.name) return;
-  m_load_tokens -= 1.0;
+  if (!m_free_loads) m_load_tokens -= 1.0;
   m_loads[host.id] = {
       model.name,
       now + std::max(kLeastJoinPatience, model.load_time * kJoinPatience)};
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -70,6 +70,9 @@
   /// Whether a host can be sent an order. If not, its report is needed first.
   bool Counted(const BackendServer& host) const;
 
+  /// Whether loads are still cheap and uncounted, as before the first request.
+  void SetFreeLoads(bool free_loads) { m_free_loads = free_loads; }
+
   /// Forgets everything that was sent; used when the lease was lost.
   void Reset();
 
@@ -160,6 +163,7 @@
   std::map<GroupKey, Orphan> m_orphans;
   std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
   std::uint64_t m_epoch = 0;  ///< Highest seen or used.
+  bool m_free_loads = false;
   double m_load_tokens = 0.0;
   TimePoint m_refilled;
 };
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -79,6 +79,7 @@
   control_options.node = m_settings.node;
   control_options.incarnation = m_incarnation;
   control_options.seed = m_settings.seed ^ m_incarnation;
+  control_options.first_start = m_settings.first_start;
   m_control = std::make_unique<FleetControl>(std::move(control_options));
   RelayContext context;
   context.backends = m_backends.get();
