Let a domain wait for the hosts of the model in need

Cause: hosts register one by one, so groups of three formed before four hosts were free; 12 groups stood for the small model and 3 for the large one, whose requests waited. Change: a model with little need leaves a domain's new hosts alone for 2.5 s.

--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -47,6 +47,10 @@
 constexpr double kRejoinSeconds = 0.2;
 /// Delay of a group that weighs as much as half of its model's need.
 constexpr double kHalfWorthSeconds = 8.0;
+/// A model with less than this part of the greatest need lets a domain wait for
+/// the hosts that the model in need lacks, for so long.
+constexpr double kSmallNeed = 0.75;
+constexpr milliseconds kWaitForHosts{2'500};
 /// Distance to the epochs that a predecessor may have used without our seeing.
 constexpr std::uint64_t kEpochStep = 16;
 
@@ -499,11 +503,28 @@
       ++candidate.loads;
     }
   }
+  candidate.score = Need(model, pass) / (1.0 + seconds / kHalfWorthSeconds);
+  return candidate;
+}
+
+double GroupPlanner::Need(const EngineModel& model, const Pass& pass) {
   auto standing = pass.groups.find(model.name);
   double groups = standing == pass.groups.end() ? 0.0 : standing->second;
-  candidate.score =
-      model.work_share / (groups + 1.0) / (1.0 + seconds / kHalfWorthSeconds);
-  return candidate;
+  return model.work_share / (groups + 1.0);
+}
+
+// Hosts register one after another, and a repaired domain gets its new hosts
+// later: without a wait, small groups would take the hosts of larger ones.
+bool GroupPlanner::Waits(const std::string& domain, const EngineModel& model,
+                         const Pass& pass) const {
+  double greatest = 0.0;
+  for (const EngineModel& other : pass.engine->models) {
+    greatest = std::max(greatest, Need(other, pass));
+  }
+  if (Need(model, pass) >= kSmallNeed * greatest) return false;
+  auto grown = m_grown.find(domain);
+  return grown != m_grown.end() &&
+         pass.now - grown->second.second < kWaitForHosts;
 }
 
 std::optional<GroupPlanner::Candidate> GroupPlanner::BestCandidate(
@@ -516,6 +537,7 @@
           free.size() < static_cast<std::size_t>(model.hosts_per_group)) {
         continue;
       }
+      if (Waits(domain, model, pass)) continue;
       Candidate candidate = Consider(domain, free, model, pass);
       if (candidate.loads > 0 && !may_load) continue;
       if (!best || candidate.score > best->score) best = std::move(candidate);
@@ -525,6 +547,14 @@
 }
 
 void GroupPlanner::FormGroups(Pass* pass) {
+  std::erase_if(m_grown, [&](const auto& entry) {
+    return pass->free.count(entry.first) == 0;
+  });
+  for (const auto& [domain, free] : pass->free) {
+    auto& [size, since] = m_grown[domain];
+    if (free.size() > size) since = pass->now;
+    size = free.size();
+  }
   while (std::optional<Candidate> best = BestCandidate(*pass)) {
     Form(*best, pass);
   }
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -143,6 +143,9 @@
   std::optional<Candidate> BestCandidate(const Pass& pass);
   Candidate Consider(const std::string& domain, const Hosts& free,
                      const EngineModel& model, const Pass& pass) const;
+  static double Need(const EngineModel& model, const Pass& pass);
+  bool Waits(const std::string& domain, const EngineModel& model,
+             const Pass& pass) const;
   void Form(const Candidate& candidate, Pass* pass);
   void StageSpares(Pass* pass);
   void Send(const BackendServer& host, GroupOrder order, Pass* pass);
@@ -162,6 +165,8 @@
   std::map<GroupKey, BackendServer> m_heads;  ///< That serve, as last listed.
   std::map<GroupKey, Orphan> m_orphans;
   std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
+  /// Free hosts of a domain, and when their number last rose.
+  std::map<std::string, std::pair<std::size_t, TimePoint>> m_grown;
   std::uint64_t m_epoch = 0;  ///< Highest seen or used.
   bool m_free_loads = false;
   double m_load_tokens = 0.0;
