Divide the groups' capacity by each daemon's share of the requests

Preferring groups of the own data centre filled some and left others. Change: daemons tell their request rates in the objects that they renew anyway; requests are spread over all groups.

--- a/core/core.h
+++ b/core/core.h
@@ -198,6 +198,9 @@
 /// Live daemons in this data centre; limits are divided by it.
 struct DaemonsChanged {
   int live = 1;
+  /// Part of all requests that come to this daemon; 0 when unknown, which
+  /// counts as an equal part.
+  double share = 0.0;
 };
 struct DrainStarted {};
 struct Tick {
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -5,6 +5,7 @@
 #include "core/fleet_control.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "fmt/format.h"
 
@@ -27,6 +28,8 @@
 /// that a member is gone.
 constexpr milliseconds kEngineSuspicion{5'500};
 constexpr milliseconds kPlainSuspicion{2'000};
+/// Changes of this daemon's share of the requests below this part are ignored.
+constexpr double kShareStep = 0.1;
 /// Requests that may run or wait at a server, for each that runs. The servers
 /// queue a few, and the daemons' shares of the traffic are uneven.
 constexpr int kOvercommit = 2;
@@ -68,8 +71,9 @@
 // ---------------------------------------------------------------------------
 // The list and the configuration.
 
-void FleetControl::On(const RequestsBegan& /*event*/) {
-  m_planner.SetFreeLoads(false);
+void FleetControl::On(const RequestsCounted& event) {
+  m_nodes.CountRequests(event.total);
+  if (event.total > 0) m_planner.SetFreeLoads(false);
 }
 
 void FleetControl::On(const ServersListed& event) {
@@ -278,6 +282,16 @@
 
 void FleetControl::On(const DrainStarted& /*event*/) { m_stopping = true; }
 
+void FleetControl::TellDaemons() {
+  bool moved = std::abs(m_nodes.share() - m_daemons.share) >
+               kShareStep * std::max(m_daemons.share, m_nodes.share());
+  if (m_nodes.live() == m_daemons.live && !moved) return;
+  m_daemons = {m_nodes.live(), m_nodes.share()};
+  Log("nodes", {{"live", std::to_string(m_daemons.live)},
+                {"share", fmt::format("{:.3f}", m_daemons.share)}});
+  m_actions.emplace_back(m_daemons);
+}
+
 void FleetControl::AdvanceLease() {
   std::vector<ControlAction> out;
   for (const auto& [id, call] : m_calls.TakeOlderThan(m_now - kCallTimeout)) {
@@ -302,11 +316,7 @@
         [this](auto& value) { m_actions.emplace_back(std::move(value)); },
         action);
   }
-  if (m_nodes.live() != m_live) {
-    m_live = m_nodes.live();
-    Log("nodes", {{"live", std::to_string(m_live)}});
-    m_actions.emplace_back(DaemonsChanged{m_live});
-  }
+  TellDaemons();
   AdvanceLease();
   if (m_now - m_planned < kPlanInterval) return;
   m_planned = m_now;
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -51,10 +51,12 @@
   std::uint64_t epoch = 0;
 };
 
-/// The first caller's request of this daemon's life.
-struct RequestsBegan {};
+/// Callers' requests of this daemon's life so far.
+struct RequestsCounted {
+  std::uint64_t total = 0;
+};
 
-using FleetEvent = std::variant<RequestsBegan, ServersListed, ServersChanged,
+using FleetEvent = std::variant<RequestsCounted, ServersListed, ServersChanged,
                                 ServersUnreachable, FleetConfigured,
                                 ServerAnswered, OrderEnded, GroupSilent,
                                 ObjectReply, NodesListed, DrainStarted, Tick>;
@@ -116,7 +118,7 @@
     TimePoint until;
   };
 
-  void On(const RequestsBegan& event);
+  void On(const RequestsCounted& event);
   void On(const ServersListed& event);
   void On(const ServersChanged& event);
   void On(const ServersUnreachable& event);
@@ -130,6 +132,7 @@
   void On(const Tick& event);
 
   void LogChanges(const std::vector<ServerList::Change>& changes);
+  void TellDaemons();
   void AdvanceLease();
   void AskMembers();
   void PlanOrders();
@@ -160,7 +163,7 @@
   bool m_stopping = false;
   bool m_planning = false;  ///< Held the lease at the last pass.
   std::size_t m_orders_running = 0;
-  int m_live = 0;  ///< Daemons last reported to the request path.
+  DaemonsChanged m_daemons{0, 0.0};  ///< As last told to the request path.
   TimePoint m_planned;
 
   // Of the event being handled.
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -446,7 +446,8 @@
 void GroupPlanner::FindFree(const std::string& service, Pass* pass) {
   for (const auto& [id, server] : *pass->servers) {
     if (server.service == service && !server.leaving && !Waiting(id) &&
-        Counted(server) && pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
+        Counted(server) && pass->failed->count(id) == 0 &&
+        pass->bound.count(id) == 0) {
       pass->free[server.fabric_domain].push_back(&server);
     }
   }
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -4,6 +4,9 @@
 
 #include "core/node_directory.h"
 
+#include <algorithm>
+#include <cstdlib>
+
 #include "fmt/format.h"
 
 namespace clementine {
@@ -18,6 +21,16 @@
 constexpr milliseconds kLiveTime{18'000};
 /// Marks the replies of this directory; other callers count up from 1.
 constexpr CallId kOwnCall = ~CallId{0};
+constexpr milliseconds kRateInterval{2'000};
+/// Requests a second below which shares say nothing.
+constexpr double kLeastRate = 1.0;
+
+/// The number after the last slash; 0 when there's none.
+double TrailingNumber(const std::string& text) {
+  std::size_t slash = text.rfind('/');
+  if (slash == std::string::npos) return 0.0;
+  return std::max(0.0, std::strtod(text.c_str() + slash + 1, nullptr));
+}
 
 }  // namespace
 
@@ -29,11 +42,13 @@
 
 std::vector<NodeDirectory::Action> NodeDirectory::Advance(TimePoint now) {
   std::vector<Action> actions;
+  MeasureRate(now);
   if (now >= m_next_put) {
     m_next_put = now + m_jitter.Between(kPutInterval * 4 / 5, kPutInterval);
-    actions.emplace_back(
-        PutObject{kOwnCall, kPrefix + m_node,
-                  fmt::format("{}/{}", m_incarnation, ++m_renewal), m_version});
+    actions.emplace_back(PutObject{
+        kOwnCall, kPrefix + m_node,
+        fmt::format("{}/{}/{:.2f}", m_incarnation, ++m_renewal, m_rate),
+        m_version});
   }
   if (now >= m_next_list) {
     bool first = m_renewal <= kFirstLists && m_nodes.size() < kFirstLists;
@@ -64,7 +79,7 @@
   if (!listed.complete) return;
   for (const auto& [name, value] : listed.nodes) {
     Seen& seen = m_nodes[name];
-    if (seen.value != value) seen = {value, now};
+    if (seen.value != value) seen = {value, now, TrailingNumber(value)};
   }
   CountLive(now);
 }
@@ -75,6 +90,25 @@
   });
   m_live = 1 + static_cast<int>(m_nodes.size()) -
            static_cast<int>(m_nodes.count(m_node));
+  double all = m_rate;
+  for (const auto& [name, seen] : m_nodes) {
+    if (name != m_node) all += seen.rate;
+  }
+  // Daemons whose rate isn't known yet would make the own share too large.
+  bool comparable = m_rate >= kLeastRate && all > 0.0;
+  double least = 1.0 / (2.0 * m_live);
+  m_share = comparable ? std::clamp(m_rate / all, least, 1.0) : 0.0;
+}
+
+void NodeDirectory::MeasureRate(TimePoint now) {
+  if (m_measured == TimePoint()) m_measured = now;
+  std::chrono::duration<double> time = now - m_measured;
+  if (now - m_measured < kRateInterval) return;
+  double rate =
+      static_cast<double>(m_requests - m_measured_requests) / time.count();
+  m_rate = m_rate == 0.0 ? rate : (m_rate + rate) / 2.0;
+  m_measured = now;
+  m_measured_requests = m_requests;
 }
 
 }  // namespace clementine
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -38,16 +38,23 @@
   bool Replied(const ObjectReply& reply, TimePoint now);
   void Listed(const NodesListed& listed, TimePoint now);
 
+  /// Requests that came to this daemon so far.
+  void CountRequests(std::uint64_t total) { m_requests = total; }
+
   /// Daemons that take requests, this one included.
   int live() const { return m_live; }
+  /// Part of all daemons' requests that comes to this one; 0 when unknown.
+  double share() const { return m_share; }
 
  private:
   struct Seen {
     std::string value;
     TimePoint changed;
+    double rate = 0.0;  ///< Requests a second, as told.
   };
 
   void CountLive(TimePoint now);
+  void MeasureRate(TimePoint now);
 
   std::string m_node;
   std::uint64_t m_incarnation;
@@ -58,6 +65,11 @@
   TimePoint m_next_put;
   TimePoint m_next_list;
   int m_live = 1;
+  double m_share = 0.0;
+  double m_rate = 0.0;  ///< Own requests a second.
+  std::uint64_t m_requests = 0;
+  std::uint64_t m_measured_requests = 0;
+  TimePoint m_measured;
 };
 
 }  // namespace clementine
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -953,6 +953,7 @@
 
 void RequestPath::Impl::On(const DaemonsChanged& event) {
   m_router.SetLive(event.live);
+  if (event.share > 0.0) m_router.SetShare(event.share);
   m_admission.SetLive(event.live);
 }
 
--- a/core/router.cc
+++ b/core/router.cc
@@ -229,12 +229,13 @@
     return 0;
   }
   double capacity = pool.near_capacity + kSpill * pool.far_capacity;
-  return std::max(1, static_cast<int>(capacity / m_live));
+  return std::max(1, static_cast<int>(capacity * m_share));
 }
 
 bool Router::NearIsFull(const Pool& pool) const {
   return pool.near_in_flight >=
-         std::max(pool.near_capacity > 0 ? 1 : 0, pool.near_capacity / m_live);
+         std::max(pool.near_capacity > 0 ? 1 : 0,
+                  static_cast<int>(pool.near_capacity * m_share));
 }
 
 GroupState* Router::Pick(const Request& request, const Pool& pool,
--- a/core/router.h
+++ b/core/router.h
@@ -63,7 +63,9 @@
 
   void SetGroups(const std::vector<GroupView>& groups);
   /// Sets by how many daemons the groups' capacity is divided.
-  void SetLive(int live) { m_live = live < 1 ? 1 : live; }
+  void SetLive(int live) { SetShare(1.0 / (live < 1 ? 1 : live)); }
+  /// Sets which part of the groups' capacity this daemon may use.
+  void SetShare(double share) { m_share = share; }
   void ReportLoad(const LoadReport& load, milliseconds age, TimePoint now);
   void ApplyCacheEvents(const CacheEvents& events);
   /// Updates what depends on time; at most once a second.
@@ -114,7 +116,7 @@
   std::string m_data_centre;
   std::mt19937_64 m_random;
   RoutePolicy m_policy;
-  int m_live = 1;
+  double m_share = 1.0;
   std::unordered_map<std::string, std::unique_ptr<GroupState>> m_groups;
   std::unordered_map<std::string, std::unique_ptr<Pool>> m_pools;
   std::vector<GroupState*> m_slots;  ///< By slot; null when free.
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -64,7 +64,9 @@
   RequestPathOptions path_options;
   path_options.node = m_settings.node;
   path_options.incarnation = m_incarnation;
-  path_options.data_centre = m_settings.data_centre;
+  // Each daemon spreads its requests over all groups: the data centres are
+  // close to one another, and a group that only its neighbours use is full or
+  // idle as their share of the callers is.
   path_options.seed = m_settings.seed ^ m_incarnation;
   path_options.max_queued = m_settings.max_queued;
   path_options.retry_ratio = m_settings.retry_ratio;
@@ -241,6 +243,7 @@
   m_tick.expires_after(kTickInterval);
   m_tick.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
+    Feed(FleetEvent(RequestsCounted{m_server->stats().requests}));
     Feed(FleetEvent(Tick{}));
     Feed(RequestEvent(Tick{}));
     CheckStopping();
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -121,10 +121,6 @@
 }
 
 void RelayExecutor::Accept(const std::shared_ptr<HttpExchange>& exchange) {
-  if (!m_began) {
-    m_began = true;
-    m_context.feed_fleet(RequestsBegan{});
-  }
   const HttpRequest& request = exchange->request();
   platform::CallerHeaders headers =
       platform::ReadCallerHeaders(request.headers);
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -91,7 +91,6 @@
   std::unordered_map<std::string, TimePoint> m_heard;    ///< By group.
   std::mt19937_64 m_random;
   RequestId m_last_request = 0;
-  bool m_began = false;  ///< A request has come.
 };
 
 }  // namespace clementine
