Notice silent groups, stage weights before they are needed

Cause: a lost member was noticed after 2.1 s by three failed calls, though the group had been silent for 0.7 s; joins that had to load bound their whole group for 12 to 16 s; a successor planner ordered hosts that were busy, 164 orders. Change: a group that is silent for 0.5 s loses its requests to others, and one failed call is then enough; only staged hosts join; busy hosts are left alone.

--- a/core/fleet.h
+++ b/core/fleet.h
@@ -96,7 +96,8 @@
   std::string fabric_domain;
   int slots = 1;
   bool leaving = false;
-  std::uint64_t orders = 0;         ///< Orders accepted in this life.
+  std::uint64_t orders = 0;  ///< Orders accepted in this life.
+  bool busy = false;         ///< An order is in progress; from its own report.
   std::vector<std::string> staged;  ///< Models whose weights are on the host.
   Membership member;
 };
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -22,8 +22,10 @@
 /// Reports can be this old.
 constexpr milliseconds kReportAge{250};
 /// Failures in a row before a host is taken for gone. One lost packet delays an
-/// answer by less than the time of two calls.
+/// answer by less than the time of two calls. In a group that went silent one
+/// failure is enough, since the silence is the first sign.
 constexpr int kAskFailures = 3;
+constexpr int kAskFailuresWhenSilent = 1;
 /// A group that went silent gets no work for as long as a head takes to notice
 /// that a member is gone.
 constexpr milliseconds kEngineSuspicion{5'500};
@@ -362,8 +364,7 @@
 
 void FleetControl::On(const ServerAnswered& event) {
   if (event.server) {
-    m_planner.OrdersCounted(event.host, event.server->born,
-                            event.server->orders);
+    m_planner.Reported(event.host, *event.server);
   }
   auto found = m_asked.find(event.host);
   if (found == m_asked.end()) return;
@@ -379,13 +380,19 @@
     return;
   }
   asked.next = m_now;
-  if (++asked.failures == kAskFailures) {
-    m_failed.insert(event.host);
+  ++asked.failures;
+  auto server = m_list.servers().find(event.host);
+  bool silent =
+      server != m_list.servers().end() &&
+      Suspected(server->second.member.group, server->second.member.epoch);
+  bool failed =
+      asked.failures >= (silent ? kAskFailuresWhenSilent : kAskFailures);
+  if (failed && m_failed.insert(event.host).second) {
     m_changed = true;
     Log("host_failed",
         {{"host", event.host}, {"failures", std::to_string(asked.failures)}});
   }
-  if (asked.failures >= kAskFailures) asked.next = m_now + kAskInterval / 2;
+  if (failed) asked.next = m_now + kAskInterval / 2;
 }
 
 void FleetControl::PlanOrders() {
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -83,7 +83,7 @@
   std::uint64_t seed = 1;
   /// Long enough for two lost renewals, short enough that a lost host isn't
   /// left without a planner for longer than its group is missed.
-  milliseconds lease_duration{3'000};
+  milliseconds lease_duration{2'000};
   milliseconds longest_order{500};
   /// The whole system starts for the first time, so no request ran before.
   bool first_start = false;
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -36,6 +36,8 @@
 /// A head that was never seen can't be asked; its members wait until a head
 /// that lost them would have noticed.
 constexpr milliseconds kUnknownHead{6'000};
+/// A host that rejected an order gets the next one after this time.
+constexpr milliseconds kRejectPause{1'000};
 /// Joining takes at most this factor of the slowest load.
 constexpr int kJoinPatience = 4;
 constexpr milliseconds kLeastJoinPatience{20'000};
@@ -148,7 +150,7 @@
   }
   FindFree(service, pass);
   FormGroups(pass);
-  StageSpares(pass);
+  StageFree(pass);
 }
 
 void GroupPlanner::Reset() {
@@ -168,14 +170,25 @@
 bool GroupPlanner::Counted(const BackendServer& host) const {
   auto found = m_counts.find(host.id);
   return found != m_counts.end() && found->second.born == host.born &&
-         found->second.known;
+         found->second.known && !found->second.busy;
 }
 
-void GroupPlanner::OrdersCounted(const std::string& host, std::int64_t born,
-                                 std::uint64_t orders) {
+void GroupPlanner::Reported(const std::string& host,
+                            const BackendServer& report) {
+  AddAccepted(host, report.born, report.orders);
+  // What this planner ordered is known better than a report tells.
+  m_counts[host].busy =
+      report.busy && !Waiting(host) && m_loads.count(host) == 0;
+}
+
+void GroupPlanner::AddAccepted(const std::string& host, std::int64_t born,
+                               std::uint64_t orders) {
   Count& count = m_counts[host];
   if (count.born > born) return;  // A report of an earlier life came late.
-  if (count.born != born) count = {born, false, 0, ""};
+  if (count.born != born) {
+    count = Count();
+    count.born = born;
+  }
   // Reports are some hundred ms old; counts only rise within a life.
   count.orders = std::max(count.orders, orders);
   count.known = true;
@@ -210,9 +223,10 @@
     m_sent.erase(found);
     m_loads.erase(host);
     m_counts[host].known = false;
+    m_counts[host].not_before = now + kRejectPause;
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
-    OrdersCounted(host, found->second.born, order.expected_orders + 1);
+    AddAccepted(host, found->second.born, order.expected_orders + 1);
     if (order.kind == GroupOrder::Kind::kStage) m_sent.erase(found);
   }
 }
@@ -446,8 +460,8 @@
 void GroupPlanner::FindFree(const std::string& service, Pass* pass) {
   for (const auto& [id, server] : *pass->servers) {
     if (server.service == service && !server.leaving && !Waiting(id) &&
-        Counted(server) && pass->failed->count(id) == 0 &&
-        pass->bound.count(id) == 0) {
+        Counted(server) && m_counts[id].not_before <= pass->now &&
+        pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
       pass->free[server.fabric_domain].push_back(&server);
     }
   }
@@ -488,9 +502,13 @@
   auto size = static_cast<std::size_t>(model.hosts_per_group);
   std::vector<std::pair<double, const BackendServer*>> ranked;
   for (const BackendServer* host : free) {
+    auto load = m_loads.find(host->id);
+    if (load != m_loads.end() && load->second.model != model.name) continue;
+    // A member that loads would bind the others for as long.
+    if (!m_free_loads && !IsStaged(*host, model.name)) continue;
     ranked.emplace_back(JoinSeconds(*host, model), host);
   }
-  // The head takes the connections; any member can be it.
+  if (ranked.size() < size) return candidate;
   std::stable_sort(
       ranked.begin(), ranked.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -540,6 +558,7 @@
       }
       if (Waits(domain, model, pass)) continue;
       Candidate candidate = Consider(domain, free, model, pass);
+      if (candidate.members.empty()) continue;
       if (candidate.loads > 0 && !may_load) continue;
       if (!best || candidate.score > best->score) best = std::move(candidate);
     }
@@ -610,41 +629,98 @@
       now + std::max(kLeastJoinPatience, model.load_time * kJoinPatience)};
 }
 
-// A spare that holds a model replaces a lost member of its domain in the time
-// of a start instead of a load.
-void GroupPlanner::StageSpares(Pass* pass) {
-  for (const auto& [domain, free] : pass->free) {
-    std::map<std::string, int> spares;
-    for (const BackendServer* host : free) {
-      auto load = m_loads.find(host->id);
-      if (load != m_loads.end()) {
-        ++spares[load->second.model];
-      } else if (!host->staged.empty()) {
-        ++spares[host->staged.back()];
-      }
+const std::string& GroupPlanner::HeldModel(const BackendServer& host) const {
+  static const std::string none;
+  auto load = m_loads.find(host.id);
+  if (load != m_loads.end()) return load->second.model;
+  return host.staged.empty() ? none : host.staged.back();
+}
+
+bool GroupPlanner::Stage(const BackendServer& host, const EngineModel& model,
+                         Pass* pass) {
+  if (!MayLoad(*pass)) return false;
+  GroupOrder stage;
+  stage.kind = GroupOrder::Kind::kStage;
+  stage.model = model.name;
+  StartLoad(host, model, pass->now);
+  Send(host, stage, pass);
+  return true;
+}
+
+// Loads happen beside everything else, so hosts load before they are needed:
+// first what completes a group of the model in need, then spares. A spare that
+// holds a model replaces a lost member in the time of a start.
+void GroupPlanner::StageFree(Pass* pass) {
+  for (auto& [domain, free] : pass->free) {
+    while (const EngineModel* model = NextToComplete(free, *pass)) {
+      if (!CompleteGroup(*model, &free, pass)) return;
     }
+    if (!StageSpares(domain, free, pass)) return;
+  }
+}
+
+const EngineModel* GroupPlanner::NextToComplete(const Hosts& free,
+                                                const Pass& pass) const {
+  const EngineModel* best = nullptr;
+  for (const EngineModel& model : pass.engine->models) {
+    int usable = 0;
     for (const BackendServer* host : free) {
-      if (!host->staged.empty() || m_loads.count(host->id) > 0) continue;
-      if (!MayLoad(*pass)) return;
-      const EngineModel* best = nullptr;
-      double best_need = -1.0;
-      for (const EngineModel& model : pass->engine->models) {
-        double placed = pass->placed[{domain, model.name}];
-        double need = (placed + model.work_share) / (spares[model.name] + 1.0);
-        if (need > best_need) {
-          best_need = need;
-          best = &model;
-        }
+      bool loads_other =
+          m_loads.count(host->id) > 0 && HeldModel(*host) != model.name;
+      if (!loads_other) ++usable;
+    }
+    if (model.hosts_per_group < 1 || usable < model.hosts_per_group) continue;
+    if (best == nullptr || Need(model, pass) > Need(*best, pass)) {
+      best = &model;
+    }
+  }
+  return best;
+}
+
+// Takes the hosts of one future group from `free` and stages its model on those
+// that lack it. Returns false when no more loads may begin now.
+bool GroupPlanner::CompleteGroup(const EngineModel& model, Hosts* free,
+                                 Pass* pass) {
+  auto rank = [&](const BackendServer* host) {
+    const std::string& held = HeldModel(*host);
+    if (held == model.name) return 0;
+    if (m_loads.count(host->id) > 0) return 3;
+    return held.empty() ? 1 : 2;
+  };
+  std::stable_sort(
+      free->begin(), free->end(),
+      [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+  ++pass->groups[model.name];
+  for (int i = 0; i < model.hosts_per_group; ++i) {
+    const BackendServer& host = *(*free)[static_cast<std::size_t>(i)];
+    if (HeldModel(host) != model.name && !Stage(host, model, pass)) {
+      return false;
+    }
+  }
+  free->erase(free->begin(), free->begin() + model.hosts_per_group);
+  return true;
+}
+
+bool GroupPlanner::StageSpares(const std::string& domain, const Hosts& free,
+                               Pass* pass) {
+  std::map<std::string, int> spares;
+  for (const BackendServer* host : free) ++spares[HeldModel(*host)];
+  for (const BackendServer* host : free) {
+    if (!HeldModel(*host).empty()) continue;
+    const EngineModel* best = nullptr;
+    double best_need = -1.0;
+    for (const EngineModel& model : pass->engine->models) {
+      double placed = pass->placed[{domain, model.name}];
+      double need = (placed + model.work_share) / (spares[model.name] + 1.0);
+      if (need > best_need) {
+        best_need = need;
+        best = &model;
       }
-      if (best == nullptr) return;
-      GroupOrder stage;
-      stage.kind = GroupOrder::Kind::kStage;
-      stage.model = best->name;
-      ++spares[best->name];
-      StartLoad(*host, *best, pass->now);
-      Send(*host, stage, pass);
     }
+    if (best == nullptr || !Stage(*host, *best, pass)) return false;
+    ++spares[best->name];
   }
+  return true;
 }
 
 }  // namespace clementine
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -64,9 +64,9 @@
   void Answered(const std::string& host, const GroupOrder& order,
                 OrderResult result, TimePoint now);
 
-  /// A host's report says how many orders it has accepted in this life.
-  void OrdersCounted(const std::string& host, std::int64_t born,
-                     std::uint64_t orders);
+  /// A host's own report: the orders that it has accepted in this life, and
+  /// whether it is carrying one out.
+  void Reported(const std::string& host, const BackendServer& report);
   /// Whether a host can be sent an order. If not, its report is needed first.
   bool Counted(const BackendServer& host) const;
 
@@ -91,7 +91,9 @@
   struct Count {
     std::int64_t born = 0;
     bool known = false;
+    bool busy = false;  ///< With an order of an earlier planner.
     std::uint64_t orders = 0;
+    TimePoint not_before;    ///< Pause after a rejected order.
     std::string last_model;  ///< Of its last group in this life.
   };
   /// A load from the weight store that a host was ordered to make.
@@ -147,12 +149,20 @@
   bool Waits(const std::string& domain, const EngineModel& model,
              const Pass& pass) const;
   void Form(const Candidate& candidate, Pass* pass);
-  void StageSpares(Pass* pass);
+  void StageFree(Pass* pass);
+  const EngineModel* NextToComplete(const Hosts& free, const Pass& pass) const;
+  bool CompleteGroup(const EngineModel& model, Hosts* free, Pass* pass);
+  bool StageSpares(const std::string& domain, const Hosts& free, Pass* pass);
+  bool Stage(const BackendServer& host, const EngineModel& model, Pass* pass);
+  /// The model whose weights a host has or is loading; empty when none.
+  const std::string& HeldModel(const BackendServer& host) const;
   void Send(const BackendServer& host, GroupOrder order, Pass* pass);
   void StartLoad(const BackendServer& host, const EngineModel& model,
                  TimePoint now);
 
   double JoinSeconds(const BackendServer& host, const EngineModel& model) const;
+  void AddAccepted(const std::string& host, std::int64_t born,
+                   std::uint64_t orders);
   bool TookEffect(const Sent& sent, const BackendServer& host) const;
   bool Waiting(const std::string& host) const { return m_sent.count(host) > 0; }
   bool OpenMayBeLate(const std::string& host) const;
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -246,6 +246,7 @@
     Feed(FleetEvent(RequestsCounted{m_server->stats().requests}));
     Feed(FleetEvent(Tick{}));
     Feed(RequestEvent(Tick{}));
+    m_executor->CheckSilence();
     CheckStopping();
     ScheduleTick();
   });
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -18,6 +18,8 @@
 /// is silent for a part of it is given to another server.
 constexpr milliseconds kFirstEventTimeout{1'400};
 constexpr milliseconds kEventGapTimeout{800};
+/// Events of one request come at least ten times as often as this.
+constexpr milliseconds kGroupSilence{500};
 /// A shorter time isn't worth an attempt.
 constexpr milliseconds kLeastTimeout{1};
 /// Deadline of a request that names none.
@@ -79,7 +81,8 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
-  bool streams = false;  ///< The answer is a stream of events.
+  bool streams = false;         ///< The answer is a stream of events.
+  bool expects_events = false;  ///< Of a route whose answers are streams.
 };
 
 RelayExecutor::RelayExecutor(RelayContext context)
@@ -266,7 +269,9 @@
   handlers.end = [this, attempt](BackendEnd end) {
     OnEnd(attempt, std::move(end));
   };
+  attempt->expects_events = caller->route->kind == RouteKind::kStream;
   m_attempts.emplace(attempt->id, attempt);
+  Started(*attempt);
   attempt->call = m_context.backends->Start(MakeCall(dispatch, *caller),
                                             std::move(handlers));
   caller->exchange->SetDrainHandler(
@@ -280,6 +285,7 @@
   if (found == m_attempts.end()) return;
   std::shared_ptr<Attempt> attempt = found->second;
   m_attempts.erase(found);
+  Ended(*attempt);
   attempt->call->Cancel();
   LogEvent("attempt_cancelled",
            {{"request", std::to_string(attempt->caller->id)},
@@ -336,6 +342,7 @@
   auto found = m_attempts.find(attempt->id);
   if (found == m_attempts.end()) return;
   m_attempts.erase(found);
+  Ended(*attempt);
   Caller* caller = attempt->caller.get();
   bool complete = end.result == AttemptResult::kComplete;
   if (complete && attempt->streams) {
@@ -375,9 +382,43 @@
   m_context.feed(std::move(ended));
 }
 
-// A group is silent when nothing came from it, on any connection, for as long
-// as the attempt that timed out has waited. A head that refuses connections is
-// gone.
+void RelayExecutor::Started(const Attempt& attempt) {
+  if (!attempt.expects_events) return;
+  if (m_running[attempt.group]++ == 0) {
+    m_heard[attempt.group] = attempt.started;
+  }
+}
+
+void RelayExecutor::Ended(const Attempt& attempt) {
+  if (!attempt.expects_events) return;
+  auto running = m_running.find(attempt.group);
+  if (running != m_running.end() && --running->second == 0) {
+    m_running.erase(running);
+  }
+}
+
+// A head that counts on a lost member goes on accepting requests and sends
+// nothing. While any of its requests runs, a whole group sends events many
+// times a second.
+void RelayExecutor::CheckSilence() {
+  TimePoint now = m_context.now();
+  std::vector<std::shared_ptr<Attempt>> silent;
+  for (const auto& [id, attempt] : m_attempts) {
+    if (attempt->expects_events && now - attempt->started > kGroupSilence &&
+        now - m_heard[attempt->group] > kGroupSilence) {
+      silent.push_back(attempt);
+    }
+  }
+  for (const std::shared_ptr<Attempt>& attempt : silent) {
+    attempt->call->Cancel();
+    BackendEnd end;
+    end.result = AttemptResult::kTimedOut;
+    end.detail = "group is silent";
+    OnEnd(attempt, std::move(end));
+  }
+}
+
+// A head that refuses connections, or takes none, is as good as silent.
 void RelayExecutor::SuspectGroup(const Attempt& attempt,
                                  const BackendEnd& end) {
   bool silent = end.result == AttemptResult::kTimedOut;
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -50,6 +50,10 @@
     return m_callers.size() + m_attempts.size();
   }
 
+  /// Looks for groups from which nothing comes any more, and gives their
+  /// requests back to the request path.
+  void CheckSilence();
+
   /// Ends all requests: those that weren't sent are refused.
   void CutOff();
 
@@ -75,6 +79,8 @@
   AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
   void OnBytes(Attempt* attempt, std::string_view bytes);
   void OnEnd(const std::shared_ptr<Attempt>& attempt, BackendEnd end);
+  void Started(const Attempt& attempt);
+  void Ended(const Attempt& attempt);
   void SuspectGroup(const Attempt& attempt, const BackendEnd& end);
   void Deliver(Caller* caller, Attempt* attempt, std::string_view bytes);
   void RefuseNow(HttpExchange* exchange, int status, const char* reason,
@@ -88,7 +94,11 @@
   std::unordered_map<RequestId, std::shared_ptr<Caller>> m_callers;
   std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
   std::unordered_map<std::string, std::string> m_heads;  ///< Host by group.
-  std::unordered_map<std::string, TimePoint> m_heard;    ///< By group.
+  /// When something last came from a group, or when the first request was sent
+  /// to it since then.
+  std::unordered_map<std::string, TimePoint> m_heard;
+  std::unordered_map<std::string, int>
+      m_running;  ///< Stream attempts by group.
   std::mt19937_64 m_random;
   RequestId m_last_request = 0;
 };
