Plan loads by what completes a group, remember heads on every daemon

Cause: loads are scarce (six at a time, 12 to 16 s) and went to hosts that already held useful weights; members of a group whose head was lost stayed bound for 5 s, and for 6 s more after a change of planner. Change: empty hosts load first, at most one host of a group loads other weights; hosts that are about to be free count for what a domain lacks; every daemon remembers the heads that serve; the need for a model weighs its group size.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -322,6 +322,9 @@
   AdvanceLease();
   if (m_now - m_planned < kPlanInterval) return;
   m_planned = m_now;
+  if (m_configuration && m_list.known()) {
+    m_planner.Observe(*m_configuration, m_list.servers(), m_now);
+  }
   bool planning = !m_stopping && m_lease.CanOrder(m_now);
   if (planning != m_planning) {
     m_planning = planning;
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -120,6 +120,7 @@
     const FleetConfiguration& configuration, const Servers& servers,
     const std::set<std::string>& failed, TimePoint now) {
   Settle(servers, now);
+  Observe(configuration, servers, now);
   std::vector<Order> orders;
   for (const auto& [name, service] : configuration.services) {
     if (!service.engine) continue;
@@ -136,7 +137,6 @@
 }
 
 void GroupPlanner::PlanService(const std::string& service, Pass* pass) {
-  RememberHeads(service, pass);
   ChaseOrphans(pass);
   auto groups = CollectGroups(*pass->servers, service);
   std::erase_if(m_seen, [&](const auto& seen) {
@@ -157,8 +157,6 @@
   m_sent.clear();
   for (auto& [host, count] : m_counts) count.known = false;
   m_loads.clear();
-  m_heads.clear();
-  m_orphans.clear();
   m_forming.clear();
   m_seen.clear();
   m_epoch += kEpochStep;
@@ -303,34 +301,35 @@
 // ---------------------------------------------------------------------------
 // Heads that left the list.
 
-void GroupPlanner::RememberHeads(const std::string& service, Pass* pass) {
+void GroupPlanner::Observe(const FleetConfiguration& configuration,
+                           const Servers& servers, TimePoint now) {
   for (const auto& [key, head] : m_heads) {
-    if (head.service != service) continue;
-    auto listed = pass->servers->find(head.id);
-    if (listed == pass->servers->end()) {
-      m_orphans.emplace(key, Orphan{head, 0, pass->now});
+    if (servers.count(head.id) == 0) {
+      m_orphans.emplace(key, Orphan{head, 0, now});
     }
   }
-  std::erase_if(m_heads, [&](const auto& entry) {
-    return entry.second.service == service;
-  });
-  for (const auto& [id, server] : *pass->servers) {
+  m_heads.clear();
+  for (const auto& [id, server] : servers) {
     const Membership& member = server.member;
-    if (server.service == service && member.rank == 0 &&
+    bool engine = configuration.services.count(server.service) > 0 &&
+                  configuration.services.at(server.service).engine;
+    if (engine && member.rank == 0 &&
         (IsServing(member.state) || OpenMayBeLate(id))) {
       m_heads[{member.group, member.epoch}] = server;
     }
   }
   std::erase_if(m_orphans, [&](const auto& entry) {
-    return pass->servers->count(entry.second.head.id) > 0 ||
-           entry.second.free_at + kLateOrder <= pass->now;
+    bool settled = entry.second.free_at != TimePoint::max() &&
+                   entry.second.free_at + kLateOrder <= now;
+    return servers.count(entry.second.head.id) > 0 || settled;
   });
 }
 
 void GroupPlanner::ChaseOrphans(Pass* pass) {
   for (auto& [key, orphan] : m_orphans) {
     if (orphan.free_at != TimePoint::max()) continue;
-    if (orphan.unanswered >= kOrphanTries) {
+    if (pass->failed->count(orphan.head.id) > 0 ||
+        orphan.unanswered >= kOrphanTries) {
       orphan.free_at = pass->now;
       continue;
     }
@@ -364,10 +363,13 @@
 // ---------------------------------------------------------------------------
 // Groups that stand.
 
-void GroupPlanner::Bind(const ReportedGroup& group, Pass* pass) {
+void GroupPlanner::Bind(const ReportedGroup& group, bool stands, Pass* pass) {
   for (const BackendServer* member : group.members) {
     if (member == nullptr) continue;
     pass->bound.insert(member->id);
+    if (!stands && !member->leaving && pass->failed->count(member->id) == 0) {
+      pass->released[member->fabric_domain].push_back(member);
+    }
     ++pass->placed[{member->fabric_domain, group.model}];
   }
 }
@@ -377,19 +379,18 @@
   const BackendServer* head =
       group.members.empty() ? nullptr : group.members.front();
   if (head == nullptr) {
-    if (HeadMayReturn(group, *pass)) Bind(group, pass);
+    if (HeadMayReturn(group, *pass)) Bind(group, /*stands=*/false, pass);
     return;
   }
   if (!IsServing(head->member.state)) {
     if (OpenMayBeLate(head->id)) {
-      Bind(group, pass);
+      Bind(group, /*stands=*/true, pass);
       if (model != nullptr) ++pass->groups[model->name];
     } else if (model != nullptr) {
       JudgeForming(group, *model, pass);
     }
     return;
   }
-  Bind(group, pass);
   bool whole = model != nullptr && IsWhole(group, model->hosts_per_group);
   bool leaving = false;
   for (const BackendServer* member : group.members) {
@@ -397,6 +398,7 @@
     whole = whole && pass->failed->count(member->id) == 0;
     leaving = leaving || member->leaving;
   }
+  Bind(group, whole && !leaving, pass);
   if (whole && !leaving) {
     ++pass->groups[model->name];
     return;
@@ -442,7 +444,7 @@
   milliseconds patience =
       std::max(kLeastJoinPatience, model.load_time * kJoinPatience);
   if (lost || (!ready && age > patience)) return;
-  Bind(group, pass);
+  Bind(group, /*stands=*/true, pass);
   ++pass->groups[model.name];
   if (ready && !Waiting(group.members.front()->id) &&
       Counted(*group.members.front())) {
@@ -529,7 +531,9 @@
 double GroupPlanner::Need(const EngineModel& model, const Pass& pass) {
   auto standing = pass.groups.find(model.name);
   double groups = standing == pass.groups.end() ? 0.0 : standing->second;
-  return model.work_share / (groups + 1.0);
+  // Each lost host takes a group with it, so a model's groups fall as its hosts
+  // per group are many.
+  return model.work_share * model.hosts_per_group / (groups + 1.0);
 }
 
 // Hosts register one after another, and a repaired domain gets its new hosts
@@ -651,24 +655,39 @@
 // first what completes a group of the model in need, then spares. A spare that
 // holds a model replaces a lost member in the time of a start.
 void GroupPlanner::StageFree(Pass* pass) {
-  for (auto& [domain, free] : pass->free) {
-    while (const EngineModel* model = NextToComplete(free, *pass)) {
-      if (!CompleteGroup(*model, &free, pass)) return;
+  for (const auto& [domain, free] : pass->free) {
+    Hosts hosts = free;
+    const Hosts& released = pass->released[domain];
+    hosts.insert(hosts.end(), released.begin(), released.end());
+    while (const EngineModel* model = NextToComplete(hosts, *pass)) {
+      if (!CompleteGroup(*model, &hosts, pass)) return;
     }
-    if (!StageSpares(domain, free, pass)) return;
+    std::erase_if(hosts, [&](const BackendServer* host) {
+      return pass->bound.count(host->id) > 0;
+    });
+    if (!StageSpares(domain, hosts, pass)) return;
   }
 }
 
-const EngineModel* GroupPlanner::NextToComplete(const Hosts& free,
+// The model in greatest need whose next group lacks no more than what the
+// domain's empty hosts, and at most one that holds another model, can load.
+const EngineModel* GroupPlanner::NextToComplete(const Hosts& hosts,
                                                 const Pass& pass) const {
   const EngineModel* best = nullptr;
   for (const EngineModel& model : pass.engine->models) {
     int usable = 0;
-    for (const BackendServer* host : free) {
-      bool loads_other =
-          m_loads.count(host->id) > 0 && HeldModel(*host) != model.name;
-      if (!loads_other) ++usable;
+    int others = 0;
+    for (const BackendServer* host : hosts) {
+      const std::string& held = HeldModel(*host);
+      bool loads_other = m_loads.count(host->id) > 0 && held != model.name;
+      bool bound = pass.bound.count(host->id) > 0;
+      if (held == model.name || held.empty()) {
+        ++usable;
+      } else if (!loads_other && !bound) {
+        ++others;
+      }
     }
+    usable += std::min(others, 1);
     if (model.hosts_per_group < 1 || usable < model.hosts_per_group) continue;
     if (best == nullptr || Need(model, pass) > Need(*best, pass)) {
       best = &model;
@@ -677,27 +696,29 @@
   return best;
 }
 
-// Takes the hosts of one future group from `free` and stages its model on those
-// that lack it. Returns false when no more loads may begin now.
-bool GroupPlanner::CompleteGroup(const EngineModel& model, Hosts* free,
+// Takes the hosts of one future group and stages its model on those that lack
+// it. Returns false when no more loads may begin now.
+bool GroupPlanner::CompleteGroup(const EngineModel& model, Hosts* hosts,
                                  Pass* pass) {
   auto rank = [&](const BackendServer* host) {
     const std::string& held = HeldModel(*host);
     if (held == model.name) return 0;
-    if (m_loads.count(host->id) > 0) return 3;
-    return held.empty() ? 1 : 2;
+    if (held.empty()) return 1;
+    bool fixed = m_loads.count(host->id) > 0 || pass->bound.count(host->id) > 0;
+    return fixed ? 3 : 2;
   };
   std::stable_sort(
-      free->begin(), free->end(),
+      hosts->begin(), hosts->end(),
       [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
   ++pass->groups[model.name];
   for (int i = 0; i < model.hosts_per_group; ++i) {
-    const BackendServer& host = *(*free)[static_cast<std::size_t>(i)];
-    if (HeldModel(host) != model.name && !Stage(host, model, pass)) {
+    const BackendServer& host = *(*hosts)[static_cast<std::size_t>(i)];
+    bool lacks = HeldModel(host) != model.name;
+    if (lacks && pass->bound.count(host.id) == 0 && !Stage(host, model, pass)) {
       return false;
     }
   }
-  free->erase(free->begin(), free->begin() + model.hosts_per_group);
+  hosts->erase(hosts->begin(), hosts->begin() + model.hosts_per_group);
   return true;
 }
 
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -60,6 +60,11 @@
                           const Servers& servers,
                           const std::set<std::string>& failed, TimePoint now);
 
+  /// Remembers which heads serve, so that a daemon that becomes the planner
+  /// knows those that left the list before. Called by every daemon.
+  void Observe(const FleetConfiguration& configuration, const Servers& servers,
+               TimePoint now);
+
   /// The answer to an order of Plan.
   void Answered(const std::string& host, const GroupOrder& order,
                 OrderResult result, TimePoint now);
@@ -117,6 +122,8 @@
     TimePoint now;
     std::set<std::string> bound;        ///< Hosts that no other group may take.
     std::map<std::string, Hosts> free;  ///< By fabric domain.
+    /// Hosts of groups that don't serve any more, by fabric domain: free soon.
+    std::map<std::string, Hosts> released;
     std::map<std::string, int> groups;  ///< Standing and forming, by model.
     /// Bound hosts by domain and model.
     std::map<std::pair<std::string, std::string>, int> placed;
@@ -133,13 +140,13 @@
 
   void PlanService(const std::string& service, Pass* pass);
   void Settle(const Servers& servers, TimePoint now);
-  void RememberHeads(const std::string& service, Pass* pass);
   void ChaseOrphans(Pass* pass);
   void JudgeGroup(const ReportedGroup& group, Pass* pass);
   void JudgeForming(const ReportedGroup& group, const EngineModel& model,
                     Pass* pass);
   bool HeadMayReturn(const ReportedGroup& group, const Pass& pass) const;
-  void Bind(const ReportedGroup& group, Pass* pass);
+  /// @param stands The group serves, or will once it's open.
+  static void Bind(const ReportedGroup& group, bool stands, Pass* pass);
   void FindFree(const std::string& service, Pass* pass);
   void FormGroups(Pass* pass);
   std::optional<Candidate> BestCandidate(const Pass& pass);
@@ -150,8 +157,8 @@
              const Pass& pass) const;
   void Form(const Candidate& candidate, Pass* pass);
   void StageFree(Pass* pass);
-  const EngineModel* NextToComplete(const Hosts& free, const Pass& pass) const;
-  bool CompleteGroup(const EngineModel& model, Hosts* free, Pass* pass);
+  const EngineModel* NextToComplete(const Hosts& hosts, const Pass& pass) const;
+  bool CompleteGroup(const EngineModel& model, Hosts* hosts, Pass* pass);
   bool StageSpares(const std::string& domain, const Hosts& free, Pass* pass);
   bool Stage(const BackendServer& host, const EngineModel& model, Pass* pass);
   /// The model whose weights a host has or is loading; empty when none.
