Keep members with a head that a cut data centre hides

A second test found that hosts which register one by one were staged for the small model before a large group could form. Change: calls to a lost head count only while one of its members is in contact, and begin 2.5 s after contact is back; staging waits like forming.

--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -33,6 +33,9 @@
 /// Calls without an answer, so far apart, that show a head to be gone.
 constexpr int kOrphanTries = 3;
 constexpr milliseconds kOrphanInterval{400};
+/// Entries that lapsed in a cut are back within two seconds of its end, in any
+/// order.
+constexpr milliseconds kReturnTime{2'500};
 /// A head that was never seen can't be asked; its members wait until a head
 /// that lost them would have noticed.
 constexpr milliseconds kUnknownHead{6'000};
@@ -325,11 +328,30 @@
   });
 }
 
+bool GroupPlanner::MembersInContact(const GroupKey& group,
+                                    const Pass& pass) const {
+  return std::any_of(
+      pass.servers->begin(), pass.servers->end(), [&](const auto& entry) {
+        const Membership& member = entry.second.member;
+        return member.group == group.first && member.epoch == group.second &&
+               pass.failed->count(entry.first) == 0;
+      });
+}
+
 void GroupPlanner::ChaseOrphans(Pass* pass) {
   for (auto& [key, orphan] : m_orphans) {
+    if (!MembersInContact(key, *pass)) {
+      // Members that nobody reaches can't be taken either.
+      orphan.was_cut = true;
+      orphan.unanswered = 0;
+      orphan.free_at = TimePoint::max();
+      orphan.next = pass->now + kReturnTime;
+      continue;
+    }
     if (orphan.free_at != TimePoint::max()) continue;
-    if (pass->failed->count(orphan.head.id) > 0 ||
-        orphan.unanswered >= kOrphanTries) {
+    bool known_silent =
+        !orphan.was_cut && pass->failed->count(orphan.head.id) > 0;
+    if (known_silent || orphan.unanswered >= kOrphanTries) {
       orphan.free_at = pass->now;
       continue;
     }
@@ -545,9 +567,23 @@
     greatest = std::max(greatest, Need(other, pass));
   }
   if (Need(model, pass) >= kSmallNeed * greatest) return false;
+  return Grows(domain, pass.now);
+}
+
+bool GroupPlanner::Grows(const std::string& domain, TimePoint now) const {
   auto grown = m_grown.find(domain);
-  return grown != m_grown.end() &&
-         pass.now - grown->second.second < kWaitForHosts;
+  return grown != m_grown.end() && now - grown->second.second < kWaitForHosts;
+}
+
+void GroupPlanner::NoteGrowth(const Pass& pass) {
+  std::erase_if(m_grown, [&](const auto& entry) {
+    return pass.free.count(entry.first) == 0;
+  });
+  for (const auto& [domain, free] : pass.free) {
+    auto& [size, since] = m_grown[domain];
+    if (free.size() > size) since = pass.now;
+    size = free.size();
+  }
 }
 
 std::optional<GroupPlanner::Candidate> GroupPlanner::BestCandidate(
@@ -571,14 +607,7 @@
 }
 
 void GroupPlanner::FormGroups(Pass* pass) {
-  std::erase_if(m_grown, [&](const auto& entry) {
-    return pass->free.count(entry.first) == 0;
-  });
-  for (const auto& [domain, free] : pass->free) {
-    auto& [size, since] = m_grown[domain];
-    if (free.size() > size) since = pass->now;
-    size = free.size();
-  }
+  NoteGrowth(*pass);
   while (std::optional<Candidate> best = BestCandidate(*pass)) {
     Form(*best, pass);
   }
@@ -659,19 +688,23 @@
     Hosts hosts = free;
     const Hosts& released = pass->released[domain];
     hosts.insert(hosts.end(), released.begin(), released.end());
-    while (const EngineModel* model = NextToComplete(hosts, *pass)) {
+    while (const EngineModel* model = NextToComplete(domain, hosts, *pass)) {
       if (!CompleteGroup(*model, &hosts, pass)) return;
     }
     std::erase_if(hosts, [&](const BackendServer* host) {
       return pass->bound.count(host->id) > 0;
     });
+    // At a first start more hosts are about to come, and a spare's model is
+    // chosen best when the groups are known.
+    if (m_free_loads && Grows(domain, pass->now)) continue;
     if (!StageSpares(domain, hosts, pass)) return;
   }
 }
 
 // The model in greatest need whose next group lacks no more than what the
 // domain's empty hosts, and at most one that holds another model, can load.
-const EngineModel* GroupPlanner::NextToComplete(const Hosts& hosts,
+const EngineModel* GroupPlanner::NextToComplete(const std::string& domain,
+                                                const Hosts& hosts,
                                                 const Pass& pass) const {
   const EngineModel* best = nullptr;
   for (const EngineModel& model : pass.engine->models) {
@@ -688,6 +721,7 @@
       }
     }
     usable += std::min(others, 1);
+    if (Waits(domain, model, pass)) continue;
     if (model.hosts_per_group < 1 || usable < model.hosts_per_group) continue;
     if (best == nullptr || Need(model, pass) > Need(*best, pass)) {
       best = &model;
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -112,6 +112,9 @@
     BackendServer head;
     int unanswered = 0;
     TimePoint next;
+    /// None of its members was in contact at some time since it left: its
+    /// silence then says nothing, and its entry may return.
+    bool was_cut = false;
     TimePoint free_at = TimePoint::max();
   };
   /// What one call of Plan works on.
@@ -141,6 +144,9 @@
   void PlanService(const std::string& service, Pass* pass);
   void Settle(const Servers& servers, TimePoint now);
   void ChaseOrphans(Pass* pass);
+  bool MembersInContact(const GroupKey& group, const Pass& pass) const;
+  bool Grows(const std::string& domain, TimePoint now) const;
+  void NoteGrowth(const Pass& pass);
   void JudgeGroup(const ReportedGroup& group, Pass* pass);
   void JudgeForming(const ReportedGroup& group, const EngineModel& model,
                     Pass* pass);
@@ -157,7 +163,9 @@
              const Pass& pass) const;
   void Form(const Candidate& candidate, Pass* pass);
   void StageFree(Pass* pass);
-  const EngineModel* NextToComplete(const Hosts& hosts, const Pass& pass) const;
+  const EngineModel* NextToComplete(const std::string& domain,
+                                    const Hosts& hosts,
+                                    const Pass& pass) const;
   bool CompleteGroup(const EngineModel& model, Hosts* hosts, Pass* pass);
   bool StageSpares(const std::string& domain, const Hosts& free, Pass* pass);
   bool Stage(const BackendServer& host, const EngineModel& model, Pass* pass);
--- /dev/null
+++ b/testing/fleet_world.h
@@ -0,0 +1,101 @@
+// Backend servers that take group orders, on a virtual clock, with an oracle
+// for what must never happen. For tests of the group planner.
+#ifndef TESTING_FLEET_WORLD_H_
+#define TESTING_FLEET_WORLD_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/fleet.h"
+#include "core/group_planner.h"
+
+namespace clementine::testing {
+
+/// A server's life: what it has accepted and what is in progress.
+struct FakeServer {
+  BackendServer entry;
+  bool alive = true;
+  std::vector<std::string> members;  ///< Of its group.
+  std::string last_model;
+  std::string joining_model;
+  TimePoint joined_at = TimePoint::max();
+  TimePoint opens_at = TimePoint::max();
+  std::string staging;
+  TimePoint staged_at = TimePoint::max();
+  TimePoint died;
+  /// Cut off from the planner and the registry, but alive among its peers.
+  bool cut = false;
+  TimePoint unlisted_at;  ///< When its entry lapses.
+  TimePoint listed_at;    ///< When its entry is back after a cut.
+};
+
+/// Faults of the way between the planner and the servers.
+struct FleetFaults {
+  double lost_answer =
+      0.0;                  ///< Part of orders that are carried out unanswered.
+  double late_order = 0.0;  ///< Part that is carried out seconds later.
+};
+
+class FleetWorld {
+ public:
+  static constexpr milliseconds kStep{100};
+  static constexpr milliseconds kEntryLife{3'600};
+
+  FleetWorld(int domains, int hosts_per_domain, std::uint64_t seed);
+
+  /// Advances one step: servers progress, then the planner plans.
+  void Step();
+  void Run(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kStep) Step();
+  }
+
+  void Kill(const std::string& id);
+  /// Cuts off the servers of a domain; their entries lapse.
+  void Cut(const std::string& domain);
+  /// Ends a cut. Heads are back in the list last.
+  void Heal(const std::string& domain);
+  /// Replaces the planner, as when another daemon takes over the lease.
+  void ReplacePlanner();
+  void AddServer(const std::string& domain);
+
+  /// Heads that serve, of groups whose members are all alive.
+  int ServingGroups(const std::string& model) const;
+  std::string HeadOf(const std::string& model) const;
+
+  std::map<std::string, FakeServer> servers;
+  FleetConfiguration configuration;
+  FleetFaults faults;
+  std::set<std::string> failed;  ///< As told to the planner.
+  std::vector<std::string> violations;
+  int loads = 0;
+  int orders = 0;
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  GroupPlanner planner;
+
+ private:
+  struct Late {
+    TimePoint at;
+    std::string host;
+    GroupOrder order;
+  };
+
+  void Progress(FakeServer* server);
+  void Deliver(const GroupPlanner::Order& planned);
+  OrderResult Accept(const std::string& host, const GroupOrder& order);
+  void CheckJoin(const FakeServer& server, const GroupOrder& order);
+  void CheckOpen(const FakeServer& head);
+  bool Listed(const FakeServer& server) const;
+  bool HeadServes(const FakeServer& member) const;
+
+  std::mt19937_64 m_random;
+  std::vector<Late> m_late;
+  int m_next_id = 0;
+};
+
+}  // namespace clementine::testing
+
+#endif  // TESTING_FLEET_WORLD_H_
--- /dev/null
+++ b/testing/group_planner_test.cc
@@ -0,0 +1,199 @@
+#include "core/group_planner.h"
+
+#include <doctest/doctest.h>
+
+#include "testing/fleet_world.h"
+
+namespace clementine {
+namespace {
+
+using testing::FleetWorld;
+
+void CheckClean(const FleetWorld& world) {
+  for (const std::string& violation : world.violations) {
+    FAIL_CHECK(violation);
+  }
+}
+
+std::string MemberOf(const FleetWorld& world, const std::string& model) {
+  return world.servers.at(world.HeadOf(model)).members.back();
+}
+
+/// A world whose groups all stand before traffic begins.
+FleetWorld Started(int domains, int hosts, std::uint64_t seed = 1) {
+  FleetWorld world(domains, hosts, seed);
+  world.planner.SetFreeLoads(true);
+  world.Run(milliseconds(30'000));
+  world.planner.SetFreeLoads(false);
+  return world;
+}
+
+}  // namespace
+
+// Guards against hosts that stand idle, and against a model without groups.
+TEST_CASE("planner forms groups of both models in every domain") {
+  FleetWorld world = Started(6, 9);
+  CheckClean(world);
+  int large = world.ServingGroups("large");
+  int small = world.ServingGroups("small");
+  CHECK(large >= 5);
+  CHECK(small >= 4);
+  // No domain has hosts left for one more group of the smallest size.
+  std::map<std::string, int> idle;
+  for (const auto& [id, server] : world.servers) {
+    if (server.entry.member.state == MemberState::kNone) {
+      ++idle[server.entry.fabric_domain];
+    }
+  }
+  for (const auto& [domain, hosts] : idle) CHECK(hosts < 3);
+}
+
+// Guards against small groups that take the hosts of the larger ones because
+// hosts register one by one.
+TEST_CASE("planner balances models while hosts register one by one") {
+  FleetWorld world(0, 0, 1);
+  world.planner.SetFreeLoads(true);
+  for (int host = 0; host < 54; ++host) {
+    world.AddServer("d" + std::to_string(host % 6));
+    world.Step();
+  }
+  world.Run(milliseconds(25'000));
+  CheckClean(world);
+  CHECK(world.ServingGroups("large") >= 5);
+}
+
+// Guards against a group that is down for the time of a load though its domain
+// has a spare with the weights.
+TEST_CASE("planner replaces a lost member by a staged spare within seconds") {
+  FleetWorld world = Started(1, 9);
+  REQUIRE(world.ServingGroups("large") >= 1);
+  int before = world.ServingGroups("large");
+  // Spares of the domain: those that are in no group.
+  world.Kill(MemberOf(world, "large"));
+  world.Run(milliseconds(4'500));
+  CheckClean(world);
+  CHECK(world.ServingGroups("large") == before);
+}
+
+// Guards against members of a group whose head left the registry but serves:
+// it is asked to close before they join another group.
+TEST_CASE("planner closes a head that left the list before it reuses members") {
+  FleetWorld world = Started(1, 9);
+  std::string head = world.HeadOf("large");
+  std::vector<std::string> members = world.servers.at(head).members;
+  std::map<std::string, BackendServer> listed;
+  for (auto& [id, server] : world.servers) {
+    if (id != head) listed[id] = server.entry;
+  }
+  bool closed = false;
+  TimePoint now = world.now;
+  for (int step = 0; step < 3; ++step) {
+    now += FleetWorld::kStep;
+    for (const auto& order :
+         world.planner.Plan(world.configuration, listed, {}, now)) {
+      if (order.order.kind == GroupOrder::Kind::kClose) {
+        CHECK(order.host == head);
+        closed = true;
+      } else if (order.order.kind == GroupOrder::Kind::kJoin) {
+        for (const std::string& id : members) CHECK(order.host != id);
+      }
+    }
+  }
+  CHECK(closed);
+}
+
+// Guards against members that join another group while their head, whose entry
+// lapsed in a cut of the whole data centre, still serves.
+TEST_CASE("planner waits for the entries of a data centre that was cut off") {
+  for (int length : {4, 6, 9, 15}) {
+    CAPTURE(length);
+    FleetWorld world = Started(2, 9);
+    int large = world.ServingGroups("large");
+    world.Cut("d0");
+    world.Run(std::chrono::seconds(length));
+    world.Heal("d0");
+    world.Run(milliseconds(8'000));
+    CheckClean(world);
+    CHECK(world.ServingGroups("large") == large);
+  }
+}
+
+// Guards against a successor that takes members of groups that stand.
+TEST_CASE("a new planner adopts the groups that it finds") {
+  FleetWorld world = Started(3, 9);
+  int large = world.ServingGroups("large");
+  int small = world.ServingGroups("small");
+  int orders = world.orders;
+  world.ReplacePlanner();
+  world.Run(milliseconds(5'000));
+  CheckClean(world);
+  CHECK(world.ServingGroups("large") == large);
+  CHECK(world.ServingGroups("small") == small);
+  CHECK(world.orders == orders);
+}
+
+// Guards against more loads from the weight store than it permits.
+TEST_CASE("planner keeps to the rate of loads") {
+  FleetWorld world(6, 9, 1);
+  constexpr int kWindow = 50;  // Steps of 5 s.
+  std::vector<int> loads;
+  for (int step = 0; step < 600; ++step) {
+    world.Step();
+    loads.push_back(world.loads);
+    int before = step >= kWindow ? loads[loads.size() - 1 - kWindow] : 0;
+    CHECK(world.loads - before <= 4.5 * 5 * 1.1 + 3);
+  }
+  CheckClean(world);
+  CHECK(world.ServingGroups("small") > 0);
+}
+
+// Guards against an order that a busy host refuses again and again.
+TEST_CASE("planner leaves a host alone that loads for an earlier planner") {
+  FleetWorld world = Started(1, 9);
+  for (auto& [id, server] : world.servers) {
+    if (server.entry.member.state == MemberState::kNone) {
+      server.staging = "large";
+      server.staged_at = world.now + milliseconds(10'000);
+    }
+  }
+  world.ReplacePlanner();
+  int orders = world.orders;
+  world.Run(milliseconds(5'000));
+  CHECK(world.orders - orders <= 2);
+}
+
+// Guards against a group that serves without a member, or a member that joins
+// another group while its head serves, whatever is lost or late.
+TEST_CASE("planner keeps its promises under random faults") {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    CAPTURE(seed);
+    FleetWorld world = Started(2, 9, seed);
+    world.faults = {0.2, 0.15};
+    std::mt19937_64 random(seed);
+    for (int step = 0; step < 400; ++step) {
+      world.Step();
+      auto event = random() % 60;
+      if (event == 0 && world.servers.size() > 8) {
+        auto victim = world.servers.begin();
+        std::advance(victim, random() % world.servers.size());
+        if (victim->second.alive) world.Kill(victim->first);
+      } else if (event == 1) {
+        world.AddServer("d" + std::to_string(random() % 2));
+      } else if (event == 2) {
+        world.ReplacePlanner();
+      } else if (event == 3) {
+        world.Cut("d0");
+      } else if (event == 4) {
+        world.Heal("d0");
+      }
+    }
+    CheckClean(world);
+    world.Heal("d0");
+    world.faults = {};
+    world.Run(milliseconds(60'000));
+    CheckClean(world);
+    CHECK(world.ServingGroups("large") + world.ServingGroups("small") > 0);
+  }
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/testing/relay_stream_test.cc
@@ -0,0 +1,64 @@
+#include "daemon/relay_stream.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace clementine {
+namespace {
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) +
+         "\n\n";
+}
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int id = first; id <= last; ++id) text += Event(id);
+  return text;
+}
+
+}  // namespace
+
+// Guards against a stream that is joined inside an event of a broken answer.
+TEST_CASE("relay stream resumes after the last whole event") {
+  RelayStream stream;
+  std::string out = stream.Take(Events(1, 2) + "id: 3\ndata: par");
+  CHECK(out == Events(1, 2));
+  CHECK(stream.last_id() == "2");
+  stream.Restart();
+  out += stream.Take(Events(3, 4));
+  CHECK(out == Events(1, 4));
+  CHECK(stream.events() == 4);
+}
+
+// Guards against pieces that come twice, and against a missing piece.
+TEST_CASE("relay stream drops repeated events and stops at a gap") {
+  RelayStream stream;
+  std::string out = stream.Take(Events(1, 3));
+  stream.Restart();
+  out += stream.Take(Events(2, 4));
+  CHECK(out == Events(1, 4));
+  stream.Restart();
+  CHECK(stream.Take(Event(6)).empty());
+  CHECK(stream.gap());
+  CHECK(stream.Finish().empty());
+}
+
+// Guards against events that depend on how the network cut the bytes.
+TEST_CASE("relay stream delivers the same bytes however they are cut") {
+  CHECK(rc::check([] {
+    std::string text = Events(1, 6) + "data: end";
+    RelayStream stream;
+    std::string out;
+    while (!text.empty()) {
+      auto size = *rc::gen::inRange<std::size_t>(1, text.size() + 1);
+      out += stream.Take(text.substr(0, size));
+      text.erase(0, size);
+    }
+    out += stream.Finish();
+    RC_ASSERT(out == Events(1, 6) + "data: end");
+    RC_ASSERT(stream.events() == 6);
+  }));
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/testing/route_table_test.cc
@@ -0,0 +1,82 @@
+#include "core/route_table.h"
+
+#include <doctest/doctest.h>
+
+namespace clementine {
+namespace {
+
+RouteRule Route(const std::string& name, const std::string& prefix) {
+  RouteRule route;
+  route.name = name;
+  route.host = "shop.example";
+  route.path_prefix = prefix;
+  route.priority = 2;
+  route.shares = {{"engine", 1.0}};
+  return route;
+}
+
+FleetConfiguration Fleet() {
+  FleetConfiguration fleet;
+  fleet.version = 7;
+  fleet.routes = {Route("all", "/"), Route("orders", "/orders/"),
+                  Route("old", "/orders/old/"), Route("open", "/open/")};
+  fleet.routes[3].open_to_all = true;
+  fleet.organisations = {{"garage", {"k1", "k2"}, std::nullopt},
+                         {"setters", {"k3"}, 0}};
+  return fleet;
+}
+
+}  // namespace
+
+// Guards against requests that reach the service of a shorter prefix.
+TEST_CASE("route table takes the longest prefix of a path") {
+  RouteTable table(Fleet());
+  auto name = [&](const char* path) {
+    return table.Find("shop.example", path, "k1").route->name;
+  };
+  CHECK(name("/orders/old/7") == "old");
+  CHECK(name("/orders/old/") == "old");
+  CHECK(name("/orders/old") == "orders");
+  CHECK(name("/orders/older/7") == "orders");
+  CHECK(name("/orders") == "all");
+  CHECK(name("/") == "all");
+  CHECK(table.Find("SHOP.example:8080", "/", "k1").route != nullptr);
+  CHECK(table.Find("other.example", "/", "k1").verdict ==
+        RouteTable::Verdict::kNoRoute);
+}
+
+// Guards against a request that is counted for another organisation, and
+// against one that needs no key but is refused.
+TEST_CASE("route table finds the organisation of a key") {
+  RouteTable table(Fleet());
+  RouteTable::Match match = table.Find("shop.example", "/orders/1", "k2");
+  CHECK(match.organisation == "garage");
+  CHECK(match.priority == 2);
+  CHECK(table.Find("shop.example", "/orders/1", "k3").priority == 0);
+  CHECK(table.Find("shop.example", "/orders/1", "k").verdict ==
+        RouteTable::Verdict::kNoKey);
+  CHECK(table.Find("shop.example", "/orders/1", "").verdict ==
+        RouteTable::Verdict::kNoKey);
+  match = table.Find("shop.example", "/open/1", "");
+  CHECK(match.verdict == RouteTable::Verdict::kFound);
+  CHECK(match.organisation.empty());
+}
+
+// Guards against traffic for a service whose weight is zero.
+TEST_CASE("route table picks services by weight") {
+  RouteRule route = Route("split", "/");
+  route.shares = {{"a", 90.0}, {"none", 0.0}, {"b", 10.0}};
+  constexpr int kPicks = 1000;
+  int b = 0;
+  for (int i = 0; i < kPicks; ++i) {
+    // Values in the middle of equal parts of the range.
+    std::uint64_t part = ~std::uint64_t{0} / kPicks;
+    std::uint64_t random = part * static_cast<std::uint64_t>(i) + part / 2;
+    const std::string& service = RouteTable::PickService(route, random);
+    CHECK(service != "none");
+    if (service == "b") ++b;
+  }
+  CHECK(b == 100);
+}
+
+}  // namespace clementine
