Move a stalled request only when another group can take it

Change: the event AttemptStalled; the request path moves the request if attempts, budget and another group allow, else the attempt goes on. Timeouts of relayed calls are their deadlines.

--- a/core/core.h
+++ b/core/core.h
@@ -172,6 +172,11 @@
   int status = 0;
   std::string body;
 };
+/// Nothing comes from an attempt's group. The attempt goes on unless another
+/// group can take the request, since silence alone doesn't end an answer.
+struct AttemptStalled {
+  AttemptId attempt = 0;
+};
 struct LoadReported {
   LoadReport load;
   milliseconds age{0};
@@ -210,9 +215,9 @@
 
 using RequestEvent =
     std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
-                 LoadReported, CacheEvents, GroupsChanged, ConfigurationChanged,
-                 QuarantineLearned, DaemonsChanged, DrainStarted, ObjectReply,
-                 Tick>;
+                 AttemptStalled, LoadReported, CacheEvents, GroupsChanged,
+                 ConfigurationChanged, QuarantineLearned, DaemonsChanged,
+                 DrainStarted, ObjectReply, Tick>;
 
 enum class RefusalReason {
   kUnknownModel,
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -164,8 +164,7 @@
   void Form(const Candidate& candidate, Pass* pass);
   void StageFree(Pass* pass);
   const EngineModel* NextToComplete(const std::string& domain,
-                                    const Hosts& hosts,
-                                    const Pass& pass) const;
+                                    const Hosts& hosts, const Pass& pass) const;
   bool CompleteGroup(const EngineModel& model, Hosts* hosts, Pass* pass);
   bool StageSpares(const std::string& domain, const Hosts& free, Pass* pass);
   bool Stage(const BackendServer& host, const EngineModel& model, Pass* pass);
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -143,6 +143,7 @@
   void On(const CallerLeft& event);
   void On(const AttemptProgress& event);
   void On(const AttemptEnded& event);
+  void On(const AttemptStalled& event);
   void On(const LoadReported& event);
   void On(const CacheEvents& event);
   void On(const GroupsChanged& event);
@@ -667,6 +668,34 @@
   FinishActive(active, event);
 }
 
+void RequestPath::Impl::On(const AttemptStalled& event) {
+  auto found = m_attempts.find(event.attempt);
+  if (found == m_attempts.end()) {
+    return;
+  }
+  Active* active = Find(found->second);
+  if (!active->request.idempotent || active->alone || active->claimed) {
+    return;
+  }
+  AttemptEnded silent;
+  silent.attempt = event.attempt;
+  silent.result = AttemptResult::kTimedOut;
+  std::string failed_before = active->failed_group;
+  active->failed_group = active->group->view.group;
+  if (WhyNoRetry(*active, silent, milliseconds(0))) {
+    active->failed_group = failed_before;
+    return;
+  }
+  Log("moved", active->request,
+      {{"attempt", std::to_string(event.attempt)},
+       {"group", active->failed_group}});
+  Measure(*active, silent.result);
+  active->may_have_run = true;
+  Cancel(active);
+  Reserve(active, true);
+  DispatchNow(active);
+}
+
 void RequestPath::Impl::OnCrash(const std::string& digest,
                                 const std::string& group,
                                 TimePoint dispatched) {
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kEventGapTimeout{800};
 /// Events of one request come at least ten times as often as this.
 constexpr milliseconds kGroupSilence{500};
+/// How often a stalled attempt is offered to other groups.
+constexpr milliseconds kStallInterval{250};
 /// A shorter time isn't worth an attempt.
 constexpr milliseconds kLeastTimeout{1};
 /// Deadline of a request that names none.
@@ -82,6 +84,7 @@
   HttpHeaders headers;
   std::string body;
   bool streams = false;         ///< The answer is a stream of events.
+  TimePoint next_check;         ///< For silence.
   bool expects_events = false;  ///< Of a route whose answers are streams.
 };
 
@@ -231,11 +234,9 @@
   info.remaining = remaining;
   if (caller.stream.events() > 0) info.resume_after = caller.stream.last_id();
   call.headers = platform::ForwardHeaders(http.headers, info);
-  bool stream = caller.route->kind == RouteKind::kStream;
-  call.event_stream = stream;
-  call.first_byte_timeout =
-      stream ? std::min(remaining, kFirstEventTimeout) : remaining;
-  call.gap_timeout = stream ? kEventGapTimeout : remaining;
+  call.event_stream = caller.route->kind == RouteKind::kStream;
+  call.first_byte_timeout = remaining;
+  call.gap_timeout = remaining;
   return call;
 }
 
@@ -402,19 +403,22 @@
 // times a second.
 void RelayExecutor::CheckSilence() {
   TimePoint now = m_context.now();
-  std::vector<std::shared_ptr<Attempt>> silent;
+  std::vector<std::shared_ptr<Attempt>> stalled;
   for (const auto& [id, attempt] : m_attempts) {
-    if (attempt->expects_events && now - attempt->started > kGroupSilence &&
-        now - m_heard[attempt->group] > kGroupSilence) {
-      silent.push_back(attempt);
-    }
+    if (!attempt->expects_events || now < attempt->next_check) continue;
+    bool begun = attempt->last_bytes > attempt->started;
+    bool silent = now - attempt->last_bytes >
+                  (begun ? kEventGapTimeout : kFirstEventTimeout);
+    bool group_silent = now - attempt->started > kGroupSilence &&
+                        now - m_heard[attempt->group] > kGroupSilence;
+    if (silent || group_silent) stalled.push_back(attempt);
   }
-  for (const std::shared_ptr<Attempt>& attempt : silent) {
-    attempt->call->Cancel();
-    BackendEnd end;
-    end.result = AttemptResult::kTimedOut;
-    end.detail = "group is silent";
-    OnEnd(attempt, std::move(end));
+  for (const std::shared_ptr<Attempt>& attempt : stalled) {
+    attempt->next_check = now + kStallInterval;
+    if (now - m_heard[attempt->group] > kGroupSilence) {
+      m_context.feed_fleet(GroupSilent{attempt->group, attempt->epoch});
+    }
+    m_context.feed(AttemptStalled{attempt->id});
   }
 }
 
@@ -452,10 +456,14 @@
   if (caller->head_sent && has_answer && success) {
     caller->exchange->EndStream();
     LogAnswer(*caller, "complete", caller->status, "");
-  } else if (caller->head_sent || !has_answer) {
+  } else if (caller->head_sent) {
     // The rest of a stream that has begun can't be told any other way.
     caller->exchange->Abort();
     LogAnswer(*caller, "cut_off", caller->status, "no_answer");
+  } else if (!has_answer) {
+    caller->exchange->Answer(kBadGateway, {}, "");
+    LogAnswer(*caller, OutcomeName(Outcome::kUnknown), kBadGateway,
+              "no_answer");
   } else {
     caller->exchange->Answer(caller->status, caller->answer_headers,
                              caller->answer_body);
--- /dev/null
+++ b/testing/node_directory_test.cc
@@ -0,0 +1,62 @@
+#include "core/node_directory.h"
+
+#include <doctest/doctest.h>
+
+namespace clementine {
+namespace {
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+std::vector<PutObject> Puts(const std::vector<NodeDirectory::Action>& actions) {
+  std::vector<PutObject> puts;
+  for (const NodeDirectory::Action& action : actions) {
+    if (const auto* put = std::get_if<PutObject>(&action)) puts.push_back(*put);
+  }
+  return puts;
+}
+
+}  // namespace
+
+// Guards against a daemon that never appears because its object is new, and
+// against calls in a loop.
+TEST_CASE("node directory creates its object when there is none") {
+  NodeDirectory directory("n1", 1, 1);
+  std::vector<PutObject> puts = Puts(directory.Advance(kStart));
+  REQUIRE(puts.size() == 1);
+  CHECK(puts[0].if_version == kAnyVersion);
+  directory.Replied({puts[0].call, ObjectStatus::kNotFound, 0, ""}, kStart);
+  puts = Puts(directory.Advance(kStart + milliseconds(50)));
+  REQUIRE(puts.size() == 1);
+  CHECK(puts[0].if_version == 0);
+  directory.Replied({puts[0].call, ObjectStatus::kOk, 4, ""}, kStart);
+  CHECK(Puts(directory.Advance(kStart + milliseconds(100))).empty());
+}
+
+// Guards against daemons that are gone for long counting as live.
+TEST_CASE("node directory counts daemons whose objects change") {
+  NodeDirectory directory("n1", 1, 1);
+  directory.Listed({true, {{"n1", "1/1/5"}, {"n2", "1/1/5"}}}, kStart);
+  CHECK(directory.live() == 2);
+  TimePoint now = kStart + milliseconds(15'000);
+  directory.Listed({true, {{"n2", "1/1/5"}, {"n3", "1/1/5"}}}, now);
+  CHECK(directory.live() == 3);
+  now += milliseconds(5'000);
+  directory.Listed({false, {}}, now);
+  directory.Advance(now);
+  CHECK(directory.live() == 2);
+}
+
+// Guards against a daemon with most of the callers that may use only an equal
+// part of the groups.
+TEST_CASE("node directory tells the own share of the requests") {
+  NodeDirectory directory("n1", 1, 1);
+  directory.Advance(kStart);
+  CHECK(directory.share() == 0.0);
+  directory.CountRequests(60);
+  TimePoint now = kStart + milliseconds(2'000);
+  directory.Advance(now);
+  directory.Listed({true, {{"n2", "1/1/10.00"}, {"n3", "1/1/20.00"}}}, now);
+  CHECK(directory.share() == doctest::Approx(0.5));
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/testing/platform_adapter_test.cc
@@ -0,0 +1,307 @@
+// The adapter against texts as the platform writes them, and its object store
+// against a scripted server.
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "platform/platform.h"
+#include "testing/net_test_support.h"
+
+namespace clementine::platform {
+namespace {
+
+using nettest::HttpAnswer;
+using nettest::RawConnection;
+using nettest::RunUntil;
+using nettest::ScriptedServer;
+using Json = nlohmann::json;
+
+const char kConfiguration[] = R"({"version":7,"routes":[
+  {"name":"r1","hostname":"Shop.example","path_prefix":"/a/",
+   "route_type":"streaming","timeout_ms":8000,"target_latency_ms":300,
+   "priority":1,"max_attempts":2,"public":false,"stream_resume":true,
+   "target_gap_ms":200,"traffic_split":[{"service":"s1","weight":90},
+   {"service":"s2","weight":10}]},
+  {"name":"r2","hostname":"shop.example","path_prefix":"/b/",
+   "route_type":"non_idempotent","timeout_ms":800,"service":"s2",
+   "max_attempts":1,"public":true}],
+  "services":[{"name":"s1","runtime":{"slots":26,"loads_per_s":4.5,
+   "loads_at_once":6,"model_list":[{"name":"m0","size":4,"work_share":0.57,
+   "pace":1.0,"load_time_s":16.0,"warmup_s":1.6}]}},{"name":"s2"}],
+  "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}]})";
+
+const char kEntry[] = R"({"address":"10.3.64.29:8240","born":1781437347003,
+  "domain":"d0","group":{"name":"m0.7","epoch":9,"rank":1,"state":"ready"},
+  "phase":"combined","sequence":31,"service":"s1","slots":26,
+  "staged_models":["m0"],"state":"ready","zone":"attica-c"})";
+
+struct StoreFixture {
+  explicit StoreFixture(ScriptedServer::Script script)
+      : server(&io, std::move(script)),
+        store(&io, server.address, milliseconds(500)) {}
+
+  ObjectReply Put(const PutObject& put) {
+    std::optional<ObjectReply> reply;
+    store.Put(put, [&](ObjectReply answer) { reply = answer; });
+    REQUIRE(RunUntil(&io, [&] { return reply.has_value(); }));
+    return *reply;
+  }
+
+  ObjectBatch List() {
+    std::optional<ObjectBatch> result;
+    store.List("servers", false, [&](ObjectBatch batch) { result = batch; });
+    REQUIRE(RunUntil(&io, [&] { return result.has_value(); }));
+    return *result;
+  }
+
+  nettest::asio::io_context io;
+  ScriptedServer server;
+  ObjectStore store;
+};
+
+std::string Object(const std::string& name, int revision) {
+  return R"({"metadata":{"name":")" + name + R"(","revision":)" +
+         std::to_string(revision) + R"(},"spec":"v","status":null})";
+}
+
+}  // namespace
+
+// Guards against a configuration that is read differently from what it says.
+TEST_CASE("adapter decodes a configuration") {
+  FleetConfiguration fleet = DecodeConfiguration(kConfiguration);
+  CHECK(fleet.version == 7);
+  REQUIRE(fleet.routes.size() == 2);
+  const RouteRule& stream = fleet.routes[0];
+  CHECK(stream.host == "shop.example");
+  CHECK(stream.kind == RouteKind::kStream);
+  CHECK(stream.timeout == milliseconds(8'000));
+  CHECK(stream.target_gap == milliseconds(200));
+  CHECK(stream.resumable);
+  REQUIRE(stream.shares.size() == 2);
+  CHECK(stream.shares[0].weight == 90.0);
+  CHECK(fleet.routes[1].kind == RouteKind::kNonIdempotent);
+  CHECK(fleet.routes[1].open_to_all);
+  CHECK_FALSE(fleet.services.at("s2").engine);
+  const EngineSpec& engine = *fleet.services.at("s1").engine;
+  CHECK(engine.max_running == 26);
+  CHECK(engine.models[0].hosts_per_group == 4);
+  CHECK(engine.models[0].load_time == milliseconds(16'000));
+  CHECK(engine.models[0].start_time == milliseconds(1'600));
+  CHECK(fleet.organisations[0].keys.size() == 2);
+  CHECK(fleet.organisations[0].priority == 1);
+}
+
+// Guards against half a configuration: any part that can't be read rejects it.
+TEST_CASE("adapter rejects a configuration as a whole") {
+  for (const char* broken :
+       {"", "[]", "{}", R"({"version":"7"})", R"({"version":7,"routes":{}})"}) {
+    CHECK_THROWS_AS(DecodeConfiguration(broken), std::runtime_error);
+  }
+  Json json = Json::parse(kConfiguration);
+  json["routes"][0]["route_type"] = "sometimes";
+  CHECK_THROWS_AS(DecodeConfiguration(json.dump()), std::runtime_error);
+}
+
+// Guards against the count of an entry's renewals being taken for the count of
+// orders, and against entries of other writers being used.
+TEST_CASE("adapter decodes entries and reports of backend servers") {
+  std::optional<BackendServer> server = DecodeServer("i-1", kEntry);
+  REQUIRE(server);
+  CHECK(server->id == "i-1");
+  CHECK(server->orders == 0);
+  CHECK(server->born == 1781437347003);
+  CHECK(server->fabric_domain == "d0");
+  CHECK(server->member.rank == 1);
+  CHECK(server->member.state == MemberState::kReady);
+  CHECK(server->staged == std::vector<std::string>{"m0"});
+  std::optional<BackendServer> report = DecodeReport(
+      R"({"sequence":3,"busy":true,"born":5,"group":null,"staged_models":[]})");
+  REQUIRE(report);
+  CHECK(report->orders == 3);
+  CHECK(report->busy);
+  for (const char* broken : {"", "null", "[1]", "{\"service\":1}"}) {
+    CHECK_FALSE(DecodeServer("i-1", broken));
+    CHECK_FALSE(DecodeReport(broken));
+  }
+  Json json = Json::parse(kEntry);
+  json["state"] = "resting";
+  CHECK_FALSE(DecodeServer("i-1", json.dump()));
+}
+
+// Guards against a crash, or a server that is half read, whatever an entry
+// holds.
+TEST_CASE("adapter survives any change of an entry") {
+  CHECK(rc::check([] {
+    std::string text = kEntry;
+    auto changes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < changes; ++i) {
+      auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      text[at] = *rc::gen::arbitrary<char>();
+    }
+    std::optional<BackendServer> server = DecodeServer("i-1", text);
+    // The macro would evaluate both sides of an "or".
+    bool whole = !server || server->id == "i-1";
+    RC_ASSERT(whole);
+    DecodeReport(text);
+    try {
+      DecodeConfiguration(text);
+      RC_FAIL("an entry is not a configuration");
+    } catch (const std::runtime_error&) {
+      RC_SUCCEED("rejected");
+    }
+  }));
+}
+
+// Guards against a key, or a caller's claim to be an organisation, that reaches
+// a backend server.
+TEST_CASE("adapter sets its own headers and passes on the others") {
+  HttpHeaders caller = {{"Host", "shop.example"},
+                        {"X-Clementinelb-Attempt-Id", "a1"},
+                        {"X-Clementinelb-Key", "secret"},
+                        {"x-clementinelb-tenant", "other"},
+                        {"X-Clementinelb-Deadline-Ms", "8000"},
+                        {"X-Clementinelb-Token-Count", "1460, 80"},
+                        {"X-Clementinelb-Model", "m0"},
+                        {"Last-Event-Id", "12"},
+                        {"Connection", "close, X-Hop"},
+                        {"X-Hop", "1"},
+                        {"Content-Length", "3"}};
+  CallerHeaders read = ReadCallerHeaders(caller);
+  CHECK(read.request_id == "a1");
+  CHECK(read.key == "secret");
+  CHECK(read.patience == milliseconds(8'000));
+  CHECK(read.prompt_tokens == 1460);
+  CHECK(read.most_output_tokens == 80);
+  ForwardInfo info{"i-1", "t1", milliseconds(700), ""};
+  HttpHeaders sent = ForwardHeaders(caller, info);
+  CHECK(FindHeader(sent, "X-Clementinelb-Key").empty());
+  CHECK(FindHeader(sent, "X-Clementinelb-Tenant") == "t1");
+  CHECK(FindHeader(sent, "X-Clementinelb-Deadline-Ms") == "700");
+  CHECK(FindHeader(sent, "X-Clementinelb-Expected-Instance") == "i-1");
+  CHECK(FindHeader(sent, "X-Clementinelb-Model") == "m0");
+  CHECK(FindHeader(sent, "Last-Event-Id") == "12");
+  CHECK(FindHeader(sent, "X-Hop").empty());
+  CHECK(FindHeader(sent, "Content-Length").empty());
+  info.resume_after = "17";
+  CHECK(FindHeader(ForwardHeaders(caller, info), "Last-Event-Id") == "17");
+}
+
+// Guards against an answer of another request, one without a signature, and a
+// refusal that isn't one.
+TEST_CASE("adapter judges the heads of answers") {
+  HttpHeaders good = {{"X-Clementinelb-Attempt-Id", "a1"},
+                      {"X-Clementinelb-Response-Signature", "s"}};
+  CHECK(JudgeAnswer("a1", 200, good) == AnswerHead::kAnswer);
+  CHECK(JudgeAnswer("a2", 200, good) == AnswerHead::kForeign);
+  CHECK(JudgeAnswer("a1", 200, {}) == AnswerHead::kForeign);
+  CHECK(JudgeAnswer("a1", 500, {}) == AnswerHead::kAnswer);
+  CHECK(JudgeAnswer("a1", 503, {}) == AnswerHead::kAnswer);
+  CHECK(JudgeAnswer("a1", 421, {}) == AnswerHead::kNotRun);
+  CHECK(JudgeAnswer("a1", 503, {{"X-Clementinelb-Not-Executed", "1"}}) ==
+        AnswerHead::kNotRun);
+}
+
+// Guards against an order that is taken for refused though it may be carried
+// out.
+TEST_CASE("adapter encodes orders and reads their answers") {
+  GroupOrder join;
+  join.group = "m0.7";
+  join.epoch = 7;
+  join.model = "m0";
+  join.members = {"a", "b"};
+  join.expected_orders = 3;
+  BackendCall call = OrderCall("a", "10.0.0.1:1", join);
+  Json body = Json::parse(*call.body);
+  CHECK(body["operation"] == "join");
+  CHECK(body["expected"] == 3);
+  CHECK(body["members"].size() == 2);
+  CHECK_FALSE(call.idempotent);
+  GroupOrder stage;
+  stage.kind = GroupOrder::Kind::kStage;
+  stage.model = "m0";
+  CHECK_FALSE(Json::parse(*OrderCall("a", "", stage).body).contains("group"));
+  BackendEnd end;
+  end.result = AttemptResult::kTimedOut;
+  CHECK(ReadOrderAnswer(end) == OrderResult::kUnknown);
+  end.result = AttemptResult::kComplete;
+  end.status = 202;
+  CHECK(ReadOrderAnswer(end) == OrderResult::kAccepted);
+  end.status = 409;
+  CHECK(ReadOrderAnswer(end) == OrderResult::kRejected);
+  end.status = 500;
+  CHECK(ReadOrderAnswer(end) == OrderResult::kUnknown);
+}
+
+// Guards against a list that ends at its first page.
+TEST_CASE("object store reads all pages of a list") {
+  StoreFixture fixture([](RawConnection& raw, const std::string& request) {
+    bool first = request.find("after=b") == std::string::npos;
+    raw.Send(HttpAnswer(
+        200, first ? R"({"entries":[)" + Object("a", 1) + "," + Object("b", 2) +
+                         R"(],"has_more":true,"at":9})"
+                   : R"({"entries":[)" + Object("c", 3) +
+                         R"(,{"broken":1}],"has_more":false,"at":12})"));
+  });
+  ObjectBatch batch = fixture.List();
+  CHECK(batch.status == ObjectBatch::Status::kOk);
+  CHECK(batch.objects.size() == 3);
+  // Changes since the first page are watched for.
+  CHECK(batch.revision == 9);
+}
+
+// Guards against a write that is taken for refused though it may take effect,
+// and the other way round.
+TEST_CASE("object store tells refused writes from unknown ones") {
+  std::string answer;
+  StoreFixture fixture([&](RawConnection& raw, const std::string&) {
+    if (!answer.empty()) raw.Send(answer);
+  });
+  PutObject put{4, "k/n", "v", 0};
+  answer = HttpAnswer(201, Object("n", 5));
+  ObjectReply reply = fixture.Put(put);
+  CHECK(reply.status == ObjectStatus::kOk);
+  CHECK(reply.version == 5);
+  CHECK(reply.value == "v");
+  CHECK(fixture.server.requests[0].starts_with("POST /objects/k "));
+  answer = HttpAnswer(409, Object("n", 6));
+  put.if_version = 5;
+  reply = fixture.Put(put);
+  CHECK(reply.status == ObjectStatus::kConflict);
+  CHECK(reply.version == 6);
+  CHECK(fixture.server.requests[1].starts_with("PUT /objects/k/n "));
+  answer = HttpAnswer(429, "");
+  CHECK(fixture.Put(put).status == ObjectStatus::kUnavailable);
+  answer = HttpAnswer(503, "");
+  CHECK(fixture.Put(put).status == ObjectStatus::kUnavailable);
+  answer.clear();
+  CHECK(fixture.Put(put).status == ObjectStatus::kUnknown);
+}
+
+// Guards against names of the platform's wire in the product.
+TEST_CASE("only the adapter knows the names of the wire") {
+  namespace fs = std::filesystem;
+  const char* const names[] = {
+      "Clementinelb-",  "traffic_split",    "staged_models", "fencing_token",
+      "cold_remaining", "session_affinity", "path_prefix\"", "model_list",
+      "close_mode",     "allow_stale"};
+  for (const char* folder : {"config", "core", "ctl", "daemon", "net"}) {
+    for (const auto& entry :
+         fs::directory_iterator(fs::path(CLEMENTINE_SOURCE_DIR) / folder)) {
+      std::ifstream file(entry.path());
+      std::ostringstream text;
+      text << file.rdbuf();
+      for (const char* name : names) {
+        CAPTURE(entry.path().string());
+        CAPTURE(std::string(name));
+        CHECK(text.str().find(name) == std::string::npos);
+      }
+    }
+  }
+}
+
+}  // namespace clementine::platform
