--- a/core/fleet.h
+++ b/core/fleet.h
@@ -122,6 +122,7 @@
   kRejected,  ///< Not carried out, and never will be.
   kUnknown,   ///< May still be carried out.
 };
+const char* OrderResultName(OrderResult result);
 
 }  // namespace clementine
 
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -418,12 +418,11 @@
 
 void FleetControl::On(const OrderEnded& event) {
   if (m_orders_running > 0) --m_orders_running;
-  static const char* const kNames[] = {"accepted", "rejected", "unknown"};
   Log("order_ended", {{"host", event.host},
                       {"kind", GroupOrderName(event.order.kind)},
                       {"group", event.order.group},
                       {"expected", std::to_string(event.order.expected_orders)},
-                      {"result", kNames[static_cast<int>(event.result)]},
+                      {"result", OrderResultName(event.result)},
                       {"detail", event.detail}});
   m_planner.Answered(event.host, event.order, event.result, m_now);
   // The count of orders that was expected may be wrong. Reports are some time
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -19,8 +19,6 @@
 namespace clementine {
 namespace {
 
-/// An order that was lost may be carried out this late.
-constexpr milliseconds kLateOrder{12'000};
 /// Repeating an order is safe at any time, since it is only carried out at the
 /// count of orders that it expects; this bounds how often it is repeated.
 constexpr milliseconds kRepeatOrder{1'500};
@@ -30,24 +28,8 @@
 constexpr milliseconds kJoinSpread{2'500};
 /// A closed head has ended its requests by then.
 constexpr milliseconds kEvictTime{500};
-/// Calls without an answer, so far apart, that show a head to be gone.
-constexpr int kOrphanTries = 3;
-constexpr milliseconds kOrphanInterval{400};
-/// Entries that lapsed in a cut are back within two seconds of its end, in any
-/// order.
-constexpr milliseconds kReturnTime{2'500};
-/// A head that was never seen can't be asked; its members wait until a head
-/// that lost them would have noticed.
-constexpr milliseconds kUnknownHead{6'000};
 /// A host that rejected an order gets the next one after this time.
 constexpr milliseconds kRejectPause{1'000};
-/// Joining takes at most this factor of the slowest load.
-constexpr int kJoinPatience = 4;
-constexpr milliseconds kLeastJoinPatience{20'000};
-/// Part of the permitted rate of loads that is used; the rest covers loads that
-/// hosts begin later than ordered.
-constexpr double kLoadRatePart = 0.85;
-constexpr double kLoadBurst = 3.0;
 /// Rejoining after a group of the same model, in seconds.
 constexpr double kRejoinSeconds = 0.2;
 /// Delay of a group that weighs as much as half of its model's need.
@@ -59,10 +41,6 @@
 /// Distance to the epochs that a predecessor may have used without our seeing.
 constexpr std::uint64_t kEpochStep = 16;
 
-bool IsServing(MemberState state) {
-  return state == MemberState::kOpen || state == MemberState::kClosing;
-}
-
 bool IsStaged(const BackendServer& host, const std::string& model) {
   return std::find(host.staged.begin(), host.staged.end(), model) !=
          host.staged.end();
@@ -78,6 +56,17 @@
 
 }  // namespace
 
+bool GroupPlanner::IsServing(MemberState state) {
+  return state == MemberState::kOpen || state == MemberState::kClosing;
+}
+
+milliseconds GroupPlanner::JoinTimeout(const EngineModel& model) {
+  // Joining takes at most this factor of the slowest load.
+  constexpr int kFactor = 4;
+  constexpr milliseconds kLeast{20'000};
+  return std::max(kLeast, model.load_time * kFactor);
+}
+
 std::string GroupName(const std::string& model, std::uint64_t number) {
   return model + "." + std::to_string(number);
 }
@@ -140,7 +129,7 @@
 }
 
 void GroupPlanner::PlanService(const std::string& service, Pass* pass) {
-  ChaseOrphans(pass);
+  ResolveOrphans(pass);
   auto groups = CollectGroups(*pass->servers, service);
   std::erase_if(m_seen, [&](const auto& seen) {
     return groups.count(seen.first) == 0 &&
@@ -238,12 +227,12 @@
     auto host = servers.find(entry.first);
     if (host == servers.end() || host->second.born != sent.born) return true;
     if (TookEffect(sent, host->second)) return true;
-    milliseconds patience = kRepeatOrder;
-    if (sent.accepted) patience = kListDelay;
+    milliseconds timeout = kRepeatOrder;
+    if (sent.accepted) timeout = kListDelay;
     if (!sent.accepted && sent.order.kind == GroupOrder::Kind::kOpen) {
-      patience = kLateOrder;
+      timeout = kLateOrder;
     }
-    return now - sent.at > patience;
+    return now - sent.at > timeout;
   });
   std::erase_if(m_loads, [&](const auto& entry) {
     auto host = servers.find(entry.first);
@@ -301,87 +290,6 @@
   pass->orders.push_back({host.id, host.address, std::move(order)});
 }
 
-// ---------------------------------------------------------------------------
-// Heads that left the list.
-
-void GroupPlanner::Observe(const FleetConfiguration& configuration,
-                           const Servers& servers, TimePoint now) {
-  for (const auto& [key, head] : m_heads) {
-    if (servers.count(head.id) == 0) {
-      m_orphans.emplace(key, Orphan{head, 0, now});
-    }
-  }
-  m_heads.clear();
-  for (const auto& [id, server] : servers) {
-    const Membership& member = server.member;
-    bool engine = configuration.services.count(server.service) > 0 &&
-                  configuration.services.at(server.service).engine;
-    if (engine && member.rank == 0 &&
-        (IsServing(member.state) || OpenMayBeLate(id))) {
-      m_heads[{member.group, member.epoch}] = server;
-    }
-  }
-  std::erase_if(m_orphans, [&](const auto& entry) {
-    bool settled = entry.second.free_at != TimePoint::max() &&
-                   entry.second.free_at + kLateOrder <= now;
-    return servers.count(entry.second.head.id) > 0 || settled;
-  });
-}
-
-bool GroupPlanner::MembersInContact(const GroupKey& group,
-                                    const Pass& pass) const {
-  return std::any_of(
-      pass.servers->begin(), pass.servers->end(), [&](const auto& entry) {
-        const Membership& member = entry.second.member;
-        return member.group == group.first && member.epoch == group.second &&
-               pass.failed->count(entry.first) == 0;
-      });
-}
-
-void GroupPlanner::ChaseOrphans(Pass* pass) {
-  for (auto& [key, orphan] : m_orphans) {
-    if (!MembersInContact(key, *pass)) {
-      // Members that nobody reaches can't be taken either.
-      orphan.was_cut = true;
-      orphan.unanswered = 0;
-      orphan.free_at = TimePoint::max();
-      orphan.next = pass->now + kReturnTime;
-      continue;
-    }
-    if (orphan.free_at != TimePoint::max()) continue;
-    bool known_silent =
-        !orphan.was_cut && pass->failed->count(orphan.head.id) > 0;
-    if (known_silent || orphan.unanswered >= kOrphanTries) {
-      orphan.free_at = pass->now;
-      continue;
-    }
-    if (pass->now < orphan.next) continue;
-    orphan.next = pass->now + kOrphanInterval;
-    GroupOrder close;
-    close.kind = GroupOrder::Kind::kClose;
-    close.group = key.first;
-    close.epoch = key.second;
-    close.evict = true;
-    close.expected_orders = m_counts[orphan.head.id].orders;
-    pass->orders.push_back({orphan.head.id, orphan.head.address, close});
-  }
-}
-
-bool GroupPlanner::HeadMayReturn(const ReportedGroup& group,
-                                 const Pass& pass) const {
-  GroupKey key{group.name, group.epoch};
-  auto orphan = m_orphans.find(key);
-  if (orphan != m_orphans.end()) return pass.now < orphan->second.free_at;
-  auto forming = m_forming.find(key);
-  if (forming != m_forming.end()) {
-    // This planner never opened it, or the head would be remembered.
-    const std::string& head = forming->second.front();
-    return Waiting(head) && pass.servers->count(head) > 0;
-  }
-  auto seen = m_seen.find(key);
-  return seen != m_seen.end() && pass.now - seen->second < kUnknownHead;
-}
-
 // ---------------------------------------------------------------------------
 // Groups that stand.
 
@@ -463,9 +371,8 @@
     lost = lost || (forming != m_forming.end() && !expected) ||
            (forming == m_forming.end() && age > kJoinSpread);
   }
-  milliseconds patience =
-      std::max(kLeastJoinPatience, model.load_time * kJoinPatience);
-  if (lost || (!ready && age > patience)) return;
+  milliseconds timeout = JoinTimeout(model);
+  if (lost || (!ready && age > timeout)) return;
   Bind(group, /*stands=*/true, pass);
   ++pass->groups[model.name];
   if (ready && !Waiting(group.members.front()->id) &&
@@ -637,145 +544,4 @@
   ++pass->groups[join.model];
 }
 
-// ---------------------------------------------------------------------------
-// Loads.
-
-bool GroupPlanner::MayLoad(const Pass& pass) {
-  std::chrono::duration<double> elapsed = pass.now - m_refilled;
-  m_refilled = pass.now;
-  m_load_tokens =
-      std::min(kLoadBurst, m_load_tokens + elapsed.count() * kLoadRatePart *
-                                               pass.engine->loads_per_second);
-  if (m_free_loads) return true;
-  return m_load_tokens >= 1.0 &&
-         m_loads.size() <
-             static_cast<std::size_t>(pass.engine->concurrent_loads);
-}
-
-void GroupPlanner::StartLoad(const BackendServer& host,
-                             const EngineModel& model, TimePoint now) {
-  auto found = m_loads.find(host.id);
-  if (found != m_loads.end() && found->second.model == model.name) return;
-  if (!m_free_loads) m_load_tokens -= 1.0;
-  m_loads[host.id] = {
-      model.name,
-      now + std::max(kLeastJoinPatience, model.load_time * kJoinPatience)};
-}
-
-const std::string& GroupPlanner::HeldModel(const BackendServer& host) const {
-  static const std::string none;
-  auto load = m_loads.find(host.id);
-  if (load != m_loads.end()) return load->second.model;
-  return host.staged.empty() ? none : host.staged.back();
-}
-
-bool GroupPlanner::Stage(const BackendServer& host, const EngineModel& model,
-                         Pass* pass) {
-  if (!MayLoad(*pass)) return false;
-  GroupOrder stage;
-  stage.kind = GroupOrder::Kind::kStage;
-  stage.model = model.name;
-  StartLoad(host, model, pass->now);
-  Send(host, stage, pass);
-  return true;
-}
-
-// Loads happen beside everything else, so hosts load before they are needed:
-// first what completes a group of the model in need, then spares. A spare that
-// holds a model replaces a lost member in the time of a start.
-void GroupPlanner::StageFree(Pass* pass) {
-  for (const auto& [domain, free] : pass->free) {
-    Hosts hosts = free;
-    const Hosts& released = pass->released[domain];
-    hosts.insert(hosts.end(), released.begin(), released.end());
-    while (const EngineModel* model = NextToComplete(domain, hosts, *pass)) {
-      if (!CompleteGroup(*model, &hosts, pass)) return;
-    }
-    std::erase_if(hosts, [&](const BackendServer* host) {
-      return pass->bound.count(host->id) > 0;
-    });
-    // At a first start more hosts are about to come, and a spare's model is
-    // chosen best when the groups are known.
-    if (m_free_loads && Grows(domain, pass->now)) continue;
-    if (!StageSpares(domain, hosts, pass)) return;
-  }
-}
-
-// The model in greatest need whose next group lacks no more than what the
-// domain's empty hosts, and at most one that holds another model, can load.
-const EngineModel* GroupPlanner::NextToComplete(const std::string& domain,
-                                                const Hosts& hosts,
-                                                const Pass& pass) const {
-  const EngineModel* best = nullptr;
-  for (const EngineModel& model : pass.engine->models) {
-    int usable = 0;
-    int others = 0;
-    for (const BackendServer* host : hosts) {
-      const std::string& held = HeldModel(*host);
-      bool loads_other = m_loads.count(host->id) > 0 && held != model.name;
-      bool bound = pass.bound.count(host->id) > 0;
-      if (held == model.name || held.empty()) {
-        ++usable;
-      } else if (!loads_other && !bound) {
-        ++others;
-      }
-    }
-    usable += std::min(others, 1);
-    if (Waits(domain, model, pass)) continue;
-    if (model.hosts_per_group < 1 || usable < model.hosts_per_group) continue;
-    if (best == nullptr || Need(model, pass) > Need(*best, pass)) {
-      best = &model;
-    }
-  }
-  return best;
-}
-
-// Takes the hosts of one future group and stages its model on those that lack
-// it. Returns false when no more loads may begin now.
-bool GroupPlanner::CompleteGroup(const EngineModel& model, Hosts* hosts,
-                                 Pass* pass) {
-  auto rank = [&](const BackendServer* host) {
-    const std::string& held = HeldModel(*host);
-    if (held == model.name) return 0;
-    if (held.empty()) return 1;
-    bool fixed = m_loads.count(host->id) > 0 || pass->bound.count(host->id) > 0;
-    return fixed ? 3 : 2;
-  };
-  std::stable_sort(
-      hosts->begin(), hosts->end(),
-      [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
-  ++pass->groups[model.name];
-  for (int i = 0; i < model.hosts_per_group; ++i) {
-    const BackendServer& host = *(*hosts)[static_cast<std::size_t>(i)];
-    bool lacks = HeldModel(host) != model.name;
-    if (lacks && pass->bound.count(host.id) == 0 && !Stage(host, model, pass)) {
-      return false;
-    }
-  }
-  hosts->erase(hosts->begin(), hosts->begin() + model.hosts_per_group);
-  return true;
-}
-
-bool GroupPlanner::StageSpares(const std::string& domain, const Hosts& free,
-                               Pass* pass) {
-  std::map<std::string, int> spares;
-  for (const BackendServer* host : free) ++spares[HeldModel(*host)];
-  for (const BackendServer* host : free) {
-    if (!HeldModel(*host).empty()) continue;
-    const EngineModel* best = nullptr;
-    double best_need = -1.0;
-    for (const EngineModel& model : pass->engine->models) {
-      double placed = pass->placed[{domain, model.name}];
-      double need = (placed + model.work_share) / (spares[model.name] + 1.0);
-      if (need > best_need) {
-        best_need = need;
-        best = &model;
-      }
-    }
-    if (best == nullptr || !Stage(*host, *best, pass)) return false;
-    ++spares[best->name];
-  }
-  return true;
-}
-
 }  // namespace clementine
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -83,6 +83,8 @@
 
  private:
   using GroupKey = std::pair<std::string, std::uint64_t>;
+  /// An order that was lost may be carried out this late.
+  static constexpr milliseconds kLateOrder{12'000};
   using Hosts = std::vector<const BackendServer*>;
 
   /// The last order to a host, until its effect was seen.
@@ -141,9 +143,12 @@
     double score = 0.0;
   };
 
+  static bool IsServing(MemberState state);
+  /// How long a group may take to be ready.
+  static milliseconds JoinTimeout(const EngineModel& model);
   void PlanService(const std::string& service, Pass* pass);
   void Settle(const Servers& servers, TimePoint now);
-  void ChaseOrphans(Pass* pass);
+  void ResolveOrphans(Pass* pass);
   bool MembersInContact(const GroupKey& group, const Pass& pass) const;
   bool Grows(const std::string& domain, TimePoint now) const;
   void NoteGrowth(const Pass& pass);
--- a/core/route_table.cc
+++ b/core/route_table.cc
@@ -26,38 +26,6 @@
 
 const char kPublicOrganisation[] = "public";
 
-const char* MemberStateName(MemberState state) {
-  switch (state) {
-    case MemberState::kNone:
-      return "none";
-    case MemberState::kJoining:
-      return "joining";
-    case MemberState::kReady:
-      return "ready";
-    case MemberState::kOpen:
-      return "open";
-    case MemberState::kClosing:
-      return "closing";
-    case MemberState::kBroken:
-      return "broken";
-  }
-  return "none";
-}
-
-const char* GroupOrderName(GroupOrder::Kind kind) {
-  switch (kind) {
-    case GroupOrder::Kind::kJoin:
-      return "join";
-    case GroupOrder::Kind::kOpen:
-      return "open";
-    case GroupOrder::Kind::kClose:
-      return "close";
-    case GroupOrder::Kind::kStage:
-      return "stage";
-  }
-  return "join";
-}
-
 RouteTable::RouteTable(FleetConfiguration configuration)
     : m_configuration(std::move(configuration)) {
   for (const RouteRule& route : m_configuration.routes) {
--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -1,5 +1,7 @@
 // Command line of clementinectl.
 
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <stdexcept>
@@ -8,6 +10,7 @@
 
 #include "ctl/access.h"
 #include "ctl/ctl.h"
+#include "net/net.h"
 
 namespace clementine::ctl {
 namespace {
@@ -109,6 +112,7 @@
 }  // namespace clementine::ctl
 
 int main(int argc, char** argv) {
+  clementine::LogTo(STDERR_FILENO);
   try {
     return clementine::ctl::Run(argc, argv);
   } catch (const std::exception& error) {
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -20,13 +20,6 @@
 /// Longest wait for the platform's answer to the lease's release.
 constexpr std::chrono::milliseconds kReleaseTimeout{3'000};
 
-std::uint64_t MillisecondsSinceEpoch() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 /// Attempt ids appear in paths and before a colon, so other bytes are replaced.
 std::string AttemptPrefix(const std::string& node, std::uint64_t incarnation) {
   std::string prefix = node;
@@ -38,17 +31,6 @@
   return fmt::format("{}-{:x}", prefix, incarnation);
 }
 
-HttpLimits ServerLimits(const Settings& settings) {
-  HttpLimits limits;
-  limits.max_header_bytes = settings.max_header_bytes;
-  limits.max_body_bytes = settings.max_body_bytes;
-  limits.max_connections = settings.max_connections;
-  limits.header_timeout = settings.header_timeout;
-  limits.body_timeout = settings.body_timeout;
-  limits.write_timeout = settings.body_timeout;
-  return limits;
-}
-
 /// Empty for the weighted policy, which is the default of RequestPath.
 RoutePolicy PolicyByName(const std::string& name) {
   if (name == "round_robin") return RoundRobinPolicy();
@@ -63,7 +45,8 @@
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
       m_tick(*io),
-      m_stop_timer(*io) {
+      m_stop_timer(*io),
+      m_queue(&m_metrics, [this](const AnyEvent& event) { HandleOne(event); }) {
   m_platform = std::make_unique<PlatformClient>(io, m_settings.platform,
                                                 m_settings.platform_token);
   BackendOptions backend_options;
@@ -146,26 +129,7 @@
 // ---------------------------------------------------------------------------
 // Events.
 
-void Daemon::Feed(AnyEvent event) {
-  m_queue.push_back(std::move(event));
-  HandleQueue();
-}
-
-void Daemon::HandleQueue() {
-  if (m_handling) return;
-  m_handling = true;
-  while (!m_queue.empty()) {
-    AnyEvent event = std::move(m_queue.front());
-    m_queue.pop_front();
-    try {
-      HandleOne(event);
-    } catch (const std::exception& error) {
-      m_metrics.Add("clementine_internal_errors_total", "");
-      LogEvent("internal_error", {{"error", error.what()}});
-    }
-  }
-  m_handling = false;
-}
+void Daemon::Feed(AnyEvent event) { m_queue.Push(std::move(event)); }
 
 void Daemon::HandleOne(const AnyEvent& event) {
   TimePoint now = Clock::now();
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -4,7 +4,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <memory>
 #include <string>
 #include <variant>
@@ -12,6 +11,7 @@
 #include "core/core.h"
 #include "daemon/cache_poller.h"
 #include "daemon/control_executor.h"
+#include "daemon/event_queue.h"
 #include "daemon/request_executor.h"
 #include "net/net.h"
 
@@ -42,7 +42,6 @@
   void CreateCore();
   void CreateExecutors();
   void Feed(AnyEvent event);
-  void HandleQueue();
   void HandleOne(const AnyEvent& event);
   void PassOn(const RequestEvent& event);
   void OnExchange(const std::shared_ptr<HttpExchange>& exchange);
@@ -69,10 +68,9 @@
   std::shared_ptr<const Configuration> m_configuration;  ///< Null before one.
   std::uint64_t m_generation = 0;
   std::uint64_t m_open_groups = 0;
-  std::deque<AnyEvent> m_queue;
-  bool m_handling = false;
   boost::asio::steady_timer m_tick;
   boost::asio::steady_timer m_stop_timer;
+  EventQueue<AnyEvent> m_queue;
   enum class Phase { kServing, kUnready, kFinishing, kReleasing };
   Phase m_phase = Phase::kServing;
   TimePoint m_release_deadline;
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -23,25 +23,6 @@
 /// sets, so the server's own limit is far above it.
 constexpr milliseconds kCallerIdleTimeout{120'000};
 
-std::uint64_t MillisecondsSinceEpoch() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
-HttpLimits ServerLimits(const Settings& settings) {
-  HttpLimits limits;
-  limits.max_header_bytes = settings.max_header_bytes;
-  limits.max_body_bytes = settings.max_body_bytes;
-  limits.max_connections = settings.max_connections;
-  limits.header_timeout = settings.header_timeout;
-  limits.body_timeout = settings.body_timeout;
-  limits.write_timeout = settings.body_timeout;
-  limits.idle_timeout = kCallerIdleTimeout;
-  return limits;
-}
-
 }  // namespace
 
 TimePoint SuspendAwareNow() {
@@ -55,7 +36,8 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
-      m_tick(*io) {
+      m_tick(*io),
+      m_queue(&m_metrics, [this](const AnyEvent& event) { HandleOne(event); }) {
   m_store = std::make_unique<platform::ObjectStore>(io, m_settings.platform,
                                                     kPlatformTimeout);
   BackendOptions backend_options;
@@ -91,8 +73,10 @@
   context.feed = [this](RequestEvent event) { Feed(std::move(event)); };
   context.feed_fleet = [this](FleetEvent event) { Feed(std::move(event)); };
   m_executor = std::make_unique<RelayExecutor>(std::move(context));
+  HttpLimits limits = ServerLimits(m_settings);
+  limits.idle_timeout = kCallerIdleTimeout;
   m_server = std::make_unique<HttpServer>(
-      io, m_settings.listen, ServerLimits(m_settings),
+      io, m_settings.listen, limits,
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         m_executor->Accept(exchange);
       });
@@ -120,22 +104,7 @@
 // ---------------------------------------------------------------------------
 // Events.
 
-void FleetDaemon::Feed(AnyEvent event) {
-  m_queue.push_back(std::move(event));
-  if (m_handling) return;
-  m_handling = true;
-  while (!m_queue.empty()) {
-    AnyEvent next = std::move(m_queue.front());
-    m_queue.pop_front();
-    try {
-      HandleOne(next);
-    } catch (const std::exception& error) {
-      m_metrics.Add("clementine_internal_errors_total", "");
-      LogEvent("internal_error", {{"error", error.what()}});
-    }
-  }
-  m_handling = false;
-}
+void FleetDaemon::Feed(AnyEvent event) { m_queue.Push(std::move(event)); }
 
 void FleetDaemon::HandleOne(const AnyEvent& event) {
   TimePoint now = SuspendAwareNow();
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -4,7 +4,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <memory>
 #include <string>
 #include <variant>
@@ -13,6 +12,7 @@
 #include "core/core.h"
 #include "core/fleet_control.h"
 #include "core/route_table.h"
+#include "daemon/event_queue.h"
 #include "daemon/fleet_feed.h"
 #include "daemon/relay_executor.h"
 #include "net/net.h"
@@ -72,8 +72,7 @@
   std::unique_ptr<HttpServer> m_health;
   std::shared_ptr<const RouteTable> m_routes;
   boost::asio::steady_timer m_tick;
-  std::deque<AnyEvent> m_queue;
-  bool m_handling = false;
+  EventQueue<AnyEvent> m_queue;
   bool m_groups_known = false;
   Phase m_phase = Phase::kServing;
   TimePoint m_stop_began;
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -12,7 +12,7 @@
 
 constexpr milliseconds kWatchWait{1'500};
 /// Servers change in bursts when groups form; each answer is a priced call.
-constexpr milliseconds kServerPause{80};
+constexpr milliseconds kServerPause{200};
 constexpr milliseconds kConfigurationPause{20};
 constexpr milliseconds kFirstBackoff{150};
 constexpr milliseconds kLongestBackoff{1'000};
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -25,7 +25,7 @@
 /// A shorter time isn't worth an attempt.
 constexpr milliseconds kLeastTimeout{1};
 /// Deadline of a request that names none.
-constexpr milliseconds kDefaultPatience{30'000};
+constexpr milliseconds kDefaultTimeout{30'000};
 constexpr std::size_t kMostBodyBytes = 16'777'216;
 /// Told with refusals that come before any estimate.
 constexpr milliseconds kEarlyRetryAfter{500};
@@ -148,10 +148,10 @@
   std::shared_ptr<Caller> caller = MakeCaller(exchange, match);
   caller->headers = std::move(headers);
   Request& read = caller->request;
-  milliseconds patience =
-      std::min(caller->headers.patience.value_or(kDefaultPatience),
+  milliseconds timeout =
+      std::min(caller->headers.timeout.value_or(kDefaultTimeout),
                caller->route->timeout);
-  read.deadline = caller->arrived + patience;
+  read.deadline = caller->arrived + timeout;
   const std::string& service =
       RouteTable::PickService(*caller->route, m_random());
   if (caller->headers.model.empty()) {
@@ -171,7 +171,7 @@
             {"target",
              service + (read.model.empty() ? "" : "/") + caller->headers.model},
             {"organisation", read.organisation},
-            {"patience_ms", std::to_string(patience.count())}});
+            {"timeout_ms", std::to_string(timeout.count())}});
   m_callers.emplace(caller->id, caller);
   exchange->SetLeaveHandler([this, id = caller->id] {
     std::shared_ptr<Caller> left = TakeCaller(id);
--- a/daemon/relay_stream.cc
+++ b/daemon/relay_stream.cc
@@ -44,11 +44,10 @@
   m_partial.append(bytes);
   std::string accepted;
   std::size_t begin = 0;
-  for (std::size_t end = m_partial.find(kEventEnd, begin);
-       end != std::string::npos; end = m_partial.find(kEventEnd, begin)) {
+  std::size_t end = 0;
+  while ((end = m_partial.find(kEventEnd, begin)) != std::string::npos) {
     end += kEventEnd.size();
-    std::string_view event =
-        std::string_view(m_partial).substr(begin, end - begin);
+    std::string_view event(m_partial.data() + begin, end - begin);
     if (Accept(event)) accepted.append(event);
     begin = end;
   }
--- a/net/net.h
+++ b/net/net.h
@@ -35,13 +35,19 @@
 
 namespace clementine {
 
-/// Writes one key=value line to standard error. Values that contain spaces,
+/// Writes one key=value line to standard output, never waiting for its reader.
+/// Lines of one event beyond some hundred a second are dropped and counted; the
+/// next line of that event tells how many. Values that contain spaces,
 /// quotes or control characters are quoted and escaped.
 /// @param event  Name of the event, written as event=NAME.
 /// @param fields Keys and values in the order in which they are written.
 void LogEvent(const std::string& event,
               const std::vector<std::pair<std::string, std::string>>& fields);
 
+/// Sends log lines to another descriptor than standard output; for programs
+/// whose standard output is their result.
+void LogTo(int descriptor);
+
 /// Compares secrets in a time that depends only on their lengths.
 bool SecretsEqual(std::string_view left, std::string_view right);
 
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -174,7 +174,7 @@
   CallerHeaders read = ReadCallerHeaders(caller);
   CHECK(read.request_id == "a1");
   CHECK(read.key == "secret");
-  CHECK(read.patience == milliseconds(8'000));
+  CHECK(read.timeout == milliseconds(8'000));
   CHECK(read.prompt_tokens == 1460);
   CHECK(read.most_output_tokens == 80);
   ForwardInfo info{"i-1", "t1", milliseconds(700), ""};
--- /dev/null
+++ b/testing/relay_stall_test.cc
@@ -0,0 +1,114 @@
+// Requests whose group goes silent, at the level of the request path.
+
+#include <doctest/doctest.h>
+
+#include "core/core.h"
+
+namespace clementine {
+namespace {
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+struct PathFixture {
+  PathFixture() : path(Options()) {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->models["chat"].name = "chat";
+    configuration->organisations["shop"].name = "shop";
+    path.Handle(ConfigurationChanged{1, configuration}, kStart);
+    SetGroups({"a", "b"});
+  }
+
+  static RequestPathOptions Options() {
+    RequestPathOptions options;
+    options.isolate_suspects = false;
+    options.retry_ratio = 0.2;
+    return options;
+  }
+
+  void SetGroups(const std::vector<std::string>& names) {
+    GroupsChanged changed;
+    for (const std::string& name : names) {
+      GroupView view;
+      view.group = name;
+      view.model = "chat";
+      view.epoch = 1;
+      view.open = true;
+      changed.groups.push_back(view);
+    }
+    path.Handle(changed, kStart);
+  }
+
+  /// Starts a request. @return Its dispatch.
+  Dispatch Start(bool idempotent, int max_attempts = 2) {
+    Request request;
+    request.id = 1;
+    request.organisation = "shop";
+    request.model = "chat";
+    request.idempotent = idempotent;
+    request.max_attempts = max_attempts;
+    request.deadline = kStart + milliseconds(5'000);
+    auto actions = path.Handle(RequestArrived{request}, kStart);
+    auto dispatch = Find<Dispatch>(actions);
+    REQUIRE(dispatch);
+    return *dispatch;
+  }
+
+  std::vector<RequestAction> Stall(AttemptId attempt) {
+    return path.Handle(AttemptStalled{attempt}, kStart + milliseconds(600));
+  }
+
+  template <typename Action>
+  static std::optional<Action> Find(const std::vector<RequestAction>& actions) {
+    for (const RequestAction& action : actions) {
+      if (const auto* found = std::get_if<Action>(&action)) return *found;
+    }
+    return std::nullopt;
+  }
+
+  RequestPath path;
+};
+
+}  // namespace
+
+// Guards against a caller who waits for a group that lost a member while
+// another one could answer.
+TEST_CASE("a stalled request moves to another group") {
+  PathFixture fixture;
+  Dispatch first = fixture.Start(true);
+  std::vector<RequestAction> actions = fixture.Stall(first.attempt);
+  auto cancel = PathFixture::Find<CancelAttempt>(actions);
+  REQUIRE(cancel);
+  CHECK(cancel->attempt == first.attempt);
+  auto second = PathFixture::Find<Dispatch>(actions);
+  REQUIRE(second);
+  CHECK(second->group != first.group);
+}
+
+// Guards against an answer that is cut off because its server is silent for a
+// while: nothing else can give it.
+TEST_CASE("a stalled request goes on when no other group can take it") {
+  auto stays = [](PathFixture* fixture, const Dispatch& dispatch) {
+    return fixture->Stall(dispatch.attempt).empty();
+  };
+  PathFixture once;
+  CHECK(stays(&once, once.Start(false)));
+  PathFixture single;
+  CHECK(stays(&single, single.Start(true, 1)));
+  PathFixture alone;
+  alone.SetGroups({"a"});
+  CHECK(stays(&alone, alone.Start(true)));
+  PathFixture twice;
+  Dispatch first = twice.Start(true);
+  auto second = PathFixture::Find<Dispatch>(twice.Stall(first.attempt));
+  REQUIRE(second);
+  CHECK(stays(&twice, *second));
+  // The attempt that went on can still complete.
+  AttemptEnded ended;
+  ended.attempt = second->attempt;
+  ended.result = AttemptResult::kComplete;
+  ended.status = 200;
+  CHECK(PathFixture::Find<Finish>(
+      twice.path.Handle(ended, kStart + milliseconds(700))));
+}
+
+}  // namespace clementine
