--- a/testing/main.cc
+++ b/testing/main.cc
@@ -1,6 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT
 #include <doctest/doctest.h>
-
 #include <unistd.h>
 
 #include <cstdlib>
