--- a/net/end_to_end.cc
+++ b/net/end_to_end.cc
@@ -41,11 +41,12 @@
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
   std::string_view connection = FindHeader(headers, "Connection");
   HttpHeaders kept;
-  for (const auto& [name, value] : headers) {
-    bool hop = std::any_of(
-        kHopByHop.begin(), kHopByHop.end(),
-        [&](std::string_view hop_name) { return SameName(hop_name, name); });
-    if (!hop && !IsListed(connection, name)) kept.emplace_back(name, value);
+  for (const auto& header : headers) {
+    bool hop = std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                           [&header](std::string_view hop_name) {
+                             return SameName(hop_name, header.first);
+                           });
+    if (!hop && !IsListed(connection, header.first)) kept.push_back(header);
   }
   return kept;
 }
