--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -47,14 +47,15 @@
 
   ObjectReply Put(const PutObject& put) {
     std::optional<ObjectReply> reply;
-    store.Put(put, [&](ObjectReply answer) { reply = answer; });
+    store.Put(put, [&](const ObjectReply& answer) { reply = answer; });
     REQUIRE(RunUntil(&io, [&] { return reply.has_value(); }));
     return *reply;
   }
 
   ObjectBatch List() {
     std::optional<ObjectBatch> result;
-    store.List("servers", false, [&](ObjectBatch batch) { result = batch; });
+    store.List("servers", false,
+               [&](const ObjectBatch& batch) { result = batch; });
     REQUIRE(RunUntil(&io, [&] { return result.has_value(); }));
     return *result;
   }
