Compare header names and test idle connections in one place

Change: SameHeaderName in net/header_name.h, StillOpen in net/connection_pool.h. Behaviour is unchanged.

--- a/net/connection_pool.cc
+++ b/net/connection_pool.cc
@@ -10,8 +10,6 @@
 #include <utility>
 
 namespace clementine {
-namespace {
-
 bool StillOpen(boost::asio::ip::tcp::socket* socket) {
   char byte = 0;
   ssize_t size =
@@ -19,8 +17,6 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-}  // namespace
-
 std::optional<ConnectionPool::Socket> ConnectionPool::Take(
     const std::string& address) {
   auto found = m_idle.find(address);
--- a/net/connection_pool.h
+++ b/net/connection_pool.h
@@ -12,6 +12,10 @@
 
 namespace clementine {
 
+/// Whether the peer has neither closed an idle connection nor sent something
+/// unasked.
+bool StillOpen(boost::asio::ip::tcp::socket* socket);
+
 /// Keeps connections that are proven idle. Invariant: at most
 /// `max_per_address` connections for an address.
 class ConnectionPool {
--- a/net/end_to_end.cc
+++ b/net/end_to_end.cc
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/core/string.hpp>
 
+#include "net/header_name.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -15,11 +15,6 @@
     "Proxy-Connection",  "TE",         "Trailer",
     "Transfer-Encoding", "Upgrade",    "Content-Length"};
 
-bool SameName(std::string_view left, std::string_view right) {
-  return boost::beast::iequals({left.data(), left.size()},
-                               {right.data(), right.size()});
-}
-
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
   while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
@@ -30,7 +25,7 @@
 bool IsListed(std::string_view list, std::string_view name) {
   while (!list.empty()) {
     std::size_t comma = std::min(list.find(','), list.size());
-    if (SameName(Trim(list.substr(0, comma)), name)) return true;
+    if (SameHeaderName(Trim(list.substr(0, comma)), name)) return true;
     list.remove_prefix(std::min(comma + 1, list.size()));
   }
   return false;
@@ -44,7 +39,7 @@
   for (const auto& header : headers) {
     bool hop = std::any_of(kHopByHop.begin(), kHopByHop.end(),
                            [&header](std::string_view hop_name) {
-                             return SameName(hop_name, header.first);
+                             return SameHeaderName(hop_name, header.first);
                            });
     if (!hop && !IsListed(connection, header.first)) kept.push_back(header);
   }
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -22,6 +22,7 @@
 
 #include "fmt/format.h"
 #include "net/address.h"
+#include "net/header_name.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -40,11 +41,6 @@
 /// Wait after accept failed, which happens when descriptors run out.
 constexpr std::chrono::milliseconds kAcceptPause{100};
 
-bool SameName(std::string_view left, std::string_view right) {
-  return beast::iequals({left.data(), left.size()},
-                        {right.data(), right.size()});
-}
-
 std::string FormatHead(int status, const HttpHeaders& headers, bool close) {
   fmt::memory_buffer out;
   auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -75,7 +71,7 @@
 
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
-    if (SameName(key, name)) return value;
+    if (SameHeaderName(key, name)) return value;
   }
   return {};
 }
@@ -423,7 +419,7 @@
       asio::redirect_error(asio::use_awaitable, *error));
   if (*error) co_return false;
   SetDeadline(m_server->limits().body_timeout);
-  if (SameName(parser->get()[http::field::expect], "100-continue")) {
+  if (SameHeaderName(parser->get()[http::field::expect], "100-continue")) {
     static constexpr std::string_view kContinue =
         "HTTP/1.1 100 Continue\r\n\r\n";
     co_await asio::async_write(
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -6,8 +6,6 @@
 
 #include "net/http_transport.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +19,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/address.h"
+#include "net/connection_pool.h"
 
 namespace clementine {
 namespace {
@@ -46,15 +45,6 @@
   beast::flat_buffer buffer;
 };
 
-// Whether the platform has neither closed an idle connection nor sent
-// something unasked.
-bool StillOpen(tcp::socket* socket) {
-  char byte = 0;
-  ssize_t count =
-      recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 }  // namespace
 
 class HttpTransport::Impl
