Write no order to a host after its lease time has passed

Cause: a lease holder decides on an order only with lease time to spare, but the order itself carried no time. A process that was stopped (SIGSTOP) after the decision wrote the order when it resumed, with the old fence, to hosts that had taken orders of the next holder. Ruled out: the lease (the new holder waited for the whole duration), and order_dispatch (it sent nothing after the pause). Change: SendOrder carries `send_by`, the time by which the dispatcher counts the order as settled; the backend client checks it right before the write and waits no longer for the answer. Test: "an order isn't sent once its time has passed" (net): failed before (accepted, 1 request received), passes now. Conclusion: only a pause between that check and the system call is left, a few microseconds; engines that check the fence exclude that too.

--- a/core/core.h
+++ b/core/core.h
@@ -469,6 +469,8 @@
   std::string host;
   std::string address;
   HostOrder order;
+  /// The order isn't sent from this time on, because the lease may have ended.
+  TimePoint send_by;
 };
 /// Sends to one peer, or to all connected peers when `peer_address` is empty.
 struct SendPeer {
--- a/core/order_dispatch.cc
+++ b/core/order_dispatch.cc
@@ -95,7 +95,7 @@
                               {"epoch", std::to_string(order.epoch)},
                               {"fence", std::to_string(order.fence)}}});
   out->push_back(SendOrder{orders.call, host.info.host, host.info.address,
-                           std::move(order)});
+                           std::move(order), now + m_longest_order});
 }
 
 void OrderDispatch::Unload(const HostRecord& host, std::uint64_t fence,
--- a/daemon/control_executor.cc
+++ b/daemon/control_executor.cc
@@ -78,7 +78,7 @@
 
 void ControlExecutor::On(const SendOrder& send) {
   m_context.backends->SendOrder(
-      send.address, send.order, m_context.settings->longest_order,
+      send.address, send.order, send.send_by,
       [this, alive = m_alive, host = send.host, call = send.call](bool accepted,
                                                                   bool sent) {
         if (!*alive) return;
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -390,6 +390,12 @@
 }
 
 asio::awaitable<bool> CallState::WriteRequest() {
+  // The process may have been paused since the call was decided on.
+  if (Clock::now() >= m_call.send_by) {
+    m_end.detail = "too late to send";
+    m_end.result = AttemptResult::kNotSent;
+    co_return false;
+  }
   SetDeadline(m_call.first_byte_timeout);
   std::string head = FormatRequest(m_call, m_client->m_options.token);
   std::array<asio::const_buffer, 2> buffers = {
@@ -656,7 +662,7 @@
 
 void BackendClient::SendOrder(
     const std::string& address, const HostOrder& order,
-    std::chrono::milliseconds timeout,
+    std::chrono::steady_clock::time_point send_by,
     std::function<void(bool accepted, bool sent)> done) {
   nlohmann::json json = {
       {"kind", order.kind},         {"group", order.group},
@@ -671,7 +677,9 @@
   call.headers = {{"Content-Type", "application/json"}};
   call.body = std::make_shared<const std::string>(json.dump());
   call.idempotent = false;
-  call.first_byte_timeout = timeout;
+  call.send_by = send_by;
+  call.first_byte_timeout =
+      std::chrono::duration_cast<milliseconds>(send_by - Clock::now());
   BackendHandlers handlers;
   handlers.end = [done = std::move(done)](const BackendEnd& end) {
     done(end.result == AttemptResult::kComplete && end.status / 100 == 2,
--- a/net/net.h
+++ b/net/net.h
@@ -258,6 +258,9 @@
   bool idempotent = true;
   std::chrono::milliseconds first_byte_timeout{10'000};
   std::chrono::milliseconds gap_timeout{2'000};
+  /// The call isn't written from this time on.
+  std::chrono::steady_clock::time_point send_by =
+      std::chrono::steady_clock::time_point::max();
   /// Passes the answer on unread: the hooks `head` and `bytes` get it, and
   /// `headers` hold all headers of the call, Host included.
   bool relay = false;
@@ -347,8 +350,9 @@
              std::function<void(std::optional<HostHealth>)> done);
 
   /// Sends an order. `sent` is false only if no byte could have arrived.
+  /// @param send_by The order is neither sent nor waited for after this time.
   void SendOrder(const std::string& address, const HostOrder& order,
-                 std::chrono::milliseconds timeout,
+                 std::chrono::steady_clock::time_point send_by,
                  std::function<void(bool accepted, bool sent)> done);
 
   /// Tells a backend server to stop an attempt; failures are ignored.
--- a/testing/net_backend_client_test.cc
+++ b/testing/net_backend_client_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <thread>
 
 #include "net/net.h"
 #include "testing/net_test_support.h"
@@ -289,7 +290,8 @@
   auto order = [&] {
     seen.clear();
     fixture.client.SendOrder(
-        fixture.server.address, {}, milliseconds(500),
+        fixture.server.address, {},
+        std::chrono::steady_clock::now() + milliseconds(500),
         [&](bool accepted, bool sent) {
           seen = accepted ? "accepted" : sent ? "sent" : "not sent";
         });
@@ -303,4 +305,27 @@
   CHECK(order() == "not sent");
 }
 
+// Guards against an order that a paused process sends after its lease has
+// ended: the process stops after the decision, and what it had prepared is
+// written when it resumes.
+TEST_CASE("an order isn't sent once its time has passed") {
+  int received = 0;
+  Fixture fixture([&](RawConnection& raw, const std::string&) {
+    ++received;
+    raw.Send(HttpAnswer(200, "{}"));
+  });
+  std::string seen;
+  fixture.client.SendOrder(
+      fixture.server.address, {},
+      std::chrono::steady_clock::now() + milliseconds(50),
+      [&](bool accepted, bool sent) {
+        seen = accepted ? "accepted" : sent ? "sent" : "not sent";
+      });
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(RunUntil(&fixture.io, [&] { return !seen.empty(); }));
+  CHECK(seen == "not sent");
+  RunFor(&fixture.io, milliseconds(50));
+  CHECK(received == 0);
+}
+
 }  // namespace clementine::nettest
