--- a/config/config.h
+++ b/config/config.h
@@ -18,7 +18,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace clementine {
@@ -26,6 +28,17 @@
 /// Largest value that the platform's object API holds, in bytes.
 inline constexpr std::size_t kMaxObjectBytes = 1'000'000;
 
+/// @return The value of a JSON text.
+/// @throws nlohmann::json::parse_error when the text isn't JSON.
+nlohmann::json ParseJson(std::string_view text);
+
+/// @return The value of a JSON text, or a discarded value when it isn't JSON.
+nlohmann::json TryParseJson(std::string_view text);
+
+/// @param indent Spaces a level; negative: on one line.
+/// @throws nlohmann::json::type_error when a string isn't UTF-8.
+std::string JsonText(const nlohmann::json& value, int indent = -1);
+
 /// A fault in a file, with its place.
 struct Finding {
   std::string file;
--- a/config/head.cc
+++ b/config/head.cc
@@ -30,12 +30,12 @@
                          {"author", head.author},
                          {"sections", head.sections},
                          {"earlier_applies", head.earlier_applies}};
-  return json.dump();
+  return JsonText(json);
 }
 
 ConfigHead DecodeHead(const std::string& json) {
   try {
-    nlohmann::json value = nlohmann::json::parse(json);
+    nlohmann::json value = ParseJson(json);
     ConfigHead head;
     head.generation = value.at("generation").get<std::uint64_t>();
     head.apply_id = value.at("apply_id").get<std::string>();
--- a/core/claim_ledger.cc
+++ b/core/claim_ledger.cc
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -97,18 +98,18 @@
     json["body"] = record.body;
   }
   try {
-    return json.dump();
+    return JsonText(json);
   } catch (const nlohmann::json::type_error&) {
     // JSON strings hold only UTF-8.
     json.erase("body");
     json["body_hex"] = ToHex(record.body);
-    return json.dump();
+    return JsonText(json);
   }
 }
 
 std::optional<ClaimRecord> DecodeClaim(const std::string& text) {
   try {
-    nlohmann::json json = nlohmann::json::parse(text);
+    nlohmann::json json = ParseJson(text);
     ClaimRecord record;
     std::optional<ClaimState> state =
         StateOf(json.at("state").get<std::string>());
--- a/core/lease.cc
+++ b/core/lease.cc
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "config/config.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -46,12 +47,12 @@
                          {"term", record.term},
                          {"fence", record.fence},
                          {"renewal", record.renewal}};
-  return json.dump();
+  return JsonText(json);
 }
 
 LeaseRecord DecodeLease(const std::string& json) {
   try {
-    nlohmann::json value = nlohmann::json::parse(json);
+    nlohmann::json value = ParseJson(json);
     LeaseRecord record;
     record.holder = value.at("holder").get<std::string>();
     record.incarnation = value.at("incarnation").get<std::uint64_t>();
--- a/core/placement_object.cc
+++ b/core/placement_object.cc
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "config/config.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -104,12 +105,12 @@
                          {"groups", std::move(groups)},
                          {"released", std::move(released)},
                          {"epochs", placement.epochs}};
-  return json.dump();
+  return JsonText(json);
 }
 
 Placement DecodePlacement(const std::string& json) {
   try {
-    nlohmann::json value = nlohmann::json::parse(json);
+    nlohmann::json value = ParseJson(json);
     Placement placement;
     placement.fence = value.at("fence").get<std::uint64_t>();
     placement.write_id = value.at("write_id").get<std::string>();
--- a/core/status.cc
+++ b/core/status.cc
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "config/config.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -131,7 +132,7 @@
       {"lease",
        {{"holder", lease.known_holder()}, {"fence", lease.known_fence()}}},
       {"platform_calls", sources.calls->counts()}};
-  return json.dump();
+  return JsonText(json);
 }
 
 void Status::Advance(const StatusSources& sources, TimePoint now,
--- a/ctl/status.cc
+++ b/ctl/status.cc
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
 #include "ctl/ctl.h"
 #include "ctl/status_document.h"
 #include "fmt/format.h"
@@ -84,12 +85,12 @@
                                 Printable(entry.key)));
       code = kExitDamaged;
     } else if (json) {
-      all["data_centres"][name] = nlohmann::json::parse(entry.value);
+      all["data_centres"][name] = ParseJson(entry.value);
     } else {
       PrintDataCentre(*status, session);
     }
   }
-  if (json) session.out(all.dump(2));
+  if (json) session.out(JsonText(all, 2));
   return code;
 }
 
--- a/ctl/status_document.cc
+++ b/ctl/status_document.cc
@@ -7,6 +7,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
+
 namespace clementine::ctl {
 namespace {
 
@@ -47,7 +49,7 @@
 
 std::optional<StatusDocument> DecodeStatus(const std::string& json,
                                            const std::string& data_centre) {
-  Json document = Json::parse(json, nullptr, false);
+  Json document = TryParseJson(json);
   if (!document.is_object()) return std::nullopt;
   StatusDocument status;
   status.data_centre = data_centre;
--- a/daemon/answers.cc
+++ b/daemon/answers.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
+
 namespace clementine {
 
 HttpHeaders OutcomeHeaders(Outcome outcome, const std::string& content_type) {
@@ -14,9 +16,8 @@
 
 std::string ErrorJson(const std::string& type, const std::string& message,
                       Outcome outcome) {
-  return nlohmann::json{{"error", {{"type", type}, {"message", message}}},
-                        {"outcome", OutcomeName(outcome)}}
-      .dump();
+  return JsonText({{"error", {{"type", type}, {"message", message}}},
+                   {"outcome", OutcomeName(outcome)}});
 }
 
 void AnswerError(HttpExchange* exchange, int status, const std::string& type,
--- a/daemon/cache_poller.cc
+++ b/daemon/cache_poller.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "config/config.h"
+
 namespace clementine {
 namespace {
 
@@ -77,7 +79,7 @@
 void CachePoller::Apply(const std::string& name, Group* group,
                         const std::string& body) {
   try {
-    nlohmann::json json = nlohmann::json::parse(body);
+    nlohmann::json json = ParseJson(body);
     for (const nlohmann::json& entry : json.at("events")) {
       auto sequence = entry.at("sequence").get<std::uint64_t>();
       if (sequence <= group->engine_sequence) continue;
--- a/daemon/chat_answer.cc
+++ b/daemon/chat_answer.cc
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "config/config.h"
+
 namespace clementine {
 namespace {
 
@@ -69,7 +71,7 @@
   std::map<int, Json> choices;
   try {
     for (const std::string& event : events) {
-      Json chunk = Json::parse(event);
+      Json chunk = ParseJson(event);
       for (const auto& [name, value] : chunk.items()) {
         if (name == "choices") {
           for (const Json& choice : value) AppendChoice(choice, &choices);
@@ -82,7 +84,7 @@
     for (auto& [index, choice] : choices) {
       answer["choices"].push_back(std::move(choice));
     }
-    return answer.dump();
+    return JsonText(answer);
   } catch (const Json::exception& error) {
     throw std::runtime_error(error.what());
   }
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -60,7 +61,7 @@
 
 Json ParseBody(const std::string& body) {
   if (TooDeep(body)) Reject(400, "invalid_json", "the body is nested too deep");
-  Json json = Json::parse(body, nullptr, false);
+  Json json = TryParseJson(body);
   if (!json.is_object()) {
     Reject(400, "invalid_json", "the body isn't a JSON object");
   }
@@ -173,7 +174,7 @@
   }
   json["stream"] = true;
   if (!named) json["model"] = request.model;
-  result->body = std::make_shared<const std::string>(json.dump());
+  result->body = std::make_shared<const std::string>(JsonText(json));
 }
 
 void ReadPlain(const RouteSpec& route, const HttpRequest& http,
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -25,6 +25,7 @@
 #include <nlohmann/json.hpp>
 #include <unordered_set>
 
+#include "config/config.h"
 #include "fmt/format.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
@@ -73,7 +74,7 @@
 }
 
 bool SaysNotRun(const std::string& body) {
-  nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  nlohmann::json json = TryParseJson(body);
   if (!json.is_object()) return false;
   auto found = json.find("not_run");
   return found != json.end() && found->is_boolean() && found->get<bool>();
@@ -675,7 +676,7 @@
   call.address = address;
   call.target = "/v1/orders";
   call.headers = {{"Content-Type", "application/json"}};
-  call.body = std::make_shared<const std::string>(json.dump());
+  call.body = std::make_shared<const std::string>(JsonText(json));
   call.idempotent = false;
   call.send_by = send_by;
   call.first_byte_timeout =
--- a/net/backend_text.cc
+++ b/net/backend_text.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -53,7 +54,7 @@
 
 std::optional<HostHealth> ParseHealth(const std::string& json) {
   try {
-    nlohmann::json value = nlohmann::json::parse(json);
+    nlohmann::json value = ParseJson(json);
     HostHealth health;
     health.host = value.at("host").get<std::string>();
     health.state = value.at("state").get<std::string>();
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
 #include "fmt/format.h"
 #include "net/http_transport.h"
 #include "net/net.h"
@@ -48,7 +49,7 @@
   if (answer.status == 404) reply.status = ObjectStatus::kNotFound;
   if (!with_object) return reply;
   try {
-    Json json = Json::parse(answer.body);
+    Json json = ParseJson(answer.body);
     reply.version = json.at("version").get<std::uint64_t>();
     reply.value = json.value("value", "");
     reply.status =
@@ -63,7 +64,7 @@
 std::optional<ObjectsChanged> DecodeObjects(const Answer& answer) {
   if (answer.status != 200) return std::nullopt;
   try {
-    Json json = Json::parse(answer.body);
+    Json json = ParseJson(answer.body);
     ObjectsChanged changed;
     changed.revision = json.at("revision").get<std::uint64_t>();
     for (const Json& event : json.at("events")) {
@@ -83,7 +84,7 @@
 // other hosts.
 std::optional<std::vector<HostInfo>> DecodeHosts(const Answer& answer) {
   if (answer.status != 200) return std::nullopt;
-  Json json = Json::parse(answer.body, nullptr, false);
+  Json json = TryParseJson(answer.body);
   if (!json.is_array()) return std::nullopt;
   std::vector<HostInfo> hosts;
   for (const Json& row : json) {
--- a/testing/backend_standin.cc
+++ b/testing/backend_standin.cc
@@ -29,6 +29,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <list>
 
+#include "config/config.h"
 #include "fmt/format.h"
 #include "net/net.h"
 #include "testing/standin_cache.h"
@@ -232,8 +233,8 @@
 
 asio::awaitable<void> Backend::HandleFaults(Exchange* exchange) {
   if (exchange->method() == "POST") {
-    Json faults = Json::parse(exchange->body());
-    LogEvent("faults", {{"set", faults.dump()}});
+    Json faults = ParseJson(exchange->body());
+    LogEvent("faults", {{"set", JsonText(faults)}});
     if (faults.value("crash", false)) ::_exit(kCrashStatus);
     if (faults.contains("freeze")) {
       m_server.set_frozen(faults["freeze"].get<bool>());
@@ -297,7 +298,7 @@
 }
 
 asio::awaitable<void> Backend::HandleChat(Exchange* exchange) {
-  Json request = Json::parse(exchange->body());
+  Json request = ParseJson(exchange->body());
   std::string prompt = PromptText(request);
   Headers headers = AnswerHeaders(*exchange);
   if (int status = RefusalStatus(*exchange); status != 0) {
@@ -431,7 +432,8 @@
                  {"finish_reason", nullptr}};
   Json data = {{"object", "chat.completion.chunk"},
                {"choices", Json::array({choice})}};
-  return fmt::format("id: {}:{}\ndata: {}\n\n", attempt, offset, data.dump());
+  return fmt::format("id: {}:{}\ndata: {}\n\n", attempt, offset,
+                     JsonText(data));
 }
 
 asio::awaitable<void> Backend::SendFrame(Exchange* exchange,
@@ -539,7 +541,7 @@
 }
 
 asio::awaitable<void> Backend::HandleOrder(Exchange* exchange) {
-  Json order = Json::parse(exchange->body());
+  Json order = ParseJson(exchange->body());
   std::uint64_t fence = order.value("fence", std::uint64_t{0});
   bool stale = !m_options.ignore_fence && fence < m_fence;
   Json entry = order;
@@ -591,7 +593,7 @@
 }
 
 asio::awaitable<void> Backend::HandleKv(Exchange* exchange) {
-  Json request = Json::parse(exchange->body());
+  Json request = ParseJson(exchange->body());
   auto blocks = request.at("blocks").get<std::vector<std::uint64_t>>();
   Json answer;
   if (exchange->path() == "/v1/kv/import") {
@@ -655,7 +657,7 @@
                 {"accelerators", m_options.accelerators},
                 {"kind", m_options.kind},
                 {"state", m_faults.leaving ? "leaving" : "live"}};
-    std::string body = row.dump();
+    std::string body = JsonText(row);
     co_await Call(m_options.platform, "POST", "/v1/hosts", body,
                   BearerHeaders(m_options.platform_token), kCallTimeout);
     co_await Sleep(milliseconds(m_options.heartbeat_ms));
--- a/testing/control_plane_test.cc
+++ b/testing/control_plane_test.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
 #include "testing/control_world.h"
 
 namespace clementine {
@@ -66,7 +67,7 @@
   world.Run(seconds(300));
   CHECK(world.OpenGroups(0) == 2);
   CHECK(world.Holder() == -1);
-  auto calls = nlohmann::json::parse(
+  auto calls = ParseJson(
       world.daemons[0].plane->status(world.now).json)["platform_calls"];
   world.platform_down = false;
   world.Run(seconds(30));
@@ -148,7 +149,7 @@
   world.StoreConfiguration(WorldConfiguration(1, 4), 1);
   world.Run(seconds(10));
   REQUIRE(world.objects.count("status/dc") == 1);
-  auto status = nlohmann::json::parse(world.objects["status/dc"].value);
+  auto status = ParseJson(world.objects["status/dc"].value);
   CHECK(status["groups"][0]["state"] == "missing");
   CHECK(status["groups"][0]["downtime_ms"].get<int>() > 5'000);
   CHECK(status["hosts"]["total"] == 6);
--- a/testing/load_bench.cc
+++ b/testing/load_bench.cc
@@ -25,6 +25,7 @@
 #include <utility>
 #include <vector>
 
+#include "config/config.h"
 #include "fmt/format.h"
 #include "testing/standin_http.h"
 
@@ -156,7 +157,7 @@
                  {"stream", true},
                  {"max_tokens", m_options.max_tokens},
                  {"messages", {{{"role", "user"}, {"content", prompt}}}}};
-    std::string text = body.dump();
+    std::string text = clementine::JsonText(body);
     std::string direct;
     if (!m_options.groups.empty()) {
       std::size_t index =
@@ -340,6 +341,6 @@
   Load load(&io, options);
   asio::co_spawn(io, load.Start(), asio::detached);
   io.run();
-  std::cout << load.Report().dump(1) << "\n";
+  std::cout << clementine::JsonText(load.Report(), 1) << "\n";
   return 0;
 }
--- a/testing/net_daemon_test.cc
+++ b/testing/net_daemon_test.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "config/config.h"
 #include "daemon/cache_poller.h"
 #include "daemon/chat_answer.h"
 #include "daemon/request_executor.h"
@@ -171,7 +172,7 @@
   ReadResult joined = Read(Chat(ChatBody(R"("model":"chat","top_p":0.5)")));
   REQUIRE(joined.request.has_value());
   CHECK_FALSE(joined.request->streamed);
-  auto sent = nlohmann::json::parse(*joined.request->body);
+  auto sent = ParseJson(*joined.request->body);
   CHECK(sent["stream"] == true);
   CHECK(sent["top_p"] == 0.5);
   HttpRequest order = {
@@ -215,8 +216,8 @@
       R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,)"
       R"("function":{"arguments":"}"}}]},"finish_reason":"stop"}],)"
       R"("usage":{"total_tokens":5}})";
-  auto answer = nlohmann::json::parse(
-      JoinChatEvents({first, Delta("a"), Delta("b"), call, last}));
+  auto answer =
+      ParseJson(JoinChatEvents({first, Delta("a"), Delta("b"), call, last}));
   CHECK(answer["object"] == "chat.completion");
   CHECK(answer["id"] == "x");
   const auto& choice = answer["choices"][0];
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "config/config.h"
 #include "platform/platform.h"
 #include "testing/net_test_support.h"
 
@@ -103,9 +104,9 @@
        {"", "[]", "{}", R"({"version":"7"})", R"({"version":7,"routes":{}})"}) {
     CHECK_THROWS_AS(DecodeConfiguration(broken), std::runtime_error);
   }
-  Json json = Json::parse(kConfiguration);
+  Json json = ParseJson(kConfiguration);
   json["routes"][0]["route_type"] = "sometimes";
-  CHECK_THROWS_AS(DecodeConfiguration(json.dump()), std::runtime_error);
+  CHECK_THROWS_AS(DecodeConfiguration(JsonText(json)), std::runtime_error);
 }
 
 // Guards against the count of an entry's renewals being taken for the count of
@@ -129,9 +130,9 @@
     CHECK_FALSE(DecodeServer("i-1", broken));
     CHECK_FALSE(DecodeReport(broken));
   }
-  Json json = Json::parse(kEntry);
+  Json json = ParseJson(kEntry);
   json["state"] = "resting";
-  CHECK_FALSE(DecodeServer("i-1", json.dump()));
+  CHECK_FALSE(DecodeServer("i-1", JsonText(json)));
 }
 
 // Guards against a crash, or a server that is half read, whatever an entry
@@ -217,7 +218,7 @@
   join.members = {"a", "b"};
   join.expected_orders = 3;
   BackendCall call = OrderCall("a", "10.0.0.1:1", join);
-  Json body = Json::parse(*call.body);
+  Json body = ParseJson(*call.body);
   CHECK(body["operation"] == "join");
   CHECK(body["expected"] == 3);
   CHECK(body["members"].size() == 2);
@@ -225,7 +226,7 @@
   GroupOrder stage;
   stage.kind = GroupOrder::Kind::kStage;
   stage.model = "m0";
-  CHECK_FALSE(Json::parse(*OrderCall("a", "", stage).body).contains("group"));
+  CHECK_FALSE(ParseJson(*OrderCall("a", "", stage).body).contains("group"));
   BackendEnd end;
   end.result = AttemptResult::kTimedOut;
   CHECK(ReadOrderAnswer(end) == OrderResult::kUnknown);
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -26,6 +26,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
 
+#include "config/config.h"
 #include "net/net.h"
 #include "testing/standin_http.h"
 
@@ -192,14 +193,14 @@
 
 asio::awaitable<void> Platform::HandleFaults(Exchange* exchange) {
   if (exchange->method() == "POST") {
-    Json faults = Json::parse(exchange->body());
+    Json faults = ParseJson(exchange->body());
     m_down = faults.value("down", m_down);
     m_slow_ms = faults.value("slow_ms", m_slow_ms);
     m_lose_answers = faults.value("lose_answers", m_lose_answers);
     m_lose_prefix = faults.value("lose_prefix", m_lose_prefix);
     if (m_down != false) m_server.CloseConnections(exchange);
     m_server.SetRefusing(m_down == "refuse");
-    LogEvent("faults", {{"set", faults.dump()}});
+    LogEvent("faults", {{"set", JsonText(faults)}});
   }
   Json now = {{"down", m_down},
               {"slow_ms", m_slow_ms},
@@ -246,7 +247,7 @@
   } else {
     // Values travel in JSON; one that isn't UTF-8 throws and is answered 400.
     answer["value"] = exchange->body();
-    if (answer.dump().empty()) co_return;
+    if (JsonText(answer).empty()) co_return;
     const Object& current = m_objects[key];
     if (current.version != *if_version) {
       status = remove && current.version == 0 ? 404 : 409;
@@ -314,7 +315,7 @@
 asio::awaitable<void> Platform::HandleHosts(Exchange* exchange) {
   if (exchange->method() == "POST") {
     ++m_calls["register"];
-    Json body = Json::parse(exchange->body());
+    Json body = ParseJson(exchange->body());
     Json row = {{"host", body.at("host").get<std::string>()},
                 {"data_centre", body.value("data_centre", "")},
                 {"fabric_domain", body.value("fabric_domain", "")},
--- a/testing/process_fault_test.cc
+++ b/testing/process_fault_test.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <thread>
 
+#include "config/config.h"
 #include "fmt/format.h"
 #include "testing/process_site.h"
 
@@ -120,8 +121,8 @@
                   [&] { return Chat(&site, i, "after").status == 200; }));
   }
   for (const Json& version : PlacementHistory(&site)) {
-    Json placement = Json::parse(version["value"].get<std::string>());
-    INFO(placement.dump());
+    Json placement = clementine::ParseJson(version["value"].get<std::string>());
+    INFO(clementine::JsonText(placement));
     CHECK(DoubleHosts(placement).empty());
   }
   for (int i = 1; i <= 4; ++i) {
@@ -131,7 +132,7 @@
     CHECK_FALSE(site.AcceptedOrders(host).empty());
     for (const Json& order : site.AcceptedOrders(host)) {
       auto fence = order["fence"].get<std::uint64_t>();
-      INFO(host << " " << order.dump());
+      INFO(host << " " << clementine::JsonText(order));
       CHECK(fence >= highest);
       highest = std::max(highest, fence);
     }
@@ -278,7 +279,9 @@
   for (Json row : rows) {
     if (row["host"] != leader) continue;
     row["state"] = "leaving";
-    CHECK(site.Platform("POST", "/v1/hosts", row.dump()).status == 200);
+    CHECK(
+        site.Platform("POST", "/v1/hosts", clementine::JsonText(row)).status ==
+        200);
   }
   auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
   while (std::chrono::steady_clock::now() < end) {
--- a/testing/process_harness.cc
+++ b/testing/process_harness.cc
@@ -34,6 +34,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "config/config.h"
 #include "fmt/format.h"
 #include "testing/standin_http.h"
 
@@ -199,9 +200,7 @@
   return "";
 }
 
-nlohmann::json Answer::Json() const {
-  return nlohmann::json::parse(body, nullptr, false);
-}
+nlohmann::json Answer::Json() const { return TryParseJson(body); }
 
 Answer Fetch(const std::string& address, const std::string& method,
              const std::string& target, const std::string& body,
@@ -216,7 +215,7 @@
 }
 
 void SetFaults(const std::string& address, const nlohmann::json& faults) {
-  Answer answer = Fetch(address, "POST", "/faults", faults.dump());
+  Answer answer = Fetch(address, "POST", "/faults", JsonText(faults));
   if (answer.status != 200) {
     throw std::runtime_error(
         fmt::format("faults at {}: status {}", address, answer.status));
@@ -230,7 +229,7 @@
                          {"messages", nlohmann::json::array({message})},
                          {"max_tokens", max_tokens},
                          {"stream", stream}};
-  return body.dump();
+  return JsonText(body);
 }
 
 // ---------------------------------------------------------------------------
@@ -335,7 +334,7 @@
        (end = body.find('\n', start)) != std::string::npos; start = end + 1) {
     std::string line = body.substr(start, end - start);
     if (!line.starts_with("data: {")) continue;
-    auto json = nlohmann::json::parse(line.substr(6), nullptr, false);
+    auto json = TryParseJson(line.substr(6));
     if (!json.is_object() || !json.contains("choices")) continue;
     tokens.push_back(
         json["choices"].at(0).at("delta").value("content", std::string()));
--- a/testing/process_site.cc
+++ b/testing/process_site.cc
@@ -7,6 +7,7 @@
 
 #include <csignal>
 
+#include "config/config.h"
 #include "fmt/format.h"
 #include "testing/standin_tokens.h"
 
@@ -72,7 +73,7 @@
 }
 
 std::string ExpectedText(const std::string& body) {
-  return standin::AnswerText(Json::parse(body));
+  return standin::AnswerText(ParseJson(body));
 }
 
 std::string ChatText(const Answer& answer) {
@@ -199,7 +200,7 @@
 Json Site::Object(const std::string& key) {
   Json reply = Platform("GET", "/v1/objects/" + key).Json();
   if (!reply.is_object() || !reply.contains("value")) return Json();
-  return Json::parse(reply["value"].get<std::string>(), nullptr, false);
+  return TryParseJson(reply["value"].get<std::string>());
 }
 
 std::vector<std::string> Site::GroupHosts(const std::string& group) {
--- a/testing/process_standin_test.cc
+++ b/testing/process_standin_test.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 
+#include "config/config.h"
 #include "testing/process_harness.h"
 #include "testing/standin_tokens.h"
 
@@ -27,7 +28,8 @@
   Json order = {{"kind", "load"}, {"group", "chat/0"}, {"epoch", epoch},
                 {"rank", 0},      {"hosts", {"h1"}},   {"model", "chat"},
                 {"version", "1"}, {"weights", "w"},    {"fence", epoch}};
-  REQUIRE(Fetch(address, "POST", "/v1/orders", order.dump()).status == 200);
+  REQUIRE(Fetch(address, "POST", "/v1/orders", clementine::JsonText(order))
+              .status == 200);
   REQUIRE(WaitFor(kLongWait, [&] {
     return Fetch(address, "GET", "/v1/health").Json()["state"] == "serving";
   }));
@@ -139,7 +141,8 @@
   REQUIRE(whole.WaitForEnd());
   REQUIRE(rest.WaitForEnd());
   CHECK(whole.done());
-  CHECK(whole.text() == clementine::standin::AnswerText(Json::parse(body)));
+  CHECK(whole.text() ==
+        clementine::standin::AnswerText(clementine::ParseJson(body)));
   CHECK(rest.tokens() == 3);
   CHECK(whole.text().ends_with(rest.text()));
   CHECK(whole.raw().find("id: a2:7\n") != std::string::npos);
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -21,6 +21,7 @@
 #include <charconv>
 #include <stdexcept>
 
+#include "config/config.h"
 #include "fmt/format.h"
 
 namespace clementine::standin {
@@ -132,7 +133,7 @@
 asio::awaitable<void> Exchange::Answer(int status, const Json& json,
                                        Headers headers) {
   headers.emplace_back("Content-Type", "application/json");
-  std::string text = json.dump();
+  std::string text = JsonText(json);
   co_await Answer(status, std::move(text), std::move(headers));
 }
 
