Answer a resend from its claim while no group is open

Cause: an order whose service broke while it ran is answered "unknown", and its host is suspected, so the gate of its group closes until the next probe. A resend that arrived in between met an empty pool and was refused "not run" with no_group before its claim was read. Change: an order with a key goes to its claim when no group is open, also when it waits in a queue as the last group closes. If it wins the claim, it's refused as before and the claim released. Other requests are refused as before. Tests: "a resend hears its order's outcome while no group is open" and "an order without a group releases its claim" failed before; the process test "a resend hears an order's outcome while its service is frozen" keeps the gate closed for certain.

--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -70,7 +70,15 @@
   }
   Pool* pool = m_router.FindPool(request);
   if (pool == nullptr || pool->size() == 0) {
-    refuse(RefusalReason::kNoGroup, kDefaultRetryAfter);
+    if (!ClaimNeeded(request)) {
+      refuse(RefusalReason::kNoGroup, kDefaultRetryAfter);
+      return;
+    }
+    // A resend is answered from the claim of the call before it, which needs
+    // no group. An order that wins its claim is refused then.
+    Active& active =
+        AddActive(request, std::move(digest), m_router.MakePool(request));
+    Claim(&active);
     return;
   }
   Admission::Answer answer{Admission::Verdict::kRun, milliseconds(0)};
@@ -83,17 +91,24 @@
     refuse(RefusalReason::kOverloaded, answer.retry_after);
     return;
   }
+  Active& active = AddActive(request, std::move(digest), pool);
+  if (answer.verdict == Admission::Verdict::kQueue) {
+    m_queued_pools[pool->id] = pool;
+    return;
+  }
+  Admit(&active);
+}
+
+RequestPath::Impl::Active& RequestPath::Impl::AddActive(const Request& request,
+                                                        std::string digest,
+                                                        Pool* pool) {
   Active& active = m_requests[request.id];
   active.request = request;
   active.digest = std::move(digest);
   active.pool = pool;
   ++pool->users;
   SetTimer(&active, request.deadline);
-  if (answer.verdict == Admission::Verdict::kQueue) {
-    m_queued_pools[pool->id] = pool;
-    return;
-  }
-  Admit(&active);
+  return active;
 }
 
 // The request has its turn: it claims its key, or runs at once.
@@ -105,6 +120,10 @@
     DispatchNow(active);
     return;
   }
+  Claim(active);
+}
+
+void RequestPath::Impl::Claim(Active* active) {
   if (!m_ledger.HasRoom()) {
     RefuseActive(active, RefusalReason::kPlatformDown, kDefaultRetryAfter);
     return;
@@ -151,7 +170,13 @@
   }
   std::sort(stranded.begin(), stranded.end());
   for (RequestId id : stranded) {
-    RefuseActive(Find(id), RefusalReason::kNoGroup, kDefaultRetryAfter);
+    Active* active = Find(id);
+    if (ClaimNeeded(active->request)) {
+      m_admission.Remove(id);
+      Claim(active);
+    } else {
+      RefuseActive(active, RefusalReason::kNoGroup, kDefaultRetryAfter);
+    }
   }
 }
 
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -107,7 +107,9 @@
   // Arrival and admission.
   std::optional<RefusalReason> Check(const Request& request) const;
   bool KeyRequired(const std::string& path) const;
+  Active& AddActive(const Request& request, std::string digest, Pool* pool);
   void Admit(Active* active);
+  void Claim(Active* active);
   void PumpQueues();
   void RefuseHopeless();
   void RefuseWithoutGroups();
--- a/core/router.cc
+++ b/core/router.cc
@@ -107,14 +107,9 @@
 }
 
 void Router::Enlist(GroupState* group, const std::string& pool_name) {
-  std::unique_ptr<Pool>& pool = m_pools[pool_name];
-  if (pool == nullptr) {
-    pool = std::make_unique<Pool>();
-    pool->name = pool_name;
-    pool->id = ++m_last_pool;
-  }
-  bool twice = std::find(group->pools.begin(), group->pools.end(),
-                         pool.get()) != group->pools.end();
+  Pool* pool = MakePool(pool_name);
+  bool twice = std::find(group->pools.begin(), group->pools.end(), pool) !=
+               group->pools.end();
   if (!group->view.open || group->view.leaving || twice) {
     return;
   }
@@ -127,7 +122,7 @@
     (group->near ? pool->near_capacity : pool->far_capacity) +=
         Capacity(group->view);
   }
-  group->pools.push_back(pool.get());
+  group->pools.push_back(pool);
 }
 
 void Router::ClearPools() {
@@ -224,6 +219,20 @@
   return found == m_pools.end() ? nullptr : found->second.get();
 }
 
+Pool* Router::MakePool(const Request& request) {
+  return MakePool(PoolName(request.service, request.model, request.adapter));
+}
+
+Pool* Router::MakePool(const std::string& name) {
+  std::unique_ptr<Pool>& pool = m_pools[name];
+  if (pool == nullptr) {
+    pool = std::make_unique<Pool>();
+    pool->name = name;
+    pool->id = ++m_last_pool;
+  }
+  return pool.get();
+}
+
 int Router::Limit(const Pool& pool) const {
   if (pool.near_capacity + pool.far_capacity == 0) {
     return 0;
--- a/core/router.h
+++ b/core/router.h
@@ -74,6 +74,8 @@
   std::vector<std::uint32_t> PoolIds() const;
   /// @return The pool of a request, or null when no group was ever listed.
   Pool* FindPool(const Request& request);
+  /// The same, but creates a missing pool; it lasts while it has users.
+  Pool* MakePool(const Request& request);
   /// Requests of a pool that this daemon may run at a time.
   int Limit(const Pool& pool) const;
   bool HasRoom(const Pool& pool) const {
@@ -109,6 +111,7 @@
   bool NearIsFull(const Pool& pool) const;
   void Count(GroupState* group, int difference);
   void Update(GroupState* group, const GroupView& view);
+  Pool* MakePool(const std::string& name);
   void Enlist(GroupState* group, const std::string& pool_name);
   void ClearPools();
   void RemoveUnused();
--- a/testing/process_fault_test.cc
+++ b/testing/process_fault_test.cc
@@ -266,6 +266,28 @@
   CHECK(site.Runs("p1").size() == 1);
 }
 
+// Guards against "not run" for an order that has run, when its service is
+// closed at the time of the resend (I4).
+TEST_CASE("a resend hears an order's outcome while its service is frozen") {
+  Site site({.file = kOneGroup,
+             .engines = 2,
+             .open_groups = 2,
+             .timeouts = "presence_timeout = 1s\n"});
+  SetFaults(site.backend("p1").address(), {{"break", 1}});
+  CHECK(Order(&site, 0, "broken").Header(kOutcome) == "unknown");
+  site.backend("p1").Signal(SIGSTOP);
+  REQUIRE(site.WaitForOpenGroups(1));
+  for (int i : {0, 1}) {
+    Answer resend = Order(&site, i, "broken");
+    INFO(resend.status << " " << resend.body);
+    CHECK(resend.Header(kOutcome) == "unknown");
+    CHECK(Order(&site, i, "new").Header(kOutcome) == "not-run");
+  }
+  site.backend("p1").Signal(SIGCONT);
+  REQUIRE(site.WaitForOpenGroups(2));
+  CHECK(site.Runs("p1").size() == 1);
+}
+
 // Guards against new work for a host that only the platform's list reports as
 // leaving (I6). Engines don't repeat their registration, so the row that the
 // test writes stays. The bound of 3 s is the invariant's own.
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -5,6 +5,7 @@
 
 #include "core/claim_ledger.h"
 #include "core/core.h"
+#include "fmt/format.h"
 
 namespace clementine {
 namespace {
@@ -274,6 +275,68 @@
   CHECK(DecodeClaim(release.value)->state == ClaimState::kReleased);
 }
 
+// Guards against a resend that is told "not run" while its order has run,
+// because the group closed after the first call: the answer to the claim goes
+// first, whether the group is closed, gone, or closes while the resend waits.
+TEST_CASE("a resend hears its order's outcome while no group is open") {
+  ClaimRecord unknown;
+  unknown.id = "other/1/1-0";
+  unknown.content = "c";
+  unknown.state = ClaimState::kUnknown;
+  ClaimRecord done = unknown;
+  done.state = ClaimState::kDone;
+  done.status = 201;
+  for (std::string closing : {"closed", "gone", "while queued"}) {
+    CAPTURE(closing);
+    Fixture f(1);
+    f.actions.clear();
+    std::vector<GroupView> closed;
+    if (closing == "closed") {
+      closed = f.views;
+      for (GroupView& view : closed) view.open = false;
+    }
+    if (closing != "while queued") f.Feed(GroupsChanged{closed});
+    std::vector<CallId> calls;
+    auto collect = [&] {
+      CHECK(f.All<Refuse>().empty());
+      for (const PutObject& put : f.All<PutObject>()) calls.push_back(put.call);
+    };
+    if (closing == "while queued") {
+      std::size_t running = 0;
+      while (f.path.stats().queued < 2) {
+        f.Feed(RequestArrived{f.MakeOrder(fmt::format("k{}", ++running))});
+      }
+      f.Feed(GroupsChanged{closed});
+      collect();
+    } else {
+      for (std::string key : {"a", "b"}) {
+        f.Feed(RequestArrived{f.MakeOrder(key)});
+        collect();
+      }
+    }
+    REQUIRE(calls.size() == 2);
+    f.Feed(ObjectReply{calls[0], ObjectStatus::kConflict, 3,
+                       EncodeClaim(unknown)});
+    CHECK(f.One<Refuse>().outcome == Outcome::kUnknown);
+    f.Feed(
+        ObjectReply{calls[1], ObjectStatus::kConflict, 3, EncodeClaim(done)});
+    CHECK(f.One<Replay>().status == 201);
+    CHECK(f.path.stats().queued == 0);
+  }
+}
+
+// Guards against a claim that outlives an order which no group could take.
+TEST_CASE("an order without a group releases its claim and isn't run") {
+  Fixture f(1);
+  f.Feed(GroupsChanged{});
+  f.Feed(RequestArrived{f.MakeOrder("k")});
+  f.Feed(ObjectReply{f.One<PutObject>().call, ObjectStatus::kOk, 5, ""});
+  CHECK(f.One<Refuse>().reason == RefusalReason::kNoGroup);
+  CHECK(f.One<Refuse>().outcome == Outcome::kNotRun);
+  CHECK(DecodeClaim(f.One<PutObject>().value)->state == ClaimState::kReleased);
+  CHECK(f.path.stats().in_flight == 0);
+}
+
 // Guards against losing the outcome of an order whose caller lost patience.
 TEST_CASE("a claimed order runs on when its caller leaves") {
   Fixture f;
