Name group membership apart from daemon membership

Cause: core/fleet.h and core/membership.h both defined clementine::Membership, and core/fleet.h and core/peer_message.h both clementine::MemberState, with different members. Two definitions of one name in a program are undefined behaviour; the linter found it when it checked several files as one unit. Change: GroupMembership, GroupMemberState and GroupMemberStateName in the fleet. Conclusion: nothing else changes; the linter in batches reports no other clash.

--- a/core/fleet.cc
+++ b/core/fleet.cc
@@ -4,19 +4,19 @@
 
 namespace clementine {
 
-const char* MemberStateName(MemberState state) {
+const char* GroupMemberStateName(GroupMemberState state) {
   switch (state) {
-    case MemberState::kNone:
+    case GroupMemberState::kNone:
       return "none";
-    case MemberState::kJoining:
+    case GroupMemberState::kJoining:
       return "joining";
-    case MemberState::kReady:
+    case GroupMemberState::kReady:
       return "ready";
-    case MemberState::kOpen:
+    case GroupMemberState::kOpen:
       return "open";
-    case MemberState::kClosing:
+    case GroupMemberState::kClosing:
       return "closing";
-    case MemberState::kBroken:
+    case GroupMemberState::kBroken:
       return "broken";
   }
   return "none";
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -74,15 +74,22 @@
   std::vector<FleetOrganisation> organisations;
 };
 
-enum class MemberState { kNone, kJoining, kReady, kOpen, kClosing, kBroken };
-const char* MemberStateName(MemberState state);
+enum class GroupMemberState {
+  kNone,
+  kJoining,
+  kReady,
+  kOpen,
+  kClosing,
+  kBroken
+};
+const char* GroupMemberStateName(GroupMemberState state);
 
 /// A backend server's membership in a group.
-struct Membership {
+struct GroupMembership {
   std::string group;
   std::uint64_t epoch = 0;
   int rank = 0;  ///< 0 is the head, which takes the group's requests.
-  MemberState state = MemberState::kNone;
+  GroupMemberState state = GroupMemberState::kNone;
 };
 
 /// What a backend server says of itself.
@@ -99,7 +106,7 @@
   std::uint64_t orders = 0;  ///< Orders accepted in this life.
   bool busy = false;         ///< An order is in progress; from its own report.
   std::vector<std::string> staged;  ///< Models whose weights are on the host.
-  Membership member;
+  GroupMembership member;
 };
 
 /// An order to a backend server about its group or its staged weights.
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -92,7 +92,7 @@
       continue;
     }
     const BackendServer& server = *change.server;
-    const Membership& member = server.member;
+    const GroupMembership& member = server.member;
     bool same = listed && old->second.leaving == server.leaving &&
                 old->second.born == server.born &&
                 old->second.member.group == member.group &&
@@ -106,7 +106,7 @@
          {"domain", server.fabric_domain},
          {"group", member.group},
          {"rank", std::to_string(member.rank)},
-         {"state", MemberStateName(member.state)},
+         {"state", GroupMemberStateName(member.state)},
          {"staged", fmt::format("{}", fmt::join(server.staged, ","))}});
   }
 }
@@ -166,7 +166,7 @@
         group.members.empty() ? nullptr : group.members.front();
     auto size = sizes.find(group.model);
     if (head == nullptr || size == sizes.end() ||
-        head->member.state != MemberState::kOpen) {
+        head->member.state != GroupMemberState::kOpen) {
       continue;
     }
     GroupView view;
@@ -348,8 +348,8 @@
     return m_list.servers().count(entry.first) == 0;
   });
   for (const auto& [id, server] : m_list.servers()) {
-    bool member = server.member.state == MemberState::kOpen ||
-                  server.member.state == MemberState::kReady;
+    bool member = server.member.state == GroupMemberState::kOpen ||
+                  server.member.state == GroupMemberState::kReady;
     bool engine = m_configuration->services.count(server.service) > 0 &&
                   m_configuration->services.at(server.service).engine;
     bool uncounted = engine && !m_planner.Counted(server);
--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -29,7 +29,7 @@
   }
   m_heads.clear();
   for (const auto& [id, server] : servers) {
-    const Membership& member = server.member;
+    const GroupMembership& member = server.member;
     bool engine = configuration.services.count(server.service) > 0 &&
                   configuration.services.at(server.service).engine;
     if (engine && member.rank == 0 &&
@@ -48,7 +48,7 @@
                                     const Pass& pass) const {
   return std::any_of(
       pass.servers->begin(), pass.servers->end(), [&](const auto& entry) {
-        const Membership& member = entry.second.member;
+        const GroupMembership& member = entry.second.member;
         return member.group == group.first && member.epoch == group.second &&
                pass.failed->count(entry.first) == 0;
       });
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -56,8 +56,9 @@
 
 }  // namespace
 
-bool GroupPlanner::IsServing(MemberState state) {
-  return state == MemberState::kOpen || state == MemberState::kClosing;
+bool GroupPlanner::IsServing(GroupMemberState state) {
+  return state == GroupMemberState::kOpen ||
+         state == GroupMemberState::kClosing;
 }
 
 milliseconds GroupPlanner::JoinTimeout(const EngineModel& model) {
@@ -81,8 +82,8 @@
     const std::string& service) {
   std::map<std::pair<std::string, std::uint64_t>, ReportedGroup> groups;
   for (const auto& [id, server] : servers) {
-    const Membership& member = server.member;
-    if (server.service != service || member.state == MemberState::kNone ||
+    const GroupMembership& member = server.member;
+    if (server.service != service || member.state == GroupMemberState::kNone ||
         member.group.empty() || member.rank < 0) {
       continue;
     }
@@ -104,7 +105,7 @@
          std::all_of(group.members.begin(), group.members.end(),
                      [](const BackendServer* member) {
                        return member != nullptr &&
-                              member->member.state != MemberState::kBroken;
+                              member->member.state != GroupMemberState::kBroken;
                      });
 }
 
@@ -259,16 +260,16 @@
 
 bool GroupPlanner::TookEffect(const Sent& sent,
                               const BackendServer& host) const {
-  const Membership& member = host.member;
+  const GroupMembership& member = host.member;
   bool same =
       member.group == sent.order.group && member.epoch == sent.order.epoch;
   switch (sent.order.kind) {
     case GroupOrder::Kind::kJoin:
-      return same && member.state != MemberState::kNone;
+      return same && member.state != GroupMemberState::kNone;
     case GroupOrder::Kind::kOpen:
-      return same && member.state != MemberState::kReady;
+      return same && member.state != GroupMemberState::kReady;
     case GroupOrder::Kind::kClose:
-      return !same || member.state != MemberState::kOpen;
+      return !same || member.state != GroupMemberState::kOpen;
     case GroupOrder::Kind::kStage:
       return sent.accepted;
   }
@@ -333,7 +334,7 @@
     ++pass->groups[model->name];
     return;
   }
-  bool closing = head->member.state == MemberState::kClosing;
+  bool closing = head->member.state == GroupMemberState::kClosing;
   if (Waiting(head->id) || !Counted(*head) || (closing && whole)) return;
   GroupOrder close;
   close.kind = GroupOrder::Kind::kClose;
@@ -346,13 +347,13 @@
 // The head serves nothing: the group is opened, waited for, or given up.
 void GroupPlanner::JudgeForming(const ReportedGroup& group,
                                 const EngineModel& model, Pass* pass) {
-  bool lost = group.members.front()->member.state == MemberState::kBroken;
+  bool lost = group.members.front()->member.state == GroupMemberState::kBroken;
   bool ready = IsWhole(group, model.hosts_per_group);
   for (const BackendServer* member : group.members) {
     if (member == nullptr) continue;
     lost = lost || member->leaving || pass->failed->count(member->id) > 0 ||
-           member->member.state == MemberState::kBroken;
-    ready = ready && member->member.state == MemberState::kReady;
+           member->member.state == GroupMemberState::kBroken;
+    ready = ready && member->member.state == GroupMemberState::kReady;
   }
   GroupKey key{group.name, group.epoch};
   milliseconds age =
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -32,7 +32,7 @@
 std::string GroupModel(const std::string& group);
 
 /// Collects the groups that the members of a service report, by name and epoch.
-/// Membership of another life or an older epoch makes a group of its own.
+/// GroupMembership of another life or an older epoch makes a group of its own.
 std::map<std::pair<std::string, std::uint64_t>, ReportedGroup> CollectGroups(
     const std::map<std::string, BackendServer>& servers,
     const std::string& service);
@@ -143,7 +143,7 @@
     double score = 0.0;
   };
 
-  static bool IsServing(MemberState state);
+  static bool IsServing(GroupMemberState state);
   /// How long a group may take to be ready.
   static milliseconds JoinTimeout(const EngineModel& model);
   void PlanService(const std::string& service, Pass* pass);
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -89,7 +89,7 @@
       std::count_if(servers.begin(), servers.end(), [&](const auto& entry) {
         const FakeServer& head = entry.second;
         return head.alive && head.entry.member.rank == 0 &&
-               head.entry.member.state == MemberState::kOpen &&
+               head.entry.member.state == GroupMemberState::kOpen &&
                GroupModel(head.entry.member.group) == model &&
                std::all_of(head.members.begin(), head.members.end(),
                            [&](const std::string& id) {
@@ -105,7 +105,7 @@
 std::string FleetWorld::HeadOf(const std::string& model) const {
   for (const auto& [id, server] : servers) {
     if (server.alive && server.entry.member.rank == 0 &&
-        server.entry.member.state == MemberState::kOpen &&
+        server.entry.member.state == GroupMemberState::kOpen &&
         GroupModel(server.entry.member.group) == model) {
       return id;
     }
@@ -162,15 +162,15 @@
     server->staged_at = TimePoint::max();
     server->entry.staged = {server->staging};
   }
-  Membership& member = server->entry.member;
-  if (member.state == MemberState::kJoining && server->joined_at <= now) {
-    member.state = MemberState::kReady;
+  GroupMembership& member = server->entry.member;
+  if (member.state == GroupMemberState::kJoining && server->joined_at <= now) {
+    member.state = GroupMemberState::kReady;
     server->entry.staged = {server->joining_model};
     server->last_model = server->joining_model;
   }
   if (server->opens_at <= now) {
     server->opens_at = TimePoint::max();
-    member.state = MemberState::kOpen;
+    member.state = GroupMemberState::kOpen;
     CheckOpen(*server);
   }
 }
@@ -202,7 +202,7 @@
     return OrderResult::kUnknown;
   }
   FakeServer& server = found->second;
-  Membership& member = server.entry.member;
+  GroupMembership& member = server.entry.member;
   bool same = member.group == order.group && member.epoch == order.epoch;
   if (order.expected_orders != server.entry.orders) {
     return OrderResult::kRejected;
@@ -230,22 +230,22 @@
       server.opens_at = TimePoint::max();
       member.group = order.group;
       member.epoch = order.epoch;
-      member.state = MemberState::kJoining;
+      member.state = GroupMemberState::kJoining;
       member.rank = static_cast<int>(
           std::find(order.members.begin(), order.members.end(), host) -
           order.members.begin());
       break;
     case GroupOrder::Kind::kOpen:
-      if (!same || member.state != MemberState::kReady) {
+      if (!same || member.state != GroupMemberState::kReady) {
         return OrderResult::kRejected;
       }
       server.opens_at = now + kForm;
       break;
     case GroupOrder::Kind::kClose:
-      if (!same || member.state != MemberState::kOpen) {
+      if (!same || member.state != GroupMemberState::kOpen) {
         return OrderResult::kRejected;
       }
-      member.state = MemberState::kReady;
+      member.state = GroupMemberState::kReady;
       break;
     case GroupOrder::Kind::kStage:
       ++loads;
@@ -263,12 +263,12 @@
   return head != servers.end() && head->second.alive &&
          head->second.entry.id != member.entry.id &&
          head->second.entry.member.group == member.entry.member.group &&
-         (head->second.entry.member.state == MemberState::kOpen ||
+         (head->second.entry.member.state == GroupMemberState::kOpen ||
           head->second.opens_at != TimePoint::max());
 }
 
 void FleetWorld::CheckJoin(const FakeServer& server, const GroupOrder& order) {
-  bool serves = server.entry.member.state == MemberState::kOpen ||
+  bool serves = server.entry.member.state == GroupMemberState::kOpen ||
                 server.opens_at != TimePoint::max();
   if (order.group != server.entry.member.group &&
       (HeadServes(server) || serves)) {
@@ -282,9 +282,9 @@
     auto member = servers.find(id);
     // A member that was ready and is lost since then excuses.
     if (member == servers.end() || !member->second.alive) continue;
-    const Membership& its = member->second.entry.member;
+    const GroupMembership& its = member->second.entry.member;
     if (its.group != head.entry.member.group ||
-        its.state == MemberState::kJoining) {
+        its.state == GroupMemberState::kJoining) {
       violations.push_back(head.entry.member.group + " opens without " + id);
     }
   }
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -41,7 +41,7 @@
   // No domain has hosts left for one more group of the smallest size.
   std::map<std::string, int> idle;
   for (const auto& [id, server] : world.servers) {
-    if (server.entry.member.state == MemberState::kNone) {
+    if (server.entry.member.state == GroupMemberState::kNone) {
       ++idle[server.entry.fabric_domain];
     }
   }
@@ -151,7 +151,7 @@
 TEST_CASE("planner leaves a host alone that loads for an earlier planner") {
   FleetWorld world = Started(1, 9);
   for (auto& [id, server] : world.servers) {
-    if (server.entry.member.state == MemberState::kNone) {
+    if (server.entry.member.state == GroupMemberState::kNone) {
       server.staging = "large";
       server.staged_at = world.now + milliseconds(10'000);
     }
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -119,7 +119,7 @@
   CHECK(server->born == 1781437347003);
   CHECK(server->fabric_domain == "d0");
   CHECK(server->member.rank == 1);
-  CHECK(server->member.state == MemberState::kReady);
+  CHECK(server->member.state == GroupMemberState::kReady);
   CHECK(server->staged == std::vector<std::string>{"m0"});
   std::optional<BackendServer> report = DecodeReport(
       R"({"sequence":3,"busy":true,"born":5,"group":null,"staged_models":[]})");
