Don't take a group for silent while its requests wait their turn

Each daemon judged a group by its own streams alone: the requests that had waited for the group all came at once, its own ones waited at the server while those of other daemons were read, and after 500 ms without an event the group was taken for silent. Ruled out: lost members (all answered), and the 300 ms in which a head forms (the gate opens after it). Change: core/silence_watch decides, without I/O: a stream that has begun and stops is a sign after 500 ms as before; one that has not begun after 1.4 s. The executor only feeds it. Tests: silence_watch_test; its first case fails with the rule that was in the executor (a stream without events for 500 ms closed its group).

--- /dev/null
+++ b/core/silence_watch.h
@@ -0,0 +1,60 @@
+// Tells groups that went silent from groups that are busy, by their streams.
+#ifndef CORE_SILENCE_WATCH_H_
+#define CORE_SILENCE_WATCH_H_
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/core.h"
+
+namespace clementine {
+
+/// Watches the streams that run at groups.
+///
+/// A head that counts on a lost member goes on accepting requests and sends
+/// nothing. A group that reads many prompts also sends nothing to requests that
+/// wait their turn there, while its other streams go on. So a stream that has
+/// begun and falls silent is a sign after a short time, one that has not begun
+/// only after a long one.
+class SilenceWatch {
+ public:
+  struct Found {
+    std::vector<AttemptId> stalled;  ///< To be given to another group.
+    /// Groups that may have lost a member, and their epochs.
+    std::map<std::string, std::uint64_t> silent;
+  };
+
+  void Started(AttemptId attempt, const std::string& group, std::uint64_t epoch,
+               TimePoint now);
+  /// The group answered; bytes of the attempt's stream have arrived if `event`.
+  void Heard(AttemptId attempt, bool event, TimePoint now);
+  void Ended(AttemptId attempt);
+
+  /// Whether the attempt's group was heard after the attempt itself.
+  bool GroupGoesOn(AttemptId attempt) const;
+
+  /// Reports each attempt again after an interval, while it stays silent.
+  Found Check(TimePoint now);
+
+ private:
+  struct Group {
+    std::uint64_t epoch = 0;
+    TimePoint heard;
+    int running = 0;
+  };
+  struct Stream {
+    std::map<std::string, Group>::iterator group;
+    bool begun = false;
+    TimePoint last;  ///< Its last event, or its start.
+    TimePoint next_check;
+  };
+
+  std::map<std::string, Group> m_groups;  ///< With running streams.
+  std::unordered_map<AttemptId, Stream> m_streams;
+};
+
+}  // namespace clementine
+
+#endif  // CORE_SILENCE_WATCH_H_
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -14,14 +14,6 @@
 namespace clementine {
 namespace {
 
-/// Callers give up on a stream that is silent for this long, so an attempt that
-/// is silent for a part of it is given to another server.
-constexpr milliseconds kFirstEventTimeout{1'400};
-constexpr milliseconds kEventGapTimeout{800};
-/// Events of one request come at least ten times as often as this.
-constexpr milliseconds kGroupSilence{500};
-/// How often a stalled attempt is offered to other groups.
-constexpr milliseconds kStallInterval{250};
 /// A shorter time isn't worth an attempt.
 constexpr milliseconds kLeastTimeout{1};
 /// Deadline of a request that names none.
@@ -78,14 +70,11 @@
   std::string host;
   std::shared_ptr<BackendAttempt> call;
   TimePoint started;
-  TimePoint last_bytes;
   TimePoint last_progress;
   int status = 0;
   HttpHeaders headers;
   std::string body;
-  bool streams = false;         ///< The answer is a stream of events.
-  TimePoint next_check;         ///< For silence.
-  bool expects_events = false;  ///< Of a route whose answers are streams.
+  bool streams = false;  ///< The answer is a stream of events.
 };
 
 RelayExecutor::RelayExecutor(RelayContext context)
@@ -102,9 +91,6 @@
   for (const GroupView& group : groups) {
     m_heads[group.group] = group.leader_host;
   }
-  std::erase_if(m_heard, [this](const auto& entry) {
-    return m_heads.count(entry.first) == 0;
-  });
 }
 
 // ---------------------------------------------------------------------------
@@ -256,7 +242,7 @@
   attempt->group = dispatch.group;
   attempt->epoch = dispatch.epoch;
   attempt->host = m_heads[dispatch.group];
-  attempt->started = attempt->last_bytes = m_context.now();
+  attempt->started = m_context.now();
   caller->current = dispatch.attempt;
   caller->group = dispatch.group;
   caller->stream.Restart();
@@ -270,9 +256,11 @@
   handlers.end = [this, attempt](BackendEnd end) {
     OnEnd(attempt, std::move(end));
   };
-  attempt->expects_events = caller->route->kind == RouteKind::kStream;
   m_attempts.emplace(attempt->id, attempt);
-  Started(*attempt);
+  if (caller->route->kind == RouteKind::kStream) {
+    m_silence.Started(attempt->id, attempt->group, attempt->epoch,
+                      attempt->started);
+  }
   attempt->call = m_context.backends->Start(MakeCall(dispatch, *caller),
                                             std::move(handlers));
   caller->exchange->SetDrainHandler(
@@ -286,7 +274,7 @@
   if (found == m_attempts.end()) return;
   std::shared_ptr<Attempt> attempt = found->second;
   m_attempts.erase(found);
-  Ended(*attempt);
+  m_silence.Ended(attempt->id);
   attempt->call->Cancel();
   LogEvent("attempt_cancelled",
            {{"request", std::to_string(attempt->caller->id)},
@@ -303,14 +291,14 @@
     attempt->streams =
         attempt->caller->route->kind == RouteKind::kStream && status == kOk;
   }
-  m_heard[attempt->group] = m_context.now();
+  m_silence.Heard(attempt->id, /*event=*/false, m_context.now());
   return judged;
 }
 
 void RelayExecutor::OnBytes(Attempt* attempt, std::string_view bytes) {
   Caller* caller = attempt->caller.get();
-  attempt->last_bytes = m_context.now();
-  m_heard[attempt->group] = attempt->last_bytes;
+  TimePoint now = m_context.now();
+  m_silence.Heard(attempt->id, /*event=*/true, now);
   if (caller->current != attempt->id) return;
   if (!attempt->streams) {
     // An answer over the limit is cut here and fails as broken at its end.
@@ -320,10 +308,10 @@
   std::string events = caller->stream.Take(bytes);
   if (events.empty()) return;
   bool first = caller->first_event == TimePoint();
-  if (first) caller->first_event = attempt->last_bytes;
+  if (first) caller->first_event = now;
   Deliver(caller, attempt, events);
-  if (attempt->last_bytes - attempt->last_progress >= kProgressInterval) {
-    attempt->last_progress = attempt->last_bytes;
+  if (now - attempt->last_progress >= kProgressInterval) {
+    attempt->last_progress = now;
     m_context.feed(AttemptProgress{attempt->id, caller->stream.events()});
   }
 }
@@ -343,7 +331,6 @@
   auto found = m_attempts.find(attempt->id);
   if (found == m_attempts.end()) return;
   m_attempts.erase(found);
-  Ended(*attempt);
   Caller* caller = attempt->caller.get();
   bool complete = end.result == AttemptResult::kComplete;
   if (complete && attempt->streams) {
@@ -366,6 +353,7 @@
             {"ms", Milliseconds(m_context.now() - attempt->started)},
             {"detail", end.detail}});
   SuspectGroup(*attempt, end);
+  m_silence.Ended(attempt->id);
   bool answered = end.result == AttemptResult::kComplete ||
                   end.result == AttemptResult::kError;
   if (answered) {
@@ -383,42 +371,13 @@
   m_context.feed(std::move(ended));
 }
 
-void RelayExecutor::Started(const Attempt& attempt) {
-  if (!attempt.expects_events) return;
-  if (m_running[attempt.group]++ == 0) {
-    m_heard[attempt.group] = attempt.started;
-  }
-}
-
-void RelayExecutor::Ended(const Attempt& attempt) {
-  if (!attempt.expects_events) return;
-  auto running = m_running.find(attempt.group);
-  if (running != m_running.end() && --running->second == 0) {
-    m_running.erase(running);
-  }
-}
-
-// A head that counts on a lost member goes on accepting requests and sends
-// nothing. While any of its requests runs, a whole group sends events many
-// times a second.
 void RelayExecutor::CheckSilence() {
-  TimePoint now = m_context.now();
-  std::vector<std::shared_ptr<Attempt>> stalled;
-  for (const auto& [id, attempt] : m_attempts) {
-    if (!attempt->expects_events || now < attempt->next_check) continue;
-    bool begun = attempt->last_bytes > attempt->started;
-    bool silent = now - attempt->last_bytes >
-                  (begun ? kEventGapTimeout : kFirstEventTimeout);
-    bool group_silent = now - attempt->started > kGroupSilence &&
-                        now - m_heard[attempt->group] > kGroupSilence;
-    if (silent || group_silent) stalled.push_back(attempt);
+  SilenceWatch::Found found = m_silence.Check(m_context.now());
+  for (const auto& [group, epoch] : found.silent) {
+    m_context.feed_fleet(GroupSilent{group, epoch});
   }
-  for (const std::shared_ptr<Attempt>& attempt : stalled) {
-    attempt->next_check = now + kStallInterval;
-    if (now - m_heard[attempt->group] > kGroupSilence) {
-      m_context.feed_fleet(GroupSilent{attempt->group, attempt->epoch});
-    }
-    m_context.feed(AttemptStalled{attempt->id});
+  for (AttemptId attempt : found.stalled) {
+    m_context.feed(AttemptStalled{attempt});
   }
 }
 
@@ -429,10 +388,7 @@
   bool unreachable = end.result == AttemptResult::kNotSent;
   bool gone = end.result == AttemptResult::kCrashed;
   if (!silent && !unreachable && !gone) return;
-  if (silent) {
-    auto heard = m_heard.find(attempt.group);
-    if (heard != m_heard.end() && heard->second > attempt.last_bytes) return;
-  }
+  if (silent && m_silence.GroupGoesOn(attempt.id)) return;
   m_context.feed_fleet(GroupSilent{attempt.group, attempt.epoch});
 }
 
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -14,6 +14,7 @@
 #include "core/core.h"
 #include "core/fleet_control.h"
 #include "core/route_table.h"
+#include "core/silence_watch.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -79,8 +80,6 @@
   AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
   void OnBytes(Attempt* attempt, std::string_view bytes);
   void OnEnd(const std::shared_ptr<Attempt>& attempt, BackendEnd end);
-  void Started(const Attempt& attempt);
-  void Ended(const Attempt& attempt);
   void SuspectGroup(const Attempt& attempt, const BackendEnd& end);
   void Deliver(Caller* caller, Attempt* attempt, std::string_view bytes);
   void RefuseNow(HttpExchange* exchange, int status, const char* reason,
@@ -94,11 +93,7 @@
   std::unordered_map<RequestId, std::shared_ptr<Caller>> m_callers;
   std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
   std::unordered_map<std::string, std::string> m_heads;  ///< Host by group.
-  /// When something last came from a group, or when the first request was sent
-  /// to it since then.
-  std::unordered_map<std::string, TimePoint> m_heard;
-  std::unordered_map<std::string, int>
-      m_running;  ///< Stream attempts by group.
+  SilenceWatch m_silence;
   std::mt19937_64 m_random;
   RequestId m_last_request = 0;
 };
--- /dev/null
+++ b/testing/silence_watch_test.cc
@@ -0,0 +1,83 @@
+// Which groups are taken for silent, by the events of their streams.
+
+#include "core/silence_watch.h"
+
+#include <doctest/doctest.h>
+
+namespace clementine {
+namespace {
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+const std::map<std::string, std::uint64_t> kSilent = {{"g", 5}};
+
+TimePoint At(int ms) { return kStart + milliseconds(ms); }
+
+}  // namespace
+
+// Guards against closing a group that has just opened: requests that waited for
+// it come all at once, and this daemon's ones wait at the server while those of
+// other daemons are read.
+TEST_CASE("requests that wait their turn at a group don't make it silent") {
+  SilenceWatch watch;
+  for (AttemptId attempt = 1; attempt <= 4; ++attempt) {
+    watch.Started(attempt, "g", 5, At(0));
+  }
+  watch.Heard(1, /*event=*/false, At(20));
+  for (int ms = 50; ms <= 1'350; ms += 50) {
+    SilenceWatch::Found found = watch.Check(At(ms));
+    CHECK(found.silent.empty());
+    CHECK(found.stalled.empty());
+  }
+}
+
+// Guards against a lost member that is noticed only when callers give up.
+TEST_CASE("a group whose streams stop is silent within a second") {
+  SilenceWatch watch;
+  watch.Started(1, "g", 5, At(0));
+  watch.Started(2, "g", 5, At(0));
+  watch.Started(3, "h", 6, At(0));
+  for (int ms = 50; ms <= 1'000; ms += 50) {
+    watch.Heard(1, true, At(ms));
+    watch.Heard(3, true, At(ms));
+  }
+  for (int ms = 1'050; ms <= 2'000; ms += 50) watch.Heard(3, true, At(ms));
+  SilenceWatch::Found found = watch.Check(At(1'450));
+  CHECK(found.silent.empty());
+  CHECK(found.stalled == std::vector<AttemptId>{2});  // Has not begun.
+  found = watch.Check(At(1'550));
+  CHECK(found.silent == kSilent);
+  CHECK(found.stalled == std::vector<AttemptId>{1});
+  CHECK(watch.Check(At(1'600)).stalled.empty());
+  CHECK(watch.Check(At(1'900)).stalled == std::vector<AttemptId>{1, 2});
+  CHECK_FALSE(watch.GroupGoesOn(1));
+  CHECK(watch.GroupGoesOn(2));
+}
+
+// Guards against a head that accepts requests, has lost a member, and has no
+// stream that has begun.
+TEST_CASE("a group that never begins is silent before callers give up") {
+  SilenceWatch watch;
+  watch.Started(1, "g", 5, At(0));
+  CHECK(watch.Check(At(1'400)).silent.empty());
+  SilenceWatch::Found found = watch.Check(At(1'450));
+  CHECK(found.silent == kSilent);
+  CHECK(found.stalled == std::vector<AttemptId>{1});
+  watch.Ended(1);
+  watch.Ended(1);
+  CHECK(watch.Check(At(3'000)).stalled.empty());
+}
+
+// Guards against one slow stream closing its group.
+TEST_CASE("a silent stream of a busy group is moved alone") {
+  SilenceWatch watch;
+  watch.Started(1, "g", 5, At(0));
+  watch.Started(2, "g", 5, At(0));
+  watch.Heard(1, true, At(100));
+  for (int ms = 100; ms <= 1'000; ms += 50) watch.Heard(2, true, At(ms));
+  SilenceWatch::Found found = watch.Check(At(1'000));
+  CHECK(found.silent.empty());
+  CHECK(found.stalled == std::vector<AttemptId>{1});
+}
+
+}  // namespace clementine
