Close a hidden head without a count of its orders

The planner's daemon was cut off; its successor saw that a head had left the list, and ordered it to close with the count of orders it knew, 0, because it asks only listed servers for their count. The head was open and had accepted two orders, so it answered 409. The successor read the answer as "not serving" and joined its members to a new group 0.6 s later. Ruled out: the lease (the first planner had stopped 1 s before) and late orders (none was under way). Change: the order to close a head that left the list expects no count, since group and epoch name it for good; it then fits whenever the head serves. A 429 or 503 (OrderResult::kBusy) is no longer read as a misfit. Test: "a new planner closes a head whose orders it hasn't counted" failed before with the same three joins.

--- a/core/fleet.cc
+++ b/core/fleet.cc
@@ -42,6 +42,8 @@
       return "accepted";
     case OrderResult::kRejected:
       return "rejected";
+    case OrderResult::kBusy:
+      return "busy";
     case OrderResult::kUnknown:
       return "unknown";
   }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -119,15 +119,18 @@
   std::vector<std::string> members;  ///< kJoin; the first is the head.
   bool evict = false;                ///< kClose: end running requests at once.
   /// The order is carried out only if the server has accepted this many.
-  std::uint64_t expected_orders = 0;
+  /// Without a number it's carried out whenever it fits the server's group and
+  /// epoch.
+  std::optional<std::uint64_t> expected_orders;
 };
 const char* GroupOrderName(GroupOrder::Kind kind);
 
 /// What the answer to an order proves.
 enum class OrderResult {
   kAccepted,
-  kRejected,  ///< Not carried out, and never will be.
-  kUnknown,   ///< May still be carried out.
+  kRejected,  ///< Doesn't fit the server's state, and is never carried out.
+  kBusy,  ///< Never carried out, for reasons that have nothing to do with it.
+  kUnknown,  ///< May still be carried out.
 };
 const char* OrderResultName(OrderResult result);
 
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -42,6 +42,10 @@
          a.leader_address == b.leader_address && a.max_running == b.max_running;
 }
 
+std::string CountText(const std::optional<std::uint64_t>& count) {
+  return count ? std::to_string(*count) : "any";
+}
+
 }  // namespace
 
 FleetControl::FleetControl(FleetControlOptions options)
@@ -408,7 +412,7 @@
                   {"group", order.group},
                   {"epoch", std::to_string(order.epoch)},
                   {"model", order.model},
-                  {"expected", std::to_string(order.expected_orders)}});
+                  {"expected", CountText(order.expected_orders)}});
     ++m_orders_running;
     m_actions.emplace_back(SendGroupOrder{std::move(planned.host),
                                           std::move(planned.address),
@@ -421,14 +425,16 @@
   Log("order_ended", {{"host", event.host},
                       {"kind", GroupOrderName(event.order.kind)},
                       {"group", event.order.group},
-                      {"expected", std::to_string(event.order.expected_orders)},
+                      {"expected", CountText(event.order.expected_orders)},
                       {"result", OrderResultName(event.result)},
                       {"detail", event.detail}});
   m_planner.Answered(event.host, event.order, event.result, m_now);
   // The count of orders that was expected may be wrong. Reports are some time
   // old, so a rejection is followed by a pause.
   auto asked = m_asked.find(event.host);
-  if (event.result == OrderResult::kRejected && asked != m_asked.end()) {
+  bool refused = event.result == OrderResult::kRejected ||
+                 event.result == OrderResult::kBusy;
+  if (refused && asked != m_asked.end()) {
     asked->second.next = m_now + kReportAge;
   }
 }
--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -78,7 +78,9 @@
     close.group = key.first;
     close.epoch = key.second;
     close.evict = true;
-    close.expected_orders = m_counts[orphan.head.id].orders;
+    // No count is expected: a planner that has just taken over hasn't counted
+    // this head's orders, and a rejection for a wrong count would look like
+    // that of a head which doesn't serve the group. Group and epoch are enough.
     pass->orders.push_back({orphan.head.id, orphan.head.address, close});
   }
 }
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -185,7 +185,7 @@
   count.known = true;
   auto sent = m_sent.find(host);
   if (sent != m_sent.end() && sent->second.born == born &&
-      orders > sent->second.order.expected_orders) {
+      orders > sent->second.order.expected_orders.value_or(orders)) {
     sent->second.accepted = true;
   }
 }
@@ -198,7 +198,8 @@
     }
     if (result == OrderResult::kUnknown) {
       ++orphan.unanswered;
-    } else {
+    } else if (result != OrderResult::kBusy) {
+      // Closed now, or not serving this group before.
       orphan.free_at = std::min(orphan.free_at, now + kEvictTime);
     }
     return;
@@ -209,7 +210,7 @@
       found->second.order.kind != order.kind) {
     return;
   }
-  if (result == OrderResult::kRejected) {
+  if (result == OrderResult::kRejected || result == OrderResult::kBusy) {
     if (order.kind == GroupOrder::Kind::kJoin) m_epoch += kEpochStep;
     m_sent.erase(found);
     m_loads.erase(host);
@@ -217,7 +218,8 @@
     m_counts[host].not_before = now + kRejectPause;
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
-    AddAccepted(host, found->second.born, order.expected_orders + 1);
+    AddAccepted(host, found->second.born,
+                order.expected_orders.value_or(0) + 1);
     if (order.kind == GroupOrder::Kind::kStage) m_sent.erase(found);
   }
 }
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -31,6 +31,7 @@
   bool cut = false;
   TimePoint unlisted_at;  ///< When its entry lapses.
   TimePoint listed_at;    ///< When its entry is back after a cut.
+  bool hidden = false;    ///< Not in the registry, but takes orders.
 };
 
 /// Faults of the way between the planner and the servers.
@@ -58,6 +59,8 @@
   void Cut(const std::string& domain);
   /// Ends a cut. Heads are back in the list last.
   void Heal(const std::string& domain);
+  /// What the registry lists now.
+  std::map<std::string, BackendServer> List() const;
   /// Replaces the planner, as when another daemon takes over the lease.
   void ReplacePlanner();
   void AddServer(const std::string& domain);
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -102,6 +102,22 @@
   CHECK(closed);
 }
 
+// Guards against a successor whose order to close a head is rejected for a
+// wrong count of orders, and which takes the head for closed (rule TWO, scale-2
+// of karalis-touchup, seed 658577096034).
+TEST_CASE("a new planner closes a head whose orders it hasn't counted") {
+  FleetWorld world = Started(1, 9);
+  std::string head = world.HeadOf("large");
+  world.ReplacePlanner();
+  world.planner.Observe(world.configuration, world.List(), world.now);
+  world.servers.at(head).hidden = true;
+  world.Run(milliseconds(6'000));
+  CheckClean(world);
+  CHECK(world.servers.at(head).entry.member.state != GroupMemberState::kOpen);
+  // The members form a group again with the spare.
+  CHECK(world.ServingGroups("large") == 1);
+}
+
 // Guards against members that join another group while their head, whose entry
 // lapsed in a cut of the whole data centre, still serves.
 TEST_CASE("planner waits for the entries of a data centre that was cut off") {
