Let silence count again once a group has sent events

Cause: the last change made all requests that have not begun wait for 1.4 s before their group is doubted. A daemon without a running stream at a group that lost a member then sends it new requests for that long. Change: the long time holds only until a group has sent its first event to this daemon in its epoch; 500 ms after that, as before the last change. Test: "a group that has sent events before is silent soon" fails with the rule of the last change.

--- a/core/silence_watch.cc
+++ b/core/silence_watch.cc
@@ -9,8 +9,7 @@
 /// that is silent for a part of it is given to another group.
 constexpr milliseconds kFirstEventTimeout{1'400};
 constexpr milliseconds kEventGapTimeout{800};
-/// A group with a stream that has begun sends events at least ten times as
-/// often as this.
+/// A group in use sends events at least ten times as often as this.
 constexpr milliseconds kGroupSilence{500};
 /// How often a stalled attempt is offered to other groups.
 constexpr milliseconds kStallInterval{250};
@@ -20,9 +19,12 @@
 void SilenceWatch::Started(AttemptId attempt, const std::string& group,
                            std::uint64_t epoch, TimePoint now) {
   auto [found, added] = m_groups.try_emplace(group);
-  if (added) found->second.heard = now;
-  found->second.epoch = epoch;
-  ++found->second.running;
+  Group& known = found->second;
+  if (added || known.epoch != epoch) {
+    known.epoch = epoch;
+    known.flows = false;
+  }
+  if (known.running++ == 0) known.heard = now;
   m_streams[attempt] = {found, false, now, TimePoint()};
 }
 
@@ -30,8 +32,10 @@
   auto found = m_streams.find(attempt);
   if (found == m_streams.end()) return;
   Stream& stream = found->second;
-  stream.group->second.heard = now;
+  Group& group = stream.group->second;
+  group.heard = now;
   if (event) {
+    group.flows = true;
     stream.begun = true;
     stream.last = now;
   }
@@ -40,12 +44,16 @@
 void SilenceWatch::Ended(AttemptId attempt) {
   auto found = m_streams.find(attempt);
   if (found == m_streams.end()) return;
-  if (--found->second.group->second.running == 0) {
-    m_groups.erase(found->second.group);
-  }
+  --found->second.group->second.running;
   m_streams.erase(found);
 }
 
+void SilenceWatch::KeepGroups(const std::set<std::string>& names) {
+  std::erase_if(m_groups, [&](const auto& entry) {
+    return entry.second.running == 0 && names.count(entry.first) == 0;
+  });
+}
+
 bool SilenceWatch::GroupGoesOn(AttemptId attempt) const {
   auto found = m_streams.find(attempt);
   return found != m_streams.end() &&
@@ -58,7 +66,7 @@
     if (now < stream.next_check) continue;
     const auto& [name, group] = *stream.group;
     bool group_silent = now - std::max(group.heard, stream.last) >
-                        (stream.begun ? kGroupSilence : kFirstEventTimeout);
+                        (group.flows ? kGroupSilence : kFirstEventTimeout);
     bool silent = now - stream.last >
                   (stream.begun ? kEventGapTimeout : kFirstEventTimeout);
     if (!silent && !group_silent) continue;
--- a/core/silence_watch.h
+++ b/core/silence_watch.h
@@ -3,6 +3,7 @@
 #define CORE_SILENCE_WATCH_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -14,10 +15,10 @@
 /// Watches the streams that run at groups.
 ///
 /// A head that counts on a lost member goes on accepting requests and sends
-/// nothing. A group that reads many prompts also sends nothing to requests that
-/// wait their turn there, while its other streams go on. So a stream that has
-/// begun and falls silent is a sign after a short time, one that has not begun
-/// only after a long one.
+/// nothing. A group that has just opened also sends nothing at first: requests
+/// that waited for it come all at once, and this daemon's may be read last. So
+/// silence is a sign after a short time once a group has sent events, and only
+/// after a long one before.
 class SilenceWatch {
  public:
   struct Found {
@@ -31,6 +32,8 @@
   /// The group answered; bytes of the attempt's stream have arrived if `event`.
   void Heard(AttemptId attempt, bool event, TimePoint now);
   void Ended(AttemptId attempt);
+  /// Forgets groups that aren't in use any more.
+  void KeepGroups(const std::set<std::string>& names);
 
   /// Whether the attempt's group was heard after the attempt itself.
   bool GroupGoesOn(AttemptId attempt) const;
@@ -42,6 +45,7 @@
   struct Group {
     std::uint64_t epoch = 0;
     TimePoint heard;
+    bool flows = false;  ///< Has sent an event.
     int running = 0;
   };
   struct Stream {
@@ -51,7 +55,7 @@
     TimePoint next_check;
   };
 
-  std::map<std::string, Group> m_groups;  ///< With running streams.
+  std::map<std::string, Group> m_groups;
   std::unordered_map<AttemptId, Stream> m_streams;
 };
 
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -88,9 +88,12 @@
 
 void RelayExecutor::SetGroups(const std::vector<GroupView>& groups) {
   m_heads.clear();
+  std::set<std::string> names;
   for (const GroupView& group : groups) {
     m_heads[group.group] = group.leader_host;
+    names.insert(group.group);
   }
+  m_silence.KeepGroups(names);
 }
 
 // ---------------------------------------------------------------------------
--- a/testing/silence_watch_test.cc
+++ b/testing/silence_watch_test.cc
@@ -54,8 +54,25 @@
   CHECK(watch.GroupGoesOn(2));
 }
 
-// Guards against a head that accepts requests, has lost a member, and has no
-// stream that has begun.
+// Guards against a lost member that is noticed late by a daemon whose streams
+// had ended, or none of which has begun since.
+TEST_CASE("a group that has sent events before is silent soon") {
+  SilenceWatch watch;
+  watch.Started(1, "g", 5, At(0));
+  watch.Heard(1, true, At(1'000));
+  watch.Ended(1);
+  watch.KeepGroups({"g"});
+  watch.Started(2, "g", 5, At(5'000));
+  CHECK(watch.Check(At(5'500)).silent.empty());
+  CHECK(watch.Check(At(5'550)).silent == kSilent);
+  // A group of the same name in a new epoch starts anew.
+  watch.Ended(2);
+  watch.Started(3, "g", 6, At(6'000));
+  CHECK(watch.Check(At(7'400)).silent.empty());
+}
+
+// Guards against a head that accepts requests, has lost a member, and has sent
+// no event to this daemon.
 TEST_CASE("a group that never begins is silent before callers give up") {
   SilenceWatch watch;
   watch.Started(1, "g", 5, At(0));
