Refuse a stream at once that would miss its target

Change: a route's target latency reaches admission as Request::target. A stream queues only if its expected wait is at most three quarters of it, and is given up once it has waited so long; both are refused at once, not run, with the time in which the queue drains. Plain requests and orders wait as before. Tests: "a request that would miss its target is refused at once", "a queued request that has missed its target is given up"; both fail without the rule. What is refused still comes back while nothing is free; that is the largest price left.

--- a/core/admission.cc
+++ b/core/admission.cc
@@ -29,6 +29,9 @@
 // A queued request is given up only when the estimate clearly exceeds its
 // deadline, so that noise of the estimate doesn't undo an admission.
 constexpr double kHopelessFactor = 1.5;
+// Part of the target that a request may wait for its turn; a server needs the
+// rest to read the prompt.
+constexpr double kTargetPart = 0.75;
 // Slack, in service times and at least so long, from which batch hurries.
 constexpr double kUrgentServices = 3.0;
 constexpr milliseconds kUrgentSlack{2'000};
@@ -148,11 +151,20 @@
     // The share of the wait that exceeds the deadline has drained by then.
     return {Verdict::kRefuse, RetryAfter(finish - Ms(request.deadline - now))};
   }
+  TimePoint start_by = TimePoint::max();
+  if (request.target > milliseconds(0)) {
+    milliseconds patience(static_cast<std::int64_t>(
+        static_cast<double>(request.target.count()) * kTargetPart));
+    if (wait > Ms(patience)) {
+      return {Verdict::kRefuse, RetryAfter(wait)};
+    }
+    start_by = now + patience;
+  }
   if (pool.backlog() == 0) {
     pool.busy_since = now;
   }
   Key key{rank == kBatchRank ? request.deadline : TimePoint(), ++m_sequence};
-  share.queues[rank][key] = {request.id, request.deadline, cost};
+  share.queues[rank][key] = {request.id, request.deadline, start_by, cost};
   m_places[request.id] = {&pool, request.organisation, rank, key};
   ++pool.queued[rank];
   ++organisation.queued;
@@ -330,8 +342,10 @@
       for (const auto& [key, waiting] : share.queues[rank]) {
         double left = Ms(waiting.deadline - now);
         double wait = WaitMs(pool, share, rank, ahead, rate);
-        if (left <= 0.0 || pool.class_service_ms[rank] > left ||
-            wait > kHopelessFactor * left) {
+        if (now > waiting.start_by) {
+          hopeless.push_back({waiting.request, RetryAfter(wait)});
+        } else if (left <= 0.0 || pool.class_service_ms[rank] > left ||
+                   wait > kHopelessFactor * left) {
           hopeless.push_back(
               {waiting.request,
                RetryAfter(wait + pool.class_service_ms[rank] - left)});
--- a/core/admission.h
+++ b/core/admission.h
@@ -85,6 +85,7 @@
   struct Waiting {
     RequestId request = 0;
     TimePoint deadline;
+    TimePoint start_by;  ///< Given up when it hasn't had its turn by then.
     double cost = 0.0;
   };
   using Queue = std::map<Key, Waiting>;
--- a/core/core.h
+++ b/core/core.h
@@ -108,6 +108,9 @@
   bool idempotent = true;
   std::string idempotency_key;  ///< Empty when the caller gave none.
   TimePoint deadline;
+  /// The answer, or the first event of a stream, is worth much less once this
+  /// time from its arrival has passed; 0: it's worth the same until `deadline`.
+  milliseconds target{0};
   int max_attempts = 0;  ///< 0: as in RequestPathOptions.
 };
 
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -141,6 +141,9 @@
       std::min(caller->headers.timeout.value_or(kDefaultTimeout),
                caller->route->timeout);
   read.deadline = caller->arrived + timeout;
+  if (caller->route->kind == RouteKind::kStream) {
+    read.target = caller->route->target_latency;
+  }
   const std::string& service =
       RouteTable::PickService(*caller->route, m_random());
   if (caller->headers.model.empty()) {
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -25,12 +25,14 @@
 
   Admission::Answer Offer(const char* organisation, RequestClass request_class,
                           milliseconds timeout = milliseconds(60'000),
-                          Admission::Room room = kFull) {
+                          Admission::Room room = kFull,
+                          milliseconds target = milliseconds(0)) {
     Request request;
     request.id = ++last;
     request.organisation = organisation;
     request.request_class = request_class;
     request.deadline = kStart + timeout;
+    request.target = target;
     return admission.Offer(request, kPool, room, kStart);
   }
 
@@ -161,6 +163,39 @@
   }
 }
 
+// Pattern: more work than capacity for many seconds. Guards against a queue in
+// which every request waits so long that none is answered within its target.
+TEST_CASE("a request that would miss its target is refused at once") {
+  Fixture f;
+  auto offer = [&](milliseconds target) {
+    return f.Offer("ash", RequestClass::kStream, milliseconds(5'000), kFull,
+                   target);
+  };
+  // One request ends every 25 ms, and 150 ms of the target are for the wait.
+  for (int i = 0; i < 6; ++i) {
+    CHECK(offer(milliseconds(200)).verdict == Verdict::kQueue);
+  }
+  Admission::Answer refused = offer(milliseconds(200));
+  CHECK(refused.verdict == Verdict::kRefuse);
+  CHECK(refused.retry_after >= milliseconds(150));
+  CHECK(offer(milliseconds(400)).verdict == Verdict::kQueue);
+  CHECK(offer(milliseconds(0)).verdict == Verdict::kQueue);
+}
+
+// Guards against a request that is held although its turn can only come after
+// its target, when the pool drains more slowly than it did on arrival.
+TEST_CASE("a queued request that has missed its target is given up") {
+  Fixture f;
+  for (milliseconds target : {milliseconds(200), milliseconds(0)}) {
+    f.Offer("ash", RequestClass::kStream, milliseconds(5'000), kFull, target);
+  }
+  TimePoint soon = kStart + milliseconds(150);
+  CHECK(f.admission.FindHopeless(kPool, 4, soon).empty());
+  auto given_up = f.admission.FindHopeless(kPool, 4, soon + milliseconds(1));
+  REQUIRE(given_up.size() == 1);
+  CHECK(given_up[0].request == 1);
+}
+
 // Guards against a refusal of everything after a quiet hour, or for ever.
 TEST_CASE("old measurements don't refuse a request that needn't wait") {
   Fixture f;
