Share capacity equally until the daemons' request rates are known

Cause: a daemon that has just started wrote a request rate of 0, and the others counted with it. Change: the rate is "?" until the first requests were measured, and counts as much as the reader's own; a daemon writes its first rate at once and reads the others'.

--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -25,11 +25,18 @@
 /// Requests a second below which shares say nothing.
 constexpr double kLeastRate = 1.0;
 
-/// The number after the last slash; 0 when there's none.
-double TrailingNumber(const std::string& text) {
+/// Stands for a rate that hasn't been measured since the daemon's start.
+constexpr char kUnknownRate[] = "?";
+
+/// The number after the last slash; nothing when there's none.
+std::optional<double> TrailingNumber(const std::string& text) {
   std::size_t slash = text.rfind('/');
-  if (slash == std::string::npos) return 0.0;
-  return std::max(0.0, std::strtod(text.c_str() + slash + 1, nullptr));
+  if (slash == std::string::npos) return std::nullopt;
+  const char* begin = text.c_str() + slash + 1;
+  char* end = nullptr;
+  double number = std::strtod(begin, &end);
+  if (end == begin || !(number >= 0.0)) return std::nullopt;
+  return number;
 }
 
 }  // namespace
@@ -45,10 +52,12 @@
   MeasureRate(now);
   if (now >= m_next_put) {
     m_next_put = now + m_jitter.Between(kPutInterval * 4 / 5, kPutInterval);
-    actions.emplace_back(PutObject{
-        kOwnCall, kPrefix + m_node,
-        fmt::format("{}/{}/{:.2f}", m_incarnation, ++m_renewal, m_rate),
-        m_version});
+    actions.emplace_back(
+        PutObject{kOwnCall, kPrefix + m_node,
+                  fmt::format("{}/{}/{}", m_incarnation, ++m_renewal,
+                              m_rate > 0.0 ? fmt::format("{:.2f}", m_rate)
+                                           : std::string(kUnknownRate)),
+                  m_version});
   }
   if (now >= m_next_list) {
     bool first = m_renewal <= kFirstLists && m_nodes.size() < kFirstLists;
@@ -90,11 +99,11 @@
   });
   m_live = 1 + static_cast<int>(m_nodes.size()) -
            static_cast<int>(m_nodes.count(m_node));
+  // A daemon whose rate isn't known yet counts as much as this one.
   double all = m_rate;
   for (const auto& [name, seen] : m_nodes) {
-    if (name != m_node) all += seen.rate;
+    if (name != m_node) all += seen.rate.value_or(m_rate);
   }
-  // Daemons whose rate isn't known yet would make the own share too large.
   bool comparable = m_rate >= kLeastRate && all > 0.0;
   double least = 1.0 / (2.0 * m_live);
   m_share = comparable ? std::clamp(m_rate / all, least, 1.0) : 0.0;
@@ -106,6 +115,11 @@
   if (now - m_measured < kRateInterval) return;
   double rate =
       static_cast<double>(m_requests - m_measured_requests) / time.count();
+  if (m_rate == 0.0 && rate > 0.0) {
+    // The others know nothing of it; a list shows theirs.
+    m_next_put = now;
+    m_next_list = std::min(m_next_list, now + kFirstListInterval);
+  }
   m_rate = m_rate == 0.0 ? rate : (m_rate + rate) / 2.0;
   m_measured = now;
   m_measured_requests = m_requests;
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -50,7 +51,7 @@
   struct Seen {
     std::string value;
     TimePoint changed;
-    double rate = 0.0;  ///< Requests a second, as told.
+    std::optional<double> rate;  ///< Requests a second; unknown at a start.
   };
 
   void CountLive(TimePoint now);
@@ -66,7 +67,7 @@
   TimePoint m_next_list;
   int m_live = 1;
   double m_share = 0.0;
-  double m_rate = 0.0;  ///< Own requests a second.
+  double m_rate = 0.0;  ///< Own requests a second; 0 until the first ones.
   std::uint64_t m_requests = 0;
   std::uint64_t m_measured_requests = 0;
   TimePoint m_measured;
