Show the members of a leaving head being taken by a new planner

A head left the list during an outage and refused connections; the planner that took over just then took that for its end, while it still ended its streams. Change: a test of the planner in the fake fleet shows the same joins. Conclusion: mend first next time: remember whether a head failed before it left the list, and else keep its members for the ten seconds that a leaving head may take.

--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -118,6 +118,21 @@
   CHECK(world.ServingGroups("large") == 1);
 }
 
+// Guards against a successor that takes a head for gone because it left the
+// list and refuses connections, while it still ends its streams (rule TWO,
+// trouble-3 of mahoe-grid, seed 1098718525351). A leaving head ends them within
+// ten seconds.
+TEST_CASE("a new planner waits for a leaving head that takes no orders") {
+  FleetWorld world = Started(1, 9);
+  testing::FakeServer& head = world.servers.at(world.HeadOf("large"));
+  world.ReplacePlanner();
+  world.planner.Observe(world.configuration, world.List(), world.now);
+  head.hidden = head.cut = true;
+  head.unlisted_at = world.now;
+  world.Run(milliseconds(9'000));
+  CheckClean(world);
+}
+
 // Guards against members that join another group while their head, whose entry
 // lapsed in a cut of the whole data centre, still serves.
 TEST_CASE("planner waits for the entries of a data centre that was cut off") {
