Ask in one place for a service's engine and for refused orders

Cause: fleet_control and group_heads each looked a service up twice to learn whether it has an engine; planner and fleet_control each listed the results that say that an order isn't carried out. Change: FindEngine and ProvesNotCarriedOut in core/fleet serve both. Conclusion: behaviour is unchanged.

--- a/core/fleet.cc
+++ b/core/fleet.cc
@@ -1,9 +1,18 @@
-// Names of the fleet's values, as they are logged.
+// Names of the fleet's values, as they are logged, and small questions about
+// them.
 
 #include "core/fleet.h"
 
 namespace clementine {
 
+const EngineSpec* FindEngine(const FleetConfiguration& configuration,
+                             const std::string& service) {
+  auto found = configuration.services.find(service);
+  return found == configuration.services.end() || !found->second.engine
+             ? nullptr
+             : &*found->second.engine;
+}
+
 const char* GroupMemberStateName(GroupMemberState state) {
   switch (state) {
     case GroupMemberState::kNone:
@@ -50,4 +59,8 @@
   return "unknown";
 }
 
+bool ProvesNotCarriedOut(OrderResult result) {
+  return result == OrderResult::kRejected || result == OrderResult::kBusy;
+}
+
 }  // namespace clementine
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -74,6 +74,10 @@
   std::vector<FleetOrganisation> organisations;
 };
 
+/// The engines of a service; null for a plain or unknown service.
+const EngineSpec* FindEngine(const FleetConfiguration& configuration,
+                             const std::string& service);
+
 enum class GroupMemberState {
   kNone,
   kJoining,
@@ -134,6 +138,9 @@
 };
 const char* OrderResultName(OrderResult result);
 
+/// Whether the order certainly wasn't and won't be carried out.
+bool ProvesNotCarriedOut(OrderResult result);
+
 }  // namespace clementine
 
 #endif  // CORE_FLEET_H_
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -354,8 +354,7 @@
   for (const auto& [id, server] : m_list.servers()) {
     bool member = server.member.state == GroupMemberState::kOpen ||
                   server.member.state == GroupMemberState::kReady;
-    bool engine = m_configuration->services.count(server.service) > 0 &&
-                  m_configuration->services.at(server.service).engine;
+    bool engine = FindEngine(*m_configuration, server.service) != nullptr;
     bool uncounted = engine && !m_planner.Counted(server);
     if (!member && !uncounted) continue;
     auto [entry, added] = m_asked.try_emplace(id);
@@ -432,9 +431,7 @@
   // The count of orders that was expected may be wrong. Reports are some time
   // old, so a rejection is followed by a pause.
   auto asked = m_asked.find(event.host);
-  bool refused = event.result == OrderResult::kRejected ||
-                 event.result == OrderResult::kBusy;
-  if (refused && asked != m_asked.end()) {
+  if (ProvesNotCarriedOut(event.result) && asked != m_asked.end()) {
     asked->second.next = m_now + kReportAge;
   }
 }
--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -30,8 +30,7 @@
   m_heads.clear();
   for (const auto& [id, server] : servers) {
     const GroupMembership& member = server.member;
-    bool engine = configuration.services.count(server.service) > 0 &&
-                  configuration.services.at(server.service).engine;
+    bool engine = FindEngine(configuration, server.service) != nullptr;
     if (engine && member.rank == 0 &&
         (IsServing(member.state) || OpenMayBeLate(id))) {
       m_heads[{member.group, member.epoch}] = server;
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -210,7 +210,7 @@
       found->second.order.kind != order.kind) {
     return;
   }
-  if (result == OrderResult::kRejected || result == OrderResult::kBusy) {
+  if (ProvesNotCarriedOut(result)) {
     if (order.kind == GroupOrder::Kind::kJoin) m_epoch += kEpochStep;
     m_sent.erase(found);
     m_loads.erase(host);
