Set the metrics that both daemons have in one place

Cause: Daemon and FleetDaemon set the same eleven metrics, line by line. Change: SetCommonMetrics in daemon/common_metrics; each daemon adds its own. Conclusion: names and values are unchanged; a daemon of the own interface renders two of them in another order of calls, which the rendering doesn't show.

--- /dev/null
+++ b/daemon/common_metrics.cc
@@ -0,0 +1,23 @@
+#include "daemon/common_metrics.h"
+
+namespace clementine {
+
+void SetCommonMetrics(const RequestPathStats& path,
+                      const HttpServerStats& server,
+                      const BackendStats& backend, Metrics* metrics) {
+  metrics->SetTotal("clementine_dispatched_total", "", path.dispatched);
+  metrics->SetTotal("clementine_retried_total", "", path.retried);
+  metrics->SetTotal("clementine_quarantined_total", "", path.quarantined);
+  metrics->Set("clementine_in_flight", "", static_cast<double>(path.in_flight));
+  metrics->Set("clementine_queued", "", static_cast<double>(path.queued));
+  metrics->Set("clementine_connections", "",
+               static_cast<double>(server.connections));
+  metrics->SetTotal("clementine_malformed_total", "", server.malformed);
+  metrics->SetTotal("clementine_callers_left_total", "", server.callers_left);
+  metrics->SetTotal("clementine_backend_calls_total", "", backend.calls);
+  metrics->SetTotal("clementine_backend_connects_total", "", backend.connects);
+  metrics->SetTotal("clementine_frames_dropped_total", "",
+                    backend.frames_dropped);
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/daemon/common_metrics.h
@@ -0,0 +1,18 @@
+// Metrics that the daemons of both interfaces have.
+#ifndef DAEMON_COMMON_METRICS_H_
+#define DAEMON_COMMON_METRICS_H_
+
+#include "core/core.h"
+#include "net/net.h"
+
+namespace clementine {
+
+/// Sets the metrics of the request path, the callers' server and the calls to
+/// backend servers.
+void SetCommonMetrics(const RequestPathStats& path,
+                      const HttpServerStats& server,
+                      const BackendStats& backend, Metrics* metrics);
+
+}  // namespace clementine
+
+#endif  // DAEMON_COMMON_METRICS_H_
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -7,6 +7,7 @@
 
 #include "core/router.h"
 #include "daemon/answers.h"
+#include "daemon/common_metrics.h"
 #include "daemon/request_reader.h"
 #include "fmt/format.h"
 
@@ -228,25 +229,11 @@
 }
 
 std::string Daemon::RenderMetrics() {
-  RequestPathStats path = m_request_path->stats();
-  m_metrics.SetTotal("clementine_dispatched_total", "", path.dispatched);
-  m_metrics.SetTotal("clementine_retried_total", "", path.retried);
-  m_metrics.SetTotal("clementine_quarantined_total", "", path.quarantined);
-  m_metrics.Set("clementine_in_flight", "",
-                static_cast<double>(path.in_flight));
-  m_metrics.Set("clementine_queued", "", static_cast<double>(path.queued));
   HttpServerStats server = m_server->stats();
-  m_metrics.Set("clementine_connections", "",
-                static_cast<double>(server.connections));
-  m_metrics.SetTotal("clementine_malformed_total", "", server.malformed);
-  m_metrics.SetTotal("clementine_callers_left_total", "", server.callers_left);
+  BackendStats backend = m_backends->stats();
+  SetCommonMetrics(m_request_path->stats(), server, backend, &m_metrics);
   m_metrics.SetTotal("clementine_refused_connections_total", "",
                      server.refused_connections);
-  BackendStats backend = m_backends->stats();
-  m_metrics.SetTotal("clementine_backend_calls_total", "", backend.calls);
-  m_metrics.SetTotal("clementine_backend_connects_total", "", backend.connects);
-  m_metrics.SetTotal("clementine_frames_dropped_total", "",
-                     backend.frames_dropped);
   m_metrics.SetTotal("clementine_stream_gaps_total", "", backend.gaps);
   PeerStats peers = m_peers->stats();
   m_metrics.SetTotal("clementine_peer_messages_total", "direction=\"out\"",
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -6,6 +6,7 @@
 #include <ctime>
 #include <utility>
 
+#include "daemon/common_metrics.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -242,23 +243,8 @@
 }
 
 std::string FleetDaemon::RenderMetrics() {
-  RequestPathStats path = m_request_path->stats();
-  m_metrics.SetTotal("clementine_dispatched_total", "", path.dispatched);
-  m_metrics.SetTotal("clementine_retried_total", "", path.retried);
-  m_metrics.SetTotal("clementine_quarantined_total", "", path.quarantined);
-  m_metrics.Set("clementine_in_flight", "",
-                static_cast<double>(path.in_flight));
-  m_metrics.Set("clementine_queued", "", static_cast<double>(path.queued));
-  HttpServerStats server = m_server->stats();
-  m_metrics.Set("clementine_connections", "",
-                static_cast<double>(server.connections));
-  m_metrics.SetTotal("clementine_malformed_total", "", server.malformed);
-  m_metrics.SetTotal("clementine_callers_left_total", "", server.callers_left);
-  BackendStats backend = m_backends->stats();
-  m_metrics.SetTotal("clementine_backend_calls_total", "", backend.calls);
-  m_metrics.SetTotal("clementine_backend_connects_total", "", backend.connects);
-  m_metrics.SetTotal("clementine_frames_dropped_total", "",
-                     backend.frames_dropped);
+  SetCommonMetrics(m_request_path->stats(), m_server->stats(),
+                   m_backends->stats(), &m_metrics);
   m_metrics.SetTotal("clementine_platform_calls_total", "", m_store->calls());
   m_metrics.Set("clementine_open_groups", "",
                 static_cast<double>(m_control->open_groups()));
