--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -9,6 +9,7 @@
 
 #include "daemon/relay_stream.h"
 #include "fmt/format.h"
+#include "net/http_status.h"
 #include "platform/platform.h"
 
 namespace clementine {
@@ -23,12 +24,6 @@
 constexpr milliseconds kEarlyRetryAfter{500};
 /// How often the progress of an attempt is fed after its first event.
 constexpr milliseconds kProgressInterval{200};
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-constexpr int kOk = 200;
 
 std::string Seconds(milliseconds time) {
   return fmt::format("{:.3f}", std::chrono::duration<double>(time).count());
@@ -109,7 +104,7 @@
   m_context.metrics->Add("clementine_refused_total",
                          fmt::format("reason=\"{}\"", reason));
   HttpHeaders headers = {{"Content-Type", "text/plain"}};
-  if (status == kUnavailable) {
+  if (status == http_status::kUnavailable) {
     headers.emplace_back("Retry-After", Seconds(kEarlyRetryAfter));
   }
   exchange->Answer(status, headers, std::string(reason) + "\n");
@@ -120,18 +115,20 @@
   platform::CallerHeaders headers =
       platform::ReadCallerHeaders(request.headers);
   if (m_routes == nullptr) {
-    RefuseNow(exchange.get(), kUnavailable, "no_configuration",
+    RefuseNow(exchange.get(), http_status::kUnavailable, "no_configuration",
               headers.request_id);
     return;
   }
   RouteTable::Match match =
       m_routes->Find(headers.host, request.path, headers.key);
   if (match.verdict == RouteTable::Verdict::kNoRoute) {
-    RefuseNow(exchange.get(), kNotFound, "no_route", headers.request_id);
+    RefuseNow(exchange.get(), http_status::kNotFound, "no_route",
+              headers.request_id);
     return;
   }
   if (match.verdict == RouteTable::Verdict::kNoKey) {
-    RefuseNow(exchange.get(), kUnauthorized, "unknown_key", headers.request_id);
+    RefuseNow(exchange.get(), http_status::kUnauthorized, "unknown_key",
+              headers.request_id);
     return;
   }
   std::shared_ptr<Caller> caller = MakeCaller(exchange, match);
@@ -294,8 +291,8 @@
   if (judged == AnswerHead::kAnswer) {
     attempt->status = status;
     attempt->headers = EndToEndHeaders(headers);
-    attempt->streams =
-        attempt->caller->route->kind == RouteKind::kStream && status == kOk;
+    attempt->streams = attempt->caller->route->kind == RouteKind::kStream &&
+                       status == http_status::kOk;
   }
   m_silence.Heard(attempt->id, /*event=*/false, m_context.now());
   return judged;
@@ -423,8 +420,8 @@
     caller->exchange->Abort();
     LogAnswer(*caller, "cut_off", caller->status, "no_answer");
   } else if (!has_answer) {
-    caller->exchange->Answer(kBadGateway, {}, "");
-    LogAnswer(*caller, OutcomeName(Outcome::kUnknown), kBadGateway,
+    caller->exchange->Answer(http_status::kBadGateway, {}, "");
+    LogAnswer(*caller, OutcomeName(Outcome::kUnknown), http_status::kBadGateway,
               "no_answer");
   } else {
     caller->exchange->Answer(caller->status, caller->answer_headers,
@@ -445,9 +442,11 @@
     return;
   }
   bool not_run = refuse.outcome == Outcome::kNotRun;
-  int status = kBadGateway;
-  if (refuse.reason == RefusalReason::kDeadline) status = kGatewayTimeout;
-  if (not_run) status = kUnavailable;
+  int status = http_status::kBadGateway;
+  if (refuse.reason == RefusalReason::kDeadline) {
+    status = http_status::kGatewayTimeout;
+  }
+  if (not_run) status = http_status::kUnavailable;
   HttpHeaders headers = {{"Content-Type", "text/plain"}};
   if (not_run) {
     headers.emplace_back("Retry-After", Seconds(refuse.retry_after));
@@ -490,7 +489,7 @@
     std::shared_ptr<Caller> caller = TakeCaller(id);
     m_context.feed(CallerLeft{id});
     if (caller->current == 0) {
-      RefuseNow(caller->exchange.get(), kUnavailable, "stopping",
+      RefuseNow(caller->exchange.get(), http_status::kUnavailable, "stopping",
                 caller->headers.request_id);
     } else {
       caller->exchange->Abort();
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -81,7 +81,8 @@
     for (const char* member : {"role", "content"}) {
       auto found = message.find(member);
       if (found != message.end()) {
-        text += found->is_string() ? found->get<std::string>() : found->dump();
+        text +=
+            found->is_string() ? found->get<std::string>() : JsonText(*found);
       }
       text += '\n';
     }
