Tell dead heads from leaving ones; reuse members of dead heads at once

Change: a listed head is gone when connection requests to it get no answer between answers of its members; refused connections prove nothing. A head that left the list without having failed before gets the longest time that a leaving server goes on. The fake servers of testing/ report each second, tell refused from unanswered connections, and only listed ones can fail, as in FleetControl.

--- a/core/fleet.cc
+++ b/core/fleet.cc
@@ -53,6 +53,8 @@
       return "rejected";
     case OrderResult::kBusy:
       return "busy";
+    case OrderResult::kUnreachable:
+      return "unreachable";
     case OrderResult::kUnknown:
       return "unknown";
   }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -135,6 +135,8 @@
   kRejected,  ///< Doesn't fit the server's state, and is never carried out.
   kBusy,  ///< Never carried out, for reasons that have nothing to do with it.
   kUnknown,  ///< May still be carried out.
+  /// Nothing answered the connection request, as when the host has no power.
+  kUnreachable,
 };
 const char* OrderResultName(OrderResult result);
 
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -140,9 +140,14 @@
   m_changed = true;
   Log("group_silent",
       {{"group", event.group}, {"epoch", std::to_string(event.epoch)}});
+  AskGroupNow({event.group, event.epoch});
+}
+
+void FleetControl::AskGroupNow(const GroupMembership& group) {
   for (const auto& [id, server] : m_list.servers()) {
     auto asked = m_asked.find(id);
-    if (server.member.group == event.group && asked != m_asked.end()) {
+    if (server.member.group == group.group &&
+        server.member.epoch == group.epoch && asked != m_asked.end()) {
       asked->second.next = m_now;
     }
   }
@@ -370,7 +375,7 @@
 
 void FleetControl::On(const ServerAnswered& event) {
   if (event.server) {
-    m_planner.Reported(event.host, *event.server);
+    m_planner.Reported(event.host, *event.server, m_now);
   }
   auto found = m_asked.find(event.host);
   if (found == m_asked.end()) return;
@@ -397,6 +402,7 @@
     m_changed = true;
     Log("host_failed",
         {{"host", event.host}, {"failures", std::to_string(asked.failures)}});
+    if (server != m_list.servers().end()) AskGroupNow(server->second.member);
   }
   if (failed) asked.next = m_now + kAskInterval / 2;
 }
@@ -428,6 +434,9 @@
                       {"result", OrderResultName(event.result)},
                       {"detail", event.detail}});
   m_planner.Answered(event.host, event.order, event.result, m_now);
+  if (event.result == OrderResult::kUnreachable) {
+    AskGroupNow({event.order.group, event.order.epoch});
+  }
   // The count of orders that was expected may be wrong. Reports are some time
   // old, so a rejection is followed by a pause.
   auto asked = m_asked.find(event.host);
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -135,6 +135,8 @@
   void TellDaemons();
   void AdvanceLease();
   void AskMembers();
+  /// Asks the members of a group without waiting for their turn.
+  void AskGroupNow(const GroupMembership& group);
   void PlanOrders();
   void PublishGroups();
   void AddEngineGroups(const FleetService& service,
--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -1,6 +1,13 @@
-// Heads that left the list while they served. Such a head may be gone, or it
-// may only be cut off from the platform and go on serving with its members.
-// They stay with it until it was closed or shown to be gone.
+// Heads that may be serving, but don't answer or have left the list. Such a
+// head may be gone, it may be cut off from the platform, or it may be leaving
+// and end its streams without taking connections. Its members stay with it
+// until it was closed or is shown to be gone:
+//
+//   listed, not leaving      no connection request is answered, while members
+//                            answer theirs
+//   left after it failed     at once: it had stopped before its entry lapsed
+//   left without failing     when it answers no call, after the longest time
+//                            that a leaving server goes on
 
 #include <algorithm>
 
@@ -12,6 +19,12 @@
 /// Calls without an answer, so far apart, that show a head to be gone.
 constexpr int kOrphanTries = 3;
 constexpr milliseconds kOrphanInterval{400};
+/// Connection requests without an answer that show a listed head to be gone.
+/// One lost packet delays a connection by more than one of them.
+constexpr int kUnreachableTries = 2;
+/// Servers end their work within ten seconds of leaving; the rest is for the
+/// delay of the list.
+constexpr milliseconds kLongestLeave{10'500};
 /// Entries that lapsed in a cut are back within two seconds of its end, in any
 /// order.
 constexpr milliseconds kReturnTime{2'500};
@@ -24,7 +37,10 @@
                            const Servers& servers, TimePoint now) {
   for (const auto& [key, head] : m_heads) {
     if (servers.count(head.id) == 0) {
-      m_orphans.emplace(key, Orphan{head, 0, now});
+      Orphan orphan;
+      orphan.head = head;
+      orphan.left = orphan.next = now;
+      m_orphans.emplace(key, std::move(orphan));
     }
   }
   m_heads.clear();
@@ -55,6 +71,11 @@
 
 void GroupPlanner::ResolveOrphans(Pass* pass) {
   for (auto& [key, orphan] : m_orphans) {
+    if (!orphan.judged) {
+      orphan.judged = true;
+      orphan.failed_before =
+          !orphan.head.leaving && pass->failed->count(orphan.head.id) > 0;
+    }
     if (!MembersInContact(key, *pass)) {
       // Members that nobody reaches can't be taken either.
       orphan.was_cut = true;
@@ -64,9 +85,10 @@
       continue;
     }
     if (orphan.free_at != TimePoint::max()) continue;
-    bool known_silent =
-        !orphan.was_cut && pass->failed->count(orphan.head.id) > 0;
-    if (known_silent || orphan.unanswered >= kOrphanTries) {
+    bool known_silent = !orphan.was_cut && orphan.failed_before;
+    bool silent_since = orphan.unanswered >= kOrphanTries &&
+                        pass->now - orphan.left >= kLongestLeave;
+    if (known_silent || silent_since) {
       orphan.free_at = pass->now;
       continue;
     }
@@ -84,6 +106,50 @@
   }
 }
 
+TimePoint GroupPlanner::LastMemberReport(const ReportedGroup& group) const {
+  TimePoint last;
+  for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+    if (group.members[rank] == nullptr) continue;
+    auto count = m_counts.find(group.members[rank]->id);
+    if (count != m_counts.end()) last = std::max(last, count->second.reported);
+  }
+  return last;
+}
+
+bool GroupPlanner::HeadIsGone(const ReportedGroup& group) {
+  auto found = m_silent_heads.find({group.name, group.epoch});
+  if (found == m_silent_heads.end() || group.members.front()->leaving) {
+    return false;
+  }
+  SilentHead& silent = found->second;
+  bool members_after = LastMemberReport(group) > silent.failed_at;
+  if (silent.unreachable && silent.members_before && members_after) {
+    ++silent.proofs;
+    silent.unreachable = false;
+  }
+  return silent.proofs >= kUnreachableTries;
+}
+
+void GroupPlanner::CloseSilentHead(const ReportedGroup& group, Pass* pass) {
+  const BackendServer& head = *group.members.front();
+  auto [entry, added] = m_silent_heads.try_emplace({group.name, group.epoch});
+  SilentHead& silent = entry->second;
+  if (added) {
+    silent.host = head.id;
+    silent.failed_at = pass->now;
+  }
+  if (pass->now < silent.next) return;
+  silent.next = pass->now + kOrphanInterval;
+  silent.members_before = LastMemberReport(group) > silent.failed_at;
+  silent.unreachable = false;
+  GroupOrder close;
+  close.kind = GroupOrder::Kind::kClose;
+  close.group = group.name;
+  close.epoch = group.epoch;
+  close.evict = true;
+  pass->orders.push_back({head.id, head.address, close});
+}
+
 bool GroupPlanner::HeadMayReturn(const ReportedGroup& group,
                                  const Pass& pass) const {
   GroupKey key{group.name, group.epoch};
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -114,6 +114,10 @@
     const std::set<std::string>& failed, TimePoint now) {
   Settle(servers, now);
   Observe(configuration, servers, now);
+  std::erase_if(m_silent_heads, [&](const auto& entry) {
+    const std::string& host = entry.second.host;
+    return failed.count(host) == 0 || servers.count(host) == 0;
+  });
   std::vector<Order> orders;
   for (const auto& [name, service] : configuration.services) {
     if (!service.engine) continue;
@@ -148,6 +152,7 @@
 
 void GroupPlanner::Reset() {
   m_sent.clear();
+  m_silent_heads.clear();
   for (auto& [host, count] : m_counts) count.known = false;
   m_loads.clear();
   m_forming.clear();
@@ -165,8 +170,9 @@
 }
 
 void GroupPlanner::Reported(const std::string& host,
-                            const BackendServer& report) {
+                            const BackendServer& report, TimePoint now) {
   AddAccepted(host, report.born, report.orders);
+  m_counts[host].reported = now;
   // What this planner ordered is known better than a report tells.
   m_counts[host].busy =
       report.busy && !Waiting(host) && m_loads.count(host) == 0;
@@ -192,11 +198,19 @@
 
 void GroupPlanner::Answered(const std::string& host, const GroupOrder& order,
                             OrderResult result, TimePoint now) {
+  auto silent = m_silent_heads.find({order.group, order.epoch});
+  if (silent != m_silent_heads.end() && silent->second.host == host &&
+      order.kind == GroupOrder::Kind::kClose) {
+    silent->second.failed_at = now;
+    silent->second.unreachable = result == OrderResult::kUnreachable;
+    return;
+  }
   for (auto& [key, orphan] : m_orphans) {
     if (orphan.head.id != host || order.kind != GroupOrder::Kind::kClose) {
       continue;
     }
-    if (result == OrderResult::kUnknown) {
+    if (result == OrderResult::kUnknown ||
+        result == OrderResult::kUnreachable) {
       ++orphan.unanswered;
     } else if (result != OrderResult::kBusy) {
       // Closed now, or not serving this group before.
@@ -324,6 +338,12 @@
     }
     return;
   }
+  if (pass->failed->count(head->id) > 0) {
+    if (HeadIsGone(group)) return;
+    Bind(group, /*stands=*/false, pass);
+    CloseSilentHead(group, pass);
+    return;
+  }
   bool whole = model != nullptr && IsWhole(group, model->hosts_per_group);
   bool leaving = false;
   for (const BackendServer* member : group.members) {
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -71,7 +71,8 @@
 
   /// A host's own report: the orders that it has accepted in this life, and
   /// whether it is carrying one out.
-  void Reported(const std::string& host, const BackendServer& report);
+  void Reported(const std::string& host, const BackendServer& report,
+                TimePoint now);
   /// Whether a host can be sent an order. If not, its report is needed first.
   bool Counted(const BackendServer& host) const;
 
@@ -101,6 +102,7 @@
     bool busy = false;  ///< With an order of an earlier planner.
     std::uint64_t orders = 0;
     TimePoint not_before;    ///< Pause after a rejected order.
+    TimePoint reported;      ///< When its last report came.
     std::string last_model;  ///< Of its last group in this life.
   };
   /// A load from the weight store that a host was ordered to make.
@@ -112,13 +114,27 @@
   /// until it was closed or doesn't answer.
   struct Orphan {
     BackendServer head;
+    TimePoint left;  ///< When it was first missing.
     int unanswered = 0;
     TimePoint next;
+    bool judged = false;         ///< `failed_before` is known.
+    bool failed_before = false;  ///< It didn't answer while it was listed.
     /// None of its members was in contact at some time since it left: its
     /// silence then says nothing, and its entry may return.
     bool was_cut = false;
     TimePoint free_at = TimePoint::max();
   };
+  /// A listed head that doesn't answer though it should be serving. A failed
+  /// connection says something of the head only if its members were reached
+  /// before it was tried and after it failed.
+  struct SilentHead {
+    std::string host;
+    TimePoint failed_at;          ///< When it last didn't answer.
+    TimePoint next;               ///< When it is asked to close again.
+    bool members_before = false;  ///< Members answered before the last try.
+    bool unreachable = false;     ///< The last try got no connection.
+    int proofs = 0;               ///< Tries that failed between such answers.
+  };
   /// What one call of Plan works on.
   struct Pass {
     const EngineSpec* engine = nullptr;
@@ -156,6 +172,9 @@
   void JudgeForming(const ReportedGroup& group, const EngineModel& model,
                     Pass* pass);
   bool HeadMayReturn(const ReportedGroup& group, const Pass& pass) const;
+  bool HeadIsGone(const ReportedGroup& group);
+  TimePoint LastMemberReport(const ReportedGroup& group) const;
+  void CloseSilentHead(const ReportedGroup& group, Pass* pass);
   /// @param stands The group serves, or will once it's open.
   static void Bind(const ReportedGroup& group, bool stands, Pass* pass);
   void FindFree(const std::string& service, Pass* pass);
@@ -193,6 +212,7 @@
   std::map<GroupKey, TimePoint> m_seen;       ///< When a group was first seen.
   std::map<GroupKey, BackendServer> m_heads;  ///< That serve, as last listed.
   std::map<GroupKey, Orphan> m_orphans;
+  std::map<GroupKey, SilentHead> m_silent_heads;
   std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
   /// Free hosts of a domain, and when their number last rose.
   std::map<std::string, std::pair<std::size_t, TimePoint>> m_grown;
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -383,6 +383,7 @@
   if (error) {
     Fail("connect", error);
     m_end.result = AttemptResult::kNotSent;
+    m_end.unreachable = m_timed_out;
     m_broken = m_timed_out = false;
     co_return false;
   }
--- a/net/net.h
+++ b/net/net.h
@@ -282,10 +282,11 @@
   std::uint64_t offset = 0;  ///< Tokens delivered, earlier attempts included.
   std::uint64_t dropped = 0;
   milliseconds retry_after{0};
-  bool leaving = false;  ///< The answer had a `leaving` header.
-  bool reused = false;   ///< The connection came from the pool.
-  bool lost = false;     ///< The connection couldn't be made or broke.
-  std::string detail;    ///< For the log.
+  bool leaving = false;      ///< The answer had a `leaving` header.
+  bool reused = false;       ///< The connection came from the pool.
+  bool lost = false;         ///< The connection couldn't be made or broke.
+  bool unreachable = false;  ///< Nothing answered the connection request.
+  std::string detail;        ///< For the log.
 };
 
 struct BackendHandlers {
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -13,6 +13,7 @@
 constexpr milliseconds kForm{300};
 constexpr milliseconds kLatest{6'000};
 constexpr milliseconds kSilence{1'000};
+constexpr milliseconds kAskInterval{1'000};
 /// Entries that lapsed in a cut are back this long after its end.
 constexpr milliseconds kReturn{1'600};
 
@@ -146,16 +147,19 @@
     bool silent =
         server.cut && now + kEntryLife > server.unlisted_at + kSilence;
     if (!server.alive && now - server.died > kSilence) silent = true;
-    if (silent) {
-      failed.insert(id);
-    } else {
+    // As FleetControl: only listed hosts are asked whether they live.
+    if (silent && listed.count(id) > 0) {
+      if (failed.insert(id).second) AskGroupNow(server.entry.member.group);
+    } else if (!silent) {
       failed.erase(id);
     }
+    bool due = now >= server.reported + kAskInterval;
     if (server.alive && !server.cut && listed.count(id) > 0 &&
-        !planner.Counted(server.entry)) {
+        (due || !planner.Counted(server.entry))) {
+      server.reported = now;
       BackendServer report = server.entry;
       report.busy = server.staged_at != TimePoint::max();
-      planner.Reported(id, report);
+      planner.Reported(id, report, now);
     }
   }
   for (const GroupPlanner::Order& order :
@@ -165,6 +169,12 @@
   }
 }
 
+void FleetWorld::AskGroupNow(const std::string& group) {
+  for (auto& [id, server] : servers) {
+    if (server.entry.member.group == group) server.reported = TimePoint();
+  }
+}
+
 void FleetWorld::Progress(FakeServer* server) {
   if (server->staged_at <= now) {
     server->staged_at = TimePoint::max();
@@ -189,7 +199,11 @@
   };
   auto target = servers.find(planned.host);
   if (target == servers.end() || !target->second.alive || target->second.cut) {
-    planner.Answered(planned.host, planned.order, OrderResult::kUnknown, now);
+    bool refused = target != servers.end() && target->second.refuses;
+    planner.Answered(
+        planned.host, planned.order,
+        refused ? OrderResult::kUnknown : OrderResult::kUnreachable, now);
+    AskGroupNow(planned.order.group);
     return;
   }
   if (uniform() < faults.late_order) {
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -32,6 +32,8 @@
   TimePoint unlisted_at;  ///< When its entry lapses.
   TimePoint listed_at;    ///< When its entry is back after a cut.
   bool hidden = false;    ///< Not in the registry, but takes orders.
+  bool refuses = false;   ///< While cut, it refuses connections.
+  TimePoint reported;     ///< When the planner last had its report.
 };
 
 /// Faults of the way between the planner and the servers.
@@ -87,6 +89,8 @@
   };
 
   void Progress(FakeServer* server);
+  /// As FleetControl: the members of a group report at the next step.
+  void AskGroupNow(const std::string& group);
   void Deliver(const GroupPlanner::Order& planned);
   OrderResult Accept(const std::string& host, const GroupOrder& order);
   void CheckJoin(const FakeServer& server, const GroupOrder& order);
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -75,6 +75,46 @@
   CHECK(world.ServingGroups("large") == before);
 }
 
+// Guards against members that stand idle until the entry of their dead head
+// lapses, though nothing answers at its address (quiet-1 of kroket-rota).
+TEST_CASE("planner reuses the members of a dead head before its entry lapses") {
+  FleetWorld world = Started(1, 9);
+  int before = world.ServingGroups("large");
+  world.Kill(world.HeadOf("large"));
+  // As soon as after the loss of another member.
+  world.Run(milliseconds(4'500));
+  CheckClean(world);
+  CHECK(world.ServingGroups("large") == before);
+}
+
+// Guards against a head that is taken for dead because its data centre is back
+// from a cut and a member was reached first (rule TWO, trouble-3 of
+// karalis-touchup).
+TEST_CASE(
+    "planner doesn't take a head for dead that returns after its members") {
+  FleetWorld world = Started(1, 9);
+  testing::FakeServer& head = world.servers.at(world.HeadOf("large"));
+  world.Cut("d0");
+  world.Run(milliseconds(3'000));
+  std::string group = head.entry.member.group;
+  for (auto& [id, server] : world.servers) server.cut = id == head.entry.id;
+  world.Run(milliseconds(200));
+  head.cut = false;
+  world.Run(milliseconds(4'000));
+  CheckClean(world);
+}
+
+// Guards against a head that is taken for dead because it refuses connections,
+// as one that is leaving does while it ends its streams.
+TEST_CASE("planner waits for a listed head that refuses connections") {
+  FleetWorld world = Started(1, 9);
+  testing::FakeServer& head = world.servers.at(world.HeadOf("large"));
+  head.cut = head.refuses = true;
+  head.unlisted_at = world.now + FleetWorld::kEntryLife;
+  world.Run(FleetWorld::kEntryLife - FleetWorld::kStep * 2);
+  CheckClean(world);
+}
+
 // Guards against members of a group whose head left the registry but serves:
 // it is asked to close before they join another group.
 TEST_CASE("planner closes a head that left the list before it reuses members") {
