Give the groups of each planner's term epochs of their own

Change: epochs start at the lease's fence times 2^20, so that planners that can't see each other's groups never share one.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -337,7 +337,7 @@
   bool planning = !m_stopping && m_lease.CanOrder(m_now);
   if (planning != m_planning) {
     m_planning = planning;
-    m_planner.Reset();
+    m_planner.Reset(m_lease.fence());
     m_asked.clear();
     m_changed = m_changed || !m_failed.empty();
     m_failed.clear();
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -40,6 +40,9 @@
 constexpr milliseconds kWaitForHosts{2'500};
 /// Distance to the epochs that a predecessor may have used without our seeing.
 constexpr std::uint64_t kEpochStep = 16;
+/// More than a planner uses in its term; terms below 2^33 keep epochs below
+/// 2^53, the largest whole number that every JSON library keeps.
+constexpr std::uint64_t kEpochsPerTerm = std::uint64_t{1} << 20;
 
 bool IsStaged(const BackendServer& host, const std::string& model) {
   return std::find(host.staged.begin(), host.staged.end(), model) !=
@@ -150,14 +153,14 @@
   StageFree(pass);
 }
 
-void GroupPlanner::Reset() {
+void GroupPlanner::Reset(std::uint64_t term) {
   m_sent.clear();
   m_silent_heads.clear();
   for (auto& [host, count] : m_counts) count.known = false;
   m_loads.clear();
   m_forming.clear();
   m_seen.clear();
-  m_epoch += kEpochStep;
+  m_epoch = std::max(m_epoch, term * kEpochsPerTerm);
 }
 
 // ---------------------------------------------------------------------------
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -79,8 +79,11 @@
   /// Whether loads are still cheap and uncounted, as before the first request.
   void SetFreeLoads(bool free_loads) { m_free_loads = free_loads; }
 
-  /// Forgets everything that was sent; used when the lease was lost.
-  void Reset();
+  /// Forgets everything that was sent; used when the lease was lost or won.
+  /// @param term Rises with each planner. Epochs of different terms differ, so
+  ///     that planners that can't see each other's groups, as in a cut between
+  ///     data centres, never give two groups the same name and epoch.
+  void Reset(std::uint64_t term);
 
  private:
   using GroupKey = std::pair<std::string, std::uint64_t>;
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -93,6 +93,7 @@
 
 void FleetWorld::ReplacePlanner() {
   planner = GroupPlanner();
+  planner.Reset(++m_term);
   failed.clear();
 }
 
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -101,6 +101,7 @@
   std::mt19937_64 m_random;
   std::vector<Late> m_late;
   int m_next_id = 0;
+  std::uint64_t m_term = 0;  ///< Of the planner.
 };
 
 }  // namespace clementine::testing
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -104,6 +104,43 @@
   CheckClean(world);
 }
 
+// Guards against two groups of the same name and epoch, formed by planners on
+// both sides of a cut: whoever sees both takes them for one group and joins
+// hosts whose head serves (rule TWO, trouble-2 of mahoe-grid).
+TEST_CASE("planners that can't see each other name their groups differently") {
+  FleetWorld world(2, 9, 1);
+  std::set<std::pair<std::string, std::uint64_t>> names;
+  std::size_t joined = 0;
+  for (std::uint64_t term : {1, 2}) {
+    GroupPlanner planner;
+    planner.Reset(term);
+    planner.SetFreeLoads(true);
+    std::map<std::string, BackendServer> seen;
+    for (const auto& [id, server] : world.servers) {
+      if (server.entry.fabric_domain != "d" + std::to_string(term - 1)) {
+        continue;
+      }
+      seen[id] = server.entry;
+      planner.Reported(id, server.entry, world.now);
+    }
+    std::set<std::pair<std::string, std::uint64_t>> own;
+    TimePoint now = world.now;
+    for (int step = 0; step < 50; ++step) {
+      now += FleetWorld::kStep;
+      for (const auto& order :
+           planner.Plan(world.configuration, seen, {}, now)) {
+        if (order.order.kind == GroupOrder::Kind::kJoin) {
+          own.emplace(order.order.group, order.order.epoch);
+        }
+      }
+    }
+    CHECK(own.size() >= 2);
+    joined += own.size();
+    names.insert(own.begin(), own.end());
+  }
+  CHECK(names.size() == joined);
+}
+
 // Guards against a head that is taken for dead because it refuses connections,
 // as one that is leaving does while it ends its streams.
 TEST_CASE("planner waits for a listed head that refuses connections") {
