--- a/core/fleet.cc
+++ b/core/fleet.cc
@@ -49,6 +49,8 @@
   switch (result) {
     case OrderResult::kAccepted:
       return "accepted";
+    case OrderResult::kHolds:
+      return "holds";
     case OrderResult::kRejected:
       return "rejected";
     case OrderResult::kBusy:
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -48,8 +48,15 @@
   milliseconds start_time{0};  ///< With the weights on the host.
 };
 
+/// Times are those of a group of pace 1.
 struct EngineSpec {
-  int max_running = 8;  ///< Requests that a group batches.
+  int max_running = 8;      ///< Requests that a group batches.
+  double step_ms = 0.0;     ///< A step writes a token of each request.
+  double request_ms = 0.0;  ///< Longer by so much for each request that writes,
+  double context_ms = 0.0;  ///< and for each 1,000 tokens of its context.
+  double prompt_tokens_per_second = 1e6;
+  double pairs_ms = 0.0;  ///< For each million pairs of a prompt's tokens.
+  int usual_answer = 0;   ///< Tokens of an answer, when a request tells none.
   double loads_per_second = 1.0;
   int concurrent_loads = 1;  ///< More loads than this slow each other down.
   std::vector<EngineModel> models;
@@ -132,6 +139,7 @@
 /// What the answer to an order proves.
 enum class OrderResult {
   kAccepted,
+  kHolds,     ///< Nothing had to be done, so the server didn't count the order.
   kRejected,  ///< Doesn't fit the server's state, and is never carried out.
   kBusy,  ///< Never carried out, for reasons that have nothing to do with it.
   kUnknown,  ///< May still be carried out.
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -79,6 +79,7 @@
 
 void FleetControl::On(const RequestsCounted& event) {
   m_nodes.CountRequests(event.total);
+  m_nodes.CountDemand(event.by_model);
   if (event.total > 0) m_planner.SetFreeLoads(false);
 }
 
@@ -409,6 +410,7 @@
 
 void FleetControl::PlanOrders() {
   if (!m_configuration || !m_list.known()) return;
+  m_planner.SetDemand(m_nodes.Demand());
   for (GroupPlanner::Order& planned :
        m_planner.Plan(*m_configuration, m_list.servers(), m_failed, m_now)) {
     const GroupOrder& order = planned.order;
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -54,6 +54,7 @@
 /// Callers' requests of this daemon's life so far.
 struct RequestsCounted {
   std::uint64_t total = 0;
+  DemandCounts by_model;
 };
 
 using FleetEvent = std::variant<RequestsCounted, ServersListed, ServersChanged,
--- /dev/null
+++ b/core/group_allocation.h
@@ -0,0 +1,67 @@
+// Chooses how many groups of each model every fabric domain should hold, so
+// that the hosts serve the most requests. Groups don't reach across domains.
+#ifndef CORE_GROUP_ALLOCATION_H_
+#define CORE_GROUP_ALLOCATION_H_
+
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+
+namespace clementine {
+
+/// What callers ask of one model, and what a group of it takes.
+struct ModelNeed {
+  int hosts_per_group = 1;
+  double busy_groups = 0.0;  ///< Groups that the requests keep busy.
+  double requests = 0.0;     ///< Per second, or any number in proportion.
+  milliseconds load_time{0};
+};
+
+/// Hosts of a fabric domain that stay, by what they do. The vectors are by
+/// model, in the order of the needs.
+struct DomainHosts {
+  std::string name;
+  std::string data_centre;
+  int hosts = 0;              ///< All, those in groups included.
+  std::vector<int> standing;  ///< Groups that serve or form.
+  std::vector<int> held;      ///< Other hosts that hold, or load, the weights.
+  bool fixed = false;  ///< Keeps what stands, as it can't be reached now.
+};
+
+/// Groups by domain and model, in the order of the input.
+using GroupCounts = std::vector<std::vector<int>>;
+
+struct AllocationOptions {
+  /// Hosts change over to another model at once and without cost.
+  bool free_loads = false;
+};
+
+/// Part of a model's requests that is served in time when `coverage` times the
+/// groups stand that they would keep busy. Concave: the first groups are worth
+/// most, and those beyond the demand only shorten waits and cover losses.
+double ServedPart(double coverage);
+
+/// Requests that are served with these groups, of which a part counts by the
+/// worst-served model, less the cost of the changes from what stands and of
+/// models whose groups stand in few data centres and domains.
+double AllocationValue(const std::vector<ModelNeed>& needs,
+                       const std::vector<DomainHosts>& domains,
+                       const GroupCounts& groups,
+                       const AllocationOptions& options);
+
+/// Improves what stands, a domain at a time, until no change of one or two
+/// domains is worth more.
+GroupCounts AllocateGroups(const std::vector<ModelNeed>& needs,
+                           const std::vector<DomainHosts>& domains,
+                           const AllocationOptions& options);
+
+/// The best of all allocations. The time grows exponentially with the domains;
+/// tests check the other against it.
+GroupCounts AllocateByEnumeration(const std::vector<ModelNeed>& needs,
+                                  const std::vector<DomainHosts>& domains,
+                                  const AllocationOptions& options);
+
+}  // namespace clementine
+
+#endif  // CORE_GROUP_ALLOCATION_H_
--- /dev/null
+++ b/core/group_forming.cc
@@ -0,0 +1,393 @@
+// New groups and the ends of those that a domain has too many of. The hosts of
+// a domain first stage the weights of the model that they change over to,
+// beside their work; only then is their group closed, so that a change takes
+// the time of a start and not of a load.
+
+#include <algorithm>
+
+#include "core/group_planner.h"
+
+namespace clementine {
+namespace {
+
+/// Rejoining after a group of the same model, in seconds.
+constexpr double kRejoinSeconds = 0.2;
+/// Delay of a group that weighs as much as half of its model's need.
+constexpr double kHalfWorthSeconds = 8.0;
+/// Hosts of one domain register within this time of each other.
+constexpr milliseconds kWaitForHosts{1'200};
+/// A domain of which no host is listed any more has lost its power or its way
+/// to the platform, and is expected back for so long.
+constexpr milliseconds kExpectReturn{30'000};
+/// The hosts of a domain that is lost leave the list within this time.
+constexpr milliseconds kDomainLapse{10'000};
+/// A group changes over when there were too many of its model for so long, so
+/// that hosts that leave or come together don't start it.
+constexpr milliseconds kSettleTime{3'000};
+/// Part of the hosts that the expected work keeps busy until the demand is
+/// known; only its relation to the measured demand matters.
+constexpr double kExpectedUse = 0.55;
+/// Requests per second at which the measured demand weighs as much as the
+/// expected one.
+constexpr double kExpectedWeight = 20.0;
+
+}  // namespace
+
+int GroupPlanner::Pass::Lacks(const std::string& domain,
+                              const EngineModel& model) const {
+  std::pair<std::string, std::string> key{domain, model.name};
+  auto stand = standing.find(key);
+  auto want = wanted.find(key);
+  return (want == wanted.end() ? 0 : want->second) -
+         (stand == standing.end() ? 0 : stand->second);
+}
+
+bool GroupPlanner::HasStaged(const BackendServer& host,
+                             const std::string& model) {
+  return std::find(host.staged.begin(), host.staged.end(), model) !=
+         host.staged.end();
+}
+
+// Groups whose members haven't reported them yet.
+void GroupPlanner::CountForming(Pass* pass) const {
+  for (const auto& [key, members] : m_forming) {
+    if (pass->counted.count(key) > 0) continue;
+    auto head = pass->servers->find(members.front());
+    bool waiting =
+        std::all_of(members.begin(), members.end(),
+                    [this](const std::string& id) { return Waiting(id); });
+    if (head == pass->servers->end() || !waiting) continue;
+    ++pass->standing[{head->second.fabric_domain, GroupModel(key.first)}];
+    pass->counted.insert(key);
+    pass->in_standing.insert(members.begin(), members.end());
+  }
+}
+
+void GroupPlanner::FindFree(const std::string& service, Pass* pass) {
+  for (const auto& [id, server] : *pass->servers) {
+    if (server.service == service && !server.leaving && !Waiting(id) &&
+        Counted(server) && m_counts[id].not_before <= pass->now &&
+        pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
+      pass->free[server.fabric_domain].push_back(&server);
+    }
+  }
+  for (const auto& [id, sent] : m_sent) {
+    auto host = pass->servers->find(id);
+    if (host != pass->servers->end() && pass->bound.count(id) == 0 &&
+        sent.order.kind == GroupOrder::Kind::kJoin) {
+      ++pass->placed[{host->second.fabric_domain, sent.order.model}];
+    }
+  }
+}
+
+std::vector<ModelNeed> GroupPlanner::Needs(const std::string& service,
+                                           int hosts, const Pass& pass) const {
+  double requests = 0.0;
+  double shares = 0.0;
+  for (const EngineModel& model : pass.engine->models) {
+    auto found = m_demand.find(service + "/" + model.name);
+    if (found != m_demand.end()) {
+      requests += found->second.requests * found->second.FirstTries();
+    }
+    shares += model.work_share;
+  }
+  double known = requests / (requests + kExpectedWeight);
+  std::vector<ModelNeed> needs;
+  for (const EngineModel& model : pass.engine->models) {
+    double share = shares > 0.0 ? model.work_share / shares : 1.0;
+    ModelNeed need;
+    need.hosts_per_group = std::max(1, model.hosts_per_group);
+    need.load_time = model.load_time;
+    need.busy_groups =
+        (1.0 - known) * share * kExpectedUse * hosts / need.hosts_per_group;
+    need.requests = (1.0 - known) * share;
+    auto found = m_demand.find(service + "/" + model.name);
+    if (found != m_demand.end() && requests > 0.0) {
+      const ModelDemand& demand = found->second;
+      need.busy_groups += known * demand.busy_groups * demand.FirstTries();
+      need.requests += known * demand.requests * demand.FirstTries() / requests;
+    }
+    needs.push_back(need);
+  }
+  return needs;
+}
+
+std::vector<DomainHosts> GroupPlanner::Domains(const std::string& service,
+                                               const Pass& pass) const {
+  std::map<std::string, DomainHosts> domains;
+  const std::vector<EngineModel>& models = pass.engine->models;
+  for (const auto& [id, server] : *pass.servers) {
+    if (server.service != service || server.leaving ||
+        pass.failed->count(id) > 0) {
+      continue;
+    }
+    DomainHosts& domain = domains[server.fabric_domain];
+    if (domain.hosts++ == 0) {
+      domain.name = server.fabric_domain;
+      domain.data_centre = server.data_centre;
+      domain.held.assign(models.size(), 0);
+    }
+    const std::string& held = HeldModel(server);
+    // Members of a standing group that hold another model change over.
+    if (pass.in_standing.count(id) > 0 &&
+        (held == GroupModel(server.member.group) || Waiting(id))) {
+      continue;
+    }
+    for (std::size_t i = 0; i < models.size(); ++i) {
+      if (models[i].name == held) ++domain.held[i];
+    }
+  }
+  std::vector<DomainHosts> list;
+  for (auto& [name, domain] : domains) {
+    for (const EngineModel& model : models) {
+      auto stand = pass.standing.find({name, model.name});
+      domain.standing.push_back(stand == pass.standing.end() ? 0
+                                                             : stand->second);
+    }
+    list.push_back(std::move(domain));
+  }
+  return list;
+}
+
+void GroupPlanner::Allocate(const std::string& service, Pass* pass) {
+  std::vector<DomainHosts> domains = Domains(service, *pass);
+  NoteGrowth(domains, pass->now);
+  AddAbsentDomains(&domains, pass->now);
+  int hosts = 0;
+  for (const DomainHosts& domain : domains) hosts += domain.hosts;
+  AllocationOptions options;
+  options.free_loads = m_free_loads;
+  GroupCounts wanted =
+      AllocateGroups(Needs(service, hosts, *pass), domains, options);
+  const std::vector<EngineModel>& models = pass->engine->models;
+  for (std::size_t d = 0; d < domains.size(); ++d) {
+    for (std::size_t i = 0; i < models.size(); ++i) {
+      pass->wanted[{domains[d].name, models[i].name}] = wanted[d][i];
+    }
+  }
+  NoteSurplus(pass);
+}
+
+// Without them, the groups of a domain that is away for some seconds would be
+// made up for elsewhere, and given back after its return.
+void GroupPlanner::AddAbsentDomains(std::vector<DomainHosts>* domains,
+                                    TimePoint now) {
+  std::set<std::string> listed;
+  for (const DomainHosts& domain : *domains) {
+    listed.insert(domain.name);
+    Remembered& remembered = m_remembered[domain.name];
+    if (domain.hosts >= remembered.domain.hosts ||
+        now - remembered.taken > kDomainLapse) {
+      remembered.domain = domain;
+      remembered.taken = now;
+    }
+    remembered.listed = now;
+  }
+  std::erase_if(m_remembered, [&](const auto& entry) {
+    return now - entry.second.listed > kExpectReturn;
+  });
+  for (const auto& [name, remembered] : m_remembered) {
+    if (listed.count(name) > 0) continue;
+    domains->push_back(remembered.domain);
+    domains->back().fixed = true;
+  }
+}
+
+void GroupPlanner::NoteSurplus(Pass* pass) {
+  std::erase_if(m_surplus_since, [&](const auto& entry) {
+    auto stand = pass->standing.find(entry.first);
+    auto want = pass->wanted.find(entry.first);
+    return stand == pass->standing.end() || want == pass->wanted.end() ||
+           stand->second <= want->second;
+  });
+  for (const auto& [key, standing] : pass->standing) {
+    auto want = pass->wanted.find(key);
+    if (want != pass->wanted.end() && standing > want->second) {
+      m_surplus_since.try_emplace(key, pass->now);
+    }
+  }
+}
+
+bool GroupPlanner::SurplusIsSettled(const std::string& domain,
+                                    const EngineModel& model,
+                                    const Pass& pass) const {
+  auto since = m_surplus_since.find({domain, model.name});
+  return since != m_surplus_since.end() &&
+         pass.now - since->second >= kSettleTime;
+}
+
+double GroupPlanner::JoinSeconds(const BackendServer& host,
+                                 const EngineModel& model) const {
+  auto count = m_counts.find(host.id);
+  bool rejoins = count != m_counts.end() && count->second.born == host.born &&
+                 count->second.last_model == model.name;
+  if (rejoins || GroupModel(host.member.group) == model.name) {
+    return kRejoinSeconds;
+  }
+  auto load = m_loads.find(host.id);
+  bool staged = HasStaged(host, model.name);
+  bool loading = load != m_loads.end() && load->second.model == model.name;
+  std::chrono::duration<double> time =
+      staged || loading ? model.start_time : model.load_time;
+  return loading && !staged
+             ? std::chrono::duration<double>(model.load_time).count() / 2
+             : time.count();
+}
+
+GroupPlanner::Candidate GroupPlanner::Consider(const std::string& domain,
+                                               const Hosts& free,
+                                               const EngineModel& model,
+                                               const Pass& pass) const {
+  Candidate candidate;
+  candidate.domain = domain;
+  candidate.model = &model;
+  auto size = static_cast<std::size_t>(model.hosts_per_group);
+  std::vector<std::pair<double, const BackendServer*>> ranked;
+  for (const BackendServer* host : free) {
+    auto load = m_loads.find(host->id);
+    if (load != m_loads.end() && load->second.model != model.name) continue;
+    // A member that loads would bind the others for as long.
+    if (!m_free_loads && !HasStaged(*host, model.name)) continue;
+    ranked.emplace_back(JoinSeconds(*host, model), host);
+  }
+  if (ranked.size() < size) return candidate;
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  ranked.resize(size);
+  double seconds = 0.0;
+  for (const auto& [time, host] : ranked) {
+    candidate.members.push_back(host);
+    seconds = std::max(seconds, time);
+    if (!HasStaged(*host, model.name) && time > kRejoinSeconds &&
+        m_loads.count(host->id) == 0) {
+      ++candidate.loads;
+    }
+  }
+  candidate.score = pass.Lacks(domain, model) * model.hosts_per_group /
+                    (1.0 + seconds / kHalfWorthSeconds);
+  return candidate;
+}
+
+bool GroupPlanner::Grows(const std::string& domain, TimePoint now) const {
+  auto grown = m_grown.find(domain);
+  return grown != m_grown.end() && now - grown->second.second < kWaitForHosts;
+}
+
+void GroupPlanner::NoteGrowth(const std::vector<DomainHosts>& domains,
+                              TimePoint now) {
+  for (const DomainHosts& domain : domains) {
+    auto& [size, since] = m_grown[domain.name];
+    if (domain.hosts > size) since = now;
+    size = domain.hosts;
+  }
+}
+
+std::optional<GroupPlanner::Candidate> GroupPlanner::BestCandidate(
+    const Pass& pass) {
+  std::optional<Candidate> best;
+  bool may_load = MayLoad(pass);
+  for (const auto& [domain, free] : pass.free) {
+    // Hosts register one after another. At a first start any of them can load
+    // any model, so the choice waits until they are known.
+    if (m_free_loads && Grows(domain, pass.now)) continue;
+    for (const EngineModel& model : pass.engine->models) {
+      if (model.hosts_per_group < 1 || pass.Lacks(domain, model) < 1 ||
+          free.size() < static_cast<std::size_t>(model.hosts_per_group)) {
+        continue;
+      }
+      Candidate candidate = Consider(domain, free, model, pass);
+      if (candidate.members.empty()) continue;
+      if (candidate.loads > 0 && !may_load) continue;
+      if (!best || candidate.score > best->score) best = std::move(candidate);
+    }
+  }
+  return best;
+}
+
+void GroupPlanner::FormGroups(Pass* pass) {
+  while (std::optional<Candidate> best = BestCandidate(*pass)) {
+    Form(*best, pass);
+  }
+}
+
+void GroupPlanner::Form(const Candidate& candidate, Pass* pass) {
+  GroupOrder join;
+  join.kind = GroupOrder::Kind::kJoin;
+  join.epoch = ++m_epoch;
+  join.group = GroupName(candidate.model->name, join.epoch);
+  join.model = candidate.model->name;
+  for (const BackendServer* member : candidate.members) {
+    join.members.push_back(member->id);
+  }
+  m_forming[{join.group, join.epoch}] = join.members;
+  m_seen[{join.group, join.epoch}] = pass->now;
+  Hosts& free = pass->free[candidate.domain];
+  for (const BackendServer* member : candidate.members) {
+    if (!HasStaged(*member, join.model) &&
+        JoinSeconds(*member, *candidate.model) > kRejoinSeconds) {
+      StartLoad(*member, *candidate.model, pass->now);
+    }
+    Send(*member, join, pass);
+    free.erase(std::find(free.begin(), free.end(), member));
+    ++pass->placed[{member->fabric_domain, join.model}];
+    pass->in_standing.insert(member->id);
+  }
+  ++pass->standing[{candidate.domain, join.model}];
+}
+
+// Whether the weights of a lacking model are where its group would be formed
+// once this one is closed.
+bool GroupPlanner::CanReplace(const ReportedGroup& group,
+                              const EngineModel& model,
+                              const Pass& pass) const {
+  const std::string& domain = group.members.front()->fabric_domain;
+  int holders = 0;
+  auto free = pass.free.find(domain);
+  if (free != pass.free.end()) {
+    holders +=
+        static_cast<int>(std::count_if(free->second.begin(), free->second.end(),
+                                       [&](const BackendServer* host) {
+                                         return HasStaged(*host, model.name);
+                                       }));
+  }
+  for (const BackendServer* member : group.members) {
+    if (HasStaged(*member, model.name)) ++holders;
+  }
+  return holders >= model.hosts_per_group;
+}
+
+void GroupPlanner::CloseSurplus(const std::map<GroupKey, ReportedGroup>& groups,
+                                Pass* pass) {
+  for (const auto& [key, group] : groups) {
+    if (pass->counted.count(key) == 0 || group.members.front() == nullptr) {
+      continue;
+    }
+    const BackendServer& head = *group.members.front();
+    if (head.member.state != GroupMemberState::kOpen || Waiting(head.id) ||
+        !Counted(head)) {
+      continue;
+    }
+    for (const EngineModel& model : pass->engine->models) {
+      auto standing = pass->standing.find({head.fabric_domain, group.model});
+      auto wanted = pass->wanted.find({head.fabric_domain, group.model});
+      bool surplus =
+          wanted != pass->wanted.end() && standing->second > wanted->second;
+      if (!surplus || model.name == group.model ||
+          pass->Lacks(head.fabric_domain, model) < 1 ||
+          !CanReplace(group, model, *pass)) {
+        continue;
+      }
+      GroupOrder close;
+      close.kind = GroupOrder::Kind::kClose;
+      close.group = group.name;
+      close.epoch = group.epoch;
+      Send(head, close, pass);
+      m_retired.insert(key);
+      --standing->second;
+      break;
+    }
+  }
+}
+
+}  // namespace clementine
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -7,10 +7,9 @@
 //   head ready, broken or gone,
 //   and not all members there     -> the members are free
 //
-// Free hosts of a fabric domain form the group whose model is short of groups
-// and that can serve soonest: members of the model's last group rejoin at once,
-// hosts with staged weights start from those, others load them. Hosts that are
-// left over stage the model that they most likely replace a member of.
+// How many groups of each model a domain should hold is decided by
+// group_allocation.cc; group_forming.cc forms and closes groups accordingly,
+// and group_staging.cc loads the weights that they need.
 
 #include "core/group_planner.h"
 
@@ -30,35 +29,22 @@
 constexpr milliseconds kEvictTime{500};
 /// A host that rejected an order gets the next one after this time.
 constexpr milliseconds kRejectPause{1'000};
-/// Rejoining after a group of the same model, in seconds.
-constexpr double kRejoinSeconds = 0.2;
-/// Delay of a group that weighs as much as half of its model's need.
-constexpr double kHalfWorthSeconds = 8.0;
-/// A model with less than this part of the greatest need lets a domain wait for
-/// the hosts that the model in need lacks, for so long.
-constexpr double kSmallNeed = 0.75;
-constexpr milliseconds kWaitForHosts{2'500};
 /// Distance to the epochs that a predecessor may have used without our seeing.
 constexpr std::uint64_t kEpochStep = 16;
 /// More than a planner uses in its term; terms below 2^33 keep epochs below
 /// 2^53, the largest whole number that every JSON library keeps.
 constexpr std::uint64_t kEpochsPerTerm = std::uint64_t{1} << 20;
 
-bool IsStaged(const BackendServer& host, const std::string& model) {
-  return std::find(host.staged.begin(), host.staged.end(), model) !=
-         host.staged.end();
-}
+}  // namespace
 
-const EngineModel* FindModel(const EngineSpec& engine,
-                             const std::string& name) {
+const EngineModel* GroupPlanner::FindModel(const EngineSpec& engine,
+                                           const std::string& name) {
   for (const EngineModel& model : engine.models) {
     if (model.name == name) return &model;
   }
   return nullptr;
 }
 
-}  // namespace
-
 bool GroupPlanner::IsServing(GroupMemberState state) {
   return state == GroupMemberState::kOpen ||
          state == GroupMemberState::kClosing;
@@ -143,19 +129,25 @@
     return groups.count(seen.first) == 0 &&
            pass->now - seen.second > kLateOrder;
   });
+  std::erase_if(m_retired,
+                [&](const auto& key) { return groups.count(key) == 0; });
   for (const auto& [key, group] : groups) {
     m_epoch = std::max(m_epoch, group.epoch);
     m_seen.emplace(key, pass->now);
     JudgeGroup(group, pass);
   }
+  CountForming(pass);
   FindFree(service, pass);
+  Allocate(service, pass);
   FormGroups(pass);
-  StageFree(pass);
+  StageHosts(pass);
+  CloseSurplus(groups, pass);
 }
 
 void GroupPlanner::Reset(std::uint64_t term) {
   m_sent.clear();
   m_silent_heads.clear();
+  m_retired.clear();
   for (auto& [host, count] : m_counts) count.known = false;
   m_loads.clear();
   m_forming.clear();
@@ -231,8 +223,12 @@
     if (order.kind == GroupOrder::Kind::kJoin) m_epoch += kEpochStep;
     m_sent.erase(found);
     m_loads.erase(host);
+    // Its own count replaces the one that was expected.
     m_counts[host].known = false;
+    m_counts[host].orders = 0;
     m_counts[host].not_before = now + kRejectPause;
+  } else if (result == OrderResult::kHolds) {
+    m_sent.erase(found);
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
     AddAccepted(host, found->second.born,
@@ -257,7 +253,7 @@
   std::erase_if(m_loads, [&](const auto& entry) {
     auto host = servers.find(entry.first);
     return host == servers.end() || entry.second.give_up <= now ||
-           IsStaged(host->second, entry.second.model);
+           HasStaged(host->second, entry.second.model);
   });
   std::erase_if(m_counts, [&](const auto& entry) {
     return servers.count(entry.first) == 0 &&
@@ -324,6 +320,15 @@
   }
 }
 
+void GroupPlanner::CountStanding(const ReportedGroup& group, Pass* pass) {
+  for (const BackendServer* member : group.members) {
+    if (member != nullptr) pass->in_standing.insert(member->id);
+  }
+  const BackendServer* head = group.members.front();
+  ++pass->standing[{head->fabric_domain, group.model}];
+  pass->counted.insert({group.name, group.epoch});
+}
+
 void GroupPlanner::JudgeGroup(const ReportedGroup& group, Pass* pass) {
   const EngineModel* model = FindModel(*pass->engine, group.model);
   const BackendServer* head =
@@ -335,7 +340,7 @@
   if (!IsServing(head->member.state)) {
     if (OpenMayBeLate(head->id)) {
       Bind(group, /*stands=*/true, pass);
-      if (model != nullptr) ++pass->groups[model->name];
+      if (model != nullptr) CountStanding(group, pass);
     } else if (model != nullptr) {
       JudgeForming(group, *model, pass);
     }
@@ -354,18 +359,24 @@
     whole = whole && pass->failed->count(member->id) == 0;
     leaving = leaving || member->leaving;
   }
-  Bind(group, whole && !leaving, pass);
-  if (whole && !leaving) {
-    ++pass->groups[model->name];
+  bool closing = head->member.state == GroupMemberState::kClosing;
+  bool stands = whole && !leaving && !closing;
+  Bind(group, stands, pass);
+  if (stands) {
+    CountStanding(group, pass);
+    return;
+  }
+  Count& count = m_counts[head->id];
+  if (Waiting(head->id) || !Counted(*head) || (closing && whole) ||
+      count.evicted == group.epoch) {
     return;
   }
-  bool closing = head->member.state == GroupMemberState::kClosing;
-  if (Waiting(head->id) || !Counted(*head) || (closing && whole)) return;
   GroupOrder close;
   close.kind = GroupOrder::Kind::kClose;
   close.group = group.name;
   close.epoch = group.epoch;
   close.evict = !whole;
+  if (close.evict) count.evicted = group.epoch;
   Send(*head, close, pass);
 }
 
@@ -381,6 +392,8 @@
     ready = ready && member->member.state == GroupMemberState::kReady;
   }
   GroupKey key{group.name, group.epoch};
+  // Its hosts change over to another model.
+  if (m_retired.count(key) > 0) return;
   milliseconds age =
       std::chrono::duration_cast<milliseconds>(pass->now - m_seen[key]);
   if (!IsWhole(group, model.hosts_per_group)) {
@@ -400,7 +413,7 @@
   milliseconds timeout = JoinTimeout(model);
   if (lost || (!ready && age > timeout)) return;
   Bind(group, /*stands=*/true, pass);
-  ++pass->groups[model.name];
+  CountStanding(group, pass);
   if (ready && !Waiting(group.members.front()->id) &&
       Counted(*group.members.front())) {
     GroupOrder open;
@@ -411,163 +424,4 @@
   }
 }
 
-// ---------------------------------------------------------------------------
-// New groups.
-
-void GroupPlanner::FindFree(const std::string& service, Pass* pass) {
-  for (const auto& [id, server] : *pass->servers) {
-    if (server.service == service && !server.leaving && !Waiting(id) &&
-        Counted(server) && m_counts[id].not_before <= pass->now &&
-        pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
-      pass->free[server.fabric_domain].push_back(&server);
-    }
-  }
-  for (const auto& [id, sent] : m_sent) {
-    auto host = pass->servers->find(id);
-    if (host != pass->servers->end() && pass->bound.count(id) == 0 &&
-        sent.order.kind == GroupOrder::Kind::kJoin) {
-      ++pass->placed[{host->second.fabric_domain, sent.order.model}];
-    }
-  }
-}
-
-double GroupPlanner::JoinSeconds(const BackendServer& host,
-                                 const EngineModel& model) const {
-  auto count = m_counts.find(host.id);
-  bool rejoins = count != m_counts.end() && count->second.born == host.born &&
-                 count->second.last_model == model.name;
-  if (rejoins || GroupModel(host.member.group) == model.name) {
-    return kRejoinSeconds;
-  }
-  auto load = m_loads.find(host.id);
-  bool staged = IsStaged(host, model.name);
-  bool loading = load != m_loads.end() && load->second.model == model.name;
-  std::chrono::duration<double> time =
-      staged || loading ? model.start_time : model.load_time;
-  return loading && !staged
-             ? std::chrono::duration<double>(model.load_time).count() / 2
-             : time.count();
-}
-
-GroupPlanner::Candidate GroupPlanner::Consider(const std::string& domain,
-                                               const Hosts& free,
-                                               const EngineModel& model,
-                                               const Pass& pass) const {
-  Candidate candidate;
-  candidate.domain = domain;
-  candidate.model = &model;
-  auto size = static_cast<std::size_t>(model.hosts_per_group);
-  std::vector<std::pair<double, const BackendServer*>> ranked;
-  for (const BackendServer* host : free) {
-    auto load = m_loads.find(host->id);
-    if (load != m_loads.end() && load->second.model != model.name) continue;
-    // A member that loads would bind the others for as long.
-    if (!m_free_loads && !IsStaged(*host, model.name)) continue;
-    ranked.emplace_back(JoinSeconds(*host, model), host);
-  }
-  if (ranked.size() < size) return candidate;
-  std::stable_sort(
-      ranked.begin(), ranked.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  ranked.resize(size);
-  double seconds = 0.0;
-  for (const auto& [time, host] : ranked) {
-    candidate.members.push_back(host);
-    seconds = std::max(seconds, time);
-    if (!IsStaged(*host, model.name) && time > kRejoinSeconds &&
-        m_loads.count(host->id) == 0) {
-      ++candidate.loads;
-    }
-  }
-  candidate.score = Need(model, pass) / (1.0 + seconds / kHalfWorthSeconds);
-  return candidate;
-}
-
-double GroupPlanner::Need(const EngineModel& model, const Pass& pass) {
-  auto standing = pass.groups.find(model.name);
-  double groups = standing == pass.groups.end() ? 0.0 : standing->second;
-  // Each lost host takes a group with it, so a model's groups fall as its hosts
-  // per group are many.
-  return model.work_share * model.hosts_per_group / (groups + 1.0);
-}
-
-// Hosts register one after another, and a repaired domain gets its new hosts
-// later: without a wait, small groups would take the hosts of larger ones.
-bool GroupPlanner::Waits(const std::string& domain, const EngineModel& model,
-                         const Pass& pass) const {
-  double greatest = 0.0;
-  for (const EngineModel& other : pass.engine->models) {
-    greatest = std::max(greatest, Need(other, pass));
-  }
-  if (Need(model, pass) >= kSmallNeed * greatest) return false;
-  return Grows(domain, pass.now);
-}
-
-bool GroupPlanner::Grows(const std::string& domain, TimePoint now) const {
-  auto grown = m_grown.find(domain);
-  return grown != m_grown.end() && now - grown->second.second < kWaitForHosts;
-}
-
-void GroupPlanner::NoteGrowth(const Pass& pass) {
-  std::erase_if(m_grown, [&](const auto& entry) {
-    return pass.free.count(entry.first) == 0;
-  });
-  for (const auto& [domain, free] : pass.free) {
-    auto& [size, since] = m_grown[domain];
-    if (free.size() > size) since = pass.now;
-    size = free.size();
-  }
-}
-
-std::optional<GroupPlanner::Candidate> GroupPlanner::BestCandidate(
-    const Pass& pass) {
-  std::optional<Candidate> best;
-  bool may_load = MayLoad(pass);
-  for (const auto& [domain, free] : pass.free) {
-    for (const EngineModel& model : pass.engine->models) {
-      if (model.hosts_per_group < 1 ||
-          free.size() < static_cast<std::size_t>(model.hosts_per_group)) {
-        continue;
-      }
-      if (Waits(domain, model, pass)) continue;
-      Candidate candidate = Consider(domain, free, model, pass);
-      if (candidate.members.empty()) continue;
-      if (candidate.loads > 0 && !may_load) continue;
-      if (!best || candidate.score > best->score) best = std::move(candidate);
-    }
-  }
-  return best;
-}
-
-void GroupPlanner::FormGroups(Pass* pass) {
-  NoteGrowth(*pass);
-  while (std::optional<Candidate> best = BestCandidate(*pass)) {
-    Form(*best, pass);
-  }
-}
-
-void GroupPlanner::Form(const Candidate& candidate, Pass* pass) {
-  GroupOrder join;
-  join.kind = GroupOrder::Kind::kJoin;
-  join.epoch = ++m_epoch;
-  join.group = GroupName(candidate.model->name, join.epoch);
-  join.model = candidate.model->name;
-  for (const BackendServer* member : candidate.members) {
-    join.members.push_back(member->id);
-  }
-  m_forming[{join.group, join.epoch}] = join.members;
-  m_seen[{join.group, join.epoch}] = pass->now;
-  Hosts& free = pass->free[candidate.domain];
-  for (const BackendServer* member : candidate.members) {
-    if (!IsStaged(*member, join.model) &&
-        JoinSeconds(*member, *candidate.model) > kRejoinSeconds) {
-      StartLoad(*member, *candidate.model, pass->now);
-    }
-    Send(*member, join, pass);
-    free.erase(std::find(free.begin(), free.end(), member));
-    ++pass->placed[{member->fabric_domain, join.model}];
-  }
-  ++pass->groups[join.model];
-}
-
 }  // namespace clementine
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -14,7 +14,9 @@
 #include <utility>
 #include <vector>
 
+#include "core/demand.h"
 #include "core/fleet.h"
+#include "core/group_allocation.h"
 
 namespace clementine {
 
@@ -76,6 +78,10 @@
   /// Whether a host can be sent an order. If not, its report is needed first.
   bool Counted(const BackendServer& host) const;
 
+  /// What callers ask, by "service/model". Until it's known, groups are shared
+  /// out by the models' expected parts of the work.
+  void SetDemand(const DemandByModel& demand) { m_demand = demand; }
+
   /// Whether loads are still cheap and uncounted, as before the first request.
   void SetFreeLoads(bool free_loads) { m_free_loads = free_loads; }
 
@@ -104,9 +110,10 @@
     bool known = false;
     bool busy = false;  ///< With an order of an earlier planner.
     std::uint64_t orders = 0;
-    TimePoint not_before;    ///< Pause after a rejected order.
-    TimePoint reported;      ///< When its last report came.
-    std::string last_model;  ///< Of its last group in this life.
+    TimePoint not_before;       ///< Pause after a rejected order.
+    std::uint64_t evicted = 0;  ///< Epoch of the group that it was to evict.
+    TimePoint reported;         ///< When its last report came.
+    std::string last_model;     ///< Of its last group in this life.
   };
   /// A load from the weight store that a host was ordered to make.
   struct Load {
@@ -148,10 +155,18 @@
     std::map<std::string, Hosts> free;  ///< By fabric domain.
     /// Hosts of groups that don't serve any more, by fabric domain: free soon.
     std::map<std::string, Hosts> released;
-    std::map<std::string, int> groups;  ///< Standing and forming, by model.
+    /// Groups that stand or form, by domain and model.
+    std::map<std::pair<std::string, std::string>, int> standing;
+    std::set<std::string> in_standing;  ///< Their hosts.
+    std::set<GroupKey> counted;         ///< Their names.
+    /// Groups that should stand, by domain and model.
+    std::map<std::pair<std::string, std::string>, int> wanted;
     /// Bound hosts by domain and model.
     std::map<std::pair<std::string, std::string>, int> placed;
     std::vector<Order> orders;
+
+    /// Groups of a model that a domain lacks; negative when it has too many.
+    int Lacks(const std::string& domain, const EngineModel& model) const;
   };
   /// A group that could be formed.
   struct Candidate {
@@ -170,7 +185,7 @@
   void ResolveOrphans(Pass* pass);
   bool MembersInContact(const GroupKey& group, const Pass& pass) const;
   bool Grows(const std::string& domain, TimePoint now) const;
-  void NoteGrowth(const Pass& pass);
+  void NoteGrowth(const std::vector<DomainHosts>& domains, TimePoint now);
   void JudgeGroup(const ReportedGroup& group, Pass* pass);
   void JudgeForming(const ReportedGroup& group, const EngineModel& model,
                     Pass* pass);
@@ -180,19 +195,34 @@
   void CloseSilentHead(const ReportedGroup& group, Pass* pass);
   /// @param stands The group serves, or will once it's open.
   static void Bind(const ReportedGroup& group, bool stands, Pass* pass);
+  static void CountStanding(const ReportedGroup& group, Pass* pass);
+  void CountForming(Pass* pass) const;
   void FindFree(const std::string& service, Pass* pass);
+  std::vector<ModelNeed> Needs(const std::string& service, int hosts,
+                               const Pass& pass) const;
+  std::vector<DomainHosts> Domains(const std::string& service,
+                                   const Pass& pass) const;
+  void AddAbsentDomains(std::vector<DomainHosts>* domains, TimePoint now);
+  void Allocate(const std::string& service, Pass* pass);
+  void NoteSurplus(Pass* pass);
+  bool SurplusIsSettled(const std::string& domain, const EngineModel& model,
+                        const Pass& pass) const;
   void FormGroups(Pass* pass);
   std::optional<Candidate> BestCandidate(const Pass& pass);
   Candidate Consider(const std::string& domain, const Hosts& free,
                      const EngineModel& model, const Pass& pass) const;
-  static double Need(const EngineModel& model, const Pass& pass);
-  bool Waits(const std::string& domain, const EngineModel& model,
-             const Pass& pass) const;
   void Form(const Candidate& candidate, Pass* pass);
-  void StageFree(Pass* pass);
-  const EngineModel* NextToComplete(const std::string& domain,
-                                    const Hosts& hosts, const Pass& pass) const;
-  bool CompleteGroup(const EngineModel& model, Hosts* hosts, Pass* pass);
+  void CloseSurplus(const std::map<GroupKey, ReportedGroup>& groups,
+                    Pass* pass);
+  bool CanReplace(const ReportedGroup& group, const EngineModel& model,
+                  const Pass& pass) const;
+  void StageHosts(Pass* pass);
+  int MissingHolders(const std::string& domain, const EngineModel& model,
+                     const Pass& pass) const;
+  bool StageForGroups(const std::string& domain, const EngineModel& model,
+                      Pass* pass);
+  Hosts StagingOrder(const std::string& domain, const EngineModel& model,
+                     const Pass& pass) const;
   bool StageSpares(const std::string& domain, const Hosts& free, Pass* pass);
   bool Stage(const BackendServer& host, const EngineModel& model, Pass* pass);
   /// The model whose weights a host has or is loading; empty when none.
@@ -201,6 +231,9 @@
   void StartLoad(const BackendServer& host, const EngineModel& model,
                  TimePoint now);
 
+  static const EngineModel* FindModel(const EngineSpec& engine,
+                                      const std::string& name);
+  static bool HasStaged(const BackendServer& host, const std::string& model);
   double JoinSeconds(const BackendServer& host, const EngineModel& model) const;
   void AddAccepted(const std::string& host, std::int64_t born,
                    std::uint64_t orders);
@@ -217,8 +250,19 @@
   std::map<GroupKey, Orphan> m_orphans;
   std::map<GroupKey, SilentHead> m_silent_heads;
   std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
-  /// Free hosts of a domain, and when their number last rose.
-  std::map<std::string, std::pair<std::size_t, TimePoint>> m_grown;
+  /// Hosts of a domain, and when their number last rose.
+  std::map<std::string, std::pair<int, TimePoint>> m_grown;
+  /// Domains as they were when they had the most hosts lately.
+  struct Remembered {
+    DomainHosts domain;
+    TimePoint taken;
+    TimePoint listed;  ///< When one of its hosts was last listed.
+  };
+  std::map<std::string, Remembered> m_remembered;
+  /// Since when a domain has too many groups of a model.
+  std::map<std::pair<std::string, std::string>, TimePoint> m_surplus_since;
+  std::set<GroupKey> m_retired;  ///< Closed for good; their hosts change over.
+  DemandByModel m_demand;
   std::uint64_t m_epoch = 0;  ///< Highest seen or used.
   bool m_free_loads = false;
   double m_load_tokens = 0.0;
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -55,78 +55,113 @@
 }
 
 // Loads happen beside everything else, so hosts load before they are needed:
-// first what completes a group of the model in need, then spares. A spare that
-// holds a model replaces a lost member in the time of a start.
-void GroupPlanner::StageFree(Pass* pass) {
-  for (const auto& [domain, free] : pass->free) {
-    Hosts hosts = free;
-    const Hosts& released = pass->released[domain];
-    hosts.insert(hosts.end(), released.begin(), released.end());
-    while (const EngineModel* model = NextToComplete(domain, hosts, *pass)) {
-      if (!CompleteGroup(*model, &hosts, pass)) return;
-    }
-    std::erase_if(hosts, [&](const BackendServer* host) {
-      return pass->bound.count(host->id) > 0;
-    });
+// first what completes groups that their domain lacks, the fewest loads first,
+// then spares. A spare that holds a model replaces a lost member in the time of
+// a start.
+void GroupPlanner::StageHosts(Pass* pass) {
+  struct Missing {
+    int loads = 0;
+    std::string domain;
+    const EngineModel* model = nullptr;
+  };
+  std::vector<Missing> missing;
+  for (const auto& [key, wanted] : pass->wanted) {
+    const auto& [domain, name] = key;
+    const EngineModel* model = FindModel(*pass->engine, name);
     // At a first start more hosts are about to come, and a spare's model is
     // chosen best when the groups are known.
     if (m_free_loads && Grows(domain, pass->now)) continue;
-    if (!StageSpares(domain, hosts, pass)) return;
+    int loads = MissingHolders(domain, *model, *pass);
+    if (loads <= 0) continue;
+    int next = loads % model->hosts_per_group;
+    missing.push_back(
+        {next == 0 ? model->hosts_per_group : next, domain, model});
+  }
+  std::stable_sort(
+      missing.begin(), missing.end(),
+      [](const Missing& a, const Missing& b) { return a.loads < b.loads; });
+  for (const Missing& entry : missing) {
+    if (!StageForGroups(entry.domain, *entry.model, pass)) return;
+  }
+  for (const auto& [domain, free] : pass->free) {
+    if (m_free_loads && Grows(domain, pass->now)) continue;
+    if (!StageSpares(domain, free, pass)) return;
   }
 }
 
-// The model in greatest need whose next group lacks no more than what the
-// domain's empty hosts, and at most one that holds another model, can load.
-const EngineModel* GroupPlanner::NextToComplete(const std::string& domain,
-                                                const Hosts& hosts,
-                                                const Pass& pass) const {
-  const EngineModel* best = nullptr;
-  for (const EngineModel& model : pass.engine->models) {
-    int usable = 0;
-    int others = 0;
-    for (const BackendServer* host : hosts) {
-      const std::string& held = HeldModel(*host);
-      bool loads_other = m_loads.count(host->id) > 0 && held != model.name;
-      bool bound = pass.bound.count(host->id) > 0;
-      if (held == model.name || held.empty()) {
-        ++usable;
-      } else if (!loads_other && !bound) {
-        ++others;
-      }
-    }
-    usable += std::min(others, 1);
-    if (Waits(domain, model, pass)) continue;
-    if (model.hosts_per_group < 1 || usable < model.hosts_per_group) continue;
-    if (best == nullptr || Need(model, pass) > Need(*best, pass)) {
-      best = &model;
+// Hosts that lack the weights of groups that a domain lacks.
+int GroupPlanner::MissingHolders(const std::string& domain,
+                                 const EngineModel& model,
+                                 const Pass& pass) const {
+  int missing = pass.Lacks(domain, model) * model.hosts_per_group;
+  if (missing <= 0) return 0;
+  for (const auto& [id, server] : *pass.servers) {
+    bool another = pass.in_standing.count(id) == 0 ||
+                   GroupModel(server.member.group) != model.name;
+    if (server.fabric_domain == domain && !server.leaving &&
+        pass.failed->count(id) == 0 && another &&
+        HeldModel(server) == model.name) {
+      --missing;
     }
   }
-  return best;
+  return missing;
 }
 
-// Takes the hosts of one future group and stages its model on those that lack
-// it. Returns false when no more loads may begin now.
-bool GroupPlanner::CompleteGroup(const EngineModel& model, Hosts* hosts,
-                                 Pass* pass) {
-  auto rank = [&](const BackendServer* host) {
-    const std::string& held = HeldModel(*host);
-    if (held == model.name) return 0;
-    if (held.empty()) return 1;
-    bool fixed = m_loads.count(host->id) > 0 || pass->bound.count(host->id) > 0;
-    return fixed ? 3 : 2;
-  };
-  std::stable_sort(
-      hosts->begin(), hosts->end(),
-      [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
-  ++pass->groups[model.name];
-  for (int i = 0; i < model.hosts_per_group; ++i) {
-    const BackendServer& host = *(*hosts)[static_cast<std::size_t>(i)];
-    bool lacks = HeldModel(host) != model.name;
-    if (lacks && pass->bound.count(host.id) == 0 && !Stage(host, model, pass)) {
-      return false;
+// Hosts that could stage a model, the cheapest first: empty ones, spares of
+// another model, then members of groups of which the domain has too many.
+GroupPlanner::Hosts GroupPlanner::StagingOrder(const std::string& domain,
+                                               const EngineModel& model,
+                                               const Pass& pass) const {
+  Hosts empty;
+  Hosts spares;
+  Hosts surplus;
+  std::map<std::string, int> changing;  // Groups that give up their hosts.
+  for (const auto& [id, server] : *pass.servers) {
+    if (server.fabric_domain != domain || server.leaving || Waiting(id) ||
+        !Counted(server) || m_loads.count(id) > 0 ||
+        pass.failed->count(id) > 0 || HasStaged(server, model.name)) {
+      continue;
     }
+    if (pass.in_standing.count(id) == 0) {
+      (server.staged.empty() ? empty : spares).push_back(&server);
+      continue;
+    }
+    std::string held = GroupModel(server.member.group);
+    for (const EngineModel& other : pass.engine->models) {
+      if (other.name != held || other.name == model.name ||
+          !SurplusIsSettled(domain, other, pass)) {
+        continue;
+      }
+      int groups = -pass.Lacks(domain, other);
+      bool counted = changing.count(server.member.group) > 0;
+      if (!counted && static_cast<int>(changing.size()) >= groups) continue;
+      changing[server.member.group] = 1;
+      surplus.push_back(&server);
+    }
+  }
+  // A spare whose model the domain lacks as well stays.
+  std::erase_if(spares, [&](const BackendServer* host) {
+    return std::any_of(pass.engine->models.begin(), pass.engine->models.end(),
+                       [&](const EngineModel& other) {
+                         return other.name == HeldModel(*host) &&
+                                pass.Lacks(domain, other) > 0;
+                       });
+  });
+  Hosts order = std::move(empty);
+  order.insert(order.end(), spares.begin(), spares.end());
+  order.insert(order.end(), surplus.begin(), surplus.end());
+  return order;
+}
+
+// Stages a model until its lacking groups can be formed. Returns false when no
+// more loads may begin now.
+bool GroupPlanner::StageForGroups(const std::string& domain,
+                                  const EngineModel& model, Pass* pass) {
+  int missing = MissingHolders(domain, model, *pass);
+  for (const BackendServer* host : StagingOrder(domain, model, *pass)) {
+    if (missing-- <= 0) break;
+    if (!Stage(*host, model, pass)) return false;
   }
-  hosts->erase(hosts->begin(), hosts->begin() + model.hosts_per_group);
   return true;
 }
 
@@ -135,7 +170,7 @@
   std::map<std::string, int> spares;
   for (const BackendServer* host : free) ++spares[HeldModel(*host)];
   for (const BackendServer* host : free) {
-    if (!HeldModel(*host).empty()) continue;
+    if (!HeldModel(*host).empty() || Waiting(host->id)) continue;
     const EngineModel* best = nullptr;
     double best_need = -1.0;
     for (const EngineModel& model : pass->engine->models) {
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -28,6 +28,9 @@
 /// Stands for a rate that hasn't been measured since the daemon's start.
 constexpr char kUnknownRate[] = "?";
 
+/// Ends the part of an object before the demand by model.
+constexpr char kDemandSeparator = ' ';
+
 /// The number after the last slash; nothing when there's none.
 std::optional<double> TrailingNumber(const std::string& text) {
   std::size_t slash = text.rfind('/');
@@ -54,9 +57,10 @@
     m_next_put = now + m_jitter.Between(kPutInterval * 4 / 5, kPutInterval);
     actions.emplace_back(
         PutObject{kOwnCall, kPrefix + m_node,
-                  fmt::format("{}/{}/{}", m_incarnation, ++m_renewal,
+                  fmt::format("{}/{}/{}{}{}", m_incarnation, ++m_renewal,
                               m_rate > 0.0 ? fmt::format("{:.2f}", m_rate)
-                                           : std::string(kUnknownRate)),
+                                           : std::string(kUnknownRate),
+                              kDemandSeparator, EncodeDemand(m_demand.rates())),
                   m_version});
   }
   if (now >= m_next_list) {
@@ -88,7 +92,10 @@
   if (!listed.complete) return;
   for (const auto& [name, value] : listed.nodes) {
     Seen& seen = m_nodes[name];
-    if (seen.value != value) seen = {value, now, TrailingNumber(value)};
+    if (seen.value == value) continue;
+    std::size_t end = std::min(value.find(kDemandSeparator), value.size());
+    seen = {value, now, TrailingNumber(value.substr(0, end)),
+            DecodeDemand(value.substr(std::min(end + 1, value.size())))};
   }
   CountLive(now);
 }
@@ -109,6 +116,25 @@
   m_share = comparable ? std::clamp(m_rate / all, least, 1.0) : 0.0;
 }
 
+DemandByModel NodeDirectory::Demand() const {
+  DemandByModel all;
+  int known = 0;
+  if (!m_demand.rates().empty()) {
+    AddDemand(m_demand.rates(), 1.0, &all);
+    ++known;
+  }
+  for (const auto& [name, seen] : m_nodes) {
+    if (name == m_node || seen.demand.empty()) continue;
+    AddDemand(seen.demand, 1.0, &all);
+    ++known;
+  }
+  DemandByModel scaled;
+  if (known > 0) {
+    AddDemand(all, static_cast<double>(m_live) / known, &scaled);
+  }
+  return scaled;
+}
+
 void NodeDirectory::MeasureRate(TimePoint now) {
   if (m_measured == TimePoint()) m_measured = now;
   std::chrono::duration<double> time = now - m_measured;
@@ -121,6 +147,7 @@
     m_next_list = std::min(m_next_list, now + kFirstListInterval);
   }
   m_rate = m_rate == 0.0 ? rate : (m_rate + rate) / 2.0;
+  m_demand.Update(m_counts, time);
   m_measured = now;
   m_measured_requests = m_requests;
 }
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "core/demand.h"
 #include "core/jitter.h"
 
 namespace clementine {
@@ -42,6 +43,13 @@
   /// Requests that came to this daemon so far.
   void CountRequests(std::uint64_t total) { m_requests = total; }
 
+  /// What callers asked this daemon so far, by model.
+  void CountDemand(const DemandCounts& counts) { m_counts = counts; }
+
+  /// What callers ask all daemons. Those whose demand isn't known count as much
+  /// as the others on average.
+  DemandByModel Demand() const;
+
   /// Daemons that take requests, this one included.
   int live() const { return m_live; }
   /// Part of all daemons' requests that comes to this one; 0 when unknown.
@@ -52,6 +60,7 @@
     std::string value;
     TimePoint changed;
     std::optional<double> rate;  ///< Requests a second; unknown at a start.
+    DemandByModel demand;
   };
 
   void CountLive(TimePoint now);
@@ -70,6 +79,8 @@
   double m_rate = 0.0;  ///< Own requests a second; 0 until the first ones.
   std::uint64_t m_requests = 0;
   std::uint64_t m_measured_requests = 0;
+  DemandCounts m_counts;
+  DemandRates m_demand;
   TimePoint m_measured;
 };
 
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -213,7 +213,8 @@
   m_tick.expires_after(kTickInterval);
   m_tick.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    Feed(FleetEvent(RequestsCounted{m_server->stats().requests}));
+    Feed(FleetEvent(
+        RequestsCounted{m_server->stats().requests, m_executor->demand()}));
     Feed(FleetEvent(Tick{}));
     Feed(RequestEvent(Tick{}));
     m_executor->CheckSilence();
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -152,6 +152,7 @@
   read.max_tokens = caller->headers.likely_output_tokens > 0
                         ? caller->headers.likely_output_tokens
                         : caller->headers.most_output_tokens;
+  CountDemand(service, *caller);
   LogEvent("request",
            {{"request", std::to_string(caller->id)},
             {"caller_request", caller->headers.request_id},
@@ -171,6 +172,21 @@
   m_context.feed(RequestArrived{read});
 }
 
+void RelayExecutor::CountDemand(const std::string& service,
+                                const Caller& caller) {
+  const EngineSpec* engine = FindEngine(m_routes->configuration(), service);
+  if (engine == nullptr) return;
+  for (const EngineModel& model : engine->models) {
+    if (model.name != caller.headers.model) continue;
+    double answer = caller.request.max_tokens > 0 ? caller.request.max_tokens
+                                                  : engine->usual_answer;
+    DemandCount& count = m_demand[caller.request.model];
+    ++count.requests;
+    count.group_seconds +=
+        GroupTime(*engine, model, caller.request.prompt_tokens, answer).count();
+  }
+}
+
 std::shared_ptr<RelayExecutor::Caller> RelayExecutor::MakeCaller(
     const std::shared_ptr<HttpExchange>& exchange,
     const RouteTable::Match& match) {
@@ -442,6 +458,8 @@
     return;
   }
   bool not_run = refuse.outcome == Outcome::kNotRun;
+  auto demand = m_demand.find(caller->request.model);
+  if (not_run && demand != m_demand.end()) ++demand->second.refused;
   int status = http_status::kBadGateway;
   if (refuse.reason == RefusalReason::kDeadline) {
     status = http_status::kGatewayTimeout;
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -46,6 +46,9 @@
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   void SetGroups(const std::vector<GroupView>& groups);
 
+  /// What callers asked so far, by "service/model".
+  const DemandCounts& demand() const { return m_demand; }
+
   /// Callers and attempts that aren't finished.
   std::size_t unfinished() const {
     return m_callers.size() + m_attempts.size();
@@ -76,6 +79,7 @@
   std::shared_ptr<Caller> MakeCaller(
       const std::shared_ptr<HttpExchange>& exchange,
       const RouteTable::Match& match);
+  void CountDemand(const std::string& service, const Caller& caller);
   BackendCall MakeCall(const Dispatch& dispatch, const Caller& caller);
   AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
   void OnBytes(Attempt* attempt, std::string_view bytes);
@@ -94,6 +98,7 @@
   std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
   std::unordered_map<std::string, std::string> m_heads;  ///< Host by group.
   SilenceWatch m_silence;
+  DemandCounts m_demand;
   std::mt19937_64 m_random;
   RequestId m_last_request = 0;
 };
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -226,6 +226,33 @@
   }
 }
 
+// Guards against a host that rejects every order for the rest of its life,
+// since an order that had nothing to do was counted as one that it accepted.
+TEST_CASE("planner counts only the orders that a host has counted") {
+  FleetWorld world = Started(1, 9);
+  testing::FakeServer& head = world.servers.at(world.HeadOf("large"));
+  world.Kill(head.members.back());
+  // The first order that closes it is answered as one without effect.
+  bool answered = false;
+  std::uint64_t expected = head.entry.orders;
+  std::map<std::string, BackendServer> listed = world.List();
+  std::string lost = head.members.back();
+  for (int step = 0; step < 40; ++step) {
+    world.now += FleetWorld::kStep;
+    world.planner.Reported(head.entry.id, head.entry, world.now);
+    for (const auto& planned :
+         world.planner.Plan(world.configuration, listed, {lost}, world.now)) {
+      if (planned.host != head.entry.id) continue;
+      CHECK(planned.order.expected_orders == expected);
+      answered = true;
+      listed[planned.host].member.state = GroupMemberState::kReady;
+      world.planner.Answered(planned.host, planned.order, OrderResult::kHolds,
+                             world.now);
+    }
+  }
+  CHECK(answered);
+}
+
 // Guards against a successor that takes members of groups that stand.
 TEST_CASE("a new planner adopts the groups that it finds") {
   FleetWorld world = Started(3, 9);
