Call the platform less: few standbys for the lease, changes read together

Change: three daemons, the first in an order that all derive from the node list, read the lease often; the others read it every few seconds and take over later. Only these and the planner read changes of servers promptly; the others let those of a quarter of the new setting leaving_notice come together. Intervals of the node directory grow with the fleet. Idle connections are bounded by half of a server's connections, divided by the live daemons. Spares change over to another model only after their domain has settled. Test: "node directories agree on the order of the daemons", "calls the platform less often in a large fleet".

--- a/config/config.h
+++ b/config/config.h
@@ -210,7 +210,9 @@
   std::chrono::milliseconds first_token_timeout{10'000};
   std::chrono::milliseconds token_gap_timeout{2'000};
   std::chrono::milliseconds connect_timeout{500};
-  std::chrono::milliseconds drain_wait{5'000};   ///< Unready before refusing.
+  std::chrono::milliseconds drain_wait{5'000};  ///< Unready before refusing.
+  /// A backend server that is leaving gets no new work after so long.
+  std::chrono::milliseconds leaving_notice{2'000};
   std::chrono::milliseconds stop_limit{60'000};  ///< Longest graceful stop.
   double retry_ratio = 0.1;  ///< Retries for each first attempt.
   std::chrono::seconds claim_retention{86'400};
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -64,6 +64,7 @@
 
 struct FleetService {
   std::string name;
+  int max_connections = 0;  ///< Of one server, by all callers; 0: no bound.
   std::optional<EngineSpec> engine;  ///< Empty for a plain service.
 };
 
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -16,6 +16,9 @@
 /// Calls of the lease without a reply are read back after this time.
 constexpr milliseconds kCallTimeout{1'200};
 
+/// Daemons that don't stand by read the lease in such steps.
+constexpr milliseconds kReserveDelay{4'000};
+
 constexpr milliseconds kPlanInterval{100};
 /// A member of a group that stands is asked this often whether it lives.
 constexpr milliseconds kAskInterval{1'000};
@@ -312,6 +315,7 @@
     m_lease.Replied(call, lost, m_now, &out);
   }
   if (m_stopping) m_lease.Release(m_orders_running == 0, m_now, &out);
+  m_lease.SetReserve(plans_or_stands_by() ? milliseconds(0) : kReserveDelay);
   m_lease.Advance(m_configuration != nullptr && m_list.known(), m_now, &out);
   Take(std::move(out));
 }
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -101,12 +101,19 @@
   std::vector<FleetAction> Handle(const FleetEvent& event, TimePoint now);
 
   bool holds_lease() const { return m_lease.Holding(); }
+  /// Whether this daemon plans, or is among the first to take over.
+  bool plans_or_stands_by() const {
+    return m_lease.Holding() || m_nodes.Rank() < kStandbys;
+  }
   bool servers_known() const { return m_list.known(); }
   std::size_t open_groups() const { return m_open_groups; }
   int live_nodes() const { return m_nodes.live(); }
 
  private:
   using Actions = std::vector<FleetAction>;
+  /// Daemons that read the lease often and take it over at once. All of them
+  /// are lost together seldom, and then the others are some seconds later.
+  static constexpr int kStandbys = 3;
 
   /// What is known of a member host by asking it.
   struct Asked {
--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -14,16 +14,11 @@
 constexpr double kRejoinSeconds = 0.2;
 /// Delay of a group that weighs as much as half of its model's need.
 constexpr double kHalfWorthSeconds = 8.0;
-/// Hosts of one domain register within this time of each other.
-constexpr milliseconds kWaitForHosts{1'200};
 /// A domain of which no host is listed any more has lost its power or its way
 /// to the platform, and is expected back for so long.
 constexpr milliseconds kExpectReturn{30'000};
 /// The hosts of a domain that is lost leave the list within this time.
 constexpr milliseconds kDomainLapse{10'000};
-/// A group changes over when there were too many of its model for so long, so
-/// that hosts that leave or come together don't start it.
-constexpr milliseconds kSettleTime{3'000};
 /// Part of the hosts that the expected work keeps busy until the demand is
 /// known; only its relation to the measured demand matters.
 constexpr double kExpectedUse = 0.55;
@@ -269,9 +264,10 @@
   return candidate;
 }
 
-bool GroupPlanner::Grows(const std::string& domain, TimePoint now) const {
+bool GroupPlanner::Grows(const std::string& domain, milliseconds within,
+                         TimePoint now) const {
   auto grown = m_grown.find(domain);
-  return grown != m_grown.end() && now - grown->second.second < kWaitForHosts;
+  return grown != m_grown.end() && now - grown->second.second < within;
 }
 
 void GroupPlanner::NoteGrowth(const std::vector<DomainHosts>& domains,
@@ -290,7 +286,7 @@
   for (const auto& [domain, free] : pass.free) {
     // Hosts register one after another. At a first start any of them can load
     // any model, so the choice waits until they are known.
-    if (m_free_loads && Grows(domain, pass.now)) continue;
+    if (m_free_loads && Grows(domain, kWaitForHosts, pass.now)) continue;
     for (const EngineModel& model : pass.engine->models) {
       if (model.hosts_per_group < 1 || pass.Lacks(domain, model) < 1 ||
           free.size() < static_cast<std::size_t>(model.hosts_per_group)) {
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -95,6 +95,11 @@
   using GroupKey = std::pair<std::string, std::uint64_t>;
   /// An order that was lost may be carried out this late.
   static constexpr milliseconds kLateOrder{12'000};
+  /// Hosts of one domain register within this time of each other.
+  static constexpr milliseconds kWaitForHosts{1'200};
+  /// Hosts change over to another model when there were too many of theirs for
+  /// so long, so that hosts that come or leave together don't start it.
+  static constexpr milliseconds kSettleTime{3'000};
   using Hosts = std::vector<const BackendServer*>;
 
   /// The last order to a host, until its effect was seen.
@@ -184,7 +189,8 @@
   void Settle(const Servers& servers, TimePoint now);
   void ResolveOrphans(Pass* pass);
   bool MembersInContact(const GroupKey& group, const Pass& pass) const;
-  bool Grows(const std::string& domain, TimePoint now) const;
+  bool Grows(const std::string& domain, milliseconds within,
+             TimePoint now) const;
   void NoteGrowth(const std::vector<DomainHosts>& domains, TimePoint now);
   void JudgeGroup(const ReportedGroup& group, Pass* pass);
   void JudgeForming(const ReportedGroup& group, const EngineModel& model,
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -70,7 +70,7 @@
     const EngineModel* model = FindModel(*pass->engine, name);
     // At a first start more hosts are about to come, and a spare's model is
     // chosen best when the groups are known.
-    if (m_free_loads && Grows(domain, pass->now)) continue;
+    if (m_free_loads && Grows(domain, kWaitForHosts, pass->now)) continue;
     int loads = MissingHolders(domain, *model, *pass);
     if (loads <= 0) continue;
     int next = loads % model->hosts_per_group;
@@ -84,7 +84,7 @@
     if (!StageForGroups(entry.domain, *entry.model, pass)) return;
   }
   for (const auto& [domain, free] : pass->free) {
-    if (m_free_loads && Grows(domain, pass->now)) continue;
+    if (m_free_loads && Grows(domain, kWaitForHosts, pass->now)) continue;
     if (!StageSpares(domain, free, pass)) return;
   }
 }
@@ -123,7 +123,11 @@
       continue;
     }
     if (pass.in_standing.count(id) == 0) {
-      (server.staged.empty() ? empty : spares).push_back(&server);
+      if (server.staged.empty()) {
+        empty.push_back(&server);
+      } else if (!Grows(domain, kSettleTime, pass.now)) {
+        spares.push_back(&server);
+      }
       continue;
     }
     std::string held = GroupModel(server.member.group);
--- a/core/lease.cc
+++ b/core/lease.cc
@@ -199,6 +199,9 @@
   m_seen_any = true;
   m_version = version;
   m_seen = record;
+  if (m_reserve > milliseconds(0)) {
+    m_next += m_jitter->Between(m_reserve / 2, m_reserve);
+  }
   m_next = std::min(m_next, std::max(now, TakeoverTime()));
   const Write* own = FindWrite(record);
   m_own = false;
@@ -269,7 +272,7 @@
       m_options.mutation == Mutation::kTakeLeaseEarly) {
     wait = milliseconds(0);
   }
-  return m_first_seen + wait + m_spread;
+  return m_first_seen + wait + m_reserve + m_spread;
 }
 
 void Lease::AdvanceCandidate(TimePoint now, Actions* out) {
--- a/core/lease.h
+++ b/core/lease.h
@@ -58,6 +58,9 @@
   /// Highest fence seen in the placement object. The lease is rewritten with a
   /// higher one if needed, which happens after an operator deleted the lease.
   void RaiseFence(std::uint64_t placement_fence);
+  /// Extra time that a candidate waits before it takes a lapsed lease, and
+  /// between two reads while another daemon holds it.
+  void SetReserve(milliseconds reserve) { m_reserve = reserve; }
   /// There is no placement object, so no daemon has used a lease yet.
   void PlacementAbsent() { m_placement_absent = true; }
   /// Stops renewing and releases when `orders_settled`.
@@ -112,6 +115,7 @@
   TimePoint m_first_seen;    ///< When that version was first received.
   TimePoint m_last_read;     ///< Sending time of the last good read.
   milliseconds m_spread{0};  ///< Keeps candidates from writing together.
+  milliseconds m_reserve{0};
 
   LeaseRecord m_record;  ///< As granted to this daemon.
   TimePoint m_granted;   ///< Sending time of the last granted write.
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -8,17 +8,23 @@
 #include <cstdlib>
 
 #include "fmt/format.h"
+#include "xxhash.h"
 
 namespace clementine {
 namespace {
 
-constexpr milliseconds kPutInterval{5'000};
+/// Between two renewals, and between two lists. Each is a call to the platform
+/// by every daemon, so large fleets make them less often; what they tell is
+/// then a smaller part of the whole.
+constexpr milliseconds kShortestInterval{5'000};
+constexpr milliseconds kLongestInterval{30'000};
+constexpr int kDaemonsAtShortest = 20;
 /// The first lists come sooner, since all daemons start at once.
 constexpr milliseconds kFirstListInterval{1'000};
-constexpr milliseconds kListInterval{5'000};
 constexpr int kFirstLists = 4;
 /// Two renewals may be lost, and a list may be some seconds old.
-constexpr milliseconds kLiveTime{18'000};
+constexpr int kLiveIntervals = 3;
+constexpr milliseconds kListAge{3'000};
 /// Marks the replies of this directory; other callers count up from 1.
 constexpr CallId kOwnCall = ~CallId{0};
 constexpr milliseconds kRateInterval{2'000};
@@ -54,7 +60,7 @@
   std::vector<Action> actions;
   MeasureRate(now);
   if (now >= m_next_put) {
-    m_next_put = now + m_jitter.Between(kPutInterval * 4 / 5, kPutInterval);
+    m_next_put = now + m_jitter.Between(Interval() * 4 / 5, Interval());
     actions.emplace_back(
         PutObject{kOwnCall, kPrefix + m_node,
                   fmt::format("{}/{}/{}{}{}", m_incarnation, ++m_renewal,
@@ -65,7 +71,7 @@
   }
   if (now >= m_next_list) {
     bool first = m_renewal <= kFirstLists && m_nodes.size() < kFirstLists;
-    milliseconds interval = first ? kFirstListInterval : kListInterval;
+    milliseconds interval = first ? kFirstListInterval : Interval();
     m_next_list = now + m_jitter.Between(interval * 4 / 5, interval);
     actions.emplace_back(ListNodes{});
   }
@@ -100,9 +106,24 @@
   CountLive(now);
 }
 
+milliseconds NodeDirectory::Interval() const {
+  return std::clamp(kShortestInterval * m_live / kDaemonsAtShortest,
+                    kShortestInterval, kLongestInterval);
+}
+
+int NodeDirectory::Rank() const {
+  auto place = [](const std::string& name) {
+    return std::pair(XXH3_64bits(name.data(), name.size()), name);
+  };
+  auto own = place(m_node);
+  return static_cast<int>(std::count_if(
+      m_nodes.begin(), m_nodes.end(),
+      [&](const auto& entry) { return place(entry.first) < own; }));
+}
+
 void NodeDirectory::CountLive(TimePoint now) {
   std::erase_if(m_nodes, [&](const auto& entry) {
-    return now - entry.second.changed > kLiveTime;
+    return now - entry.second.changed > Interval() * kLiveIntervals + kListAge;
   });
   m_live = 1 + static_cast<int>(m_nodes.size()) -
            static_cast<int>(m_nodes.count(m_node));
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -52,6 +52,9 @@
 
   /// Daemons that take requests, this one included.
   int live() const { return m_live; }
+  /// This daemon's place in an order of all live ones that each of them derives
+  /// alike; 0 is the first.
+  int Rank() const;
   /// Part of all daemons' requests that comes to this one; 0 when unknown.
   double share() const { return m_share; }
 
@@ -63,6 +66,7 @@
     DemandByModel demand;
   };
 
+  milliseconds Interval() const;
   void CountLive(TimePoint now);
   void MeasureRate(TimePoint now);
 
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -23,6 +23,10 @@
 /// Closed idle connections: callers reuse theirs for a time that the platform
 /// sets, so the server's own limit is far above it.
 constexpr milliseconds kCallerIdleTimeout{120'000};
+/// Idle connections to one backend server that this daemon keeps.
+constexpr int kMostIdleConnections = 32;
+/// One part in so many of a server's connections may be idle.
+constexpr int kIdlePart = 2;
 
 }  // namespace
 
@@ -95,7 +99,8 @@
     Adopt(std::move(configuration));
   };
   m_feed = std::make_unique<FleetFeed>(
-      io, m_store.get(), m_settings.seed ^ m_incarnation, std::move(hooks));
+      io, m_store.get(), m_settings.seed ^ m_incarnation,
+      m_settings.leaving_notice, std::move(hooks));
   m_feed->Start();
   ScheduleTick();
 }
@@ -135,6 +140,8 @@
     m_executor->SetGroups(groups->groups);
     Feed(RequestEvent(std::move(*groups)));
   } else if (auto* daemons = std::get_if<DaemonsChanged>(&action)) {
+    m_live_daemons = daemons->live;
+    LimitIdleConnections();
     Feed(RequestEvent(*daemons));
   } else if (auto* get = std::get_if<GetObject>(&action)) {
     m_store->Get(*get, reply);
@@ -163,6 +170,20 @@
   Feed(RequestEvent(std::move(changed)));
   m_executor->SetRoutes(m_routes);
   Feed(FleetEvent(FleetConfigured{std::move(shared)}));
+  LimitIdleConnections();
+}
+
+// A server takes a number of connections from all daemons together, and resets
+// those above it. Idle ones may take half of that.
+void FleetDaemon::LimitIdleConnections() {
+  if (m_routes == nullptr) return;
+  int most = kMostIdleConnections;
+  for (const auto& [name, service] : m_routes->configuration().services) {
+    if (service.max_connections < 1) continue;
+    int share = service.max_connections / (kIdlePart * m_live_daemons);
+    most = std::min(most, std::max(1, share));
+  }
+  m_backends->SetMaxIdle(static_cast<std::size_t>(most));
 }
 
 void FleetDaemon::SendOrder(const SendGroupOrder& send) {
@@ -217,6 +238,7 @@
         RequestsCounted{m_server->stats().requests, m_executor->demand()}));
     Feed(FleetEvent(Tick{}));
     Feed(RequestEvent(Tick{}));
+    m_feed->SetPrompt(m_control->plans_or_stands_by());
     m_executor->CheckSilence();
     CheckStopping();
     ScheduleTick();
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -49,6 +49,7 @@
   void HandleOne(const AnyEvent& event);
   void Execute(FleetAction action);
   void Adopt(FleetConfiguration configuration);
+  void LimitIdleConnections();
   void SendOrder(const SendGroupOrder& send);
   void Ask(const AskServer& ask);
   void ListAllNodes();
@@ -73,6 +74,7 @@
   std::shared_ptr<const RouteTable> m_routes;
   boost::asio::steady_timer m_tick;
   EventQueue<AnyEvent> m_queue;
+  int m_live_daemons = 1;
   bool m_groups_known = false;
   Phase m_phase = Phase::kServing;
   TimePoint m_stop_began;
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -10,9 +10,10 @@
 namespace clementine {
 namespace {
 
-constexpr milliseconds kWatchWait{1'500};
 /// Servers change in bursts when groups form; each answer is a priced call.
 constexpr milliseconds kServerPause{200};
+/// Part of the notice of a leaving server that changes may wait for each other.
+constexpr int kPauseParts = 4;
 constexpr milliseconds kConfigurationPause{20};
 constexpr milliseconds kFirstBackoff{150};
 constexpr milliseconds kLongestBackoff{1'000};
@@ -21,12 +22,14 @@
 }  // namespace
 
 FleetFeed::FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
-                     std::uint64_t seed, Hooks hooks)
+                     std::uint64_t seed, milliseconds leaving_notice,
+                     Hooks hooks)
     : m_store(store),
       m_hooks(std::move(hooks)),
       m_jitter(seed),
       m_servers(io),
-      m_configuration(io) {
+      m_configuration(io),
+      m_leaving_notice(leaving_notice) {
   m_servers.kind = platform::kServerKind;
   m_servers.listed_all = [this](const platform::ObjectBatch& batch) {
     ServersListed listed;
@@ -75,7 +78,8 @@
   if (list) {
     m_store->List(loop->kind, /*stale=*/false, std::move(done));
   } else {
-    m_store->Watch(loop->kind, loop->revision, kWatchWait, std::move(done));
+    m_store->Watch(loop->kind, loop->revision, m_leaving_notice,
+                   std::move(done));
   }
 }
 
@@ -108,9 +112,11 @@
   loop->listed = true;
   loop->revision = batch.revision;
   (list ? loop->listed_all : loop->changed)(batch);
-  bool servers = loop == &m_servers;
-  Later(loop,
-        servers && !batch.objects.empty() ? kServerPause : kConfigurationPause);
+  bool servers = loop == &m_servers && !batch.objects.empty();
+  milliseconds pause =
+      m_prompt ? kServerPause
+               : std::max(kServerPause, m_leaving_notice / kPauseParts);
+  Later(loop, servers ? pause : kConfigurationPause);
 }
 
 void FleetFeed::Later(Loop* loop, milliseconds delay) {
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -27,14 +27,20 @@
   };
 
   /// @param store Outlives the feed.
+  /// @param leaving_notice As in the settings; bounds how old the list may be.
   FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
-            std::uint64_t seed, Hooks hooks);
+            std::uint64_t seed, milliseconds leaving_notice, Hooks hooks);
   ~FleetFeed();
   FleetFeed(const FleetFeed&) = delete;
   FleetFeed& operator=(const FleetFeed&) = delete;
 
   void Start();
 
+  /// Whether changes of servers are read as soon as they come, as the planner
+  /// needs them. Each answer is a priced call, so other daemons let changes of
+  /// some hundred milliseconds come together.
+  void SetPrompt(bool prompt) { m_prompt = prompt; }
+
  private:
   /// One kind of objects that is listed and watched.
   struct Loop {
@@ -62,6 +68,8 @@
   Loop m_servers;
   Loop m_configuration;
   std::uint64_t m_version = 0;  ///< Of the configuration in force.
+  milliseconds m_leaving_notice;
+  bool m_prompt = true;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -141,6 +141,8 @@
 
   std::shared_ptr<BackendAttempt> Start(BackendCall call,
                                         BackendHandlers handlers);
+  void SetMaxIdle(std::size_t most) { m_pool.SetMaxPerAddress(most); }
+
   void Probe(const std::string& address, std::chrono::milliseconds timeout,
              bool fresh, std::function<void(std::optional<HostHealth>)> done);
   void Stop();
@@ -700,6 +702,8 @@
   Start(std::move(call), {});
 }
 
+void BackendClient::SetMaxIdle(std::size_t most) { m_impl->SetMaxIdle(most); }
+
 BackendStats BackendClient::stats() const {
   BackendStats stats = m_impl->m_stats;
   stats.idle = m_impl->m_pool.size();
--- a/net/connection_pool.h
+++ b/net/connection_pool.h
@@ -36,6 +36,9 @@
   /// Closes connections that were idle for longer than the idle timeout.
   void Expire(Clock::time_point now);
 
+  /// Sets the bound; connections above it close as they are returned.
+  void SetMaxPerAddress(std::size_t most) { m_max_per_address = most; }
+
   std::size_t size() const;
 
  private:
--- a/net/net.h
+++ b/net/net.h
@@ -359,6 +359,9 @@
   /// Tells a backend server to stop an attempt; failures are ignored.
   void CancelRemote(const std::string& address, const std::string& attempt);
 
+  /// Sets how many idle connections to one address are kept.
+  void SetMaxIdle(std::size_t most);
+
   BackendStats stats() const;
 
  private:
--- a/testing/node_directory_test.cc
+++ b/testing/node_directory_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 namespace clementine {
 namespace {
 
@@ -46,6 +48,42 @@
   CHECK(directory.live() == 2);
 }
 
+// Guards against daemons that each take themselves for one of the few that
+// stand by for the planner.
+TEST_CASE("node directories agree on the order of the daemons") {
+  std::vector<std::pair<std::string, std::string>> nodes;
+  for (int n = 0; n < 40; ++n) {
+    nodes.emplace_back("n" + std::to_string(n), "1/1/5");
+  }
+  std::set<int> ranks;
+  for (const auto& [name, value] : nodes) {
+    NodeDirectory directory(name, 1, 1);
+    directory.Listed({true, nodes}, kStart);
+    ranks.insert(directory.Rank());
+  }
+  CHECK(ranks.size() == nodes.size());
+  CHECK(*ranks.begin() == 0);
+  CHECK(*ranks.rbegin() == 39);
+}
+
+// Guards against calls to the platform that grow with the square of the fleet:
+// each daemon renews an object and lists those of all.
+TEST_CASE("node directory calls the platform less often in a large fleet") {
+  std::vector<std::pair<std::string, std::string>> nodes;
+  for (int n = 0; n < 195; ++n) {
+    nodes.emplace_back("n" + std::to_string(n), "1/1/5");
+  }
+  NodeDirectory directory("n0", 1, 1);
+  directory.Advance(kStart);
+  directory.Listed({true, nodes}, kStart);
+  std::size_t calls = 0;
+  for (milliseconds passed{50}; passed < milliseconds(60'000);
+       passed += milliseconds(50)) {
+    calls += directory.Advance(kStart + passed).size();
+  }
+  CHECK(calls <= 6);
+}
+
 // Guards against a daemon with most of the callers that may use only an equal
 // part of the groups.
 TEST_CASE("node directory tells the own share of the requests") {
