Wait for heads that the list shows as ready, and count waits from contact

Cause: a head opened in an outage of the platform stayed "ready" in the list. Change: heads listed as ready are remembered unless this planner formed them and never sent the order to open; a group without its head counts from the time at which its members answer. Test: "planner waits for a head that the list showed as ready" fails without it (15 joins).

--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -35,6 +35,16 @@
 constexpr milliseconds kUnknownHead{6'000};
 }  // namespace
 
+// A head that the list shows as ready may have been opened by another planner
+// since the platform was last reached.
+bool GroupPlanner::MayServe(const BackendServer& head) const {
+  const GroupMembership& member = head.member;
+  if (IsServing(member.state) || OpenMayBeLate(head.id)) return true;
+  GroupKey key{member.group, member.epoch};
+  bool unopened = m_forming.count(key) > 0 && m_opened.count(key) == 0;
+  return member.state == GroupMemberState::kReady && !unopened;
+}
+
 void GroupPlanner::Observe(const FleetConfiguration& configuration,
                            const Servers& servers, TimePoint now) {
   for (const auto& [key, head] : m_heads) {
@@ -49,8 +59,7 @@
   for (const auto& [id, server] : servers) {
     const GroupMembership& member = server.member;
     bool engine = FindEngine(configuration, server.service) != nullptr;
-    if (engine && member.rank == 0 &&
-        (IsServing(member.state) || OpenMayBeLate(id))) {
+    if (engine && member.rank == 0 && MayServe(server)) {
       m_heads[{member.group, member.epoch}] = server;
     }
   }
@@ -118,6 +127,16 @@
   return last;
 }
 
+void GroupPlanner::NoteHeadless(const ReportedGroup& group, const Pass& pass) {
+  GroupKey key{group.name, group.epoch};
+  bool missing = group.members.empty() || group.members.front() == nullptr;
+  if (missing && MembersInContact(key, pass)) {
+    m_headless.try_emplace(key, pass.now);
+  } else {
+    m_headless.erase(key);
+  }
+}
+
 bool GroupPlanner::HeadIsGone(const ReportedGroup& group) {
   auto found = m_silent_heads.find({group.name, group.epoch});
   if (found == m_silent_heads.end() || group.members.front()->leaving) {
@@ -163,8 +182,9 @@
     const std::string& head = forming->second.front();
     return Waiting(head) && pass.servers->count(head) > 0;
   }
-  auto seen = m_seen.find(key);
-  return seen != m_seen.end() && pass.now - seen->second < kUnknownHead;
+  auto headless = m_headless.find(key);
+  return headless == m_headless.end() ||
+         pass.now - headless->second < kUnknownHead;
 }
 
 }  // namespace clementine
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -131,9 +131,13 @@
   });
   std::erase_if(m_retired,
                 [&](const auto& key) { return groups.count(key) == 0; });
+  std::erase_if(m_headless, [&](const auto& entry) {
+    return groups.count(entry.first) == 0;
+  });
   for (const auto& [key, group] : groups) {
     m_epoch = std::max(m_epoch, group.epoch);
     m_seen.emplace(key, pass->now);
+    NoteHeadless(group, *pass);
     JudgeGroup(group, pass);
   }
   CountLosses(service, *pass);
@@ -146,6 +150,8 @@
 }
 
 void GroupPlanner::Reset(std::uint64_t term) {
+  m_opened.clear();
+  m_headless.clear();
   m_sent.clear();
   m_silent_heads.clear();
   m_retired.clear();
@@ -272,6 +278,9 @@
                   host->second.member.group == entry.first.first);
         });
   });
+  std::erase_if(m_opened, [this](const GroupKey& key) {
+    return m_forming.count(key) == 0;
+  });
 }
 
 bool GroupPlanner::TookEffect(const Sent& sent,
@@ -421,6 +430,7 @@
     open.kind = GroupOrder::Kind::kOpen;
     open.group = group.name;
     open.epoch = group.epoch;
+    m_opened.insert(key);
     Send(*group.members.front(), open, pass);
   }
 }
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -189,6 +189,8 @@
   };
 
   static bool IsServing(GroupMemberState state);
+  bool MayServe(const BackendServer& head) const;
+  void NoteHeadless(const ReportedGroup& group, const Pass& pass);
   /// How long a group may take to be ready.
   static milliseconds JoinTimeout(const EngineModel& model);
   void PlanService(const std::string& service, Pass* pass);
@@ -262,6 +264,9 @@
   std::map<GroupKey, BackendServer> m_heads;  ///< That serve, as last listed.
   std::map<GroupKey, Orphan> m_orphans;
   std::map<GroupKey, SilentHead> m_silent_heads;
+  std::set<GroupKey> m_opened;  ///< This planner sent the order to open them.
+  /// Since when groups are listed without their heads, while members answer.
+  std::map<GroupKey, TimePoint> m_headless;
   std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
   /// Hosts of a domain, and when their number last rose.
   std::map<std::string, std::pair<int, TimePoint>> m_grown;
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -81,6 +81,7 @@
     if (!Listed(server)) continue;
     listed[id] = server.entry;
     listed[id].orders = 0;  // Entries don't tell it.
+    if (server.shown) listed[id].member.state = *server.shown;
   }
   return listed;
 }
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -32,8 +32,10 @@
   TimePoint unlisted_at;  ///< When its entry lapses.
   TimePoint listed_at;    ///< When its entry is back after a cut.
   bool hidden = false;    ///< Not in the registry, but takes orders.
-  bool refuses = false;   ///< While cut, it refuses connections.
-  TimePoint reported;     ///< When the planner last had its report.
+  /// What the list shows instead of its state, as after an outage.
+  std::optional<GroupMemberState> shown;
+  bool refuses = false;  ///< While cut, it refuses connections.
+  TimePoint reported;    ///< When the planner last had its report.
 };
 
 /// Faults of the way between the planner and the servers.
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -141,6 +141,26 @@
   CHECK(names.size() == joined);
 }
 
+// Guards against a head that another planner opened in an outage, so that the
+// list still shows it as ready: after a cut its members are back before it, and
+// join another group while it serves (rule TWO, trouble-1 of karalis-touchup,
+// seed 866252083543).
+TEST_CASE("planner waits for a head that the list showed as ready") {
+  FleetWorld world = Started(1, 17);
+  REQUIRE(world.ServingGroups("large") >= 2);
+  for (auto& [id, server] : world.servers) {
+    bool head = server.entry.member.state == GroupMemberState::kOpen;
+    if (head) server.shown = GroupMemberState::kReady;
+  }
+  world.Cut("d0");
+  world.Run(milliseconds(500));
+  world.ReplacePlanner();
+  world.Run(milliseconds(6'000));
+  world.Heal("d0");
+  world.Run(milliseconds(6'000));
+  CheckClean(world);
+}
+
 // Guards against a head that is taken for dead because it refuses connections,
 // as one that is leaving does while it ends its streams.
 TEST_CASE("planner waits for a listed head that refuses connections") {
