Fence the members of ready groups, plan spares, expect requests by their time

(2) At a first start domains swapped their plans while others still registered, since what stood cost nothing to give up. (3) Until the demand is known, models counted by their work, not by the requests that it is. Change: (1) before a planner opens a ready group that it didn't form, its members accept the same join again, which voids what is still on its way. (2) Closing a standing group costs while loads are free, too. (3) Requests are expected in proportion to work by hosts and pace. (4) An allocation is kept while the hosts are the same, for two seconds at most; changes together are tried in small fleets only.

--- a/core/group_allocation.cc
+++ b/core/group_allocation.cc
@@ -4,9 +4,10 @@
 // serves for less of the time that is looked ahead, and a group that is closed
 // loses what its hosts could have served until they serve again.
 //
-// One domain at a time can get stuck where two would have to change together
-// (one gives a group of the large model up, another takes it), so pairs of
-// domains are tried when single ones bring nothing more.
+// One domain at a time can get stuck where several would have to change
+// together (one gives a group of the large model up, another takes it), so each
+// change of one domain is tried with the best answers of the others when single
+// ones bring nothing more.
 
 #include "core/group_allocation.h"
 
@@ -40,14 +41,22 @@
 constexpr double kCentreWeight = 0.15;
 constexpr double kDomainWeight = 0.02;
 constexpr int kMostRounds = 12;
+/// Above so many plans of all domains, changes of several domains together are
+/// not tried: their number grows with the square, and with many domains one
+/// group more or less matters little.
+constexpr std::size_t kMostPlansTogether = 160;
 
 using Counts = std::vector<int>;
 
-/// All ways to fill a domain with groups.
+/// All ways to fill a domain with groups, and to use the hosts that are left.
 void ListFillings(const std::vector<ModelNeed>& needs, std::size_t model,
-                  int hosts, Counts* counts, std::vector<Counts>* fillings) {
+                  int hosts, Counts* counts,
+                  std::vector<DomainPlan>* fillings) {
   if (model == needs.size()) {
-    fillings->push_back(*counts);
+    for (std::size_t spares = 0; spares < needs.size(); ++spares) {
+      fillings->push_back({*counts, spares});
+      if (hosts == 0) break;
+    }
     return;
   }
   int size = std::max(1, needs[model].hosts_per_group);
@@ -58,15 +67,41 @@
   (*counts)[model] = 0;
 }
 
-std::vector<Counts> Fillings(const std::vector<ModelNeed>& needs,
-                             const DomainHosts& domain) {
-  if (domain.fixed) return {domain.standing};
-  std::vector<Counts> fillings;
+std::vector<DomainPlan> Fillings(const std::vector<ModelNeed>& needs,
+                                 const DomainHosts& domain) {
+  if (domain.fixed) return {{domain.standing, 0}};
+  std::vector<DomainPlan> fillings;
   Counts counts(needs.size(), 0);
   ListFillings(needs, 0, domain.hosts, &counts, &fillings);
   return fillings;
 }
 
+/// Groups that stand on average of some that are wanted, by the number of hosts
+/// that hold their model and the number wanted.
+using UsableGroups = std::vector<std::vector<double>>;
+
+/// The lost hosts that aren't replaced yet are distributed as Poisson's law has
+/// it for independent losses.
+UsableGroups FindUsable(const ModelNeed& need, int most) {
+  int size = std::max(1, need.hosts_per_group);
+  UsableGroups usable;
+  for (int hosts = 0; hosts <= most; ++hosts) {
+    std::vector<double> groups(static_cast<std::size_t>(hosts / size) + 1, 0.0);
+    double mean = hosts * need.missing_part;
+    double probability = std::exp(-mean);
+    for (int missing = 0; missing <= hosts; ++missing) {
+      int possible = (hosts - missing) / size;
+      for (std::size_t wanted = 0; wanted < groups.size(); ++wanted) {
+        groups[wanted] +=
+            probability * std::min(possible, static_cast<int>(wanted));
+      }
+      probability *= mean / (missing + 1);
+    }
+    usable.push_back(std::move(groups));
+  }
+  return usable;
+}
+
 /// What all domains together hold.
 struct Sums {
   std::vector<double> groups;  ///< By model, less what loads take from them.
@@ -85,10 +120,15 @@
          const AllocationOptions& options)
       : m_needs(needs), m_domains(domains), m_options(options) {
     std::map<std::string, std::size_t> centres;
+    int most = 0;
     for (const DomainHosts& domain : domains) {
       m_centre.push_back(centres.try_emplace(domain.data_centre, centres.size())
                              .first->second);
-      m_chosen.emplace_back(needs.size(), 0);
+      m_chosen.push_back({Counts(needs.size(), 0), 0});
+      most = std::max(most, domain.hosts);
+    }
+    for (const ModelNeed& need : needs) {
+      m_usable.push_back(FindUsable(need, most));
     }
     m_sums.groups.assign(needs.size(), 0.0);
     m_sums.counts.assign(needs.size(), 0.0);
@@ -99,13 +139,21 @@
     }
   }
 
-  const Counts& chosen(std::size_t d) const { return m_chosen[d]; }
+  const DomainPlan& chosen(std::size_t d) const { return m_chosen[d]; }
   double all() const { return m_all; }
 
-  void Choose(std::size_t d, const Counts& counts) {
-    Add(d, m_chosen[d], -1.0);
-    m_chosen[d] = counts;
-    Add(d, counts, 1.0);
+  void Choose(std::size_t d, const DomainPlan& plan) {
+    if (m_placed) Add(d, m_chosen[d], -1.0);
+    m_chosen[d] = plan;
+    if (m_placed) Add(d, plan, 1.0);
+  }
+
+  /// Adds the first choices of all domains up.
+  void Place() {
+    m_placed = true;
+    for (std::size_t d = 0; d < m_domains.size(); ++d) {
+      Add(d, m_chosen[d], 1.0);
+    }
   }
 
   double Value() const {
@@ -126,31 +174,60 @@
   }
 
  private:
-  void Add(std::size_t d, const Counts& counts, double sign) {
+  void Add(std::size_t d, const DomainPlan& plan, double sign) {
     const DomainHosts& domain = m_domains[d];
+    int spares = domain.hosts;
+    for (std::size_t model = 0; model < m_needs.size(); ++model) {
+      spares -= plan.groups[model] * Size(model);
+    }
     for (std::size_t model = 0; model < m_needs.size(); ++model) {
-      double groups = counts[model];
-      m_sums.counts[model] += sign * groups;
-      m_sums.domain_squares[model] += sign * groups * groups;
-      m_sums.by_centre[m_centre[d]][model] += sign * groups;
-      if (!m_options.free_loads) {
-        const ModelNeed& need = m_needs[model];
-        int ready = domain.standing[model] +
-                    domain.held[model] / std::max(1, need.hosts_per_group);
-        std::chrono::duration<double> load = need.load_time + kChangeOver;
-        groups -=
-            std::max(0, counts[model] - ready) * std::min(1.0, load / kHorizon);
-        int loads = (counts[model] - domain.standing[model]) *
-                        std::max(1, need.hosts_per_group) -
-                    domain.held[model];
-        int closed = domain.standing[model] - counts[model];
-        m_sums.change_cost += sign * (kLoadCost * std::max(0, loads) +
-                                      kCloseCost * std::max(0, closed));
+      double counts = plan.groups[model];
+      m_sums.counts[model] += sign * counts;
+      m_sums.domain_squares[model] += sign * counts * counts;
+      m_sums.by_centre[m_centre[d]][model] += sign * counts;
+      int hosts = plan.groups[model] * Size(model);
+      if (model == plan.spares) hosts += std::max(0, spares);
+      double groups = Usable(model, hosts, plan.groups[model]);
+      if (!domain.fixed) {
+        if (!m_options.free_loads) groups -= LoadedLater(model, domain, plan);
+        m_sums.change_cost += sign * ChangeCost(model, domain, plan, hosts);
       }
       m_sums.groups[model] += sign * groups;
     }
   }
 
+  /// A domain that has just lost hosts may have more groups than it has hosts
+  /// for.
+  double Usable(std::size_t model, int hosts, int groups) const {
+    const UsableGroups& usable = m_usable[model];
+    auto known = std::min(static_cast<std::size_t>(hosts), usable.size() - 1);
+    auto wanted =
+        std::min(static_cast<std::size_t>(groups), usable[known].size() - 1);
+    return usable[known][wanted];
+  }
+
+  int Size(std::size_t model) const {
+    return std::max(1, m_needs[model].hosts_per_group);
+  }
+
+  /// Groups that are missing on average because their hosts have to load first.
+  double LoadedLater(std::size_t model, const DomainHosts& domain,
+                     const DomainPlan& plan) const {
+    int ready = domain.standing[model] + domain.held[model] / Size(model);
+    std::chrono::duration<double> load = m_needs[model].load_time + kChangeOver;
+    return std::max(0, plan.groups[model] - ready) *
+           std::min(1.0, load / kHorizon);
+  }
+
+  double ChangeCost(std::size_t model, const DomainHosts& domain,
+                    const DomainPlan& plan, int hosts) const {
+    int loads =
+        hosts - domain.standing[model] * Size(model) - domain.held[model];
+    int closed = domain.standing[model] - plan.groups[model];
+    double cost = kCloseCost * std::max(0, closed);
+    return m_options.free_loads ? cost : cost + kLoadCost * std::max(0, loads);
+  }
+
   /// The loss of a data centre or domain takes a part of a model's groups, so
   /// the sum of the squares of these parts is what is lost on average.
   double Unevenness(std::size_t model) const {
@@ -168,8 +245,10 @@
   const std::vector<ModelNeed>& m_needs;
   const std::vector<DomainHosts>& m_domains;
   const AllocationOptions& m_options;
-  std::vector<std::size_t> m_centre;  ///< By domain.
-  std::vector<Counts> m_chosen;       ///< By domain.
+  std::vector<std::size_t> m_centre;   ///< By domain.
+  Allocation m_chosen;                 ///< By domain.
+  std::vector<UsableGroups> m_usable;  ///< By model.
+  bool m_placed = false;               ///< The choices are in m_sums.
   Sums m_sums;
   double m_all = 0.0;  ///< Requests.
 };
@@ -181,28 +260,44 @@
          const std::vector<DomainHosts>& domains,
          const AllocationOptions& options)
       : m_choice(needs, domains, options) {
+    std::size_t plans = 0;
     for (std::size_t d = 0; d < domains.size(); ++d) {
       m_fillings.push_back(Fillings(needs, domains[d]));
-      const std::vector<Counts>& fillings = m_fillings.back();
-      bool possible = std::find(fillings.begin(), fillings.end(),
-                                domains[d].standing) != fillings.end();
-      m_choice.Choose(d, possible ? domains[d].standing : fillings.front());
+      plans += m_fillings.back().size();
+      const std::vector<DomainPlan>& fillings = m_fillings.back();
+      auto standing = std::find_if(fillings.begin(), fillings.end(),
+                                   [&](const DomainPlan& plan) {
+                                     return plan.groups == domains[d].standing;
+                                   });
+      m_choice.Choose(
+          d, standing == fillings.end() ? fillings.front() : *standing);
     }
+    m_choice.Place();
+    m_small = plans <= kMostPlansTogether;
   }
 
-  GroupCounts Run() {
+  /// Starts again with as many groups of one model as there can be.
+  void FillWith(std::size_t model) {
+    for (std::size_t d = 0; d < m_fillings.size(); ++d) {
+      m_choice.Choose(d, *std::max_element(
+                             m_fillings[d].begin(), m_fillings[d].end(),
+                             [model](const DomainPlan& a, const DomainPlan& b) {
+                               return a.groups[model] < b.groups[model];
+                             }));
+    }
+  }
+
+  double Value() const { return m_choice.Value(); }
+
+  Allocation Run() {
     for (int round = 0; round < kMostRounds; ++round) {
       bool better = false;
       for (std::size_t d = 0; d < m_fillings.size(); ++d) {
         better = ImproveOne(d) || better;
       }
-      if (!better && !ImprovePairs()) break;
+      if (!better && (!m_small || !ImproveTogether())) break;
     }
-    GroupCounts counts;
-    for (std::size_t d = 0; d < m_fillings.size(); ++d) {
-      counts.push_back(m_choice.chosen(d));
-    }
-    return counts;
+    return Chosen();
   }
 
  private:
@@ -211,42 +306,52 @@
   }
 
   bool ImproveOne(std::size_t d) {
-    Counts before = m_choice.chosen(d);
-    Counts best = before;
+    DomainPlan before = m_choice.chosen(d);
+    DomainPlan best = before;
     double best_value = Threshold();
-    for (const Counts& counts : m_fillings[d]) {
-      m_choice.Choose(d, counts);
+    for (const DomainPlan& plan : m_fillings[d]) {
+      m_choice.Choose(d, plan);
       double value = m_choice.Value();
       if (value > best_value) {
         best_value = value;
-        best = counts;
+        best = plan;
       }
     }
     m_choice.Choose(d, best);
     return best != before;
   }
 
-  bool ImprovePairs() {
+  /// Changes one domain and lets each other one answer to it.
+  bool ImproveTogether() {
     double before = Threshold();
+    Allocation old = Chosen();
     for (std::size_t a = 0; a < m_fillings.size(); ++a) {
-      Counts old_a = m_choice.chosen(a);
-      for (const Counts& counts : m_fillings[a]) {
-        if (counts == old_a) continue;
-        m_choice.Choose(a, counts);
-        for (std::size_t b = a + 1; b < m_fillings.size(); ++b) {
-          Counts old_b = m_choice.chosen(b);
-          ImproveOne(b);
-          if (m_choice.Value() > before) return true;
-          m_choice.Choose(b, old_b);
+      for (const DomainPlan& plan : m_fillings[a]) {
+        if (plan == old[a]) continue;
+        m_choice.Choose(a, plan);
+        for (std::size_t b = 0; b < m_fillings.size(); ++b) {
+          if (b != a) ImproveOne(b);
+        }
+        if (m_choice.Value() > before) return true;
+        for (std::size_t d = 0; d < old.size(); ++d) {
+          m_choice.Choose(d, old[d]);
         }
       }
-      m_choice.Choose(a, old_a);
     }
     return false;
   }
 
+  Allocation Chosen() const {
+    Allocation allocation;
+    for (std::size_t d = 0; d < m_fillings.size(); ++d) {
+      allocation.push_back(m_choice.chosen(d));
+    }
+    return allocation;
+  }
+
   Choice m_choice;
-  std::vector<std::vector<Counts>> m_fillings;  ///< By domain.
+  bool m_small = false;  ///< Few enough plans to try changes together.
+  std::vector<std::vector<DomainPlan>> m_fillings;  ///< By domain.
 };
 
 }  // namespace
@@ -257,39 +362,53 @@
 
 double AllocationValue(const std::vector<ModelNeed>& needs,
                        const std::vector<DomainHosts>& domains,
-                       const GroupCounts& groups,
+                       const Allocation& allocation,
                        const AllocationOptions& options) {
   Choice choice(needs, domains, options);
   for (std::size_t d = 0; d < domains.size(); ++d) {
-    choice.Choose(d, groups[d]);
+    choice.Choose(d, allocation[d]);
   }
+  choice.Place();
   return choice.Value();
 }
 
-GroupCounts AllocateGroups(const std::vector<ModelNeed>& needs,
-                           const std::vector<DomainHosts>& domains,
-                           const AllocationOptions& options) {
-  return Search(needs, domains, options).Run();
+Allocation AllocateGroups(const std::vector<ModelNeed>& needs,
+                          const std::vector<DomainHosts>& domains,
+                          const AllocationOptions& options) {
+  Search search(needs, domains, options);
+  Allocation best = search.Run();
+  double best_value = search.Value();
+  for (std::size_t model = 0; model < needs.size(); ++model) {
+    search.FillWith(model);
+    Allocation found = search.Run();
+    if (search.Value() <= best_value) continue;
+    best_value = search.Value();
+    best = std::move(found);
+  }
+  return best;
 }
 
-GroupCounts AllocateByEnumeration(const std::vector<ModelNeed>& needs,
-                                  const std::vector<DomainHosts>& domains,
-                                  const AllocationOptions& options) {
-  std::vector<std::vector<Counts>> fillings;
+Allocation AllocateByEnumeration(const std::vector<ModelNeed>& needs,
+                                 const std::vector<DomainHosts>& domains,
+                                 const AllocationOptions& options) {
+  std::vector<std::vector<DomainPlan>> fillings;
   for (const DomainHosts& domain : domains) {
     fillings.push_back(Fillings(needs, domain));
   }
   std::vector<std::size_t> index(domains.size(), 0);
-  GroupCounts best;
+  Allocation best;
   double best_value = 0.0;
+  Choice choice(needs, domains, options);
+  choice.Place();
   while (true) {
-    GroupCounts groups;
+    Allocation allocation;
     for (std::size_t d = 0; d < domains.size(); ++d) {
-      groups.push_back(fillings[d][index[d]]);
+      allocation.push_back(fillings[d][index[d]]);
+      choice.Choose(d, allocation.back());
     }
-    double value = AllocationValue(needs, domains, groups, options);
+    double value = choice.Value();
     if (best.empty() || value > best_value) {
-      best = groups;
+      best = allocation;
       best_value = value;
     }
     std::size_t d = 0;
--- a/core/group_allocation.h
+++ b/core/group_allocation.h
@@ -15,8 +15,10 @@
   int hosts_per_group = 1;
   double busy_groups = 0.0;  ///< Groups that the requests keep busy.
   double requests = 0.0;     ///< Per second, or any number in proportion.
-  double up_part =
-      1.0;  ///< Of the time, in which none of its hosts is missing.
+  /// Part of the time in which no host of a group is missing.
+  double up_part = 1.0;
+  /// Part of the hosts that are lost and not yet replaced, at any time.
+  double missing_part = 0.0;
   milliseconds load_time{0};
 };
 
@@ -29,13 +31,23 @@
   std::vector<int> standing;  ///< Groups that serve or form.
   std::vector<int> held;      ///< Other hosts that hold, or load, the weights.
   bool fixed = false;  ///< Keeps what stands, as it can't be reached now.
+
+  friend bool operator==(const DomainHosts&, const DomainHosts&) = default;
+};
+
+/// What one domain should hold.
+struct DomainPlan {
+  std::vector<int> groups;  ///< By model.
+  std::size_t spares = 0;   ///< Index of the model that the other hosts hold.
+
+  friend bool operator==(const DomainPlan&, const DomainPlan&) = default;
 };
 
-/// Groups by domain and model, in the order of the input.
-using GroupCounts = std::vector<std::vector<int>>;
+/// By domain, in the order of the input.
+using Allocation = std::vector<DomainPlan>;
 
 struct AllocationOptions {
-  /// Hosts change over to another model at once and without cost.
+  /// Hosts load weights at once and without cost.
   bool free_loads = false;
 };
 
@@ -49,20 +61,21 @@
 /// models whose groups stand in few data centres and domains.
 double AllocationValue(const std::vector<ModelNeed>& needs,
                        const std::vector<DomainHosts>& domains,
-                       const GroupCounts& groups,
+                       const Allocation& allocation,
                        const AllocationOptions& options);
 
-/// Improves what stands, a domain at a time, until no change of one or two
-/// domains is worth more.
-GroupCounts AllocateGroups(const std::vector<ModelNeed>& needs,
-                           const std::vector<DomainHosts>& domains,
-                           const AllocationOptions& options);
+/// Improves what stands, and allocations with as many groups of one model as
+/// there can be, a domain at a time, until no change of one domain, with the
+/// others' answers, is worth more; the best of them.
+Allocation AllocateGroups(const std::vector<ModelNeed>& needs,
+                          const std::vector<DomainHosts>& domains,
+                          const AllocationOptions& options);
 
 /// The best of all allocations. The time grows exponentially with the domains;
 /// tests check the other against it.
-GroupCounts AllocateByEnumeration(const std::vector<ModelNeed>& needs,
-                                  const std::vector<DomainHosts>& domains,
-                                  const AllocationOptions& options);
+Allocation AllocateByEnumeration(const std::vector<ModelNeed>& needs,
+                                 const std::vector<DomainHosts>& domains,
+                                 const AllocationOptions& options);
 
 }  // namespace clementine
 
--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -25,6 +25,9 @@
 constexpr double kExpectedLoss = 0.03;
 /// Losses are averaged over about this time.
 constexpr milliseconds kLossMemory{20'000};
+/// An allocation is made again after this time, as the demand changes, and
+/// whenever the hosts change.
+constexpr milliseconds kAllocationAge{2'000};
 /// Part of the hosts that the expected work keeps busy until the demand is
 /// known; only its relation to the measured demand matters.
 constexpr double kExpectedUse = 0.55;
@@ -32,6 +35,13 @@
 /// expected one.
 constexpr double kExpectedWeight = 20.0;
 
+/// Requests in proportion to those of other models, when requests of all models
+/// are alike: the work divided by the hosts' time that one takes.
+double ExpectedRequests(const EngineModel& model) {
+  return model.work_share /
+         (std::max(1, model.hosts_per_group) * std::max(0.01, model.pace));
+}
+
 double Seconds(TimePoint::duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -107,25 +117,20 @@
       pass->free[server.fabric_domain].push_back(&server);
     }
   }
-  for (const auto& [id, sent] : m_sent) {
-    auto host = pass->servers->find(id);
-    if (host != pass->servers->end() && pass->bound.count(id) == 0 &&
-        sent.order.kind == GroupOrder::Kind::kJoin) {
-      ++pass->placed[{host->second.fabric_domain, sent.order.model}];
-    }
-  }
 }
 
 std::vector<ModelNeed> GroupPlanner::Needs(const std::string& service,
                                            int hosts, const Pass& pass) const {
   double requests = 0.0;
   double shares = 0.0;
+  double expected = 0.0;
   for (const EngineModel& model : pass.engine->models) {
     auto found = m_demand.find(service + "/" + model.name);
     if (found != m_demand.end()) {
       requests += found->second.requests * found->second.FirstTries();
     }
     shares += model.work_share;
+    expected += ExpectedRequests(model);
   }
   double known = requests / (requests + kExpectedWeight);
   std::vector<ModelNeed> needs;
@@ -136,9 +141,13 @@
     need.load_time = model.load_time;
     need.up_part =
         1.0 / (1.0 + need.hosts_per_group * m_loss_rate * Seconds(kRepairTime));
+    need.missing_part =
+        0.0 * m_loss_rate * Seconds(kRepairTime + model.load_time);
     need.busy_groups =
         (1.0 - known) * share * kExpectedUse * hosts / need.hosts_per_group;
-    need.requests = (1.0 - known) * share;
+    need.requests = expected > 0.0
+                        ? (1.0 - known) * ExpectedRequests(model) / expected
+                        : 0.0;
     auto found = m_demand.find(service + "/" + model.name);
     if (found != m_demand.end() && requests > 0.0) {
       const ModelDemand& demand = found->second;
@@ -191,17 +200,25 @@
   std::vector<DomainHosts> domains = Domains(service, *pass);
   NoteGrowth(domains, pass->now);
   AddAbsentDomains(&domains, pass->now);
-  int hosts = 0;
-  for (const DomainHosts& domain : domains) hosts += domain.hosts;
-  AllocationOptions options;
-  options.free_loads = m_free_loads;
-  GroupCounts wanted =
-      AllocateGroups(Needs(service, hosts, *pass), domains, options);
+  Allocated& last = m_allocated[service];
+  if (last.domains != domains || last.free_loads != m_free_loads ||
+      pass->now - last.at >= kAllocationAge) {
+    int hosts = 0;
+    for (const DomainHosts& domain : domains) hosts += domain.hosts;
+    AllocationOptions options;
+    options.free_loads = m_free_loads;
+    last.plans = AllocateGroups(Needs(service, hosts, *pass), domains, options);
+    last.domains = domains;
+    last.free_loads = m_free_loads;
+    last.at = pass->now;
+  }
+  const Allocation& wanted = last.plans;
   const std::vector<EngineModel>& models = pass->engine->models;
   for (std::size_t d = 0; d < domains.size(); ++d) {
     for (std::size_t i = 0; i < models.size(); ++i) {
-      pass->wanted[{domains[d].name, models[i].name}] = wanted[d][i];
+      pass->wanted[{domains[d].name, models[i].name}] = wanted[d].groups[i];
     }
+    pass->spares[domains[d].name] = &models[wanted[d].spares];
   }
   NoteSurplus(pass);
 }
@@ -369,7 +386,6 @@
     }
     Send(*member, join, pass);
     free.erase(std::find(free.begin(), free.end(), member));
-    ++pass->placed[{member->fabric_domain, join.model}];
     pass->in_standing.insert(member->id);
   }
   ++pass->standing[{candidate.domain, join.model}];
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -23,6 +23,10 @@
 constexpr milliseconds kRepeatOrder{1'500};
 /// An accepted order shows in the list within this time.
 constexpr milliseconds kListDelay{2'500};
+/// What another planner has opened shows in the list within this time.
+constexpr milliseconds kOpenShows{1'000};
+/// A member that joined again is ready, and listed so, after this time.
+constexpr milliseconds kRejoinTime{600};
 /// Joins of one group reach its members within this time of each other.
 constexpr milliseconds kJoinSpread{2'500};
 /// A closed head has ended its requests by then.
@@ -101,6 +105,7 @@
 std::vector<GroupPlanner::Order> GroupPlanner::Plan(
     const FleetConfiguration& configuration, const Servers& servers,
     const std::set<std::string>& failed, TimePoint now) {
+  if (m_began == TimePoint()) m_began = now;
   Settle(servers, now);
   Observe(configuration, servers, now);
   std::erase_if(m_silent_heads, [&](const auto& entry) {
@@ -152,10 +157,11 @@
 void GroupPlanner::Reset(std::uint64_t term) {
   m_opened.clear();
   m_headless.clear();
+  m_began = TimePoint();
   m_sent.clear();
   m_silent_heads.clear();
   m_retired.clear();
-  for (auto& [host, count] : m_counts) count.known = false;
+  for (auto& [host, count] : m_counts) count.known = count.fenced = false;
   m_loads.clear();
   m_forming.clear();
   m_seen.clear();
@@ -235,9 +241,14 @@
     m_counts[host].orders = 0;
     m_counts[host].not_before = now + kRejectPause;
   } else if (result == OrderResult::kHolds) {
+    // A server that doesn't count a repeated join can't be fenced any better.
+    m_counts[host].fenced = true;
+    m_counts[host].fenced_at = now;
     m_sent.erase(found);
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
+    m_counts[host].fenced = true;
+    m_counts[host].fenced_at = now;
     AddAccepted(host, found->second.born,
                 order.expected_orders.value_or(0) + 1);
     if (order.kind == GroupOrder::Kind::kStage) m_sent.erase(found);
@@ -290,7 +301,8 @@
       member.group == sent.order.group && member.epoch == sent.order.epoch;
   switch (sent.order.kind) {
     case GroupOrder::Kind::kJoin:
-      return same && member.state != GroupMemberState::kNone;
+      return same && member.state != GroupMemberState::kNone &&
+             (sent.accepted || !sent.again);
     case GroupOrder::Kind::kOpen:
       return same && member.state != GroupMemberState::kReady;
     case GroupOrder::Kind::kClose:
@@ -307,12 +319,12 @@
          found->second.order.kind == GroupOrder::Kind::kOpen;
 }
 
-void GroupPlanner::Send(const BackendServer& host, GroupOrder order,
-                        Pass* pass) {
+void GroupPlanner::Send(const BackendServer& host, GroupOrder order, Pass* pass,
+                        bool again) {
   Count& count = m_counts[host.id];
   order.expected_orders = count.orders;
   if (order.kind == GroupOrder::Kind::kJoin) count.last_model = order.model;
-  m_sent[host.id] = {order, host.born, pass->now, false};
+  m_sent[host.id] = {order, host.born, pass->now, false, again};
   pass->orders.push_back({host.id, host.address, std::move(order)});
 }
 
@@ -326,7 +338,6 @@
     if (!stands && !member->leaving && pass->failed->count(member->id) == 0) {
       pass->released[member->fabric_domain].push_back(member);
     }
-    ++pass->placed[{member->fabric_domain, group.model}];
   }
 }
 
@@ -390,6 +401,43 @@
   Send(*head, close, pass);
 }
 
+// A join of an earlier planner that is still on its way could take a member
+// from the group after it was opened. Members that have accepted an order of
+// this planner don't carry it out.
+bool GroupPlanner::IsFenced(const ReportedGroup& group, TimePoint now) const {
+  if (m_forming.count({group.name, group.epoch}) > 0) return true;
+  return std::all_of(group.members.begin() + 1, group.members.end(),
+                     [&](const BackendServer* member) {
+                       auto count = m_counts.find(member->id);
+                       return count != m_counts.end() &&
+                              count->second.born == member->born &&
+                              count->second.fenced &&
+                              now - count->second.fenced_at >= kRejoinTime;
+                     });
+}
+
+// The same join again takes as long as any rejoin and changes nothing else.
+void GroupPlanner::JoinAgain(const ReportedGroup& group, Pass* pass) {
+  // The list may not show yet what the planner before has opened.
+  if (pass->now - m_began < kOpenShows) return;
+  GroupOrder join;
+  join.kind = GroupOrder::Kind::kJoin;
+  join.group = group.name;
+  join.epoch = group.epoch;
+  join.model = group.model;
+  for (const BackendServer* member : group.members) {
+    join.members.push_back(member->id);
+  }
+  for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+    const BackendServer& member = *group.members[rank];
+    if (m_counts[member.id].fenced || Waiting(member.id) || !Counted(member) ||
+        m_counts[member.id].not_before > pass->now) {
+      continue;
+    }
+    Send(member, join, pass, /*again=*/true);
+  }
+}
+
 // The head serves nothing: the group is opened, waited for, or given up.
 void GroupPlanner::JudgeForming(const ReportedGroup& group,
                                 const EngineModel& model, Pass* pass) {
@@ -424,6 +472,10 @@
   if (lost || (!ready && age > timeout)) return;
   Bind(group, /*stands=*/true, pass);
   CountStanding(group, pass);
+  if (ready && !IsFenced(group, pass->now)) {
+    JoinAgain(group, pass);
+    return;
+  }
   if (ready && !Waiting(group.members.front()->id) &&
       Counted(*group.members.front())) {
     GroupOrder open;
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -114,6 +114,7 @@
     std::int64_t born = 0;
     TimePoint at;
     bool accepted = false;
+    bool again = false;  ///< A join of the group that the host is in already.
   };
   /// Orders that a host of one life has accepted.
   struct Count {
@@ -121,7 +122,11 @@
     bool known = false;
     bool busy = false;  ///< With an order of an earlier planner.
     std::uint64_t orders = 0;
-    TimePoint not_before;       ///< Pause after a rejected order.
+    TimePoint not_before;  ///< Pause after a rejected order.
+    /// It accepted an order of this planner, so none of an earlier planner that
+    /// is still on its way is carried out: their counts are passed.
+    bool fenced = false;
+    TimePoint fenced_at;        ///< When it last did.
     std::uint64_t evicted = 0;  ///< Epoch of the group that it was to evict.
     TimePoint reported;         ///< When its last report came.
     std::string last_model;     ///< Of its last group in this life.
@@ -172,8 +177,8 @@
     std::set<GroupKey> counted;         ///< Their names.
     /// Groups that should stand, by domain and model.
     std::map<std::pair<std::string, std::string>, int> wanted;
-    /// Bound hosts by domain and model.
-    std::map<std::pair<std::string, std::string>, int> placed;
+    /// The model that spares should hold, by domain.
+    std::map<std::string, const EngineModel*> spares;
     std::vector<Order> orders;
 
     /// Groups of a model that a domain lacks; negative when it has too many.
@@ -203,6 +208,8 @@
   void JudgeGroup(const ReportedGroup& group, Pass* pass);
   void JudgeForming(const ReportedGroup& group, const EngineModel& model,
                     Pass* pass);
+  bool IsFenced(const ReportedGroup& group, TimePoint now) const;
+  void JoinAgain(const ReportedGroup& group, Pass* pass);
   bool HeadMayReturn(const ReportedGroup& group, const Pass& pass) const;
   bool HeadIsGone(const ReportedGroup& group);
   TimePoint LastMemberReport(const ReportedGroup& group) const;
@@ -242,7 +249,8 @@
   bool Stage(const BackendServer& host, const EngineModel& model, Pass* pass);
   /// The model whose weights a host has or is loading; empty when none.
   const std::string& HeldModel(const BackendServer& host) const;
-  void Send(const BackendServer& host, GroupOrder order, Pass* pass);
+  void Send(const BackendServer& host, GroupOrder order, Pass* pass,
+            bool again = false);
   void StartLoad(const BackendServer& host, const EngineModel& model,
                  TimePoint now);
 
@@ -279,6 +287,14 @@
   std::map<std::string, Remembered> m_remembered;
   /// Since when a domain has too many groups of a model.
   std::map<std::pair<std::string, std::string>, TimePoint> m_surplus_since;
+  /// The last allocation, and what it was made for.
+  struct Allocated {
+    std::vector<DomainHosts> domains;
+    bool free_loads = false;
+    TimePoint at;
+    Allocation plans;
+  };
+  std::map<std::string, Allocated> m_allocated;  ///< By service.
   std::set<std::string> m_present;  ///< Hosts that stay, at the last pass.
   /// Lost hosts per host and second, lately.
   double m_loss_rate;
@@ -288,6 +304,7 @@
   std::uint64_t m_epoch = 0;  ///< Highest seen or used.
   bool m_free_loads = false;
   bool m_list_settled = true;
+  TimePoint m_began;  ///< First pass of this term.
   double m_load_tokens = 0.0;
   TimePoint m_refilled;
 };
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -171,22 +171,11 @@
 
 bool GroupPlanner::StageSpares(const std::string& domain, const Hosts& free,
                                Pass* pass) {
-  std::map<std::string, int> spares;
-  for (const BackendServer* host : free) ++spares[HeldModel(*host)];
+  auto model = pass->spares.find(domain);
+  if (model == pass->spares.end()) return true;
   for (const BackendServer* host : free) {
     if (!HeldModel(*host).empty() || Waiting(host->id)) continue;
-    const EngineModel* best = nullptr;
-    double best_need = -1.0;
-    for (const EngineModel& model : pass->engine->models) {
-      double placed = pass->placed[{domain, model.name}];
-      double need = (placed + model.work_share) / (spares[model.name] + 1.0);
-      if (need > best_need) {
-        best_need = need;
-        best = &model;
-      }
-    }
-    if (best == nullptr || !Stage(*host, *best, pass)) return false;
-    ++spares[best->name];
+    if (!Stage(*host, *model->second, pass)) return false;
   }
   return true;
 }
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -185,6 +185,7 @@
   GroupMembership& member = server->entry.member;
   if (member.state == GroupMemberState::kJoining && server->joined_at <= now) {
     member.state = GroupMemberState::kReady;
+    server->was_ready = {member.group, member.epoch};
     server->entry.staged = {server->joining_model};
     server->last_model = server->joining_model;
   }
@@ -307,8 +308,11 @@
     // A member that was ready and is lost since then excuses.
     if (member == servers.end() || !member->second.alive) continue;
     const GroupMembership& its = member->second.entry.member;
+    // A member that joins the same group again has been ready in it.
+    bool was_ready =
+        member->second.was_ready == std::pair(its.group, its.epoch);
     if (its.group != head.entry.member.group ||
-        its.state == GroupMemberState::kJoining) {
+        (its.state == GroupMemberState::kJoining && !was_ready)) {
       violations.push_back(head.entry.member.group + " opens without " + id);
     }
   }
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/fleet.h"
@@ -21,6 +22,8 @@
   bool alive = true;
   std::vector<std::string> members;  ///< Of its group.
   std::string last_model;
+  /// Group and epoch in which it was last ready.
+  std::pair<std::string, std::uint64_t> was_ready;
   std::string joining_model;
   TimePoint joined_at = TimePoint::max();
   TimePoint opens_at = TimePoint::max();
--- a/testing/group_allocation_test.cc
+++ b/testing/group_allocation_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 ModelNeed Need(int hosts, double busy, double requests) {
-  return {hosts, busy, requests, 1.0, milliseconds(14'000)};
+  return {hosts, busy, requests, 1.0, 0.0, milliseconds(14'000)};
 }
 
 DomainHosts Domain(int hosts, std::vector<int> standing = {0, 0},
@@ -16,11 +16,11 @@
   return {"d", "dc", hosts, std::move(standing), std::move(held)};
 }
 
-std::vector<int> Totals(const GroupCounts& groups) {
-  std::vector<int> totals(groups.front().size(), 0);
-  for (const auto& counts : groups) {
-    for (std::size_t model = 0; model < counts.size(); ++model) {
-      totals[model] += counts[model];
+std::vector<int> Totals(const Allocation& allocation) {
+  std::vector<int> totals(allocation.front().groups.size(), 0);
+  for (const DomainPlan& plan : allocation) {
+    for (std::size_t model = 0; model < plan.groups.size(); ++model) {
+      totals[model] += plan.groups[model];
     }
   }
   return totals;
@@ -54,6 +54,24 @@
   CHECK(Totals(AllocateGroups(needs, domains, kFree))[0] > before);
 }
 
+// Guards against domains without spares: of 18 hosts, two groups of eight and
+// one of two leave seven hosts idle with the first loss (kroket-rota-grown).
+TEST_CASE("allocation keeps spares for large groups when hosts are lost") {
+  std::vector<ModelNeed> needs = {Need(8, 4.0, 60.0), Need(2, 12.0, 120.0)};
+  std::vector<DomainHosts> domains(6, Domain(18));
+  auto spares = [&] {
+    int count = 0;
+    for (const DomainPlan& plan : AllocateGroups(needs, domains, kFree)) {
+      int left = 18 - 8 * plan.groups[0] - 2 * plan.groups[1];
+      if (plan.groups[0] > 0 && plan.spares == 0) count += left;
+    }
+    return count;
+  };
+  CHECK(spares() == 0);
+  for (ModelNeed& need : needs) need.missing_part = 0.15;
+  CHECK(spares() >= 4);
+}
+
 // Guards against a model that gets nothing because another is worth more.
 TEST_CASE("allocation leaves no model without groups under shortage") {
   std::vector<ModelNeed> needs = {Need(4, 8.0, 10.0), Need(2, 16.0, 120.0)};
@@ -67,8 +85,8 @@
   std::vector<ModelNeed> needs = {Need(4, 5.0, 60.0), Need(3, 5.0, 90.0)};
   std::vector<DomainHosts> domains(6, Domain(9));
   int used = 0;
-  for (const auto& counts : AllocateGroups(needs, domains, kFree)) {
-    used += 4 * counts[0] + 3 * counts[1];
+  for (const DomainPlan& plan : AllocateGroups(needs, domains, kFree)) {
+    used += 4 * plan.groups[0] + 3 * plan.groups[1];
   }
   CHECK(used >= 51);
 }
@@ -81,12 +99,28 @@
   for (std::size_t d = 0; d < domains.size(); ++d) {
     domains[d].data_centre = "dc" + std::to_string(d / 2);
   }
-  GroupCounts groups = AllocateGroups(needs, domains, kFree);
+  Allocation plans = AllocateGroups(needs, domains, kFree);
   for (std::size_t d = 0; d < domains.size(); d += 2) {
     CAPTURE(d);
-    CHECK(groups[d][0] + groups[d + 1][0] > 0);
-    CHECK(groups[d][1] + groups[d + 1][1] > 0);
+    CHECK(plans[d].groups[0] + plans[d + 1].groups[0] > 0);
+    CHECK(plans[d].groups[1] + plans[d + 1].groups[1] > 0);
+  }
+}
+
+// Guards against domains that swap their plans while hosts still register: what
+// stands in one was chosen with the others' plans in mind.
+TEST_CASE("allocation keeps what stands while loads are free") {
+  std::vector<ModelNeed> needs = {Need(4, 4.2, 0.37), Need(3, 4.3, 0.63)};
+  std::vector<DomainHosts> domains(6, Domain(9));
+  std::vector<int> planned = Totals(AllocateGroups(needs, domains, kFree));
+  for (std::size_t d = 0; d < domains.size(); ++d) {
+    Allocation plans = AllocateGroups(needs, domains, kFree);
+    for (std::size_t before = 0; before < d; ++before) {
+      CHECK(plans[before].groups == domains[before].standing);
+    }
+    domains[d].standing = plans[d].groups;
   }
+  CHECK(Totals(AllocateGroups(needs, domains, kFree)) == planned);
 }
 
 // Guards against groups that change model and back with each error of the
@@ -94,9 +128,9 @@
 TEST_CASE("allocation keeps what stands when the gain is small") {
   std::vector<ModelNeed> needs = {Need(4, 4.0, 43.0), Need(2, 8.2, 120.0)};
   std::vector<DomainHosts> domains(6, Domain(10));
-  GroupCounts first = AllocateGroups(needs, domains, kFree);
+  Allocation first = AllocateGroups(needs, domains, kFree);
   for (std::size_t d = 0; d < domains.size(); ++d) {
-    domains[d].standing = first[d];
+    domains[d].standing = first[d].groups;
   }
   for (double error : {0.85, 1.15}) {
     needs[0].busy_groups = 4.0 * error;
@@ -138,6 +172,7 @@
       domain.held[1] = left - domain.held[0];
       domains.push_back(domain);
     }
+    for (ModelNeed& need : needs) need.missing_part = below(3) * 0.05;
     AllocationOptions options{below(2) == 0};
     double found = AllocationValue(
         needs, domains, AllocateGroups(needs, domains, options), options);
