--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -141,8 +141,7 @@
     need.load_time = model.load_time;
     need.up_part =
         1.0 / (1.0 + need.hosts_per_group * m_loss_rate * Seconds(kRepairTime));
-    need.missing_part =
-        m_loss_rate * Seconds(kRepairTime + model.load_time);
+    need.missing_part = m_loss_rate * Seconds(kRepairTime + model.load_time);
     need.busy_groups =
         (1.0 - known) * share * kExpectedUse * hosts / need.hosts_per_group;
     need.requests = expected > 0.0
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -49,6 +49,16 @@
   BackendOptions backend_options;
   backend_options.connect_timeout = m_settings.connect_timeout;
   m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
+  Listen();
+  if (m_settings.node.empty()) m_settings.node = m_server->address();
+  MakeRequestPath();
+  MakeControl();
+  MakeExecutor();
+  StartFeed();
+  ScheduleTick();
+}
+
+void FleetDaemon::MakeRequestPath() {
   RequestPathOptions path_options;
   path_options.node = m_settings.node;
   path_options.incarnation = m_incarnation;
@@ -65,13 +75,33 @@
   path_options.isolate_suspects = false;
   path_options.least_retry_after = milliseconds(200);
   m_request_path = std::make_unique<RequestPath>(std::move(path_options));
+}
+
+void FleetDaemon::Listen() {
+  HttpLimits limits = ServerLimits(m_settings);
+  limits.idle_timeout = kCallerIdleTimeout;
+  m_server = std::make_unique<HttpServer>(
+      m_io, m_settings.listen, limits,
+      [this](const std::shared_ptr<HttpExchange>& exchange) {
+        m_executor->Accept(exchange);
+      });
+  if (!m_settings.health.empty()) {
+    m_health = std::make_unique<HttpServer>(
+        m_io, m_settings.health, HttpLimits{},
+        [this](const std::shared_ptr<HttpExchange>& exchange) {
+          OnHealth(exchange.get());
+        });
+  }
   if (!m_settings.listen_changes.empty()) {
     m_changes = std::make_unique<HttpServer>(
-        io, m_settings.listen_changes, HttpLimits{},
+        m_io, m_settings.listen_changes, HttpLimits{},
         [this](const std::shared_ptr<HttpExchange>& exchange) {
           m_relay.Accept(exchange);
         });
   }
+}
+
+void FleetDaemon::MakeControl() {
   FleetControlOptions control_options;
   control_options.node = m_settings.node;
   control_options.data_centre = m_settings.data_centre;
@@ -80,6 +110,9 @@
   control_options.seed = m_settings.seed ^ m_incarnation;
   control_options.first_start = m_settings.first_start;
   m_control = std::make_unique<FleetControl>(std::move(control_options));
+}
+
+void FleetDaemon::MakeExecutor() {
   RelayContext context;
   context.backends = m_backends.get();
   context.metrics = &m_metrics;
@@ -88,33 +121,20 @@
   context.feed = [this](RequestEvent event) { Feed(std::move(event)); };
   context.feed_fleet = [this](FleetEvent event) { Feed(std::move(event)); };
   m_executor = std::make_unique<RelayExecutor>(std::move(context));
-  HttpLimits limits = ServerLimits(m_settings);
-  limits.idle_timeout = kCallerIdleTimeout;
-  m_server = std::make_unique<HttpServer>(
-      io, m_settings.listen, limits,
-      [this](const std::shared_ptr<HttpExchange>& exchange) {
-        m_executor->Accept(exchange);
-      });
-  if (!m_settings.health.empty()) {
-    m_health = std::make_unique<HttpServer>(
-        io, m_settings.health, HttpLimits{},
-        [this](const std::shared_ptr<HttpExchange>& exchange) {
-          OnHealth(exchange.get());
-        });
-  }
-  if (m_settings.node.empty()) m_settings.node = m_server->address();
+}
+
+void FleetDaemon::StartFeed() {
   FleetFeed::Hooks hooks;
   hooks.now = SuspendAwareNow;
   hooks.feed = [this](FleetEvent event) { Feed(std::move(event)); };
   hooks.configured = [this](FleetConfiguration configuration) {
     Adopt(std::move(configuration));
   };
-  m_feed =
-      std::make_unique<FleetFeed>(io, m_store.get(), &m_relay, m_settings.node,
-                                  m_settings.seed ^ m_incarnation,
-                                  m_settings.leaving_notice, std::move(hooks));
+  m_feed = std::make_unique<FleetFeed>(
+      m_io, m_store.get(), &m_relay, m_settings.node,
+      m_settings.seed ^ m_incarnation, m_settings.leaving_notice,
+      std::move(hooks));
   m_feed->Start();
-  ScheduleTick();
 }
 
 FleetDaemon::~FleetDaemon() = default;
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -47,6 +47,13 @@
   using AnyEvent = std::variant<RequestEvent, FleetEvent>;
   enum class Phase { kServing, kUnready, kFinishing, kReleasing };
 
+  // Parts of the constructor, in their order.
+  void Listen();
+  void MakeRequestPath();
+  void MakeControl();
+  void MakeExecutor();
+  void StartFeed();
+
   void Feed(AnyEvent event);
   void HandleOne(const AnyEvent& event);
   void Execute(FleetAction action);
