Keep the planner's memory of each service apart

Cause: found on reading. What the planner remembers from pass to pass (domains, growth, losses, surplus) was kept by domain or for all services together. With two engine services each one's hosts would have counted as lost, and its domains as absent, for the other; an engine whose configuration names no models would have read past the end of an empty list. Change: one state by service; domains remembered from a configuration with other models are left out; an engine without models is left alone. Test: "planner keeps the services apart". It was written with the change and not run before it.

--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -48,9 +48,6 @@
 
 }  // namespace
 
-GroupPlanner::GroupPlanner()
-    : m_loss_rate(kExpectedLoss / Seconds(kRepairTime)) {}
-
 int GroupPlanner::Pass::Lacks(const std::string& domain,
                               const EngineModel& model) const {
   std::pair<std::string, std::string> key{domain, model.name};
@@ -68,30 +65,33 @@
 
 // A group is down while one of its hosts is replaced, so the more hosts it has,
 // the more groups it takes to have one up.
-void GroupPlanner::CountLosses(const std::string& service, const Pass& pass) {
+void GroupPlanner::CountLosses(const std::string& service, Pass* pass) {
+  ServiceState& state = *pass->state;
   std::set<std::string> present;
-  for (const auto& [id, server] : *pass.servers) {
+  for (const auto& [id, server] : *pass->servers) {
     if (server.service == service && !server.leaving &&
-        pass.failed->count(id) == 0) {
+        pass->failed->count(id) == 0) {
       present.insert(id);
     }
   }
   double lost = 0.0;
-  for (const std::string& id : m_present) {
-    auto server = pass.servers->find(id);
-    bool leaving = server != pass.servers->end() && server->second.leaving;
+  for (const std::string& id : state.present) {
+    auto server = pass->servers->find(id);
+    bool leaving = server != pass->servers->end() && server->second.leaving;
     if (present.count(id) == 0 && !leaving) lost += 1.0;
   }
-  double passed = m_losses_counted == TimePoint()
+  double rate = state.loss_rate.value_or(kExpectedLoss / Seconds(kRepairTime));
+  double passed = state.losses_counted == TimePoint()
                       ? 0.0
-                      : Seconds(pass.now - m_losses_counted);
+                      : Seconds(pass->now - state.losses_counted);
   double memory = Seconds(kLossMemory);
-  m_loss_rate -= m_loss_rate * std::min(1.0, passed / memory);
-  if (!m_present.empty()) {
-    m_loss_rate += lost / static_cast<double>(m_present.size()) / memory;
+  rate -= rate * std::min(1.0, passed / memory);
+  if (!state.present.empty()) {
+    rate += lost / static_cast<double>(state.present.size()) / memory;
   }
-  m_losses_counted = pass.now;
-  m_present = std::move(present);
+  state.loss_rate = rate;
+  state.losses_counted = pass->now;
+  state.present = std::move(present);
 }
 
 // Groups whose members haven't reported them yet.
@@ -139,9 +139,11 @@
     ModelNeed need;
     need.hosts_per_group = std::max(1, model.hosts_per_group);
     need.load_time = model.load_time;
-    need.up_part =
-        1.0 / (1.0 + need.hosts_per_group * m_loss_rate * Seconds(kRepairTime));
-    need.missing_part = m_loss_rate * Seconds(kRepairTime + model.load_time);
+    need.up_part = 1.0 / (1.0 + need.hosts_per_group *
+                                    pass.state->loss_rate.value_or(0.0) *
+                                    Seconds(kRepairTime));
+    need.missing_part = pass.state->loss_rate.value_or(0.0) *
+                        Seconds(kRepairTime + model.load_time);
     need.busy_groups =
         (1.0 - known) * share * kExpectedUse * hosts / need.hosts_per_group;
     need.requests = expected > 0.0
@@ -197,11 +199,13 @@
 
 void GroupPlanner::Allocate(const std::string& service, Pass* pass) {
   std::vector<DomainHosts> domains = Domains(service, *pass);
-  NoteGrowth(domains, pass->now);
-  AddAbsentDomains(&domains, pass->now);
-  Allocated& last = m_allocated[service];
+  const std::vector<EngineModel>& models = pass->engine->models;
+  if (models.empty()) return;
+  NoteGrowth(domains, pass);
+  AddAbsentDomains(&domains, pass);
+  ServiceState& last = *pass->state;
   if (last.domains != domains || last.free_loads != m_free_loads ||
-      pass->now - last.at >= kAllocationAge) {
+      pass->now - last.allocated >= kAllocationAge) {
     int hosts = 0;
     for (const DomainHosts& domain : domains) hosts += domain.hosts;
     AllocationOptions options;
@@ -209,10 +213,9 @@
     last.plans = AllocateGroups(Needs(service, hosts, *pass), domains, options);
     last.domains = domains;
     last.free_loads = m_free_loads;
-    last.at = pass->now;
+    last.allocated = pass->now;
   }
   const Allocation& wanted = last.plans;
-  const std::vector<EngineModel>& models = pass->engine->models;
   for (std::size_t d = 0; d < domains.size(); ++d) {
     for (std::size_t i = 0; i < models.size(); ++i) {
       pass->wanted[{domains[d].name, models[i].name}] = wanted[d].groups[i];
@@ -225,11 +228,13 @@
 // Without them, the groups of a domain that is away for some seconds would be
 // made up for elsewhere, and given back after its return.
 void GroupPlanner::AddAbsentDomains(std::vector<DomainHosts>* domains,
-                                    TimePoint now) {
+                                    Pass* pass) {
+  std::map<std::string, Remembered>& all = pass->state->remembered;
+  TimePoint now = pass->now;
   std::set<std::string> listed;
   for (const DomainHosts& domain : *domains) {
     listed.insert(domain.name);
-    Remembered& remembered = m_remembered[domain.name];
+    Remembered& remembered = all[domain.name];
     if (domain.hosts >= remembered.domain.hosts ||
         now - remembered.taken > kDomainLapse) {
       remembered.domain = domain;
@@ -237,18 +242,21 @@
     }
     remembered.listed = now;
   }
-  std::erase_if(m_remembered, [&](const auto& entry) {
+  std::erase_if(all, [&](const auto& entry) {
     return now - entry.second.listed > kExpectReturn;
   });
-  for (const auto& [name, remembered] : m_remembered) {
-    if (listed.count(name) > 0) continue;
+  for (const auto& [name, remembered] : all) {
+    // A newer configuration may have other models.
+    bool known =
+        remembered.domain.standing.size() == pass->engine->models.size();
+    if (listed.count(name) > 0 || !known) continue;
     domains->push_back(remembered.domain);
     domains->back().fixed = true;
   }
 }
 
 void GroupPlanner::NoteSurplus(Pass* pass) {
-  std::erase_if(m_surplus_since, [&](const auto& entry) {
+  std::erase_if(pass->state->surplus_since, [&](const auto& entry) {
     auto stand = pass->standing.find(entry.first);
     auto want = pass->wanted.find(entry.first);
     return stand == pass->standing.end() || want == pass->wanted.end() ||
@@ -257,16 +265,16 @@
   for (const auto& [key, standing] : pass->standing) {
     auto want = pass->wanted.find(key);
     if (want != pass->wanted.end() && standing > want->second) {
-      m_surplus_since.try_emplace(key, pass->now);
+      pass->state->surplus_since.try_emplace(key, pass->now);
     }
   }
 }
 
 bool GroupPlanner::SurplusIsSettled(const std::string& domain,
                                     const EngineModel& model,
-                                    const Pass& pass) const {
-  auto since = m_surplus_since.find({domain, model.name});
-  return since != m_surplus_since.end() &&
+                                    const Pass& pass) {
+  auto since = pass.state->surplus_since.find({domain, model.name});
+  return since != pass.state->surplus_since.end() &&
          pass.now - since->second >= kSettleTime;
 }
 
@@ -324,16 +332,17 @@
 }
 
 bool GroupPlanner::Grows(const std::string& domain, milliseconds within,
-                         TimePoint now) const {
-  auto grown = m_grown.find(domain);
-  return grown != m_grown.end() && now - grown->second.second < within;
+                         const Pass& pass) {
+  auto grown = pass.state->grown.find(domain);
+  return grown != pass.state->grown.end() &&
+         pass.now - grown->second.second < within;
 }
 
 void GroupPlanner::NoteGrowth(const std::vector<DomainHosts>& domains,
-                              TimePoint now) {
+                              Pass* pass) {
   for (const DomainHosts& domain : domains) {
-    auto& [size, since] = m_grown[domain.name];
-    if (domain.hosts > size) since = now;
+    auto& [size, since] = pass->state->grown[domain.name];
+    if (domain.hosts > size) since = pass->now;
     size = domain.hosts;
   }
 }
@@ -345,7 +354,7 @@
   for (const auto& [domain, free] : pass.free) {
     // Hosts register one after another. At a first start any of them can load
     // any model, so the choice waits until they are known.
-    if (m_free_loads && Grows(domain, kWaitForHosts, pass.now)) continue;
+    if (m_free_loads && Grows(domain, kWaitForHosts, pass)) continue;
     for (const EngineModel& model : pass.engine->models) {
       if (model.hosts_per_group < 1 || pass.Lacks(domain, model) < 1 ||
           free.size() < static_cast<std::size_t>(model.hosts_per_group)) {
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -117,6 +117,7 @@
     if (!service.engine) continue;
     Pass pass;
     pass.engine = &*service.engine;
+    pass.state = &m_services[name];
     pass.servers = &servers;
     pass.failed = &failed;
     pass.now = now;
@@ -145,7 +146,7 @@
     NoteHeadless(group, *pass);
     JudgeGroup(group, pass);
   }
-  CountLosses(service, *pass);
+  CountLosses(service, pass);
   CountForming(pass);
   FindFree(service, pass);
   Allocate(service, pass);
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -47,8 +47,6 @@
 /// seen ready under that name and epoch; loads that begin stay below the rate.
 class GroupPlanner {
  public:
-  GroupPlanner();
-
   using Servers = std::map<std::string, BackendServer>;
 
   struct Order {
@@ -161,9 +159,32 @@
     bool unreachable = false;     ///< The last try got no connection.
     int proofs = 0;               ///< Tries that failed between such answers.
   };
+  /// A domain as it was when it had the most hosts lately.
+  struct Remembered {
+    DomainHosts domain;
+    TimePoint taken;
+    TimePoint listed;  ///< When one of its hosts was last listed.
+  };
+  /// What is kept of one service from pass to pass.
+  struct ServiceState {
+    std::map<std::string, Remembered> remembered;  ///< By domain.
+    /// Hosts of a domain, and when their number last rose.
+    std::map<std::string, std::pair<int, TimePoint>> grown;
+    /// Since when a domain has too many groups of a model.
+    std::map<std::pair<std::string, std::string>, TimePoint> surplus_since;
+    std::set<std::string> present;    ///< Hosts that stay, at the last pass.
+    std::optional<double> loss_rate;  ///< Hosts per host and second, lately.
+    TimePoint losses_counted;
+    // The last allocation, and what it was made for.
+    std::vector<DomainHosts> domains;
+    bool free_loads = false;
+    TimePoint allocated;
+    Allocation plans;
+  };
   /// What one call of Plan works on.
   struct Pass {
     const EngineSpec* engine = nullptr;
+    ServiceState* state = nullptr;
     const Servers* servers = nullptr;
     const std::set<std::string>* failed = nullptr;
     TimePoint now;
@@ -202,9 +223,9 @@
   void Settle(const Servers& servers, TimePoint now);
   void ResolveOrphans(Pass* pass);
   bool MembersInContact(const GroupKey& group, const Pass& pass) const;
-  bool Grows(const std::string& domain, milliseconds within,
-             TimePoint now) const;
-  void NoteGrowth(const std::vector<DomainHosts>& domains, TimePoint now);
+  static bool Grows(const std::string& domain, milliseconds within,
+                    const Pass& pass);
+  static void NoteGrowth(const std::vector<DomainHosts>& domains, Pass* pass);
   void JudgeGroup(const ReportedGroup& group, Pass* pass);
   void JudgeForming(const ReportedGroup& group, const EngineModel& model,
                     Pass* pass);
@@ -217,18 +238,18 @@
   /// @param stands The group serves, or will once it's open.
   static void Bind(const ReportedGroup& group, bool stands, Pass* pass);
   static void CountStanding(const ReportedGroup& group, Pass* pass);
-  void CountLosses(const std::string& service, const Pass& pass);
+  static void CountLosses(const std::string& service, Pass* pass);
   void CountForming(Pass* pass) const;
   void FindFree(const std::string& service, Pass* pass);
   std::vector<ModelNeed> Needs(const std::string& service, int hosts,
                                const Pass& pass) const;
   std::vector<DomainHosts> Domains(const std::string& service,
                                    const Pass& pass) const;
-  void AddAbsentDomains(std::vector<DomainHosts>* domains, TimePoint now);
+  static void AddAbsentDomains(std::vector<DomainHosts>* domains, Pass* pass);
   void Allocate(const std::string& service, Pass* pass);
-  void NoteSurplus(Pass* pass);
-  bool SurplusIsSettled(const std::string& domain, const EngineModel& model,
-                        const Pass& pass) const;
+  static void NoteSurplus(Pass* pass);
+  static bool SurplusIsSettled(const std::string& domain,
+                               const EngineModel& model, const Pass& pass);
   void FormGroups(Pass* pass);
   std::optional<Candidate> BestCandidate(const Pass& pass);
   Candidate Consider(const std::string& domain, const Hosts& free,
@@ -276,29 +297,7 @@
   /// Since when groups are listed without their heads, while members answer.
   std::map<GroupKey, TimePoint> m_headless;
   std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
-  /// Hosts of a domain, and when their number last rose.
-  std::map<std::string, std::pair<int, TimePoint>> m_grown;
-  /// Domains as they were when they had the most hosts lately.
-  struct Remembered {
-    DomainHosts domain;
-    TimePoint taken;
-    TimePoint listed;  ///< When one of its hosts was last listed.
-  };
-  std::map<std::string, Remembered> m_remembered;
-  /// Since when a domain has too many groups of a model.
-  std::map<std::pair<std::string, std::string>, TimePoint> m_surplus_since;
-  /// The last allocation, and what it was made for.
-  struct Allocated {
-    std::vector<DomainHosts> domains;
-    bool free_loads = false;
-    TimePoint at;
-    Allocation plans;
-  };
-  std::map<std::string, Allocated> m_allocated;  ///< By service.
-  std::set<std::string> m_present;  ///< Hosts that stay, at the last pass.
-  /// Lost hosts per host and second, lately.
-  double m_loss_rate;
-  TimePoint m_losses_counted;
+  std::map<std::string, ServiceState> m_services;          ///< By service.
   std::set<GroupKey> m_retired;  ///< Closed for good; their hosts change over.
   DemandByModel m_demand;
   std::uint64_t m_epoch = 0;  ///< Highest seen or used.
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -70,7 +70,7 @@
     const EngineModel* model = FindModel(*pass->engine, name);
     // At a first start more hosts are about to come, and a spare's model is
     // chosen best when the groups are known.
-    if (m_free_loads && Grows(domain, kWaitForHosts, pass->now)) continue;
+    if (m_free_loads && Grows(domain, kWaitForHosts, *pass)) continue;
     int loads = MissingHolders(domain, *model, *pass);
     if (loads <= 0) continue;
     int next = loads % model->hosts_per_group;
@@ -84,7 +84,7 @@
     if (!StageForGroups(entry.domain, *entry.model, pass)) return;
   }
   for (const auto& [domain, free] : pass->free) {
-    if (m_free_loads && Grows(domain, kWaitForHosts, pass->now)) continue;
+    if (m_free_loads && Grows(domain, kWaitForHosts, *pass)) continue;
     if (!StageSpares(domain, free, pass)) return;
   }
 }
@@ -125,7 +125,7 @@
     if (pass.in_standing.count(id) == 0) {
       if (server.staged.empty()) {
         empty.push_back(&server);
-      } else if (!Grows(domain, kSettleTime, pass.now)) {
+      } else if (!Grows(domain, kSettleTime, pass)) {
         spares.push_back(&server);
       }
       continue;
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -286,6 +286,25 @@
   CHECK(answered);
 }
 
+// Guards against a configuration whose engine names no models, and against two
+// services whose hosts count as lost or absent for each other.
+TEST_CASE("planner keeps the services apart") {
+  FleetWorld world = Started(2, 9);
+  int orders = world.orders;
+  FleetService& other = world.configuration.services["other"];
+  other = world.configuration.services.at("engine");
+  other.name = "other";
+  FleetService& empty = world.configuration.services["empty"];
+  empty.name = "empty";
+  empty.engine = EngineSpec();
+  world.AddServer("d2");
+  world.servers.at("h18").entry.service = "empty";
+  world.Run(milliseconds(10'000));
+  CheckClean(world);
+  // Nothing was lost, so nothing changes.
+  CHECK(world.orders == orders);
+}
+
 // Guards against a successor that takes members of groups that stand.
 TEST_CASE("a new planner adopts the groups that it finds") {
   FleetWorld world = Started(3, 9);
