Stage weights on hosts of the own service only

Cause: found on reading the change again. "Is this host ours and does it stay" was written five times in the planner, and two of the five, which choose hosts for loads, left the service out. With two engine services in one fabric domain an empty host of the other one was told to load, rejected it, and was told again. Change: Pass::Stays asks it in one place; a pass knows its service, so five functions lose a parameter. The fake servers take only models of their own service and report any other order. Conclusion: mended. Nothing else in the planner's behaviour changes.

--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -48,6 +48,11 @@
 
 }  // namespace
 
+bool GroupPlanner::Pass::Stays(const BackendServer& host) const {
+  return host.service == service && !host.leaving &&
+         failed->count(host.id) == 0;
+}
+
 int GroupPlanner::Pass::Lacks(const std::string& domain,
                               const EngineModel& model) const {
   std::pair<std::string, std::string> key{domain, model.name};
@@ -65,14 +70,11 @@
 
 // A group is down while one of its hosts is replaced, so the more hosts it has,
 // the more groups it takes to have one up.
-void GroupPlanner::CountLosses(const std::string& service, Pass* pass) {
+void GroupPlanner::CountLosses(Pass* pass) {
   ServiceState& state = *pass->state;
   std::set<std::string> present;
   for (const auto& [id, server] : *pass->servers) {
-    if (server.service == service && !server.leaving &&
-        pass->failed->count(id) == 0) {
-      present.insert(id);
-    }
+    if (pass->Stays(server)) present.insert(id);
   }
   double lost = 0.0;
   for (const std::string& id : state.present) {
@@ -109,23 +111,21 @@
   }
 }
 
-void GroupPlanner::FindFree(const std::string& service, Pass* pass) {
+void GroupPlanner::FindFree(Pass* pass) {
   for (const auto& [id, server] : *pass->servers) {
-    if (server.service == service && !server.leaving && !Waiting(id) &&
-        Counted(server) && m_counts[id].not_before <= pass->now &&
-        pass->failed->count(id) == 0 && pass->bound.count(id) == 0) {
+    if (pass->Stays(server) && !Waiting(id) && Counted(server) &&
+        m_counts[id].not_before <= pass->now && pass->bound.count(id) == 0) {
       pass->free[server.fabric_domain].push_back(&server);
     }
   }
 }
 
-std::vector<ModelNeed> GroupPlanner::Needs(const std::string& service,
-                                           int hosts, const Pass& pass) const {
+std::vector<ModelNeed> GroupPlanner::Needs(int hosts, const Pass& pass) const {
   double requests = 0.0;
   double shares = 0.0;
   double expected = 0.0;
   for (const EngineModel& model : pass.engine->models) {
-    auto found = m_demand.find(service + "/" + model.name);
+    auto found = m_demand.find(pass.service + "/" + model.name);
     if (found != m_demand.end()) {
       requests += found->second.requests * found->second.FirstTries();
     }
@@ -149,7 +149,7 @@
     need.requests = expected > 0.0
                         ? (1.0 - known) * ExpectedRequests(model) / expected
                         : 0.0;
-    auto found = m_demand.find(service + "/" + model.name);
+    auto found = m_demand.find(pass.service + "/" + model.name);
     if (found != m_demand.end() && requests > 0.0) {
       const ModelDemand& demand = found->second;
       need.busy_groups += known * demand.busy_groups * demand.FirstTries();
@@ -160,15 +160,11 @@
   return needs;
 }
 
-std::vector<DomainHosts> GroupPlanner::Domains(const std::string& service,
-                                               const Pass& pass) const {
+std::vector<DomainHosts> GroupPlanner::Domains(const Pass& pass) const {
   std::map<std::string, DomainHosts> domains;
   const std::vector<EngineModel>& models = pass.engine->models;
   for (const auto& [id, server] : *pass.servers) {
-    if (server.service != service || server.leaving ||
-        pass.failed->count(id) > 0) {
-      continue;
-    }
+    if (!pass.Stays(server)) continue;
     DomainHosts& domain = domains[server.fabric_domain];
     if (domain.hosts++ == 0) {
       domain.name = server.fabric_domain;
@@ -197,8 +193,8 @@
   return list;
 }
 
-void GroupPlanner::Allocate(const std::string& service, Pass* pass) {
-  std::vector<DomainHosts> domains = Domains(service, *pass);
+void GroupPlanner::Allocate(Pass* pass) {
+  std::vector<DomainHosts> domains = Domains(*pass);
   const std::vector<EngineModel>& models = pass->engine->models;
   if (models.empty()) return;
   NoteGrowth(domains, pass);
@@ -210,7 +206,7 @@
     for (const DomainHosts& domain : domains) hosts += domain.hosts;
     AllocationOptions options;
     options.free_loads = m_free_loads;
-    last.plans = AllocateGroups(Needs(service, hosts, *pass), domains, options);
+    last.plans = AllocateGroups(Needs(hosts, *pass), domains, options);
     last.domains = domains;
     last.free_loads = m_free_loads;
     last.allocated = pass->now;
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -116,21 +116,22 @@
   for (const auto& [name, service] : configuration.services) {
     if (!service.engine) continue;
     Pass pass;
+    pass.service = name;
     pass.engine = &*service.engine;
     pass.state = &m_services[name];
     pass.servers = &servers;
     pass.failed = &failed;
     pass.now = now;
-    PlanService(name, &pass);
+    PlanService(&pass);
     std::move(pass.orders.begin(), pass.orders.end(),
               std::back_inserter(orders));
   }
   return orders;
 }
 
-void GroupPlanner::PlanService(const std::string& service, Pass* pass) {
+void GroupPlanner::PlanService(Pass* pass) {
   ResolveOrphans(pass);
-  auto groups = CollectGroups(*pass->servers, service);
+  auto groups = CollectGroups(*pass->servers, pass->service);
   std::erase_if(m_seen, [&](const auto& seen) {
     return groups.count(seen.first) == 0 &&
            pass->now - seen.second > kLateOrder;
@@ -146,10 +147,10 @@
     NoteHeadless(group, *pass);
     JudgeGroup(group, pass);
   }
-  CountLosses(service, pass);
+  CountLosses(pass);
   CountForming(pass);
-  FindFree(service, pass);
-  Allocate(service, pass);
+  FindFree(pass);
+  Allocate(pass);
   FormGroups(pass);
   StageHosts(pass);
   CloseSurplus(groups, pass);
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -183,6 +183,7 @@
   };
   /// What one call of Plan works on.
   struct Pass {
+    std::string service;
     const EngineSpec* engine = nullptr;
     ServiceState* state = nullptr;
     const Servers* servers = nullptr;
@@ -202,6 +203,8 @@
     std::map<std::string, const EngineModel*> spares;
     std::vector<Order> orders;
 
+    /// Whether a host is the service's and can be counted on.
+    bool Stays(const BackendServer& host) const;
     /// Groups of a model that a domain lacks; negative when it has too many.
     int Lacks(const std::string& domain, const EngineModel& model) const;
   };
@@ -219,7 +222,7 @@
   void NoteHeadless(const ReportedGroup& group, const Pass& pass);
   /// How long a group may take to be ready.
   static milliseconds JoinTimeout(const EngineModel& model);
-  void PlanService(const std::string& service, Pass* pass);
+  void PlanService(Pass* pass);
   void Settle(const Servers& servers, TimePoint now);
   void ResolveOrphans(Pass* pass);
   bool MembersInContact(const GroupKey& group, const Pass& pass) const;
@@ -238,15 +241,13 @@
   /// @param stands The group serves, or will once it's open.
   static void Bind(const ReportedGroup& group, bool stands, Pass* pass);
   static void CountStanding(const ReportedGroup& group, Pass* pass);
-  static void CountLosses(const std::string& service, Pass* pass);
+  static void CountLosses(Pass* pass);
   void CountForming(Pass* pass) const;
-  void FindFree(const std::string& service, Pass* pass);
-  std::vector<ModelNeed> Needs(const std::string& service, int hosts,
-                               const Pass& pass) const;
-  std::vector<DomainHosts> Domains(const std::string& service,
-                                   const Pass& pass) const;
+  void FindFree(Pass* pass);
+  std::vector<ModelNeed> Needs(int hosts, const Pass& pass) const;
+  std::vector<DomainHosts> Domains(const Pass& pass) const;
   static void AddAbsentDomains(std::vector<DomainHosts>* domains, Pass* pass);
-  void Allocate(const std::string& service, Pass* pass);
+  void Allocate(Pass* pass);
   static void NoteSurplus(Pass* pass);
   static bool SurplusIsSettled(const std::string& domain,
                                const EngineModel& model, const Pass& pass);
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -98,8 +98,7 @@
   for (const auto& [id, server] : *pass.servers) {
     bool another = pass.in_standing.count(id) == 0 ||
                    GroupModel(server.member.group) != model.name;
-    if (server.fabric_domain == domain && !server.leaving &&
-        pass.failed->count(id) == 0 && another &&
+    if (server.fabric_domain == domain && pass.Stays(server) && another &&
         HeldModel(server) == model.name) {
       --missing;
     }
@@ -117,9 +116,9 @@
   Hosts surplus;
   std::map<std::string, int> changing;  // Groups that give up their hosts.
   for (const auto& [id, server] : *pass.servers) {
-    if (server.fabric_domain != domain || server.leaving || Waiting(id) ||
+    if (server.fabric_domain != domain || !pass.Stays(server) || Waiting(id) ||
         !Counted(server) || m_loads.count(id) > 0 ||
-        pass.failed->count(id) > 0 || HasStaged(server, model.name)) {
+        HasStaged(server, model.name)) {
       continue;
     }
     if (pass.in_standing.count(id) == 0) {
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -233,13 +233,20 @@
       server.entry.orders) {
     return OrderResult::kRejected;
   }
-  const EngineSpec& engine = *configuration.services.at("engine").engine;
+  const EngineSpec& engine =
+      *configuration.services.at(server.entry.service).engine;
   const EngineModel* model = nullptr;
   for (const EngineModel& candidate : engine.models) {
     if (candidate.name == order.model) model = &candidate;
   }
   bool staged = model != nullptr && !server.entry.staged.empty() &&
                 server.entry.staged.back() == model->name;
+  bool weights = order.kind == GroupOrder::Kind::kJoin ||
+                 order.kind == GroupOrder::Kind::kStage;
+  if (weights && model == nullptr) {
+    violations.push_back(host + " is told to take " + order.model);
+    return OrderResult::kRejected;
+  }
   switch (order.kind) {
     case GroupOrder::Kind::kJoin:
       if (server.staged_at != TimePoint::max() &&
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -305,6 +305,25 @@
   CHECK(world.orders == orders);
 }
 
+// Guards against weights that are staged on a host of another service, which
+// stands in the same fabric domain.
+TEST_CASE("planner stages weights on hosts of its own service only") {
+  FleetWorld world = Started(1, 8);
+  FleetService& other = world.configuration.services["other"];
+  other = world.configuration.services.at("engine");
+  other.name = "other";
+  for (EngineModel& model : other.engine->models) model.name += "-other";
+  other.engine->concurrent_loads = 0;  // Its host stays empty.
+  world.AddServer("d0");
+  world.servers.at("h8").entry.service = "other";
+  int loads = world.loads;
+  world.Kill(MemberOf(world, "small"));
+  world.Run(milliseconds(5'000));
+  CheckClean(world);
+  CHECK(world.loads > loads);
+  CHECK(world.servers.at("h8").staging.empty());
+}
+
 // Guards against a successor that takes members of groups that stand.
 TEST_CASE("a new planner adopts the groups that it finds") {
   FleetWorld world = Started(3, 9);
