Simplify the planner's bookkeeping

Cause: read again as a newcomer. The change had left hosts by domain that nobody read (released), a set beside the groups being formed that repeated their keys (opened), flags that their own time or value tells (fenced, judged), the same close order in four places, and "too many groups of a model" computed in three. Change: the dead state goes; a forming group knows whether its open order was sent; fenced_at and failed_before are optional; CloseOrder makes the order; Lacks takes a model's name and serves all three; whether a group can be replaced is asked once and not nested in a loop with a break. A comment names membership and not the type. Test: planner and allocation cases, unchanged, 30 of 30.

--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -21,8 +21,6 @@
 constexpr milliseconds kDomainLapse{10'000};
 /// From the loss of a host until its group serves again with another.
 constexpr milliseconds kRepairTime{5'000};
-/// Part of the hosts that is lost in that time, until losses were counted.
-constexpr double kExpectedLoss = 0.03;
 /// Losses are averaged over about this time.
 constexpr milliseconds kLossMemory{20'000};
 /// An allocation is made again after this time, as the demand changes, and
@@ -54,8 +52,8 @@
 }
 
 int GroupPlanner::Pass::Lacks(const std::string& domain,
-                              const EngineModel& model) const {
-  std::pair<std::string, std::string> key{domain, model.name};
+                              const std::string& model) const {
+  std::pair<std::string, std::string> key{domain, model};
   auto stand = standing.find(key);
   auto want = wanted.find(key);
   return (want == wanted.end() ? 0 : want->second) -
@@ -82,24 +80,24 @@
     bool leaving = server != pass->servers->end() && server->second.leaving;
     if (present.count(id) == 0 && !leaving) lost += 1.0;
   }
-  double rate = state.loss_rate.value_or(kExpectedLoss / Seconds(kRepairTime));
   double passed = state.losses_counted == TimePoint()
                       ? 0.0
                       : Seconds(pass->now - state.losses_counted);
   double memory = Seconds(kLossMemory);
-  rate -= rate * std::min(1.0, passed / memory);
+  state.loss_rate -= state.loss_rate * std::min(1.0, passed / memory);
   if (!state.present.empty()) {
-    rate += lost / static_cast<double>(state.present.size()) / memory;
+    state.loss_rate +=
+        lost / static_cast<double>(state.present.size()) / memory;
   }
-  state.loss_rate = rate;
   state.losses_counted = pass->now;
   state.present = std::move(present);
 }
 
 // Groups whose members haven't reported them yet.
 void GroupPlanner::CountForming(Pass* pass) const {
-  for (const auto& [key, members] : m_forming) {
+  for (const auto& [key, forming] : m_forming) {
     if (pass->counted.count(key) > 0) continue;
+    const std::vector<std::string>& members = forming.members;
     auto head = pass->servers->find(members.front());
     bool waiting =
         std::all_of(members.begin(), members.end(),
@@ -139,11 +137,10 @@
     ModelNeed need;
     need.hosts_per_group = std::max(1, model.hosts_per_group);
     need.load_time = model.load_time;
-    need.up_part = 1.0 / (1.0 + need.hosts_per_group *
-                                    pass.state->loss_rate.value_or(0.0) *
+    need.up_part = 1.0 / (1.0 + need.hosts_per_group * pass.state->loss_rate *
                                     Seconds(kRepairTime));
-    need.missing_part = pass.state->loss_rate.value_or(0.0) *
-                        Seconds(kRepairTime + model.load_time);
+    need.missing_part =
+        pass.state->loss_rate * Seconds(kRepairTime + model.load_time);
     need.busy_groups =
         (1.0 - known) * share * kExpectedUse * hosts / need.hosts_per_group;
     need.requests = expected > 0.0
@@ -252,24 +249,21 @@
 }
 
 void GroupPlanner::NoteSurplus(Pass* pass) {
-  std::erase_if(pass->state->surplus_since, [&](const auto& entry) {
-    auto stand = pass->standing.find(entry.first);
-    auto want = pass->wanted.find(entry.first);
-    return stand == pass->standing.end() || want == pass->wanted.end() ||
-           stand->second <= want->second;
+  auto& since = pass->state->surplus_since;
+  std::erase_if(since, [&](const auto& entry) {
+    return pass->Lacks(entry.first.first, entry.first.second) >= 0;
   });
   for (const auto& [key, standing] : pass->standing) {
-    auto want = pass->wanted.find(key);
-    if (want != pass->wanted.end() && standing > want->second) {
-      pass->state->surplus_since.try_emplace(key, pass->now);
+    if (pass->Lacks(key.first, key.second) < 0) {
+      since.try_emplace(key, pass->now);
     }
   }
 }
 
 bool GroupPlanner::SurplusIsSettled(const std::string& domain,
-                                    const EngineModel& model,
+                                    const std::string& model,
                                     const Pass& pass) {
-  auto since = pass.state->surplus_since.find({domain, model.name});
+  auto since = pass.state->surplus_since.find({domain, model});
   return since != pass.state->surplus_since.end() &&
          pass.now - since->second >= kSettleTime;
 }
@@ -322,7 +316,7 @@
       ++candidate.loads;
     }
   }
-  candidate.score = pass.Lacks(domain, model) * model.hosts_per_group /
+  candidate.score = pass.Lacks(domain, model.name) * model.hosts_per_group /
                     (1.0 + seconds / kHalfWorthSeconds);
   return candidate;
 }
@@ -352,7 +346,7 @@
     // any model, so the choice waits until they are known.
     if (m_free_loads && Grows(domain, kWaitForHosts, pass)) continue;
     for (const EngineModel& model : pass.engine->models) {
-      if (model.hosts_per_group < 1 || pass.Lacks(domain, model) < 1 ||
+      if (model.hosts_per_group < 1 || pass.Lacks(domain, model.name) < 1 ||
           free.size() < static_cast<std::size_t>(model.hosts_per_group)) {
         continue;
       }
@@ -380,7 +374,7 @@
   for (const BackendServer* member : candidate.members) {
     join.members.push_back(member->id);
   }
-  m_forming[{join.group, join.epoch}] = join.members;
+  m_forming[{join.group, join.epoch}] = {join.members, false};
   m_seen[{join.group, join.epoch}] = pass->now;
   Hosts& free = pass->free[candidate.domain];
   for (const BackendServer* member : candidate.members) {
@@ -427,25 +421,18 @@
         !Counted(head)) {
       continue;
     }
-    for (const EngineModel& model : pass->engine->models) {
-      auto standing = pass->standing.find({head.fabric_domain, group.model});
-      auto wanted = pass->wanted.find({head.fabric_domain, group.model});
-      bool surplus =
-          wanted != pass->wanted.end() && standing->second > wanted->second;
-      if (!surplus || model.name == group.model ||
-          pass->Lacks(head.fabric_domain, model) < 1 ||
-          !CanReplace(group, model, *pass)) {
-        continue;
-      }
-      GroupOrder close;
-      close.kind = GroupOrder::Kind::kClose;
-      close.group = group.name;
-      close.epoch = group.epoch;
-      Send(head, close, pass);
-      m_retired.insert(key);
-      --standing->second;
-      break;
-    }
+    const std::string& domain = head.fabric_domain;
+    if (pass->Lacks(domain, group.model) >= 0) continue;
+    const std::vector<EngineModel>& models = pass->engine->models;
+    bool replaceable = std::any_of(
+        models.begin(), models.end(), [&](const EngineModel& model) {
+          return pass->Lacks(domain, model.name) > 0 &&
+                 CanReplace(group, model, *pass);
+        });
+    if (!replaceable) continue;
+    Send(head, CloseOrder(key, /*evict=*/false), pass);
+    m_retired.insert(key);
+    --pass->standing[{domain, group.model}];
   }
 }
 
--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -40,8 +40,8 @@
 bool GroupPlanner::MayServe(const BackendServer& head) const {
   const GroupMembership& member = head.member;
   if (IsServing(member.state) || OpenMayBeLate(head.id)) return true;
-  GroupKey key{member.group, member.epoch};
-  bool unopened = m_forming.count(key) > 0 && m_opened.count(key) == 0;
+  auto forming = m_forming.find({member.group, member.epoch});
+  bool unopened = forming != m_forming.end() && !forming->second.open_sent;
   return member.state == GroupMemberState::kReady && !unopened;
 }
 
@@ -82,8 +82,7 @@
 
 void GroupPlanner::ResolveOrphans(Pass* pass) {
   for (auto& [key, orphan] : m_orphans) {
-    if (!orphan.judged) {
-      orphan.judged = true;
+    if (!orphan.failed_before) {
       orphan.failed_before = m_list_settled && !orphan.head.leaving &&
                              pass->failed->count(orphan.head.id) > 0;
     }
@@ -96,7 +95,7 @@
       continue;
     }
     if (orphan.free_at != TimePoint::max()) continue;
-    bool known_silent = !orphan.was_cut && orphan.failed_before;
+    bool known_silent = !orphan.was_cut && *orphan.failed_before;
     bool silent_since = orphan.unanswered >= kOrphanTries &&
                         pass->now - orphan.left >= kLongestLeave;
     if (known_silent || silent_since) {
@@ -105,15 +104,11 @@
     }
     if (pass->now < orphan.next) continue;
     orphan.next = pass->now + kOrphanInterval;
-    GroupOrder close;
-    close.kind = GroupOrder::Kind::kClose;
-    close.group = key.first;
-    close.epoch = key.second;
-    close.evict = true;
     // No count is expected: a planner that has just taken over hasn't counted
     // this head's orders, and a rejection for a wrong count would look like
     // that of a head which doesn't serve the group. Group and epoch are enough.
-    pass->orders.push_back({orphan.head.id, orphan.head.address, close});
+    pass->orders.push_back(
+        {orphan.head.id, orphan.head.address, CloseOrder(key, /*evict=*/true)});
   }
 }
 
@@ -163,12 +158,8 @@
   silent.next = pass->now + kOrphanInterval;
   silent.members_before = LastMemberReport(group) > silent.failed_at;
   silent.unreachable = false;
-  GroupOrder close;
-  close.kind = GroupOrder::Kind::kClose;
-  close.group = group.name;
-  close.epoch = group.epoch;
-  close.evict = true;
-  pass->orders.push_back({head.id, head.address, close});
+  pass->orders.push_back(
+      {head.id, head.address, CloseOrder(entry->first, /*evict=*/true)});
 }
 
 bool GroupPlanner::HeadMayReturn(const ReportedGroup& group,
@@ -179,7 +170,7 @@
   auto forming = m_forming.find(key);
   if (forming != m_forming.end()) {
     // This planner never opened it, or the head would be remembered.
-    const std::string& head = forming->second.front();
+    const std::string& head = forming->second.members.front();
     return Waiting(head) && pass.servers->count(head) > 0;
   }
   auto headless = m_headless.find(key);
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -157,13 +157,15 @@
 }
 
 void GroupPlanner::Reset(std::uint64_t term) {
-  m_opened.clear();
   m_headless.clear();
   m_began = TimePoint();
   m_sent.clear();
   m_silent_heads.clear();
   m_retired.clear();
-  for (auto& [host, count] : m_counts) count.known = count.fenced = false;
+  for (auto& [host, count] : m_counts) {
+    count.known = false;
+    count.fenced_at.reset();
+  }
   m_loads.clear();
   m_forming.clear();
   m_seen.clear();
@@ -244,12 +246,10 @@
     m_counts[host].not_before = now + kRejectPause;
   } else if (result == OrderResult::kHolds) {
     // A server that doesn't count a repeated join can't be fenced any better.
-    m_counts[host].fenced = true;
     m_counts[host].fenced_at = now;
     m_sent.erase(found);
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
-    m_counts[host].fenced = true;
     m_counts[host].fenced_at = now;
     AddAccepted(host, found->second.born,
                 order.expected_orders.value_or(0) + 1);
@@ -283,16 +283,13 @@
                         });
   });
   std::erase_if(m_forming, [&](const auto& entry) {
-    return std::none_of(
-        entry.second.begin(), entry.second.end(), [&](const std::string& id) {
-          auto host = servers.find(id);
-          return host != servers.end() &&
-                 (Waiting(id) ||
-                  host->second.member.group == entry.first.first);
-        });
-  });
-  std::erase_if(m_opened, [this](const GroupKey& key) {
-    return m_forming.count(key) == 0;
+    return std::none_of(entry.second.members.begin(),
+                        entry.second.members.end(), [&](const std::string& id) {
+                          auto host = servers.find(id);
+                          return host != servers.end() &&
+                                 (Waiting(id) || host->second.member.group ==
+                                                     entry.first.first);
+                        });
   });
 }
 
@@ -321,6 +318,15 @@
          found->second.order.kind == GroupOrder::Kind::kOpen;
 }
 
+GroupOrder GroupPlanner::CloseOrder(const GroupKey& group, bool evict) {
+  GroupOrder close;
+  close.kind = GroupOrder::Kind::kClose;
+  close.group = group.first;
+  close.epoch = group.second;
+  close.evict = evict;
+  return close;
+}
+
 void GroupPlanner::Send(const BackendServer& host, GroupOrder order, Pass* pass,
                         bool again) {
   Count& count = m_counts[host.id];
@@ -333,13 +339,9 @@
 // ---------------------------------------------------------------------------
 // Groups that stand.
 
-void GroupPlanner::Bind(const ReportedGroup& group, bool stands, Pass* pass) {
+void GroupPlanner::Bind(const ReportedGroup& group, Pass* pass) {
   for (const BackendServer* member : group.members) {
-    if (member == nullptr) continue;
-    pass->bound.insert(member->id);
-    if (!stands && !member->leaving && pass->failed->count(member->id) == 0) {
-      pass->released[member->fabric_domain].push_back(member);
-    }
+    if (member != nullptr) pass->bound.insert(member->id);
   }
 }
 
@@ -357,12 +359,12 @@
   const BackendServer* head =
       group.members.empty() ? nullptr : group.members.front();
   if (head == nullptr) {
-    if (HeadMayReturn(group, *pass)) Bind(group, /*stands=*/false, pass);
+    if (HeadMayReturn(group, *pass)) Bind(group, pass);
     return;
   }
   if (!IsServing(head->member.state)) {
     if (OpenMayBeLate(head->id)) {
-      Bind(group, /*stands=*/true, pass);
+      Bind(group, pass);
       if (model != nullptr) CountStanding(group, pass);
     } else if (model != nullptr) {
       JudgeForming(group, *model, pass);
@@ -371,7 +373,7 @@
   }
   if (pass->failed->count(head->id) > 0) {
     if (HeadIsGone(group)) return;
-    Bind(group, /*stands=*/false, pass);
+    Bind(group, pass);
     CloseSilentHead(group, pass);
     return;
   }
@@ -384,7 +386,7 @@
   }
   bool closing = head->member.state == GroupMemberState::kClosing;
   bool stands = whole && !leaving && !closing;
-  Bind(group, stands, pass);
+  Bind(group, pass);
   if (stands) {
     CountStanding(group, pass);
     return;
@@ -394,13 +396,8 @@
       count.evicted == group.epoch) {
     return;
   }
-  GroupOrder close;
-  close.kind = GroupOrder::Kind::kClose;
-  close.group = group.name;
-  close.epoch = group.epoch;
-  close.evict = !whole;
-  if (close.evict) count.evicted = group.epoch;
-  Send(*head, close, pass);
+  if (!whole) count.evicted = group.epoch;
+  Send(*head, CloseOrder({group.name, group.epoch}, /*evict=*/!whole), pass);
 }
 
 // A join of an earlier planner that is still on its way could take a member
@@ -413,8 +410,8 @@
                        auto count = m_counts.find(member->id);
                        return count != m_counts.end() &&
                               count->second.born == member->born &&
-                              count->second.fenced &&
-                              now - count->second.fenced_at >= kRejoinTime;
+                              count->second.fenced_at &&
+                              now - *count->second.fenced_at >= kRejoinTime;
                      });
 }
 
@@ -432,8 +429,8 @@
   }
   for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
     const BackendServer& member = *group.members[rank];
-    if (m_counts[member.id].fenced || Waiting(member.id) || !Counted(member) ||
-        m_counts[member.id].not_before > pass->now) {
+    if (m_counts[member.id].fenced_at || Waiting(member.id) ||
+        !Counted(member) || m_counts[member.id].not_before > pass->now) {
       continue;
     }
     Send(member, join, pass, /*again=*/true);
@@ -461,7 +458,7 @@
     bool expected =
         forming != m_forming.end() &&
         std::all_of(
-            forming->second.begin(), forming->second.end(),
+            forming->second.members.begin(), forming->second.members.end(),
             [&](const std::string& id) {
               auto host = pass->servers->find(id);
               return host != pass->servers->end() &&
@@ -472,7 +469,7 @@
   }
   milliseconds timeout = JoinTimeout(model);
   if (lost || (!ready && age > timeout)) return;
-  Bind(group, /*stands=*/true, pass);
+  Bind(group, pass);
   CountStanding(group, pass);
   if (ready && !IsFenced(group, pass->now)) {
     JoinAgain(group, pass);
@@ -484,7 +481,8 @@
     open.kind = GroupOrder::Kind::kOpen;
     open.group = group.name;
     open.epoch = group.epoch;
-    m_opened.insert(key);
+    auto forming = m_forming.find(key);
+    if (forming != m_forming.end()) forming->second.open_sent = true;
     Send(*group.members.front(), open, pass);
   }
 }
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -34,7 +34,7 @@
 std::string GroupModel(const std::string& group);
 
 /// Collects the groups that the members of a service report, by name and epoch.
-/// GroupMembership of another life or an older epoch makes a group of its own.
+/// Membership of another life or an older epoch makes a group of its own.
 std::map<std::pair<std::string, std::uint64_t>, ReportedGroup> CollectGroups(
     const std::map<std::string, BackendServer>& servers,
     const std::string& service);
@@ -104,6 +104,8 @@
   /// Hosts change over to another model when there were too many of theirs for
   /// so long, so that hosts that come or leave together don't start it.
   static constexpr milliseconds kSettleTime{3'000};
+  /// One host in 170 is lost each second, until losses were counted.
+  static constexpr double kExpectedLossRate = 0.006;
   using Hosts = std::vector<const BackendServer*>;
 
   /// The last order to a host, until its effect was seen.
@@ -121,10 +123,10 @@
     bool busy = false;  ///< With an order of an earlier planner.
     std::uint64_t orders = 0;
     TimePoint not_before;  ///< Pause after a rejected order.
-    /// It accepted an order of this planner, so none of an earlier planner that
-    /// is still on its way is carried out: their counts are passed.
-    bool fenced = false;
-    TimePoint fenced_at;        ///< When it last did.
+    /// When it last accepted an order of this planner. From then on none of an
+    /// earlier planner that is still on its way is carried out, since their
+    /// counts are passed.
+    std::optional<TimePoint> fenced_at;
     std::uint64_t evicted = 0;  ///< Epoch of the group that it was to evict.
     TimePoint reported;         ///< When its last report came.
     std::string last_model;     ///< Of its last group in this life.
@@ -134,6 +136,11 @@
     std::string model;
     TimePoint give_up;
   };
+  /// A group that this planner formed.
+  struct Forming {
+    std::vector<std::string> members;  ///< Ids; the first is the head.
+    bool open_sent = false;
+  };
   /// A head that left the list while it was serving. Its members stay with it
   /// until it was closed or doesn't answer.
   struct Orphan {
@@ -141,8 +148,8 @@
     TimePoint left;  ///< When it was first missing.
     int unanswered = 0;
     TimePoint next;
-    bool judged = false;         ///< `failed_before` is known.
-    bool failed_before = false;  ///< It didn't answer while it was listed.
+    /// It didn't answer while it was listed; set by the planner's first look.
+    std::optional<bool> failed_before;
     /// None of its members was in contact at some time since it left: its
     /// silence then says nothing, and its entry may return.
     bool was_cut = false;
@@ -172,8 +179,9 @@
     std::map<std::string, std::pair<int, TimePoint>> grown;
     /// Since when a domain has too many groups of a model.
     std::map<std::pair<std::string, std::string>, TimePoint> surplus_since;
-    std::set<std::string> present;    ///< Hosts that stay, at the last pass.
-    std::optional<double> loss_rate;  ///< Hosts per host and second, lately.
+    std::set<std::string> present;  ///< Hosts that stay, at the last pass.
+    /// Hosts lost per host and second, lately.
+    double loss_rate = kExpectedLossRate;
     TimePoint losses_counted;
     // The last allocation, and what it was made for.
     std::vector<DomainHosts> domains;
@@ -191,8 +199,6 @@
     TimePoint now;
     std::set<std::string> bound;        ///< Hosts that no other group may take.
     std::map<std::string, Hosts> free;  ///< By fabric domain.
-    /// Hosts of groups that don't serve any more, by fabric domain: free soon.
-    std::map<std::string, Hosts> released;
     /// Groups that stand or form, by domain and model.
     std::map<std::pair<std::string, std::string>, int> standing;
     std::set<std::string> in_standing;  ///< Their hosts.
@@ -206,7 +212,7 @@
     /// Whether a host is the service's and can be counted on.
     bool Stays(const BackendServer& host) const;
     /// Groups of a model that a domain lacks; negative when it has too many.
-    int Lacks(const std::string& domain, const EngineModel& model) const;
+    int Lacks(const std::string& domain, const std::string& model) const;
   };
   /// A group that could be formed.
   struct Candidate {
@@ -238,8 +244,9 @@
   bool HeadIsGone(const ReportedGroup& group);
   TimePoint LastMemberReport(const ReportedGroup& group) const;
   void CloseSilentHead(const ReportedGroup& group, Pass* pass);
-  /// @param stands The group serves, or will once it's open.
-  static void Bind(const ReportedGroup& group, bool stands, Pass* pass);
+  /// No other group may take the members.
+  static void Bind(const ReportedGroup& group, Pass* pass);
+  /// The group serves, or will once it's open.
   static void CountStanding(const ReportedGroup& group, Pass* pass);
   static void CountLosses(Pass* pass);
   void CountForming(Pass* pass) const;
@@ -250,7 +257,7 @@
   void Allocate(Pass* pass);
   static void NoteSurplus(Pass* pass);
   static bool SurplusIsSettled(const std::string& domain,
-                               const EngineModel& model, const Pass& pass);
+                               const std::string& model, const Pass& pass);
   void FormGroups(Pass* pass);
   std::optional<Candidate> BestCandidate(const Pass& pass);
   Candidate Consider(const std::string& domain, const Hosts& free,
@@ -276,6 +283,7 @@
   void StartLoad(const BackendServer& host, const EngineModel& model,
                  TimePoint now);
 
+  static GroupOrder CloseOrder(const GroupKey& group, bool evict);
   static const EngineModel* FindModel(const EngineSpec& engine,
                                       const std::string& name);
   static bool HasStaged(const BackendServer& host, const std::string& model);
@@ -294,11 +302,10 @@
   std::map<GroupKey, BackendServer> m_heads;  ///< That serve, as last listed.
   std::map<GroupKey, Orphan> m_orphans;
   std::map<GroupKey, SilentHead> m_silent_heads;
-  std::set<GroupKey> m_opened;  ///< This planner sent the order to open them.
   /// Since when groups are listed without their heads, while members answer.
   std::map<GroupKey, TimePoint> m_headless;
-  std::map<GroupKey, std::vector<std::string>> m_forming;  ///< Member ids.
-  std::map<std::string, ServiceState> m_services;          ///< By service.
+  std::map<GroupKey, Forming> m_forming;
+  std::map<std::string, ServiceState> m_services;  ///< By service.
   std::set<GroupKey> m_retired;  ///< Closed for good; their hosts change over.
   DemandByModel m_demand;
   std::uint64_t m_epoch = 0;  ///< Highest seen or used.
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -93,7 +93,7 @@
 int GroupPlanner::MissingHolders(const std::string& domain,
                                  const EngineModel& model,
                                  const Pass& pass) const {
-  int missing = pass.Lacks(domain, model) * model.hosts_per_group;
+  int missing = pass.Lacks(domain, model.name) * model.hosts_per_group;
   if (missing <= 0) return 0;
   for (const auto& [id, server] : *pass.servers) {
     bool another = pass.in_standing.count(id) == 0 ||
@@ -114,7 +114,7 @@
   Hosts empty;
   Hosts spares;
   Hosts surplus;
-  std::map<std::string, int> changing;  // Groups that give up their hosts.
+  std::set<std::string> changing;  // Groups that give up their hosts.
   for (const auto& [id, server] : *pass.servers) {
     if (server.fabric_domain != domain || !pass.Stays(server) || Waiting(id) ||
         !Counted(server) || m_loads.count(id) > 0 ||
@@ -129,26 +129,18 @@
       }
       continue;
     }
-    std::string held = GroupModel(server.member.group);
-    for (const EngineModel& other : pass.engine->models) {
-      if (other.name != held || other.name == model.name ||
-          !SurplusIsSettled(domain, other, pass)) {
-        continue;
-      }
-      int groups = -pass.Lacks(domain, other);
-      bool counted = changing.count(server.member.group) > 0;
-      if (!counted && static_cast<int>(changing.size()) >= groups) continue;
-      changing[server.member.group] = 1;
-      surplus.push_back(&server);
-    }
+    const std::string& group = server.member.group;
+    std::string held = GroupModel(group);
+    if (held == model.name || !SurplusIsSettled(domain, held, pass)) continue;
+    bool counted = changing.count(group) > 0;
+    int too_many = -pass.Lacks(domain, held);
+    if (!counted && static_cast<int>(changing.size()) >= too_many) continue;
+    changing.insert(group);
+    surplus.push_back(&server);
   }
   // A spare whose model the domain lacks as well stays.
   std::erase_if(spares, [&](const BackendServer* host) {
-    return std::any_of(pass.engine->models.begin(), pass.engine->models.end(),
-                       [&](const EngineModel& other) {
-                         return other.name == HeldModel(*host) &&
-                                pass.Lacks(domain, other) > 0;
-                       });
+    return pass.Lacks(domain, HeldModel(*host)) > 0;
   });
   Hosts order = std::move(empty);
   order.insert(order.end(), spares.begin(), spares.end());
