Choose standbys and change sources by the project's rendezvous hash, once

Cause: the node directory and the watch source each wrote a ranking by hash of their own, beside core/rendezvous, which chooses the platform daemons of the other interface the same way. The directory ranked all daemons anew five times in each of the 20 ticks a second, with a hash in every comparison, though the daemons change seldom. Change: RankNodes serves all three. The rank and the sources are set when a daemon comes, goes or has another contact. Which daemons are chosen differs from before, as the hash does; what they are chosen for doesn't. Test: "node directories agree on two sources of changes a data centre" and "chooses other sources when one is gone" are new; that choice had no test of its own. Conclusion: one ranking, off the path of a tick.

--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -110,8 +110,8 @@
   /// Daemons that tell this one what changed on the platform; empty: it watches
   /// the platform itself.
   std::vector<std::string> change_sources() const {
-    if (plans_or_stands_by()) return {};
-    return m_nodes.ChangeSources();
+    return plans_or_stands_by() ? std::vector<std::string>()
+                                : m_nodes.ChangeSources();
   }
   bool is_change_source() const { return m_nodes.IsChangeSource(); }
   bool servers_known() const { return m_list.known(); }
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -7,8 +7,8 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "core/rendezvous.h"
 #include "fmt/format.h"
-#include "xxhash.h"
 
 namespace clementine {
 namespace {
@@ -44,6 +44,8 @@
 /// Daemons of a data centre that pass changes on. If both are lost, the others
 /// watch the platform by themselves until new ones are chosen.
 constexpr std::size_t kSources = 2;
+/// Duty by which daemons are ranked.
+constexpr char kDuty[] = "platform";
 
 std::string TakePart(std::string* text) {
   std::size_t end = std::min(text->find(kSeparator), text->size());
@@ -56,10 +58,6 @@
   return text.empty() ? kNothing : text;
 }
 
-std::pair<std::uint64_t, std::string> Place(const std::string& name) {
-  return {XXH3_64bits(name.data(), name.size()), name};
-}
-
 /// The number after the last slash; nothing when there's none.
 std::optional<double> TrailingNumber(const std::string& text) {
   std::size_t slash = text.rfind('/');
@@ -123,7 +121,11 @@
   for (const auto& [name, value] : listed.nodes) {
     Seen& seen = m_nodes[name];
     if (seen.value == value) continue;
-    seen = Decode(value, now);
+    Seen newer = Decode(value, now);
+    m_roles_due = m_roles_due || seen.value.empty() ||
+                  seen.data_centre != newer.data_centre ||
+                  seen.changes != newer.changes;
+    seen = std::move(newer);
   }
   CountLive(now);
 }
@@ -133,13 +135,6 @@
                     kShortestInterval, kLongestInterval);
 }
 
-int NodeDirectory::Rank() const {
-  return static_cast<int>(
-      std::count_if(m_nodes.begin(), m_nodes.end(), [this](const auto& entry) {
-        return Place(entry.first) < Place(m_node);
-      }));
-}
-
 NodeDirectory::Seen NodeDirectory::Decode(const std::string& value,
                                           TimePoint now) {
   std::string rest = value;
@@ -153,44 +148,37 @@
   return seen;
 }
 
-std::vector<std::pair<std::string, std::string>> NodeDirectory::Sources()
-    const {
-  std::vector<std::pair<std::string, std::string>> sources;
-  if (m_live <= kLeastDaemonsToRelay || m_changes.empty()) return sources;
+void NodeDirectory::ChooseRoles() {
+  std::vector<std::string> names = {m_node};
   for (const auto& [name, seen] : m_nodes) {
-    if (seen.data_centre != m_data_centre || seen.changes.empty()) continue;
-    if (name != m_node) sources.emplace_back(name, seen.changes);
+    if (name != m_node) names.push_back(name);
   }
-  sources.emplace_back(m_node, m_changes);
-  std::sort(sources.begin(), sources.end(), [](const auto& a, const auto& b) {
-    return Place(a.first) < Place(b.first);
-  });
-  sources.resize(std::min(sources.size(), kSources));
-  return sources;
-}
-
-bool NodeDirectory::IsChangeSource() const {
-  auto sources = Sources();
-  return std::any_of(sources.begin(), sources.end(), [this](const auto& entry) {
-    return entry.first == m_node;
-  });
-}
-
-std::vector<std::string> NodeDirectory::ChangeSources() const {
-  std::vector<std::string> addresses;
-  for (const auto& [name, address] : Sources()) {
-    if (name == m_node) return {};
-    addresses.push_back(address);
+  std::vector<std::string> ranked = RankNodes(kDuty, names, names.size());
+  auto own = std::find(ranked.begin(), ranked.end(), m_node);
+  m_rank = static_cast<int>(own - ranked.begin());
+  m_is_source = false;
+  m_sources.clear();
+  if (m_live <= kLeastDaemonsToRelay || m_changes.empty()) return;
+  for (const std::string& name : ranked) {
+    bool self = name == m_node;
+    const std::string& changes = self ? m_changes : m_nodes.at(name).changes;
+    bool near = self || m_nodes.at(name).data_centre == m_data_centre;
+    if (!near || changes.empty()) continue;
+    m_is_source = m_is_source || self;
+    m_sources.push_back(changes);
+    if (m_sources.size() == kSources) break;
   }
-  return addresses;
+  if (m_is_source) m_sources.clear();
 }
 
 void NodeDirectory::CountLive(TimePoint now) {
-  std::erase_if(m_nodes, [&](const auto& entry) {
+  std::size_t lapsed = std::erase_if(m_nodes, [&](const auto& entry) {
     return now - entry.second.changed > Interval() * kLiveIntervals + kListAge;
   });
   m_live = 1 + static_cast<int>(m_nodes.size()) -
            static_cast<int>(m_nodes.count(m_node));
+  if (m_roles_due || lapsed > 0) ChooseRoles();
+  m_roles_due = false;
   // A daemon whose rate isn't known yet counts as much as this one.
   double all = m_rate;
   for (const auto& [name, seen] : m_nodes) {
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -57,18 +57,19 @@
   void SetContact(std::string data_centre, std::string changes) {
     m_data_centre = std::move(data_centre);
     m_changes = std::move(changes);
+    m_roles_due = true;
   }
 
   /// Daemons of this data centre that watch the platform and pass changes on;
   /// empty in a small fleet, and when this daemon is one of them.
-  std::vector<std::string> ChangeSources() const;
+  const std::vector<std::string>& ChangeSources() const { return m_sources; }
 
   /// Whether this daemon is a source of changes.
-  bool IsChangeSource() const;
+  bool IsChangeSource() const { return m_is_source; }
 
   /// This daemon's place in an order of all live ones that each of them derives
   /// alike; 0 is the first.
-  int Rank() const;
+  int Rank() const { return m_rank; }
   /// Part of all daemons' requests that comes to this one; 0 when unknown.
   double share() const { return m_share; }
 
@@ -84,9 +85,9 @@
 
   milliseconds Interval() const;
   static Seen Decode(const std::string& value, TimePoint now);
-  /// Names and addresses of the sources of this data centre.
-  std::vector<std::pair<std::string, std::string>> Sources() const;
   void CountLive(TimePoint now);
+  /// Sets the rank and the sources by the daemons that are known.
+  void ChooseRoles();
   void MeasureRate(TimePoint now);
 
   std::string m_node;
@@ -100,6 +101,10 @@
   TimePoint m_next_put;
   TimePoint m_next_list;
   int m_live = 1;
+  bool m_roles_due = true;  ///< The daemons or their contacts have changed.
+  int m_rank = 0;
+  bool m_is_source = false;
+  std::vector<std::string> m_sources;  ///< As ChangeSources.
   double m_share = 0.0;
   double m_rate = 0.0;  ///< Own requests a second; 0 until the first ones.
   std::uint64_t m_requests = 0;
--- a/core/watch_source.cc
+++ b/core/watch_source.cc
@@ -1,11 +1,11 @@
-// Each daemon orders the peers by a hash of its own name and theirs, so that
+// Each daemon ranks the peers by a hash of its own name and theirs, so that
 // they share the followers and those of a lost peer spread over the others.
 
 #include "core/watch_source.h"
 
 #include <algorithm>
 
-#include "xxhash.h"
+#include "core/rendezvous.h"
 
 namespace clementine {
 namespace {
@@ -17,15 +17,7 @@
 }  // namespace
 
 void WatchSource::SetPeers(const std::vector<std::string>& addresses) {
-  auto place = [this](const std::string& address) {
-    std::string both = m_node + "/" + address;
-    return XXH3_64bits(both.data(), both.size());
-  };
-  m_peers = addresses;
-  std::sort(m_peers.begin(), m_peers.end(),
-            [&](const std::string& a, const std::string& b) {
-              return place(a) < place(b);
-            });
+  m_peers = RankNodes(m_node, addresses, addresses.size());
   std::erase_if(m_avoid_until, [this](const auto& entry) {
     return std::find(m_peers.begin(), m_peers.end(), entry.first) ==
            m_peers.end();
--- a/testing/node_directory_test.cc
+++ b/testing/node_directory_test.cc
@@ -2,8 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
+#include "fmt/format.h"
+
 namespace clementine {
 namespace {
 
@@ -66,6 +70,57 @@
   CHECK(*ranks.rbegin() == 39);
 }
 
+// Guards against a data centre without a source of changes, with all daemons as
+// sources, or with followers of another one's.
+TEST_CASE("node directories agree on two sources of changes a data centre") {
+  std::vector<std::pair<std::string, std::string>> nodes;
+  for (int n = 0; n < 40; ++n) {
+    std::string name = "n" + std::to_string(n);
+    nodes.emplace_back(name, fmt::format("1/1/5 - dc{} {}:1", n % 2, name));
+  }
+  std::map<std::string, std::set<std::string>> sources;
+  std::map<std::string, std::set<std::string>> followed;
+  for (int n = 0; n < 40; ++n) {
+    std::string name = "n" + std::to_string(n);
+    std::string centre = "dc" + std::to_string(n % 2);
+    NodeDirectory directory(name, 1, 1);
+    directory.SetContact(centre, name + ":1");
+    directory.Listed({true, nodes}, kStart);
+    if (directory.IsChangeSource()) {
+      sources[centre].insert(name + ":1");
+      CHECK(directory.ChangeSources().empty());
+    } else {
+      followed[centre].insert(directory.ChangeSources().begin(),
+                              directory.ChangeSources().end());
+    }
+  }
+  CHECK(sources["dc0"].size() == 2);
+  CHECK(sources["dc1"].size() == 2);
+  CHECK(sources == followed);
+}
+
+// Guards against sources that stay after they are gone.
+TEST_CASE("node directory chooses other sources when one is gone") {
+  std::vector<std::pair<std::string, std::string>> nodes;
+  for (int n = 1; n < 40; ++n) {
+    std::string name = "n" + std::to_string(n);
+    nodes.emplace_back(name, fmt::format("1/1/5 - dc {}:1", name));
+  }
+  NodeDirectory directory("n0", 1, 1);
+  directory.SetContact("dc", "n0:1");
+  directory.Listed({true, nodes}, kStart);
+  std::vector<std::string> before = directory.ChangeSources();
+  REQUIRE(before.size() == 2);
+  std::erase_if(
+      nodes, [&](const auto& node) { return node.first + ":1" == before[0]; });
+  for (auto& [name, value] : nodes) value.replace(0, 3, "1/2");
+  TimePoint later = kStart + std::chrono::seconds(60);
+  directory.Listed({true, nodes}, later);
+  CHECK(std::find(directory.ChangeSources().begin(),
+                  directory.ChangeSources().end(),
+                  before[0]) == directory.ChangeSources().end());
+}
+
 // Guards against calls to the platform that grow with the square of the fleet:
 // each daemon renews an object and lists those of all.
 TEST_CASE("node directory calls the platform less often in a large fleet") {
