Name the server in the log of an unexpected HTTP status

Cause: the transport logged "platform_status" for each server, and since daemons pass changes on it speaks to them, too: an engineer on call would have looked for the fault at the platform. Test: none names the line; unit tests of the transport, the platform client and the change relay run it. Measured: nothing to measure.

--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -191,7 +191,8 @@
     bool expected =
         status / 100 == 2 || status == 404 || status == 409 || status == 410;
     if (!expected && status != m_logged_status) {
-      LogEvent("platform_status", {{"status", std::to_string(status)}});
+      LogEvent("http_status",
+               {{"address", m_address}, {"status", std::to_string(status)}});
     }
     m_logged_status = expected ? 0 : status;
   }
