Find a model by name, and ask whether a group can be replaced, in one place

Change: FindModel stands beside FindEngine and serves all three; IsReplaceable holds what CloseSurplus nested; the fake servers join in a function of their own. Conclusion: no change of behaviour.

--- a/core/fleet.cc
+++ b/core/fleet.cc
@@ -13,6 +13,14 @@
              : &*found->second.engine;
 }
 
+const EngineModel* FindModel(const EngineSpec& engine,
+                             const std::string& name) {
+  for (const EngineModel& model : engine.models) {
+    if (model.name == name) return &model;
+  }
+  return nullptr;
+}
+
 const char* GroupMemberStateName(GroupMemberState state) {
   switch (state) {
     case GroupMemberState::kNone:
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -85,6 +85,8 @@
 /// The engines of a service; null for a plain or unknown service.
 const EngineSpec* FindEngine(const FleetConfiguration& configuration,
                              const std::string& service);
+/// A model of an engine by its name; null when there's none.
+const EngineModel* FindModel(const EngineSpec& engine, const std::string& name);
 
 enum class GroupMemberState {
   kNone,
--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -389,25 +389,26 @@
   ++pass->standing[{candidate.domain, join.model}];
 }
 
-// Whether the weights of a lacking model are where its group would be formed
-// once this one is closed.
-bool GroupPlanner::CanReplace(const ReportedGroup& group,
-                              const EngineModel& model,
-                              const Pass& pass) const {
+// Whether a group of a model that the domain lacks could be formed once this
+// one is closed: its weights are on enough hosts.
+bool GroupPlanner::IsReplaceable(const ReportedGroup& group,
+                                 const Pass& pass) const {
   const std::string& domain = group.members.front()->fabric_domain;
-  int holders = 0;
+  Hosts hosts = group.members;
   auto free = pass.free.find(domain);
   if (free != pass.free.end()) {
-    holders +=
-        static_cast<int>(std::count_if(free->second.begin(), free->second.end(),
-                                       [&](const BackendServer* host) {
-                                         return HasStaged(*host, model.name);
-                                       }));
+    hosts.insert(hosts.end(), free->second.begin(), free->second.end());
   }
-  for (const BackendServer* member : group.members) {
-    if (HasStaged(*member, model.name)) ++holders;
-  }
-  return holders >= model.hosts_per_group;
+  const std::vector<EngineModel>& models = pass.engine->models;
+  return std::any_of(
+      models.begin(), models.end(), [&](const EngineModel& model) {
+        auto holders = std::count_if(hosts.begin(), hosts.end(),
+                                     [&model](const BackendServer* host) {
+                                       return HasStaged(*host, model.name);
+                                     });
+        return pass.Lacks(domain, model.name) > 0 &&
+               holders >= model.hosts_per_group;
+      });
 }
 
 void GroupPlanner::CloseSurplus(const std::map<GroupKey, ReportedGroup>& groups,
@@ -423,13 +424,7 @@
     }
     const std::string& domain = head.fabric_domain;
     if (pass->Lacks(domain, group.model) >= 0) continue;
-    const std::vector<EngineModel>& models = pass->engine->models;
-    bool replaceable = std::any_of(
-        models.begin(), models.end(), [&](const EngineModel& model) {
-          return pass->Lacks(domain, model.name) > 0 &&
-                 CanReplace(group, model, *pass);
-        });
-    if (!replaceable) continue;
+    if (!IsReplaceable(group, *pass)) continue;
     Send(head, CloseOrder(key, /*evict=*/false), pass);
     m_retired.insert(key);
     --pass->standing[{domain, group.model}];
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -41,14 +41,6 @@
 
 }  // namespace
 
-const EngineModel* GroupPlanner::FindModel(const EngineSpec& engine,
-                                           const std::string& name) {
-  for (const EngineModel& model : engine.models) {
-    if (model.name == name) return &model;
-  }
-  return nullptr;
-}
-
 bool GroupPlanner::IsServing(GroupMemberState state) {
   return state == GroupMemberState::kOpen ||
          state == GroupMemberState::kClosing;
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -265,8 +265,7 @@
   void Form(const Candidate& candidate, Pass* pass);
   void CloseSurplus(const std::map<GroupKey, ReportedGroup>& groups,
                     Pass* pass);
-  bool CanReplace(const ReportedGroup& group, const EngineModel& model,
-                  const Pass& pass) const;
+  bool IsReplaceable(const ReportedGroup& group, const Pass& pass) const;
   void StageHosts(Pass* pass);
   int MissingHolders(const std::string& domain, const EngineModel& model,
                      const Pass& pass) const;
@@ -284,8 +283,6 @@
                  TimePoint now);
 
   static GroupOrder CloseOrder(const GroupKey& group, bool evict);
-  static const EngineModel* FindModel(const EngineSpec& engine,
-                                      const std::string& name);
   static bool HasStaged(const BackendServer& host, const std::string& model);
   double JoinSeconds(const BackendServer& host, const EngineModel& model) const;
   void AddAccepted(const std::string& host, std::int64_t born,
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -175,16 +175,15 @@
 void RelayExecutor::CountDemand(const std::string& service,
                                 const Caller& caller) {
   const EngineSpec* engine = FindEngine(m_routes->configuration(), service);
-  if (engine == nullptr) return;
-  for (const EngineModel& model : engine->models) {
-    if (model.name != caller.headers.model) continue;
-    double answer = caller.request.max_tokens > 0 ? caller.request.max_tokens
-                                                  : engine->usual_answer;
-    DemandCount& count = m_demand[caller.request.model];
-    ++count.requests;
-    count.group_seconds +=
-        GroupTime(*engine, model, caller.request.prompt_tokens, answer).count();
-  }
+  const EngineModel* model =
+      engine == nullptr ? nullptr : FindModel(*engine, caller.headers.model);
+  if (model == nullptr) return;
+  double answer = caller.request.max_tokens > 0 ? caller.request.max_tokens
+                                                : engine->usual_answer;
+  DemandCount& count = m_demand[caller.request.model];
+  ++count.requests;
+  count.group_seconds +=
+      GroupTime(*engine, *model, caller.request.prompt_tokens, answer).count();
 }
 
 std::shared_ptr<RelayExecutor::Caller> RelayExecutor::MakeCaller(
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -220,6 +220,27 @@
   planner.Answered(planned.host, planned.order, result, now);
 }
 
+void FleetWorld::Join(FakeServer* server, const GroupOrder& order,
+                      const EngineModel& model) {
+  GroupMembership& member = server->entry.member;
+  bool staged = !server->entry.staged.empty() &&
+                server->entry.staged.back() == model.name;
+  CheckJoin(*server, order);
+  if (!staged) ++loads;
+  server->joined_at = now + (server->last_model == model.name ? kRejoin
+                             : staged                         ? model.start_time
+                                      : model.load_time);
+  server->joining_model = model.name;
+  server->members = order.members;
+  server->opens_at = TimePoint::max();
+  member.group = order.group;
+  member.epoch = order.epoch;
+  member.state = GroupMemberState::kJoining;
+  member.rank = static_cast<int>(
+      std::find(order.members.begin(), order.members.end(), server->entry.id) -
+      order.members.begin());
+}
+
 OrderResult FleetWorld::Accept(const std::string& host,
                                const GroupOrder& order) {
   auto found = servers.find(host);
@@ -233,14 +254,8 @@
       server.entry.orders) {
     return OrderResult::kRejected;
   }
-  const EngineSpec& engine =
-      *configuration.services.at(server.entry.service).engine;
-  const EngineModel* model = nullptr;
-  for (const EngineModel& candidate : engine.models) {
-    if (candidate.name == order.model) model = &candidate;
-  }
-  bool staged = model != nullptr && !server.entry.staged.empty() &&
-                server.entry.staged.back() == model->name;
+  const EngineModel* model =
+      FindModel(*FindEngine(configuration, server.entry.service), order.model);
   bool weights = order.kind == GroupOrder::Kind::kJoin ||
                  order.kind == GroupOrder::Kind::kStage;
   if (weights && model == nullptr) {
@@ -253,20 +268,7 @@
           server.staging != model->name) {
         return OrderResult::kRejected;
       }
-      CheckJoin(server, order);
-      if (!staged) ++loads;
-      server.joined_at = now + (server.last_model == model->name ? kRejoin
-                                : staged ? model->start_time
-                                         : model->load_time);
-      server.joining_model = model->name;
-      server.members = order.members;
-      server.opens_at = TimePoint::max();
-      member.group = order.group;
-      member.epoch = order.epoch;
-      member.state = GroupMemberState::kJoining;
-      member.rank = static_cast<int>(
-          std::find(order.members.begin(), order.members.end(), host) -
-          order.members.begin());
+      Join(&server, order, *model);
       break;
     case GroupOrder::Kind::kOpen:
       if (!same || member.state != GroupMemberState::kReady) {
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -97,6 +97,8 @@
   /// As FleetControl: the members of a group report at the next step.
   void AskGroupNow(const std::string& group);
   void Deliver(const GroupPlanner::Order& planned);
+  void Join(FakeServer* server, const GroupOrder& order,
+            const EngineModel& model);
   OrderResult Accept(const std::string& host, const GroupOrder& order);
   void CheckJoin(const FakeServer& server, const GroupOrder& order);
   void CheckOpen(const FakeServer& head);
