--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -48,6 +48,24 @@
   for (const auto& [domain, hosts] : idle) CHECK(hosts < 3);
 }
 
+// Guards against callers of a small model who are refused because hosts are
+// shared out by the size of a model's groups (SHORT on the grown sites).
+TEST_CASE("planner shares hosts by work, whatever the size of the groups") {
+  FleetWorld world(0, 0, 1);
+  auto& models = world.configuration.services.at("engine").engine->models;
+  models[0].hosts_per_group = 16;
+  models[1].hosts_per_group = 4;
+  for (EngineModel& model : models) model.work_share = 0.5;
+  for (int host = 0; host < 6 * 37; ++host) {
+    world.AddServer("d" + std::to_string(host % 6));
+  }
+  world.planner.SetFreeLoads(true);
+  world.Run(milliseconds(30'000));
+  CheckClean(world);
+  CHECK(world.ServingGroups("large") >= 2);
+  CHECK(world.ServingGroups("small") >= world.ServingGroups("large"));
+}
+
 // Guards against small groups that take the hosts of the larger ones because
 // hosts register one by one.
 TEST_CASE("planner balances models while hosts register one by one") {
