Log how hosts are shared out to models, and count requests by model

Change: the planner logs `allocation` when the groups of a model that should stand, or stand, change, with the groups that its callers keep busy. Metrics by model: requests, refusals, open groups. Test: the test of the shares by work checks what is reported against the groups that serve.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -268,6 +268,15 @@
   m_actions.emplace_back(GroupsChanged{std::move(groups)});
 }
 
+std::map<std::string, int> FleetControl::OpenGroupsByModel() const {
+  std::map<std::string, int> open;
+  for (const GroupView& view : m_published) {
+    if (view.model.empty()) continue;
+    open[view.model] += view.open && !view.leaving ? 1 : 0;
+  }
+  return open;
+}
+
 // ---------------------------------------------------------------------------
 // Lease, nodes, platform calls.
 
@@ -431,6 +440,20 @@
                                           std::move(planned.address),
                                           std::move(planned.order)});
   }
+  LogShares();
+}
+
+void FleetControl::LogShares() {
+  for (const auto& [model, share] : m_planner.shares()) {
+    std::pair<int, int> groups{share.wanted, share.standing};
+    auto [logged, added] = m_logged_shares.try_emplace(model, groups);
+    if (!added && logged->second == groups) continue;
+    logged->second = groups;
+    Log("allocation", {{"model", model},
+                       {"busy", fmt::format("{:.1f}", share.busy_groups)},
+                       {"wanted", std::to_string(share.wanted)},
+                       {"standing", std::to_string(share.standing)}});
+  }
 }
 
 void FleetControl::On(const OrderEnded& event) {
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -116,6 +116,8 @@
   bool is_change_source() const { return m_nodes.IsChangeSource(); }
   bool servers_known() const { return m_list.known(); }
   std::size_t open_groups() const { return m_open_groups; }
+  /// Groups that take requests, by "service/model"; plain hosts aren't counted.
+  std::map<std::string, int> OpenGroupsByModel() const;
   int live_nodes() const { return m_nodes.live(); }
 
  private:
@@ -155,6 +157,7 @@
   /// Asks the members of a group without waiting for their turn.
   void AskGroupNow(const GroupMembership& group);
   void PlanOrders();
+  void LogShares();
   void PublishGroups();
   void AddEngineGroups(const FleetService& service,
                        std::vector<GroupView>* groups) const;
@@ -178,6 +181,8 @@
   std::map<std::string, Suspicion> m_suspected;
   std::vector<GroupView> m_published;
   std::size_t m_open_groups = 0;
+  /// Groups wanted and standing by model, as last logged.
+  std::map<std::string, std::pair<int, int>> m_logged_shares;
   bool m_changed = false;  ///< Something that groups depend on.
   bool m_stopping = false;
   bool m_planning = false;  ///< Held the lease at the last pass.
--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -203,7 +203,8 @@
     for (const DomainHosts& domain : domains) hosts += domain.hosts;
     AllocationOptions options;
     options.free_loads = m_free_loads;
-    last.plans = AllocateGroups(Needs(hosts, *pass), domains, options);
+    last.needs = Needs(hosts, *pass);
+    last.plans = AllocateGroups(last.needs, domains, options);
     last.domains = domains;
     last.free_loads = m_free_loads;
     last.allocated = pass->now;
@@ -216,6 +217,22 @@
     pass->spares[domains[d].name] = &models[wanted[d].spares];
   }
   NoteSurplus(pass);
+  NoteShares(*pass);
+}
+
+void GroupPlanner::NoteShares(const Pass& pass) {
+  const std::vector<EngineModel>& models = pass.engine->models;
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    ModelShare share;
+    share.busy_groups = pass.state->needs[i].busy_groups;
+    for (const DomainPlan& plan : pass.state->plans) {
+      share.wanted += plan.groups[i];
+    }
+    for (const auto& [key, count] : pass.standing) {
+      if (key.second == models[i].name) share.standing += count;
+    }
+    m_shares[pass.service + "/" + models[i].name] = share;
+  }
 }
 
 // Without them, the groups of a domain that is away for some seconds would be
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -78,6 +78,15 @@
   /// Whether a host can be sent an order. If not, its report is needed first.
   bool Counted(const BackendServer& host) const;
 
+  /// How the hosts are shared out to a model.
+  struct ModelShare {
+    double busy_groups = 0.0;  ///< Groups that its callers keep busy.
+    int wanted = 0;            ///< Groups that should stand.
+    int standing = 0;          ///< Groups that stand or form.
+  };
+  /// By "service/model", as of the last call of Plan.
+  const std::map<std::string, ModelShare>& shares() const { return m_shares; }
+
   /// What callers ask, by "service/model". Until it's known, groups are shared
   /// out by the models' expected parts of the work.
   void SetDemand(const DemandByModel& demand) { m_demand = demand; }
@@ -187,6 +196,7 @@
     std::vector<DomainHosts> domains;
     bool free_loads = false;
     TimePoint allocated;
+    std::vector<ModelNeed> needs;
     Allocation plans;
   };
   /// What one call of Plan works on.
@@ -255,6 +265,7 @@
   std::vector<DomainHosts> Domains(const Pass& pass) const;
   static void AddAbsentDomains(std::vector<DomainHosts>* domains, Pass* pass);
   void Allocate(Pass* pass);
+  void NoteShares(const Pass& pass);
   static void NoteSurplus(Pass* pass);
   static bool SurplusIsSettled(const std::string& domain,
                                const std::string& model, const Pass& pass);
@@ -305,7 +316,8 @@
   std::map<std::string, ServiceState> m_services;  ///< By service.
   std::set<GroupKey> m_retired;  ///< Closed for good; their hosts change over.
   DemandByModel m_demand;
-  std::uint64_t m_epoch = 0;  ///< Highest seen or used.
+  std::map<std::string, ModelShare> m_shares;  ///< As shares().
+  std::uint64_t m_epoch = 0;                   ///< Highest seen or used.
   bool m_free_loads = false;
   bool m_list_settled = true;
   TimePoint m_began;  ///< First pass of this term.
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -307,6 +307,16 @@
   m_metrics.SetTotal("clementine_platform_calls_total", "", m_store->calls());
   m_metrics.Set("clementine_open_groups", "",
                 static_cast<double>(m_control->open_groups()));
+  for (const auto& [model, groups] : m_control->OpenGroupsByModel()) {
+    m_metrics.Set("clementine_model_open_groups",
+                  fmt::format("model=\"{}\"", model), groups);
+  }
+  for (const auto& [model, count] : m_executor->demand()) {
+    std::string label = fmt::format("model=\"{}\"", model);
+    m_metrics.SetTotal("clementine_model_requests_total", label,
+                       count.requests);
+    m_metrics.SetTotal("clementine_model_refused_total", label, count.refused);
+  }
   m_metrics.Set("clementine_holds_lease", "", m_control->holds_lease() ? 1 : 0);
   m_metrics.Set("clementine_live_daemons", "", m_control->live_nodes());
   m_metrics.Set(
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -64,6 +64,13 @@
   CheckClean(world);
   CHECK(world.ServingGroups("large") >= 2);
   CHECK(world.ServingGroups("small") >= world.ServingGroups("large"));
+  for (const char* model : {"large", "small"}) {
+    const auto& share =
+        world.planner.shares().at(std::string("engine/") + model);
+    CHECK(share.busy_groups > 0.0);
+    CHECK(share.wanted >= world.ServingGroups(model));
+    CHECK(share.standing >= world.ServingGroups(model));
+  }
 }
 
 // Guards against small groups that take the hosts of the larger ones because
