--- a/config/config.h
+++ b/config/config.h
@@ -216,6 +216,10 @@
   std::string listen_changes;
   /// A backend server that is leaving gets no new work after so long.
   std::chrono::milliseconds leaving_notice{2'000};
+  /// A new configuration is in force after this time.
+  std::chrono::milliseconds configuration_notice{2'000};
+  /// A key that was taken away is refused after this time.
+  std::chrono::milliseconds revocation_notice{5'000};
   std::chrono::milliseconds stop_limit{60'000};  ///< Longest graceful stop.
   double retry_ratio = 0.1;  ///< Retries for each first attempt.
   std::chrono::seconds claim_retention{86'400};
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -68,6 +68,8 @@
       wait("connect_timeout", &s.connect_timeout),
       DurationField("drain_wait", milliseconds(0), hours(1), &s.drain_wait),
       wait("leaving_notice", &s.leaving_notice),
+      wait("configuration_notice", &s.configuration_notice),
+      wait("revocation_notice", &s.revocation_notice),
       wait("stop_limit", &s.stop_limit),
       DurationField("claim_retention", seconds(1), hours(24 * 365),
                     &s.claim_retention)};
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -126,8 +126,8 @@
   m_changed = m_changed || !event.changes.empty();
 }
 
-void FleetControl::On(const ServersUnreachable& /*event*/) {
-  m_list.Unreachable(m_now);
+void FleetControl::On(const ServersUnreachable& event) {
+  m_list.Unreachable(event.since);
 }
 
 void FleetControl::On(const FleetConfigured& event) {
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -30,7 +30,10 @@
 struct ServersChanged {
   std::vector<ServerList::Change> changes;
 };
-struct ServersUnreachable {};
+/// The list of servers may lack changes.
+struct ServersUnreachable {
+  TimePoint since;
+};
 struct FleetConfigured {
   std::shared_ptr<const FleetConfiguration> configuration;
 };
@@ -105,15 +108,9 @@
   bool holds_lease() const { return m_lease.Holding(); }
   /// Whether this daemon plans, or is among the first to take over.
   bool plans_or_stands_by() const {
-    return m_lease.Holding() || m_nodes.Rank() < kStandbys;
-  }
-  /// Daemons that tell this one what changed on the platform; empty: it watches
-  /// the platform itself.
-  std::vector<std::string> change_sources() const {
-    return plans_or_stands_by() ? std::vector<std::string>()
-                                : m_nodes.ChangeSources();
+    return m_lease.Holding() || m_nodes.Rank() < NodeDirectory::kStandbys;
   }
-  bool is_change_source() const { return m_nodes.IsChangeSource(); }
+  const ChangeRoles& change_roles() const { return m_nodes.change_roles(); }
   bool servers_known() const { return m_list.known(); }
   std::size_t open_groups() const { return m_open_groups; }
   /// Groups that take requests, by "service/model"; plain hosts aren't counted.
@@ -122,10 +119,6 @@
 
  private:
   using Actions = std::vector<FleetAction>;
-  /// Daemons that read the lease often and take it over at once. All of them
-  /// are lost together seldom, and then the others are some seconds later.
-  static constexpr int kStandbys = 3;
-
   /// What is known of a member host by asking it.
   struct Asked {
     TimePoint next;
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -41,11 +41,15 @@
 constexpr char kNothing[] = "-";
 /// Smaller fleets watch the platform by themselves.
 constexpr int kLeastDaemonsToRelay = 20;
-/// Daemons of a data centre that pass changes on. If both are lost, the others
-/// watch the platform by themselves until new ones are chosen.
-constexpr std::size_t kSources = 2;
-/// Duty by which daemons are ranked.
+/// Daemons of the own data centre, and of others, from which a daemon may learn
+/// of changes. If all are lost, it asks the platform until new ones are chosen.
+constexpr std::size_t kNearSources = 2;
+constexpr std::size_t kFarSources = 2;
+/// Each change goes out once for each follower, over links of 20 Mbit/s.
+constexpr std::size_t kMostFollowers = 8;
+/// Duties by which daemons are ranked: to plan, and to pass changes on.
 constexpr char kDuty[] = "platform";
+constexpr char kSourceDuty[] = "changes";
 
 std::string TakePart(std::string* text) {
   std::size_t end = std::min(text->find(kSeparator), text->size());
@@ -156,19 +160,56 @@
   std::vector<std::string> ranked = RankNodes(kDuty, names, names.size());
   auto own = std::find(ranked.begin(), ranked.end(), m_node);
   m_rank = static_cast<int>(own - ranked.begin());
-  m_is_source = false;
-  m_sources.clear();
-  if (m_live <= kLeastDaemonsToRelay || m_changes.empty()) return;
-  for (const std::string& name : ranked) {
+  m_roles = ChangeRoles();
+  if (!m_changes.empty()) ChooseSources(ranked);
+}
+
+// The planner and those who take over from it have enough to do, so sources are
+// chosen among the others where there are any.
+void NodeDirectory::ChooseSources(const std::vector<std::string>& ranked) {
+  auto standbys = std::min<std::ptrdiff_t>(
+      static_cast<std::ptrdiff_t>(ranked.size()), kStandbys);
+  std::vector<std::string> order(ranked.begin() + standbys, ranked.end());
+  order = RankNodes(kSourceDuty, order, order.size());
+  order.insert(order.end(), ranked.begin(), ranked.begin() + standbys);
+  std::map<std::string, std::vector<std::string>> centres;
+  for (const std::string& name : order) {
     bool self = name == m_node;
-    const std::string& changes = self ? m_changes : m_nodes.at(name).changes;
-    bool near = self || m_nodes.at(name).data_centre == m_data_centre;
-    if (!near || changes.empty()) continue;
-    m_is_source = m_is_source || self;
-    m_sources.push_back(changes);
-    if (m_sources.size() == kSources) break;
+    const Seen* seen = self ? nullptr : &m_nodes.at(name);
+    if (!self && seen->changes.empty()) continue;
+    centres[self ? m_data_centre : seen->data_centre].push_back(name);
+  }
+  auto address = [this](const std::string& name) {
+    return m_nodes.at(name).changes;
+  };
+  const std::vector<std::string>& near = centres.at(m_data_centre);
+  std::size_t readers = centres.size() == 1 ? 2 : 1;
+  bool small = m_live <= kLeastDaemonsToRelay;
+  auto place = static_cast<std::size_t>(
+      std::find(near.begin(), near.end(), m_node) - near.begin());
+  m_roles.is_source = !small && place < readers;
+  m_roles.reads_platform = small || m_roles.is_source;
+  // The first daemons pass on to the others what the reader tells them.
+  std::size_t relays = (near.size() + kMostFollowers - 1) / kMostFollowers;
+  std::vector<std::string> first(
+      near.begin(),
+      near.begin() + static_cast<std::ptrdiff_t>(std::min(
+                         near.size(), std::max(relays, kNearSources))));
+  if (place >= first.size()) {
+    first = RankNodes(m_node, first, kNearSources);
+  } else {
+    std::erase(first, m_node);
+    first.resize(std::min(first.size(), kNearSources));
+  }
+  for (const std::string& name : first) m_roles.peers.push_back(address(name));
+  std::vector<std::string> far;
+  for (const auto& [centre, names] : centres) {
+    if (centre != m_data_centre) far.push_back(names.front());
+  }
+  // Each daemon prefers another one of them.
+  for (const std::string& name : RankNodes(m_node, far, kFarSources)) {
+    m_roles.peers.push_back(address(name));
   }
-  if (m_is_source) m_sources.clear();
 }
 
 void NodeDirectory::CountLive(TimePoint now) {
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -22,12 +22,26 @@
 };
 struct ListNodes {};
 
+/// How a daemon takes part in spreading changes of the platform's objects.
+struct ChangeRoles {
+  bool reads_platform = true;  ///< Watches the platform.
+  bool is_source = false;      ///< Others rely on what it reads there.
+  /// Addresses of daemons that pass changes on, the best one first.
+  std::vector<std::string> peers;
+
+  friend bool operator==(const ChangeRoles&, const ChangeRoles&) = default;
+};
+
 /// A daemon counts as live while its object changes. No clock of another host
 /// is compared: each change is timed when it is first seen here.
 class NodeDirectory {
  public:
   using Action = std::variant<PutObject, ListNodes>;
 
+  /// Daemons that read the lease often and take it over at once. All of them
+  /// are lost together seldom, and then the others are some seconds later.
+  static constexpr int kStandbys = 3;
+
   /// Prefix of the daemons' object keys.
   static const char kPrefix[];
 
@@ -60,12 +74,10 @@
     m_roles_due = true;
   }
 
-  /// Daemons of this data centre that watch the platform and pass changes on;
-  /// empty in a small fleet, and when this daemon is one of them.
-  const std::vector<std::string>& ChangeSources() const { return m_sources; }
-
-  /// Whether this daemon is a source of changes.
-  bool IsChangeSource() const { return m_is_source; }
+  /// One daemon of each data centre reads the platform, and the others learn
+  /// from it, or else from the next one in rank or from other data centres. In
+  /// a small fleet all read it, and learn from each other when they can't.
+  const ChangeRoles& change_roles() const { return m_roles; }
 
   /// This daemon's place in an order of all live ones that each of them derives
   /// alike; 0 is the first.
@@ -86,8 +98,9 @@
   milliseconds Interval() const;
   static Seen Decode(const std::string& value, TimePoint now);
   void CountLive(TimePoint now);
-  /// Sets the rank and the sources by the daemons that are known.
+  /// Sets the rank and the roles by the daemons that are known.
   void ChooseRoles();
+  void ChooseSources(const std::vector<std::string>& ranked);
   void MeasureRate(TimePoint now);
 
   std::string m_node;
@@ -103,8 +116,7 @@
   int m_live = 1;
   bool m_roles_due = true;  ///< The daemons or their contacts have changed.
   int m_rank = 0;
-  bool m_is_source = false;
-  std::vector<std::string> m_sources;  ///< As ChangeSources.
+  ChangeRoles m_roles;
   double m_share = 0.0;
   double m_rate = 0.0;  ///< Own requests a second; 0 until the first ones.
   std::uint64_t m_requests = 0;
--- a/core/server_list.cc
+++ b/core/server_list.cc
@@ -27,8 +27,8 @@
   m_reachable = true;
 }
 
-void ServerList::Unreachable(TimePoint now) {
-  if (m_reachable || !m_known) m_unreachable_since = now;
+void ServerList::Unreachable(TimePoint since) {
+  if (m_reachable || !m_known) m_unreachable_since = since;
   m_reachable = false;
 }
 
--- a/core/server_list.h
+++ b/core/server_list.h
@@ -28,7 +28,8 @@
   /// The platform answered with what has changed; may be empty.
   void Apply(const std::vector<Change>& changes, TimePoint now);
   /// The platform didn't answer, or refused.
-  void Unreachable(TimePoint now);
+  /// @param since The list may lack changes from then on.
+  void Unreachable(TimePoint since);
   /// Removes entries whose grace is over. @return Whether any was removed.
   bool Expire(TimePoint now);
 
--- /dev/null
+++ b/daemon/change_client.cc
@@ -0,0 +1,107 @@
+// Each subscription has a connection of its own. Frames are bounded, and
+// nothing of an answer other than 200 is read as frames.
+
+#include "daemon/change_client.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "fmt/format.h"
+#include "net/http_status.h"
+
+namespace clementine {
+namespace {
+
+BackendOptions ClientOptions(milliseconds silence) {
+  BackendOptions options;
+  options.connect_timeout = silence;
+  options.max_idle_per_address = 0;
+  return options;
+}
+
+}  // namespace
+
+struct ChangeClient::Stream {
+  std::string peer;
+  std::shared_ptr<BackendAttempt> call;
+  bool accepted = false;
+  ChangeFrameReader frames;
+  TimePoint opened;
+};
+
+ChangeClient::ChangeClient(boost::asio::io_context* io, milliseconds silence,
+                           Hooks hooks)
+    : m_silence(silence),
+      m_hooks(std::move(hooks)),
+      m_client(io, ClientOptions(silence)) {}
+
+ChangeClient::~ChangeClient() {
+  for (auto& [peer, stream] : m_streams) stream->call->Cancel();
+}
+
+void ChangeClient::Subscribe(const std::string& peer,
+                             const ChangeRevisions& known) {
+  Unsubscribe(peer);
+  auto stream = std::make_shared<Stream>();
+  stream->peer = peer;
+  stream->opened = m_hooks.now();
+  BackendCall call;
+  call.relay = true;
+  call.address = peer;
+  call.method = "GET";
+  call.target = "/changes?" + EncodeChangeQuery(known);
+  call.headers = {{"Host", peer}};
+  call.idempotent = false;
+  call.first_byte_timeout = m_silence;
+  call.gap_timeout = m_silence;
+  BackendHandlers handlers;
+  handlers.head = [stream](int status, const HttpHeaders& /*headers*/) {
+    stream->accepted = status == http_status::kOk;
+    return stream->accepted ? AnswerHead::kAnswer : AnswerHead::kForeign;
+  };
+  handlers.bytes = [this, stream](std::string_view bytes) {
+    Take(stream.get(), bytes);
+  };
+  handlers.end = [this, peer, stream](const BackendEnd& end) {
+    auto found = m_streams.find(peer);
+    if (found == m_streams.end() || found->second != stream) return;
+    End(peer, stream->accepted ? end.detail : "refused or unreachable");
+  };
+  m_streams[peer] = stream;
+  stream->call = m_client.Start(std::move(call), std::move(handlers));
+}
+
+void ChangeClient::Unsubscribe(const std::string& peer) {
+  auto found = m_streams.find(peer);
+  if (found == m_streams.end()) return;
+  std::shared_ptr<Stream> stream = found->second;
+  m_streams.erase(found);
+  stream->call->Cancel();
+}
+
+void ChangeClient::End(const std::string& peer, const std::string& detail) {
+  Unsubscribe(peer);
+  m_hooks.lost(peer, detail);
+}
+
+void ChangeClient::Take(Stream* stream, std::string_view bytes) {
+  std::string peer = stream->peer;
+  stream->frames.Append(bytes);
+  try {
+    while (auto frame = stream->frames.Next()) {
+      // The source's time began after the own one, so nothing seems younger
+      // than it is, however long a frame has been on its way.
+      TimePoint told = stream->opened + frame->elapsed;
+      for (const ChangeNews& news : frame->news) {
+        m_hooks.heard(peer, news, told - news.age);
+        auto found = m_streams.find(peer);
+        if (found == m_streams.end() || found->second.get() != stream) return;
+      }
+    }
+  } catch (const std::runtime_error& error) {
+    End(peer, fmt::format("malformed frame: {}", error.what()));
+  }
+}
+
+}  // namespace clementine
--- /dev/null
+++ b/daemon/change_message.cc
@@ -0,0 +1,208 @@
+// Texts of the protocol by which daemons pass changes on.
+
+#include <boost/beast/zlib.hpp>
+#include <charconv>
+#include <stdexcept>
+#include <string_view>
+
+#include "config/config.h"
+#include "daemon/change_relay.h"
+#include "fmt/format.h"
+#include "nlohmann/json.hpp"
+
+namespace clementine {
+namespace {
+
+using Json = nlohmann::json;
+namespace zlib = boost::beast::zlib;
+
+/// Beats are shorter; what is longer holds entries, which are much alike.
+constexpr std::size_t kLeastToDeflate = 512;
+constexpr std::size_t kMostHeadBytes = 64;
+/// Of a body, as sent and inflated. ChangeHistory keeps less than this.
+constexpr std::size_t kMostBodyBytes = 67'108'864;
+constexpr int kDeflateLevel = 3;
+constexpr int kDeflateWindowBits = 15;
+constexpr int kDeflateMemory = 8;
+
+/// First line of a frame.
+struct Head {
+  milliseconds elapsed{0};
+  std::size_t size = 0;
+  std::size_t plain = 0;  ///< Size of the inflated body; 0: not deflated.
+};
+
+Head ParseHead(std::string_view line) {
+  std::array<std::uint32_t, 3> numbers{};
+  const char* at = line.data();
+  const char* end = line.data() + line.size();
+  for (std::size_t i = 0; i < numbers.size(); ++i) {
+    auto [stop, error] = std::from_chars(at, end, numbers[i]);
+    bool last = i + 1 == numbers.size();
+    if (error != std::errc() ||
+        (last ? stop != end : stop == end || *stop != ' ')) {
+      throw std::runtime_error("malformed head of a frame");
+    }
+    at = stop + 1;
+  }
+  if (numbers[1] > kMostBodyBytes || numbers[2] > kMostBodyBytes) {
+    throw std::runtime_error("frame is too long");
+  }
+  return {milliseconds(numbers[0]), numbers[1], numbers[2]};
+}
+
+std::string Deflate(const std::string& plain) {
+  zlib::deflate_stream stream;
+  stream.reset(kDeflateLevel, kDeflateWindowBits, kDeflateMemory,
+               zlib::Strategy::normal);
+  std::string deflated(stream.upper_bound(plain.size()), '\0');
+  zlib::z_params params;
+  params.next_in = plain.data();
+  params.avail_in = plain.size();
+  params.next_out = deflated.data();
+  params.avail_out = deflated.size();
+  boost::system::error_code error;
+  stream.write(params, zlib::Flush::finish, error);
+  if (error != zlib::error::end_of_stream) {
+    throw std::runtime_error("body can't be deflated: " + error.message());
+  }
+  deflated.resize(params.total_out);
+  return deflated;
+}
+
+std::string Inflate(const std::string& deflated, std::size_t size) {
+  zlib::inflate_stream stream;
+  stream.reset(kDeflateWindowBits);
+  std::string plain(size, '\0');
+  zlib::z_params params;
+  params.next_in = deflated.data();
+  params.avail_in = deflated.size();
+  params.next_out = plain.data();
+  params.avail_out = plain.size();
+  boost::system::error_code error;
+  stream.write(params, zlib::Flush::finish, error);
+  // With all of the output written, the end of the stream may not be read.
+  bool ended =
+      error == zlib::error::end_of_stream || error == zlib::error::need_buffers;
+  if (!ended || params.total_out != size || params.avail_in > 0) {
+    throw std::runtime_error("body can't be inflated");
+  }
+  return plain;
+}
+
+constexpr std::array<ChangeKind, kChangeKinds> kKinds = {
+    ChangeKind::kServers, ChangeKind::kConfiguration};
+
+ChangeKind KindOf(const std::string& name) {
+  for (ChangeKind kind : kKinds) {
+    if (name == ChangeKindName(kind)) return kind;
+  }
+  throw std::runtime_error(fmt::format("unknown kind \"{}\"", name));
+}
+
+ChangeNews DecodeNews(const Json& json) {
+  ChangeNews news;
+  news.kind = KindOf(json.at("kind").get<std::string>());
+  news.age = milliseconds(json.at("age").get<std::uint32_t>());
+  news.delta.revision = json.at("at").get<std::uint64_t>();
+  news.delta.whole = json.at("whole").get<bool>();
+  for (const Json& entry : json.at("objects")) {
+    platform::StoredObject object;
+    object.name = entry.at("name").get<std::string>();
+    object.revision = entry.at("revision").get<std::uint64_t>();
+    object.content = entry.at("content").get<std::string>();
+    object.deleted = entry.at("deleted").get<bool>();
+    news.delta.objects.push_back(std::move(object));
+  }
+  return news;
+}
+
+}  // namespace
+
+const char* ChangeKindName(ChangeKind kind) {
+  return kind == ChangeKind::kServers ? "servers" : "configuration";
+}
+
+std::string EncodeChangeQuery(const ChangeRevisions& known) {
+  std::string query;
+  for (ChangeKind kind : kKinds) {
+    query +=
+        fmt::format("{}{}={}", query.empty() ? "" : "&", ChangeKindName(kind),
+                    known[static_cast<std::size_t>(kind)]);
+  }
+  return query;
+}
+
+std::optional<ChangeRevisions> DecodeChangeQuery(const std::string& query) {
+  ChangeRevisions known{};
+  std::string_view rest = query;
+  for (ChangeKind kind : kKinds) {
+    std::string name = std::string(ChangeKindName(kind)) + "=";
+    if (!rest.starts_with(name)) return std::nullopt;
+    rest.remove_prefix(name.size());
+    std::uint64_t& revision = known[static_cast<std::size_t>(kind)];
+    const char* end = rest.data() + rest.size();
+    auto [stop, error] = std::from_chars(rest.data(), end, revision);
+    if (error != std::errc()) return std::nullopt;
+    rest.remove_prefix(static_cast<std::size_t>(stop - rest.data()));
+    if (rest.starts_with("&")) rest.remove_prefix(1);
+  }
+  if (!rest.empty()) return std::nullopt;
+  return known;
+}
+
+std::string EncodeChangeBody(const std::vector<ChangeNews>& all) {
+  Json kinds = Json::array();
+  for (const ChangeNews& news : all) {
+    Json objects = Json::array();
+    for (const platform::StoredObject& object : news.delta.objects) {
+      objects.push_back({{"name", object.name},
+                         {"revision", object.revision},
+                         {"content", object.content},
+                         {"deleted", object.deleted}});
+    }
+    kinds.push_back({{"kind", ChangeKindName(news.kind)},
+                     {"at", news.delta.revision},
+                     {"age", news.age.count()},
+                     {"whole", news.delta.whole},
+                     {"objects", std::move(objects)}});
+  }
+  std::string plain = JsonText(kinds);
+  if (plain.size() < kLeastToDeflate) {
+    return fmt::format("{} 0\n{}", plain.size(), plain);
+  }
+  std::string deflated = Deflate(plain);
+  return fmt::format("{} {}\n{}", deflated.size(), plain.size(), deflated);
+}
+
+std::string EncodeChangeFrame(milliseconds elapsed, const std::string& body) {
+  return fmt::format("{} {}", elapsed.count(), body);
+}
+
+std::optional<ChangeFrameReader::Frame> ChangeFrameReader::Next() {
+  std::size_t end = m_bytes.find('\n');
+  if (end == std::string::npos) {
+    if (m_bytes.size() > kMostHeadBytes) {
+      throw std::runtime_error("head of a frame is too long");
+    }
+    return std::nullopt;
+  }
+  std::string_view bytes = m_bytes;
+  Head head = ParseHead(bytes.substr(0, end));
+  if (m_bytes.size() - end - 1 < head.size) return std::nullopt;
+  std::string body = m_bytes.substr(end + 1, head.size);
+  m_bytes.erase(0, end + 1 + head.size);
+  if (head.plain > 0) body = Inflate(body, head.plain);
+  try {
+    Frame frame;
+    frame.elapsed = head.elapsed;
+    for (const Json& kind : ParseJson(body)) {
+      frame.news.push_back(DecodeNews(kind));
+    }
+    return frame;
+  } catch (const Json::exception& error) {
+    throw std::runtime_error(error.what());
+  }
+}
+
+}  // namespace clementine
--- a/daemon/change_relay.h
+++ b/daemon/change_relay.h
@@ -1,107 +1,124 @@
 // Passes changes of the platform's objects on to other daemons.
 //
-// GET /changes/KIND?since=REVISION answers as soon as something changed after
-// that revision, or after a short wait without changes:
+// GET /changes?servers=REVISION&configuration=REVISION answers with a stream of
+// frames that doesn't end by itself: first what changed after those revisions,
+// then each change, and at least every beat a frame without changes. A frame is
+// a line of three numbers and a body:
 //
-//   200 {"at":REVISION,"objects":[{"name","revision","content","deleted"}]}
-//   410 the changes after that revision aren't known here
-//   503 this daemon hasn't heard from the platform lately
+//   ELAPSED SIZE PLAIN\n     milliseconds since the stream began; bytes of the
+//                            body; bytes that it inflates to, or 0 if it's
+//                            plain
+//   [{"kind":"servers","at":REVISION,"age":MS,"whole":BOOL,
+//     "objects":[{"name","revision","content","deleted"}]}]
+//
+// `age` tells how old the time is up to which all changes are known. By the
+// time since the stream began, a frame that was late is recognised.
 #ifndef DAEMON_CHANGE_RELAY_H_
 #define DAEMON_CHANGE_RELAY_H_
 
-#include <boost/asio/io_context.hpp>
+#include <array>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <list>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
-#include "core/core.h"
+#include "core/change_follower.h"
+#include "daemon/change_history.h"
 #include "net/net.h"
-#include "platform/platform.h"
 
 namespace clementine {
 
-/// The latest changes of one kind. Invariant: revisions only rise.
-class ChangeHistory {
- public:
-  /// A list of all objects; what changed before its revision isn't known.
-  void Restart(std::uint64_t revision, TimePoint now);
-  /// Changes up to a revision; an empty batch confirms that there were none.
-  void Add(const platform::ObjectBatch& batch, TimePoint now);
+/// Revisions that a daemon knows, by kind.
+using ChangeRevisions = std::array<std::uint64_t, kChangeKinds>;
 
-  /// Changes after a revision; nothing when they aren't known.
-  std::optional<platform::ObjectBatch> After(std::uint64_t revision) const;
+/// Name of a kind in messages between daemons.
+const char* ChangeKindName(ChangeKind kind);
 
-  std::uint64_t revision() const { return m_revision; }
-  /// Whether the platform was heard within `age`.
-  bool Fresh(TimePoint now, milliseconds age) const;
+/// Query of a request for changes, and what it says; nothing when malformed.
+std::string EncodeChangeQuery(const ChangeRevisions& known);
+std::optional<ChangeRevisions> DecodeChangeQuery(const std::string& query);
 
- private:
-  struct Batch {
-    std::uint64_t revision = 0;
-    std::vector<platform::StoredObject> objects;
+/// What a frame tells of a kind.
+struct ChangeNews {
+  ChangeKind kind = ChangeKind::kServers;
+  ChangeDelta delta;
+  milliseconds age{0};
+};
+
+/// Size and body of a frame; the same for all followers that lack the same.
+std::string EncodeChangeBody(const std::vector<ChangeNews>& news);
+/// A whole frame.
+std::string EncodeChangeFrame(milliseconds elapsed, const std::string& body);
+
+/// Reads frames from bytes as they arrive.
+class ChangeFrameReader {
+ public:
+  struct Frame {
+    milliseconds elapsed{0};
+    std::vector<ChangeNews> news;
   };
 
-  std::uint64_t m_base = 0;  ///< Changes after this revision are known.
-  std::uint64_t m_revision = 0;
-  TimePoint m_heard;
-  bool m_known = false;
-  std::size_t m_bytes = 0;
-  std::deque<Batch> m_batches;
+  void Append(std::string_view bytes) { m_bytes.append(bytes); }
+  /// @return The next whole frame; nothing until more bytes have come.
+  /// @throws std::runtime_error when the bytes aren't in the expected form.
+  std::optional<Frame> Next();
+
+ private:
+  std::string m_bytes;
 };
 
-/// Answers followers.
+/// Answers other daemons. What this daemon learned itself from a peer is passed
+/// on as well, with the age that it was told.
 class ChangeRelay {
  public:
-  explicit ChangeRelay(std::function<TimePoint()> now)
-      : m_now(std::move(now)) {}
+  /// @param beat Longest pause between two lines.
+  ChangeRelay(std::function<TimePoint()> now, milliseconds beat)
+      : m_now(std::move(now)), m_beat(beat) {}
 
-  /// What this daemon read from the platform itself.
-  void Listed(const std::string& kind, std::uint64_t revision);
-  void Changed(const std::string& kind, const platform::ObjectBatch& batch);
+  /// All objects there are, or what changed, as in ChangeHistory.
+  void Replaced(ChangeKind kind, const platform::ObjectBatch& all,
+                TimePoint as_of);
+  void Changed(ChangeKind kind, const platform::ObjectBatch& batch,
+               TimePoint as_of);
 
   void Accept(const std::shared_ptr<HttpExchange>& exchange);
-  /// Answers those who have waited long enough.
+  /// Sends the beats that are due.
   void Tick();
 
+  std::size_t followers() const { return m_followers.size(); }
+
  private:
   struct Follower {
     std::uint64_t id = 0;
-    std::string kind;
-    std::uint64_t since = 0;
-    TimePoint until;
     std::shared_ptr<HttpExchange> exchange;
+    ChangeRevisions known{};
+    TimePoint opened;
+    TimePoint sent;
+    /// Reads too slowly; gets the state as it then is when it has caught up.
+    bool behind = false;
   };
 
-  /// @return Whether the follower has its answer.
-  bool TryAnswer(const Follower& follower, bool waited);
+  const ChangeHistory& History(ChangeKind kind) const {
+    return m_histories[static_cast<std::size_t>(kind)];
+  }
+  bool Known() const;
+  ChangeNews News(ChangeKind kind, std::uint64_t revision) const;
+  void Update(ChangeKind kind,
+              const std::function<void(ChangeHistory*)>& change);
+  void Send(Follower* follower, const std::string& body);
+  void SendAll(Follower* follower);
 
   std::function<TimePoint()> m_now;
-  std::map<std::string, ChangeHistory> m_histories;
+  milliseconds m_beat;
+  std::array<ChangeHistory, kChangeKinds> m_histories;
   std::list<Follower> m_followers;
   std::uint64_t m_last_follower = 0;
 };
 
-/// Reads changes from other daemons.
-class ChangeClient {
- public:
-  explicit ChangeClient(boost::asio::io_context* io);
-  ~ChangeClient();
-
-  /// As ObjectStore::Watch, with a daemon's address.
-  void Watch(const std::string& address, const std::string& kind,
-             std::uint64_t revision,
-             std::function<void(platform::ObjectBatch)> done);
-
- private:
-  class Impl;
-  std::unique_ptr<Impl> m_impl;
-};
-
 }  // namespace clementine
 
 #endif  // DAEMON_CHANGE_RELAY_H_
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -3,6 +3,7 @@
 
 #include "daemon/fleet_daemon.h"
 
+#include <algorithm>
 #include <ctime>
 #include <utility>
 
@@ -25,9 +26,20 @@
 constexpr milliseconds kCallerIdleTimeout{120'000};
 /// Idle connections to one backend server that this daemon keeps.
 constexpr int kMostIdleConnections = 32;
+/// Daemons that read changes here; ChangeRelay takes fewer.
+constexpr std::size_t kMostChangeConnections = 600;
+/// Unsent bytes for one of them: some configurations of a megabyte.
+constexpr std::size_t kMostChangeBytes = 4'194'304;
+constexpr milliseconds kChangeWriteTimeout{2'000};
 /// One part in so many of a server's connections may be idle.
 constexpr int kIdlePart = 2;
 
+/// The shortest of the times within which changes have to be in force.
+milliseconds ChangeBound(const Settings& settings) {
+  return std::min({settings.leaving_notice, settings.configuration_notice,
+                   settings.revocation_notice});
+}
+
 }  // namespace
 
 TimePoint SuspendAwareNow() {
@@ -41,7 +53,7 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
-      m_relay(SuspendAwareNow),
+      m_relay(SuspendAwareNow, DeriveFollowTimes(ChangeBound(m_settings)).beat),
       m_tick(*io),
       m_queue(&m_metrics, [this](const AnyEvent& event) { HandleOne(event); }) {
   m_store = std::make_unique<platform::ObjectStore>(io, m_settings.platform,
@@ -93,8 +105,12 @@
         });
   }
   if (!m_settings.listen_changes.empty()) {
+    HttpLimits changes_limits;
+    changes_limits.max_connections = kMostChangeConnections;
+    changes_limits.max_buffered_bytes = kMostChangeBytes;
+    changes_limits.write_timeout = kChangeWriteTimeout;
     m_changes = std::make_unique<HttpServer>(
-        m_io, m_settings.listen_changes, HttpLimits{},
+        m_io, m_settings.listen_changes, changes_limits,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
           m_relay.Accept(exchange);
         });
@@ -131,9 +147,8 @@
     Adopt(std::move(configuration));
   };
   m_feed = std::make_unique<FleetFeed>(
-      m_io, m_store.get(), &m_relay, m_settings.node,
-      m_settings.seed ^ m_incarnation, m_settings.leaving_notice,
-      std::move(hooks));
+      m_io, m_store.get(), &m_relay, m_settings.seed ^ m_incarnation,
+      ChangeBound(m_settings), std::move(hooks));
   m_feed->Start();
 }
 
@@ -271,9 +286,9 @@
         RequestsCounted{m_server->stats().requests, m_executor->demand()}));
     Feed(FleetEvent(Tick{}));
     Feed(RequestEvent(Tick{}));
-    m_feed->SetRole({m_control->plans_or_stands_by(),
-                     m_control->is_change_source(),
-                     m_control->change_sources()});
+    m_feed->SetRole(
+        {m_control->change_roles(), m_control->plans_or_stands_by()});
+    m_feed->Tick();
     m_relay.Tick();
     m_executor->CheckSilence();
     CheckStopping();
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -1,42 +1,49 @@
-// A watch waits for a short time only: a connection that has gone silent is
-// then noticed within that time, before a leaving server has to be acted on. A
+// A daemon that reads the platform has a watch of each kind under way all the
+// time. A watch waits for a part of the bound only, so that the time up to
+// which all changes are known is never old while the platform can be reached. A
 // pause after each answer lets changes that come together be read together.
 
 #include "daemon/fleet_feed.h"
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace clementine {
 namespace {
 
-/// Servers change in bursts when groups form; each answer is a priced call.
-constexpr milliseconds kServerPause{200};
-/// Of a daemon that passes changes on.
-constexpr milliseconds kSourceWait{800};
-/// Part of the notice of a leaving server that changes may wait for each other.
+/// Part of the bound that changes may wait for each other, on daemons on which
+/// no other daemon relies.
 constexpr int kPauseParts = 4;
 constexpr milliseconds kConfigurationPause{20};
 constexpr milliseconds kFirstBackoff{150};
 constexpr milliseconds kLongestBackoff{1'000};
 constexpr int kLargestShift = 6;
+/// Entries of servers outlive an outage of this length.
+constexpr milliseconds kOutage{2'000};
 
 }  // namespace
 
 FleetFeed::FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
-                     ChangeRelay* relay, const std::string& node,
-                     std::uint64_t seed, milliseconds leaving_notice,
+                     ChangeRelay* relay, std::uint64_t seed, milliseconds bound,
                      Hooks hooks)
     : m_store(store),
       m_relay(relay),
-      m_peers(io),
-      m_source(node),
+      m_bound(bound),
       m_hooks(std::move(hooks)),
+      m_follower(bound, seed),
+      m_peers(io, m_follower.times().silence,
+              {m_hooks.now,
+               [this](const std::string& peer, const ChangeNews& news,
+                      TimePoint as_of) { OnPeer(peer, news, as_of); },
+               [this](const std::string& peer, const std::string& detail) {
+                 OnPeerLost(peer, detail);
+               }}),
       m_jitter(seed),
       m_servers(io),
-      m_configuration(io),
-      m_leaving_notice(leaving_notice) {
-  m_servers.kind = platform::kServerKind;
+      m_configuration(io) {
+  m_servers.kind = ChangeKind::kServers;
+  m_servers.objects = platform::kServerKind;
   m_servers.listed_all = [this](const platform::ObjectBatch& batch) {
     ServersListed listed;
     for (const platform::StoredObject& object : batch.objects) {
@@ -57,15 +64,14 @@
     }
     m_hooks.feed(std::move(changed));
   };
-  m_servers.failed = [this] { m_hooks.feed(ServersUnreachable{}); };
-  m_configuration.kind = platform::kConfigurationKind;
+  m_configuration.kind = ChangeKind::kConfiguration;
+  m_configuration.objects = platform::kConfigurationKind;
   m_configuration.changed = [this](const platform::ObjectBatch& batch) {
     for (const platform::StoredObject& object : batch.objects) {
       if (!object.deleted) TakeConfiguration(object);
     }
   };
   m_configuration.listed_all = m_configuration.changed;
-  m_configuration.failed = [] {};
 }
 
 FleetFeed::~FleetFeed() { *m_alive = false; }
@@ -75,108 +81,216 @@
   Next(&m_servers);
 }
 
-void FleetFeed::Next(Loop* loop) {
-  std::string peer = m_source.Choose(m_hooks.now());
-  if (!loop->listed || peer.empty()) {
-    WatchPlatform(loop);
-    return;
+void FleetFeed::SetRole(const Role& role) {
+  m_role = role;
+  ChangeSources sources;
+  sources.reads_platform = role.roles.reads_platform;
+  sources.watch_wait = WatchWait();
+  sources.peers = role.roles.peers;
+  m_follower.SetSources(sources);
+  if (!role.roles.reads_platform) return;
+  for (Loop* loop : {&m_servers, &m_configuration}) {
+    if (!loop->running) Next(loop);
   }
-  m_peers.Watch(
-      peer, loop->kind, loop->revision,
-      [this, loop, peer, alive = m_alive](const platform::ObjectBatch& batch) {
-        if (*alive) OnPeer(loop, peer, batch);
-      });
 }
 
-void FleetFeed::WatchPlatform(Loop* loop) {
-  bool list = !loop->listed;
-  auto done = [this, loop, list,
-               alive = m_alive](const platform::ObjectBatch& batch) {
-    if (*alive) OnPlatform(loop, list, batch);
-  };
-  if (list) {
-    m_store->List(loop->kind, /*stale=*/false, std::move(done));
-  } else {
-    m_store->Watch(loop->kind, loop->revision,
-                   m_role.source ? kSourceWait : m_leaving_notice,
-                   std::move(done));
+void FleetFeed::Tick() {
+  for (const ChangeFollower::Action& action :
+       m_follower.Advance(m_hooks.now())) {
+    if (const auto* open = std::get_if<ChangeFollower::Subscribe>(&action)) {
+      LogEvent("change_source", {{"from", open->peer}});
+      m_peers.Subscribe(open->peer,
+                        {m_servers.revision, m_configuration.revision});
+    } else if (const auto* end =
+                   std::get_if<ChangeFollower::Unsubscribe>(&action)) {
+      LogEvent("change_source_left",
+               {{"from", end->peer}, {"reason", end->reason}});
+      m_peers.Unsubscribe(end->peer);
+    } else {
+      Ask(std::get<ChangeFollower::AskPlatform>(action));
+    }
   }
+  NoteOutdated();
 }
 
-void FleetFeed::SetRole(const Role& role) {
-  m_role = role;
-  m_source.SetPeers(role.peers);
-}
+// ---------------------------------------------------------------------------
+// The platform.
 
-void FleetFeed::NoteSource(Loop* loop, const std::string& source) {
-  if (loop->source == source) return;
-  loop->source = source;
-  LogEvent("change_source", {{"kind", loop->kind},
-                             {"from", source.empty() ? "platform" : source},
-                             {"revision", std::to_string(loop->revision)}});
+// Others that rely on this daemon have to see that it's current.
+milliseconds FleetFeed::WatchWait() const {
+  return m_role.roles.is_source ? m_follower.times().platform_wait : m_bound;
 }
 
-void FleetFeed::OnPeer(Loop* loop, const std::string& peer,
-                       const platform::ObjectBatch& batch) {
-  if (batch.status != platform::ObjectBatch::Status::kOk) {
-    // Another peer or the platform goes on from the same revision.
-    m_source.Failed(peer, m_hooks.now());
-    Next(loop);
-    return;
+void FleetFeed::Next(Loop* loop) {
+  bool list = !loop->listed;
+  loop->running = list || m_role.roles.reads_platform;
+  if (!loop->running) return;
+  milliseconds wait = list ? milliseconds(0) : WatchWait();
+  auto done = [this, loop, list, sent = m_hooks.now(), wait,
+               alive = m_alive](const platform::ObjectBatch& batch) {
+    if (*alive) OnPlatform(loop, list, sent, wait, batch);
+  };
+  if (list) {
+    m_store->List(loop->objects, /*stale=*/false, std::move(done));
+  } else {
+    m_store->Watch(loop->objects, loop->revision, wait, std::move(done));
   }
-  NoteSource(loop, peer);
-  OnBatch(loop, /*list=*/false, batch);
 }
 
-void FleetFeed::OnPlatform(Loop* loop, bool list,
+void FleetFeed::OnPlatform(Loop* loop, bool list, TimePoint sent,
+                           milliseconds wait,
                            const platform::ObjectBatch& batch) {
-  if (batch.status == platform::ObjectBatch::Status::kOk) {
-    NoteSource(loop, "");
-    if (list) {
-      m_relay->Listed(loop->kind, batch.revision);
-    } else {
-      m_relay->Changed(loop->kind, batch);
-    }
-  }
-  OnBatch(loop, list, batch);
-}
-
-void FleetFeed::OnBatch(Loop* loop, bool list,
-                        const platform::ObjectBatch& batch) {
   using Status = platform::ObjectBatch::Status;
-  bool reached = batch.status != Status::kFailed;
-  if (reached != loop->reachable) {
-    loop->reachable = reached;
-    LogEvent(
-        reached ? "platform_regained" : "platform_lost",
-        {{"kind", loop->kind}, {"revision", std::to_string(loop->revision)}});
-  }
-  if (!reached) {
-    loop->failed();
+  NoteReachable(loop, batch.status != Status::kFailed);
+  if (batch.status == Status::kFailed) {
     milliseconds longest = std::min(
         kLongestBackoff,
         kFirstBackoff * (1 << std::min(loop->failures, kLargestShift)));
-    ++loop->failures;
+    Failed(loop);
     Later(loop, m_jitter.Between(longest / 2, longest));
     return;
   }
   loop->failures = 0;
   if (batch.status == Status::kHistoryGone) {
-    LogEvent("platform_history_gone", {{"kind", loop->kind}});
+    LogEvent("platform_history_gone", {{"kind", loop->objects}});
     loop->listed = false;
     Next(loop);
     return;
   }
   loop->listed = true;
-  loop->revision =
-      list ? batch.revision : std::max(loop->revision, batch.revision);
-  (list ? loop->listed_all : loop->changed)(batch);
-  bool servers = loop == &m_servers && !batch.objects.empty();
-  milliseconds pause =
-      m_role.prompt || m_role.source || !loop->source.empty()
-          ? kServerPause
-          : std::max(kServerPause, m_leaving_notice / kPauseParts);
-  Later(loop, servers ? pause : kConfigurationPause);
+  // An answer with changes may have been made as soon as it was asked for.
+  TimePoint waited = sent + wait;
+  bool ended = batch.objects.empty() && m_hooks.now() >= waited;
+  TimePoint as_of = ended ? waited : sent;
+  m_follower.PlatformAnswered(loop->kind, as_of);
+  Learn(loop, list, batch, as_of, "");
+  Later(loop, Pause(*loop, batch.objects.empty()));
+}
+
+milliseconds FleetFeed::Pause(const Loop& loop, bool empty) const {
+  if (loop.kind == ChangeKind::kConfiguration || empty) {
+    return kConfigurationPause;
+  }
+  milliseconds gather = m_follower.times().gather;
+  bool prompt = m_role.prompt || m_role.roles.is_source;
+  return prompt ? gather : std::max(gather, m_bound / kPauseParts);
+}
+
+void FleetFeed::Ask(const ChangeFollower::AskPlatform& ask) {
+  Loop* loop = &LoopOf(ask.kind);
+  if (!loop->listed) return;
+  if (ask.fresh) m_store->ForgetConnections();
+  LogEvent("change_asked", {{"kind", loop->objects},
+                            {"revision", std::to_string(loop->revision)}});
+  m_store->Watch(loop->objects, loop->revision, milliseconds(0),
+                 [this, loop, sent = m_hooks.now(),
+                  alive = m_alive](const platform::ObjectBatch& batch) {
+                   if (*alive) OnAsked(loop, sent, batch);
+                 });
+}
+
+void FleetFeed::OnAsked(Loop* loop, TimePoint sent,
+                        const platform::ObjectBatch& batch) {
+  using Status = platform::ObjectBatch::Status;
+  NoteReachable(loop, batch.status != Status::kFailed);
+  if (batch.status == Status::kOk) {
+    loop->failures = 0;
+    m_follower.PlatformAnswered(loop->kind, sent);
+    Learn(loop, /*whole=*/false, batch, sent, "");
+  } else if (batch.status == Status::kHistoryGone) {
+    LogEvent("platform_history_gone", {{"kind", loop->objects}});
+    loop->listed = false;
+    if (!loop->running) Next(loop);
+  } else {
+    Failed(loop);
+  }
+}
+
+void FleetFeed::Failed(Loop* loop) {
+  m_follower.PlatformFailed();
+  TimePoint now = m_hooks.now();
+  if (loop->failures == 0) loop->failed_since = now;
+  ++loop->failures;
+  bool reads = m_role.roles.reads_platform || !loop->listed;
+  if (!reads || loop->kind != ChangeKind::kServers) return;
+  // Other daemons may keep this one current meanwhile.
+  TimePoint current =
+      m_follower.CurrentAt(ChangeKind::kServers).value_or(TimePoint());
+  if (now - current > m_follower.times().hedge_age) {
+    m_hooks.feed(ServersUnreachable{std::max(current, loop->failed_since)});
+  }
+}
+
+void FleetFeed::NoteReachable(Loop* loop, bool reached) {
+  if (reached == loop->reachable) return;
+  loop->reachable = reached;
+  LogEvent(
+      reached ? "platform_regained" : "platform_lost",
+      {{"kind", loop->objects}, {"revision", std::to_string(loop->revision)}});
+}
+
+// Entries may lapse while the platform is away. A follower sees that nobody
+// knows anything new.
+void FleetFeed::NoteOutdated() {
+  std::optional<TimePoint> current = m_follower.CurrentAt(ChangeKind::kServers);
+  if (!current || m_servers.outdated || m_role.roles.reads_platform ||
+      m_hooks.now() - *current <= kOutage) {
+    return;
+  }
+  m_servers.outdated = true;
+  LogEvent("changes_outdated",
+           {{"revision", std::to_string(m_servers.revision)}});
+  m_hooks.feed(ServersUnreachable{*current});
+}
+
+// ---------------------------------------------------------------------------
+// Other daemons.
+
+void FleetFeed::OnPeer(const std::string& peer, const ChangeNews& news,
+                       TimePoint as_of) {
+  Loop* loop = &LoopOf(news.kind);
+  m_follower.PeerHeard(peer, news.kind, as_of, m_hooks.now());
+  if (!loop->listed) return;
+  platform::ObjectBatch batch;
+  batch.status = platform::ObjectBatch::Status::kOk;
+  batch.revision = news.delta.revision;
+  batch.objects = news.delta.objects;
+  Learn(loop, news.delta.whole, batch, as_of, peer);
+}
+
+void FleetFeed::OnPeerLost(const std::string& peer, const std::string& detail) {
+  LogEvent("change_source_left", {{"from", peer}, {"reason", detail}});
+  m_follower.PeerLost(peer, m_hooks.now());
+}
+
+// ---------------------------------------------------------------------------
+// What was learned.
+
+// Sources overtake each other, so what one tells may be older than what is
+// known. Each tells the state that objects have at its revision, never a state
+// in between, so a newer revision can be taken whole.
+void FleetFeed::Learn(Loop* loop, bool whole,
+                      const platform::ObjectBatch& batch, TimePoint as_of,
+                      const std::string& source) {
+  bool newer = batch.revision > loop->revision;
+  bool fresh = m_hooks.now() - as_of <= kOutage;
+  platform::ObjectBatch known;
+  known.status = batch.status;
+  known.revision = std::max(loop->revision, batch.revision);
+  if (newer) known.objects = batch.objects;
+  loop->revision = known.revision;
+  if (whole && newer) {
+    m_relay->Replaced(loop->kind, known, as_of);
+    loop->listed_all(known);
+  } else {
+    m_relay->Changed(loop->kind, known, as_of);
+    // An answer without changes tells the list that it's current again.
+    bool regained = loop->outdated && fresh;
+    if (!known.objects.empty() || regained || source.empty()) {
+      loop->changed(known);
+    }
+  }
+  if (fresh) loop->outdated = false;
 }
 
 void FleetFeed::Later(Loop* loop, milliseconds delay) {
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -2,6 +2,7 @@
 #ifndef DAEMON_FLEET_FEED_H_
 #define DAEMON_FLEET_FEED_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -9,17 +10,18 @@
 #include <memory>
 #include <string>
 
+#include "core/change_follower.h"
 #include "core/fleet_control.h"
 #include "core/jitter.h"
-#include "core/watch_source.h"
+#include "daemon/change_client.h"
 #include "daemon/change_relay.h"
 #include "platform/platform.h"
 
 namespace clementine {
 
-/// Two loops, for backend servers and for the configuration: list, then watch
-/// from the list's revision; list again when that history is gone. What was
-/// read last stays in use while the platform is away.
+/// Carries out what ChangeFollower decides, for backend servers and for the
+/// configuration: list once, then watch or subscribe to other daemons. What was
+/// read last stays in use while nothing newer can be had.
 class FleetFeed {
  public:
   struct Hooks {
@@ -30,22 +32,18 @@
   };
   /// How this daemon takes part in spreading changes.
   struct Role {
-    /// Reads changes of servers as soon as they come, as the planner needs
-    /// them. Each answer is a priced call, so other daemons let changes of some
-    /// hundred milliseconds come together.
+    ChangeRoles roles;
+    /// Reads changes of servers as soon as they come. Each answer is a priced
+    /// call, so daemons on whom no other relies let changes come together.
     bool prompt = true;
-    /// Others are told by this one, so it must notice a silent platform soon.
-    bool source = false;
-    /// Daemons that tell this one; empty: it watches the platform.
-    std::vector<std::string> peers;
   };
 
   /// @param store Outlives the feed.
-  /// @param relay Is told what this daemon reads from the platform.
-  /// @param leaving_notice As in the settings; bounds how old the list may be.
+  /// @param relay Is told all that this daemon learns.
+  /// @param bound Time within which changes have to be in force.
   FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
-            ChangeRelay* relay, const std::string& node, std::uint64_t seed,
-            milliseconds leaving_notice, Hooks hooks);
+            ChangeRelay* relay, std::uint64_t seed, milliseconds bound,
+            Hooks hooks);
   ~FleetFeed();
   FleetFeed(const FleetFeed&) = delete;
   FleetFeed& operator=(const FleetFeed&) = delete;
@@ -54,43 +52,61 @@
 
   void SetRole(const Role& role);
 
+  /// Does what has become due; called every few tens of milliseconds.
+  void Tick();
+
+  /// Since when changes may be missing; the longest before the first lists.
+  TimePoint::duration Age() const { return m_follower.Age(m_hooks.now()); }
+
  private:
-  /// One kind of objects that is listed and watched.
+  /// One kind of objects.
   struct Loop {
     explicit Loop(boost::asio::io_context* io) : timer(*io) {}
 
-    std::string kind;
+    ChangeKind kind = ChangeKind::kServers;
+    const char* objects = "";  ///< The platform's name of the kind.
     boost::asio::steady_timer timer;
     std::uint64_t revision = 0;
     bool listed = false;
-    std::string source;     ///< Peer of the last answer; empty: the platform.
-    bool reachable = true;  ///< By the last answer; for the log.
-    int failures = 0;
+    bool running = false;   ///< A list, a watch or a pause is under way.
+    bool reachable = true;  ///< By the platform's last answer; for the log.
+    bool outdated = false;  ///< Told to the hooks as unreachable.
+    int failures = 0;       ///< Of the platform, since its last answer.
+    TimePoint failed_since;
     std::function<void(const platform::ObjectBatch&)> listed_all;
     std::function<void(const platform::ObjectBatch&)> changed;
-    std::function<void()> failed;
   };
 
+  Loop& LoopOf(ChangeKind kind) {
+    return kind == ChangeKind::kServers ? m_servers : m_configuration;
+  }
   void Next(Loop* loop);
-  void WatchPlatform(Loop* loop);
-  void OnPlatform(Loop* loop, bool list, const platform::ObjectBatch& batch);
-  void OnPeer(Loop* loop, const std::string& peer,
-              const platform::ObjectBatch& batch);
-  void NoteSource(Loop* loop, const std::string& source);
-  void OnBatch(Loop* loop, bool list, const platform::ObjectBatch& batch);
+  void OnPlatform(Loop* loop, bool list, TimePoint sent, milliseconds wait,
+                  const platform::ObjectBatch& batch);
+  void Ask(const ChangeFollower::AskPlatform& ask);
+  void OnAsked(Loop* loop, TimePoint sent, const platform::ObjectBatch& batch);
+  void OnPeer(const std::string& peer, const ChangeNews& news, TimePoint as_of);
+  void OnPeerLost(const std::string& peer, const std::string& detail);
+  void Learn(Loop* loop, bool whole, const platform::ObjectBatch& batch,
+             TimePoint as_of, const std::string& source);
+  void Failed(Loop* loop);
+  void NoteReachable(Loop* loop, bool reached);
+  void NoteOutdated();
   void Later(Loop* loop, milliseconds delay);
+  milliseconds WatchWait() const;
+  milliseconds Pause(const Loop& loop, bool empty) const;
   void TakeConfiguration(const platform::StoredObject& object);
 
   platform::ObjectStore* m_store;
   ChangeRelay* m_relay;
-  ChangeClient m_peers;
-  WatchSource m_source;
+  milliseconds m_bound;
   Hooks m_hooks;
+  ChangeFollower m_follower;
+  ChangeClient m_peers;
   Jitter m_jitter;
   Loop m_servers;
   Loop m_configuration;
   std::uint64_t m_version = 0;  ///< Of the configuration in force.
-  milliseconds m_leaving_notice;
   Role m_role;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -79,6 +79,8 @@
     }
   }
 
+  void ForgetIdle() { m_idle.clear(); }
+
   std::uint64_t calls() const { return m_calls; }
 
  private:
@@ -225,6 +227,8 @@
                 std::move(body), extra_time, std::move(done));
 }
 
+void HttpTransport::ForgetIdle() { m_impl->ForgetIdle(); }
+
 std::uint64_t HttpTransport::calls() const { return m_impl->calls(); }
 
 }  // namespace clementine
--- a/net/http_transport.h
+++ b/net/http_transport.h
@@ -41,6 +41,9 @@
              std::chrono::milliseconds extra_time,
              std::function<void(const Answer&)> done);
 
+  /// Closes idle connections, so that the next calls make new ones.
+  void ForgetIdle();
+
   /// Calls made so far, failed ones included.
   std::uint64_t calls() const;
 
--- /dev/null
+++ b/testing/change_world.cc
@@ -0,0 +1,282 @@
+// Each kind has one object whose content is its version.
+
+#include "testing/change_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine::testing {
+namespace {
+
+constexpr milliseconds kChangeInterval{130};
+constexpr milliseconds kLinkLatency{2};
+constexpr milliseconds kSlowLatency{250};
+constexpr milliseconds kCallTimeout{1'000};
+constexpr milliseconds kBackoff{500};
+constexpr milliseconds kStartTime{60};
+
+platform::StoredObject Object(std::uint64_t version, std::uint64_t revision) {
+  return {"object", revision, std::to_string(version), false};
+}
+
+}  // namespace
+
+ChangeWorld::ChangeWorld(milliseconds bound, bool ghosts, std::uint64_t seed)
+    : m_bound(bound), m_random(seed) {
+  const std::map<std::string, std::vector<std::string>> peers = {
+      {"a0", {"a1", "b0", "c0"}},       {"a1", {"a0", "b0", "c0"}},
+      {"a2", {"a0", "a1", "c0", "b0"}}, {"a3", {"a0", "a1", "b0", "c0"}},
+      {"b0", {"b1", "a0", "c0"}},       {"b1", {"b0", "c0", "a0"}},
+      {"c0", {"c1", "b0", "a0"}},       {"c1", {"c0", "a0", "b0"}}};
+  for (auto& made : m_made) made.emplace_back(m_now, m_revision);
+  for (const auto& [name, list] : peers) {
+    ChangeSources& sources = m_sources[name];
+    sources.reads_platform = name.back() == '0';
+    sources.watch_wait = DeriveFollowTimes(bound).platform_wait;
+    sources.peers = list;
+    if (ghosts) sources.peers.insert(sources.peers.begin(), {"g0", "g1"});
+    m_daemons[name].name = name;
+  }
+  for (auto& [name, daemon] : m_daemons) Start(&daemon);
+}
+
+void ChangeWorld::Start(Daemon* daemon) {
+  std::string name = daemon->name;
+  *daemon = Daemon();
+  daemon->name = name;
+  daemon->follower = std::make_unique<ChangeFollower>(m_bound, m_random());
+  daemon->follower->SetSources(m_sources.at(name));
+  daemon->reads = m_sources.at(name).reads_platform;
+  daemon->next_watch.fill(m_now + kStartTime);
+}
+
+void ChangeWorld::SetFault(const std::string& name, DaemonFault fault) {
+  Daemon& daemon = m_daemons.at(name);
+  if (fault == DaemonFault::kDead || fault == DaemonFault::kRestarted) {
+    for (auto& [other, peer] : m_daemons) {
+      if (peer.streams.erase(name) > 0) peer.follower->PeerLost(name, m_now);
+      peer.subscribers.remove_if(
+          [&](const Subscriber& to) { return to.name == name; });
+    }
+    Start(&daemon);
+  }
+  daemon.fault = fault;
+}
+
+void ChangeWorld::Run(milliseconds time) {
+  for (milliseconds passed{0}; passed < time; passed += kStep) Step();
+}
+
+void ChangeWorld::Change() {
+  if (m_now < m_next_change) return;
+  m_next_change = m_now + kChangeInterval;
+  m_made[m_revision % kChangeKinds].emplace_back(m_now, m_revision + 1);
+  ++m_revision;
+}
+
+void ChangeWorld::Step() {
+  m_now += kStep;
+  Change();
+  for (auto& [name, daemon] : m_daemons) {
+    if (Runs(daemon)) StepDaemon(&daemon);
+  }
+  for (auto& [name, daemon] : m_daemons) Check(daemon);
+}
+
+void ChangeWorld::StepDaemon(Daemon* daemon) {
+  for (std::size_t kind = 0; kind < kChangeKinds; ++kind) Read(daemon, kind);
+  StepCalls(daemon);
+  Take(daemon);
+  for (const auto& action : daemon->follower->Advance(m_now)) {
+    if (const auto* open = std::get_if<ChangeFollower::Subscribe>(&action)) {
+      Subscribe(daemon, open->peer);
+    } else if (const auto* end =
+                   std::get_if<ChangeFollower::Unsubscribe>(&action)) {
+      std::uint64_t stream = std::exchange(daemon->streams[end->peer], 0);
+      auto peer = m_daemons.find(end->peer);
+      if (peer == m_daemons.end()) continue;
+      peer->second.subscribers.remove_if(
+          [&](const Subscriber& to) { return to.stream == stream; });
+    } else {
+      const auto& ask = std::get<ChangeFollower::AskPlatform>(action);
+      Call call;
+      call.kind = ask.kind;
+      call.ask = true;
+      call.since = daemon->revisions[static_cast<std::size_t>(ask.kind)];
+      call.sent = m_now;
+      daemon->calls.push_back(call);
+      ++m_calls;
+    }
+  }
+  for (Subscriber& to : daemon->subscribers) {
+    if (m_now - to.sent < daemon->follower->times().beat) continue;
+    for (std::size_t kind = 0; kind < kChangeKinds; ++kind) {
+      Send(daemon, &to, kind);
+    }
+  }
+}
+
+void ChangeWorld::Read(Daemon* daemon, std::size_t kind) {
+  bool due = !daemon->watching[kind] && m_now >= daemon->next_watch[kind] &&
+             (daemon->reads || !daemon->listed[kind]);
+  if (!due) return;
+  Call call;
+  call.kind = static_cast<ChangeKind>(kind);
+  call.list = !daemon->listed[kind];
+  call.since = daemon->revisions[kind];
+  call.sent = m_now;
+  if (!call.list) call.wait = daemon->follower->times().platform_wait;
+  daemon->watching[kind] = true;
+  daemon->calls.push_back(call);
+  ++m_calls;
+}
+
+void ChangeWorld::StepCalls(Daemon* daemon) {
+  for (auto it = daemon->calls.begin(); it != daemon->calls.end();) {
+    Call& call = *it;
+    const auto& made = m_made[static_cast<std::size_t>(call.kind)];
+    bool reaches = daemon->fault != DaemonFault::kCut &&
+                   daemon->fault != DaemonFault::kRefused;
+    bool changed = call.list || made.back().second > call.since;
+    bool waited = m_now - call.sent >= call.wait;
+    if (!call.answered && reaches && !call.lost && (changed || waited)) {
+      call.answered = m_now;
+      std::uniform_real_distribution<double> chance(0.0, 1.0);
+      call.lost = chance(m_random) < m_lost_answers;
+      call.batch.status = platform::ObjectBatch::Status::kOk;
+      call.batch.revision = m_revision;
+      if (changed) {
+        call.batch.objects.push_back(Object(made.size(), made.back().second));
+      }
+    }
+    bool refused = daemon->fault == DaemonFault::kRefused && !call.answered;
+    bool arrived = call.answered && !call.lost &&
+                   m_now - *call.answered >= m_store_latency;
+    bool failed = refused || m_now - call.sent > call.wait + kCallTimeout;
+    if (!arrived && !failed) {
+      ++it;
+      continue;
+    }
+    Call ended = call;
+    it = daemon->calls.erase(it);
+    Answer(daemon, ended, !arrived);
+  }
+}
+
+void ChangeWorld::Answer(Daemon* daemon, const Call& call, bool failed) {
+  auto kind = static_cast<std::size_t>(call.kind);
+  if (!call.ask) {
+    daemon->watching[kind] = false;
+    daemon->next_watch[kind] =
+        m_now + (failed ? kBackoff : daemon->follower->times().gather);
+  }
+  if (failed) {
+    daemon->follower->PlatformFailed();
+    return;
+  }
+  bool waited = call.batch.objects.empty();
+  TimePoint as_of = waited ? call.sent + call.wait : call.sent;
+  daemon->follower->PlatformAnswered(call.kind, as_of);
+  if (call.list) daemon->listed[kind] = true;
+  Learn(daemon, kind, call.list, call.batch, as_of);
+}
+
+void ChangeWorld::Take(Daemon* daemon) {
+  for (auto it = daemon->inbox.begin(); it != daemon->inbox.end();) {
+    if (it->at > m_now) {
+      ++it;
+      continue;
+    }
+    Line line = *it;
+    it = daemon->inbox.erase(it);
+    if (daemon->streams[line.from] != line.stream) continue;
+    daemon->follower->PeerHeard(line.from, line.kind, line.as_of, m_now);
+    platform::ObjectBatch batch;
+    batch.revision = line.delta.revision;
+    batch.objects = line.delta.objects;
+    auto kind = static_cast<std::size_t>(line.kind);
+    if (daemon->listed[kind]) {
+      Learn(daemon, kind, line.delta.whole, batch, line.as_of);
+    }
+  }
+}
+
+void ChangeWorld::Learn(Daemon* daemon, std::size_t kind, bool whole,
+                        const platform::ObjectBatch& batch, TimePoint as_of) {
+  platform::ObjectBatch known = batch;
+  bool newer = batch.revision > daemon->revisions[kind];
+  known.revision = std::max(batch.revision, daemon->revisions[kind]);
+  if (!newer) known.objects.clear();
+  daemon->revisions[kind] = known.revision;
+  for (const platform::StoredObject& object : known.objects) {
+    daemon->versions[kind] = std::stoull(object.content);
+  }
+  ChangeHistory& history = daemon->histories[kind];
+  TimePoint before = history.known() ? history.as_of() : TimePoint();
+  if (whole && newer) {
+    history.Replace(known, as_of);
+  } else {
+    history.Add(known, as_of);
+  }
+  if (!newer && history.known() && history.as_of() == before) return;
+  for (Subscriber& to : daemon->subscribers) Send(daemon, &to, kind);
+}
+
+void ChangeWorld::Send(Daemon* source, Subscriber* to, std::size_t kind) {
+  const ChangeHistory& history = source->histories[kind];
+  bool slow = source->fault == DaemonFault::kSlow;
+  Line line;
+  line.at = m_now + (slow ? kSlowLatency : kLinkLatency);
+  line.from = source->name;
+  line.stream = to->stream;
+  line.kind = static_cast<ChangeKind>(kind);
+  line.delta = history.After(to->known[kind]);
+  line.as_of = history.as_of();
+  to->known[kind] = std::max(to->known[kind], line.delta.revision);
+  to->sent = m_now;
+  m_daemons.at(to->name).inbox.push_back(line);
+}
+
+void ChangeWorld::Subscribe(Daemon* daemon, const std::string& peer) {
+  auto found = m_daemons.find(peer);
+  bool there = found != m_daemons.end();
+  if (there && found->second.fault == DaemonFault::kSilent) {
+    daemon->streams[peer] = ++m_last_stream;
+    return;
+  }
+  bool knows = there && Runs(found->second) &&
+               found->second.histories[0].known() &&
+               found->second.histories[1].known();
+  if (!knows) {
+    daemon->follower->PeerLost(peer, m_now);
+    return;
+  }
+  Daemon& source = found->second;
+  daemon->streams[peer] = ++m_last_stream;
+  source.subscribers.push_back(
+      {daemon->name, m_last_stream, daemon->revisions, m_now});
+  for (std::size_t kind = 0; kind < kChangeKinds; ++kind) {
+    Send(&source, &source.subscribers.back(), kind);
+  }
+}
+
+// A daemon is sound if nothing is wrong with itself. One that has just started
+// has as much time as a change.
+void ChangeWorld::Check(const Daemon& daemon) {
+  if (daemon.fault != DaemonFault::kNone) return;
+  for (std::size_t kind = 0; kind < kChangeKinds; ++kind) {
+    if (daemon.versions[kind] >= m_made[kind].size()) continue;
+    auto current = daemon.follower->CurrentAt(static_cast<ChangeKind>(kind));
+    TimePoint missed = m_made[kind][daemon.versions[kind]].first;
+    if (current && *current > missed) ++m_overclaims;
+    // The oldest version that it lacks.
+    auto lacked = std::chrono::duration_cast<milliseconds>(
+        m_now - m_made[kind][daemon.versions[kind]].first);
+    if (lacked > m_worst) {
+      m_worst = lacked;
+      m_worst_daemon = daemon.name;
+    }
+  }
+}
+
+}  // namespace clementine::testing
--- a/testing/node_directory_test.cc
+++ b/testing/node_directory_test.cc
@@ -71,32 +71,82 @@
 }
 
 // Guards against a data centre without a source of changes, with all daemons as
-// sources, or with followers of another one's.
-TEST_CASE("node directories agree on two sources of changes a data centre") {
+// sources, or with followers of another one's; against the planner as a source;
+// and against a source whose link all changes for all daemons go through.
+TEST_CASE("node directories agree on one source of changes a data centre") {
   std::vector<std::pair<std::string, std::string>> nodes;
-  for (int n = 0; n < 40; ++n) {
+  for (int n = 0; n < 80; ++n) {
     std::string name = "n" + std::to_string(n);
     nodes.emplace_back(name, fmt::format("1/1/5 - dc{} {}:1", n % 2, name));
   }
   std::map<std::string, std::set<std::string>> sources;
-  std::map<std::string, std::set<std::string>> followed;
-  for (int n = 0; n < 40; ++n) {
+  std::map<std::string, std::string> follows;  // By the address of a daemon.
+  std::map<std::string, int> followers;
+  for (int n = 0; n < 80; ++n) {
     std::string name = "n" + std::to_string(n);
     std::string centre = "dc" + std::to_string(n % 2);
     NodeDirectory directory(name, 1, 1);
     directory.SetContact(centre, name + ":1");
     directory.Listed({true, nodes}, kStart);
-    if (directory.IsChangeSource()) {
+    const ChangeRoles& roles = directory.change_roles();
+    CHECK(roles.reads_platform == roles.is_source);
+    CHECK(std::find(roles.peers.begin(), roles.peers.end(), name + ":1") ==
+          roles.peers.end());
+    // Another one near, and one of the other data centre.
+    CHECK(roles.peers.size() >= 3);
+    if (roles.is_source) {
+      CHECK(directory.Rank() >= NodeDirectory::kStandbys);
       sources[centre].insert(name + ":1");
-      CHECK(directory.ChangeSources().empty());
     } else {
-      followed[centre].insert(directory.ChangeSources().begin(),
-                              directory.ChangeSources().end());
+      follows[name + ":1"] = roles.peers.front();
+      ++followers[roles.peers.front()];
     }
   }
-  CHECK(sources["dc0"].size() == 2);
-  CHECK(sources["dc1"].size() == 2);
-  CHECK(sources == followed);
+  CHECK(sources["dc0"].size() == 1);
+  CHECK(sources["dc1"].size() == 1);
+  for (const auto& entry : follows) {
+    const std::string& address = entry.first;
+    CAPTURE(address);
+    // At most one other daemon is between it and the source of its centre.
+    std::string last = entry.second;
+    if (follows.count(last) > 0) last = follows[last];
+    int number = std::stoi(address.substr(1));
+    CHECK(sources["dc" + std::to_string(number % 2)].count(last) == 1);
+  }
+  for (const auto& [address, count] : followers) CHECK(count <= 20);
+}
+
+// Guards against a fleet in one place that hangs on one daemon.
+TEST_CASE("two daemons read the platform when there is one data centre") {
+  std::vector<std::pair<std::string, std::string>> nodes;
+  for (int n = 0; n < 40; ++n) {
+    std::string name = "n" + std::to_string(n);
+    nodes.emplace_back(name, fmt::format("1/1/5 - dc {}:1", name));
+  }
+  int readers = 0;
+  for (const auto& [name, value] : nodes) {
+    NodeDirectory directory(name, 1, 1);
+    directory.SetContact("dc", name + ":1");
+    directory.Listed({true, nodes}, kStart);
+    readers += directory.change_roles().reads_platform ? 1 : 0;
+  }
+  CHECK(readers == 2);
+}
+
+// Guards against a small fleet whose daemons can't help each other while the
+// platform turns some of them away.
+TEST_CASE("daemons of a small fleet read the platform and know each other") {
+  NodeDirectory directory("n0", 1, 1);
+  directory.SetContact("dc0", "n0:1");
+  directory.Listed({true,
+                    {{"n0", "1/1/5 - dc0 n0:1"},
+                     {"n1", "1/1/5 - dc0 n1:1"},
+                     {"n2", "1/1/5 - dc1 n2:1"}}},
+                   kStart);
+  const ChangeRoles& roles = directory.change_roles();
+  CHECK(roles.reads_platform);
+  CHECK_FALSE(roles.is_source);
+  CHECK(roles.peers.size() == 2);
 }
 
 // Guards against sources that stay after they are gone.
@@ -109,16 +159,15 @@
   NodeDirectory directory("n0", 1, 1);
   directory.SetContact("dc", "n0:1");
   directory.Listed({true, nodes}, kStart);
-  std::vector<std::string> before = directory.ChangeSources();
-  REQUIRE(before.size() == 2);
+  std::vector<std::string> before = directory.change_roles().peers;
+  REQUIRE_FALSE(before.empty());
   std::erase_if(
       nodes, [&](const auto& node) { return node.first + ":1" == before[0]; });
   for (auto& [name, value] : nodes) value.replace(0, 3, "1/2");
   TimePoint later = kStart + std::chrono::seconds(60);
   directory.Listed({true, nodes}, later);
-  CHECK(std::find(directory.ChangeSources().begin(),
-                  directory.ChangeSources().end(),
-                  before[0]) == directory.ChangeSources().end());
+  const std::vector<std::string>& after = directory.change_roles().peers;
+  CHECK(std::find(after.begin(), after.end(), before[0]) == after.end());
 }
 
 // Guards against calls to the platform that grow with the square of the fleet:
