Send no requests to a server before the time that its refusal named

Its groups leave the pools, so capacity, admission and refusals see it at once; with no group left callers are refused at once with the time of the first server. Fractions and dates are read.

--- a/core/core.h
+++ b/core/core.h
@@ -180,6 +180,12 @@
 struct AttemptStalled {
   AttemptId attempt = 0;
 };
+/// A backend server answered, to whatever it was asked, that it wants no
+/// request for a time.
+struct ServerBusy {
+  std::string host;
+  milliseconds wait{0};
+};
 struct LoadReported {
   LoadReport load;
   milliseconds age{0};
@@ -218,9 +224,9 @@
 
 using RequestEvent =
     std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
-                 AttemptStalled, LoadReported, CacheEvents, GroupsChanged,
-                 ConfigurationChanged, QuarantineLearned, DaemonsChanged,
-                 DrainStarted, ObjectReply, Tick>;
+                 AttemptStalled, ServerBusy, LoadReported, CacheEvents,
+                 GroupsChanged, ConfigurationChanged, QuarantineLearned,
+                 DaemonsChanged, DrainStarted, ObjectReply, Tick>;
 
 enum class RefusalReason {
   kUnknownModel,
--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -71,7 +71,7 @@
   Pool* pool = m_router.FindPool(request);
   if (pool == nullptr || pool->size() == 0) {
     if (!ClaimNeeded(request)) {
-      refuse(RefusalReason::kNoGroup, kDefaultRetryAfter);
+      refuse(RefusalReason::kNoGroup, GroupWait(pool));
       return;
     }
     // A resend is answered from the claim of the call before it, which needs
@@ -175,7 +175,7 @@
       m_admission.Remove(id);
       Claim(active);
     } else {
-      RefuseActive(active, RefusalReason::kNoGroup, kDefaultRetryAfter);
+      RefuseActive(active, RefusalReason::kNoGroup, GroupWait(active->pool));
     }
   }
 }
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -21,6 +21,7 @@
 constexpr int kClientErrors = 400;
 constexpr int kServerErrors = 500;
 constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 int Priority(RequestClass request_class) {
   switch (request_class) {
@@ -58,6 +59,30 @@
   return nullptr;
 }
 
+void RequestPath::Impl::HeedPatience(const Active& active,
+                                     const AttemptEnded& event) {
+  const std::string& host = active.group->view.leader_host;
+  if (event.status == kUnavailable && event.retry_after > milliseconds(0)) {
+    On(ServerBusy{host, event.retry_after});
+  } else if (!ProvesNotRun(event.result)) {
+    m_router.Took(host);
+  }
+}
+
+void RequestPath::Impl::On(const ServerBusy& event) {
+  m_router.HoldBack(event.host, event.wait, m_now);
+  m_actions.push_back(LogDecision{
+      "server_busy",
+      {{"host", event.host}, {"wait_ms", std::to_string(event.wait.count())}}});
+  RefuseWithoutGroups();
+}
+
+milliseconds RequestPath::Impl::GroupWait(const Pool* pool) const {
+  if (pool == nullptr || !pool->patient_until) return kDefaultRetryAfter;
+  return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(
+                                       *pool->patient_until - m_now));
+}
+
 void RequestPath::Impl::DispatchNow(Active* active) {
   if (m_now >= active->request.deadline) {
     RefuseActive(active, RefusalReason::kDeadline, kDefaultRetryAfter);
@@ -85,7 +110,7 @@
     return;
   }
   if (group == nullptr) {
-    RefuseActive(active, RefusalReason::kNoGroup, kDefaultRetryAfter);
+    RefuseActive(active, RefusalReason::kNoGroup, GroupWait(active->pool));
     return;
   }
   Start(active, group);
@@ -150,7 +175,7 @@
     ReleaseGroup(active);
   }
   if (pool.size() == 0) {
-    RefuseActive(active, RefusalReason::kNoGroup, kDefaultRetryAfter);
+    RefuseActive(active, RefusalReason::kNoGroup, GroupWait(active->pool));
     return true;
   }
   if (active->group == nullptr) {
@@ -164,7 +189,7 @@
       if (pool.isolated > 0) {
         return false;
       }
-      RefuseActive(active, RefusalReason::kNoGroup, kDefaultRetryAfter);
+      RefuseActive(active, RefusalReason::kNoGroup, GroupWait(active->pool));
       return true;
     }
     active->group = group;
@@ -207,6 +232,7 @@
   }
   active.may_have_run = true;
   if (active.first_progress == TimePoint()) {
+    m_router.Took(active.group->view.leader_host);
     active.first_progress = m_now;
     active.first_offset = event.offset;
     active.group->pace.AddFirstProgress(
@@ -266,6 +292,7 @@
   }
   bool alone = active->alone;
   active->failed_group = active->group->view.group;
+  HeedPatience(*active, event);
   FreeGroup(active);
   if (event.result != AttemptResult::kComplete) {
     OnFailure(active, event);
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -94,6 +94,7 @@
   void On(const AttemptProgress& event);
   void On(const AttemptEnded& event);
   void On(const AttemptStalled& event);
+  void On(const ServerBusy& event);
   void On(const LoadReported& event);
   void On(const CacheEvents& event);
   void On(const GroupsChanged& event);
@@ -126,6 +127,9 @@
   void ReleaseGroup(Active* active);
   void Measure(const Active& active, AttemptResult result);
   const GroupState* Failed(const Active& active) const;
+  void HeedPatience(const Active& active, const AttemptEnded& event);
+  /// Time after which a caller may find a group of a pool that has none now.
+  milliseconds GroupWait(const Pool* pool) const;
 
   // Ends of attempts.
   void OnCrash(const std::string& digest, const std::string& group,
--- a/core/router.cc
+++ b/core/router.cc
@@ -39,7 +39,9 @@
   return adapter.empty() ? "model/" + model : "model/" + model + "/" + adapter;
 }
 
-int Capacity(const GroupView& view) { return std::max(1, view.max_running); }
+int Capacity(const GroupState& group) {
+  return group.cautious ? 1 : std::max(1, group.view.max_running);
+}
 
 }  // namespace
 
@@ -63,7 +65,8 @@
     : m_data_centre(std::move(data_centre)),
       m_random(seed),
       m_policy(std::move(policy)),
-      m_cache(kMaxCachedBlocks) {}
+      m_cache(kMaxCachedBlocks),
+      m_patience(seed + 1) {}
 
 void Router::SetGroups(const std::vector<GroupView>& groups) {
   ClearPools();
@@ -85,6 +88,11 @@
     }
     Update(state.get(), view);
   }
+  m_patience.Keep([&](const std::string& host) {
+    return std::any_of(
+        groups.begin(), groups.end(),
+        [&](const GroupView& view) { return view.leader_host == host; });
+  });
   RemoveUnused();
 }
 
@@ -98,6 +106,13 @@
   group->view = view;
   group->listed = true;
   group->near = view.data_centre == m_data_centre;
+  EnlistAll(group);
+}
+
+void Router::EnlistAll(GroupState* group) {
+  const GroupView& view = group->view;
+  group->cautious = m_patience.Judge(view.leader_host) ==
+                    ServerPatience::Verdict::kOneAtATime;
   // The pool is created for closed groups as well, so that a known model
   // without open groups differs from an unknown one.
   Enlist(group, PoolName(view.service, view.model, ""));
@@ -113,6 +128,11 @@
   if (!group->view.open || group->view.leaving || twice) {
     return;
   }
+  if (auto until = m_patience.Until(group->view.leader_host)) {
+    pool->patient_until =
+        std::min(pool->patient_until.value_or(*until), *until);
+    return;
+  }
   (group->near ? pool->near : pool->far).push_back(group);
   (group->near ? pool->near_in_flight : pool->far_in_flight) +=
       group->in_flight;
@@ -120,7 +140,7 @@
     ++pool->isolated;
   } else {
     (group->near ? pool->near_capacity : pool->far_capacity) +=
-        Capacity(group->view);
+        Capacity(*group);
   }
   group->pools.push_back(pool);
 }
@@ -134,9 +154,32 @@
     pool->near_in_flight = 0;
     pool->far_in_flight = 0;
     pool->isolated = 0;
+    pool->patient_until.reset();
+  }
+}
+
+void Router::EnlistAgain() {
+  ClearPools();
+  for (auto& [name, group] : m_groups) {
+    group->pools.clear();
+    if (group->listed) EnlistAll(group.get());
   }
 }
 
+void Router::HoldBack(const std::string& host, milliseconds wait,
+                      TimePoint now) {
+  m_patience.Asked(host, wait, now);
+  EnlistAgain();
+}
+
+void Router::Took(const std::string& host) {
+  if (m_patience.Took(host)) EnlistAgain();
+}
+
+void Router::EndPatience(TimePoint now) {
+  if (m_patience.Advance(now)) EnlistAgain();
+}
+
 void Router::RemoveUnused() {
   std::erase_if(m_groups, [this](const auto& entry) {
     const GroupState& group = *entry.second;
@@ -275,7 +318,7 @@
     std::chrono::duration<double> age = now - group.reported;
     others = group.others * std::exp2(-age / kReportHalfLife);
   }
-  return (group.in_flight + others + 1.0) / Capacity(group.view);
+  return (group.in_flight + others + 1.0) / Capacity(group);
 }
 
 double Router::Cost(const GroupState& group, double cached,
@@ -285,7 +328,7 @@
   if (group.kv_used > kKvNearlyFull) {
     cost += kKvCost;
   }
-  if (group.in_flight >= Capacity(group.view)) {
+  if (group.in_flight >= Capacity(group)) {
     cost += 1.0;
   }
   return cost;
@@ -390,7 +433,7 @@
     return;
   }
   group->isolated = isolated;
-  int change = isolated ? -Capacity(group->view) : Capacity(group->view);
+  int change = isolated ? -Capacity(*group) : Capacity(*group);
   for (Pool* pool : group->pools) {
     (group->near ? pool->near_capacity : pool->far_capacity) += change;
     pool->isolated += isolated ? 1 : -1;
--- a/core/router.h
+++ b/core/router.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -11,6 +12,7 @@
 
 #include "core/core.h"
 #include "core/prefix_cache.h"
+#include "core/server_patience.h"
 #include "core/straggler.h"
 
 namespace clementine {
@@ -23,6 +25,7 @@
   bool listed = false;    ///< In the last list of groups.
   bool isolated = false;  ///< Set apart for one suspect request.
   bool near = false;      ///< In this daemon's data centre.
+  bool cautious = false;  ///< Takes one request until its server took one.
   int in_flight = 0;      ///< Own attempts.
   double others = 0.0;    ///< Other daemons' requests when last reported.
   double kv_used = 0.0;
@@ -34,7 +37,7 @@
 
 /// Groups that can run the same requests: one model, model and adapter, or
 /// service. Invariant: `near` and `far` hold only open groups that aren't
-/// leaving.
+/// leaving and whose server hasn't asked for patience.
 struct Pool {
   std::string name;
   std::uint32_t id = 0;  ///< Never used twice.
@@ -47,6 +50,9 @@
   int reserved = 0;  ///< Admitted requests without an attempt.
   int isolated = 0;  ///< Groups set apart.
   int users = 0;     ///< Requests that refer to this pool.
+  /// When the first of the servers that asked for patience takes requests
+  /// again.
+  std::optional<TimePoint> patient_until;
 
   std::size_t size() const { return near.size() + far.size(); }
 };
@@ -92,12 +98,20 @@
                             TimePoint now) const;
   void SetIsolated(GroupState* group, bool isolated);
 
+  /// A server turned a request away and wants none for a time.
+  void HoldBack(const std::string& host, milliseconds wait, TimePoint now);
+  /// A server took a request.
+  void Took(const std::string& host);
+  /// Lets servers be asked again whose time is over.
+  void EndPatience(TimePoint now);
+
   void Started(GroupState* group) { Count(group, 1); }
   void Ended(GroupState* group);
 
  private:
   bool Eligible(const GroupState& group, const GroupState* avoid) const {
-    return !group.isolated && &group != avoid;
+    bool busy = group.cautious && group.in_flight > 0;
+    return !group.isolated && &group != avoid && !busy;
   }
   double Load(const GroupState& group, TimePoint now) const;
   double Cost(const GroupState& group, double cached, TimePoint now) const;
@@ -111,6 +125,8 @@
   bool NearIsFull(const Pool& pool) const;
   void Count(GroupState* group, int difference);
   void Update(GroupState* group, const GroupView& view);
+  void EnlistAll(GroupState* group);
+  void EnlistAgain();
   Pool* MakePool(const std::string& name);
   void Enlist(GroupState* group, const std::string& pool_name);
   void ClearPools();
@@ -125,6 +141,7 @@
   std::vector<GroupState*> m_slots;  ///< By slot; null when free.
   std::uint32_t m_last_pool = 0;
   PrefixCache m_cache;
+  ServerPatience m_patience;
   TimePoint m_refreshed;
 };
 
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -80,14 +80,6 @@
   return found != json.end() && found->is_boolean() && found->get<bool>();
 }
 
-milliseconds RetryAfter(std::string_view text) {
-  int seconds = 0;
-  auto [stop, error] =
-      std::from_chars(text.data(), text.data() + text.size(), seconds);
-  if (error != std::errc() || seconds < 0) return milliseconds(0);
-  return std::chrono::seconds(seconds);
-}
-
 const char* FaultName(EventStreamReader::Fault fault) {
   switch (fault) {
     case EventStreamReader::Fault::kGap:
@@ -443,7 +435,8 @@
   }
   m_not_run = judged == AnswerHead::kNotRun;
   m_end.content_type = std::string(answer[http::field::content_type]);
-  m_end.retry_after = RetryAfter(answer[http::field::retry_after]);
+  m_end.retry_after = ParseRetryAfter(answer[http::field::retry_after],
+                                      std::chrono::system_clock::now());
   std::string_view leaving = answer["leaving"];
   m_end.leaving = !leaving.empty() && leaving != "false" && leaving != "0";
   std::optional<LoadReport> load = ParseLoad(answer["X-Load"]);
--- a/net/backend_text.cc
+++ b/net/backend_text.cc
@@ -1,8 +1,13 @@
 // Text forms of the backend servers' protocol.
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <ctime>
+#include <iomanip>
+#include <locale>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "config/config.h"
 #include "net/net.h"
@@ -10,6 +15,9 @@
 namespace clementine {
 namespace {
 
+/// Seconds of a day; longer times are as good as none.
+constexpr double kLongestRetryAfter = 86'400.0;
+
 bool ParseCount(std::string_view text, int* value) {
   auto [stop, error] =
       std::from_chars(text.data(), text.data() + text.size(), *value);
@@ -26,6 +34,22 @@
 
 }  // namespace
 
+std::chrono::milliseconds ParseRetryAfter(
+    std::string_view text, std::chrono::system_clock::time_point now) {
+  double seconds = 0.0;
+  if (!ParseFraction(text, &seconds)) {
+    std::tm date{};
+    std::istringstream in{std::string(text)};
+    in.imbue(std::locale::classic());
+    in >> std::get_time(&date, "%a, %d %b %Y %H:%M:%S GMT");
+    if (in.fail()) return milliseconds(0);
+    auto then = std::chrono::system_clock::from_time_t(::timegm(&date));
+    seconds = std::chrono::duration<double>(then - now).count();
+  }
+  seconds = std::clamp(seconds, 0.0, kLongestRetryAfter);
+  return std::chrono::milliseconds(std::llround(seconds * 1000.0));
+}
+
 std::optional<LoadReport> ParseLoad(std::string_view text) {
   LoadReport load;
   bool found = false;
--- a/net/net.h
+++ b/net/net.h
@@ -199,6 +199,14 @@
 /// @return Nothing when the text is malformed; group and epoch are left empty.
 std::optional<LoadReport> ParseLoad(std::string_view text);
 
+/// Parses the time of a Retry-After header: seconds, which may have a fraction,
+/// or a date.
+/// @param now Time of day with which a date is compared.
+/// @return Zero when the text is malformed or the date has passed; at most a
+///     day.
+std::chrono::milliseconds ParseRetryAfter(
+    std::string_view text, std::chrono::system_clock::time_point now);
+
 /// Parses the JSON of `GET /v1/health`.
 /// @return Nothing when required members are missing or of a wrong type.
 std::optional<HostHealth> ParseHealth(const std::string& json);
--- a/testing/net_backend_client_test.cc
+++ b/testing/net_backend_client_test.cc
@@ -328,4 +328,24 @@
   CHECK(received == 0);
 }
 
+// Guards against a server's time that is read as none because it has a fraction
+// or is a date, and against values that break the reader.
+TEST_CASE("Retry-After is read as seconds, fractions and dates") {
+  // Fri, 04 Dec 2026 12:00:00 GMT.
+  auto now = std::chrono::system_clock::from_time_t(1'796'385'600);
+  auto parse = [&](const char* text) {
+    return ParseRetryAfter(text, now).count();
+  };
+  CHECK(parse("7") == 7'000);
+  CHECK(parse("0.25") == 250);
+  CHECK(parse("Fri, 04 Dec 2026 12:00:05 GMT") == 5'000);
+  CHECK(parse("Fri, 04 Dec 2026 11:00:00 GMT") == 0);
+  CHECK(parse("99999999999") == 86'400'000);
+  for (const char* text :
+       {"", "-1", "soon", "1e999", "nan", "inf", "7 s", "Fri, 99 Dec"}) {
+    CAPTURE(text);
+    CHECK(parse(text) == 0);
+  }
+}
+
 }  // namespace clementine::nettest
