Heed a server's own word that it leaves or is busy on every answer

Reports and orders ignored both notices. Change: platform/ reads the mark from the head of any answer but 421, which is another server's. The list of servers keeps it for that life of the server, whatever entries say, through outages and lapses; groups, plain servers and the planner see it at once, so a group is replaced before its member is lost. Refusals with a time of reports and orders hold requests back, and those of requests the planner's questions. Conclusion: marks aren't passed on between daemons yet; each learns by its own answers, and the planner by its questions within a second.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/server_patience.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -17,8 +18,8 @@
 constexpr milliseconds kCallTimeout{1'200};
 
 /// Daemons that don't stand by read the lease in such steps. Some of them are
-/// enough to take over when all standbys are lost at once; the rest matters when
-/// these are lost as well, and each read is a priced call.
+/// enough to take over when all standbys are lost at once; the rest matters
+/// when these are lost as well, and each read is a priced call.
 constexpr milliseconds kReserveDelay{4'000};
 constexpr milliseconds kFarReserveDelay{30'000};
 constexpr int kReserves = 8;
@@ -392,7 +393,9 @@
     if (added && !uncounted) {
       asked.next = m_now + m_jitter.Between(milliseconds(0), kAskInterval);
     }
-    if (asked.waiting || m_now < asked.next) continue;
+    if (asked.waiting || m_now < asked.next || m_now < asked.busy_until) {
+      continue;
+    }
     asked.waiting = true;
     m_actions.emplace_back(AskServer{id, server.address});
   }
@@ -432,6 +435,19 @@
   if (failed) asked.next = m_now + kAskInterval / 2;
 }
 
+void FleetControl::On(const ServerLeaving& event) {
+  if (!m_list.MarkLeaving(event.host, m_now)) return;
+  m_changed = true;
+  Log("server_leaving", {{"host", event.host}, {"source", event.source}});
+}
+
+void FleetControl::On(const ServerBusy& event) {
+  auto found = m_asked.find(event.host);
+  if (found == m_asked.end()) return;
+  found->second.busy_until =
+      m_now + std::min(event.wait, ServerPatience::kLongest);
+}
+
 void FleetControl::PlanOrders() {
   if (!m_configuration || !m_list.known()) return;
   m_planner.SetDemand(m_nodes.Demand());
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -48,6 +48,11 @@
   OrderResult result = OrderResult::kUnknown;
   std::string detail;  ///< For the log.
 };
+/// An answer of a backend server says that it's leaving.
+struct ServerLeaving {
+  std::string host;
+  std::string source;  ///< Of the answer; for the log.
+};
 /// Nothing came from a group for longer than its answers may pause.
 struct GroupSilent {
   std::string group;
@@ -60,10 +65,11 @@
   DemandCounts by_model;
 };
 
-using FleetEvent = std::variant<RequestsCounted, ServersListed, ServersChanged,
-                                ServersUnreachable, FleetConfigured,
-                                ServerAnswered, OrderEnded, GroupSilent,
-                                ObjectReply, NodesListed, DrainStarted, Tick>;
+using FleetEvent =
+    std::variant<RequestsCounted, ServersListed, ServersChanged,
+                 ServersUnreachable, FleetConfigured, ServerAnswered,
+                 ServerLeaving, ServerBusy, OrderEnded, GroupSilent,
+                 ObjectReply, NodesListed, DrainStarted, Tick>;
 
 // Actions (also GroupsChanged, DaemonsChanged, GetObject, PutObject, ListNodes
 // and LogDecision).
@@ -124,6 +130,7 @@
     TimePoint next;
     bool waiting = false;
     int failures = 0;
+    TimePoint busy_until;  ///< It wants no questions before.
   };
   struct Suspicion {
     std::uint64_t epoch = 0;
@@ -136,6 +143,8 @@
   void On(const ServersUnreachable& event);
   void On(const FleetConfigured& event);
   void On(const ServerAnswered& event);
+  void On(const ServerLeaving& event);
+  void On(const ServerBusy& event);
   void On(const OrderEnded& event);
   void On(const GroupSilent& event);
   void On(const ObjectReply& event);
--- a/core/server_list.cc
+++ b/core/server_list.cc
@@ -18,6 +18,9 @@
 /// rest is for those who act on it a little later.
 constexpr milliseconds kSettleTime{1'000};
 
+/// Entries that lapse come back sooner than this, if the server lives.
+constexpr milliseconds kRemembered{60'000};
+
 }  // namespace
 
 void ServerList::Reached(TimePoint now) {
@@ -36,9 +39,46 @@
   return m_reachable && now >= m_grace_until + kSettleTime;
 }
 
+void ServerList::Put(const BackendServer& server) {
+  BackendServer& known = m_servers[server.id];
+  known = server;
+  m_past.erase(server.id);
+  auto marked = m_marked.find(server.id);
+  if (marked == m_marked.end()) return;
+  if (marked->second == server.born) {
+    known.leaving = true;
+  } else if (marked->second < server.born) {
+    m_marked.erase(marked);
+  }
+}
+
+bool ServerList::MarkLeaving(const std::string& id, TimePoint now) {
+  std::erase_if(m_past, [&](const auto& entry) {
+    return now - entry.second.removed > kRemembered;
+  });
+  auto listed = m_servers.find(id);
+  auto past = m_past.find(id);
+  if (listed == m_servers.end() && past == m_past.end()) return false;
+  bool present = listed != m_servers.end();
+  m_marked[id] = present ? listed->second.born : past->second.born;
+  if (!present || listed->second.leaving) return false;
+  listed->second.leaving = true;
+  return true;
+}
+
+void ServerList::Forget(const std::string& id, TimePoint now) {
+  auto found = m_servers.find(id);
+  if (found == m_servers.end()) return;
+  m_past[id] = {found->second.born, now};
+  m_servers.erase(found);
+  std::erase_if(m_marked, [this](const auto& entry) {
+    return m_servers.count(entry.first) == 0 && m_past.count(entry.first) == 0;
+  });
+}
+
 void ServerList::Remove(const std::string& id, TimePoint now) {
   if (now >= m_grace_until) {
-    m_servers.erase(id);
+    Forget(id, now);
     m_lapsed.erase(id);
   } else {
     m_lapsed.emplace(id, m_grace_until);
@@ -56,9 +96,9 @@
     if (listed.count(id) == 0) missing.push_back(id);
   }
   for (const std::string& id : missing) Remove(id, now);
-  for (auto& [id, server] : listed) {
+  for (const auto& [id, server] : listed) {
     m_lapsed.erase(id);
-    m_servers[id] = std::move(server);
+    Put(server);
   }
 }
 
@@ -67,7 +107,7 @@
   for (const Change& change : changes) {
     if (change.server) {
       m_lapsed.erase(change.id);
-      m_servers[change.id] = *change.server;
+      Put(*change.server);
     } else {
       Remove(change.id, now);
     }
@@ -80,7 +120,7 @@
   if (!m_reachable) return removed;
   for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
     if (it->second <= now) {
-      m_servers.erase(it->first);
+      Forget(it->first, now);
       it = m_lapsed.erase(it);
       removed = true;
     } else {
--- a/core/server_list.h
+++ b/core/server_list.h
@@ -30,6 +30,10 @@
   /// The platform didn't answer, or refused.
   /// @param since The list may lack changes from then on.
   void Unreachable(TimePoint since);
+  /// A server said itself that it's leaving. That holds for this life of it,
+  /// whatever the list says, since the list may be older.
+  /// @return Whether that wasn't known.
+  bool MarkLeaving(const std::string& id, TimePoint now);
   /// Removes entries whose grace is over. @return Whether any was removed.
   bool Expire(TimePoint now);
 
@@ -45,8 +49,19 @@
  private:
   void Reached(TimePoint now);
   void Remove(const std::string& id, TimePoint now);
+  void Put(const BackendServer& server);
+  void Forget(const std::string& id, TimePoint now);
+
+  /// A life of a server that isn't listed any more.
+  struct Past {
+    std::int64_t born = 0;
+    TimePoint removed;
+  };
 
   std::map<std::string, BackendServer> m_servers;
+  std::map<std::string, Past> m_past;  ///< By id.
+  /// Servers that said that they are leaving, and their life.
+  std::map<std::string, std::int64_t> m_marked;
   std::map<std::string, TimePoint> m_lapsed;  ///< End of an entry's grace.
   bool m_known = false;
   bool m_reachable = false;
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -9,6 +9,7 @@
 
 #include "daemon/common_metrics.h"
 #include "fmt/format.h"
+#include "net/http_status.h"
 
 namespace clementine {
 namespace {
@@ -233,12 +234,34 @@
   m_backends->SetMaxIdle(static_cast<std::size_t>(most));
 }
 
+BackendHandlers FleetDaemon::NoticeHandlers(const std::string& host,
+                                            const char* source) {
+  BackendHandlers handlers;
+  handlers.head = [this, host, source](int status, const HttpHeaders& headers) {
+    if (platform::SaysLeaving(status, headers)) {
+      Feed(FleetEvent(ServerLeaving{host, source}));
+    }
+    return AnswerHead::kAnswer;
+  };
+  return handlers;
+}
+
+void FleetDaemon::NoteBusy(const std::string& host, const BackendEnd& end) {
+  if (end.status != http_status::kUnavailable ||
+      end.retry_after <= milliseconds(0)) {
+    return;
+  }
+  Feed(RequestEvent(ServerBusy{host, end.retry_after}));
+  Feed(FleetEvent(ServerBusy{host, end.retry_after}));
+}
+
 void FleetDaemon::SendOrder(const SendGroupOrder& send) {
   auto body = std::make_shared<std::string>();
-  BackendHandlers handlers;
+  BackendHandlers handlers = NoticeHandlers(send.host, "order");
   handlers.bytes = [body](std::string_view bytes) { body->append(bytes); };
   handlers.end = [this, host = send.host, order = send.order,
                   body](const BackendEnd& end) {
+    NoteBusy(host, end);
     OrderEnded ended{host, order, platform::ReadOrderAnswer(end), ""};
     ended.detail = fmt::format("{} {}{}", end.status, end.detail,
                                body->substr(0, kMostLoggedBytes));
@@ -250,9 +273,10 @@
 
 void FleetDaemon::Ask(const AskServer& ask) {
   auto body = std::make_shared<std::string>();
-  BackendHandlers handlers;
+  BackendHandlers handlers = NoticeHandlers(ask.host, "report");
   handlers.bytes = [body](std::string_view bytes) { body->append(bytes); };
   handlers.end = [this, host = ask.host, body](const BackendEnd& end) {
+    NoteBusy(host, end);
     ServerAnswered answered;
     answered.host = host;
     if (end.result == AttemptResult::kComplete) {
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -59,6 +59,9 @@
   void Execute(FleetAction action);
   void Adopt(FleetConfiguration configuration);
   void LimitIdleConnections();
+  /// Handlers that heed what an answer to our own calls says of its server.
+  BackendHandlers NoticeHandlers(const std::string& host, const char* source);
+  void NoteBusy(const std::string& host, const BackendEnd& end);
   void SendOrder(const SendGroupOrder& send);
   void Ask(const AskServer& ask);
   void ListAllNodes();
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -309,6 +309,10 @@
     attempt->streams = attempt->caller->route->kind == RouteKind::kStream &&
                        status == http_status::kOk;
   }
+  if (judged != AnswerHead::kForeign &&
+      platform::SaysLeaving(status, headers)) {
+    m_context.feed_fleet(ServerLeaving{attempt->host, "answer"});
+  }
   m_silence.Heard(attempt->id, /*event=*/false, m_context.now());
   return judged;
 }
@@ -370,6 +374,10 @@
             {"reused", end.reused ? "yes" : "no"},
             {"ms", Milliseconds(m_context.now() - attempt->started)},
             {"detail", end.detail}});
+  if (end.status == http_status::kUnavailable &&
+      end.retry_after > milliseconds(0)) {
+    m_context.feed_fleet(ServerBusy{attempt->host, end.retry_after});
+  }
   SuspectGroup(*attempt, end);
   m_silence.Ended(attempt->id);
   bool answered = end.result == AttemptResult::kComplete ||
--- a/testing/fleet_control_test.cc
+++ b/testing/fleet_control_test.cc
@@ -90,4 +90,59 @@
   CHECK(all <= 3 * 48 + 8 * 12 + 62 * 3);
 }
 
+// Guards against work for a plain server, and for a group, of which a member
+// says that it's leaving before the list does.
+TEST_CASE("a leaving server's group takes no new work at once") {
+  auto configuration = std::make_shared<FleetConfiguration>();
+  configuration->services["desk"].name = "desk";
+  FleetService& engine = configuration->services["engine"];
+  engine.name = "engine";
+  engine.engine = EngineSpec();
+  engine.engine->models = {
+      {"chat", 2, 1.0, 1.0, milliseconds(1), milliseconds(1)}};
+  FleetControl control(DaemonFixture::Options("n0"));
+  control.Handle(FleetConfigured{configuration}, kStart);
+  ServersListed listed;
+  for (const char* id : {"plain", "head", "member"}) {
+    BackendServer server;
+    server.id = id;
+    server.born = 5;
+    server.service = server.id == "plain" ? "desk" : "engine";
+    server.address = std::string(id) + ":1";
+    if (server.service == "engine") {
+      bool head = server.id == "head";
+      server.member = {
+          "chat.1", 1, head ? 0 : 1,
+          head ? GroupMemberState::kOpen : GroupMemberState::kReady};
+    }
+    listed.servers.push_back(server);
+  }
+  auto groups = [](const std::vector<FleetAction>& actions) {
+    std::map<std::string, bool> leaving;
+    for (const FleetAction& action : actions) {
+      const auto* changed = std::get_if<GroupsChanged>(&action);
+      if (changed == nullptr) continue;
+      for (const GroupView& view : changed->groups) {
+        leaving[view.group] = view.leaving;
+      }
+    }
+    return leaving;
+  };
+  auto before = groups(control.Handle(listed, kStart));
+  REQUIRE(before.size() == 2);
+  CHECK_FALSE(before.at("chat.1"));
+  CHECK_FALSE(before.at("desk/plain"));
+  auto member =
+      groups(control.Handle(ServerLeaving{"member", "report"}, kStart));
+  CHECK(member.at("chat.1"));
+  CHECK_FALSE(member.at("desk/plain"));
+  auto plain = groups(control.Handle(ServerLeaving{"plain", "answer"}, kStart));
+  CHECK(plain.at("desk/plain"));
+  // A list that is older says otherwise.
+  TimePoint now = kStart + milliseconds(50);
+  for (const auto& [group, leaving] : groups(control.Handle(listed, now))) {
+    CHECK(leaving);
+  }
+}
+
 }  // namespace clementine
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -210,6 +210,17 @@
 
 // Guards against an order that is taken for refused though it may be carried
 // out.
+TEST_CASE("adapter reads from any answer that its server is leaving") {
+  for (int status : {200, 404, 500, 503}) {
+    CHECK(platform::SaysLeaving(status, {{"server-leaving", "1"}}));
+    CHECK_FALSE(platform::SaysLeaving(status, {{"Server-Leaving", "0"}}));
+    CHECK_FALSE(platform::SaysLeaving(status, {{"Server", "x"}}));
+  }
+  // The answer of another server that got the address.
+  CHECK_FALSE(platform::SaysLeaving(421, {{"Server-Leaving", "1"}}));
+}
+
+// As the tests before.
 TEST_CASE("adapter encodes orders and reads their answers") {
   GroupOrder join;
   join.group = "m0.7";
--- a/testing/server_list_test.cc
+++ b/testing/server_list_test.cc
@@ -58,4 +58,59 @@
   CHECK(list.servers().size() == 1);
 }
 
+// Guards against work for a server that said itself that it's leaving, while
+// the list is stale, away, or says otherwise (DRAIN).
+TEST_CASE("a server's own word that it's leaving outlives what the list says") {
+  ServerList list;
+  BackendServer server = Server("a");
+  server.born = 5;
+  list.Replace({server}, kStart);
+  CHECK(list.MarkLeaving("a", kStart));
+  CHECK_FALSE(list.MarkLeaving("a", kStart));
+  CHECK(list.servers().at("a").leaving);
+  TimePoint now = kStart + milliseconds(100);
+  list.Apply({{"a", server}}, now);
+  CHECK(list.servers().at("a").leaving);
+  list.Unreachable(now);
+  now += milliseconds(20'000);
+  list.Replace({server}, now);
+  CHECK(list.servers().at("a").leaving);
+  // Its entry lapses and comes back.
+  list.Apply({{"a", std::nullopt}}, now + milliseconds(4'000));
+  CHECK(list.servers().empty());
+  list.Apply({{"a", server}}, now + milliseconds(5'000));
+  CHECK(list.servers().at("a").leaving);
+}
+
+// Guards against a new process that gets no work because an earlier one of the
+// same id has left, and against a mark of the new one that an older entry ends.
+TEST_CASE("a mark of a server ends with its life") {
+  ServerList list;
+  BackendServer server = Server("a");
+  server.born = 5;
+  list.Replace({server}, kStart);
+  list.MarkLeaving("a", kStart);
+  BackendServer later = server;
+  later.born = 9;
+  list.Apply({{"a", later}}, kStart + milliseconds(10));
+  CHECK_FALSE(list.servers().at("a").leaving);
+  list.MarkLeaving("a", kStart + milliseconds(20));
+  list.Apply({{"a", server}}, kStart + milliseconds(30));
+  list.Apply({{"a", later}}, kStart + milliseconds(40));
+  CHECK(list.servers().at("a").leaving);
+  CHECK_FALSE(list.MarkLeaving("unknown", kStart));
+}
+
+// Guards against a mark that comes just after the entry has lapsed.
+TEST_CASE("a server can be marked while it isn't listed") {
+  ServerList list;
+  BackendServer server = Server("a");
+  server.born = 5;
+  list.Replace({server}, kStart);
+  list.Apply({{"a", std::nullopt}}, kStart + milliseconds(10));
+  CHECK_FALSE(list.MarkLeaving("a", kStart + milliseconds(20)));
+  list.Apply({{"a", server}}, kStart + milliseconds(30));
+  CHECK(list.servers().at("a").leaving);
+}
+
 }  // namespace clementine
