Bound what a backend server can send that is no answer

Callers of other servers would have lost their daemon: one answer without end could fill its memory. Cause: a stream's bytes were kept until an event ended, and searched from the start with each piece; a report or an order's answer was collected without a limit and without an end in time, so a byte each 0.3 s kept a question open for good and its server was never asked again; a body over its limit was read on until the caller's deadline. Any byte counted as progress of a stream, so one that stalled and sent a byte now and then wasn't noticed. Class: limits on a phase, none on the whole. Change: calls have a limit on the body and on the whole time; an event is at most a megabyte; only whole events count as progress. A slow sound stream goes on. Conclusion: heads without end were cut already (32 KB).

--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -239,6 +239,7 @@
   if (caller.stream.events() > 0) info.resume_after = caller.stream.last_id();
   call.headers = platform::ForwardHeaders(http.headers, info);
   call.event_stream = caller.route->kind == RouteKind::kStream;
+  if (!call.event_stream) call.max_body_bytes = kMostBodyBytes;
   call.first_byte_timeout = remaining;
   call.gap_timeout = remaining;
   return call;
@@ -319,16 +320,20 @@
 
 void RelayExecutor::OnBytes(Attempt* attempt, std::string_view bytes) {
   Caller* caller = attempt->caller.get();
-  TimePoint now = m_context.now();
-  m_silence.Heard(attempt->id, /*event=*/true, now);
   if (caller->current != attempt->id) return;
   if (!attempt->streams) {
-    // An answer over the limit is cut here and fails as broken at its end.
-    if (attempt->body.size() <= kMostBodyBytes) attempt->body.append(bytes);
+    attempt->body.append(bytes);
     return;
   }
   std::string events = caller->stream.Take(bytes);
+  if (caller->stream.oversized()) {
+    EndOversized(attempt);
+    return;
+  }
+  // A server that sends a byte now and then makes no progress.
   if (events.empty()) return;
+  TimePoint now = m_context.now();
+  m_silence.Heard(attempt->id, /*event=*/true, now);
   bool first = caller->first_event == TimePoint();
   if (first) caller->first_event = now;
   Deliver(caller, attempt, events);
@@ -338,6 +343,15 @@
   }
 }
 
+void RelayExecutor::EndOversized(Attempt* attempt) {
+  attempt->call->Cancel();
+  BackendEnd end;
+  end.detail = "event too large";
+  end.status = attempt->status;
+  auto found = m_attempts.find(attempt->id);
+  if (found != m_attempts.end()) OnEnd(found->second, std::move(end));
+}
+
 void RelayExecutor::Deliver(Caller* caller, Attempt* attempt,
                             std::string_view bytes) {
   if (!caller->head_sent) {
@@ -360,10 +374,6 @@
     if (!rest.empty()) Deliver(caller, attempt.get(), rest);
     if (caller->stream.gap()) end.result = AttemptResult::kBroken;
   }
-  if (attempt->body.size() > kMostBodyBytes) {
-    end.result = AttemptResult::kBroken;
-    end.detail = "answer too large";
-  }
   LogEvent("attempt_ended",
            {{"request", std::to_string(caller->id)},
             {"group", attempt->group},
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -84,6 +84,7 @@
   AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
   void OnBytes(Attempt* attempt, std::string_view bytes);
   void OnEnd(const std::shared_ptr<Attempt>& attempt, BackendEnd end);
+  void EndOversized(Attempt* attempt);
   void SuspectGroup(const Attempt& attempt, const BackendEnd& end);
   void Deliver(Caller* caller, Attempt* attempt, std::string_view bytes);
   void RefuseNow(HttpExchange* exchange, int status, const char* reason,
--- a/daemon/relay_stream.cc
+++ b/daemon/relay_stream.cc
@@ -41,11 +41,14 @@
 }  // namespace
 
 std::string RelayStream::Take(std::string_view bytes) {
+  // What came before has been searched, but for the first half of an end.
+  std::size_t from = m_partial.empty() ? 0 : m_partial.size() - 1;
   m_partial.append(bytes);
   std::string accepted;
   std::size_t begin = 0;
   std::size_t end = 0;
-  while ((end = m_partial.find(kEventEnd, begin)) != std::string::npos) {
+  while ((end = m_partial.find(kEventEnd, std::max(begin, from))) !=
+         std::string::npos) {
     end += kEventEnd.size();
     std::string_view event(m_partial.data() + begin, end - begin);
     if (Accept(event)) accepted.append(event);
--- a/daemon/relay_stream.h
+++ b/daemon/relay_stream.h
@@ -27,10 +27,15 @@
   std::uint64_t events() const { return m_events; }
   /// Id of the last delivered event; empty when it had none.
   const std::string& last_id() const { return m_last_id; }
+  /// More bytes came than an event may have, and none of them ends it.
+  bool oversized() const { return m_partial.size() > kMostEventBytes; }
   /// A number is missing between two events of a resumed stream.
   bool gap() const { return m_gap; }
 
  private:
+  /// Events hold some tokens, below a KB.
+  static constexpr std::size_t kMostEventBytes = 1'048'576;
+
   bool Accept(std::string_view event);
 
   std::string m_partial;  ///< Of an event that isn't complete.
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -168,6 +168,9 @@
         m_resumed(*m_client->m_io),
         m_reader(m_call.attempt, m_call.resume_offset) {
     m_resumed.expires_at(Clock::time_point::max());
+    if (m_call.total_timeout > milliseconds(0)) {
+      m_call_end = Clock::now() + m_call.total_timeout;
+    }
     m_client->m_calls.insert(this);
     ++m_client->m_stats.calls;
   }
@@ -221,7 +224,7 @@
   void Report();
   void ReturnConnection(const Parser& parser);
   void SetDeadline(std::chrono::milliseconds timeout) {
-    m_deadline = Clock::now() + timeout;
+    m_deadline = std::min(Clock::now() + timeout, m_call_end);
   }
   void Close() {
     error_code ignored;
@@ -238,6 +241,7 @@
   std::array<char, kReadBytes> m_bytes{};
   BackendEnd m_end;
   Clock::time_point m_deadline = Clock::time_point::max();
+  Clock::time_point m_call_end = Clock::time_point::max();
   bool m_cancelled = false;
   bool m_paused = false;
   bool m_timed_out = false;
@@ -463,6 +467,7 @@
 // The head of an answer isn't progress: a server may send it and then wait for
 // its turn, so the first byte of the body ends the first phase.
 asio::awaitable<void> CallState::RelayBody(Parser* parser) {
+  std::size_t received = 0;
   while (!parser->is_done()) {
     while (m_paused && !m_cancelled) {
       error_code ignored;
@@ -474,6 +479,12 @@
     error_code error = co_await ReadSome(parser, &bytes);
     if (m_cancelled) co_return;
     if (!bytes.empty()) m_first_token = true;
+    received += bytes.size();
+    if (m_call.max_body_bytes > 0 && received > m_call.max_body_bytes) {
+      m_end.detail = "answer too large";
+      Close();
+      co_return;
+    }
     if (!bytes.empty() && !m_not_run && m_handlers.bytes) {
       m_handlers.bytes(bytes);
     }
--- a/net/net.h
+++ b/net/net.h
@@ -269,6 +269,9 @@
   /// The call isn't written from this time on.
   std::chrono::steady_clock::time_point send_by =
       std::chrono::steady_clock::time_point::max();
+  /// The call ends at the latest after this time, however its bytes come.
+  std::chrono::milliseconds total_timeout{0};  ///< 0: no limit.
+  std::size_t max_body_bytes = 0;  ///< Of a relayed answer; 0: no limit.
   /// Passes the answer on unread: the hooks `head` and `bytes` get it, and
   /// `headers` hold all headers of the call, Host included.
   bool relay = false;
--- a/testing/net_test_support.h
+++ b/testing/net_test_support.h
@@ -83,6 +83,18 @@
                           const boost::system::error_code&, std::size_t) {});
   }
 
+  /// Sends the same bytes again and again until the peer closes.
+  void Flood(const std::string& piece) {
+    auto kept = std::make_shared<std::string>(piece);
+    asio::async_write(
+        m_socket, asio::buffer(*kept),
+        [kept, self = shared_from_this()](
+            const boost::system::error_code& error, std::size_t size) {
+          self->flooded += size;
+          if (!error) self->Flood(*kept);
+        });
+  }
+
   void FinishSending() {
     boost::system::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -94,6 +106,7 @@
   }
 
   std::string received;
+  std::size_t flooded = 0;  ///< Bytes that Flood has sent.
   bool closed = false;
   bool paused = false;
   std::function<void(RawConnection&)> on_bytes;
--- /dev/null
+++ b/testing/relay_fixture.h
@@ -0,0 +1,113 @@
+// A relay between a caller and a scripted backend server, over sockets. For
+// tests of what it makes of a server's answers.
+#ifndef TESTING_RELAY_FIXTURE_H_
+#define TESTING_RELAY_FIXTURE_H_
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/route_table.h"
+#include "daemon/relay_executor.h"
+#include "testing/net_test_support.h"
+
+namespace clementine::nettest {
+
+inline constexpr char kSigned[] = "X-Clementinelb-Response-Signature: s\r\n";
+
+/// A relay before one plain server that follows a script.
+struct RelayFixture {
+  explicit RelayFixture(ScriptedServer::Script script,
+                        RouteKind kind = RouteKind::kIdempotent)
+      : backends(&io, BackendOptions()),
+        path(RequestPathOptions()),
+        executor(Context()),
+        backend(&io, std::move(script)),
+        front(&io, "127.0.0.1:0", HttpLimits{},
+              [this](const std::shared_ptr<HttpExchange>& exchange) {
+                executor.Accept(exchange);
+              }) {
+    FleetConfiguration configuration;
+    configuration.version = 1;
+    configuration.services["desk"].name = "desk";
+    RouteRule route;
+    route.name = "r";
+    route.host = "desk.example";
+    route.path_prefix = "/";
+    route.open_to_all = true;
+    route.kind = kind;
+    route.timeout = milliseconds(4'000);
+    route.shares = {{"desk", 1.0}};
+    configuration.routes.push_back(route);
+    auto routes = std::make_shared<const RouteTable>(configuration);
+    ConfigurationChanged changed;
+    changed.generation = 1;
+    changed.configuration = std::make_shared<const Configuration>(
+        ToRequestPathConfiguration(routes->configuration()));
+    Feed(changed);
+    executor.SetRoutes(routes);
+    GroupView view;
+    view.group = "desk/h1";
+    view.service = "desk";
+    view.epoch = 5;
+    view.leader_host = "h1";
+    view.leader_address = backend.address;
+    view.open = true;
+    executor.SetGroups({view});
+    Feed(GroupsChanged{{view}});
+  }
+
+  RelayContext Context() {
+    RelayContext context;
+    context.backends = &backends;
+    context.metrics = &metrics;
+    context.now = [] { return std::chrono::steady_clock::now(); };
+    context.feed = [this](const RequestEvent& event) { Feed(event); };
+    context.feed_fleet = [this](const FleetEvent& event) {
+      fleet_events.push_back(event);
+    };
+    return context;
+  }
+  void Feed(const RequestEvent& event) {
+    for (const RequestAction& action :
+         path.Handle(event, std::chrono::steady_clock::now())) {
+      executor.Execute(action);
+    }
+  }
+  /// @return All that the caller got.
+  std::string Call() {
+    auto caller = RawConnection::Connect(&io, front.address());
+    caller->Send(
+        "GET /x HTTP/1.1\r\nHost: desk.example\r\n"
+        "Connection: close\r\n\r\n");
+    CHECK(RunUntil(&io, [&] {
+      executor.CheckSilence();
+      Feed(Tick{});
+      return caller->closed;
+    }));
+    return caller->received;
+  }
+  template <typename Event>
+  std::optional<Event> Told() const {
+    for (const FleetEvent& event : fleet_events) {
+      if (const auto* found = std::get_if<Event>(&event)) return *found;
+    }
+    return std::nullopt;
+  }
+
+  boost::asio::io_context io;
+  BackendClient backends;
+  Metrics metrics;
+  std::vector<FleetEvent> fleet_events;
+  RequestPath path;
+  RelayExecutor executor;
+  ScriptedServer backend;
+  HttpServer front;
+};
+
+}  // namespace clementine::nettest
+
+#endif  // TESTING_RELAY_FIXTURE_H_
