--- a/testing/hostile_server_test.cc
+++ b/testing/hostile_server_test.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using nettest::Chunk;
-using nettest::HttpAnswer;
 using nettest::kSigned;
 using nettest::RawConnection;
 using nettest::RelayFixture;
