List at once when the platform's history is gone, and go on listening to peers

Cause: a question to the platform was answered that its history is gone while a watch of the same kind hung. The list waited for that watch to time out, and until then the daemon took itself for one that knows nothing and ignored what its peers told. Class: a state of one call used for all sources of a kind. Change: a lost history only means that the platform's next call is a list. The question that learns of it lists at once; peers are listened to meanwhile. Test: "a list after a lost history doesn't wait for a watch that hangs" fails without the change (one version adopted in 4 s) and passes.

--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -122,7 +122,7 @@
 }
 
 void FleetFeed::Next(Loop* loop) {
-  bool list = !loop->listed;
+  bool list = !loop->listed || loop->history_gone;
   loop->running = list || m_role.roles.reads_platform;
   if (!loop->running) return;
   milliseconds wait = list ? milliseconds(0) : WatchWait();
@@ -153,11 +153,12 @@
   loop->failures = 0;
   if (batch.status == Status::kHistoryGone) {
     LogEvent("platform_history_gone", {{"kind", loop->objects}});
-    loop->listed = false;
+    loop->history_gone = true;
     Next(loop);
     return;
   }
   loop->listed = true;
+  if (list) loop->history_gone = false;
   // An answer with changes may have been made as soon as it was asked for.
   TimePoint waited = sent + wait;
   bool ended = batch.objects.empty() && m_hooks.now() >= waited;
@@ -182,25 +183,33 @@
   if (ask.fresh) m_store->ForgetConnections();
   LogEvent("change_asked", {{"kind", loop->objects},
                             {"revision", std::to_string(loop->revision)}});
-  m_store->Watch(loop->objects, loop->revision, milliseconds(0),
-                 [this, loop, sent = m_hooks.now(),
-                  alive = m_alive](const platform::ObjectBatch& batch) {
-                   if (*alive) OnAsked(loop, sent, batch);
-                 });
+  bool list = loop->history_gone;
+  auto done = [this, loop, list, sent = m_hooks.now(),
+               alive = m_alive](const platform::ObjectBatch& batch) {
+    if (*alive) OnAsked(loop, list, sent, batch);
+  };
+  if (list) {
+    m_store->List(loop->objects, /*stale=*/false, std::move(done));
+  } else {
+    m_store->Watch(loop->objects, loop->revision, milliseconds(0),
+                   std::move(done));
+  }
 }
 
-void FleetFeed::OnAsked(Loop* loop, TimePoint sent,
+void FleetFeed::OnAsked(Loop* loop, bool list, TimePoint sent,
                         const platform::ObjectBatch& batch) {
   using Status = platform::ObjectBatch::Status;
   NoteReachable(loop, batch.status != Status::kFailed);
   if (batch.status == Status::kOk) {
     loop->failures = 0;
+    if (list) loop->history_gone = false;
     m_follower.PlatformAnswered(loop->kind, sent);
-    Learn(loop, /*whole=*/false, batch, sent, "");
+    Learn(loop, list, batch, sent, "");
   } else if (batch.status == Status::kHistoryGone) {
+    // A watch that is under way may hang, so the list doesn't wait for it.
     LogEvent("platform_history_gone", {{"kind", loop->objects}});
-    loop->listed = false;
-    if (!loop->running) Next(loop);
+    loop->history_gone = true;
+    Ask({loop->kind, /*fresh=*/false});
   } else {
     Failed(loop);
   }
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -67,11 +67,12 @@
     const char* objects = "";  ///< The platform's name of the kind.
     boost::asio::steady_timer timer;
     std::uint64_t revision = 0;
-    bool listed = false;
-    bool running = false;   ///< A list, a watch or a pause is under way.
-    bool reachable = true;  ///< By the platform's last answer; for the log.
-    bool outdated = false;  ///< Told to the hooks as unreachable.
-    int failures = 0;       ///< Of the platform, since its last answer.
+    bool listed = false;        ///< Something is known.
+    bool history_gone = false;  ///< Changes can't be had from the platform.
+    bool running = false;       ///< A list, a watch or a pause is under way.
+    bool reachable = true;      ///< By the platform's last answer; for the log.
+    bool outdated = false;      ///< Told to the hooks as unreachable.
+    int failures = 0;           ///< Of the platform, since its last answer.
     TimePoint failed_since;
     std::function<void(const platform::ObjectBatch&)> listed_all;
     std::function<void(const platform::ObjectBatch&)> changed;
@@ -84,7 +85,8 @@
   void OnPlatform(Loop* loop, bool list, TimePoint sent, milliseconds wait,
                   const platform::ObjectBatch& batch);
   void Ask(const ChangeFollower::AskPlatform& ask);
-  void OnAsked(Loop* loop, TimePoint sent, const platform::ObjectBatch& batch);
+  void OnAsked(Loop* loop, bool list, TimePoint sent,
+               const platform::ObjectBatch& batch);
   void OnPeer(const std::string& peer, const ChangeNews& news, TimePoint as_of);
   void OnPeerLost(const std::string& peer, const std::string& detail);
   void Learn(Loop* loop, bool whole, const platform::ObjectBatch& batch,
