--- a/testing/fleet_feed_test.cc
+++ b/testing/fleet_feed_test.cc
@@ -57,8 +57,8 @@
     versions.push_back(configuration.version);
   };
   FleetFeed feed(&io, &store, &relay, 1, milliseconds(600), hooks);
-  feed.SetRole({});
   feed.Start();
+  feed.SetRole({});
   TimePoint start = Now();
   while (versions.size() < 2 && Now() - start < milliseconds(4'000)) {
     io.restart();
