Keep an attempt alive while its oversized event ends it

Change: the attempt is held until OnEnd has returned. Test: that case ended the sanitizer build's unit_test before; under sanitizers it and the other cases of hostile answers pass now (4 of 4).

--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -349,7 +349,10 @@
   end.detail = "event too large";
   end.status = attempt->status;
   auto found = m_attempts.find(attempt->id);
-  if (found != m_attempts.end()) OnEnd(found->second, std::move(end));
+  if (found == m_attempts.end()) return;
+  // OnEnd removes the entry, which must not hold the last reference.
+  std::shared_ptr<Attempt> kept = found->second;
+  OnEnd(kept, std::move(end));
 }
 
 void RelayExecutor::Deliver(Caller* caller, Attempt* attempt,
