Follow changes with one type of roles and one way to read the platform

Cause: ChangeSources and ChangeRoles said nearly the same, and each tick copied one into the other; a watch and a question to the platform were sent and taken by two copies of one function each; the rule of a reader that is well stood twice; the list of avoided sources, which WatchSource pruned, grew for good; FleetFeed::Age had no caller. Change: ChangeRoles alone, set when it has changed; FleetFeed::Read and Take serve both; avoided sources that aren't among the peers are forgotten; both directions of deflate fill their buffers in one place. A question that is answered "history gone" now ends a row of failures, as a watch's answer did. Test: 61 cases of following, unchanged but for the type's name. Conclusion: a simplification.

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -52,6 +52,15 @@
     : m_times(DeriveFollowTimes(bound)),
       m_spread(Jitter(seed).Between(milliseconds(0), m_times.spread)) {}
 
+void ChangeFollower::SetRoles(const ChangeRoles& roles,
+                              milliseconds watch_wait) {
+  m_roles = roles;
+  m_watch_wait = watch_wait;
+  std::erase_if(m_avoid_until, [this](const auto& entry) {
+    return Rank(entry.first) == m_roles.peers.size();
+  });
+}
+
 // ---------------------------------------------------------------------------
 // What was learned.
 
@@ -103,12 +112,12 @@
 
 std::size_t ChangeFollower::Rank(const std::string& peer) const {
   return static_cast<std::size_t>(
-      std::find(m_sources.peers.begin(), m_sources.peers.end(), peer) -
-      m_sources.peers.begin());
+      std::find(m_roles.peers.begin(), m_roles.peers.end(), peer) -
+      m_roles.peers.begin());
 }
 
 const std::string* ChangeFollower::NextPeer(TimePoint now) const {
-  for (const std::string& peer : m_sources.peers) {
+  for (const std::string& peer : m_roles.peers) {
     if (m_streams.count(peer) == 0 && !Avoided(peer, now)) return &peer;
   }
   return nullptr;
@@ -153,8 +162,7 @@
 }
 
 std::size_t ChangeFollower::Wanted(TimePoint now) const {
-  bool reads = m_sources.reads_platform && m_platform_failures == 0;
-  if (reads) return 0;
+  if (ReadsWell()) return 0;
   bool second = Age(now) > m_times.hedge_age || BetterPeerWaits(now);
   return second ? 2 : 1;
 }
@@ -180,8 +188,7 @@
 
 // While several sources are open and all is well, the best one stays.
 void ChangeFollower::DropSpare(TimePoint now, Actions* out) {
-  std::size_t keep =
-      m_sources.reads_platform && m_platform_failures == 0 ? 0 : 1;
+  std::size_t keep = ReadsWell() ? 0 : 1;
   if (m_streams.size() <= keep || Age(now) > m_times.hedge_age) return;
   auto best = BestStream();
   bool settled = best != m_streams.end() &&
@@ -226,11 +233,11 @@
 
 void ChangeFollower::AskWhenOld(TimePoint now, Actions* out) {
   // Without any source the platform is asked as often as a source would watch.
-  bool alone = m_streams.empty() && NextPeer(now) == nullptr &&
-               !m_sources.reads_platform;
+  bool alone =
+      m_streams.empty() && NextPeer(now) == nullptr && !m_roles.reads_platform;
   milliseconds limit =
       alone ? m_times.platform_wait : m_times.platform_age + m_spread;
-  if (m_sources.reads_platform) limit += m_sources.watch_wait;
+  if (m_roles.reads_platform) limit += m_watch_wait;
   // While questions have no answer, only one of them is repeated.
   auto repeated = std::find_if(m_unanswered.begin(), m_unanswered.end(),
                                [](int count) { return count > 0; });
@@ -246,11 +253,7 @@
     m_next_ask[kind] =
         now + std::min(kLongestAskPause, m_times.ask_interval * (1 << late));
     out->push_back(AskPlatform{static_cast<ChangeKind>(kind), unanswered > 0});
-  }
-  for (const Action& action : *out) {
-    if (const auto* ask = std::get_if<AskPlatform>(&action)) {
-      ++m_unanswered[static_cast<std::size_t>(ask->kind)];
-    }
+    ++unanswered;
   }
 }
 
--- a/core/change_follower.h
+++ b/core/change_follower.h
@@ -48,15 +48,14 @@
 /// @param bound Time within which a change has to reach each daemon.
 FollowTimes DeriveFollowTimes(milliseconds bound);
 
-/// From whom a daemon may learn of changes.
-struct ChangeSources {
+/// How a daemon takes part in spreading changes of the platform's objects.
+struct ChangeRoles {
   bool reads_platform = true;  ///< Watches the platform all the time.
-  /// How long the platform may hold such a watch.
-  milliseconds watch_wait{0};
+  bool is_source = false;      ///< Others rely on what it reads there.
   /// Addresses of daemons that pass changes on, the best one first.
   std::vector<std::string> peers;
 
-  friend bool operator==(const ChangeSources&, const ChangeSources&) = default;
+  friend bool operator==(const ChangeRoles&, const ChangeRoles&) = default;
 };
 
 /// Decides whom to ask next; a daemon carries it out.
@@ -79,7 +78,8 @@
 
   ChangeFollower(milliseconds bound, std::uint64_t seed);
 
-  void SetSources(const ChangeSources& sources) { m_sources = sources; }
+  /// @param watch_wait How long the platform may hold this daemon's watches.
+  void SetRoles(const ChangeRoles& roles, milliseconds watch_wait);
 
   /// A peer knows all changes up to a time.
   void PeerHeard(const std::string& peer, ChangeKind kind, TimePoint as_of,
@@ -118,6 +118,10 @@
   };
 
   void Confirm(ChangeKind kind, TimePoint as_of);
+  /// Whether its own watches of the platform keep it current.
+  bool ReadsWell() const {
+    return m_roles.reads_platform && m_platform_failures == 0;
+  }
   std::size_t Wanted(TimePoint now) const;
   bool IsStale(const Stream& stream, TimePoint now) const;
   bool BetterPeerWaits(TimePoint now) const;
@@ -136,7 +140,8 @@
 
   FollowTimes m_times;
   milliseconds m_spread;
-  ChangeSources m_sources;
+  ChangeRoles m_roles;
+  milliseconds m_watch_wait{0};
   std::map<std::string, Stream> m_streams;  ///< By address.
   std::map<std::string, TimePoint> m_avoid_until;
   std::array<std::optional<TimePoint>, kChangeKinds> m_current_at;
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/change_follower.h"
 #include "core/core.h"
 #include "core/demand.h"
 #include "core/jitter.h"
@@ -22,16 +23,6 @@
 };
 struct ListNodes {};
 
-/// How a daemon takes part in spreading changes of the platform's objects.
-struct ChangeRoles {
-  bool reads_platform = true;  ///< Watches the platform.
-  bool is_source = false;      ///< Others rely on what it reads there.
-  /// Addresses of daemons that pass changes on, the best one first.
-  std::vector<std::string> peers;
-
-  friend bool operator==(const ChangeRoles&, const ChangeRoles&) = default;
-};
-
 /// A daemon counts as live while its object changes. No clock of another host
 /// is compared: each change is timed when it is first seen here.
 class NodeDirectory {
--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -3,7 +3,6 @@
 
 #include "daemon/change_client.h"
 
-#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
--- a/daemon/change_client.h
+++ b/daemon/change_client.h
@@ -13,7 +13,7 @@
 namespace clementine {
 
 /// Subscriptions to change relays. The time up to which a peer knows all
-/// changes is measured from the subscription by the peer's clock, so a line
+/// changes is measured from the subscription by the peer's clock, so a frame
 /// that was late, as after a pause of this process, tells an older time.
 class ChangeClient {
  public:
--- a/daemon/change_message.cc
+++ b/daemon/change_message.cc
@@ -51,16 +51,21 @@
   return {milliseconds(numbers[0]), numbers[1], numbers[2]};
 }
 
+zlib::z_params Buffers(const std::string& in, std::string* out) {
+  zlib::z_params params;
+  params.next_in = in.data();
+  params.avail_in = in.size();
+  params.next_out = out->data();
+  params.avail_out = out->size();
+  return params;
+}
+
 std::string Deflate(const std::string& plain) {
   zlib::deflate_stream stream;
   stream.reset(kDeflateLevel, kDeflateWindowBits, kDeflateMemory,
                zlib::Strategy::normal);
   std::string deflated(stream.upper_bound(plain.size()), '\0');
-  zlib::z_params params;
-  params.next_in = plain.data();
-  params.avail_in = plain.size();
-  params.next_out = deflated.data();
-  params.avail_out = deflated.size();
+  zlib::z_params params = Buffers(plain, &deflated);
   boost::system::error_code error;
   stream.write(params, zlib::Flush::finish, error);
   if (error != zlib::error::end_of_stream) {
@@ -74,11 +79,7 @@
   zlib::inflate_stream stream;
   stream.reset(kDeflateWindowBits);
   std::string plain(size, '\0');
-  zlib::z_params params;
-  params.next_in = deflated.data();
-  params.avail_in = deflated.size();
-  params.next_out = plain.data();
-  params.avail_out = plain.size();
+  zlib::z_params params = Buffers(deflated, &plain);
   boost::system::error_code error;
   stream.write(params, zlib::Flush::finish, error);
   // With all of the output written, the end of the stream may not be read.
--- a/daemon/change_relay.cc
+++ b/daemon/change_relay.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr char kPath[] = "/changes";
-/// Each costs some hundred bytes a second and its unsent lines.
+/// Each costs some hundred bytes a second and its unsent frames.
 constexpr std::size_t kMostFollowers = 512;
 
 }  // namespace
--- a/daemon/change_relay.h
+++ b/daemon/change_relay.h
@@ -75,7 +75,7 @@
 /// on as well, with the age that it was told.
 class ChangeRelay {
  public:
-  /// @param beat Longest pause between two lines.
+  /// @param beat Longest pause between two frames.
   ChangeRelay(std::function<TimePoint()> now, milliseconds beat)
       : m_now(std::move(now)), m_beat(beat) {}
 
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -72,6 +72,7 @@
     }
   };
   m_configuration.listed_all = m_configuration.changed;
+  m_follower.SetRoles(m_role.roles, WatchWait());
 }
 
 FleetFeed::~FleetFeed() { *m_alive = false; }
@@ -82,12 +83,9 @@
 }
 
 void FleetFeed::SetRole(const Role& role) {
+  if (role == m_role) return;
   m_role = role;
-  ChangeSources sources;
-  sources.reads_platform = role.roles.reads_platform;
-  sources.watch_wait = WatchWait();
-  sources.peers = role.roles.peers;
-  m_follower.SetSources(sources);
+  m_follower.SetRoles(role.roles, WatchWait());
   if (!role.roles.reads_platform) return;
   for (Loop* loop : {&m_servers, &m_configuration}) {
     if (!loop->running) Next(loop);
@@ -107,7 +105,9 @@
                {{"from", end->peer}, {"reason", end->reason}});
       m_peers.Unsubscribe(end->peer);
     } else {
-      Ask(std::get<ChangeFollower::AskPlatform>(action));
+      const auto& ask = std::get<ChangeFollower::AskPlatform>(action);
+      if (ask.fresh) m_store->ForgetConnections();
+      Ask(&LoopOf(ask.kind));
     }
   }
   NoteOutdated();
@@ -121,14 +121,17 @@
   return m_role.roles.is_source ? m_follower.times().platform_wait : m_bound;
 }
 
-void FleetFeed::Next(Loop* loop) {
+void FleetFeed::Read(
+    Loop* loop, milliseconds wait,
+    std::function<void(platform::ObjectBatch::Status, bool empty)> answered) {
   bool list = !loop->listed || loop->history_gone;
-  loop->running = list || m_role.roles.reads_platform;
-  if (!loop->running) return;
-  milliseconds wait = list ? milliseconds(0) : WatchWait();
+  if (list) wait = milliseconds(0);
   auto done = [this, loop, list, sent = m_hooks.now(), wait,
+               answered = std::move(answered),
                alive = m_alive](const platform::ObjectBatch& batch) {
-    if (*alive) OnPlatform(loop, list, sent, wait, batch);
+    if (!*alive) return;
+    Take(loop, list, sent, wait, batch);
+    answered(batch.status, batch.objects.empty());
   };
   if (list) {
     m_store->List(loop->objects, /*stale=*/false, std::move(done));
@@ -137,35 +140,48 @@
   }
 }
 
-void FleetFeed::OnPlatform(Loop* loop, bool list, TimePoint sent,
-                           milliseconds wait,
-                           const platform::ObjectBatch& batch) {
+void FleetFeed::Take(Loop* loop, bool list, TimePoint sent, milliseconds wait,
+                     const platform::ObjectBatch& batch) {
   using Status = platform::ObjectBatch::Status;
   NoteReachable(loop, batch.status != Status::kFailed);
   if (batch.status == Status::kFailed) {
-    milliseconds longest = std::min(
-        kLongestBackoff,
-        kFirstBackoff * (1 << std::min(loop->failures, kLargestShift)));
     Failed(loop);
-    Later(loop, m_jitter.Between(longest / 2, longest));
     return;
   }
   loop->failures = 0;
+  loop->history_gone =
+      batch.status == Status::kHistoryGone || (loop->history_gone && !list);
   if (batch.status == Status::kHistoryGone) {
     LogEvent("platform_history_gone", {{"kind", loop->objects}});
-    loop->history_gone = true;
-    Next(loop);
     return;
   }
   loop->listed = true;
-  if (list) loop->history_gone = false;
   // An answer with changes may have been made as soon as it was asked for.
   TimePoint waited = sent + wait;
   bool ended = batch.objects.empty() && m_hooks.now() >= waited;
   TimePoint as_of = ended ? waited : sent;
   m_follower.PlatformAnswered(loop->kind, as_of);
   Learn(loop, list, batch, as_of, "");
-  Later(loop, Pause(*loop, batch.objects.empty()));
+}
+
+// Reads the platform all the time, if that's this daemon's role.
+void FleetFeed::Next(Loop* loop) {
+  using Status = platform::ObjectBatch::Status;
+  loop->running =
+      !loop->listed || loop->history_gone || m_role.roles.reads_platform;
+  if (!loop->running) return;
+  Read(loop, WatchWait(), [this, loop](Status status, bool empty) {
+    if (status == Status::kHistoryGone) {
+      Next(loop);
+    } else if (status == Status::kFailed) {
+      milliseconds longest = std::min(
+          kLongestBackoff,
+          kFirstBackoff * (1 << std::min(loop->failures - 1, kLargestShift)));
+      Later(loop, m_jitter.Between(longest / 2, longest));
+    } else {
+      Later(loop, Pause(*loop, empty));
+    }
+  });
 }
 
 milliseconds FleetFeed::Pause(const Loop& loop, bool empty) const {
@@ -177,42 +193,16 @@
   return prompt ? gather : std::max(gather, m_bound / kPauseParts);
 }
 
-void FleetFeed::Ask(const ChangeFollower::AskPlatform& ask) {
-  Loop* loop = &LoopOf(ask.kind);
+// Asks the platform once for what it knows now.
+void FleetFeed::Ask(Loop* loop) {
   if (!loop->listed) return;
-  if (ask.fresh) m_store->ForgetConnections();
   LogEvent("change_asked", {{"kind", loop->objects},
                             {"revision", std::to_string(loop->revision)}});
-  bool list = loop->history_gone;
-  auto done = [this, loop, list, sent = m_hooks.now(),
-               alive = m_alive](const platform::ObjectBatch& batch) {
-    if (*alive) OnAsked(loop, list, sent, batch);
-  };
-  if (list) {
-    m_store->List(loop->objects, /*stale=*/false, std::move(done));
-  } else {
-    m_store->Watch(loop->objects, loop->revision, milliseconds(0),
-                   std::move(done));
-  }
-}
-
-void FleetFeed::OnAsked(Loop* loop, bool list, TimePoint sent,
-                        const platform::ObjectBatch& batch) {
-  using Status = platform::ObjectBatch::Status;
-  NoteReachable(loop, batch.status != Status::kFailed);
-  if (batch.status == Status::kOk) {
-    loop->failures = 0;
-    if (list) loop->history_gone = false;
-    m_follower.PlatformAnswered(loop->kind, sent);
-    Learn(loop, list, batch, sent, "");
-  } else if (batch.status == Status::kHistoryGone) {
-    // A watch that is under way may hang, so the list doesn't wait for it.
-    LogEvent("platform_history_gone", {{"kind", loop->objects}});
-    loop->history_gone = true;
-    Ask({loop->kind, /*fresh=*/false});
-  } else {
-    Failed(loop);
-  }
+  Read(loop, milliseconds(0),
+       [this, loop](platform::ObjectBatch::Status status, bool /*empty*/) {
+         // A watch that is under way may hang, so the list doesn't wait for it.
+         if (status == platform::ObjectBatch::Status::kHistoryGone) Ask(loop);
+       });
 }
 
 void FleetFeed::Failed(Loop* loop) {
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -2,7 +2,6 @@
 #ifndef DAEMON_FLEET_FEED_H_
 #define DAEMON_FLEET_FEED_H_
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -36,6 +35,8 @@
     /// Reads changes of servers as soon as they come. Each answer is a priced
     /// call, so daemons on whom no other relies let changes come together.
     bool prompt = true;
+
+    friend bool operator==(const Role&, const Role&) = default;
   };
 
   /// @param store Outlives the feed.
@@ -55,9 +56,6 @@
   /// Does what has become due; called every few tens of milliseconds.
   void Tick();
 
-  /// Since when changes may be missing; the longest before the first lists.
-  TimePoint::duration Age() const { return m_follower.Age(m_hooks.now()); }
-
  private:
   /// One kind of objects.
   struct Loop {
@@ -81,12 +79,17 @@
   Loop& LoopOf(ChangeKind kind) {
     return kind == ChangeKind::kServers ? m_servers : m_configuration;
   }
+  /// Lists, or watches for changes when these can be had.
+  /// @param answered Gets the answer after it was taken.
+  void Read(
+      Loop* loop, milliseconds wait,
+      std::function<void(platform::ObjectBatch::Status, bool empty)> answered);
+  /// What an answer tells.
+  /// @param wait How long the platform may have held it.
+  void Take(Loop* loop, bool list, TimePoint sent, milliseconds wait,
+            const platform::ObjectBatch& batch);
   void Next(Loop* loop);
-  void OnPlatform(Loop* loop, bool list, TimePoint sent, milliseconds wait,
-                  const platform::ObjectBatch& batch);
-  void Ask(const ChangeFollower::AskPlatform& ask);
-  void OnAsked(Loop* loop, bool list, TimePoint sent,
-               const platform::ObjectBatch& batch);
+  void Ask(Loop* loop);
   void OnPeer(const std::string& peer, const ChangeNews& news, TimePoint as_of);
   void OnPeerLost(const std::string& peer, const std::string& detail);
   void Learn(Loop* loop, bool whole, const platform::ObjectBatch& batch,
--- a/testing/change_follower_test.cc
+++ b/testing/change_follower_test.cc
@@ -138,7 +138,7 @@
 // first one has failed for good.
 TEST_CASE("a follower asks others by the age of what it knows") {
   ChangeFollower follower(kBound, 1);
-  follower.SetSources({false, milliseconds(0), {"a", "b", "c"}});
+  follower.SetRoles({false, false, {"a", "b", "c"}}, milliseconds(0));
   CHECK(follower.Advance(kStart).empty());
   follower.PlatformAnswered(ChangeKind::kServers, kStart);
   follower.PlatformAnswered(ChangeKind::kConfiguration, kStart);
@@ -168,7 +168,7 @@
 // though its neighbours know every change.
 TEST_CASE("a reader that the platform turns away follows others") {
   ChangeFollower follower(kBound, 1);
-  follower.SetSources({true, milliseconds(500), {"a", "b"}});
+  follower.SetRoles({true, false, {"a", "b"}}, milliseconds(500));
   follower.PlatformAnswered(ChangeKind::kServers, kStart);
   follower.PlatformAnswered(ChangeKind::kConfiguration, kStart);
   CHECK(follower.Advance(kStart).empty());
@@ -186,7 +186,7 @@
 // Guards against a paused daemon that takes what waited for it as current.
 TEST_CASE("what is known doesn't get younger by time or by old news") {
   ChangeFollower follower(kBound, 1);
-  follower.SetSources({false, milliseconds(0), {"a"}});
+  follower.SetRoles({false, false, {"a"}}, milliseconds(0));
   follower.PlatformAnswered(ChangeKind::kServers, kStart);
   follower.PlatformAnswered(ChangeKind::kConfiguration, kStart);
   follower.Advance(kStart);
@@ -201,7 +201,7 @@
 // Guards against a fleet that calls an absent platform at its full rate.
 TEST_CASE("questions to an absent platform become rare") {
   ChangeFollower follower(kBound, 1);
-  follower.SetSources({false, milliseconds(0), {}});
+  follower.SetRoles({false, false, {}}, milliseconds(0));
   follower.PlatformAnswered(ChangeKind::kServers, kStart);
   follower.PlatformAnswered(ChangeKind::kConfiguration, kStart);
   std::size_t asked = 0;
--- a/testing/change_world.cc
+++ b/testing/change_world.cc
@@ -30,11 +30,10 @@
       {"c0", {"c1", "b0", "a0"}},       {"c1", {"c0", "a0", "b0"}}};
   for (auto& made : m_made) made.emplace_back(m_now, m_revision);
   for (const auto& [name, list] : peers) {
-    ChangeSources& sources = m_sources[name];
-    sources.reads_platform = name.back() == '0';
-    sources.watch_wait = DeriveFollowTimes(bound).platform_wait;
-    sources.peers = list;
-    if (ghosts) sources.peers.insert(sources.peers.begin(), {"g0", "g1"});
+    ChangeRoles& roles = m_roles[name];
+    roles.reads_platform = name.back() == '0';
+    roles.peers = list;
+    if (ghosts) roles.peers.insert(roles.peers.begin(), {"g0", "g1"});
     m_daemons[name].name = name;
   }
   for (auto& [name, daemon] : m_daemons) Start(&daemon);
@@ -45,8 +44,9 @@
   *daemon = Daemon();
   daemon->name = name;
   daemon->follower = std::make_unique<ChangeFollower>(m_bound, m_random());
-  daemon->follower->SetSources(m_sources.at(name));
-  daemon->reads = m_sources.at(name).reads_platform;
+  daemon->follower->SetRoles(m_roles.at(name),
+                             daemon->follower->times().platform_wait);
+  daemon->reads = m_roles.at(name).reads_platform;
   daemon->next_watch.fill(m_now + kStartTime);
 }
 
--- a/testing/change_world.h
+++ b/testing/change_world.h
@@ -115,7 +115,7 @@
   milliseconds m_bound;
   std::mt19937_64 m_random;
   std::map<std::string, Daemon> m_daemons;
-  std::map<std::string, ChangeSources> m_sources;
+  std::map<std::string, ChangeRoles> m_roles;
   TimePoint m_now = TimePoint() + std::chrono::hours(1);
   std::uint64_t m_revision = 1;
   /// When each version of a kind was made, by version, and its revision.
