Share the rule of a busy server, the splitting of texts and a test's search

Cause: "turned away with a time" was tested by hand in two places of daemon/; demand and node directory each split texts; three fixtures each searched a list of actions for one kind. Change: BackendEnd::BusyFor, core/text_part.h, testing/find_action.h. Measured: nothing. Conclusion: one copy each.

--- a/core/demand.cc
+++ b/core/demand.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "core/text_part.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -26,16 +27,8 @@
   *average = first ? rate : *average + kNewest * (rate - *average);
 }
 
-/// Splits off the text up to a separator, or all of it.
-std::string Take(std::string* text, char separator) {
-  std::size_t end = std::min(text->find(separator), text->size());
-  std::string part = text->substr(0, end);
-  text->erase(0, end + 1);
-  return part;
-}
-
 double TakeNumber(std::string* text, bool* sound) {
-  std::string part = Take(text, ',');
+  std::string part = TakePart(text, ',');
   char* end = nullptr;
   double number = std::strtod(part.c_str(), &end);
   *sound = *sound && end != part.c_str() && *end == '\0' && number >= 0.0 &&
@@ -96,8 +89,8 @@
   DemandByModel demand;
   std::string rest = text;
   while (!rest.empty()) {
-    std::string entry = Take(&rest, ';');
-    std::string model = Take(&entry, '=');
+    std::string entry = TakePart(&rest, ';');
+    std::string model = TakePart(&entry, '=');
     bool sound = !model.empty();
     ModelDemand rate;
     rate.requests = TakeNumber(&entry, &sound);
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 
 #include "core/rendezvous.h"
+#include "core/text_part.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -51,10 +52,8 @@
 constexpr char kDuty[] = "platform";
 constexpr char kSourceDuty[] = "changes";
 
-std::string TakePart(std::string* text) {
-  std::size_t end = std::min(text->find(kSeparator), text->size());
-  std::string part = text->substr(0, end);
-  text->erase(0, end + 1);
+std::string TakeField(std::string* text) {
+  std::string part = TakePart(text, kSeparator);
   return part == kNothing ? "" : part;
 }
 
@@ -145,10 +144,10 @@
   Seen seen;
   seen.value = value;
   seen.changed = now;
-  seen.rate = TrailingNumber(TakePart(&rest));
-  seen.demand = DecodeDemand(TakePart(&rest));
-  seen.data_centre = TakePart(&rest);
-  seen.changes = TakePart(&rest);
+  seen.rate = TrailingNumber(TakeField(&rest));
+  seen.demand = DecodeDemand(TakeField(&rest));
+  seen.data_centre = TakeField(&rest);
+  seen.changes = TakeField(&rest);
   return seen;
 }
 
--- /dev/null
+++ b/core/text_part.h
@@ -0,0 +1,21 @@
+// Splits texts that daemons write for each other.
+#ifndef CORE_TEXT_PART_H_
+#define CORE_TEXT_PART_H_
+
+#include <algorithm>
+#include <string>
+
+namespace clementine {
+
+/// Removes the text up to a separator, or all of it, and the separator.
+/// @return What stood before the separator.
+inline std::string TakePart(std::string* text, char separator) {
+  std::size_t end = std::min(text->find(separator), text->size());
+  std::string part = text->substr(0, end);
+  text->erase(0, end + 1);
+  return part;
+}
+
+}  // namespace clementine
+
+#endif  // CORE_TEXT_PART_H_
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -9,7 +9,6 @@
 
 #include "daemon/common_metrics.h"
 #include "fmt/format.h"
-#include "net/http_status.h"
 
 namespace clementine {
 namespace {
@@ -247,12 +246,10 @@
 }
 
 void FleetDaemon::NoteBusy(const std::string& host, const BackendEnd& end) {
-  if (end.status != http_status::kUnavailable ||
-      end.retry_after <= milliseconds(0)) {
-    return;
-  }
-  Feed(RequestEvent(ServerBusy{host, end.retry_after}));
-  Feed(FleetEvent(ServerBusy{host, end.retry_after}));
+  ServerBusy busy{host, end.BusyFor()};
+  if (busy.wait <= milliseconds(0)) return;
+  Feed(RequestEvent(busy));
+  Feed(FleetEvent(busy));
 }
 
 void FleetDaemon::SendOrder(const SendGroupOrder& send) {
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -387,9 +387,9 @@
             {"reused", end.reused ? "yes" : "no"},
             {"ms", Milliseconds(m_context.now() - attempt->started)},
             {"detail", end.detail}});
-  if (end.status == http_status::kUnavailable &&
-      end.retry_after > milliseconds(0)) {
-    m_context.feed_fleet(ServerBusy{attempt->host, end.retry_after});
+  // The request path learns of it from the end of the attempt.
+  if (end.BusyFor() > milliseconds(0)) {
+    m_context.feed_fleet(ServerBusy{attempt->host, end.BusyFor()});
   }
   SuspectGroup(*attempt, end);
   m_silence.Ended(attempt->id);
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -29,6 +29,7 @@
 #include "fmt/format.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
+#include "net/http_status.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -652,6 +653,10 @@
 
 // ---------------------------------------------------------------------------
 
+milliseconds BackendEnd::BusyFor() const {
+  return status == http_status::kUnavailable ? retry_after : milliseconds(0);
+}
+
 BackendClient::BackendClient(asio::io_context* io, BackendOptions options)
     : m_impl(std::make_shared<Impl>(io, std::move(options))) {}
 
--- a/net/net.h
+++ b/net/net.h
@@ -298,6 +298,10 @@
   bool lost = false;         ///< The connection couldn't be made or broke.
   bool unreachable = false;  ///< Nothing answered the connection request.
   std::string detail;        ///< For the log.
+
+  /// How long the server wants no request; zero unless it turned the call away
+  /// and named a time.
+  milliseconds BusyFor() const;
 };
 
 struct BackendHandlers {
--- a/testing/relay_fixture.h
+++ b/testing/relay_fixture.h
@@ -12,6 +12,7 @@
 
 #include "core/route_table.h"
 #include "daemon/relay_executor.h"
+#include "testing/find_action.h"
 #include "testing/net_test_support.h"
 
 namespace clementine::nettest {
@@ -92,10 +93,7 @@
   }
   template <typename Event>
   std::optional<Event> Told() const {
-    for (const FleetEvent& event : fleet_events) {
-      if (const auto* found = std::get_if<Event>(&event)) return *found;
-    }
-    return std::nullopt;
+    return testing::FindAction<Event>(fleet_events);
   }
 
   boost::asio::io_context io;
--- a/testing/relay_stall_test.cc
+++ b/testing/relay_stall_test.cc
@@ -3,10 +3,13 @@
 #include <doctest/doctest.h>
 
 #include "core/core.h"
+#include "testing/find_action.h"
 
 namespace clementine {
 namespace {
 
+using testing::FindAction;
+
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
 
 struct PathFixture {
@@ -48,7 +51,7 @@
     request.max_attempts = max_attempts;
     request.deadline = kStart + milliseconds(5'000);
     auto actions = path.Handle(RequestArrived{request}, kStart);
-    auto dispatch = Find<Dispatch>(actions);
+    auto dispatch = FindAction<Dispatch>(actions);
     REQUIRE(dispatch);
     return *dispatch;
   }
@@ -57,14 +60,6 @@
     return path.Handle(AttemptStalled{attempt}, kStart + milliseconds(600));
   }
 
-  template <typename Action>
-  static std::optional<Action> Find(const std::vector<RequestAction>& actions) {
-    for (const RequestAction& action : actions) {
-      if (const auto* found = std::get_if<Action>(&action)) return *found;
-    }
-    return std::nullopt;
-  }
-
   RequestPath path;
 };
 
@@ -76,10 +71,10 @@
   PathFixture fixture;
   Dispatch first = fixture.Start(true);
   std::vector<RequestAction> actions = fixture.Stall(first.attempt);
-  auto cancel = PathFixture::Find<CancelAttempt>(actions);
+  auto cancel = FindAction<CancelAttempt>(actions);
   REQUIRE(cancel);
   CHECK(cancel->attempt == first.attempt);
-  auto second = PathFixture::Find<Dispatch>(actions);
+  auto second = FindAction<Dispatch>(actions);
   REQUIRE(second);
   CHECK(second->group != first.group);
 }
@@ -99,7 +94,7 @@
   CHECK(stays(&alone, alone.Start(true)));
   PathFixture twice;
   Dispatch first = twice.Start(true);
-  auto second = PathFixture::Find<Dispatch>(twice.Stall(first.attempt));
+  auto second = FindAction<Dispatch>(twice.Stall(first.attempt));
   REQUIRE(second);
   CHECK(stays(&twice, *second));
   // The attempt that went on can still complete.
@@ -107,8 +102,8 @@
   ended.attempt = second->attempt;
   ended.result = AttemptResult::kComplete;
   ended.status = 200;
-  CHECK(PathFixture::Find<Finish>(
-      twice.path.Handle(ended, kStart + milliseconds(700))));
+  CHECK(
+      FindAction<Finish>(twice.path.Handle(ended, kStart + milliseconds(700))));
 }
 
 }  // namespace clementine
--- a/testing/server_patience_test.cc
+++ b/testing/server_patience_test.cc
@@ -6,10 +6,13 @@
 
 #include "core/core.h"
 #include "core/router.h"
+#include "testing/find_action.h"
 
 namespace clementine {
 namespace {
 
+using testing::FindAction;
+
 using Verdict = ServerPatience::Verdict;
 
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
@@ -68,14 +71,6 @@
     ended.retry_after = milliseconds(retry_after_ms);
     return path.Handle(ended, now);
   }
-  template <typename Action>
-  static std::optional<Action> Find(const std::vector<RequestAction>& actions) {
-    for (const RequestAction& action : actions) {
-      if (const auto* found = std::get_if<Action>(&action)) return *found;
-    }
-    return std::nullopt;
-  }
-
   RequestPath path;
   RequestId last_request = 0;
 };
@@ -180,21 +175,21 @@
 // of their model want no requests.
 TEST_CASE("callers are refused at once with the time of the first server") {
   PathFixture fixture({"a", "b"});
-  auto first = PathFixture::Find<Dispatch>(fixture.Arrive(kStart));
+  auto first = FindAction<Dispatch>(fixture.Arrive(kStart));
   REQUIRE(first);
-  auto second = PathFixture::Find<Dispatch>(
+  auto second = FindAction<Dispatch>(
       fixture.End(first->attempt, AttemptResult::kRefused, 503, 4'000, kStart));
   // The retry waits for its turn.
   for (int ms = 20; !second && ms < 200; ms += 20) {
-    second = PathFixture::Find<Dispatch>(fixture.path.Handle(Tick{}, At(ms)));
+    second = FindAction<Dispatch>(fixture.path.Handle(Tick{}, At(ms)));
   }
   REQUIRE(second);
   CHECK(second->group != first->group);
-  auto refusal = PathFixture::Find<Refuse>(fixture.End(
+  auto refusal = FindAction<Refuse>(fixture.End(
       second->attempt, AttemptResult::kRefused, 503, 3'000, At(200)));
   REQUIRE(refusal);
   CHECK(refusal->outcome == Outcome::kNotRun);
-  auto next = PathFixture::Find<Refuse>(fixture.Arrive(At(1'000)));
+  auto next = FindAction<Refuse>(fixture.Arrive(At(1'000)));
   REQUIRE(next);
   CHECK(next->outcome == Outcome::kNotRun);
   CHECK(next->retry_after >= milliseconds(2'200));
@@ -214,11 +209,11 @@
                             Case{AttemptResult::kComplete, 200, 9'000}}) {
     CAPTURE(other.status);
     PathFixture fixture({"a"});
-    auto first = PathFixture::Find<Dispatch>(fixture.Arrive(kStart));
+    auto first = FindAction<Dispatch>(fixture.Arrive(kStart));
     REQUIRE(first);
     fixture.End(first->attempt, other.result, other.status,
                 other.retry_after_ms, kStart);
-    CHECK(PathFixture::Find<Dispatch>(fixture.Arrive(At(1'000))));
+    CHECK(FindAction<Dispatch>(fixture.Arrive(At(1'000))));
   }
 }
 
@@ -227,7 +222,7 @@
   PathFixture fixture({"a", "b"});
   fixture.path.Handle(ServerBusy{"a", milliseconds(5'000)}, kStart);
   for (int i = 0; i < 6; ++i) {
-    auto sent = PathFixture::Find<Dispatch>(fixture.Arrive(At(100)));
+    auto sent = FindAction<Dispatch>(fixture.Arrive(At(100)));
     REQUIRE(sent);
     CHECK(sent->group == "chat/b");
   }
