Name backoff, half-open servers, updates and heartbeats as the field does

Cause: "patience", "cautious", "news", "beat" and "loose" were words of our own for what readers know as a server's backoff, a half-open server, an update, a heartbeat and a pending join. Test: unit_test 302 of 302, names of two cases changed, no assertion; lint. Measured: nothing. Conclusion: no behaviour.

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -1,6 +1,7 @@
 // One subscription carries both kinds of objects. It is judged by what it tells
 // and not by whether it's open: a source that is cut off from the platform goes
-// on beating, but the time up to which it knows all changes stands still.
+// on sending heartbeats, but the time up to which it knows all changes stands
+// still.
 
 #include "core/change_follower.h"
 
@@ -14,8 +15,8 @@
 // age is at most 2 * platform_wait + gather, and hedge_age is longer.
 constexpr int kWaitParts = 7;
 constexpr int kGatherParts = 15;
-constexpr int kBeatParts = 12;
-constexpr int kSilentBeats = 3;
+constexpr int kHeartbeatParts = 12;
+constexpr int kSilentHeartbeats = 3;
 constexpr int kHedgeTwelfths = 5;
 constexpr int kPlatformParts = 2;
 constexpr int kSpreadParts = 20;
@@ -26,8 +27,8 @@
 /// Longest pause between questions while the platform doesn't answer any.
 constexpr milliseconds kLongestAskPause{2'000};
 constexpr int kLargestShift = 6;
-/// A second source is kept for some beats after it was needed.
-constexpr int kSettleBeats = 4;
+/// A second source is kept for some heartbeats after it was needed.
+constexpr int kSettleHeartbeats = 4;
 
 }  // namespace
 
@@ -35,8 +36,8 @@
   FollowTimes times;
   times.platform_wait = bound / kWaitParts;
   times.gather = bound / kGatherParts;
-  times.beat = bound / kBeatParts;
-  times.silence = times.beat * kSilentBeats;
+  times.heartbeat = bound / kHeartbeatParts;
+  times.silence = times.heartbeat * kSilentHeartbeats;
   times.hedge_age = bound * kHedgeTwelfths / 12;
   times.platform_age = bound / kPlatformParts;
   times.spread = bound / kSpreadParts;
@@ -191,8 +192,9 @@
   std::size_t keep = ReadsWell() ? 0 : 1;
   if (m_streams.size() <= keep || Age(now) > m_times.hedge_age) return;
   auto best = BestStream();
-  bool settled = best != m_streams.end() &&
-                 now - best->second.opened > m_times.beat * kSettleBeats;
+  bool settled =
+      best != m_streams.end() &&
+      now - best->second.opened > m_times.heartbeat * kSettleHeartbeats;
   if (!settled) return;
   std::string kept = keep > 0 ? best->first : "";
   std::vector<std::pair<std::string, bool>> others;
--- a/core/change_follower.h
+++ b/core/change_follower.h
@@ -2,7 +2,7 @@
 //
 // In a large fleet one daemon of each data centre watches the platform. The
 // others subscribe to it: it sends them each change, and tells at least every
-// beat up to which time it knows all changes. That time is passed on from
+// heartbeat up to which time it knows all changes. That time is passed on from
 // daemon to daemon unchanged, so whoever knows nothing new can't seem current.
 //
 //   age, since the last time up to which all changes are known
@@ -36,9 +36,9 @@
 /// platform_age + spread + 2 * ask_interval < bound.
 struct FollowTimes {
   milliseconds platform_wait{0};  ///< A watch without changes is answered then.
-  milliseconds gather{0};   ///< Changes within this time are read together.
-  milliseconds beat{0};     ///< A source sends something this often.
-  milliseconds silence{0};  ///< A source that sent nothing so long is lost.
+  milliseconds gather{0};     ///< Changes within this time are read together.
+  milliseconds heartbeat{0};  ///< A source sends something this often.
+  milliseconds silence{0};    ///< A source that sent nothing so long is lost.
   milliseconds hedge_age{0};
   milliseconds platform_age{0};
   milliseconds spread{0};        ///< Daemons ask the platform this far apart.
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/server_patience.h"
+#include "core/server_backoff.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -445,7 +445,7 @@
   auto found = m_asked.find(event.host);
   if (found == m_asked.end()) return;
   found->second.busy_until =
-      m_now + std::min(event.wait, ServerPatience::kLongest);
+      m_now + std::min(event.wait, ServerBackoff::kLongest);
 }
 
 void FleetControl::PlanOrders() {
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -245,7 +245,7 @@
   } else if (result == OrderResult::kHolds) {
     // A server that doesn't count a repeated join can't be fenced any better.
     m_counts[host].fenced_at = now;
-    m_counts[host].loose_until = TimePoint();
+    m_counts[host].pending_join_until = TimePoint();
     m_sent.erase(found);
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
@@ -270,8 +270,8 @@
     if (now - sent.at <= timeout) return false;
     if (!sent.accepted && sent.order.kind == GroupOrder::Kind::kJoin) {
       Count& count = m_counts[entry.first];
-      count.loose_expects = sent.order.expected_orders.value_or(0);
-      count.loose_until = sent.at + kLateOrderShows;
+      count.pending_join_count = sent.order.expected_orders.value_or(0);
+      count.pending_join_until = sent.at + kLateOrderShows;
     }
     return true;
   });
@@ -423,8 +423,8 @@
 bool GroupPlanner::MayYetJoinAnother(const BackendServer& member,
                                      TimePoint now) const {
   const Count* count = CountOf(member);
-  return count != nullptr && now < count->loose_until &&
-         count->loose_expects == count->orders;
+  return count != nullptr && now < count->pending_join_until &&
+         count->pending_join_count == count->orders;
 }
 
 // A join that is still on its way, of this planner or an earlier one, could
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -140,8 +140,8 @@
     std::optional<TimePoint> fenced_at;
     /// The last join without an answer: the count that it expects, and until
     /// when it may still be carried out.
-    std::uint64_t loose_expects = 0;
-    TimePoint loose_until;
+    std::uint64_t pending_join_count = 0;
+    TimePoint pending_join_until;
     std::uint64_t evicted = 0;  ///< Epoch of the group that it was to evict.
     TimePoint reported;         ///< When its last report came.
     std::string last_model;     ///< Of its last group in this life.
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -59,8 +59,8 @@
   return nullptr;
 }
 
-void RequestPath::Impl::HeedPatience(const Active& active,
-                                     const AttemptEnded& event) {
+void RequestPath::Impl::HeedBackoff(const Active& active,
+                                    const AttemptEnded& event) {
   const std::string& host = active.group->view.leader_host;
   if (event.status == kUnavailable && event.retry_after > milliseconds(0)) {
     On(ServerBusy{host, event.retry_after});
@@ -78,9 +78,9 @@
 }
 
 milliseconds RequestPath::Impl::GroupWait(const Pool* pool) const {
-  if (pool == nullptr || !pool->patient_until) return kDefaultRetryAfter;
+  if (pool == nullptr || !pool->backoff_until) return kDefaultRetryAfter;
   return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(
-                                       *pool->patient_until - m_now));
+                                       *pool->backoff_until - m_now));
 }
 
 void RequestPath::Impl::DispatchNow(Active* active) {
@@ -292,7 +292,7 @@
   }
   bool alone = active->alone;
   active->failed_group = active->group->view.group;
-  HeedPatience(*active, event);
+  HeedBackoff(*active, event);
   FreeGroup(active);
   if (event.result != AttemptResult::kComplete) {
     OnFailure(active, event);
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -244,7 +244,7 @@
     m_ledger.SetWall(event.wall, m_now);
   }
   m_router.Refresh(m_now);
-  m_router.EndPatience(m_now);
+  m_router.EndBackoff(m_now);
   ExpireDetached();
   if (m_now - m_swept < kSweepInterval) {
     return;
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -127,7 +127,7 @@
   void ReleaseGroup(Active* active);
   void Measure(const Active& active, AttemptResult result);
   const GroupState* Failed(const Active& active) const;
-  void HeedPatience(const Active& active, const AttemptEnded& event);
+  void HeedBackoff(const Active& active, const AttemptEnded& event);
   /// Time after which a caller may find a group of a pool that has none now.
   milliseconds GroupWait(const Pool* pool) const;
 
--- a/core/router.cc
+++ b/core/router.cc
@@ -40,7 +40,7 @@
 }
 
 int Capacity(const GroupState& group) {
-  return group.cautious ? 1 : std::max(1, group.view.max_running);
+  return group.half_open ? 1 : std::max(1, group.view.max_running);
 }
 
 }  // namespace
@@ -66,7 +66,7 @@
       m_random(seed),
       m_policy(std::move(policy)),
       m_cache(kMaxCachedBlocks),
-      m_patience(seed + 1) {}
+      m_backoff(seed + 1) {}
 
 void Router::SetGroups(const std::vector<GroupView>& groups) {
   ClearPools();
@@ -88,7 +88,7 @@
     }
     Update(state.get(), view);
   }
-  m_patience.Keep([&](const std::string& host) {
+  m_backoff.Keep([&](const std::string& host) {
     return std::any_of(
         groups.begin(), groups.end(),
         [&](const GroupView& view) { return view.leader_host == host; });
@@ -111,8 +111,8 @@
 
 void Router::EnlistAll(GroupState* group) {
   const GroupView& view = group->view;
-  group->cautious = m_patience.Judge(view.leader_host) ==
-                    ServerPatience::Verdict::kOneAtATime;
+  group->half_open =
+      m_backoff.Judge(view.leader_host) == ServerBackoff::Verdict::kOneAtATime;
   // The pool is created for closed groups as well, so that a known model
   // without open groups differs from an unknown one.
   Enlist(group, PoolName(view.service, view.model, ""));
@@ -128,9 +128,9 @@
   if (!group->view.open || group->view.leaving || twice) {
     return;
   }
-  if (auto until = m_patience.Until(group->view.leader_host)) {
-    pool->patient_until =
-        std::min(pool->patient_until.value_or(*until), *until);
+  if (auto until = m_backoff.Until(group->view.leader_host)) {
+    pool->backoff_until =
+        std::min(pool->backoff_until.value_or(*until), *until);
     return;
   }
   (group->near ? pool->near : pool->far).push_back(group);
@@ -154,7 +154,7 @@
     pool->near_in_flight = 0;
     pool->far_in_flight = 0;
     pool->isolated = 0;
-    pool->patient_until.reset();
+    pool->backoff_until.reset();
   }
 }
 
@@ -168,16 +168,16 @@
 
 void Router::HoldBack(const std::string& host, milliseconds wait,
                       TimePoint now) {
-  m_patience.Asked(host, wait, now);
+  m_backoff.Asked(host, wait, now);
   EnlistAgain();
 }
 
 void Router::Took(const std::string& host) {
-  if (m_patience.Took(host)) EnlistAgain();
+  if (m_backoff.Took(host)) EnlistAgain();
 }
 
-void Router::EndPatience(TimePoint now) {
-  if (m_patience.Advance(now)) EnlistAgain();
+void Router::EndBackoff(TimePoint now) {
+  if (m_backoff.Advance(now)) EnlistAgain();
 }
 
 void Router::RemoveUnused() {
--- a/core/router.h
+++ b/core/router.h
@@ -12,7 +12,7 @@
 
 #include "core/core.h"
 #include "core/prefix_cache.h"
-#include "core/server_patience.h"
+#include "core/server_backoff.h"
 #include "core/straggler.h"
 
 namespace clementine {
@@ -22,12 +22,12 @@
 /// What this daemon knows about one group.
 struct GroupState {
   GroupView view;
-  bool listed = false;    ///< In the last list of groups.
-  bool isolated = false;  ///< Set apart for one suspect request.
-  bool near = false;      ///< In this daemon's data centre.
-  bool cautious = false;  ///< Takes one request until its server took one.
-  int in_flight = 0;      ///< Own attempts.
-  double others = 0.0;    ///< Other daemons' requests when last reported.
+  bool listed = false;     ///< In the last list of groups.
+  bool isolated = false;   ///< Set apart for one suspect request.
+  bool near = false;       ///< In this daemon's data centre.
+  bool half_open = false;  ///< Takes one request until its server took one.
+  int in_flight = 0;       ///< Own attempts.
+  double others = 0.0;     ///< Other daemons' requests when last reported.
   double kv_used = 0.0;
   TimePoint reported;
   Pace pace;
@@ -37,7 +37,7 @@
 
 /// Groups that can run the same requests: one model, model and adapter, or
 /// service. Invariant: `near` and `far` hold only open groups that aren't
-/// leaving and whose server hasn't asked for patience.
+/// leaving and whose server hasn't asked for a pause.
 struct Pool {
   std::string name;
   std::uint32_t id = 0;  ///< Never used twice.
@@ -50,9 +50,9 @@
   int reserved = 0;  ///< Admitted requests without an attempt.
   int isolated = 0;  ///< Groups set apart.
   int users = 0;     ///< Requests that refer to this pool.
-  /// When the first of the servers that asked for patience takes requests
+  /// When the first of the servers that asked for a pause takes requests
   /// again.
-  std::optional<TimePoint> patient_until;
+  std::optional<TimePoint> backoff_until;
 
   std::size_t size() const { return near.size() + far.size(); }
 };
@@ -103,14 +103,14 @@
   /// A server took a request.
   void Took(const std::string& host);
   /// Lets servers be asked again whose time is over.
-  void EndPatience(TimePoint now);
+  void EndBackoff(TimePoint now);
 
   void Started(GroupState* group) { Count(group, 1); }
   void Ended(GroupState* group);
 
  private:
   bool Eligible(const GroupState& group, const GroupState* avoid) const {
-    bool busy = group.cautious && group.in_flight > 0;
+    bool busy = group.half_open && group.in_flight > 0;
     return !group.isolated && &group != avoid && !busy;
   }
   double Load(const GroupState& group, TimePoint now) const;
@@ -141,7 +141,7 @@
   std::vector<GroupState*> m_slots;  ///< By slot; null when free.
   std::uint32_t m_last_pool = 0;
   PrefixCache m_cache;
-  ServerPatience m_patience;
+  ServerBackoff m_backoff;
   TimePoint m_refreshed;
 };
 
--- a/core/server_patience.cc
+++ b/core/server_backoff.cc
@@ -2,14 +2,14 @@
 // count began. The time at which a daemon asks again is drawn anew for each
 // refusal.
 
-#include "core/server_patience.h"
+#include "core/server_backoff.h"
 
 #include <algorithm>
 
 namespace clementine {
 
-void ServerPatience::Asked(const std::string& host, milliseconds wait,
-                           TimePoint now) {
+void ServerBackoff::Asked(const std::string& host, milliseconds wait,
+                          TimePoint now) {
   milliseconds time = std::clamp(wait, milliseconds(0), kLongest);
   TimePoint until = now + time + m_jitter.Between(milliseconds(0), kSpread);
   Server& server = m_servers[host];
@@ -17,7 +17,7 @@
   server.over = false;
 }
 
-bool ServerPatience::Took(const std::string& host) {
+bool ServerBackoff::Took(const std::string& host) {
   auto found = m_servers.find(host);
   // An answer to a request from before the refusal says nothing.
   if (found == m_servers.end() || !found->second.over) return false;
@@ -25,7 +25,7 @@
   return true;
 }
 
-bool ServerPatience::Advance(TimePoint now) {
+bool ServerBackoff::Advance(TimePoint now) {
   bool changed = false;
   for (auto& [host, server] : m_servers) {
     if (server.over || now < server.until) continue;
@@ -35,13 +35,13 @@
   return changed;
 }
 
-ServerPatience::Verdict ServerPatience::Judge(const std::string& host) const {
+ServerBackoff::Verdict ServerBackoff::Judge(const std::string& host) const {
   auto found = m_servers.find(host);
   if (found == m_servers.end()) return Verdict::kFree;
   return found->second.over ? Verdict::kOneAtATime : Verdict::kNone;
 }
 
-std::optional<TimePoint> ServerPatience::Until(const std::string& host) const {
+std::optional<TimePoint> ServerBackoff::Until(const std::string& host) const {
   auto found = m_servers.find(host);
   if (found == m_servers.end() || found->second.over) return std::nullopt;
   return found->second.until;
--- a/core/server_patience.h
+++ b/core/server_backoff.h
@@ -1,6 +1,6 @@
 // Keeps requests from backend servers that asked for none for a while.
-#ifndef CORE_SERVER_PATIENCE_H_
-#define CORE_SERVER_PATIENCE_H_
+#ifndef CORE_SERVER_BACKOFF_H_
+#define CORE_SERVER_BACKOFF_H_
 
 #include <map>
 #include <optional>
@@ -15,7 +15,7 @@
 /// one request at a time may find out whether it takes requests again.
 /// Invariant: between a refusal and the end of the time that it named, no
 /// request is allowed, unless the time is longer than kLongest.
-class ServerPatience {
+class ServerBackoff {
  public:
   /// A server that names a longer time is asked again after this one: no caller
   /// waits so long, and a wrong value mustn't take it away for good.
@@ -23,7 +23,7 @@
 
   enum class Verdict { kFree, kOneAtATime, kNone };
 
-  explicit ServerPatience(std::uint64_t seed) : m_jitter(seed) {}
+  explicit ServerBackoff(std::uint64_t seed) : m_jitter(seed) {}
 
   /// A server turned a request away and named a time.
   void Asked(const std::string& host, milliseconds wait, TimePoint now);
@@ -60,4 +60,4 @@
 
 }  // namespace clementine
 
-#endif  // CORE_SERVER_PATIENCE_H_
+#endif  // CORE_SERVER_BACKOFF_H_
--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -92,8 +92,8 @@
       // The source's time began after the own one, so nothing seems younger
       // than it is, however long a frame has been on its way.
       TimePoint told = stream->opened + frame->elapsed;
-      for (const ChangeNews& news : frame->news) {
-        m_hooks.heard(peer, news, told - news.age);
+      for (const ChangeUpdate& update : frame->updates) {
+        m_hooks.heard(peer, update, told - update.age);
         auto found = m_streams.find(peer);
         if (found == m_streams.end() || found->second.get() != stream) return;
       }
--- a/daemon/change_client.h
+++ b/daemon/change_client.h
@@ -20,7 +20,7 @@
   struct Hooks {
     std::function<TimePoint()> now;
     /// What a peer told, and up to when it knows all changes.
-    std::function<void(const std::string& peer, const ChangeNews& news,
+    std::function<void(const std::string& peer, const ChangeUpdate& update,
                        TimePoint as_of)>
         heard;
     /// The subscription has ended by itself.
--- a/daemon/change_message.cc
+++ b/daemon/change_message.cc
@@ -101,21 +101,21 @@
   throw std::runtime_error(fmt::format("unknown kind \"{}\"", name));
 }
 
-ChangeNews DecodeNews(const Json& json) {
-  ChangeNews news;
-  news.kind = KindOf(json.at("kind").get<std::string>());
-  news.age = milliseconds(json.at("age").get<std::uint32_t>());
-  news.delta.revision = json.at("at").get<std::uint64_t>();
-  news.delta.whole = json.at("whole").get<bool>();
+ChangeUpdate DecodeUpdate(const Json& json) {
+  ChangeUpdate update;
+  update.kind = KindOf(json.at("kind").get<std::string>());
+  update.age = milliseconds(json.at("age").get<std::uint32_t>());
+  update.delta.revision = json.at("at").get<std::uint64_t>();
+  update.delta.whole = json.at("whole").get<bool>();
   for (const Json& entry : json.at("objects")) {
     platform::StoredObject object;
     object.name = entry.at("name").get<std::string>();
     object.revision = entry.at("revision").get<std::uint64_t>();
     object.content = entry.at("content").get<std::string>();
     object.deleted = entry.at("deleted").get<bool>();
-    news.delta.objects.push_back(std::move(object));
+    update.delta.objects.push_back(std::move(object));
   }
-  return news;
+  return update;
 }
 
 }  // namespace
@@ -152,20 +152,20 @@
   return known;
 }
 
-std::string EncodeChangeBody(const std::vector<ChangeNews>& all) {
+std::string EncodeChangeBody(const std::vector<ChangeUpdate>& all) {
   Json kinds = Json::array();
-  for (const ChangeNews& news : all) {
+  for (const ChangeUpdate& update : all) {
     Json objects = Json::array();
-    for (const platform::StoredObject& object : news.delta.objects) {
+    for (const platform::StoredObject& object : update.delta.objects) {
       objects.push_back({{"name", object.name},
                          {"revision", object.revision},
                          {"content", object.content},
                          {"deleted", object.deleted}});
     }
-    kinds.push_back({{"kind", ChangeKindName(news.kind)},
-                     {"at", news.delta.revision},
-                     {"age", news.age.count()},
-                     {"whole", news.delta.whole},
+    kinds.push_back({{"kind", ChangeKindName(update.kind)},
+                     {"at", update.delta.revision},
+                     {"age", update.age.count()},
+                     {"whole", update.delta.whole},
                      {"objects", std::move(objects)}});
   }
   std::string plain = JsonText(kinds);
@@ -198,7 +198,7 @@
     Frame frame;
     frame.elapsed = head.elapsed;
     for (const Json& kind : ParseJson(body)) {
-      frame.news.push_back(DecodeNews(kind));
+      frame.updates.push_back(DecodeUpdate(kind));
     }
     return frame;
   } catch (const Json::exception& error) {
--- a/daemon/change_relay.cc
+++ b/daemon/change_relay.cc
@@ -23,15 +23,16 @@
                      [](const ChangeHistory& known) { return known.known(); });
 }
 
-ChangeNews ChangeRelay::News(ChangeKind kind, std::uint64_t revision) const {
+ChangeUpdate ChangeRelay::UpdateAfter(ChangeKind kind,
+                                      std::uint64_t revision) const {
   const ChangeHistory& history = History(kind);
-  ChangeNews news;
-  news.kind = kind;
-  news.delta = history.After(revision);
-  news.age =
+  ChangeUpdate update;
+  update.kind = kind;
+  update.delta = history.After(revision);
+  update.age =
       std::max(milliseconds(0),
                std::chrono::ceil<milliseconds>(m_now() - history.as_of()));
-  return news;
+  return update;
 }
 
 void ChangeRelay::Replaced(ChangeKind kind, const platform::ObjectBatch& all,
@@ -59,12 +60,13 @@
     return;
   }
   if (history.revision() == before && history.as_of() == as_of_before) return;
-  std::string shared = EncodeChangeBody({News(kind, before)});
+  std::string shared = EncodeChangeBody({UpdateAfter(kind, before)});
   for (Follower& follower : m_followers) {
     if (follower.behind) continue;
     std::uint64_t& known = follower.known[index];
-    Send(&follower,
-         known == before ? shared : EncodeChangeBody({News(kind, known)}));
+    Send(&follower, known == before
+                        ? shared
+                        : EncodeChangeBody({UpdateAfter(kind, known)}));
     known = std::max(known, history.revision());
   }
 }
@@ -80,14 +82,14 @@
 }
 
 void ChangeRelay::SendAll(Follower* follower) {
-  std::vector<ChangeNews> news;
+  std::vector<ChangeUpdate> updates;
   for (std::size_t index = 0; index < kChangeKinds; ++index) {
     auto kind = static_cast<ChangeKind>(index);
     std::uint64_t& known = follower->known[index];
-    news.push_back(News(kind, known));
+    updates.push_back(UpdateAfter(kind, known));
     known = std::max(known, History(kind).revision());
   }
-  Send(follower, EncodeChangeBody(news));
+  Send(follower, EncodeChangeBody(updates));
 }
 
 void ChangeRelay::Accept(const std::shared_ptr<HttpExchange>& exchange) {
@@ -125,7 +127,8 @@
   TimePoint now = m_now();
   if (!Known()) return;
   for (Follower& follower : m_followers) {
-    if (!follower.behind && now - follower.sent >= m_beat) SendAll(&follower);
+    if (!follower.behind && now - follower.sent >= m_heartbeat)
+      SendAll(&follower);
   }
 }
 
--- a/daemon/change_relay.h
+++ b/daemon/change_relay.h
@@ -2,8 +2,8 @@
 //
 // GET /changes?servers=REVISION&configuration=REVISION answers with a stream of
 // frames that doesn't end by itself: first what changed after those revisions,
-// then each change, and at least every beat a frame without changes. A frame is
-// a line of three numbers and a body:
+// then each change, and at least every heartbeat a frame without changes. A
+// frame is a line of three numbers and a body:
 //
 //   ELAPSED SIZE PLAIN\n     milliseconds since the stream began; bytes of the
 //                            body; bytes that it inflates to, or 0 if it's
@@ -43,14 +43,14 @@
 std::optional<ChangeRevisions> DecodeChangeQuery(const std::string& query);
 
 /// What a frame tells of a kind.
-struct ChangeNews {
+struct ChangeUpdate {
   ChangeKind kind = ChangeKind::kServers;
   ChangeDelta delta;
   milliseconds age{0};
 };
 
 /// Size and body of a frame; the same for all followers that lack the same.
-std::string EncodeChangeBody(const std::vector<ChangeNews>& news);
+std::string EncodeChangeBody(const std::vector<ChangeUpdate>& updates);
 /// A whole frame.
 std::string EncodeChangeFrame(milliseconds elapsed, const std::string& body);
 
@@ -59,7 +59,7 @@
  public:
   struct Frame {
     milliseconds elapsed{0};
-    std::vector<ChangeNews> news;
+    std::vector<ChangeUpdate> updates;
   };
 
   void Append(std::string_view bytes) { m_bytes.append(bytes); }
@@ -75,9 +75,9 @@
 /// on as well, with the age that it was told.
 class ChangeRelay {
  public:
-  /// @param beat Longest pause between two frames.
-  ChangeRelay(std::function<TimePoint()> now, milliseconds beat)
-      : m_now(std::move(now)), m_beat(beat) {}
+  /// @param heartbeat Longest pause between two frames.
+  ChangeRelay(std::function<TimePoint()> now, milliseconds heartbeat)
+      : m_now(std::move(now)), m_heartbeat(heartbeat) {}
 
   /// All objects there are, or what changed, as in ChangeHistory.
   void Replaced(ChangeKind kind, const platform::ObjectBatch& all,
@@ -86,7 +86,7 @@
                TimePoint as_of);
 
   void Accept(const std::shared_ptr<HttpExchange>& exchange);
-  /// Sends the beats that are due.
+  /// Sends the heartbeats that are due.
   void Tick();
 
   std::size_t followers() const { return m_followers.size(); }
@@ -106,14 +106,14 @@
     return m_histories[static_cast<std::size_t>(kind)];
   }
   bool Known() const;
-  ChangeNews News(ChangeKind kind, std::uint64_t revision) const;
+  ChangeUpdate UpdateAfter(ChangeKind kind, std::uint64_t revision) const;
   void Update(ChangeKind kind,
               const std::function<void(ChangeHistory*)>& change);
   void Send(Follower* follower, const std::string& body);
   void SendAll(Follower* follower);
 
   std::function<TimePoint()> m_now;
-  milliseconds m_beat;
+  milliseconds m_heartbeat;
   std::array<ChangeHistory, kChangeKinds> m_histories;
   std::list<Follower> m_followers;
   std::uint64_t m_last_follower = 0;
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -53,7 +53,8 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
-      m_relay(SuspendAwareNow, DeriveFollowTimes(ChangeBound(m_settings)).beat),
+      m_relay(SuspendAwareNow,
+              DeriveFollowTimes(ChangeBound(m_settings)).heartbeat),
       m_tick(*io),
       m_queue(&m_metrics, [this](const AnyEvent& event) { HandleOne(event); }) {
   m_store = std::make_unique<platform::ObjectStore>(io, m_settings.platform,
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -34,8 +34,8 @@
       m_follower(bound, seed),
       m_peers(io, m_follower.times().silence,
               {m_hooks.now,
-               [this](const std::string& peer, const ChangeNews& news,
-                      TimePoint as_of) { OnPeer(peer, news, as_of); },
+               [this](const std::string& peer, const ChangeUpdate& update,
+                      TimePoint as_of) { OnPeer(peer, update, as_of); },
                [this](const std::string& peer, const std::string& detail) {
                  OnPeerLost(peer, detail);
                }}),
@@ -245,16 +245,16 @@
 // ---------------------------------------------------------------------------
 // Other daemons.
 
-void FleetFeed::OnPeer(const std::string& peer, const ChangeNews& news,
+void FleetFeed::OnPeer(const std::string& peer, const ChangeUpdate& update,
                        TimePoint as_of) {
-  Loop* loop = &LoopOf(news.kind);
-  m_follower.PeerHeard(peer, news.kind, as_of, m_hooks.now());
+  Loop* loop = &LoopOf(update.kind);
+  m_follower.PeerHeard(peer, update.kind, as_of, m_hooks.now());
   if (!loop->listed) return;
   platform::ObjectBatch batch;
   batch.status = platform::ObjectBatch::Status::kOk;
-  batch.revision = news.delta.revision;
-  batch.objects = news.delta.objects;
-  Learn(loop, news.delta.whole, batch, as_of, peer);
+  batch.revision = update.delta.revision;
+  batch.objects = update.delta.objects;
+  Learn(loop, update.delta.whole, batch, as_of, peer);
 }
 
 void FleetFeed::OnPeerLost(const std::string& peer, const std::string& detail) {
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -90,7 +90,8 @@
             const platform::ObjectBatch& batch);
   void Next(Loop* loop);
   void Ask(Loop* loop);
-  void OnPeer(const std::string& peer, const ChangeNews& news, TimePoint as_of);
+  void OnPeer(const std::string& peer, const ChangeUpdate& update,
+              TimePoint as_of);
   void OnPeerLost(const std::string& peer, const std::string& detail);
   void Learn(Loop* loop, bool whole, const platform::ObjectBatch& batch,
              TimePoint as_of, const std::string& source);
--- a/testing/change_follower_test.cc
+++ b/testing/change_follower_test.cc
@@ -149,7 +149,7 @@
   std::optional<milliseconds> asked;
   for (milliseconds passed{50}; passed < kBound; passed += milliseconds(50)) {
     TimePoint now = kStart + passed;
-    // It beats and knows nothing new.
+    // It heartbeats and knows nothing new.
     ConfirmBoth(&follower, "a", kStart, now);
     auto actions = follower.Advance(now);
     for (const auto& open : Only<ChangeFollower::Subscribe>(actions)) {
--- a/testing/change_relay_test.cc
+++ b/testing/change_relay_test.cc
@@ -17,7 +17,7 @@
 using platform::ObjectBatch;
 
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
-constexpr milliseconds kBeat{50};
+constexpr milliseconds kHeartbeat{50};
 constexpr milliseconds kSilence{200};
 
 ObjectBatch Change(std::uint64_t revision, const std::string& name,
@@ -55,16 +55,16 @@
 /// A daemon that passes changes on, and one that follows it.
 struct RelayPair {
   RelayPair()
-      : relay(Now, kBeat),
+      : relay(Now, kHeartbeat),
         server(&io, "127.0.0.1:0", HttpLimits{},
                [this](const std::shared_ptr<HttpExchange>& exchange) {
                  relay.Accept(exchange);
                }),
         client(&io, kSilence,
                {Now,
-                [this](const std::string& /*peer*/, const ChangeNews& told,
+                [this](const std::string& /*peer*/, const ChangeUpdate& told,
                        TimePoint as_of) {
-                  news.push_back(told);
+                  updates.push_back(told);
                   last_as_of = as_of;
                 },
                 [this](const std::string& /*peer*/, const std::string& why) {
@@ -90,7 +90,7 @@
   /// Names of objects that the follower was told of, in their order.
   std::string Told() const {
     std::string names;
-    for (const ChangeNews& told : news) {
+    for (const ChangeUpdate& told : updates) {
       for (const auto& object : told.delta.objects) names += object.name;
     }
     return names;
@@ -99,7 +99,7 @@
   boost::asio::io_context io;
   ChangeRelay relay;
   HttpServer server;
-  std::vector<ChangeNews> news;
+  std::vector<ChangeUpdate> updates;
   TimePoint last_as_of;
   std::optional<std::string> lost;
   ChangeClient client;
@@ -190,10 +190,10 @@
   std::mt19937_64 random(3);
   for (int size = 512; size < 20'000; size += 1 + size / 150) {
     CAPTURE(size);
-    ChangeNews news;
-    news.kind = ChangeKind::kConfiguration;
-    news.age = milliseconds(size);
-    news.delta.revision = 7;
+    ChangeUpdate update;
+    update.kind = ChangeKind::kConfiguration;
+    update.age = milliseconds(size);
+    update.delta.revision = 7;
     std::string text;
     while (text.size() < static_cast<std::size_t>(size)) {
       if (random() % 3 > 0) {
@@ -204,9 +204,9 @@
         }
       }
     }
-    news.delta.objects.push_back({"main", 7, text, false});
+    update.delta.objects.push_back({"main", 7, text, false});
     std::string frame =
-        EncodeChangeFrame(milliseconds(5), EncodeChangeBody({news}));
+        EncodeChangeFrame(milliseconds(5), EncodeChangeBody({update}));
     ChangeFrameReader reader;
     std::size_t half = random() % frame.size();
     reader.Append(frame.substr(0, half));
@@ -215,10 +215,10 @@
     auto read = reader.Next();
     REQUIRE(read);
     CHECK(read->elapsed == milliseconds(5));
-    REQUIRE(read->news.size() == 1);
-    CHECK(read->news[0].age == news.age);
-    REQUIRE(read->news[0].delta.objects.size() == 1);
-    CHECK(read->news[0].delta.objects[0].content == text);
+    REQUIRE(read->updates.size() == 1);
+    CHECK(read->updates[0].age == update.age);
+    REQUIRE(read->updates[0].delta.objects.size() == 1);
+    CHECK(read->updates[0].delta.objects[0].content == text);
     CHECK_FALSE(reader.Next());
   }
 }
@@ -234,25 +234,26 @@
   TimePoint changed = Now();
   pair.relay.Changed(ChangeKind::kConfiguration, Change(13, "b"), Now());
   REQUIRE(RunUntil(&pair.io, [&] { return pair.Told() == "ab"; }));
-  CHECK(Now() - changed < kBeat);
-  pair.Run(4 * kBeat);
+  CHECK(Now() - changed < kHeartbeat);
+  pair.Run(4 * kHeartbeat);
   CHECK(pair.Told() == "ab");
   CHECK_FALSE(pair.lost);
 }
 
 // Guards against followers that take what a daemon cut off from the platform
-// knew before as current: its beats go on, but the time they tell stands still.
-TEST_CASE("beats tell up to when all changes are known") {
+// knew before as current: its heartbeats go on, but the time they tell stands
+// still.
+TEST_CASE("heartbeats tell up to when all changes are known") {
   RelayPair pair;
   pair.Know(10);
   TimePoint known = Now();
   pair.Subscribe(10);
-  pair.Run(6 * kBeat);
-  CHECK(pair.news.size() >= 8);
+  pair.Run(6 * kHeartbeat);
+  CHECK(pair.updates.size() >= 8);
   CHECK(pair.last_as_of <= known + milliseconds(20));
   pair.relay.Changed(ChangeKind::kServers, Empty(11), Now());
-  pair.Run(kBeat);
-  CHECK(pair.news.back().delta.revision >= 10);
+  pair.Run(kHeartbeat);
+  CHECK(pair.updates.back().delta.revision >= 10);
   CHECK_FALSE(pair.lost);
 }
 
@@ -262,13 +263,13 @@
   RelayPair pair;
   pair.Know(10);
   pair.Subscribe(10);
-  pair.Run(3 * kBeat);
+  pair.Run(3 * kHeartbeat);
   // The source goes on while the follower stands still.
   TimePoint last = Now();
   pair.relay.Changed(ChangeKind::kServers, Empty(11), Now());
   std::this_thread::sleep_for(milliseconds(150));
-  pair.news.clear();
-  RunUntil(&pair.io, [&] { return !pair.news.empty(); });
+  pair.updates.clear();
+  RunUntil(&pair.io, [&] { return !pair.updates.empty(); });
   CHECK(pair.last_as_of <= last + milliseconds(30));
 }
 
@@ -326,8 +327,8 @@
     ChangeFrameReader reader;
     reader.Append(Dechunk(raw->received.substr(body + 4)));
     while (auto frame = reader.Next()) {
-      for (const ChangeNews& news : frame->news) {
-        if (news.kind == ChangeKind::kServers) told = news.delta.revision;
+      for (const ChangeUpdate& update : frame->updates) {
+        if (update.kind == ChangeKind::kServers) told = update.delta.revision;
       }
     }
     return told;
--- a/testing/change_world.cc
+++ b/testing/change_world.cc
@@ -109,7 +109,7 @@
     }
   }
   for (Subscriber& to : daemon->subscribers) {
-    if (m_now - to.sent < daemon->follower->times().beat) continue;
+    if (m_now - to.sent < daemon->follower->times().heartbeat) continue;
     for (std::size_t kind = 0; kind < kChangeKinds; ++kind) {
       Send(daemon, &to, kind);
     }
--- a/testing/server_patience_test.cc
+++ b/testing/server_backoff_test.cc
@@ -1,4 +1,4 @@
-#include "core/server_patience.h"
+#include "core/server_backoff.h"
 
 #include <doctest/doctest.h>
 
@@ -13,7 +13,7 @@
 
 using testing::FindAction;
 
-using Verdict = ServerPatience::Verdict;
+using Verdict = ServerBackoff::Verdict;
 
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
 
@@ -79,33 +79,32 @@
 
 // Guards against requests to a server that named a time in which it wants none,
 // and against a server that is asked by all waiting requests at its end.
-TEST_CASE("a server that asked for patience is left alone, then asked once") {
-  ServerPatience patience(1);
-  CHECK(patience.Judge("a") == Verdict::kFree);
-  patience.Asked("a", milliseconds(2'000), kStart);
-  CHECK(patience.Judge("a") == Verdict::kNone);
-  CHECK_FALSE(patience.Took("a"));
-  CHECK_FALSE(patience.Advance(At(1'999)));
-  CHECK(patience.Judge("a") == Verdict::kNone);
-  CHECK(patience.Advance(At(2'500)));
-  CHECK(patience.Judge("a") == Verdict::kOneAtATime);
-  CHECK(patience.Took("a"));
-  CHECK(patience.Judge("a") == Verdict::kFree);
+TEST_CASE("a server that named a time is left alone, then asked once") {
+  ServerBackoff backoff(1);
+  CHECK(backoff.Judge("a") == Verdict::kFree);
+  backoff.Asked("a", milliseconds(2'000), kStart);
+  CHECK(backoff.Judge("a") == Verdict::kNone);
+  CHECK_FALSE(backoff.Took("a"));
+  CHECK_FALSE(backoff.Advance(At(1'999)));
+  CHECK(backoff.Judge("a") == Verdict::kNone);
+  CHECK(backoff.Advance(At(2'500)));
+  CHECK(backoff.Judge("a") == Verdict::kOneAtATime);
+  CHECK(backoff.Took("a"));
+  CHECK(backoff.Judge("a") == Verdict::kFree);
   // Another refusal of the cautious request.
-  patience.Asked("a", milliseconds(1'000), At(3'000));
-  CHECK(patience.Judge("a") == Verdict::kNone);
+  backoff.Asked("a", milliseconds(1'000), At(3'000));
+  CHECK(backoff.Judge("a") == Verdict::kNone);
   // A shorter time doesn't end a longer one.
-  patience.Asked("a", milliseconds(10), At(3'100));
-  CHECK_FALSE(patience.Advance(At(3'900)));
+  backoff.Asked("a", milliseconds(10), At(3'100));
+  CHECK_FALSE(backoff.Advance(At(3'900)));
 }
 
 // Guards against a hostile or wrong value that takes a server away for good.
 TEST_CASE("a server isn't left alone for longer than a bound") {
-  ServerPatience patience(1);
-  patience.Asked("a", std::chrono::hours(1'000), kStart);
-  CHECK(
-      patience.Advance(kStart + ServerPatience::kLongest + milliseconds(500)));
-  CHECK(patience.Judge("a") == Verdict::kOneAtATime);
+  ServerBackoff backoff(1);
+  backoff.Asked("a", std::chrono::hours(1'000), kStart);
+  CHECK(backoff.Advance(kStart + ServerBackoff::kLongest + milliseconds(500)));
+  CHECK(backoff.Judge("a") == Verdict::kOneAtATime);
 }
 
 // The rule against histories at random, checked by what was sent alone: from
