Put two statements inside braces

Cause: the formatter broke two lines after names had grown, and the linter wants braces then. Change: braces. Test: linter on both files. Measured: nothing. Conclusion: style only.

--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -331,8 +331,9 @@
   join.group = group.first;
   join.epoch = group.second;
   join.model = model;
-  for (const BackendServer* member : members)
+  for (const BackendServer* member : members) {
     join.members.push_back(member->id);
+  }
   return join;
 }
 
--- a/daemon/change_relay.cc
+++ b/daemon/change_relay.cc
@@ -127,8 +127,9 @@
   TimePoint now = m_now();
   if (!Known()) return;
   for (Follower& follower : m_followers) {
-    if (!follower.behind && now - follower.sent >= m_heartbeat)
+    if (!follower.behind && now - follower.sent >= m_heartbeat) {
       SendAll(&follower);
+    }
   }
 }
 
