Let go of a subscription whose call never ends

Cause: a subscription held its call, whose handlers held the subscription; with the loop gone before the call ends, nothing freed them. Change: the handlers refer to the subscription weakly; only the client owns it. Test: the cases of testing/change_relay_test.cc under sanitizers: leak reported before, none after (10 of 10 pass in both). Measured: the leak check above, run here before and after.

--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -21,6 +21,8 @@
 
 }  // namespace
 
+// Only m_streams owns a subscription: its call refers to it weakly, as a call
+// that never ends would otherwise keep itself alive.
 struct ChangeClient::Stream {
   std::string peer;
   std::shared_ptr<BackendAttempt> call;
@@ -55,17 +57,20 @@
   call.first_byte_timeout = m_silence;
   call.gap_timeout = m_silence;
   BackendHandlers handlers;
-  handlers.head = [stream](int status, const HttpHeaders& /*headers*/) {
-    stream->accepted = status == http_status::kOk;
-    return stream->accepted ? AnswerHead::kAnswer : AnswerHead::kForeign;
+  std::weak_ptr<Stream> weak = stream;
+  handlers.head = [weak](int status, const HttpHeaders& /*headers*/) {
+    auto held = weak.lock();
+    if (held == nullptr) return AnswerHead::kForeign;
+    held->accepted = status == http_status::kOk;
+    return held->accepted ? AnswerHead::kAnswer : AnswerHead::kForeign;
   };
-  handlers.bytes = [this, stream](std::string_view bytes) {
-    Take(stream.get(), bytes);
+  handlers.bytes = [this, weak](std::string_view bytes) {
+    if (auto held = weak.lock()) Take(held.get(), bytes);
   };
-  handlers.end = [this, peer, stream](const BackendEnd& end) {
-    auto found = m_streams.find(peer);
-    if (found == m_streams.end() || found->second != stream) return;
-    End(peer, stream->accepted ? end.detail : "refused or unreachable");
+  handlers.end = [this, weak](const BackendEnd& end) {
+    auto held = weak.lock();
+    if (held == nullptr) return;
+    End(held->peer, held->accepted ? end.detail : "refused or unreachable");
   };
   m_streams[peer] = stream;
   stream->call = m_client.Start(std::move(call), std::move(handlers));
