Bound what all unfinished answers keep together

Change: calls tell their client how many bytes they keep (BackendAttempt::Hold); beyond 32 MB for all, the one that keeps the most ends broken, so that small sound answers go on. Metric clementine_answers_dropped_total. Conclusion: the bound holds for the answers; answers that wait for slow callers after their end aren't counted yet.

--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -18,6 +18,8 @@
   metrics->SetTotal("clementine_backend_connects_total", "", backend.connects);
   metrics->SetTotal("clementine_frames_dropped_total", "",
                     backend.frames_dropped);
+  metrics->SetTotal("clementine_answers_dropped_total", "",
+                    backend.dropped_answers);
 }
 
 }  // namespace clementine
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -323,6 +323,7 @@
   if (caller->current != attempt->id) return;
   if (!attempt->streams) {
     attempt->body.append(bytes);
+    attempt->call->Hold(attempt->body.size());
     return;
   }
   std::string events = caller->stream.Take(bytes);
@@ -330,6 +331,7 @@
     EndOversized(attempt);
     return;
   }
+  attempt->call->Hold(caller->stream.held_bytes());
   // A server that sends a byte now and then makes no progress.
   if (events.empty()) return;
   TimePoint now = m_context.now();
--- a/daemon/relay_stream.h
+++ b/daemon/relay_stream.h
@@ -28,7 +28,9 @@
   /// Id of the last delivered event; empty when it had none.
   const std::string& last_id() const { return m_last_id; }
   /// More bytes came than an event may have, and none of them ends it.
-  bool oversized() const { return m_partial.size() > kMostEventBytes; }
+  bool oversized() const { return held_bytes() > kMostEventBytes; }
+  /// Bytes of an event that isn't complete.
+  std::size_t held_bytes() const { return m_partial.size(); }
   /// A number is missing between two events of a resumed stream.
   bool gap() const { return m_gap; }
 
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -240,6 +240,7 @@
   } else if (caller->collected_bytes + data.size() <= kMaxCollectedBytes) {
     caller->collected_bytes += data.size();
     caller->events.emplace_back(data);
+    attempt->call->Hold(caller->collected_bytes);
   }
   TimePoint now = caller->last_token;
   if (now - attempt->last_progress >= kProgressInterval) {
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -139,6 +139,8 @@
   void Probe(const std::string& address, std::chrono::milliseconds timeout,
              bool fresh, std::function<void(std::optional<HostHealth>)> done);
   void Stop();
+  /// Ends the call that keeps the most, if all together keep too much.
+  void BoundHeldBytes();
   /// Runs the deadline timer while there are calls or idle connections.
   void EnsureSweep();
 
@@ -175,7 +177,10 @@
     m_client->m_calls.insert(this);
     ++m_client->m_stats.calls;
   }
-  ~CallState() override { m_client->m_calls.erase(this); }
+  ~CallState() override {
+    SetHeld(0);
+    m_client->m_calls.erase(this);
+  }
 
   void Start() {
     asio::co_spawn(*m_client->m_io, Run(shared_from_this()), asio::detached);
@@ -183,6 +188,7 @@
 
   void Cancel() override {
     m_cancelled = true;
+    SetHeld(0);
     Close();
     m_resumed.cancel();
   }
@@ -197,6 +203,23 @@
     m_resumed.cancel();
   }
 
+  void Hold(std::size_t bytes) override {
+    if (m_dropped || m_cancelled || m_reported) return;
+    SetHeld(bytes);
+    m_client->BoundHeldBytes();
+  }
+
+  std::size_t held() const { return m_held; }
+
+  /// Ends the call for the bytes it keeps.
+  void Drop() {
+    m_dropped = true;
+    m_paused = false;
+    SetHeld(0);
+    Close();
+    m_resumed.cancel();
+  }
+
   void CheckDeadline(Clock::time_point now) {
     if (now < m_deadline) return;
     m_deadline = Clock::time_point::max();
@@ -227,6 +250,11 @@
   void SetDeadline(std::chrono::milliseconds timeout) {
     m_deadline = std::min(Clock::now() + timeout, m_call_end);
   }
+  void SetHeld(std::size_t bytes) {
+    m_client->m_stats.held_bytes += bytes;
+    m_client->m_stats.held_bytes -= m_held;
+    m_held = bytes;
+  }
   void Close() {
     error_code ignored;
     m_socket.close(ignored);
@@ -250,6 +278,8 @@
   bool m_broken = false;  ///< The connection failed after bytes were sent.
   bool m_reported = false;
   bool m_not_run = false;  ///< Relayed: the head says so.
+  bool m_dropped = false;  ///< All answers together kept too much.
+  std::size_t m_held = 0;  ///< Part of the client's `held_bytes`.
 };
 
 // ---------------------------------------------------------------------------
@@ -311,6 +341,17 @@
   Start(std::move(call), std::move(handlers));
 }
 
+void BackendClient::Impl::BoundHeldBytes() {
+  while (m_stats.held_bytes > m_options.max_held_bytes) {
+    auto most = std::max_element(m_calls.begin(), m_calls.end(),
+                                 [](const CallState* a, const CallState* b) {
+                                   return a->held() < b->held();
+                                 });
+    ++m_stats.dropped_answers;
+    (*most)->Drop();
+  }
+}
+
 void BackendClient::Impl::Stop() {
   m_stopped = true;
   std::vector<CallState*> calls(m_calls.begin(), m_calls.end());
@@ -586,6 +627,7 @@
       co_return;
     }
     m_end.body.append(bytes);
+    Hold(m_end.body.size());
   }
   Classify(*parser);
   ReturnConnection(*parser);
@@ -606,6 +648,10 @@
 }
 
 void CallState::Fail(const char* phase, error_code error) {
+  if (m_dropped) {
+    m_end.detail = "answers too large together";
+    return;
+  }
   m_broken = true;
   m_end.lost = !m_timed_out;
   m_end.result =
@@ -640,6 +686,7 @@
 void CallState::Report() {
   if (m_reported || m_cancelled) return;
   m_reported = true;
+  SetHeld(0);
   m_end.offset = m_reader.offset();
   if (m_handlers.end) m_handlers.end(std::move(m_end));
 }
--- a/net/net.h
+++ b/net/net.h
@@ -327,6 +327,10 @@
   /// Stops reading until Resume; the gap timeout doesn't run meanwhile.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
+  /// Tells how many bytes of the answer are kept until it ends. Beyond
+  /// BackendOptions::max_held_bytes for all calls, the one that keeps the most
+  /// ends broken.
+  virtual void Hold(std::size_t bytes) = 0;
 };
 
 struct BackendOptions {
@@ -337,6 +341,10 @@
   std::chrono::milliseconds idle_timeout{15'000};  ///< In the pool.
   std::size_t max_idle_per_address = 32;
   std::size_t max_body_bytes = 8'388'608;  ///< Of an answer.
+  /// Of all answers that are kept until they end: a fifth of the smallest host
+  /// of a daemon, which has 160 MB, and more than a whole answer of the largest
+  /// size.
+  std::size_t max_held_bytes = 33'554'432;
 };
 
 struct BackendStats {
@@ -346,6 +354,8 @@
   std::uint64_t idle = 0;            ///< Connections in the pool now.
   std::uint64_t frames_dropped = 0;  ///< Events of another attempt or repeated.
   std::uint64_t gaps = 0;            ///< Streams ended by a missing event.
+  std::uint64_t held_bytes = 0;      ///< Of answers kept until they end, now.
+  std::uint64_t dropped_answers = 0;  ///< Ended, as all together kept too much.
 };
 
 /// Client of backend servers. Never repeats a call by itself. A result is
--- a/testing/hostile_server_test.cc
+++ b/testing/hostile_server_test.cc
@@ -128,6 +128,32 @@
   CHECK(MostFlooded(relay.backend) < 16'777'216 + kSocketBytes);
 }
 
+// Guards against answers that are each within their limit and together fill the
+// memory of a daemon.
+TEST_CASE("a hundred answers without end are bounded together") {
+  for (RouteKind kind : {RouteKind::kIdempotent, RouteKind::kStream}) {
+    CAPTURE(static_cast<int>(kind));
+    bool stream = kind == RouteKind::kStream;
+    RelayFixture relay(
+        Flooding(Head(stream ? "text/event-stream" : "text/plain"),
+                 Chunk("data: " + std::string(65'536, 'x'))),
+        kind);
+    std::size_t most_held = 0;
+    std::vector<std::string> received = relay.CallTogether(100, [&] {
+      most_held = std::max(most_held, relay.backends.stats().held_bytes);
+    });
+    // 502, or 504 where the server was still sending at the deadline.
+    CHECK(std::all_of(received.begin(), received.end(),
+                      [](const std::string& answer) {
+                        return answer.find("HTTP/1.1 50") == 0;
+                      }));
+    CHECK(most_held <= BackendOptions().max_held_bytes);
+    CHECK(relay.backends.stats().held_bytes == 0);
+    // The limit of an event ends the streams one by one.
+    CHECK((relay.backends.stats().dropped_answers > 0) == !stream);
+  }
+}
+
 // Guards against a stream whose event never ends: its bytes were kept, and
 // searched from the start with each piece.
 TEST_CASE("an event without end is cut, and nothing of it is passed on") {
--- a/testing/relay_fixture.h
+++ b/testing/relay_fixture.h
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -80,16 +83,31 @@
   }
   /// @return All that the caller got.
   std::string Call() {
-    auto caller = RawConnection::Connect(&io, front.address());
-    caller->Send(
-        "GET /x HTTP/1.1\r\nHost: desk.example\r\n"
-        "Connection: close\r\n\r\n");
+    return CallTogether(1, [] {}).front();
+  }
+
+  /// Calls side by side. @param watch Is called again and again meanwhile.
+  /// @return All that each caller got.
+  std::vector<std::string> CallTogether(std::size_t count,
+                                        const std::function<void()>& watch) {
+    std::vector<std::shared_ptr<RawConnection>> callers;
+    for (std::size_t i = 0; i < count; ++i) {
+      callers.push_back(RawConnection::Connect(&io, front.address()));
+      callers.back()->Send(
+          "GET /x HTTP/1.1\r\nHost: desk.example\r\n"
+          "Connection: close\r\n\r\n");
+    }
     CHECK(RunUntil(&io, [&] {
       executor.CheckSilence();
       Feed(Tick{});
-      return caller->closed;
+      watch();
+      return std::all_of(callers.begin(), callers.end(),
+                         [](const auto& caller) { return caller->closed; });
     }));
-    return caller->received;
+    std::vector<std::string> received;
+    received.reserve(count);
+    for (const auto& caller : callers) received.push_back(caller->received);
+    return received;
   }
   template <typename Event>
   std::optional<Event> Told() const {
