Free a call's handlers when the loop ends before the call

Cause: a call's handlers may own what owns the call (an attempt of a relay); they were freed only when its coroutine ran to its end, so a loop destroyed before left both. Change: the handlers are freed with the coroutine, however it ends.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -230,6 +230,12 @@
  private:
   using Parser = http::response_parser<http::buffer_body>;
 
+  /// Frees the handlers when the call's coroutine ends or is destroyed.
+  struct ReleaseHandlers {
+    CallState* call;
+    ~ReleaseHandlers() { call->m_handlers = {}; }
+  };
+
   static asio::awaitable<void> Run(std::shared_ptr<CallState> self);
   asio::awaitable<void> Perform();
   asio::awaitable<bool> Connect();
@@ -363,6 +369,8 @@
 // Call.
 
 asio::awaitable<void> CallState::Run(std::shared_ptr<CallState> self) {
+  // Handlers may own what owns the call, also when the loop ends before it.
+  ReleaseHandlers release{self.get()};
   co_await self->Perform();
   self->m_deadline = Clock::time_point::max();
   if (!self->m_reported && !self->m_cancelled) {
@@ -374,7 +382,6 @@
     }
   }
   self->Report();
-  self->m_handlers = {};
 }
 
 asio::awaitable<void> CallState::Perform() {
