Double pauses between tries in one place

Change: DoubledPause (core/doubled_pause.h) serves all six. Measured: nothing; each former limit of the shift was reached after the longest pause. Only the follower's wasn't for a bound below a quarter of a second. Conclusion: no behaviour is meant to change.

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include "core/doubled_pause.h"
+
 namespace clementine {
 namespace {
 
@@ -26,7 +28,6 @@
 constexpr milliseconds kAvoidTime{5'000};
 /// Longest pause between questions while the platform doesn't answer any.
 constexpr milliseconds kLongestAskPause{2'000};
-constexpr int kLargestShift = 6;
 /// A second source is kept for some heartbeats after it was needed.
 constexpr int kSettleHeartbeats = 4;
 
@@ -251,9 +252,8 @@
     if (!old || held_back || now < m_next_ask[kind]) continue;
     // The first questions are prompt, since only one of many connections may
     // be at fault. After that it's the platform that is away.
-    int late = std::clamp(unanswered - 1, 0, kLargestShift);
-    m_next_ask[kind] =
-        now + std::min(kLongestAskPause, m_times.ask_interval * (1 << late));
+    m_next_ask[kind] = now + DoubledPause(m_times.ask_interval,
+                                          kLongestAskPause, unanswered - 1);
     out->push_back(AskPlatform{static_cast<ChangeKind>(kind), unanswered > 0});
     ++unanswered;
   }
--- a/core/claim_ledger.cc
+++ b/core/claim_ledger.cc
@@ -19,6 +19,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/config.h"
+#include "core/doubled_pause.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -525,8 +526,7 @@
 }
 
 void ClaimLedger::Later(Entry* entry, Call call, TimePoint now) {
-  int doublings = std::min(entry->tries, 8);
-  milliseconds pause = std::min(kLongestPause, kFirstPause * (1 << doublings));
+  milliseconds pause = DoubledPause(kFirstPause, kLongestPause, entry->tries);
   // Between half and all of the pause, so that daemons don't return together.
   pause -= milliseconds(static_cast<std::int64_t>(m_random() % 1000) *
                         pause.count() / 2000);
--- a/core/host_history.cc
+++ b/core/host_history.cc
@@ -5,14 +5,13 @@
 
 #include "core/host_history.h"
 
-#include <algorithm>
+#include "core/doubled_pause.h"
 
 namespace clementine {
 namespace {
 
 constexpr milliseconds kFirstHold{15'000};
 constexpr milliseconds kLongestHold{1'800'000};
-constexpr int kLargestShift = 7;
 /// A host that stayed up this long starts again without strikes.
 constexpr milliseconds kForget{3'600'000};
 constexpr milliseconds kDarkHold{15'000};
@@ -70,9 +69,7 @@
     history.up_since = now;
     // The hold-down starts with the return: the host must prove stable.
     history.held_until =
-        now + std::min(kLongestHold,
-                       kFirstHold *
-                           (1 << std::min(history.strikes - 1, kLargestShift)));
+        now + DoubledPause(kFirstHold, kLongestHold, history.strikes - 1);
     out->push_back(LogDecision{
         "host_returned",
         {{"host", host}, {"failures", std::to_string(history.strikes)}}});
--- a/core/platform_calls.cc
+++ b/core/platform_calls.cc
@@ -6,18 +6,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/doubled_pause.h"
+
 namespace clementine {
 namespace {
 
 constexpr double kCallsPerSecond = 20.0;
 constexpr double kBurst = 40.0;
-constexpr int kLargestShift = 10;
 
 }  // namespace
 
 TimePoint Backoff::Failed(TimePoint now, Jitter* jitter) {
-  milliseconds limit =
-      std::min(m_longest, m_first * (1 << std::min(m_failures, kLargestShift)));
+  milliseconds limit = DoubledPause(m_first, m_longest, m_failures);
   ++m_failures;
   return now + jitter->Between(m_first / 2, limit);
 }
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "core/doubled_pause.h"
 #include "core/request_path_impl.h"
 #include "fmt/format.h"
 
@@ -363,8 +364,8 @@
 
 // The failed server's Retry-After doesn't delay a retry on another group.
 milliseconds RequestPath::Impl::Backoff(const Active& active) {
-  milliseconds longest = std::min(
-      kLongestBackoff, kFirstBackoff * (1 << std::min(active.attempts - 1, 6)));
+  milliseconds longest =
+      DoubledPause(kFirstBackoff, kLongestBackoff, active.attempts - 1);
   milliseconds jitter(static_cast<std::int64_t>(m_random() % 1000) *
                       longest.count() / 2000);
   return longest - jitter;
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -9,6 +9,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "core/doubled_pause.h"
+
 namespace clementine {
 namespace {
 
@@ -18,7 +20,6 @@
 constexpr milliseconds kConfigurationPause{20};
 constexpr milliseconds kFirstBackoff{150};
 constexpr milliseconds kLongestBackoff{1'000};
-constexpr int kLargestShift = 6;
 /// Entries of servers outlive an outage of this length.
 constexpr milliseconds kOutage{2'000};
 
@@ -174,9 +175,8 @@
     if (status == Status::kHistoryGone) {
       Next(loop);
     } else if (status == Status::kFailed) {
-      milliseconds longest = std::min(
-          kLongestBackoff,
-          kFirstBackoff * (1 << std::min(loop->failures - 1, kLargestShift)));
+      milliseconds longest =
+          DoubledPause(kFirstBackoff, kLongestBackoff, loop->failures - 1);
       Later(loop, m_jitter.Between(longest / 2, longest));
     } else {
       Later(loop, Pause(*loop, empty));
