Say in one place when a server wants no request

Cause: the request path and the client of backend servers each had the rule that only a 503 with Retry-After asks for a pause. A comment still said "beats", and an include had no use any more. Change: BusyTime (core/server_backoff) serves both. Measured: nothing. Conclusion: no behaviour changes.

--- a/core/core.h
+++ b/core/core.h
@@ -186,6 +186,10 @@
   std::string host;
   milliseconds wait{0};
 };
+/// @param retry_after From the answer of a backend server, or zero.
+/// @return How long the server wants no request; zero unless it turned one away
+///     and named a time.
+milliseconds BusyTime(int status, milliseconds retry_after);
 struct LoadReported {
   LoadReport load;
   milliseconds age{0};
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -22,7 +22,6 @@
 constexpr int kClientErrors = 400;
 constexpr int kServerErrors = 500;
 constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 
 int Priority(RequestClass request_class) {
   switch (request_class) {
@@ -63,8 +62,9 @@
 void RequestPath::Impl::HeedBackoff(const Active& active,
                                     const AttemptEnded& event) {
   const std::string& host = active.group->view.leader_host;
-  if (event.status == kUnavailable && event.retry_after > milliseconds(0)) {
-    On(ServerBusy{host, event.retry_after});
+  milliseconds wait = BusyTime(event.status, event.retry_after);
+  if (wait > milliseconds(0)) {
+    On(ServerBusy{host, wait});
   } else if (!ProvesNotRun(event.result)) {
     m_router.Took(host);
   }
--- a/core/server_backoff.cc
+++ b/core/server_backoff.cc
@@ -7,6 +7,15 @@
 #include <algorithm>
 
 namespace clementine {
+namespace {
+
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+milliseconds BusyTime(int status, milliseconds retry_after) {
+  return status == kUnavailable ? retry_after : milliseconds(0);
+}
 
 void ServerBackoff::Asked(const std::string& host, milliseconds wait,
                           TimePoint now) {
--- a/daemon/change_message.cc
+++ b/daemon/change_message.cc
@@ -16,7 +16,7 @@
 using Json = nlohmann::json;
 namespace zlib = boost::beast::zlib;
 
-/// Beats are shorter; what is longer holds entries, which are much alike.
+/// Heartbeats are shorter; what is longer holds entries, which are much alike.
 constexpr std::size_t kLeastToDeflate = 512;
 constexpr std::size_t kMostHeadBytes = 64;
 /// Of a body, as sent and inflated. ChangeHistory keeps less than this.
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -29,7 +29,6 @@
 #include "fmt/format.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
-#include "net/http_status.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -708,7 +707,7 @@
 // ---------------------------------------------------------------------------
 
 milliseconds BackendEnd::BusyFor() const {
-  return status == http_status::kUnavailable ? retry_after : milliseconds(0);
+  return BusyTime(status, retry_after);
 }
 
 BackendClient::BackendClient(asio::io_context* io, BackendOptions options)
--- a/net/net.h
+++ b/net/net.h
@@ -299,8 +299,7 @@
   bool unreachable = false;  ///< Nothing answered the connection request.
   std::string detail;        ///< For the log.
 
-  /// How long the server wants no request; zero unless it turned the call away
-  /// and named a time.
+  /// As BusyTime, of this answer.
   milliseconds BusyFor() const;
 };
 
