Tell apart why groups don't stand: orders abandoned, late ticks, left sources

Cause: logs and metrics of the planner and of the change relay couldn't distinguish the hypotheses of the incident on the large site: lease lost by a stall, orders judged lost by a late list, sources left without end. Test: the cases of planner and follower, as before.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -466,6 +466,13 @@
                                           std::move(planned.address),
                                           std::move(planned.order)});
   }
+  for (const GroupPlanner::Abandoned& lost : m_planner.TakeAbandoned()) {
+    Log("order_abandoned", {{"host", lost.host},
+                            {"kind", GroupOrderName(lost.order.kind)},
+                            {"group", lost.order.group},
+                            {"accepted", lost.accepted ? "yes" : "no"},
+                            {"age_ms", std::to_string(lost.age.count())}});
+  }
   LogShares();
 }
 
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -122,6 +122,9 @@
   /// Groups that take requests, by "service/model"; plain hosts aren't counted.
   std::map<std::string, int> OpenGroupsByModel() const;
   int live_nodes() const { return m_nodes.live(); }
+  const GroupPlanner::OrderStats& order_stats() const {
+    return m_planner.order_stats();
+  }
 
  private:
   using Actions = std::vector<FleetAction>;
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -261,13 +261,17 @@
     const Sent& sent = entry.second;
     auto host = servers.find(entry.first);
     if (host == servers.end() || host->second.born != sent.born) return true;
-    if (TookEffect(sent, host->second)) return true;
+    if (TookEffect(sent, host->second)) {
+      NoteEffect(sent, now);
+      return true;
+    }
     milliseconds timeout = kRepeatOrder;
     if (sent.accepted) timeout = kListDelay;
     if (!sent.accepted && sent.order.kind == GroupOrder::Kind::kOpen) {
       timeout = kLateOrder;
     }
     if (now - sent.at <= timeout) return false;
+    Abandon(entry.first, sent, now);
     if (!sent.accepted && sent.order.kind == GroupOrder::Kind::kJoin) {
       Count& count = m_counts[entry.first];
       count.pending_join_count = sent.order.expected_orders.value_or(0);
@@ -298,6 +302,21 @@
   });
 }
 
+void GroupPlanner::NoteEffect(const Sent& sent, TimePoint now) {
+  auto time = std::chrono::duration_cast<milliseconds>(now - sent.at);
+  ++m_order_stats.effects;
+  m_order_stats.effect_time += time;
+  m_order_stats.longest_effect = std::max(m_order_stats.longest_effect, time);
+}
+
+void GroupPlanner::Abandon(const std::string& host, const Sent& sent,
+                           TimePoint now) {
+  ++m_order_stats.abandoned;
+  m_abandoned.push_back(
+      {host, sent.order,
+       std::chrono::duration_cast<milliseconds>(now - sent.at), sent.accepted});
+}
+
 bool GroupPlanner::TookEffect(const Sent& sent,
                               const BackendServer& host) const {
   const GroupMembership& member = host.member;
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -78,6 +78,25 @@
   /// Whether a host can be sent an order. If not, its report is needed first.
   bool Counted(const BackendServer& host) const;
 
+  /// An order whose effect was never seen: its host is free for other orders.
+  struct Abandoned {
+    std::string host;
+    GroupOrder order;
+    milliseconds age{0};
+    bool accepted = false;
+  };
+  /// Orders that were abandoned since the last call.
+  std::vector<Abandoned> TakeAbandoned() { return std::move(m_abandoned); }
+
+  /// Of this daemon's time as the planner.
+  struct OrderStats {
+    std::uint64_t effects = 0;    ///< Orders whose effect the list has shown.
+    milliseconds effect_time{0};  ///< From sending to that, of all of them.
+    milliseconds longest_effect{0};
+    std::uint64_t abandoned = 0;
+  };
+  const OrderStats& order_stats() const { return m_order_stats; }
+
   /// How the hosts are shared out to a model.
   struct ModelShare {
     double busy_groups = 0.0;  ///< Groups that its callers keep busy.
@@ -246,6 +265,8 @@
   static milliseconds JoinTimeout(const EngineModel& model);
   void PlanService(Pass* pass);
   void Settle(const Servers& servers, TimePoint now);
+  void NoteEffect(const Sent& sent, TimePoint now);
+  void Abandon(const std::string& host, const Sent& sent, TimePoint now);
   void ResolveOrphans(Pass* pass);
   bool MembersInContact(const GroupKey& group, const Pass& pass) const;
   static bool Grows(const std::string& domain, milliseconds within,
@@ -316,7 +337,9 @@
   bool OpenMayBeLate(const std::string& host) const;
   bool MayLoad(const Pass& pass);
 
-  std::map<std::string, Sent> m_sent;         ///< By host.
+  std::map<std::string, Sent> m_sent;  ///< By host.
+  std::vector<Abandoned> m_abandoned;
+  OrderStats m_order_stats;
   std::map<std::string, Count> m_counts;      ///< By host.
   std::map<std::string, Load> m_loads;        ///< By host.
   std::map<GroupKey, TimePoint> m_seen;       ///< When a group was first seen.
--- a/daemon/change_relay.cc
+++ b/daemon/change_relay.cc
@@ -76,7 +76,9 @@
   follower->sent = now;
   auto elapsed =
       std::chrono::duration_cast<milliseconds>(now - follower->opened);
-  if (!follower->exchange->Write(EncodeChangeFrame(elapsed, body))) {
+  std::string frame = EncodeChangeFrame(elapsed, body);
+  m_sent_bytes += frame.size();
+  if (!follower->exchange->Write(frame)) {
     follower->behind = true;
   }
 }
--- a/daemon/change_relay.h
+++ b/daemon/change_relay.h
@@ -90,6 +90,8 @@
   void Tick();
 
   std::size_t followers() const { return m_followers.size(); }
+  /// Bytes of all frames so far.
+  std::uint64_t sent_bytes() const { return m_sent_bytes; }
 
  private:
   struct Follower {
@@ -117,6 +119,7 @@
   std::array<ChangeHistory, kChangeKinds> m_histories;
   std::list<Follower> m_followers;
   std::uint64_t m_last_follower = 0;
+  std::uint64_t m_sent_bytes = 0;
 };
 
 }  // namespace clementine
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr milliseconds kTickInterval{50};
+/// A tick this long after the last one is logged: the lease counts it as a
+/// pause, or nearly so.
+constexpr milliseconds kLateTick{350};
 /// The platform answers within milliseconds; a longer wait would only delay the
 /// next try on another connection.
 constexpr milliseconds kPlatformTimeout{1'000};
@@ -304,6 +307,7 @@
   m_tick.expires_after(kTickInterval);
   m_tick.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
+    NoteTick();
     Feed(FleetEvent(
         RequestsCounted{m_server->stats().requests, m_executor->demand()}));
     Feed(FleetEvent(Tick{}));
@@ -318,6 +322,20 @@
   });
 }
 
+void FleetDaemon::NoteTick() {
+  TimePoint now = SuspendAwareNow();
+  TimePoint last = std::exchange(m_ticked, now);
+  if (last == TimePoint()) return;
+  auto gap = std::chrono::duration_cast<milliseconds>(now - last);
+  Metrics::Observe(m_metrics.Find("clementine_tick_gap_ms", ""),
+                   static_cast<double>(gap.count()), now);
+  if (gap < kLateTick) return;
+  LogEvent("tick_late",
+           {{"gap_ms", std::to_string(gap.count())},
+            {"holds_lease", m_control->holds_lease() ? "yes" : "no"},
+            {"followers", std::to_string(m_relay.followers())}});
+}
+
 // ---------------------------------------------------------------------------
 // Health and metrics.
 
@@ -354,6 +372,7 @@
                        count.requests);
     m_metrics.SetTotal("clementine_model_refused_total", label, count.refused);
   }
+  SetControlMetrics();
   m_metrics.Set("clementine_holds_lease", "", m_control->holds_lease() ? 1 : 0);
   m_metrics.Set("clementine_live_daemons", "", m_control->live_nodes());
   m_metrics.Set(
@@ -362,6 +381,28 @@
   return m_metrics.Render();
 }
 
+void FleetDaemon::SetControlMetrics() {
+  const GroupPlanner::OrderStats& orders = m_control->order_stats();
+  m_metrics.SetTotal("clementine_order_effects_total", "", orders.effects);
+  m_metrics.SetTotal("clementine_order_effect_ms_total", "",
+                     static_cast<std::uint64_t>(orders.effect_time.count()));
+  m_metrics.Set("clementine_order_effect_longest_ms", "",
+                static_cast<double>(orders.longest_effect.count()));
+  m_metrics.SetTotal("clementine_orders_abandoned_total", "", orders.abandoned);
+  m_metrics.SetTotal("clementine_change_bytes_sent_total", "",
+                     m_relay.sent_bytes());
+  m_metrics.Set("clementine_change_followers", "",
+                static_cast<double>(m_relay.followers()));
+  if (std::optional<milliseconds> age = m_feed->Age()) {
+    m_metrics.Set("clementine_change_age_ms", "",
+                  static_cast<double>(age->count()));
+  }
+  for (const auto& [reason, count] : m_feed->sources_left()) {
+    m_metrics.SetTotal("clementine_change_sources_left_total",
+                       fmt::format("reason=\"{}\"", reason), count);
+  }
+}
+
 // ---------------------------------------------------------------------------
 // Stopping.
 
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -66,6 +66,9 @@
   void Ask(const AskServer& ask);
   void ListAllNodes();
   void ScheduleTick();
+  /// Notes how late a tick is, as a measure of how busy this daemon is.
+  void NoteTick();
+  void SetControlMetrics();
   void CheckStopping();
   bool Ready() const;
   void OnHealth(HttpExchange* exchange);
@@ -87,6 +90,7 @@
   std::unique_ptr<HttpServer> m_changes;  ///< For other daemons.
   std::shared_ptr<const RouteTable> m_routes;
   boost::asio::steady_timer m_tick;
+  TimePoint m_ticked;  ///< When the last tick was.
   EventQueue<AnyEvent> m_queue;
   int m_live_daemons = 1;
   bool m_groups_known = false;
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -104,6 +104,7 @@
                    std::get_if<ChangeFollower::Unsubscribe>(&action)) {
       LogEvent("change_source_left",
                {{"from", end->peer}, {"reason", end->reason}});
+      ++m_sources_left[end->reason];
       m_peers.Unsubscribe(end->peer);
     } else {
       const auto& ask = std::get<ChangeFollower::AskPlatform>(action);
@@ -114,6 +115,12 @@
   NoteOutdated();
 }
 
+std::optional<milliseconds> FleetFeed::Age() const {
+  TimePoint::duration age = m_follower.Age(m_hooks.now());
+  if (age == TimePoint::duration::max()) return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(age);
+}
+
 // ---------------------------------------------------------------------------
 // The platform.
 
@@ -260,6 +267,7 @@
 void FleetFeed::OnPeerLost(const std::string& peer, const std::string& detail) {
   LogEvent("change_source_left", {{"from", peer}, {"reason", detail}});
   m_follower.PeerLost(peer, m_hooks.now());
+  ++m_sources_left["lost"];
 }
 
 // ---------------------------------------------------------------------------
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -6,7 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/change_follower.h"
@@ -56,6 +58,14 @@
   /// Does what has become due; called every few tens of milliseconds.
   void Tick();
 
+  /// How old the time is up to which all changes are known; nothing before the
+  /// first lists.
+  std::optional<milliseconds> Age() const;
+  /// Sources that were left, by reason.
+  const std::map<std::string, std::uint64_t>& sources_left() const {
+    return m_sources_left;
+  }
+
  private:
   /// One kind of objects.
   struct Loop {
@@ -114,6 +124,7 @@
   Loop m_configuration;
   std::uint64_t m_version = 0;  ///< Of the configuration in force.
   Role m_role;
+  std::map<std::string, std::uint64_t> m_sources_left;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
