Let a better source of changes answer before it's judged

Cause: a follower that heard of a better source opened it, and dropped it as spare at the next tick, 50 ms later, because only sources that had answered could be the best. It then opened it again, without end. Recovery that starts over feeds the load that made it necessary. Change: a source that hasn't answered yet is left only for its silence. A source that failed again is avoided twice as long each time, and followers return to it at different times. Test: "a better source gets time to answer before it's judged" failed before with 1,100 subscriptions in a minute where 11 are allowed.

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -23,9 +23,10 @@
 constexpr int kPlatformParts = 2;
 constexpr int kSpreadParts = 20;
 constexpr int kAskParts = 8;
-/// A source that failed is tried again after this time; meanwhile another one
-/// or the platform tells the same.
+/// A source that failed is tried again after this time, doubled with each
+/// failure in a row; meanwhile another one or the platform tells the same.
 constexpr milliseconds kAvoidTime{5'000};
+constexpr milliseconds kLongestAvoidTime{40'000};
 /// Longest pause between questions while the platform doesn't answer any.
 constexpr milliseconds kLongestAskPause{2'000};
 /// A second source is kept for some heartbeats after it was needed.
@@ -52,13 +53,14 @@
 
 ChangeFollower::ChangeFollower(milliseconds bound, std::uint64_t seed)
     : m_times(DeriveFollowTimes(bound)),
-      m_spread(Jitter(seed).Between(milliseconds(0), m_times.spread)) {}
+      m_jitter(seed),
+      m_spread(m_jitter.Between(milliseconds(0), m_times.spread)) {}
 
 void ChangeFollower::SetRoles(const ChangeRoles& roles,
                               milliseconds watch_wait) {
   m_roles = roles;
   m_watch_wait = watch_wait;
-  std::erase_if(m_avoid_until, [this](const auto& entry) {
+  std::erase_if(m_avoided, [this](const auto& entry) {
     return Rank(entry.first) == m_roles.peers.size();
   });
 }
@@ -84,8 +86,8 @@
 }
 
 void ChangeFollower::PeerLost(const std::string& peer, TimePoint now) {
+  Avoid(peer, now);
   m_streams.erase(peer);
-  m_avoid_until[peer] = now + kAvoidTime;
 }
 
 void ChangeFollower::PlatformAnswered(ChangeKind kind, TimePoint as_of) {
@@ -108,8 +110,8 @@
 // Sources.
 
 bool ChangeFollower::Avoided(const std::string& peer, TimePoint now) const {
-  auto found = m_avoid_until.find(peer);
-  return found != m_avoid_until.end() && found->second > now;
+  auto found = m_avoided.find(peer);
+  return found != m_avoided.end() && found->second.until > now;
 }
 
 std::size_t ChangeFollower::Rank(const std::string& peer) const {
@@ -169,10 +171,23 @@
   return second ? 2 : 1;
 }
 
+// Followers that left a source together don't come back together, which could
+// make it fail again.
+void ChangeFollower::Avoid(const std::string& peer, TimePoint now) {
+  Avoidance& avoidance = m_avoided[peer];
+  auto stream = m_streams.find(peer);
+  bool lasted = stream != m_streams.end() &&
+                now - stream->second.opened > kLongestAvoidTime;
+  avoidance.failures = lasted ? 1 : avoidance.failures + 1;
+  milliseconds pause =
+      DoubledPause(kAvoidTime, kLongestAvoidTime, avoidance.failures - 1);
+  avoidance.until = now + m_jitter.Between(pause, pause + pause / 4);
+}
+
 void ChangeFollower::Drop(const std::string& peer, const char* reason,
                           bool avoid, TimePoint now, Actions* out) {
+  if (avoid) Avoid(peer, now);
   m_streams.erase(peer);
-  if (avoid) m_avoid_until[peer] = now + kAvoidTime;
   out->push_back(Unsubscribe{peer, reason});
 }
 
@@ -200,7 +215,9 @@
   std::string kept = keep > 0 ? best->first : "";
   std::vector<std::pair<std::string, bool>> others;
   for (const auto& [peer, stream] : m_streams) {
-    if (peer != kept) others.emplace_back(peer, stream.lagged);
+    // One that hasn't answered yet may be the better one; silence ends it.
+    bool judged = keep == 0 || stream.begun();
+    if (peer != kept && judged) others.emplace_back(peer, stream.lagged);
   }
   for (const auto& [peer, lagged] : others) {
     Drop(peer, lagged ? "lagged" : "spare", /*avoid=*/lagged, now, out);
--- a/core/change_follower.h
+++ b/core/change_follower.h
@@ -117,6 +117,12 @@
     TimePoint Oldest() const;
   };
 
+  /// A source that failed isn't opened before a time.
+  struct Avoidance {
+    TimePoint until;
+    int failures = 0;  ///< In a row.
+  };
+
   void Confirm(ChangeKind kind, TimePoint as_of);
   /// Whether its own watches of the platform keep it current.
   bool ReadsWell() const {
@@ -131,6 +137,7 @@
   std::map<std::string, Stream>::const_iterator BestStream() const;
   void Drop(const std::string& peer, const char* reason, bool avoid,
             TimePoint now, Actions* out);
+  void Avoid(const std::string& peer, TimePoint now);
   void NoteLag(TimePoint now);
   void DropSilent(TimePoint now, Actions* out);
   void DropSpare(TimePoint now, Actions* out);
@@ -139,11 +146,12 @@
   void AskWhenOld(TimePoint now, Actions* out);
 
   FollowTimes m_times;
+  Jitter m_jitter;
   milliseconds m_spread;
   ChangeRoles m_roles;
   milliseconds m_watch_wait{0};
-  std::map<std::string, Stream> m_streams;  ///< By address.
-  std::map<std::string, TimePoint> m_avoid_until;
+  std::map<std::string, Stream> m_streams;     ///< By address.
+  std::map<std::string, Avoidance> m_avoided;  ///< By address.
   std::array<std::optional<TimePoint>, kChangeKinds> m_current_at;
   std::array<TimePoint, kChangeKinds> m_next_ask{};
   std::array<int, kChangeKinds> m_unanswered{};  ///< Questions.
--- a/testing/change_follower_test.cc
+++ b/testing/change_follower_test.cc
@@ -216,4 +216,40 @@
   CHECK(asked <= 16);
 }
 
+// Guards against a better source that is opened and left again before it could
+// answer: 13 followers each did so 20 times a second, which kept the source too
+// busy to answer anyone in time (SHORT on karalis-touchup-large).
+TEST_CASE("a better source gets time to answer before it's judged") {
+  ChangeFollower follower(kBound, 1);
+  milliseconds silence = follower.times().silence;
+  follower.SetRoles({false, false, {"near", "far"}}, milliseconds(0));
+  follower.PlatformAnswered(ChangeKind::kServers, kStart);
+  follower.PlatformAnswered(ChangeKind::kConfiguration, kStart);
+  REQUIRE(Only<ChangeFollower::Subscribe>(follower.Advance(kStart)).size() ==
+          1);
+  follower.PeerLost("near", kStart);
+  int opened = 0;
+  int left = 0;
+  milliseconds watched{60'000};
+  for (milliseconds passed{50}; passed < watched; passed += milliseconds(50)) {
+    TimePoint now = kStart + passed;
+    // The near source is too busy to begin an answer.
+    ConfirmBoth(&follower, "far", now - milliseconds(300), now);
+    for (const auto& action : follower.Advance(now)) {
+      if (const auto* open = std::get_if<ChangeFollower::Subscribe>(&action)) {
+        opened += open->peer == "near" ? 1 : 0;
+      }
+      const auto* end = std::get_if<ChangeFollower::Unsubscribe>(&action);
+      if (end == nullptr) continue;
+      CHECK(end->peer == "near");
+      CHECK(std::string(end->reason) == "silent");
+      ++left;
+    }
+  }
+  CHECK(opened >= 3);
+  // No more often than silence is noticed and a failed source avoided.
+  CHECK(opened <= watched / (silence + milliseconds(5'000)) + 1);
+  CHECK(left <= opened);
+}
+
 }  // namespace clementine
