Go on planning after a lapse in which nobody else planned

Cause: a stall of the planner's loop of a fifth of the lease's time ends the lease until a renewal proves it. When the same daemon was granted it again, a tenth of a second later, it forgot every order, count and forming group, asked all hosts and ordered joins again, which stalls it again. Callers of both models were refused meanwhile. Change: a lease has a tenure, which a lapse doesn't end. The planner forgets only when another daemon was granted the lease since. Which hosts don't answer is forgotten after a lapse as long as the lease. Test: "a planner goes on after a lapse in which nobody else planned" failed before: 112 joins where 64 hosts join once; "a planner starts over when another one planned meanwhile" holds the other side.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -360,20 +360,39 @@
   if (m_configuration && m_list.known()) {
     m_planner.Observe(*m_configuration, m_list.servers(), m_now);
   }
-  bool planning = !m_stopping && m_lease.CanOrder(m_now);
-  if (planning != m_planning) {
-    m_planning = planning;
-    m_planner.Reset(m_lease.fence());
-    m_asked.clear();
-    m_changed = m_changed || !m_failed.empty();
-    m_failed.clear();
-    Log("planner", {{"active", planning ? "yes" : "no"}});
-  }
-  if (!planning) return;
+  SetPlanning(!m_stopping && m_lease.CanOrder(m_now));
+  if (!m_planning) return;
   AskMembers();
   PlanOrders();
 }
 
+// A lapse in which nobody else was granted the lease changes nothing of what
+// this planner knows of its orders. To start over would repeat the work that
+// may have caused the lapse.
+void FleetControl::SetPlanning(bool planning) {
+  bool same_tenure = m_lease.tenure() == m_tenure;
+  if (planning && !same_tenure) {
+    Forget();
+    m_planner.Reset(m_lease.fence());
+    m_tenure = m_lease.tenure();
+  }
+  if (planning) m_last_planning = m_now;
+  // Only the planner asks hosts, so nobody else notices that one is back.
+  bool lapsed = m_now - m_last_planning > m_options.lease_duration;
+  if (!planning && (lapsed || !m_lease.Holding())) Forget();
+  if (planning == m_planning) return;
+  m_planning = planning;
+  Log("planner", {{"active", planning ? "yes" : "no"},
+                  {"tenure", std::to_string(m_lease.tenure())},
+                  {"resumed", planning && same_tenure ? "yes" : "no"}});
+}
+
+void FleetControl::Forget() {
+  m_asked.clear();
+  m_changed = m_changed || !m_failed.empty();
+  m_failed.clear();
+}
+
 // ---------------------------------------------------------------------------
 // The planner's work.
 
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -159,6 +159,8 @@
   void TellDaemons();
   milliseconds ReserveDelay() const;
   void AdvanceLease();
+  void SetPlanning(bool planning);
+  void Forget();
   void AskMembers();
   /// Asks the members of a group without waiting for their turn.
   void AskGroupNow(const GroupMembership& group);
@@ -191,7 +193,10 @@
   std::map<std::string, std::pair<int, int>> m_logged_shares;
   bool m_changed = false;  ///< Something that groups depend on.
   bool m_stopping = false;
-  bool m_planning = false;  ///< Held the lease at the last pass.
+  bool m_planning = false;  ///< Could order at the last pass.
+  TimePoint m_last_planning;
+  /// The lease's tenure to which the planner's knowledge belongs.
+  std::uint64_t m_tenure = 0;
   std::size_t m_orders_running = 0;
   DaemonsChanged m_daemons{0, 0.0};  ///< As last told to the request path.
   TimePoint m_planned;
--- a/core/lease.cc
+++ b/core/lease.cc
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 #include "config/config.h"
 #include "fmt/format.h"
@@ -208,6 +209,7 @@
   if (own != nullptr && record.holder == m_options.node) {
     Granted(own->record, own->sent, now, out);
   } else {
+    m_superseded = true;
     Apply("superseded", out);
   }
 }
@@ -218,6 +220,9 @@
   if (!m_own) {
     return;
   }
+  if (std::exchange(m_superseded, false)) {
+    ++m_tenure;
+  }
   if (m_record.fence != record.fence) {
     out->push_back(LogDecision{"lease_fence",
                                {{"holder", record.holder},
--- a/core/lease.h
+++ b/core/lease.h
@@ -74,6 +74,9 @@
   bool Holding() const { return m_own; }
   const std::string& state() const { return m_machine.state(); }
   std::uint64_t fence() const { return m_record.fence; }
+  /// Rises each time this daemon takes the lease. Unchanged by a lapse in which
+  /// nobody else was granted it; 0 before the first time.
+  std::uint64_t tenure() const { return m_tenure; }
   /// Holder as last read from the platform.
   const std::string& known_holder() const { return m_seen.holder; }
   std::uint64_t known_fence() const { return m_seen.fence; }
@@ -122,6 +125,8 @@
   std::uint64_t m_renewal = 0;
   std::deque<Write> m_writes;  ///< Recent writes; a late one can be granted.
   std::uint64_t m_least_fence = 0;
+  std::uint64_t m_tenure = 0;
+  bool m_superseded = true;  ///< The stored record was not ours since.
   bool m_placement_absent = false;
   TimePoint m_last_now;
   TimePoint m_prove_from;  ///< A renewal sent before this proves nothing.
--- a/testing/fleet_control_test.cc
+++ b/testing/fleet_control_test.cc
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <map>
+#include <set>
+
 #include "core/lease.h"
 #include "fmt/format.h"
 
@@ -70,6 +74,135 @@
   int lease_reads = 0;
 };
 
+/// The only daemon of a fleet, with backend servers that join and open groups,
+/// and a platform whose list shows what they did some time later.
+class PlannerFixture {
+ public:
+  explicit PlannerFixture(int hosts) : control(Options()) {
+    auto configuration = std::make_shared<FleetConfiguration>();
+    FleetService& engine = configuration->services["engine"];
+    engine.name = "engine";
+    engine.engine = EngineSpec();
+    engine.engine->models = {
+        {"chat", 4, 1.0, 1.0, milliseconds(1'000), milliseconds(200)}};
+    control.Handle(FleetConfigured{configuration}, now);
+    ServersListed listed;
+    for (int n = 0; n < hosts; ++n) {
+      BackendServer server;
+      server.id = fmt::format("h{:04}", n);
+      server.born = 5;
+      server.service = "engine";
+      server.address = server.id + ":1";
+      server.fabric_domain = "d" + std::to_string(n % 4);
+      servers[server.id] = server;
+      listed.servers.push_back(server);
+    }
+    Do(control.Handle(listed, now));
+  }
+
+  static FleetControlOptions Options() {
+    FleetControlOptions options = DaemonFixture::Options("n0");
+    options.first_start = true;
+    return options;
+  }
+
+  /// Passes time in which the daemon doesn't run.
+  void Stall(milliseconds time) { now += time; }
+
+  void Run(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += kTick) {
+      now += kTick;
+      Do(control.Handle(Tick{}, now));
+      Progress();
+    }
+  }
+
+  int OpenGroups() const { return static_cast<int>(control.open_groups()); }
+
+  TimePoint now = kStart;
+  FleetControl control;
+  std::map<std::string, BackendServer> servers;
+  int joins = 0;
+  int asks = 0;
+  int most_running = 0;  ///< Calls to servers that ran at once.
+  std::set<std::string> asked;
+  LeaseRecord lease;
+  std::uint64_t lease_version = 0;
+
+ private:
+  void Do(std::vector<FleetAction> actions) {
+    for (const FleetAction& action : actions) {
+      if (const auto* order = std::get_if<SendGroupOrder>(&action)) {
+        m_orders.push_back(*order);
+      } else if (const auto* ask = std::get_if<AskServer>(&action)) {
+        ++asks;
+        asked.insert(ask->host);
+        m_asks.push_back(ask->host);
+      } else if (const auto* get = std::get_if<GetObject>(&action)) {
+        Reply(get->call,
+              lease_version > 0 ? ObjectStatus::kOk : ObjectStatus::kNotFound);
+      } else if (const auto* put = std::get_if<PutObject>(&action)) {
+        if (put->key.find("lease") == std::string::npos) continue;
+        bool taken = put->if_version == lease_version;
+        if (taken) {
+          lease = DecodeLease(put->value);
+          ++lease_version;
+        }
+        Reply(put->call, taken ? ObjectStatus::kOk : ObjectStatus::kConflict);
+      }
+    }
+  }
+
+  void Reply(CallId call, ObjectStatus status) {
+    Do(control.Handle(
+        ObjectReply{call, status, lease_version, EncodeLease(lease)}, now));
+  }
+
+  void Progress() {
+    int running = static_cast<int>(m_asks.size() + m_orders.size());
+    most_running = std::max(most_running, running);
+    std::vector<std::string> answering = std::move(m_asks);
+    m_asks.clear();
+    for (const std::string& host : answering) {
+      Do(control.Handle(ServerAnswered{host, servers.at(host)}, now));
+    }
+    std::vector<SendGroupOrder> orders = std::move(m_orders);
+    m_orders.clear();
+    ServersChanged changed;
+    for (const SendGroupOrder& sent : orders) {
+      OrderResult result = CarryOut(sent.order, &servers.at(sent.host));
+      Do(control.Handle(OrderEnded{sent.host, sent.order, result, ""}, now));
+      changed.changes.push_back({sent.host, servers.at(sent.host)});
+    }
+    if (!changed.changes.empty()) Do(control.Handle(changed, now));
+  }
+
+  OrderResult CarryOut(const GroupOrder& order, BackendServer* server) {
+    if (order.expected_orders.value_or(server->orders) != server->orders) {
+      return OrderResult::kRejected;
+    }
+    GroupMembership& member = server->member;
+    if (order.kind == GroupOrder::Kind::kJoin) {
+      ++joins;
+      auto rank =
+          std::find(order.members.begin(), order.members.end(), server->id);
+      member = {order.group, order.epoch,
+                static_cast<int>(rank - order.members.begin()),
+                GroupMemberState::kReady};
+      server->staged = {order.model};
+    } else if (order.kind == GroupOrder::Kind::kOpen) {
+      member.state = GroupMemberState::kOpen;
+    } else if (order.kind == GroupOrder::Kind::kClose) {
+      member.state = GroupMemberState::kReady;
+    }
+    ++server->orders;
+    return OrderResult::kAccepted;
+  }
+
+  std::vector<std::string> m_asks;
+  std::vector<SendGroupOrder> m_orders;
+};
+
 }  // namespace
 
 // Guards against calls to the platform by each daemon of a large fleet for a
@@ -145,4 +278,48 @@
   }
 }
 
+// Guards against a planner that forgets its orders when its own stall ended the
+// lease: it asked all hosts and ordered their joins again, which stalled it
+// again (SHORT on karalis-touchup-large).
+TEST_CASE("a planner goes on after a lapse in which nobody else planned") {
+  PlannerFixture fleet(64);
+  fleet.Run(milliseconds(3'000));
+  REQUIRE(fleet.joins == 64);
+  REQUIRE(fleet.OpenGroups() == 16);
+  for (int stall = 0; stall < 5; ++stall) {
+    fleet.Stall(milliseconds(700));
+    fleet.Run(milliseconds(1'000));
+    CHECK(fleet.joins == 64);
+    CHECK(fleet.OpenGroups() == 16);
+  }
+  // Orders on their way when the lease lapses are still known after it.
+  PlannerFixture forming(64);
+  while (forming.joins < 16) forming.Run(kTick);
+  forming.Stall(milliseconds(700));
+  forming.Run(milliseconds(3'000));
+  CHECK(forming.joins == 64);
+  CHECK(forming.OpenGroups() == 16);
+}
+
+// Guards against a planner that goes on by what it knew before another daemon
+// planned.
+TEST_CASE("a planner starts over when another one planned meanwhile") {
+  PlannerFixture fleet(64);
+  fleet.Run(milliseconds(3'000));
+  REQUIRE(fleet.OpenGroups() == 16);
+  fleet.lease.holder = "n1";
+  fleet.lease.incarnation = 9;
+  ++fleet.lease.term;
+  ++fleet.lease.fence;
+  ++fleet.lease_version;
+  fleet.Stall(milliseconds(700));
+  fleet.Run(milliseconds(300));
+  fleet.asked.clear();
+  // It takes the lease back after that has run out.
+  fleet.Run(milliseconds(5'000));
+  CHECK(fleet.lease.holder == "n0");
+  CHECK(fleet.asked.size() == 64);
+  CHECK(fleet.OpenGroups() == 16);
+}
+
 }  // namespace clementine
