Give duties for the fleet to the hosts with the most capacity

Cause: who plans and who passes changes on was chosen by a hash of names. At a first start the lease went to whichever daemon asked first, since each knew only itself. Change: hosts tell their capacity (setting capacity in [node], from the platform's processor share). Those with at least half of the largest one come first for planning, reading and passing on, and take four times the followers. A daemon competes for the lease once the others had time to appear. Test: "duties for the fleet go to the daemons with the most capacity" and "a node directory tells when the order of the daemons is known"; both need the new functions.

--- a/config/config.h
+++ b/config/config.h
@@ -182,6 +182,8 @@
   std::string node;  ///< Unique name; defaults to listen address.
   std::string region;
   std::string data_centre;
+  /// Relay: what this host can do in relation to the others, such as its cores.
+  double capacity = 1.0;
   /// What callers and the platform speak: `chat`, or `relay` for requests that
   /// are passed on as they are to backend servers of the platform's registry.
   std::string interface = "chat";
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -20,6 +20,8 @@
 
 constexpr std::size_t kMaxCount = 1'000'000;
 constexpr std::size_t kMaxBytes = 1'000'000'000;
+constexpr double kLeastCapacity = 0.001;
+constexpr double kMostCapacity = 1'000'000.0;
 constexpr char kTokenSection[] = "organisation_tokens";
 
 // Every section with its fields, bound to `settings`.
@@ -33,6 +35,7 @@
       NameField("name", NameKind::kPath, &s.node),
       NameField("region", NameKind::kPlain, &s.region),
       Required(NameField("data_centre", NameKind::kPlain, &s.data_centre)),
+      NumberField("capacity", kLeastCapacity, kMostCapacity, &s.capacity),
       SeedField("seed", &s.seed),
       NameField("interface", NameKind::kPlain, &s.interface),
       FlagField("first_start", &s.first_start)};
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -69,6 +69,7 @@
   m_lease.PlacementAbsent();
   m_planner.SetFreeLoads(m_options.first_start);
   m_nodes.SetContact(m_options.data_centre, m_options.changes);
+  m_nodes.SetCapacity(m_options.capacity);
 }
 
 std::vector<FleetAction> FleetControl::Handle(const FleetEvent& event,
@@ -337,7 +338,10 @@
   }
   if (m_stopping) m_lease.Release(m_orders_running == 0, m_now, &out);
   m_lease.SetReserve(ReserveDelay());
-  m_lease.Advance(m_configuration != nullptr && m_list.known(), m_now, &out);
+  // Before the others are known every daemon is the first.
+  bool may_compete =
+      m_configuration != nullptr && m_list.known() && m_nodes.RankKnown(m_now);
+  m_lease.Advance(may_compete, m_now, &out);
   Take(std::move(out));
 }
 
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -90,7 +90,8 @@
 struct FleetControlOptions {
   std::string node;
   std::string data_centre;
-  std::string changes;  ///< As in NodeDirectory::SetContact.
+  std::string changes;    ///< As in NodeDirectory::SetContact.
+  double capacity = 1.0;  ///< As NodeDirectory::SetCapacity.
   std::uint64_t incarnation = 0;
   std::uint64_t seed = 1;
   /// Long enough for two lost renewals, short enough that a lost host isn't
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -36,7 +36,7 @@
 constexpr char kUnknownRate[] = "?";
 
 /// Separates the parts of an object: life, renewal and rate; demand by model;
-/// data centre; address for changes.
+/// data centre; address for changes; capacity, where it isn't the usual one.
 constexpr char kSeparator = ' ';
 /// Stands for a part without content.
 constexpr char kNothing[] = "-";
@@ -48,6 +48,14 @@
 constexpr std::size_t kFarSources = 2;
 /// Each change goes out once for each follower, over links of 20 Mbit/s.
 constexpr std::size_t kMostFollowers = 8;
+/// Daemons with the most capacity have several times the others' processor time
+/// and link.
+constexpr std::size_t kStrongFactor = 4;
+/// Part of the largest capacity from which a daemon counts as strong.
+constexpr double kStrongPart = 0.5;
+/// All daemons of a fleet start within a second; their objects are listed then.
+constexpr milliseconds kAppearTime{800};
+constexpr milliseconds kLongestAppearTime{2'500};
 /// Duties by which daemons are ranked: to plan, and to pass changes on.
 constexpr char kDuty[] = "platform";
 constexpr char kSourceDuty[] = "changes";
@@ -82,17 +90,12 @@
 
 std::vector<NodeDirectory::Action> NodeDirectory::Advance(TimePoint now) {
   std::vector<Action> actions;
+  if (m_began == TimePoint()) m_began = now;
   MeasureRate(now);
   if (now >= m_next_put) {
     m_next_put = now + m_jitter.Between(Interval() * 4 / 5, Interval());
     actions.emplace_back(
-        PutObject{kOwnCall, kPrefix + m_node,
-                  fmt::format("{}/{}/{} {} {} {}", m_incarnation, ++m_renewal,
-                              m_rate > 0.0 ? fmt::format("{:.2f}", m_rate)
-                                           : std::string(kUnknownRate),
-                              Part(EncodeDemand(m_demand.rates())),
-                              Part(m_data_centre), Part(m_changes)),
-                  m_version});
+        PutObject{kOwnCall, kPrefix + m_node, Encode(), m_version});
   }
   if (now >= m_next_list) {
     bool first = m_renewal <= kFirstLists && m_nodes.size() < kFirstLists;
@@ -121,13 +124,15 @@
 
 void NodeDirectory::Listed(const NodesListed& listed, TimePoint now) {
   if (!listed.complete) return;
+  m_listed = now;
   for (const auto& [name, value] : listed.nodes) {
     Seen& seen = m_nodes[name];
     if (seen.value == value) continue;
     Seen newer = Decode(value, now);
     m_roles_due = m_roles_due || seen.value.empty() ||
                   seen.data_centre != newer.data_centre ||
-                  seen.changes != newer.changes;
+                  seen.changes != newer.changes ||
+                  seen.capacity != newer.capacity;
     seen = std::move(newer);
   }
   CountLive(now);
@@ -138,6 +143,17 @@
                     kShortestInterval, kLongestInterval);
 }
 
+std::string NodeDirectory::Encode() {
+  std::string rate =
+      m_rate > 0.0 ? fmt::format("{:.2f}", m_rate) : std::string(kUnknownRate);
+  std::string value =
+      fmt::format("{}/{}/{} {} {} {}", m_incarnation, ++m_renewal, rate,
+                  Part(EncodeDemand(m_demand.rates())), Part(m_data_centre),
+                  Part(m_changes));
+  if (m_capacity != kUsualCapacity) value += fmt::format(" {}", m_capacity);
+  return value;
+}
+
 NodeDirectory::Seen NodeDirectory::Decode(const std::string& value,
                                           TimePoint now) {
   std::string rest = value;
@@ -148,6 +164,8 @@
   seen.demand = DecodeDemand(TakeField(&rest));
   seen.data_centre = TakeField(&rest);
   seen.changes = TakeField(&rest);
+  double capacity = std::strtod(TakeField(&rest).c_str(), nullptr);
+  if (capacity > 0.0) seen.capacity = capacity;
   return seen;
 }
 
@@ -156,7 +174,11 @@
   for (const auto& [name, seen] : m_nodes) {
     if (name != m_node) names.push_back(name);
   }
-  std::vector<std::string> ranked = RankNodes(kDuty, names, names.size());
+  m_most_capacity = m_capacity;
+  for (const auto& [name, seen] : m_nodes) {
+    m_most_capacity = std::max(m_most_capacity, seen.capacity);
+  }
+  std::vector<std::string> ranked = RankByCapacity(kDuty, names);
   auto own = std::find(ranked.begin(), ranked.end(), m_node);
   m_rank = static_cast<int>(own - ranked.begin());
   m_roles = ChangeRoles();
@@ -169,7 +191,7 @@
   auto standbys = std::min<std::ptrdiff_t>(
       static_cast<std::ptrdiff_t>(ranked.size()), kStandbys);
   std::vector<std::string> order(ranked.begin() + standbys, ranked.end());
-  order = RankNodes(kSourceDuty, order, order.size());
+  order = RankByCapacity(kSourceDuty, order);
   order.insert(order.end(), ranked.begin(), ranked.begin() + standbys);
   std::map<std::string, std::vector<std::string>> centres;
   for (const std::string& name : order) {
@@ -178,9 +200,6 @@
     if (!self && seen->changes.empty()) continue;
     centres[self ? m_data_centre : seen->data_centre].push_back(name);
   }
-  auto address = [this](const std::string& name) {
-    return m_nodes.at(name).changes;
-  };
   const std::vector<std::string>& near = centres.at(m_data_centre);
   std::size_t readers = centres.size() == 1 ? 2 : 1;
   bool small = m_live <= kLeastDaemonsToRelay;
@@ -188,18 +207,60 @@
       std::find(near.begin(), near.end(), m_node) - near.begin());
   m_roles.is_source = !small && place < readers;
   m_roles.reads_platform = small || m_roles.is_source;
-  // The first daemons pass on to the others what the reader tells them.
-  std::size_t relays = (near.size() + kMostFollowers - 1) / kMostFollowers;
-  std::vector<std::string> first(
-      near.begin(),
-      near.begin() + static_cast<std::ptrdiff_t>(std::min(
-                         near.size(), std::max(relays, kNearSources))));
-  if (place >= first.size()) {
-    first = RankNodes(m_node, first, kNearSources);
-  } else {
-    std::erase(first, m_node);
-    first.resize(std::min(first.size(), kNearSources));
+  ChoosePeers(centres);
+}
+
+bool NodeDirectory::IsStrong(const std::string& name) const {
+  auto found = m_nodes.find(name);
+  double capacity = name == m_node           ? m_capacity
+                    : found == m_nodes.end() ? kUsualCapacity
+                                             : found->second.capacity;
+  return capacity >= m_most_capacity * kStrongPart;
+}
+
+std::vector<std::string> NodeDirectory::RankByCapacity(
+    const char* duty, const std::vector<std::string>& names) const {
+  std::vector<std::string> ranked = RankNodes(duty, names, names.size());
+  std::stable_partition(
+      ranked.begin(), ranked.end(),
+      [this](const std::string& name) { return IsStrong(name); });
+  return ranked;
+}
+
+// The first daemons of a data centre pass on to the others what its reader
+// tells them. Each follower has its own order of them, in which strong ones
+// come first more often.
+void NodeDirectory::ChoosePeers(
+    const std::map<std::string, std::vector<std::string>>& centres) {
+  auto address = [this](const std::string& name) {
+    return m_nodes.at(name).changes;
+  };
+  const std::vector<std::string>& near = centres.at(m_data_centre);
+  bool mixed = std::any_of(near.begin(), near.end(), [this](const auto& name) {
+    return !IsStrong(name);
+  });
+  std::vector<std::string> first;
+  // One for each kMostFollowers that a daemon may take.
+  std::vector<std::string> places;
+  for (const std::string& name : near) {
+    bool enough = places.size() * kMostFollowers >= near.size();
+    if (enough && first.size() >= kNearSources) break;
+    first.push_back(name);
+    std::size_t count = mixed && IsStrong(name) ? kStrongFactor : 1;
+    for (std::size_t i = 0; i < count; ++i) {
+      places.push_back(fmt::format("{}{}{}", name, kSeparator, i));
+    }
+  }
+  if (std::find(first.begin(), first.end(), m_node) == first.end()) {
+    first.clear();
+    for (std::string& place : RankNodes(m_node, places, places.size())) {
+      std::string name = TakePart(&place, kSeparator);
+      bool known = std::find(first.begin(), first.end(), name) != first.end();
+      if (!known) first.push_back(name);
+    }
   }
+  std::erase(first, m_node);
+  first.resize(std::min(first.size(), kNearSources));
   for (const std::string& name : first) m_roles.peers.push_back(address(name));
   std::vector<std::string> far;
   for (const auto& [centre, names] : centres) {
@@ -211,6 +272,12 @@
   }
 }
 
+bool NodeDirectory::RankKnown(TimePoint now) const {
+  if (m_began == TimePoint()) return false;
+  return m_listed >= m_began + kAppearTime ||
+         now - m_began >= kLongestAppearTime;
+}
+
 void NodeDirectory::CountLive(TimePoint now) {
   std::size_t lapsed = std::erase_if(m_nodes, [&](const auto& entry) {
     return now - entry.second.changed > Interval() * kLiveIntervals + kListAge;
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -65,6 +65,13 @@
     m_roles_due = true;
   }
 
+  /// Sets this daemon's capacity, in any unit that all daemons share. Duties
+  /// for the whole fleet go to the daemons with the most.
+  void SetCapacity(double capacity) {
+    m_capacity = capacity;
+    m_roles_due = true;
+  }
+
   /// One daemon of each data centre reads the platform, and the others learn
   /// from it, or else from the next one in rank or from other data centres. In
   /// a small fleet all read it, and learn from each other when they can't.
@@ -73,6 +80,9 @@
   /// This daemon's place in an order of all live ones that each of them derives
   /// alike; 0 is the first.
   int Rank() const { return m_rank; }
+  /// Whether the other daemons had time to appear since this one started, so
+  /// that Rank() tells more than which daemon was first.
+  bool RankKnown(TimePoint now) const;
   /// Part of all daemons' requests that comes to this one; 0 when unknown.
   double share() const { return m_share; }
 
@@ -84,24 +94,39 @@
     DemandByModel demand;
     std::string data_centre;
     std::string changes;  ///< As in SetContact.
+    double capacity = kUsualCapacity;
   };
+  static constexpr double kUsualCapacity = 1.0;
 
   milliseconds Interval() const;
+  std::string Encode();
   static Seen Decode(const std::string& value, TimePoint now);
   void CountLive(TimePoint now);
   /// Sets the rank and the roles by the daemons that are known.
   void ChooseRoles();
   void ChooseSources(const std::vector<std::string>& ranked);
+  /// The daemons with the most capacity come first; among these and among the
+  /// others, the order is that of the duty.
+  std::vector<std::string> RankByCapacity(
+      const char* duty, const std::vector<std::string>& names) const;
+  bool IsStrong(const std::string& name) const;
+  /// Sets the sources near and far, given those of each data centre in order.
+  void ChoosePeers(
+      const std::map<std::string, std::vector<std::string>>& centres);
   void MeasureRate(TimePoint now);
 
   std::string m_node;
   std::string m_data_centre;
   std::string m_changes;
+  double m_capacity = kUsualCapacity;
+  double m_most_capacity = kUsualCapacity;  ///< Of all known daemons.
   std::uint64_t m_incarnation;
   Jitter m_jitter;
   std::map<std::string, Seen> m_nodes;
   std::uint64_t m_renewal = 0;
   std::uint64_t m_version = kAnyVersion;  ///< As PutObject::if_version.
+  TimePoint m_began;                      ///< First pass.
+  TimePoint m_listed;                     ///< Last complete list.
   TimePoint m_next_put;
   TimePoint m_next_list;
   int m_live = 1;
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -126,6 +126,7 @@
   control_options.node = m_settings.node;
   control_options.data_centre = m_settings.data_centre;
   if (m_changes) control_options.changes = m_changes->address();
+  control_options.capacity = m_settings.capacity;
   control_options.incarnation = m_incarnation;
   control_options.seed = m_settings.seed ^ m_incarnation;
   control_options.first_start = m_settings.first_start;
--- a/testing/fleet_control_test.cc
+++ b/testing/fleet_control_test.cc
@@ -98,6 +98,8 @@
       listed.servers.push_back(server);
     }
     Do(control.Handle(listed, now));
+    // It waits for other daemons to appear before it takes the lease.
+    Run(milliseconds(3'000));
   }
 
   static FleetControlOptions Options() {
--- a/testing/node_directory_test.cc
+++ b/testing/node_directory_test.cc
@@ -221,4 +221,57 @@
   CHECK(directory.share() == doctest::Approx(30.0 / 70));
 }
 
+// Guards against a small host that plans for a large fleet, or passes changes
+// on to a whole data centre, while larger hosts have time (SHORT on
+// karalis-touchup-large: nine hosts in ten have an eighth of a core).
+TEST_CASE("duties for the fleet go to the daemons with the most capacity") {
+  std::vector<std::pair<std::string, std::string>> nodes;
+  auto large = [](int n) { return n % 65 < 5; };
+  for (int n = 0; n < 195; ++n) {
+    std::string name = "n" + std::to_string(n);
+    nodes.emplace_back(name, fmt::format("1/1/? - dc{} {}:1 {}", n % 5, name,
+                                         large(n) ? 0.5 : 0.12));
+  }
+  std::map<std::string, int> followers;
+  std::map<std::string, int> number;
+  std::map<int, int> sources;  // Large ones, by data centre.
+  for (int n = 0; n < 195; ++n) {
+    std::string name = "n" + std::to_string(n);
+    number[name + ":1"] = n;
+    NodeDirectory directory(name, 1, 1);
+    directory.SetContact(fmt::format("dc{}", n % 5), name + ":1");
+    directory.SetCapacity(large(n) ? 0.5 : 0.12);
+    directory.Listed({true, nodes}, kStart);
+    const ChangeRoles& roles = directory.change_roles();
+    if (directory.Rank() < NodeDirectory::kStandbys) CHECK(large(n));
+    if (roles.is_source && large(n)) ++sources[n % 5];
+    if (!roles.is_source) ++followers[roles.peers.front()];
+  }
+  CHECK(sources.size() == 5);
+  int by_large = 0;
+  int all = 0;
+  for (const auto& [address, count] : followers) {
+    CHECK(count <= (large(number.at(address)) ? 39 : 16));
+    by_large += large(number.at(address)) ? count : 0;
+    all += count;
+  }
+  CHECK(by_large * 10 >= all * 8);
+}
+
+// Guards against the first daemon of a starting fleet that plans for all, as
+// nobody knows the others yet.
+TEST_CASE("a node directory tells when the order of the daemons is known") {
+  NodeDirectory directory("n1", 1, 1);
+  directory.Advance(kStart);
+  directory.Listed({true, {{"n1", "1/1/?"}}}, kStart + milliseconds(20));
+  CHECK_FALSE(directory.RankKnown(kStart + milliseconds(20)));
+  directory.Listed({true, {{"n1", "1/1/?"}, {"n2", "1/1/?"}}},
+                   kStart + milliseconds(1'000));
+  CHECK(directory.RankKnown(kStart + milliseconds(1'000)));
+  // Without any list, a daemon doesn't wait for ever.
+  NodeDirectory alone("n1", 1, 1);
+  alone.Advance(kStart);
+  CHECK(alone.RankKnown(kStart + milliseconds(3'000)));
+}
+
 }  // namespace clementine
