Pass on and decode only the parts of a configuration that changed

Cause: the configuration is one object. Each change of one route was passed on, deflated, inflated and parsed as a whole, at every daemon: 24 KB and 13.5 ms of processor time at 1,970 routes, 0.1 s on an eighth of a core, and more at a daemon that passes it on. Change: the adapter takes a stored configuration apart as it's read. The head tells version, number and digest of the parts; the history of changes, which compares contents, then passes on what differs. A daemon decodes changed parts and assembles the rest; parts that don't belong together are never used, and the platform is listed.

--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -68,11 +68,11 @@
   m_configuration.kind = ChangeKind::kConfiguration;
   m_configuration.objects = platform::kConfigurationKind;
   m_configuration.changed = [this](const platform::ObjectBatch& batch) {
-    for (const platform::StoredObject& object : batch.objects) {
-      if (!object.deleted) TakeConfiguration(object);
-    }
+    TakeConfiguration(/*whole=*/false, batch);
+  };
+  m_configuration.listed_all = [this](const platform::ObjectBatch& batch) {
+    TakeConfiguration(/*whole=*/true, batch);
   };
-  m_configuration.listed_all = m_configuration.changed;
   m_follower.SetRoles(m_role.roles, WatchWait());
 }
 
@@ -112,6 +112,7 @@
       Ask(&LoopOf(ask.kind));
     }
   }
+  RepairConfiguration();
   NoteOutdated();
 }
 
@@ -169,7 +170,10 @@
   bool ended = batch.objects.empty() && m_hooks.now() >= waited;
   TimePoint as_of = ended ? waited : sent;
   m_follower.PlatformAnswered(loop->kind, as_of);
-  Learn(loop, list, batch, as_of, "");
+  // The platform tells a configuration whole, whatever has changed in it.
+  bool whole = list || (loop->kind == ChangeKind::kConfiguration &&
+                        !batch.objects.empty() && !batch.objects[0].deleted);
+  Learn(loop, whole, batch, as_of, "");
 }
 
 // Reads the platform all the time, if that's this daemon's role.
@@ -308,20 +312,36 @@
       });
 }
 
-void FleetFeed::TakeConfiguration(const platform::StoredObject& object) {
-  if (object.name != platform::kConfigurationName) return;
+void FleetFeed::TakeConfiguration(bool whole,
+                                  const platform::ObjectBatch& batch) {
+  if (batch.objects.empty()) return;
+  m_parts.Take(whole, batch.objects);
   try {
-    FleetConfiguration configuration =
-        platform::DecodeConfiguration(object.content);
-    if (configuration.version <= m_version) return;
-    m_version = configuration.version;
-    m_hooks.configured(std::move(configuration));
+    std::optional<FleetConfiguration> configuration = m_parts.Assemble();
+    m_incomplete = !configuration;
+    if (!configuration || configuration->version <= m_version) return;
+    m_version = configuration->version;
+    m_hooks.configured(std::move(*configuration));
   } catch (const std::runtime_error& error) {
     LogEvent("configuration_rejected",
-             {{"revision", std::to_string(object.revision)},
+             {{"revision", std::to_string(batch.revision)},
               {"error", error.what()},
               {"kept", std::to_string(m_version)}});
   }
 }
 
+// Sources told parts that don't belong together. The platform tells all, also
+// if the revision is one that seemed to be known.
+void FleetFeed::RepairConfiguration() {
+  TimePoint now = m_hooks.now();
+  if (!m_incomplete || now < m_next_repair) return;
+  m_next_repair = now + kLongestBackoff;
+  LogEvent("configuration_incomplete",
+           {{"revision", std::to_string(m_configuration.revision)},
+            {"kept", std::to_string(m_version)}});
+  m_configuration.history_gone = true;
+  m_configuration.revision = 0;
+  Ask(&m_configuration);
+}
+
 }  // namespace clementine
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -111,7 +111,8 @@
   void Later(Loop* loop, milliseconds delay);
   milliseconds WatchWait() const;
   milliseconds Pause(const Loop& loop, bool empty) const;
-  void TakeConfiguration(const platform::StoredObject& object);
+  void TakeConfiguration(bool whole, const platform::ObjectBatch& batch);
+  void RepairConfiguration();
 
   platform::ObjectStore* m_store;
   ChangeRelay* m_relay;
@@ -122,6 +123,9 @@
   Jitter m_jitter;
   Loop m_servers;
   Loop m_configuration;
+  platform::ConfigurationParts m_parts;
+  bool m_incomplete = false;  ///< Its parts are of several versions.
+  TimePoint m_next_repair;
   std::uint64_t m_version = 0;  ///< Of the configuration in force.
   Role m_role;
   std::map<std::string, std::uint64_t> m_sources_left;
--- a/testing/change_bench.cc
+++ b/testing/change_bench.cc
@@ -81,20 +81,37 @@
         JsonText(json.at("events").at(0).at("object").at("spec"));
     if (spec != content) std::abort();
   });
+  auto batch = [](const std::string& text, std::uint64_t revision) {
+    platform::ObjectBatch parts;
+    parts.revision = revision;
+    parts.objects = platform::SplitConfiguration(
+        {platform::kConfigurationName, revision, text, false});
+    return parts;
+  };
+  platform::ObjectBatch old_parts = batch(before, 7);
+  platform::ObjectBatch new_parts = batch(content, 8);
+  ChangeHistory source;
+  source.Replace(old_parts, TimePoint());
+  source.Replace(new_parts, TimePoint());
   ChangeUpdate update;
   update.kind = ChangeKind::kConfiguration;
-  update.delta.revision = 8;
-  update.delta.objects = {{"main", 8, content, false}};
   std::string body;
-  double encode = ProcessorMs([&] { body = EncodeChangeBody({update}); });
+  double encode = ProcessorMs([&] {
+    update.delta = source.After(7);
+    body = EncodeChangeBody({update});
+  });
   double decode = ProcessorMs([&] {
     ChangeFrameReader reader;
     reader.Append(EncodeChangeFrame(milliseconds(1), body));
     if (!reader.Next()) std::abort();
   });
+  platform::ConfigurationParts follower;
+  follower.Take(true, old_parts.objects);
   FleetConfiguration configuration;
-  double parse = ProcessorMs(
-      [&] { configuration = platform::DecodeConfiguration(content); });
+  double parse = ProcessorMs([&] {
+    follower.Take(false, update.delta.objects);
+    configuration = *follower.Assemble();
+  });
   double table = ProcessorMs([&] { RouteTable built(configuration); });
   double path =
       ProcessorMs([&] { (void)ToRequestPathConfiguration(configuration); });
