Call a bounded number of servers at a time, each in its turn

Cause: a new planner asked all 1,100 servers and ordered as many joins in one pass. The answers came together; handling them held up the loop for longer than a fifth of the lease's time on a small host, which ends the lease. Change: at most 64 questions and 128 orders are without an answer at a time; one group may have more members. Hosts are asked in turn, so that none waits for those that are due again.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -25,8 +25,13 @@
 constexpr int kReserves = 8;
 
 constexpr milliseconds kPlanInterval{100};
-/// A member of a group that stands is asked this often whether it lives.
+/// A member of a group that stands is asked this often whether it lives, or as
+/// often as the others leave time for.
 constexpr milliseconds kAskInterval{1'000};
+/// Questions without an answer at a time. Each answer takes about half a
+/// millisecond of a core, so those that come together hold up the loop for a
+/// small part of the lease.
+constexpr std::size_t kMostAsks = 64;
 /// Reports can be this old.
 constexpr milliseconds kReportAge{250};
 /// Failures in a row before a host is taken for gone. One lost packet delays an
@@ -400,31 +405,44 @@
 // ---------------------------------------------------------------------------
 // The planner's work.
 
+// Goes through the hosts in turn, so that none waits because others are due
+// again.
 void FleetControl::AskMembers() {
   if (!m_configuration) return;
-  std::erase_if(m_asked, [this](const auto& entry) {
-    return m_list.servers().count(entry.first) == 0;
+  const auto& servers = m_list.servers();
+  std::erase_if(m_asked, [&](const auto& entry) {
+    return servers.count(entry.first) == 0;
   });
-  for (const auto& [id, server] : m_list.servers()) {
-    bool member = server.member.state == GroupMemberState::kOpen ||
-                  server.member.state == GroupMemberState::kReady;
-    bool engine = FindEngine(*m_configuration, server.service) != nullptr;
-    bool uncounted = engine && !m_planner.Counted(server);
-    bool overdue = m_planner.NeedsReport(server, m_now);
-    if (!member && !uncounted && !overdue) continue;
-    auto [entry, added] = m_asked.try_emplace(id);
-    Asked& asked = entry->second;
-    if (added && !uncounted && !overdue) {
-      asked.next = m_now + m_jitter.Between(milliseconds(0), kAskInterval);
-    }
-    if (asked.waiting || m_now < asked.next || m_now < asked.busy_until) {
-      continue;
-    }
-    asked.waiting = true;
+  auto running = static_cast<std::size_t>(
+      std::count_if(m_asked.begin(), m_asked.end(),
+                    [](const auto& entry) { return entry.second.waiting; }));
+  auto next = servers.upper_bound(m_last_asked);
+  for (std::size_t i = 0; i < servers.size() && running < kMostAsks; ++i) {
+    if (next == servers.end()) next = servers.begin();
+    const auto& [id, server] = *next++;
+    if (!IsDue(server)) continue;
+    m_asked[id].waiting = true;
+    m_last_asked = id;
+    ++running;
     m_actions.emplace_back(AskServer{id, server.address});
   }
 }
 
+bool FleetControl::IsDue(const BackendServer& server) {
+  bool member = server.member.state == GroupMemberState::kOpen ||
+                server.member.state == GroupMemberState::kReady;
+  bool engine = FindEngine(*m_configuration, server.service) != nullptr;
+  bool urgent = (engine && !m_planner.Counted(server)) ||
+                m_planner.NeedsReport(server, m_now);
+  if (!member && !urgent) return false;
+  auto [entry, added] = m_asked.try_emplace(server.id);
+  Asked& asked = entry->second;
+  if (added && !urgent) {
+    asked.next = m_now + m_jitter.Between(milliseconds(0), kAskInterval);
+  }
+  return !asked.waiting && m_now >= asked.next && m_now >= asked.busy_until;
+}
+
 void FleetControl::On(const ServerAnswered& event) {
   if (event.server) {
     m_planner.Reported(event.host, *event.server, m_now);
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -163,6 +163,8 @@
   void SetPlanning(bool planning);
   void Forget();
   void AskMembers();
+  /// Whether a host is to be asked now; begins its turns if it's new.
+  bool IsDue(const BackendServer& server);
   /// Asks the members of a group without waiting for their turn.
   void AskGroupNow(const GroupMembership& group);
   void PlanOrders();
@@ -186,6 +188,7 @@
   GroupPlanner m_planner;
   std::shared_ptr<const FleetConfiguration> m_configuration;
   std::map<std::string, Asked> m_asked;  ///< By host; planner only.
+  std::string m_last_asked;              ///< Where the next turn goes on.
   std::set<std::string> m_failed;        ///< Hosts that don't answer.
   std::map<std::string, Suspicion> m_suspected;
   std::vector<GroupView> m_published;
--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -376,6 +376,7 @@
 
 void GroupPlanner::FormGroups(Pass* pass) {
   while (std::optional<Candidate> best = BestCandidate(*pass)) {
+    if (!MaySend(best->members.size())) return;
     Form(*best, pass);
   }
 }
--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -180,6 +180,13 @@
          !TookEffect(sent, reported);
 }
 
+bool GroupPlanner::MaySend(std::size_t orders) const {
+  auto unanswered = static_cast<std::size_t>(
+      std::count_if(m_sent.begin(), m_sent.end(),
+                    [](const auto& sent) { return !sent.second.accepted; }));
+  return unanswered == 0 || unanswered + orders <= kMostUnanswered;
+}
+
 bool GroupPlanner::NeedsReport(const BackendServer& host, TimePoint now) const {
   auto sent = m_sent.find(host.id);
   return sent != m_sent.end() && now - sent->second.at > kListDelay;
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -141,6 +141,10 @@
   static constexpr double kExpectedLossRate = 0.006;
   using Hosts = std::vector<const BackendServer*>;
 
+  /// Orders without an answer at a time, so that their answers don't hold up
+  /// the planner's loop. One group may have more members.
+  static constexpr std::size_t kMostUnanswered = 128;
+
   /// The last order to a host, until its effect was seen. The list may be late
   /// by more the more hosts change, so its silence proves nothing: an accepted
   /// order is abandoned only when the host's own report contradicts it.
@@ -353,6 +357,8 @@
   bool Waiting(const std::string& host) const { return m_sent.count(host) > 0; }
   bool OpenMayBeLate(const std::string& host) const;
   bool MayLoad(const Pass& pass);
+  /// Whether so many more orders may be sent now.
+  bool MaySend(std::size_t orders) const;
 
   std::map<std::string, Sent> m_sent;  ///< By host.
   std::vector<Abandoned> m_abandoned;
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -17,6 +17,7 @@
 }  // namespace
 
 bool GroupPlanner::MayLoad(const Pass& pass) {
+  if (!MaySend(1)) return false;
   std::chrono::duration<double> elapsed = pass.now - m_refilled;
   m_refilled = pass.now;
   m_load_tokens =
--- a/testing/fleet_control_test.cc
+++ b/testing/fleet_control_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 #include "core/lease.h"
 #include "fmt/format.h"
@@ -126,7 +127,8 @@
   std::map<std::string, BackendServer> servers;
   int joins = 0;
   int asks = 0;
-  int most_running = 0;  ///< Calls to servers that ran at once.
+  int most_running = 0;          ///< Calls to servers that ran at once.
+  milliseconds answer_delay{0};  ///< Of calls to servers.
   std::set<std::string> asked;
   LeaseRecord lease;
   std::uint64_t lease_version = 0;
@@ -135,11 +137,11 @@
   void Do(const std::vector<FleetAction>& actions) {
     for (const FleetAction& action : actions) {
       if (const auto* order = std::get_if<SendGroupOrder>(&action)) {
-        m_orders.push_back(*order);
+        m_orders.emplace_back(now + answer_delay, *order);
       } else if (const auto* ask = std::get_if<AskServer>(&action)) {
         ++asks;
         asked.insert(ask->host);
-        m_asks.push_back(ask->host);
+        m_asks.emplace_back(now + answer_delay, ask->host);
       } else if (const auto* get = std::get_if<GetObject>(&action)) {
         Reply(get->call,
               lease_version > 0 ? ObjectStatus::kOk : ObjectStatus::kNotFound);
@@ -163,15 +165,21 @@
   void Progress() {
     int running = static_cast<int>(m_asks.size() + m_orders.size());
     most_running = std::max(most_running, running);
-    std::vector<std::string> answering = std::move(m_asks);
-    m_asks.clear();
-    for (const std::string& host : answering) {
-      Do(control.Handle(ServerAnswered{host, servers.at(host)}, now));
+    auto answering = std::exchange(m_asks, {});
+    for (const auto& [due, host] : answering) {
+      if (due > now) {
+        m_asks.emplace_back(due, host);
+      } else {
+        Do(control.Handle(ServerAnswered{host, servers.at(host)}, now));
+      }
     }
-    std::vector<SendGroupOrder> orders = std::move(m_orders);
-    m_orders.clear();
+    auto orders = std::exchange(m_orders, {});
     ServersChanged changed;
-    for (const SendGroupOrder& sent : orders) {
+    for (const auto& [due, sent] : orders) {
+      if (due > now) {
+        m_orders.emplace_back(due, sent);
+        continue;
+      }
       OrderResult result = CarryOut(sent.order, &servers.at(sent.host));
       Do(control.Handle(OrderEnded{sent.host, sent.order, result, ""}, now));
       changed.changes.push_back({sent.host, servers.at(sent.host)});
@@ -201,8 +209,9 @@
     return OrderResult::kAccepted;
   }
 
-  std::vector<std::string> m_asks;
-  std::vector<SendGroupOrder> m_orders;
+  // With the time at which they are answered.
+  std::vector<std::pair<TimePoint, std::string>> m_asks;
+  std::vector<std::pair<TimePoint, SendGroupOrder>> m_orders;
 };
 
 }  // namespace
@@ -324,4 +333,21 @@
   CHECK(fleet.OpenGroups() == 16);
 }
 
+// Guards against a planner that calls all servers at once: the answers held up
+// its loop for longer than its lease allows (SHORT on karalis-touchup-large).
+TEST_CASE(
+    "a planner calls a thousand servers a few at a time and each in turn") {
+  PlannerFixture fleet(1'088);
+  fleet.answer_delay = milliseconds(200);
+  fleet.Run(milliseconds(20'000));
+  CHECK(fleet.OpenGroups() == 272);
+  CHECK(fleet.joins == 1'088);
+  CHECK(fleet.most_running <= 256);
+  // Whoever was asked waits until the others were.
+  fleet.asked.clear();
+  fleet.asks = 0;
+  while (fleet.asked.size() < 1'088 && fleet.asks < 2'000) fleet.Run(kTick);
+  CHECK(fleet.asked.size() == 1'088);
+}
+
 }  // namespace clementine
