Don't take a daemon's own pause for the silence of servers

A daemon short of processor time reads answers late. Its tick then found all groups that had requests silent for half a second, closed them to its callers for 5.5 s and moved their requests; a planner whose calls timed out while it stood still took sound servers for gone, and their groups apart. Both answer a shortage of time with more work. Change: time in which the daemon did nothing doesn't count as silence of a group, and a call that its own pause may have let time out doesn't count as a server's failure. What a server doesn't answer otherwise counts as before; its entry lapses as well. Test: "time in which the daemon itself stood still isn't silence" needs the new function; "calls that the planner itself missed say nothing of a server" failed before with 0 of 16 groups left.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -32,6 +32,9 @@
 /// millisecond of a core, so those that come together hold up the loop for a
 /// small part of the lease.
 constexpr std::size_t kMostAsks = 64;
+/// A pause of this daemon for which a call to a server may time out though the
+/// server has answered.
+constexpr milliseconds kOwnPause{200};
 /// Reports can be this old.
 constexpr milliseconds kReportAge{250};
 /// Failures in a row before a host is taken for gone. One lost packet delays an
@@ -351,6 +354,8 @@
 }
 
 void FleetControl::On(const Tick& /*event*/) {
+  if (m_now - m_ticked > kOwnPause) m_paused_at = m_now;
+  m_ticked = m_now;
   if (m_list.Expire(m_now)) m_changed = true;
   std::size_t suspected = m_suspected.size();
   std::erase_if(m_suspected, [this](const auto& entry) {
@@ -422,6 +427,7 @@
     const auto& [id, server] = *next++;
     if (!IsDue(server)) continue;
     m_asked[id].waiting = true;
+    m_asked[id].sent = m_now;
     m_last_asked = id;
     ++running;
     m_actions.emplace_back(AskServer{id, server.address});
@@ -461,6 +467,9 @@
     return;
   }
   asked.next = m_now;
+  // The answer may be there, and wasn't read in time.
+  bool missed = asked.sent <= m_paused_at || m_now - m_ticked > kOwnPause;
+  if (missed) return;
   ++asked.failures;
   auto server = m_list.servers().find(event.host);
   bool silent =
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -132,6 +132,7 @@
   /// What is known of a member host by asking it.
   struct Asked {
     TimePoint next;
+    TimePoint sent;
     bool waiting = false;
     int failures = 0;
     TimePoint busy_until;  ///< It wants no questions before.
@@ -204,6 +205,8 @@
   std::size_t m_orders_running = 0;
   DaemonsChanged m_daemons{0, 0.0};  ///< As last told to the request path.
   TimePoint m_planned;
+  TimePoint m_ticked;     ///< Last tick.
+  TimePoint m_paused_at;  ///< End of this daemon's last pause.
 
   // Of the event being handled.
   TimePoint m_now;
--- a/core/silence_watch.cc
+++ b/core/silence_watch.cc
@@ -17,7 +17,8 @@
 }  // namespace
 
 void SilenceWatch::Started(AttemptId attempt, const std::string& group,
-                           std::uint64_t epoch, TimePoint now) {
+                           std::uint64_t epoch, TimePoint time) {
+  TimePoint now = Watched(time);
   auto [found, added] = m_groups.try_emplace(group);
   Group& known = found->second;
   if (added || known.epoch != epoch) {
@@ -28,7 +29,8 @@
   m_streams[attempt] = {found, false, now, TimePoint()};
 }
 
-void SilenceWatch::Heard(AttemptId attempt, bool event, TimePoint now) {
+void SilenceWatch::Heard(AttemptId attempt, bool event, TimePoint time) {
+  TimePoint now = Watched(time);
   auto found = m_streams.find(attempt);
   if (found == m_streams.end()) return;
   Stream& stream = found->second;
@@ -60,7 +62,8 @@
          found->second.group->second.heard > found->second.last;
 }
 
-SilenceWatch::Found SilenceWatch::Check(TimePoint now) {
+SilenceWatch::Found SilenceWatch::Check(TimePoint time) {
+  TimePoint now = Watched(time);
   Found found;
   for (auto& [attempt, stream] : m_streams) {
     if (now < stream.next_check) continue;
--- a/core/silence_watch.h
+++ b/core/silence_watch.h
@@ -32,6 +32,9 @@
   /// The group answered; bytes of the attempt's stream have arrived if `event`.
   void Heard(AttemptId attempt, bool event, TimePoint now);
   void Ended(AttemptId attempt);
+  /// The daemon itself did nothing for so long until now. What groups sent then
+  /// wasn't read, so it doesn't count as their silence.
+  void Missed(milliseconds time) { m_missed += time; }
   /// Forgets groups that aren't in use any more.
   void KeepGroups(const std::set<std::string>& names);
 
@@ -55,6 +58,10 @@
     TimePoint next_check;
   };
 
+  /// Time without what the daemon missed; all times below are such.
+  TimePoint Watched(TimePoint now) const { return now - m_missed; }
+
+  milliseconds m_missed{0};
   std::map<std::string, Group> m_groups;
   std::unordered_map<AttemptId, Stream> m_streams;
 };
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr milliseconds kTickInterval{50};
+/// Ticks of a daemon that isn't short of time are closer together.
+constexpr milliseconds kUsualTick{100};
 /// A tick this long after the last one is logged: the lease counts it as a
 /// pause, or nearly so.
 constexpr milliseconds kLateTick{350};
@@ -330,6 +332,7 @@
   auto gap = std::chrono::duration_cast<milliseconds>(now - last);
   Metrics::Observe(m_metrics.Find("clementine_tick_gap_ms", ""),
                    static_cast<double>(gap.count()), now);
+  if (gap > kUsualTick) m_executor->NoteMissed(gap - kUsualTick);
   if (gap < kLateTick) return;
   LogEvent("tick_late",
            {{"gap_ms", std::to_string(gap.count())},
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -57,6 +57,8 @@
   /// Looks for groups from which nothing comes any more, and gives their
   /// requests back to the request path.
   void CheckSilence();
+  /// The daemon itself did nothing for so long until now.
+  void NoteMissed(milliseconds time) { m_silence.Missed(time); }
 
   /// Ends all requests: those that weren't sent are refused.
   void CutOff();
--- a/testing/fleet_control_test.cc
+++ b/testing/fleet_control_test.cc
@@ -120,6 +120,13 @@
     }
   }
 
+  /// All calls to servers that are under way time out.
+  void FailCalls() {
+    for (const auto& [due, host] : std::exchange(m_asks, {})) {
+      Do(control.Handle(ServerAnswered{host, std::nullopt}, now));
+    }
+  }
+
   int OpenGroups() const { return static_cast<int>(control.open_groups()); }
 
   TimePoint now = kStart;
@@ -350,4 +357,26 @@
   CHECK(fleet.asked.size() == 1'088);
 }
 
+// Guards against a planner short of processor time whose own pauses let calls
+// to sound servers time out, so that it takes their groups apart.
+TEST_CASE("calls that the planner itself missed say nothing of a server") {
+  PlannerFixture fleet(64);
+  fleet.Run(milliseconds(3'000));
+  REQUIRE(fleet.OpenGroups() == 16);
+  for (int pause = 0; pause < 8; ++pause) {
+    fleet.answer_delay = milliseconds(300);
+    fleet.Run(milliseconds(200));
+    fleet.Stall(milliseconds(300));
+    fleet.FailCalls();
+    fleet.Run(kTick);
+  }
+  CHECK(fleet.OpenGroups() == 16);
+  // Those that it didn't miss do.
+  for (int call = 0; call < 8; ++call) {
+    fleet.Run(milliseconds(200));
+    fleet.FailCalls();
+  }
+  CHECK(fleet.OpenGroups() < 16);
+}
+
 }  // namespace clementine
--- a/testing/silence_watch_test.cc
+++ b/testing/silence_watch_test.cc
@@ -97,4 +97,22 @@
   CHECK(found.stalled == std::vector<AttemptId>{1});
 }
 
+// Guards against a daemon short of processor time that takes its own pause for
+// the silence of all groups, and closes them to its callers.
+TEST_CASE("time in which the daemon itself stood still isn't silence") {
+  SilenceWatch watch;
+  watch.Started(1, "g", 1, kStart);
+  watch.Heard(1, true, kStart + milliseconds(100));
+  watch.Missed(milliseconds(2'000));
+  TimePoint woken = kStart + milliseconds(2'150);
+  CHECK(watch.Check(woken).silent.empty());
+  CHECK(watch.Check(woken + milliseconds(300)).silent.empty());
+  // What a group doesn't send afterwards counts.
+  CHECK(watch.Check(woken + milliseconds(700)).silent.count("g") == 1);
+  // An answer that waited in the meantime is heard as usual.
+  watch.Heard(1, true, woken + milliseconds(750));
+  CHECK(watch.Check(woken + milliseconds(1'000)).silent.empty());
+  CHECK(watch.Check(woken + milliseconds(1'400)).silent.count("g") == 1);
+}
+
 }  // namespace clementine
