Keep open groups whose members lapse from the list together

Cause: a group lost its callers and was taken apart as soon as a member's entry left the list. Change: when a tenth of all entries lapse within 3 s, members of groups whose heads are listed as open are kept, marked as lapsed, for up to 20 s. They get no orders; the head breaks if one is really gone, and silence and failed calls of the planner count as before. Heads and plain servers aren't kept, as they would get work after their removal. Test: "groups stay open when many of their members' entries lapse" failed before (48 joins more for 64 hosts, and 12 of 16 groups open), "members of open groups are kept when many entries lapse together", "lapsed servers aren't kept when they are heads, few or leaving".

--- a/core/fleet.h
+++ b/core/fleet.h
@@ -117,6 +117,9 @@
   std::string fabric_domain;
   int slots = 1;
   bool leaving = false;
+  /// Its entry is gone, but it may only be cut off from the platform; see
+  /// ServerList.
+  bool lapsed = false;
   std::uint64_t orders = 0;  ///< Orders accepted in this life.
   bool busy = false;         ///< An order is in progress; from its own report.
   std::vector<std::string> staged;  ///< Models whose weights are on the host.
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds kFarReserveDelay{30'000};
 constexpr int kReserves = 8;
 
+/// Lapsed members that are kept, from which on it's logged.
+constexpr std::size_t kManyKept = 5;
 constexpr milliseconds kPlanInterval{100};
 /// A member of a group that stands is asked this often whether it lives, or as
 /// often as the others leave time for.
@@ -140,6 +142,14 @@
   m_changed = m_changed || !event.changes.empty();
 }
 
+void FleetControl::LogKept() {
+  bool many = m_list.kept() >= kManyKept;
+  if (many == m_many_kept) return;
+  m_many_kept = many;
+  Log("servers_lapsed", {{"kept", std::to_string(m_list.kept())},
+                         {"listed", std::to_string(m_list.servers().size())}});
+}
+
 void FleetControl::On(const ServersUnreachable& event) {
   m_list.Unreachable(event.since);
 }
@@ -357,6 +367,7 @@
   if (m_now - m_ticked > kOwnPause) m_paused_at = m_now;
   m_ticked = m_now;
   if (m_list.Expire(m_now)) m_changed = true;
+  LogKept();
   std::size_t suspected = m_suspected.size();
   std::erase_if(m_suspected, [this](const auto& entry) {
     return entry.second.until <= m_now;
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -158,6 +158,7 @@
   void On(const Tick& event);
 
   void LogChanges(const std::vector<ServerList::Change>& changes);
+  void LogKept();
   void TellDaemons();
   milliseconds ReserveDelay() const;
   void AdvanceLease();
@@ -197,6 +198,7 @@
   /// Groups wanted and standing by model, as last logged.
   std::map<std::string, std::pair<int, int>> m_logged_shares;
   bool m_changed = false;  ///< Something that groups depend on.
+  bool m_many_kept = false;
   bool m_stopping = false;
   bool m_planning = false;  ///< Could order at the last pass.
   TimePoint m_last_planning;
--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -47,7 +47,7 @@
 }  // namespace
 
 bool GroupPlanner::Pass::Stays(const BackendServer& host) const {
-  return host.service == service && !host.leaving &&
+  return host.service == service && !host.leaving && !host.lapsed &&
          failed->count(host.id) == 0;
 }
 
@@ -160,7 +160,9 @@
   std::map<std::string, DomainHosts> domains;
   const std::vector<EngineModel>& models = pass.engine->models;
   for (const auto& [id, server] : *pass.servers) {
-    if (!pass.Stays(server)) continue;
+    // Groups that stand though members have lapsed need no others.
+    bool kept = server.lapsed && pass.in_standing.count(id) > 0;
+    if (!pass.Stays(server) && !kept) continue;
     DomainHosts& domain = domains[server.fabric_domain];
     if (domain.hosts++ == 0) {
       domain.name = server.fabric_domain;
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -313,7 +313,8 @@
   bool ready = IsWhole(group, model.hosts_per_group);
   for (const BackendServer* member : group.members) {
     if (member == nullptr) continue;
-    lost = lost || member->leaving || pass->failed->count(member->id) > 0 ||
+    lost = lost || member->leaving || member->lapsed ||
+           pass->failed->count(member->id) > 0 ||
            member->member.state == GroupMemberState::kBroken;
     ready = ready && member->member.state == GroupMemberState::kReady;
   }
--- a/core/server_list.cc
+++ b/core/server_list.cc
@@ -1,9 +1,15 @@
 // A removal in normal times means that the server has left and is taken at
-// once. After an outage the list may lack servers that are well: they renew
+// once, but for members of open groups, about which the next second decides:
+// when many entries lapse together, their servers are more likely cut off than
+// gone. After an outage the list may lack servers that are well: they renew
 // their entries within two seconds of the platform's return.
 
 #include "core/server_list.h"
 
+#include <algorithm>
+#include <set>
+#include <utility>
+
 namespace clementine {
 namespace {
 
@@ -18,6 +24,17 @@
 /// rest is for those who act on it a little later.
 constexpr milliseconds kSettleTime{1'000};
 
+/// Entries of servers that are cut off together lapse within a renewal of each
+/// other, and some of them are seen later.
+constexpr milliseconds kManyWindow{3'000};
+/// Members of a group are kept for so long until it's known whether many lapse.
+constexpr milliseconds kDoubtTime{1'000};
+/// Part of all servers that must lapse together, and at least so many.
+constexpr std::size_t kManyPart = 10;
+constexpr std::size_t kLeastMany = 5;
+/// A cut that lasts longer is left to the planner, who forms other groups.
+constexpr milliseconds kLongestDoubt{20'000};
+
 /// Entries that lapse come back sooner than this, if the server lives.
 constexpr milliseconds kRemembered{60'000};
 
@@ -42,6 +59,7 @@
 void ServerList::Put(const BackendServer& server) {
   BackendServer& known = m_servers[server.id];
   known = server;
+  m_doubted.erase(server.id);
   m_past.erase(server.id);
   auto marked = m_marked.find(server.id);
   if (marked == m_marked.end()) return;
@@ -69,6 +87,7 @@
 void ServerList::Forget(const std::string& id, TimePoint now) {
   auto found = m_servers.find(id);
   if (found == m_servers.end()) return;
+  m_doubted.erase(id);
   m_past[id] = {found->second.born, now};
   m_servers.erase(found);
   std::erase_if(m_marked, [this](const auto& entry) {
@@ -77,12 +96,56 @@
 }
 
 void ServerList::Remove(const std::string& id, TimePoint now) {
-  if (now >= m_grace_until) {
-    Forget(id, now);
-    m_lapsed.erase(id);
-  } else {
+  if (now < m_grace_until) {
     m_lapsed.emplace(id, m_grace_until);
+    return;
+  }
+  m_lapsed.erase(id);
+  auto found = m_servers.find(id);
+  if (found == m_servers.end() || found->second.lapsed) return;
+  if (!found->second.leaving) m_lapses.push_back(now);
+  if (IsMember(found->second)) {
+    found->second.lapsed = true;
+    m_doubted[id] = {now};
+  } else {
+    Forget(id, now);
+  }
+}
+
+bool ServerList::IsMember(const BackendServer& server) {
+  return !server.leaving && server.member.rank > 0 &&
+         server.member.state == GroupMemberState::kReady;
+}
+
+bool ServerList::ManyLapse(TimePoint now) {
+  while (!m_lapses.empty() && now - m_lapses.front() > kManyWindow) {
+    m_lapses.pop_front();
+  }
+  // Servers that are still listed, and those that lapsed.
+  std::size_t all = m_servers.size() - m_doubted.size() + m_lapses.size();
+  return m_lapses.size() >= std::max(kLeastMany, all / kManyPart);
+}
+
+bool ServerList::JudgeDoubts(TimePoint now) {
+  if (m_doubted.empty()) return false;
+  bool many = ManyLapse(now);
+  std::set<std::pair<std::string, std::uint64_t>> open;
+  for (const auto& [id, server] : m_servers) {
+    const GroupMembership& member = server.member;
+    if (member.rank == 0 && member.state == GroupMemberState::kOpen) {
+      open.insert({member.group, member.epoch});
+    }
+  }
+  std::vector<std::string> gone;
+  for (auto& [id, doubt] : m_doubted) {
+    const GroupMembership& member = m_servers.at(id).member;
+    doubt.one_of_many = doubt.one_of_many || many;
+    milliseconds longest = doubt.one_of_many ? kLongestDoubt : kDoubtTime;
+    bool serves = open.count({member.group, member.epoch}) > 0;
+    if (!serves || now - doubt.removed > longest) gone.push_back(id);
   }
+  for (const std::string& id : gone) Forget(id, now);
+  return !gone.empty();
 }
 
 void ServerList::Replace(const std::vector<BackendServer>& servers,
@@ -118,6 +181,7 @@
   bool removed = false;
   // While the platform is away again, nothing says that an entry won't return.
   if (!m_reachable) return removed;
+  removed = JudgeDoubts(now);
   for (auto it = m_lapsed.begin(); it != m_lapsed.end();) {
     if (it->second <= now) {
       Forget(it->first, now);
--- a/core/server_list.h
+++ b/core/server_list.h
@@ -3,6 +3,7 @@
 #define CORE_SERVER_LIST_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,6 +16,12 @@
 /// Keeps the last good list through outages of the platform. Entries lapse
 /// while their servers can't renew them, so a removal seen shortly after an
 /// outage only counts once the servers had time to come back.
+///
+/// An entry also lapses when its server is cut off from the platform, while its
+/// group goes on serving. When many lapse within seconds, members of groups
+/// whose heads are still listed as open are kept, marked as lapsed; the head
+/// breaks if a member is really gone. Heads and other servers aren't kept, as
+/// they would get work.
 class ServerList {
  public:
   /// An entry that changed; without a server it was removed or can't be read.
@@ -34,6 +41,8 @@
   /// whatever the list says, since the list may be older.
   /// @return Whether that wasn't known.
   bool MarkLeaving(const std::string& id, TimePoint now);
+  /// Lapsed members that are kept.
+  std::size_t kept() const { return m_doubted.size(); }
   /// Removes entries whose grace is over. @return Whether any was removed.
   bool Expire(TimePoint now);
 
@@ -52,6 +61,16 @@
   void Put(const BackendServer& server);
   void Forget(const std::string& id, TimePoint now);
 
+  /// A lapsed member of a group that may still serve.
+  struct Doubt {
+    TimePoint removed;
+    bool one_of_many = false;
+  };
+
+  static bool IsMember(const BackendServer& server);
+  bool ManyLapse(TimePoint now);
+  bool JudgeDoubts(TimePoint now);
+
   /// A life of a server that isn't listed any more.
   struct Past {
     std::int64_t born = 0;
@@ -63,6 +82,8 @@
   /// Servers that said that they are leaving, and their life.
   std::map<std::string, std::int64_t> m_marked;
   std::map<std::string, TimePoint> m_lapsed;  ///< End of an entry's grace.
+  std::map<std::string, Doubt> m_doubted;     ///< Listed and marked as lapsed.
+  std::deque<TimePoint> m_lapses;             ///< Unannounced removals.
   bool m_known = false;
   bool m_reachable = false;
   TimePoint m_unreachable_since;
--- a/testing/fleet_control_test.cc
+++ b/testing/fleet_control_test.cc
@@ -379,4 +379,21 @@
   CHECK(fleet.OpenGroups() < 16);
 }
 
+// Guards against groups that go on serving and are closed to callers, and taken
+// apart by the planner, because many members are cut off from the platform.
+TEST_CASE("groups stay open when many of their members' entries lapse") {
+  PlannerFixture fleet(64);
+  fleet.Run(milliseconds(3'000));
+  REQUIRE(fleet.OpenGroups() == 16);
+  ServersChanged lapsed;
+  for (const auto& [id, server] : fleet.servers) {
+    if (server.member.rank == 2) lapsed.changes.push_back({id, std::nullopt});
+  }
+  REQUIRE(lapsed.changes.size() == 16);
+  fleet.control.Handle(lapsed, fleet.now);
+  fleet.Run(milliseconds(10'000));
+  CHECK(fleet.OpenGroups() == 16);
+  CHECK(fleet.joins == 64);
+}
+
 }  // namespace clementine
--- a/testing/server_list_test.cc
+++ b/testing/server_list_test.cc
@@ -113,4 +113,74 @@
   CHECK(list.servers().at("a").leaving);
 }
 
+/// Groups of four, whose first server is the open head.
+std::vector<BackendServer> Groups(int groups) {
+  std::vector<BackendServer> servers;
+  for (int i = 0; i < groups * 4; ++i) {
+    BackendServer server = Server("s" + std::to_string(i));
+    server.member = {
+        "g" + std::to_string(i / 4), 1, i % 4,
+        i % 4 == 0 ? GroupMemberState::kOpen : GroupMemberState::kReady};
+    servers.push_back(server);
+  }
+  return servers;
+}
+
+// Guards against groups that are taken from callers, and apart, because the way
+// of many members to the platform is cut while they go on serving.
+TEST_CASE("members of open groups are kept when many entries lapse together") {
+  ServerList list;
+  list.Replace(Groups(10), kStart);
+  TimePoint now = kStart;
+  for (int group = 0; group < 6; ++group) {
+    now += milliseconds(150);
+    list.Apply({{"s" + std::to_string(4 * group + 1), std::nullopt}}, now);
+    list.Expire(now);
+  }
+  TimePoint cut = now;
+  while (now < cut + milliseconds(15'000)) {
+    now += milliseconds(50);
+    CHECK_FALSE(list.Expire(now));
+  }
+  CHECK(list.kept() == 6);
+  CHECK(list.servers().at("s1").lapsed);
+  // A group whose head breaks has lost them.
+  BackendServer broken = list.servers().at("s0");
+  broken.member.state = GroupMemberState::kBroken;
+  list.Apply({{"s0", broken}}, now);
+  CHECK(list.Expire(now));
+  CHECK(list.servers().count("s1") == 0);
+  // One that is back is like any other.
+  BackendServer back = list.servers().at("s5");
+  back.lapsed = false;
+  list.Apply({{"s5", back}}, now);
+  CHECK_FALSE(list.servers().at("s5").lapsed);
+  // The others aren't kept for ever.
+  now = cut + milliseconds(21'000);
+  list.Expire(now);
+  CHECK(list.kept() == 0);
+  CHECK(list.servers().size() == 35);
+}
+
+// Guards against work for a head that is gone, against a member that counts for
+// long though it left alone, and against one that said that it leaves.
+TEST_CASE("lapsed servers aren't kept when they are heads, few or leaving") {
+  ServerList list;
+  std::vector<BackendServer> servers = Groups(10);
+  servers[38].leaving = true;
+  list.Replace(servers, kStart);
+  TimePoint now = kStart + milliseconds(100);
+  list.Apply({{"s0", std::nullopt}, {"s38", std::nullopt}}, now);
+  CHECK(list.servers().count("s0") == 0);
+  CHECK(list.servers().count("s38") == 0);
+  list.Apply({{"s1", std::nullopt}, {"s5", std::nullopt}}, now);
+  now += milliseconds(50);
+  CHECK(list.Expire(now));
+  CHECK(list.servers().count("s1") == 0);  // Its head is gone.
+  CHECK(list.servers().count("s5") == 1);
+  now += milliseconds(1'100);
+  CHECK(list.Expire(now));
+  CHECK(list.servers().count("s5") == 0);
+}
+
 }  // namespace clementine
