Authenticate daemons that pass changes on to each other

Whoever reached a daemon's port for changes could read them, and whoever answered at a source's address was believed. Change: where [peers] has a key, a follower signs its request with a nonce, and each frame carries the code of nonce, number, time and body. A second key is accepted while keys are replaced. Rejections are logged. Test: "followers and sources share a key", "a follower rejects frames that its source didn't send it"; both need the new code. Conclusion: requests for changes can be replayed by whoever recorded one, and contents aren't secret; both would need TLS.

--- a/config/config.h
+++ b/config/config.h
@@ -196,6 +196,8 @@
   std::string platform;                     ///< Address of the platform's API.
   std::string platform_token;
   std::string peer_key;       ///< Shared key for peer messages.
+  /// Relay: another key that peers may still use while keys are replaced.
+  std::string peer_previous_key;
   std::string backend_token;  ///< Sent to backend servers.
   std::map<std::string, std::string> organisation_tokens;  ///< Token by name.
   std::string idempotency_header = "Idempotency-Key";
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -48,7 +48,8 @@
                        SecretField("token", &s.platform_token)};
   table["peers"] = {AddressField("listen", true, &s.peer_listen),
                     AddressListField("seeds", &s.peer_seeds),
-                    Required(SecretField("key", &s.peer_key))};
+                    Required(SecretField("key", &s.peer_key)),
+                    SecretField("previous_key", &s.peer_previous_key)};
   table["backend"] = {SecretField("token", &s.backend_token)};
   table["limits"] = {
       SizeField("max_header_bytes", 1'024, kMaxCount, &s.max_header_bytes),
--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -32,9 +32,10 @@
 };
 
 ChangeClient::ChangeClient(boost::asio::io_context* io, milliseconds silence,
-                           Hooks hooks)
+                           Hooks hooks, ChangeKeys keys)
     : m_silence(silence),
       m_hooks(std::move(hooks)),
+      m_keys(std::move(keys)),
       m_client(io, ClientOptions(silence)) {}
 
 ChangeClient::~ChangeClient() {
@@ -51,7 +52,10 @@
   call.relay = true;
   call.address = peer;
   call.method = "GET";
-  call.target = "/changes?" + EncodeChangeQuery(known);
+  FrameCodes codes;
+  call.target =
+      "/changes?" + SignChangeQuery(m_keys, EncodeChangeQuery(known), &codes);
+  stream->frames = ChangeFrameReader(std::move(codes));
   call.headers = {{"Host", peer}};
   call.idempotent = false;
   call.first_byte_timeout = m_silence;
--- a/daemon/change_client.h
+++ b/daemon/change_client.h
@@ -29,7 +29,9 @@
   };
 
   /// @param silence A stream without a frame for so long has ended.
-  ChangeClient(boost::asio::io_context* io, milliseconds silence, Hooks hooks);
+  /// @param keys Shared with the sources, which sign by them.
+  ChangeClient(boost::asio::io_context* io, milliseconds silence, Hooks hooks,
+               ChangeKeys keys = {});
   ~ChangeClient();
   ChangeClient(const ChangeClient&) = delete;
   ChangeClient& operator=(const ChangeClient&) = delete;
@@ -47,6 +49,7 @@
 
   milliseconds m_silence;
   Hooks m_hooks;
+  ChangeKeys m_keys;
   BackendClient m_client;
   std::map<std::string, std::shared_ptr<Stream>> m_streams;  ///< By peer.
 };
--- a/daemon/change_message.cc
+++ b/daemon/change_message.cc
@@ -18,7 +18,7 @@
 
 /// Heartbeats are shorter; what is longer holds entries, which are much alike.
 constexpr std::size_t kLeastToDeflate = 512;
-constexpr std::size_t kMostHeadBytes = 64;
+constexpr std::size_t kMostHeadBytes = 160;
 /// Of a body, as sent and inflated. ChangeHistory keeps less than this.
 constexpr std::size_t kMostBodyBytes = 67'108'864;
 constexpr int kDeflateLevel = 3;
@@ -30,9 +30,20 @@
   milliseconds elapsed{0};
   std::size_t size = 0;
   std::size_t plain = 0;  ///< Size of the inflated body; 0: not deflated.
+  std::string code;       ///< Empty when there's none.
 };
 
-Head ParseHead(std::string_view line) {
+/// @param coded Whether the line ends with a code.
+Head ParseHead(std::string_view line, bool coded) {
+  std::string code;
+  if (coded) {
+    std::size_t space = line.rfind(' ');
+    if (space == std::string_view::npos) {
+      throw std::runtime_error("frame has no code");
+    }
+    code = line.substr(space + 1);
+    line = line.substr(0, space);
+  }
   std::array<std::uint32_t, 3> numbers{};
   const char* at = line.data();
   const char* end = line.data() + line.size();
@@ -48,7 +59,7 @@
   if (numbers[1] > kMostBodyBytes || numbers[2] > kMostBodyBytes) {
     throw std::runtime_error("frame is too long");
   }
-  return {milliseconds(numbers[0]), numbers[1], numbers[2]};
+  return {milliseconds(numbers[0]), numbers[1], numbers[2], std::move(code)};
 }
 
 zlib::z_params Buffers(const std::string& in, std::string* out) {
@@ -176,8 +187,15 @@
   return fmt::format("{} {}\n{}", deflated.size(), plain.size(), deflated);
 }
 
-std::string EncodeChangeFrame(milliseconds elapsed, const std::string& body) {
-  return fmt::format("{} {}", elapsed.count(), body);
+std::string EncodeChangeFrame(milliseconds elapsed, const std::string& body,
+                              FrameCodes* codes) {
+  if (codes == nullptr || !codes->used()) {
+    return fmt::format("{} {}", elapsed.count(), body);
+  }
+  std::string code = codes->Next(elapsed, body);
+  std::size_t line = body.find('\n');
+  return fmt::format("{} {} {}{}", elapsed.count(), body.substr(0, line), code,
+                     body.substr(line));
 }
 
 std::optional<ChangeFrameReader::Frame> ChangeFrameReader::Next() {
@@ -189,9 +207,16 @@
     return std::nullopt;
   }
   std::string_view bytes = m_bytes;
-  Head head = ParseHead(bytes.substr(0, end));
+  Head head = ParseHead(bytes.substr(0, end), m_codes.used());
   if (m_bytes.size() - end - 1 < head.size) return std::nullopt;
   std::string body = m_bytes.substr(end + 1, head.size);
+  if (m_codes.used()) {
+    std::string signed_body =
+        fmt::format("{} {}\n{}", head.size, head.plain, body);
+    if (!SecretsEqual(head.code, m_codes.Next(head.elapsed, signed_body))) {
+      throw std::runtime_error("frame isn't authentic");
+    }
+  }
   m_bytes.erase(0, end + 1 + head.size);
   if (head.plain > 0) body = Inflate(body, head.plain);
   try {
--- a/daemon/change_relay.cc
+++ b/daemon/change_relay.cc
@@ -76,7 +76,7 @@
   follower->sent = now;
   auto elapsed =
       std::chrono::duration_cast<milliseconds>(now - follower->opened);
-  std::string frame = EncodeChangeFrame(elapsed, body);
+  std::string frame = EncodeChangeFrame(elapsed, body, &follower->codes);
   m_sent_bytes += frame.size();
   if (!follower->exchange->Write(frame)) {
     follower->behind = true;
@@ -96,7 +96,14 @@
 
 void ChangeRelay::Accept(const std::shared_ptr<HttpExchange>& exchange) {
   const HttpRequest& request = exchange->request();
-  std::optional<ChangeRevisions> known = DecodeChangeQuery(request.query);
+  std::string query = request.query;
+  std::optional<FrameCodes> codes = VerifyChangeQuery(m_keys, &query);
+  if (!codes) {
+    LogEvent("change_follower_rejected", {{"reason", "not authentic"}});
+    exchange->Answer(http_status::kUnauthorized, {}, "not authentic\n");
+    return;
+  }
+  std::optional<ChangeRevisions> known = DecodeChangeQuery(query);
   if (request.method != "GET" || request.path != kPath || !known) {
     exchange->Answer(http_status::kBadRequest, {}, "unknown request\n");
     return;
@@ -108,6 +115,7 @@
   Follower follower;
   follower.id = ++m_last_follower;
   follower.exchange = exchange;
+  follower.codes = std::move(*codes);
   follower.known = *known;
   follower.opened = m_now();
   exchange->StartStream(http_status::kOk,
--- a/daemon/change_relay.h
+++ b/daemon/change_relay.h
@@ -3,11 +3,11 @@
 // GET /changes?servers=REVISION&configuration=REVISION answers with a stream of
 // frames that doesn't end by itself: first what changed after those revisions,
 // then each change, and at least every heartbeat a frame without changes. A
-// frame is a line of three numbers and a body:
+// frame is a line and a body:
 //
-//   ELAPSED SIZE PLAIN\n     milliseconds since the stream began; bytes of the
-//                            body; bytes that it inflates to, or 0 if it's
-//                            plain
+//   ELAPSED SIZE PLAIN[ CODE]\n   milliseconds since the stream began; bytes of
+//                            the body; bytes that it inflates to, or 0 if it's
+//                            plain; its code, where daemons share keys
 //   [{"kind":"servers","at":REVISION,"age":MS,"whole":BOOL,
 //     "objects":[{"name","revision","content","deleted"}]}]
 //
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "core/change_follower.h"
+#include "daemon/change_auth.h"
 #include "daemon/change_history.h"
 #include "net/net.h"
 
@@ -52,7 +53,9 @@
 /// Size and body of a frame; the same for all followers that lack the same.
 std::string EncodeChangeBody(const std::vector<ChangeUpdate>& updates);
 /// A whole frame.
-std::string EncodeChangeFrame(milliseconds elapsed, const std::string& body);
+/// @param codes Of its subscription; null: none.
+std::string EncodeChangeFrame(milliseconds elapsed, const std::string& body,
+                              FrameCodes* codes = nullptr);
 
 /// Reads frames from bytes as they arrive.
 class ChangeFrameReader {
@@ -62,12 +65,17 @@
     std::vector<ChangeUpdate> updates;
   };
 
+  ChangeFrameReader() = default;
+  explicit ChangeFrameReader(FrameCodes codes) : m_codes(std::move(codes)) {}
+
   void Append(std::string_view bytes) { m_bytes.append(bytes); }
   /// @return The next whole frame; nothing until more bytes have come.
-  /// @throws std::runtime_error when the bytes aren't in the expected form.
+  /// @throws std::runtime_error when the bytes aren't in the expected form, or
+  ///     the frame isn't authentic.
   std::optional<Frame> Next();
 
  private:
+  FrameCodes m_codes;
   std::string m_bytes;
 };
 
@@ -76,8 +84,12 @@
 class ChangeRelay {
  public:
   /// @param heartbeat Longest pause between two frames.
-  ChangeRelay(std::function<TimePoint()> now, milliseconds heartbeat)
-      : m_now(std::move(now)), m_heartbeat(heartbeat) {}
+  /// @param keys Followers have to share one of them.
+  ChangeRelay(std::function<TimePoint()> now, milliseconds heartbeat,
+              ChangeKeys keys = {})
+      : m_now(std::move(now)),
+        m_heartbeat(heartbeat),
+        m_keys(std::move(keys)) {}
 
   /// All objects there are, or what changed, as in ChangeHistory.
   void Replaced(ChangeKind kind, const platform::ObjectBatch& all,
@@ -97,6 +109,7 @@
   struct Follower {
     std::uint64_t id = 0;
     std::shared_ptr<HttpExchange> exchange;
+    FrameCodes codes;
     ChangeRevisions known{};
     TimePoint opened;
     TimePoint sent;
@@ -116,6 +129,7 @@
 
   std::function<TimePoint()> m_now;
   milliseconds m_heartbeat;
+  ChangeKeys m_keys;
   std::array<ChangeHistory, kChangeKinds> m_histories;
   std::list<Follower> m_followers;
   std::uint64_t m_last_follower = 0;
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -45,6 +45,15 @@
                    settings.revocation_notice});
 }
 
+ChangeKeys KeysOf(const Settings& settings) {
+  ChangeKeys keys;
+  for (const std::string& key :
+       {settings.peer_key, settings.peer_previous_key}) {
+    if (!key.empty()) keys.push_back(key);
+  }
+  return keys;
+}
+
 }  // namespace
 
 TimePoint SuspendAwareNow() {
@@ -59,7 +68,8 @@
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
       m_relay(SuspendAwareNow,
-              DeriveFollowTimes(ChangeBound(m_settings)).heartbeat),
+              DeriveFollowTimes(ChangeBound(m_settings)).heartbeat,
+              KeysOf(m_settings)),
       m_tick(*io),
       m_queue(&m_metrics, [this](const AnyEvent& event) { HandleOne(event); }) {
   m_store = std::make_unique<platform::ObjectStore>(io, m_settings.platform,
@@ -155,7 +165,7 @@
   };
   m_feed = std::make_unique<FleetFeed>(
       m_io, m_store.get(), &m_relay, m_settings.seed ^ m_incarnation,
-      ChangeBound(m_settings), std::move(hooks));
+      ChangeBound(m_settings), std::move(hooks), KeysOf(m_settings));
   m_feed->Start();
 }
 
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -27,7 +27,7 @@
 
 FleetFeed::FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
                      ChangeRelay* relay, std::uint64_t seed, milliseconds bound,
-                     Hooks hooks)
+                     Hooks hooks, ChangeKeys keys)
     : m_store(store),
       m_relay(relay),
       m_bound(bound),
@@ -39,7 +39,8 @@
                       TimePoint as_of) { OnPeer(peer, update, as_of); },
                [this](const std::string& peer, const std::string& detail) {
                  OnPeerLost(peer, detail);
-               }}),
+               }},
+              std::move(keys)),
       m_jitter(seed),
       m_servers(io),
       m_configuration(io) {
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -44,9 +44,10 @@
   /// @param store Outlives the feed.
   /// @param relay Is told all that this daemon learns.
   /// @param bound Time within which changes have to be in force.
+  /// @param keys Shared with the other daemons.
   FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
             ChangeRelay* relay, std::uint64_t seed, milliseconds bound,
-            Hooks hooks);
+            Hooks hooks, ChangeKeys keys = {});
   ~FleetFeed();
   FleetFeed(const FleetFeed&) = delete;
   FleetFeed& operator=(const FleetFeed&) = delete;
--- a/net/net.h
+++ b/net/net.h
@@ -54,6 +54,13 @@
 /// HMAC-SHA256 of `text`, 32 bytes.
 std::string MessageCode(std::string_view key, std::string_view text);
 
+/// Bytes as lower-case hexadecimal digits.
+std::string HexText(std::string_view bytes);
+
+/// Random bytes that nobody can guess, as hexadecimal digits.
+/// @throws std::runtime_error when the system has no entropy.
+std::string RandomToken(std::size_t bytes);
+
 // ---------------------------------------------------------------------------
 // Metrics.
 
--- a/net/secret.cc
+++ b/net/secret.cc
@@ -3,7 +3,12 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
+#include <openssl/rand.h>
 
+#include <iterator>
+#include <stdexcept>
+
+#include "fmt/format.h"
 #include "net/net.h"
 
 namespace clementine {
@@ -23,4 +28,22 @@
   return code;
 }
 
+std::string HexText(std::string_view bytes) {
+  std::string text;
+  for (char byte : bytes) {
+    fmt::format_to(std::back_inserter(text), "{:02x}",
+                   static_cast<unsigned char>(byte));
+  }
+  return text;
+}
+
+std::string RandomToken(std::size_t bytes) {
+  std::string random(bytes, '\0');
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(random.data()),
+                 static_cast<int>(bytes)) != 1) {
+    throw std::runtime_error("no random bytes can be had");
+  }
+  return HexText(random);
+}
+
 }  // namespace clementine
--- a/testing/change_relay_test.cc
+++ b/testing/change_relay_test.cc
@@ -54,8 +54,8 @@
 
 /// A daemon that passes changes on, and one that follows it.
 struct RelayPair {
-  RelayPair()
-      : relay(Now, kHeartbeat),
+  explicit RelayPair(ChangeKeys source_keys = {}, ChangeKeys follower_keys = {})
+      : relay(Now, kHeartbeat, std::move(source_keys)),
         server(&io, "127.0.0.1:0", HttpLimits{},
                [this](const std::shared_ptr<HttpExchange>& exchange) {
                  relay.Accept(exchange);
@@ -69,7 +69,8 @@
                 },
                 [this](const std::string& /*peer*/, const std::string& why) {
                   lost = why;
-                }}) {}
+                }},
+               std::move(follower_keys)) {}
 
   void Know(std::uint64_t revision) {
     relay.Replaced(ChangeKind::kServers, Empty(revision), Now());
@@ -342,4 +343,68 @@
   CHECK(raw->received.size() < 8'000'000);
 }
 
+// Guards against a source or a follower that doesn't share a key, and against a
+// replacement of keys that parts the daemons which have the new one from
+// others.
+TEST_CASE("followers and sources share a key") {
+  struct Case {
+    ChangeKeys source;
+    ChangeKeys follower;
+    bool works;
+  };
+  for (const Case& each :
+       {Case{{"a"}, {"a"}, true}, Case{{"a", "b"}, {"b"}, true},
+        Case{{"b", "a"}, {"a", "b"}, true}, Case{{"a"}, {"b"}, false},
+        Case{{"a"}, {}, false}, Case{{}, {"a"}, false}}) {
+    RelayPair pair(each.source, each.follower);
+    pair.Know(10);
+    pair.relay.Changed(ChangeKind::kServers, Change(12, "x"), Now());
+    pair.Subscribe(10);
+    RunUntil(&pair.io, [&] { return pair.lost || pair.Told() == "x"; });
+    CHECK((pair.Told() == "x") == each.works);
+    CHECK(pair.lost.has_value() != each.works);
+    if (!each.works) continue;
+    pair.relay.Changed(ChangeKind::kServers, Change(13, "y"), Now());
+    CHECK(RunUntil(&pair.io, [&] { return pair.Told() == "xy"; }));
+    pair.Run(3 * kHeartbeat);
+    CHECK_FALSE(pair.lost);
+  }
+}
+
+// Guards against frames that were changed, left out, repeated, or recorded from
+// another subscription.
+TEST_CASE("a follower rejects frames that its source didn't send it") {
+  ChangeUpdate update;
+  update.delta.revision = 7;
+  std::string body = EncodeChangeBody({update});
+  FrameCodes source("key", "nonce");
+  std::string first = EncodeChangeFrame(milliseconds(5), body, &source);
+  std::string second = EncodeChangeFrame(milliseconds(6), body, &source);
+  FrameCodes other("key", "other nonce");
+  std::string recorded = EncodeChangeFrame(milliseconds(5), body, &other);
+  std::string later = first;
+  later[0] = '9';  // Seems younger than it is.
+  std::string changed = first;
+  changed[changed.find("at\":7") + 4] = '8';
+  auto rejects = [](const std::vector<std::string>& frames) {
+    ChangeFrameReader reader(FrameCodes("key", "nonce"));
+    for (const std::string& frame : frames) {
+      reader.Append(frame);
+      try {
+        if (!reader.Next()) return true;
+      } catch (const std::runtime_error&) {
+        return true;
+      }
+    }
+    return false;
+  };
+  CHECK_FALSE(rejects({first, second}));
+  CHECK(rejects({second}));
+  CHECK(rejects({first, first}));
+  CHECK(rejects({recorded}));
+  CHECK(rejects({later}));
+  CHECK(rejects({changed}));
+  CHECK(rejects({EncodeChangeFrame(milliseconds(5), body)}));
+}
+
 }  // namespace clementine
