--- a/config/config.h
+++ b/config/config.h
@@ -195,7 +195,7 @@
   std::vector<std::string> peer_seeds;      ///< Peer addresses to join through.
   std::string platform;                     ///< Address of the platform's API.
   std::string platform_token;
-  std::string peer_key;       ///< Shared key for peer messages.
+  std::string peer_key;  ///< Shared key for peer messages.
   /// Relay: another key that peers may still use while keys are replaced.
   std::string peer_previous_key;
   std::string backend_token;  ///< Sent to backend servers.
