Reword two comments

Cause: one named a time that wasn't measured, one was hard to read. Change: core/fleet_control.cc, comments only. Test: build and formatter. Measured: nothing.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -29,15 +29,14 @@
 constexpr milliseconds kFarReserveWait{30'000};
 constexpr int kReserves = 8;
 
-/// Lapsed members that are kept, from which on it's logged.
+/// So many lapsed members that are kept are logged.
 constexpr std::size_t kManyKept = 5;
 constexpr milliseconds kPlanInterval{100};
 /// A member of a group that stands is asked this often whether it lives, or as
 /// often as the others leave time for.
 constexpr milliseconds kAskInterval{1'000};
-/// Questions without an answer at a time. Each answer takes about half a
-/// millisecond of a core, so those that come together hold up the loop for a
-/// small part of the lease.
+/// Questions without an answer at a time. Answers that come together hold up
+/// the loop, which ends the lease when it takes a fifth of its time.
 constexpr std::size_t kMostAsks = 64;
 /// A pause of this daemon for which a call to a server may time out though the
 /// server has answered.
