End unanswered exchanges of a test before their loop

Cause: the shared set-up of the feed's tests left a list of open exchanges outside, so it was destroyed after the loop that they belong to. Change: testing/fleet_feed_test.cc keeps them in the fixture. Test: both cases under the address sanitizer, which reported the fault before. Measured: nothing.

--- a/testing/fleet_feed_test.cc
+++ b/testing/fleet_feed_test.cc
@@ -22,7 +22,8 @@
 /// A feed, and a platform whose configuration is version 5, then 9. It has no
 /// servers.
 struct FeedFixture {
-  using Answerer = std::function<void(const std::shared_ptr<HttpExchange>&)>;
+  using Answerer = std::function<void(FeedFixture* fixture,
+                                      const std::shared_ptr<HttpExchange>&)>;
 
   /// @param watch Answers watches.
   /// @param bound As of FleetFeed.
@@ -49,7 +50,7 @@
               const std::shared_ptr<HttpExchange>& exchange) {
     const HttpRequest& request = exchange->request();
     if (request.query.find("watch=") != std::string::npos) {
-      watch(exchange);
+      watch(this, exchange);
     } else if (request.path.find(platform::kConfigurationKind) !=
                std::string::npos) {
       exchange->Answer(200, {}, ConfigurationList(lists++ == 0 ? 5 : 9));
@@ -72,6 +73,7 @@
   }
 
   boost::asio::io_context io;
+  std::vector<std::shared_ptr<HttpExchange>> hanging;  ///< Never answered.
   int lists = 0;  ///< Of the configuration.
   HttpServer platform_server;
   platform::ObjectStore store;
@@ -86,15 +88,14 @@
 // lists only after a watch which hangs has timed out; meanwhile it listened to
 // nobody (CONFIG, store-compact-drain-outage on karalis-touchup).
 TEST_CASE("a list after a lost history doesn't wait for a watch that hangs") {
-  std::vector<std::shared_ptr<HttpExchange>> hanging;
   FeedFixture fixture(
-      [&](const std::shared_ptr<HttpExchange>& exchange) {
+      [](FeedFixture* self, const std::shared_ptr<HttpExchange>& exchange) {
         bool at_once =
             exchange->request().query.find("wait_ms=0") != std::string::npos;
         if (at_once) {
           exchange->Answer(410, {}, "");
         } else {
-          hanging.push_back(exchange);
+          self->hanging.push_back(exchange);
         }
       },
       milliseconds(600));
@@ -109,7 +110,7 @@
 TEST_CASE(
     "a configuration in parts of two versions is read from the platform") {
   FeedFixture fixture(
-      [](const std::shared_ptr<HttpExchange>& exchange) {
+      [](FeedFixture* /*self*/, const std::shared_ptr<HttpExchange>& exchange) {
         exchange->Answer(503, {}, "");
       },
       milliseconds(3'000));
