Forget old removals of servers where new ones are noted

Cause: removals that tell whether many entries lapse together were dropped only while a member of a group was in doubt, so the list grew as long as none was. Change: ServerList::ForgetLapses, also called when one is added. Test: the cases of the server list, unchanged. Measured: nothing; which removals count stays the same.

--- a/core/server_list.cc
+++ b/core/server_list.cc
@@ -103,7 +103,10 @@
   m_lapsed.erase(id);
   auto found = m_servers.find(id);
   if (found == m_servers.end() || found->second.lapsed) return;
-  if (!found->second.leaving) m_lapses.push_back(now);
+  if (!found->second.leaving) {
+    ForgetLapses(now);
+    m_lapses.push_back(now);
+  }
   if (IsMember(found->second)) {
     found->second.lapsed = true;
     m_doubted[id] = {now};
@@ -117,10 +120,14 @@
          server.member.state == GroupMemberState::kReady;
 }
 
-bool ServerList::ManyLapse(TimePoint now) {
+void ServerList::ForgetLapses(TimePoint now) {
   while (!m_lapses.empty() && now - m_lapses.front() > kManyWindow) {
     m_lapses.pop_front();
   }
+}
+
+bool ServerList::ManyLapse(TimePoint now) {
+  ForgetLapses(now);
   // Servers that are still listed, and those that lapsed.
   std::size_t all = m_servers.size() - m_doubted.size() + m_lapses.size();
   return m_lapses.size() >= std::max(kLeastMany, all / kManyPart);
--- a/core/server_list.h
+++ b/core/server_list.h
@@ -68,6 +68,7 @@
   };
 
   static bool IsMember(const BackendServer& server);
+  void ForgetLapses(TimePoint now);
   bool ManyLapse(TimePoint now);
   bool JudgeDoubts(TimePoint now);
 
@@ -83,7 +84,7 @@
   std::map<std::string, std::int64_t> m_marked;
   std::map<std::string, TimePoint> m_lapsed;  ///< End of an entry's grace.
   std::map<std::string, Doubt> m_doubted;     ///< Listed and marked as lapsed.
-  std::deque<TimePoint> m_lapses;             ///< Unannounced removals.
+  std::deque<TimePoint> m_lapses;             ///< Recent unannounced removals.
   bool m_known = false;
   bool m_reachable = false;
   TimePoint m_unreachable_since;
