--- a/testing/change_bench.cc
+++ b/testing/change_bench.cc
@@ -73,7 +73,6 @@
                    {"object",
                     {{"metadata", {{"name", "main"}, {"revision", 8}}},
                      {"spec", StoredConfiguration(routes, 8)}}}}}}});
-  std::string before = JsonText(StoredConfiguration(routes, 7));
   std::string content = JsonText(StoredConfiguration(routes, 8));
   double read = ProcessorMs([&] {
     Json json = ParseJson(answer);
@@ -81,15 +80,15 @@
         JsonText(json.at("events").at(0).at("object").at("spec"));
     if (spec != content) std::abort();
   });
-  auto batch = [](const std::string& text, std::uint64_t revision) {
+  auto batch = [routes](int version) {
     platform::ObjectBatch parts;
-    parts.revision = revision;
+    parts.revision = static_cast<std::uint64_t>(version);
     parts.objects = platform::SplitConfiguration(
-        {platform::kConfigurationName, revision, text, false});
+        StoredConfiguration(routes, version), parts.revision);
     return parts;
   };
-  platform::ObjectBatch old_parts = batch(before, 7);
-  platform::ObjectBatch new_parts = batch(content, 8);
+  platform::ObjectBatch old_parts = batch(7);
+  platform::ObjectBatch new_parts = batch(8);
   ChangeHistory source;
   source.Replace(old_parts, TimePoint());
   source.Replace(new_parts, TimePoint());
--- a/testing/configuration_parts_test.cc
+++ b/testing/configuration_parts_test.cc
@@ -43,8 +43,7 @@
   platform::ObjectBatch batch;
   batch.status = platform::ObjectBatch::Status::kOk;
   batch.revision = revision;
-  batch.objects = platform::SplitConfiguration(
-      {platform::kConfigurationName, revision, JsonText(stored), false});
+  batch.objects = platform::SplitConfiguration(stored, revision);
   return batch;
 }
 
