Share a test's set-up, and look things up once

Cause: two cases of the planner built the same hosts and models; a comment stood twice; an entry was looked up twice, and a header used what it didn't include. Change: EqualWork in testing/group_planner_test.cc; core/fleet_control.cc, core/group_planner.h, daemon/change_auth.h. Test: the planner's cases, unchanged in what they check.

--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -445,8 +445,9 @@
     if (next == servers.end()) next = servers.begin();
     const auto& [id, server] = *next++;
     if (!IsDue(server)) continue;
-    m_asked[id].waiting = true;
-    m_asked[id].sent = m_now;
+    Asked& asked = m_asked[id];
+    asked.waiting = true;
+    asked.sent = m_now;
     m_last_asked = id;
     ++running;
     m_actions.emplace_back(AskServer{id, server.address});
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -89,7 +89,9 @@
     bool accepted = false;
   };
   /// Orders that were abandoned since the last call.
-  std::vector<Abandoned> TakeAbandoned() { return std::move(m_abandoned); }
+  std::vector<Abandoned> TakeAbandoned() {
+    return std::exchange(m_abandoned, {});
+  }
 
   /// Of this daemon's time as the planner.
   struct OrderStats {
--- a/daemon/change_auth.cc
+++ b/daemon/change_auth.cc
@@ -3,8 +3,6 @@
 
 #include "daemon/change_auth.h"
 
-#include <utility>
-
 #include "fmt/format.h"
 #include "net/net.h"
 
--- a/daemon/change_auth.h
+++ b/daemon/change_auth.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace clementine {
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -157,7 +157,6 @@
     } else if (!silent) {
       failed.erase(id);
     }
-    // As FleetControl: hosts that seem to have no group aren't asked.
     auto entry = listed.find(id);
     if (!server.alive || server.cut || entry == listed.end()) continue;
     // As FleetControl: hosts that stand in no group aren't asked for long.
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -28,6 +28,19 @@
   return world;
 }
 
+/// Equal work for two models, and hosts in turn in each domain.
+FleetWorld EqualWork(int large, int small, int domains, int hosts_per_domain) {
+  FleetWorld world(0, 0, 1);
+  auto& models = world.configuration.services.at("engine").engine->models;
+  models[0].hosts_per_group = large;
+  models[1].hosts_per_group = small;
+  for (EngineModel& model : models) model.work_share = 0.5;
+  for (int host = 0; host < domains * hosts_per_domain; ++host) {
+    world.AddServer("d" + std::to_string(host % domains));
+  }
+  return world;
+}
+
 }  // namespace
 
 // Guards against hosts that stand idle, and against a model without groups.
@@ -51,14 +64,7 @@
 // Guards against callers of a small model who are refused because hosts are
 // shared out by the size of a model's groups (SHORT on the grown sites).
 TEST_CASE("planner shares hosts by work, whatever the size of the groups") {
-  FleetWorld world(0, 0, 1);
-  auto& models = world.configuration.services.at("engine").engine->models;
-  models[0].hosts_per_group = 16;
-  models[1].hosts_per_group = 4;
-  for (EngineModel& model : models) model.work_share = 0.5;
-  for (int host = 0; host < 6 * 37; ++host) {
-    world.AddServer("d" + std::to_string(host % 6));
-  }
+  FleetWorld world = EqualWork(16, 4, 6, 37);
   world.planner.SetFreeLoads(true);
   world.Run(milliseconds(30'000));
   CheckClean(world);
@@ -474,14 +480,7 @@
 /// Domains of 73 hosts, models of 32 and 8, as in a fleet of a thousand hosts.
 /// @param late How late the list shows one host in eight.
 FleetWorld LargeDomains(milliseconds late, bool replace) {
-  FleetWorld world(0, 0, 1);
-  auto& models = world.configuration.services.at("engine").engine->models;
-  models[0].hosts_per_group = 32;
-  models[1].hosts_per_group = 8;
-  for (EngineModel& model : models) model.work_share = 0.5;
-  for (int host = 0; host < 4 * 73; ++host) {
-    world.AddServer("d" + std::to_string(host % 4));
-  }
+  FleetWorld world = EqualWork(32, 8, 4, 73);
   int number = 0;
   for (auto& [id, server] : world.servers) {
     bool slow = late > milliseconds(0) && ++number % 8 == 0;
