--- a/core/core.h
+++ b/core/core.h
@@ -335,6 +335,8 @@
   std::uint64_t dispatched = 0;
   std::uint64_t retried = 0;
   std::uint64_t quarantined = 0;
+  std::uint64_t crash_marks = 0;  ///< Requests in flight at a crash seen here.
+  std::uint64_t suspects = 0;     ///< Digests with a crash that is remembered.
   std::uint64_t in_flight = 0;
   std::uint64_t queued = 0;
 };
--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -31,6 +31,12 @@
                                                    : Verdict::kSuspect;
 }
 
+int Quarantine::Count(const std::string& digest, TimePoint now) const {
+  auto found = m_entries.find(digest);
+  bool known = found != m_entries.end() && found->second.expires > now;
+  return known ? static_cast<int>(found->second.crashes.size()) : 0;
+}
+
 milliseconds Quarantine::Remaining(const std::string& digest,
                                    TimePoint now) const {
   auto found = m_entries.find(digest);
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -40,6 +40,9 @@
 
   void Learned(const QuarantineLearned& learned, TimePoint now);
 
+  /// Crashes known of a digest that haven't expired.
+  int Count(const std::string& digest, TimePoint now) const;
+
   /// A suspect completed: it didn't cause the crash.
   void Cleared(const std::string& digest);
 
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -339,8 +339,15 @@
   std::optional<ShareQuarantine> share =
       m_quarantine.Crashed(digest, group, dispatched, m_now);
   if (share) {
-    m_actions.push_back(
-        LogDecision{"crash", {{"digest", digest}, {"group", group}}});
+    ++m_stats.crash_marks;
+    auto ran =
+        std::chrono::duration_cast<milliseconds>(m_now - dispatched).count();
+    m_actions.push_back(LogDecision{
+        "crash",
+        {{"digest", digest},
+         {"group", group},
+         {"ran_ms", std::to_string(ran)},
+         {"crashes", std::to_string(m_quarantine.Count(digest, m_now))}}});
     m_actions.push_back(*share);
   }
 }
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -78,6 +78,7 @@
 RequestPathStats RequestPath::Impl::stats() const {
   RequestPathStats stats = m_stats;
   stats.quarantined = m_quarantine.total();
+  stats.suspects = m_quarantine.size();
   stats.in_flight = m_requests.size() - m_admission.queued();
   stats.queued = m_admission.queued();
   return stats;
--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -8,6 +8,9 @@
   metrics->SetTotal("clementine_dispatched_total", "", path.dispatched);
   metrics->SetTotal("clementine_retried_total", "", path.retried);
   metrics->SetTotal("clementine_quarantined_total", "", path.quarantined);
+  metrics->SetTotal("clementine_crash_marks_total", "", path.crash_marks);
+  metrics->Set("clementine_crash_suspects", "",
+               static_cast<double>(path.suspects));
   metrics->Set("clementine_in_flight", "", static_cast<double>(path.in_flight));
   metrics->Set("clementine_queued", "", static_cast<double>(path.queued));
   metrics->Set("clementine_connections", "",
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -30,6 +30,8 @@
 
   std::string listen_address() const { return m_server->address(); }
   std::string peer_address() const { return m_peers->address(); }
+  /// Readiness and metrics are served beside the requests.
+  std::string health_address() const { return listen_address(); }
   const std::string& node() const { return m_settings.node; }
 
   /// Stops gracefully: unready, wait for the load balancer, refuse new
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -38,6 +38,10 @@
 
   const std::string& node() const { return m_settings.node; }
   std::string listen_address() const { return m_server->address(); }
+  /// Where readiness and metrics are served.
+  std::string health_address() const {
+    return m_health ? m_health->address() : "none";
+  }
   /// Where other daemons read changes.
   std::string peer_address() const {
     return m_changes ? m_changes->address() : "none";
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -43,6 +43,7 @@
                        {"node", daemon.node()},
                        {"listen", daemon.listen_address()},
                        {"peer_listen", daemon.peer_address()},
+                       {"health", daemon.health_address()},
                        {"pid", std::to_string(::getpid())}});
   // Later signals are caught and ignored: a stop is always graceful.
   signals.async_wait(
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/quarantine.h"
 #include "daemon/relay_stream.h"
 #include "fmt/format.h"
 #include "net/http_status.h"
@@ -297,7 +298,12 @@
   attempt->call->Cancel();
   LogEvent("attempt_cancelled",
            {{"request", std::to_string(attempt->caller->id)},
-            {"group", attempt->group}});
+            {"group", attempt->group},
+            {"host", attempt->host},
+            {"digest", Quarantine::Digest(attempt->caller->request)},
+            {"ms", Milliseconds(m_context.now() - attempt->started)}});
+  m_context.metrics->Add("clementine_attempts_ended_total",
+                         "result=\"cancelled\"");
 }
 
 AnswerHead RelayExecutor::OnHead(Attempt* attempt, int status,
@@ -379,8 +385,11 @@
     if (!rest.empty()) Deliver(caller, attempt.get(), rest);
     if (caller->stream.gap()) end.result = AttemptResult::kBroken;
   }
+  // Ends under which a server may have crashed are told apart by the digest,
+  // which is the same at all daemons and for each repetition of the request.
   LogEvent("attempt_ended",
            {{"request", std::to_string(caller->id)},
+            {"digest", complete ? "-" : Quarantine::Digest(caller->request)},
             {"group", attempt->group},
             {"host", attempt->host},
             {"result", AttemptResultName(end.result)},
@@ -389,6 +398,9 @@
             {"reused", end.reused ? "yes" : "no"},
             {"ms", Milliseconds(m_context.now() - attempt->started)},
             {"detail", end.detail}});
+  m_context.metrics->Add(
+      "clementine_attempts_ended_total",
+      fmt::format("result=\"{}\"", AttemptResultName(end.result)));
   // The request path learns of it from the end of the attempt.
   if (end.BusyFor() > milliseconds(0)) {
     m_context.feed_fleet(ServerBusy{attempt->host, end.BusyFor()});
