Show a request that ends servers at each of several daemons

Cause: on the users' platform crash marks stay at the daemon that made them. Change: a stand-in of that platform with plain servers (fleet_standin), and daemons before it as separate processes (process_fleet).

--- /dev/null
+++ b/testing/fleet_standin.cc
@@ -0,0 +1,363 @@
+// Stand-in of the users' platform for daemons with interface = relay: the store
+// of objects with watches, and plain backend servers that register there.
+//
+// A request's body may be a JSON object that tells its server what to do:
+//   {"work_ms": N}      answers after this time (default 5).
+//   {"crash": true}     ends its server when it begins to run. The server's
+//       connections are reset and its port refuses for "down_ms" (default 500).
+//       With "down_ms" 0 only the connections are reset.
+// A server that ended comes back under a new id, and its old entry is removed a
+// second after its end, as the entry of one that sends nothing more.
+//
+// GET /control/runs answers {"runs": {BODY: COUNT}, "ended": N}.
+// POST /control/faults {"store": "up" | "busy" | "down"}: "busy" answers calls
+// to the store 503, "down" closes their connections.
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "config/config.h"
+#include "net/net.h"
+#include "testing/standin_http.h"
+
+namespace clementine::standin {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr char kService[] = "desk";
+constexpr milliseconds kEntryLife{1'000};
+constexpr milliseconds kDefaultDown{500};
+constexpr milliseconds kDefaultWork{5};
+constexpr milliseconds kMostWatchTime{30'000};
+
+/// The platform's objects, by kind and name.
+class Store {
+ public:
+  explicit Store(asio::io_context* io) : m_io(io) {}
+
+  void Put(const std::string& kind, const std::string& name, Json spec) {
+    Object& object = m_objects[kind][name];
+    if (object.created == 0 || object.deleted) object.created = m_revision + 1;
+    object.deleted = false;
+    object.spec = std::move(spec);
+    Changed(&object);
+  }
+  void Remove(const std::string& kind, const std::string& name) {
+    Object& object = m_objects[kind][name];
+    object.deleted = true;
+    Changed(&object);
+  }
+  asio::awaitable<void> Handle(Exchange* exchange);
+
+ private:
+  struct Object {
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+    bool deleted = false;
+    Json spec;
+  };
+  using Objects = std::map<std::string, Object>;
+
+  void Changed(Object* object) {
+    object->revision = ++m_revision;
+    for (asio::steady_timer* watcher : m_watchers) watcher->cancel();
+  }
+  static Json Text(const std::string& name, const Object& object) {
+    Json metadata = {{"name", name},
+                     {"revision", object.revision},
+                     {"created", object.created},
+                     {"finalizers", Json::array()},
+                     {"deletion_pending", false}};
+    return {{"metadata", std::move(metadata)},
+            {"spec", object.spec},
+            {"status", nullptr}};
+  }
+  Json List(const std::string& kind) const;
+  Json Events(const std::string& kind, std::uint64_t since) const;
+  asio::awaitable<void> Watch(Exchange* exchange, std::string kind,
+                              std::uint64_t since);
+  asio::awaitable<void> Write(Exchange* exchange, std::string kind,
+                              std::string name);
+
+  asio::io_context* m_io;
+  std::map<std::string, Objects> m_objects;
+  std::uint64_t m_revision = 1;
+  std::set<asio::steady_timer*> m_watchers;
+};
+
+Json Store::List(const std::string& kind) const {
+  Json entries = Json::array();
+  auto found = m_objects.find(kind);
+  if (found != m_objects.end()) {
+    for (const auto& [name, object] : found->second) {
+      if (!object.deleted) entries.push_back(Text(name, object));
+    }
+  }
+  return {
+      {"entries", std::move(entries)}, {"has_more", false}, {"at", m_revision}};
+}
+
+Json Store::Events(const std::string& kind, std::uint64_t since) const {
+  Json events = Json::array();
+  auto found = m_objects.find(kind);
+  if (found == m_objects.end()) return events;
+  for (const auto& [name, object] : found->second) {
+    if (object.revision <= since) continue;
+    Json event = {{"object", Text(name, object)}};
+    event["deleted"] = object.deleted;
+    events.push_back(std::move(event));
+  }
+  return events;
+}
+
+asio::awaitable<void> Store::Watch(Exchange* exchange, std::string kind,
+                                   std::uint64_t since) {
+  milliseconds wait(exchange->QueryNumber("wait_ms").value_or(0));
+  auto end = Clock::now() + std::min(wait, kMostWatchTime);
+  asio::steady_timer timer(*m_io);
+  Json events = Events(kind, since);
+  while (events.empty() && Clock::now() < end) {
+    timer.expires_at(end);
+    m_watchers.insert(&timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    m_watchers.erase(&timer);
+    events = Events(kind, since);
+  }
+  Json answer = {{"events", std::move(events)}, {"at", m_revision}};
+  co_await exchange->Answer(200, answer);
+}
+
+asio::awaitable<void> Store::Write(Exchange* exchange, std::string kind,
+                                   std::string name) {
+  bool remove = exchange->method() == "DELETE";
+  bool create = exchange->method() == "POST";
+  Json body = remove ? Json::object() : ParseJson(exchange->body());
+  Json metadata = body.value("metadata", Json::object());
+  if (create) name = metadata.at("name").get<std::string>();
+  Objects& objects = m_objects[kind];
+  auto found = objects.find(name);
+  bool exists = found != objects.end() && !found->second.deleted;
+  std::optional<std::uint64_t> wanted = exchange->QueryNumber("revision");
+  if (metadata.contains("revision")) {
+    wanted = metadata["revision"].get<std::uint64_t>();
+  }
+  if (!exists && !create) {
+    Json none = Json::object();
+    co_await exchange->Answer(404, none);
+    co_return;
+  }
+  if (exists && (create || (wanted && *wanted != found->second.revision))) {
+    Json current = Text(name, found->second);
+    co_await exchange->Answer(409, current);
+    co_return;
+  }
+  if (remove) {
+    Remove(kind, name);
+  } else {
+    Put(kind, name, body.value("spec", Json()));
+  }
+  Json written = Text(name, objects[name]);
+  co_await exchange->Answer(create ? 201 : 200, written);
+}
+
+asio::awaitable<void> Store::Handle(Exchange* exchange) {
+  std::string kind = exchange->path().substr(std::string("/objects/").size());
+  std::string name;
+  if (std::size_t slash = kind.find('/'); slash != std::string::npos) {
+    name = kind.substr(slash + 1);
+    kind.resize(slash);
+  }
+  if (exchange->method() != "GET") {
+    co_await Write(exchange, std::move(kind), std::move(name));
+  } else if (!name.empty()) {
+    const Objects& objects = m_objects[kind];
+    auto found = objects.find(name);
+    bool exists = found != objects.end() && !found->second.deleted;
+    Json answer = exists ? Text(name, found->second) : Json::object();
+    co_await exchange->Answer(exists ? 200 : 404, answer);
+  } else if (auto since = exchange->QueryNumber("watch")) {
+    co_await Watch(exchange, std::move(kind), *since);
+  } else {
+    Json answer = List(kind);
+    co_await exchange->Answer(200, answer);
+  }
+}
+
+/// All servers and the store's address.
+class Fleet {
+ public:
+  Fleet(asio::io_context* io, int servers, bool keep_ids)
+      : m_io(io),
+        m_keep_ids(keep_ids),
+        m_store(io),
+        m_front(io, "127.0.0.1:0",
+                [this](Exchange* exchange) { return Front(exchange); }) {
+    m_store.Put("config", "main", Configuration());
+    for (int i = 0; i < servers; ++i) {
+      auto server = std::make_unique<Server>();
+      Server* raw = server.get();
+      server->number = i + 1;
+      server->http = std::make_unique<HttpServer>(
+          io, "127.0.0.1:0",
+          [this, raw](Exchange* exchange) { return Serve(raw, exchange); });
+      Begin(raw);
+      m_servers.push_back(std::move(server));
+    }
+  }
+
+  std::string address() const { return m_front.address(); }
+
+ private:
+  struct Server {
+    int number = 0;
+    int life = 0;  ///< Starts so far.
+    std::string id;
+    std::unique_ptr<HttpServer> http;
+  };
+
+  static Json Configuration() {
+    auto route = [](const char* prefix, const char* type) {
+      return Json{{"name", std::string("r-") + type},
+                  {"hostname", "desk.example"},
+                  {"path_prefix", prefix},
+                  {"route_type", type},
+                  {"timeout_ms", 5'000},
+                  {"target_latency_ms", 1'000},
+                  {"priority", 1},
+                  {"service", kService},
+                  {"max_attempts", 1},
+                  {"public", true}};
+    };
+    Json routes = Json::array(
+        {route("/read/", "idempotent"), route("/order/", "non_idempotent")});
+    Json service = {{"name", kService},
+                    {"health_path", "/healthz"},
+                    {"max_connections", 400},
+                    {"protocol", "h1"},
+                    {"tls", false}};
+    return {{"version", 1},
+            {"routes", std::move(routes)},
+            {"services", Json::array({std::move(service)})},
+            {"limits",
+             {{"max_header_bytes", 16'384},
+              {"max_body_bytes", 4'194'304},
+              {"header_timeout_ms", 3'000},
+              {"idle_timeout_ms", 15'000}}},
+            {"tenants", Json::array()}};
+  }
+
+  void Begin(Server* server) {
+    ++server->life;
+    server->id = "s" + std::to_string(server->number);
+    if (!m_keep_ids) server->id += "-" + std::to_string(server->life);
+    auto born = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    Json entry = {{"service", kService},
+                  {"address", server->http->address()},
+                  {"zone", "dc1"},
+                  {"version", "v1"},
+                  {"slots", 16},
+                  {"state", "ready"},
+                  {"cold_remaining_ms", 0},
+                  {"born", born.count()},
+                  {"sequence", server->life}};
+    m_store.Put("servers", server->id, std::move(entry));
+  }
+
+  asio::awaitable<void> End(Server* server, milliseconds down) {
+    ++m_ended;
+    std::string ended = server->id;
+    server->id.clear();
+    if (down > milliseconds(0)) server->http->SetRefusing(true);
+    server->http->CloseConnections(nullptr);
+    co_await Sleep(down);
+    server->http->SetRefusing(false);
+    Begin(server);
+    if (ended == server->id) co_return;
+    if (down < kEntryLife) co_await Sleep(kEntryLife - down);
+    m_store.Remove("servers", ended);
+  }
+
+  asio::awaitable<void> Serve(Server* server, Exchange* exchange) {
+    Headers headers = {{"X-Clementinelb-Instance-Id", server->id}};
+    std::string wanted = exchange->Header("X-Clementinelb-Expected-Instance");
+    if (!wanted.empty() && wanted != server->id) {
+      co_await exchange->Answer(421, std::string(), headers);
+      co_return;
+    }
+    if (exchange->path() == "/healthz") {
+      co_await exchange->Answer(200, std::string("ok\n"), headers);
+      co_return;
+    }
+    ++m_runs[exchange->body()];
+    Json body = TryParseJson(exchange->body());
+    if (!body.is_object()) body = Json::object();
+    if (body.value("crash", false)) {
+      milliseconds down(body.value("down_ms", kDefaultDown.count()));
+      asio::co_spawn(*m_io, End(server, down), asio::detached);
+      exchange->Drop();
+      co_return;
+    }
+    co_await Sleep(milliseconds(body.value("work_ms", kDefaultWork.count())));
+    headers.emplace_back("X-Clementinelb-Attempt-Id",
+                         exchange->Header("X-Clementinelb-Attempt-Id"));
+    headers.emplace_back("X-Clementinelb-Response-Signature", "standin");
+    co_await exchange->Answer(200, std::string("done\n"), headers);
+  }
+
+  asio::awaitable<void> Front(Exchange* exchange) {
+    if (exchange->path() == "/control/runs") {
+      Json runs = m_runs;
+      Json answer = {{"runs", std::move(runs)}, {"ended", m_ended}};
+      co_await exchange->Answer(200, answer);
+    } else if (exchange->path() == "/control/faults") {
+      m_state = ParseJson(exchange->body()).at("store").get<std::string>();
+      Json done = Json::object();
+      co_await exchange->Answer(200, done);
+    } else if (m_state == "down") {
+      exchange->Drop();
+    } else if (m_state == "busy") {
+      co_await exchange->Answer(503, std::string());
+    } else if (exchange->path().starts_with("/objects/")) {
+      co_await m_store.Handle(exchange);
+    } else {
+      co_await exchange->Answer(404, std::string());
+    }
+  }
+
+  asio::io_context* m_io;
+  bool m_keep_ids;
+  Store m_store;
+  HttpServer m_front;
+  std::vector<std::unique_ptr<Server>> m_servers;
+  std::map<std::string, int> m_runs;  ///< By body.
+  int m_ended = 0;
+  std::string m_state = "up";
+};
+
+}  // namespace
+}  // namespace clementine::standin
+
+int main(int argc, char** argv) {
+  int servers = 6;
+  bool keep_ids = false;
+  CLI::App app("Stand-in of the users' platform and its servers for tests");
+  app.add_option("--servers", servers, "Plain backend servers");
+  app.add_flag("--keep-ids", keep_ids,
+               "Servers come back under the id that they had");
+  CLI11_PARSE(app, argc, argv);
+  boost::asio::io_context io(1);
+  clementine::standin::Fleet fleet(&io, servers, keep_ids);
+  clementine::LogEvent("listening", {{"address", fleet.address()}});
+  clementine::standin::RunUntilTerminated(&io);
+  clementine::LogEvent("stopped", {});
+  return 0;
+}
--- /dev/null
+++ b/testing/process_fleet.h
@@ -0,0 +1,66 @@
+// Daemons with interface = relay before a stand-in of the users' platform, as
+// separate processes.
+#ifndef TESTING_PROCESS_FLEET_H_
+#define TESTING_PROCESS_FLEET_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "testing/process_harness.h"
+
+namespace clementine::testing {
+
+struct FleetOptions {
+  int daemons = 4;  ///< Named d1, d2, ...
+  int servers = 12;
+  bool keep_ids = false;  ///< Servers come back under the id that they had.
+  /// Calls of all daemons to the platform pass links of their own.
+  bool linked = false;
+};
+
+class FleetSite {
+ public:
+  /// Returns when all daemons are ready.
+  explicit FleetSite(FleetOptions options = {});
+
+  /// Sends a request to a daemon on a connection of its own.
+  Answer Send(int daemon, const std::string& body,
+              const std::string& path = "/read/x");
+
+  /// How often servers began to run a body so far.
+  int Runs(const std::string& body);
+  /// Servers that ended so far.
+  int Ended();
+  /// @param state "up", "busy" or "down".
+  void SetStore(const std::string& state);
+
+  /// Kills a daemon and starts it again.
+  void Restart(int daemon);
+  /// Starts one more daemon. @return Its index.
+  int Add();
+  Link& platform_link(int daemon) {
+    return *m_links[static_cast<std::size_t>(daemon)];
+  }
+  /// Waits until a line of a daemon's log has all of some texts.
+  bool WaitForLog(int daemon, const std::vector<std::string>& texts);
+  std::string Log(int daemon) {
+    return m_daemons[static_cast<std::size_t>(daemon)]->Log();
+  }
+  double Metric(int daemon, const std::string& name);
+
+ private:
+  std::unique_ptr<Process> Start(int index);
+  bool Ready(int daemon);
+
+  FleetOptions m_options;
+  TemporaryFolder m_folder;
+  Process m_standin;
+  std::vector<std::unique_ptr<Link>> m_links;
+  std::vector<std::unique_ptr<Process>> m_daemons;
+  int m_requests = 0;
+};
+
+}  // namespace clementine::testing
+
+#endif  // TESTING_PROCESS_FLEET_H_
