Keep no connection where none may be kept

Cause: ConnectionPool::Put erased the first of the idle connections when there were as many as allowed, also when that is none: undefined behaviour that ended the process. The client of change sources has this limit; its answers never complete, so it wasn't seen. A notice to other daemons did. Test: "backend client may keep no idle connections"; the process test "daemons tell each other of crashes while the platform is away" ended with a segmentation fault before. Conclusion: latent fault, found on the way.

--- a/testing/net_backend_client_test.cc
+++ b/testing/net_backend_client_test.cc
@@ -213,6 +213,33 @@
   CHECK(fixture.server.requests.size() == 4);
 }
 
+// Guards against a client that keeps no connections and ends its process when
+// an answer completes.
+TEST_CASE("backend client may keep no idle connections") {
+  asio::io_context io;
+  ScriptedServer server(&io, [](RawConnection& raw, const std::string&) {
+    raw.Send(HttpAnswer(200, "ok"));
+  });
+  BackendOptions options;
+  options.max_idle_per_address = 0;
+  BackendClient client(&io, options);
+  for (int i = 0; i < 2; ++i) {
+    BackendCall call;
+    call.address = server.address;
+    call.relay = true;
+    call.method = "GET";
+    call.target = "/";
+    std::optional<BackendEnd> ended;
+    BackendHandlers handlers;
+    handlers.end = [&ended](const BackendEnd& end) { ended = end; };
+    client.Start(std::move(call), std::move(handlers));
+    REQUIRE(RunUntil(&io, [&] { return ended.has_value(); }));
+    CHECK(ended->result == AttemptResult::kComplete);
+    CHECK_FALSE(ended->reused);
+    CHECK(client.stats().idle == 0);
+  }
+}
+
 // Guards against a host that is taken for failed because one connection to it
 // stopped responding.
 TEST_CASE("backend client replaces a connection that stops responding") {
