Acquit requests that complete of the crashes they were there at

On the users' platform a mark stayed for 600 s however often its request was served well, and other daemons would never learn of it. With counts shared, a body that callers repeat would reach three crashes without guilt and be refused everywhere. Change: a request that runs to a good end is acquitted of the crashes that are known, or become known within ten seconds: what crashes servers never completes. Acquittals are shared as crashes are ("digest!crash") and count in any order. This replaces the rule that a suspect clears itself by completing alone, at one daemon.

--- a/core/core.h
+++ b/core/core.h
@@ -287,10 +287,12 @@
   int status = 200;
   std::string body;
 };
-/// Tells other daemons that a request was in flight at a replica crash.
+/// Tells other daemons that a request was in flight at a replica crash, or that
+/// it's acquitted of one.
 struct ShareQuarantine {
   /// "<digest>/<crash>": digest over organisation and content, and the name of
-  /// the crash, so that each crash counts once. Others pass it on unread.
+  /// the crash, so that each crash counts once. "<digest>!<crash>" acquits.
+  /// Others pass it on unread.
   std::string digest;
   milliseconds remaining{0};
 };
--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -13,10 +13,35 @@
 
 // About 200 bytes an entry.
 constexpr std::size_t kMaxEntries = 4096;
+/// Between a digest and the name of its crash.
 constexpr char kSeparator = '/';
+/// The same of an acquittal.
+constexpr char kAcquittalSeparator = '!';
+/// Crashes of a digest that are remembered, with those it's acquitted of.
+constexpr std::size_t kMostCrashes = 16;
+/// Longer than a crash takes to become known at all daemons.
+constexpr milliseconds kCompletedTime{10'000};
+constexpr std::size_t kMostCompleted = 4096;
+constexpr char kUnnamed[] = "unnamed#";
+
+std::size_t FindSeparator(const std::string& name) {
+  return name.find_first_of({kSeparator, kAcquittalSeparator});
+}
 
 }  // namespace
 
+bool IsAcquittal(const std::string& name) {
+  std::size_t separator = FindSeparator(name);
+  return separator != std::string::npos &&
+         name[separator] == kAcquittalSeparator;
+}
+
+std::string AcquittedMark(const std::string& acquittal) {
+  std::string mark = acquittal;
+  mark[FindSeparator(mark)] = kSeparator;
+  return mark;
+}
+
 std::string Quarantine::Digest(const Request& request) {
   return TextDigest(request.organisation + '\n' + request.content_digest);
 }
@@ -27,14 +52,15 @@
   if (found == m_entries.end() || found->second.expires <= now) {
     return Verdict::kClear;
   }
-  return found->second.crashes.size() >= m_crashes ? Verdict::kQuarantined
-                                                   : Verdict::kSuspect;
+  std::size_t open = Open(found->second);
+  if (open == 0) return Verdict::kClear;
+  return open >= m_crashes ? Verdict::kQuarantined : Verdict::kSuspect;
 }
 
 int Quarantine::Count(const std::string& digest, TimePoint now) const {
   auto found = m_entries.find(digest);
   bool known = found != m_entries.end() && found->second.expires > now;
-  return known ? static_cast<int>(found->second.crashes.size()) : 0;
+  return known ? static_cast<int>(Open(found->second)) : 0;
 }
 
 milliseconds Quarantine::Remaining(const std::string& digest,
@@ -61,33 +87,73 @@
       }
     }
   }
+  if (JustCompleted(digest, now)) return std::nullopt;
   std::string name = group + '#' + std::to_string(number);
-  Add(digest, name, now + m_duration, now);
+  Add(digest, name, /*acquitted=*/false, now + m_duration, now);
   return ShareQuarantine{digest + kSeparator + name, m_duration};
 }
 
-void Quarantine::Learned(const QuarantineLearned& learned, TimePoint now) {
+std::vector<ShareQuarantine> Quarantine::Learned(
+    const QuarantineLearned& learned, TimePoint now) {
   if (learned.remaining <= milliseconds(0)) {
-    return;
+    return {};
   }
   TimePoint expires = now + std::min(learned.remaining, m_duration);
-  std::size_t end = learned.digest.find(kSeparator);
+  std::size_t end = FindSeparator(learned.digest);
   if (end != std::string::npos) {
-    Add(learned.digest.substr(0, end), learned.digest.substr(end + 1), expires,
-        now);
-    return;
+    Add(learned.digest.substr(0, end), learned.digest.substr(end + 1),
+        IsAcquittal(learned.digest), expires, now);
+    std::string digest = learned.digest.substr(0, end);
+    return JustCompleted(digest, now) ? Acquit(digest, now)
+                                      : std::vector<ShareQuarantine>();
   }
   // Without the name of a crash the digest is quarantined outright.
   for (std::size_t i = 0; i < m_crashes; ++i) {
-    Add(learned.digest, "unnamed#" + std::to_string(i), expires, now);
+    Add(learned.digest, kUnnamed + std::to_string(i), /*acquitted=*/false,
+        expires, now);
   }
+  return {};
 }
 
-void Quarantine::Cleared(const std::string& digest) {
-  auto found = m_entries.find(digest);
-  if (found != m_entries.end() && found->second.crashes.size() < m_crashes) {
-    m_entries.erase(found);
+std::vector<ShareQuarantine> Quarantine::Completed(const std::string& digest,
+                                                   TimePoint now) {
+  m_completed[digest] = now;
+  m_completed_order.emplace_back(now, digest);
+  while (m_completed_order.size() > kMostCompleted ||
+         now - m_completed_order.front().first > kCompletedTime) {
+    auto oldest = m_completed.find(m_completed_order.front().second);
+    bool last = oldest != m_completed.end() &&
+                oldest->second == m_completed_order.front().first;
+    if (last) m_completed.erase(oldest);
+    m_completed_order.pop_front();
   }
+  return Acquit(digest, now);
+}
+
+bool Quarantine::JustCompleted(const std::string& digest, TimePoint now) const {
+  auto found = m_completed.find(digest);
+  return found != m_completed.end() && now - found->second <= kCompletedTime;
+}
+
+std::vector<ShareQuarantine> Quarantine::Acquit(const std::string& digest,
+                                                TimePoint now) {
+  std::vector<ShareQuarantine> shares;
+  Entry* entry = Find(digest, now);
+  if (entry == nullptr) return shares;
+  auto remaining = std::chrono::ceil<milliseconds>(entry->expires - now);
+  for (Crash& crash : entry->crashes) {
+    // Nobody knows which crashes stand behind a digest without names.
+    if (crash.acquitted || crash.name.starts_with(kUnnamed)) continue;
+    crash.acquitted = true;
+    shares.push_back({digest + kAcquittalSeparator + crash.name, remaining});
+  }
+  return shares;
+}
+
+std::size_t Quarantine::Open(const Entry& entry) {
+  return static_cast<std::size_t>(
+      std::count_if(entry.crashes.begin(), entry.crashes.end(),
+                    [](const Crash& crash) { return !crash.acquitted; }));
 }
 
 void Quarantine::Expire(TimePoint now) {
@@ -105,7 +171,7 @@
 }
 
 void Quarantine::Add(const std::string& digest, std::string crash,
-                     TimePoint expires, TimePoint now) {
+                     bool acquitted, TimePoint expires, TimePoint now) {
   Entry* entry = Find(digest, now);
   if (entry == nullptr) {
     m_entries.erase(digest);
@@ -113,14 +179,21 @@
     entry = &m_entries[digest];
   }
   entry->expires = std::max(entry->expires, expires);
-  bool known =
-      std::any_of(entry->crashes.begin(), entry->crashes.end(),
-                  [&](const Crash& other) { return other.name == crash; });
-  if (known || entry->crashes.size() >= m_crashes) {
+  std::vector<Crash>& crashes = entry->crashes;
+  auto known =
+      std::find_if(crashes.begin(), crashes.end(),
+                   [&](const Crash& other) { return other.name == crash; });
+  if (known != crashes.end()) {
+    known->acquitted = known->acquitted || acquitted;
     return;
   }
-  entry->crashes.push_back({std::move(crash), now});
-  m_total += entry->crashes.size() >= m_crashes ? 1 : 0;
+  if (!acquitted && Open(*entry) >= m_crashes) return;
+  if (crashes.size() >= kMostCrashes) {
+    crashes.erase(std::find_if(crashes.begin(), crashes.end(),
+                               [](const Crash& old) { return old.acquitted; }));
+  }
+  crashes.push_back({std::move(crash), now, acquitted});
+  m_total += !acquitted && Open(*entry) == m_crashes ? 1 : 0;
 }
 
 void Quarantine::MakeRoom() {
@@ -130,8 +203,8 @@
   // Suspects go before quarantined digests, then the one that expires first.
   auto worst = std::min_element(
       m_entries.begin(), m_entries.end(), [&](const auto& a, const auto& b) {
-        bool a_full = a.second.crashes.size() >= m_crashes;
-        bool b_full = b.second.crashes.size() >= m_crashes;
+        bool a_full = Open(a.second) >= m_crashes;
+        bool b_full = Open(b.second) >= m_crashes;
         return a_full != b_full ? b_full : a.second.expires < b.second.expires;
       });
   m_entries.erase(worst);
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -19,6 +19,7 @@
 // Suspects that run alone at a time: one, and one more for each so many groups.
 constexpr std::size_t kGroupsPerIsolation = 8;
 constexpr std::size_t kMaxCancelled = 1024;
+constexpr int kSuccess = 2;
 constexpr int kClientErrors = 400;
 constexpr int kServerErrors = 500;
 constexpr int kTooManyRequests = 429;
@@ -291,7 +292,7 @@
   if (event.result == AttemptResult::kCrashed) {
     OnCrash(active->digest, active->ran_on, active->dispatched);
   }
-  bool alone = active->alone;
+  Acquit(active->digest, event);
   active->failed_group = active->group->view.group;
   HeedBackoff(*active, event);
   FreeGroup(active);
@@ -299,9 +300,6 @@
     OnFailure(active, event);
     return;
   }
-  if (alone) {
-    m_quarantine.Cleared(active->digest);
-  }
   FinishActive(active, event);
 }
 
@@ -352,6 +350,18 @@
   }
 }
 
+void RequestPath::Impl::Acquit(const std::string& digest,
+                               const AttemptEnded& event) {
+  bool good = event.result == AttemptResult::kComplete &&
+              (event.status == 0 || event.status / 100 == kSuccess);
+  if (!good) return;
+  for (ShareQuarantine& share : m_quarantine.Completed(digest, m_now)) {
+    m_actions.push_back(
+        LogDecision{"acquitted", {{"digest", digest}, {"of", share.digest}}});
+    m_actions.push_back(std::move(share));
+  }
+}
+
 bool RequestPath::Impl::MayRetry(const Active& active,
                                  const AttemptEnded& event) const {
   int limit = active.request.max_attempts > 0 ? active.request.max_attempts
@@ -456,10 +466,8 @@
   if (detached.alone) {
     m_router.SetIsolated(detached.group, false);
     m_isolated_digests.erase(detached.digest);
-    if (event.result == AttemptResult::kComplete) {
-      m_quarantine.Cleared(detached.digest);
-    }
   }
+  Acquit(detached.digest, event);
   m_router.Ended(detached.group);
   ClaimState state = ClaimState::kUnknown;
   if (event.result == AttemptResult::kComplete ||
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -203,7 +203,9 @@
 }
 
 void RequestPath::Impl::On(const QuarantineLearned& event) {
-  m_quarantine.Learned(event, m_now);
+  for (ShareQuarantine& share : m_quarantine.Learned(event, m_now)) {
+    m_actions.push_back(std::move(share));
+  }
 }
 
 void RequestPath::Impl::On(const DaemonsChanged& event) {
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -139,6 +139,8 @@
   std::optional<RefusalReason> WhyNoRetry(const Active& active,
                                           const AttemptEnded& event,
                                           milliseconds pause);
+  /// A request ran to its end, so it isn't what its servers crashed of.
+  void Acquit(const std::string& digest, const AttemptEnded& event);
   bool MayRetry(const Active& active, const AttemptEnded& event) const;
   milliseconds Backoff(const Active& active);
   bool EndDetached(const AttemptEnded& event);
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -5,6 +5,7 @@
 
 #include "core/claim_ledger.h"
 #include "core/core.h"
+#include "core/quarantine.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -405,6 +406,31 @@
   CHECK(f.path.stats().quarantined == 1);
 }
 
+// Guards against marks that stay on requests which are served well meanwhile,
+// until three crashes of others make one of them refused everywhere.
+TEST_CASE("a request that completes is acquitted of crashes it was there at") {
+  RequestPathOptions options;
+  options.isolate_suspects = false;
+  options.crashes_to_quarantine = 3;
+  options.retry_ratio = 1.0;
+  Fixture f(8, options);
+  for (int i = 0; i < 10; ++i) {
+    Dispatch lost = f.Send(f.MakeRequest("same"));
+    f.EndWith(lost.attempt, AttemptResult::kCrashed);
+    CHECK(f.All<ShareQuarantine>().size() == 1);
+    for (int n = 0; n < 50 && f.All<Dispatch>().empty(); ++n) {
+      f.Pass(milliseconds(20));
+    }
+    Dispatch again = f.One<Dispatch>();
+    f.EndWith(again.attempt, AttemptResult::kComplete, 1, 200);
+    CHECK(f.All<Finish>().size() == 1);
+    CHECK(f.All<ShareQuarantine>().size() == 1);
+    CHECK(IsAcquittal(f.One<ShareQuarantine>().digest));
+    f.Pass(milliseconds(11'000));
+  }
+  CHECK(f.path.stats().quarantined == 0);
+}
+
 // Guards against a request that waits for groups which are gone.
 TEST_CASE("queued requests are refused when the last group closes") {
   Fixture f(1);
