Count the end of a server that is found by its new life

Cause: a crash counted only when the connection broke and one of three connections within 30 ms was refused. A server that was back before that, or that went dark, or that ended after its attempt was cancelled or moved away, counted for nobody. Change: attempts that were cancelled, broke or timed out are kept for ten seconds. When the list shows a later life of their server, or another server at its address, they and those still running there count as in flight at its end (event ServerEnded). A request that completed elsewhere since isn't kept. Test: "a server that is back at once counts as ended" (process test, with the server's old id and with a new one) ended a fourth server at each daemon before; "a server that ended counts for all that it may have ended under", "a server's end doesn't count for what it had ended well before", "server list tells which servers have ended". A server that ends and never comes back, and whose address is dark, still counts for nobody: it can't be told from one that is cut off.

--- a/core/core.h
+++ b/core/core.h
@@ -186,6 +186,12 @@
   std::string host;
   milliseconds wait{0};
 };
+/// A backend server was found to have ended, by a new life of it or by another
+/// server at its address. Attempts there whose own ends tell nothing were in
+/// flight.
+struct ServerEnded {
+  std::string host;
+};
 /// @param retry_after From the answer of a backend server, or zero.
 /// @return How long the server wants no request; zero unless it turned one away
 ///     and named a time.
@@ -228,9 +234,10 @@
 
 using RequestEvent =
     std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
-                 AttemptStalled, ServerBusy, LoadReported, CacheEvents,
-                 GroupsChanged, ConfigurationChanged, QuarantineLearned,
-                 DaemonsChanged, DrainStarted, ObjectReply, Tick>;
+                 AttemptStalled, ServerBusy, ServerEnded, LoadReported,
+                 CacheEvents, GroupsChanged, ConfigurationChanged,
+                 QuarantineLearned, DaemonsChanged, DrainStarted, ObjectReply,
+                 Tick>;
 
 enum class RefusalReason {
   kUnknownModel,
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -109,9 +109,17 @@
 
 void FleetControl::On(const ServersListed& event) {
   m_list.Replace(event.servers, m_now);
+  TellEnded();
   m_changed = true;
 }
 
+void FleetControl::TellEnded() {
+  for (const std::string& host : m_list.TakeEnded()) {
+    Log("server_ended", {{"host", host}});
+    m_actions.emplace_back(ServerEnded{host});
+  }
+}
+
 void FleetControl::LogChanges(const std::vector<ServerList::Change>& changes) {
   for (const ServerList::Change& change : changes) {
     auto old = m_list.servers().find(change.id);
@@ -143,6 +151,7 @@
 void FleetControl::On(const ServersChanged& event) {
   if (m_planning) LogChanges(event.changes);
   m_list.Apply(event.changes, m_now);
+  TellEnded();
   m_changed = m_changed || !event.changes.empty();
 }
 
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -71,8 +71,8 @@
                  ServerLeaving, ServerBusy, OrderEnded, GroupSilent,
                  ObjectReply, NodesListed, DrainStarted, Tick>;
 
-// Actions (also GroupsChanged, DaemonsChanged, GetObject, PutObject, ListNodes
-// and LogDecision).
+// Actions (also GroupsChanged, DaemonsChanged, ServerEnded, GetObject,
+// PutObject, ListNodes and LogDecision).
 struct SendGroupOrder {
   std::string host;
   std::string address;
@@ -85,7 +85,7 @@
 
 using FleetAction =
     std::variant<SendGroupOrder, AskServer, GroupsChanged, DaemonsChanged,
-                 GetObject, PutObject, ListNodes, LogDecision>;
+                 ServerEnded, GetObject, PutObject, ListNodes, LogDecision>;
 
 struct FleetControlOptions {
   std::string node;
@@ -163,6 +163,8 @@
 
   void LogChanges(const std::vector<ServerList::Change>& changes);
   void LogKept();
+  /// Tells which servers have ended, by what was just listed.
+  void TellEnded();
   void TellDaemons();
   /// How soon this daemon would take over, by its place in the order.
   void SetReserve();
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -18,7 +18,9 @@
 constexpr milliseconds kIsolationPoll{20};
 // Suspects that run alone at a time: one, and one more for each so many groups.
 constexpr std::size_t kGroupsPerIsolation = 8;
-constexpr std::size_t kMaxCancelled = 1024;
+constexpr std::size_t kMaxUnexplained = 1024;
+/// A server that ended is back, or its entry has lapsed, within some seconds.
+constexpr milliseconds kUnexplainedTime{10'000};
 constexpr int kSuccess = 2;
 constexpr int kClientErrors = 400;
 constexpr int kServerErrors = 500;
@@ -276,13 +278,13 @@
     if (EndDetached(event)) {
       return;
     }
-    auto cancelled = m_cancelled.find(event.attempt);
-    if (cancelled != m_cancelled.end()) {
+    auto cancelled = m_unexplained.find(event.attempt);
+    if (cancelled != m_unexplained.end()) {
       if (event.result == AttemptResult::kCrashed) {
         OnCrash(cancelled->second.digest, cancelled->second.ran_on,
                 cancelled->second.dispatched);
       }
-      m_cancelled.erase(cancelled);
+      m_unexplained.erase(cancelled);
     }
     return;
   }
@@ -292,6 +294,12 @@
   if (event.result == AttemptResult::kCrashed) {
     OnCrash(active->digest, active->ran_on, active->dispatched);
   }
+  if (event.result == AttemptResult::kBroken ||
+      event.result == AttemptResult::kTimedOut) {
+    RememberUnexplained(event.attempt, {active->digest, active->ran_on,
+                                        active->group->view.leader_host,
+                                        active->dispatched, m_now});
+  }
   Acquit(active->digest, event);
   active->failed_group = active->group->view.group;
   HeedBackoff(*active, event);
@@ -355,6 +363,9 @@
   bool good = event.result == AttemptResult::kComplete &&
               (event.status == 0 || event.status / 100 == kSuccess);
   if (!good) return;
+  std::erase_if(m_unexplained, [&digest](const auto& entry) {
+    return entry.second.digest == digest;
+  });
   for (ShareQuarantine& share : m_quarantine.Completed(digest, m_now)) {
     m_actions.push_back(
         LogDecision{"acquitted", {{"digest", digest}, {"of", share.digest}}});
@@ -362,6 +373,29 @@
   }
 }
 
+void RequestPath::Impl::On(const ServerEnded& event) {
+  std::vector<Unexplained> marked;
+  for (const auto& [id, active] : m_requests) {
+    if (active.state == State::kRunning &&
+        active.group->view.leader_host == event.host) {
+      marked.push_back(
+          {active.digest, active.ran_on, event.host, active.dispatched, m_now});
+    }
+  }
+  std::erase_if(m_unexplained, [&](const auto& entry) {
+    const Unexplained& attempt = entry.second;
+    bool old = m_now - attempt.ended > kUnexplainedTime;
+    bool ran_there = !old && attempt.host == event.host;
+    if (ran_there) marked.push_back(attempt);
+    return old || ran_there;
+  });
+  std::sort(marked.begin(), marked.end(),
+            [](const auto& a, const auto& b) { return a.digest < b.digest; });
+  for (const Unexplained& attempt : marked) {
+    OnCrash(attempt.digest, attempt.ran_on, attempt.dispatched);
+  }
+}
+
 bool RequestPath::Impl::MayRetry(const Active& active,
                                  const AttemptEnded& event) const {
   int limit = active.request.max_attempts > 0 ? active.request.max_attempts
@@ -498,18 +532,18 @@
 
 void RequestPath::Impl::Cancel(Active* active) {
   m_actions.push_back(CancelAttempt{active->attempt});
-  RememberCancelled(active->attempt,
-                    {active->digest, active->ran_on, active->dispatched});
+  RememberUnexplained(active->attempt, {active->digest, active->ran_on,
+                                        active->group->view.leader_host,
+                                        active->dispatched, m_now});
   FreeGroup(active);
 }
 
-void RequestPath::Impl::RememberCancelled(AttemptId attempt,
-                                          Cancelled cancelled) {
-  m_cancelled[attempt] = std::move(cancelled);
-  m_cancelled_order.push_back(attempt);
-  if (m_cancelled_order.size() > kMaxCancelled) {
-    m_cancelled.erase(m_cancelled_order.front());
-    m_cancelled_order.pop_front();
+void RequestPath::Impl::RememberUnexplained(AttemptId attempt,
+                                            Unexplained unexplained) {
+  m_unexplained[attempt] = std::move(unexplained);
+  // The oldest attempts have the smallest ids.
+  if (m_unexplained.size() > kMaxUnexplained) {
+    m_unexplained.erase(m_unexplained.begin());
   }
 }
 
@@ -524,8 +558,9 @@
   for (AttemptId attempt : expired) {
     m_actions.push_back(CancelAttempt{attempt});
     const Detached& detached = m_detached[attempt];
-    RememberCancelled(attempt,
-                      {detached.digest, detached.ran_on, detached.dispatched});
+    RememberUnexplained(attempt, {detached.digest, detached.ran_on,
+                                  detached.group->view.leader_host,
+                                  detached.dispatched, m_now});
     EndDetached({attempt, AttemptResult::kTimedOut, 0, milliseconds(0), 0, ""});
   }
 }
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -4,6 +4,7 @@
 #define CORE_REQUEST_PATH_IMPL_H_
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -82,11 +83,14 @@
     TimePoint give_up;
     bool alone = false;  ///< The group is still set apart.
   };
-  /// Cancelled attempt; its crash still counts.
-  struct Cancelled {
+  /// Attempt whose end doesn't tell whether its server ended: it was cancelled,
+  /// broke or timed out. A crash that is found later still counts.
+  struct Unexplained {
     std::string digest;
     std::string ran_on;
+    std::string host;
     TimePoint dispatched;
+    TimePoint ended;
   };
 
   void On(const RequestArrived& event);
@@ -95,6 +99,7 @@
   void On(const AttemptEnded& event);
   void On(const AttemptStalled& event);
   void On(const ServerBusy& event);
+  void On(const ServerEnded& event);
   void On(const LoadReported& event);
   void On(const CacheEvents& event);
   void On(const GroupsChanged& event);
@@ -134,13 +139,13 @@
   // Ends of attempts.
   void OnCrash(const std::string& digest, const std::string& group,
                TimePoint dispatched);
+  /// A request ran to its end, so it isn't what its servers crashed of.
+  void Acquit(const std::string& digest, const AttemptEnded& event);
   void OnFailure(Active* active, const AttemptEnded& event);
   /// Nothing when a retry may run; its budget is then taken.
   std::optional<RefusalReason> WhyNoRetry(const Active& active,
                                           const AttemptEnded& event,
                                           milliseconds pause);
-  /// A request ran to its end, so it isn't what its servers crashed of.
-  void Acquit(const std::string& digest, const AttemptEnded& event);
   bool MayRetry(const Active& active, const AttemptEnded& event) const;
   milliseconds Backoff(const Active& active);
   bool EndDetached(const AttemptEnded& event);
@@ -149,7 +154,7 @@
   void FinishActive(Active* active, const AttemptEnded& event);
   void Detach(Active* active);
   void Cancel(Active* active);
-  void RememberCancelled(AttemptId attempt, Cancelled cancelled);
+  void RememberUnexplained(AttemptId attempt, Unexplained unexplained);
   void SettleClaim(Active* active, ClaimState state, int status,
                    const std::string& body);
   void RefuseActive(Active* active, RefusalReason reason,
@@ -184,8 +189,7 @@
   Requests m_requests;
   std::unordered_map<AttemptId, RequestId> m_attempts;
   std::unordered_map<AttemptId, Detached> m_detached;
-  std::unordered_map<AttemptId, Cancelled> m_cancelled;
-  std::deque<AttemptId> m_cancelled_order;
+  std::map<AttemptId, Unexplained> m_unexplained;
   std::unordered_map<Admission::PoolId, Pool*> m_queued_pools;
   std::vector<RequestId> m_isolation;  ///< Suspects without an attempt.
   std::unordered_set<std::string> m_isolated_digests;
--- a/core/server_list.cc
+++ b/core/server_list.cc
@@ -56,7 +56,26 @@
   return m_reachable && now >= m_grace_until + kSettleTime;
 }
 
+void ServerList::NoteEnded(const BackendServer& server) {
+  auto known = m_servers.find(server.id);
+  auto past = m_past.find(server.id);
+  bool later_life =
+      (known != m_servers.end() && known->second.born < server.born) ||
+      (past != m_past.end() && past->second.born < server.born);
+  if (later_life) m_ended.push_back(server.id);
+  auto at_address = m_ids.find(server.address);
+  if (at_address != m_ids.end() && at_address->second != server.id) {
+    m_ended.push_back(at_address->second);
+  }
+  if (known != m_servers.end() || past != m_past.end()) return;
+  for (const auto& [id, other] : m_past) {
+    if (other.address == server.address) m_ended.push_back(id);
+  }
+}
+
 void ServerList::Put(const BackendServer& server) {
+  NoteEnded(server);
+  m_ids[server.address] = server.id;
   BackendServer& known = m_servers[server.id];
   known = server;
   m_doubted.erase(server.id);
@@ -70,10 +89,14 @@
   }
 }
 
-bool ServerList::MarkLeaving(const std::string& id, TimePoint now) {
+void ServerList::ForgetPast(TimePoint now) {
   std::erase_if(m_past, [&](const auto& entry) {
     return now - entry.second.removed > kRemembered;
   });
+}
+
+bool ServerList::MarkLeaving(const std::string& id, TimePoint now) {
+  ForgetPast(now);
   auto listed = m_servers.find(id);
   auto past = m_past.find(id);
   if (listed == m_servers.end() && past == m_past.end()) return false;
@@ -88,7 +111,12 @@
   auto found = m_servers.find(id);
   if (found == m_servers.end()) return;
   m_doubted.erase(id);
-  m_past[id] = {found->second.born, now};
+  ForgetPast(now);
+  auto at_address = m_ids.find(found->second.address);
+  if (at_address != m_ids.end() && at_address->second == id) {
+    m_ids.erase(at_address);
+  }
+  m_past[id] = {found->second.born, now, found->second.address};
   m_servers.erase(found);
   std::erase_if(m_marked, [this](const auto& entry) {
     return m_servers.count(entry.first) == 0 && m_past.count(entry.first) == 0;
--- a/core/server_list.h
+++ b/core/server_list.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/fleet.h"
@@ -52,6 +54,9 @@
   /// Whether removals tell that a server has left. For some time after an
   /// outage they may be of servers that had begun to leave meanwhile.
   bool settled(TimePoint now) const;
+  /// Servers that have ended since the last call: a later life of them, or
+  /// another server at their address, was listed.
+  std::vector<std::string> TakeEnded() { return std::exchange(m_ended, {}); }
   bool known() const { return m_known; }
   bool reachable() const { return m_reachable; }
 
@@ -60,6 +65,9 @@
   void Remove(const std::string& id, TimePoint now);
   void Put(const BackendServer& server);
   void Forget(const std::string& id, TimePoint now);
+  /// Notes whose end an entry tells that is about to be put.
+  void NoteEnded(const BackendServer& server);
+  void ForgetPast(TimePoint now);
 
   /// A lapsed member of a group that may still serve.
   struct Doubt {
@@ -76,10 +84,13 @@
   struct Past {
     std::int64_t born = 0;
     TimePoint removed;
+    std::string address;
   };
 
   std::map<std::string, BackendServer> m_servers;
-  std::map<std::string, Past> m_past;  ///< By id.
+  std::unordered_map<std::string, std::string> m_ids;  ///< By address.
+  std::vector<std::string> m_ended;                    ///< For TakeEnded.
+  std::map<std::string, Past> m_past;                  ///< By id.
   /// Servers that said that they are leaving, and their life.
   std::map<std::string, std::int64_t> m_marked;
   std::map<std::string, TimePoint> m_lapsed;  ///< End of an entry's grace.
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -224,6 +224,8 @@
     m_live_daemons = daemons->live;
     LimitIdleConnections();
     Feed(RequestEvent(*daemons));
+  } else if (auto* ended = std::get_if<ServerEnded>(&action)) {
+    Feed(RequestEvent(std::move(*ended)));
   } else if (auto* get = std::get_if<GetObject>(&action)) {
     m_store->Get(*get, reply);
   } else if (auto* put = std::get_if<PutObject>(&action)) {
@@ -333,8 +335,6 @@
   });
 }
 
-void FleetDaemon::ScheduleTick() {
-  m_tick.expires_after(kTickInterval);
 void FleetDaemon::LearnCrashes(const std::vector<QuarantineLearned>& learned,
                                const char* source) {
   if (learned.empty()) return;
@@ -365,6 +365,8 @@
   }
 }
 
+void FleetDaemon::ScheduleTick() {
+  m_tick.expires_after(kTickInterval);
   m_tick.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
     NoteTick();
@@ -377,9 +379,9 @@
     m_feed->Tick();
     m_relay.Tick();
     m_executor->CheckSilence();
+    SpreadCrashes();
     CheckStopping();
     ScheduleTick();
-    SpreadCrashes();
   });
 }
 
--- a/testing/process_crash_test.cc
+++ b/testing/process_crash_test.cc
@@ -110,6 +110,29 @@
   CHECK(site.Runs(kCulprit) == 3);
 }
 
+// Guards against ends of servers that nobody counts, since the server is back
+// before its address is tried. Only the list tells its new life.
+TEST_CASE("a server that is back at once counts as ended") {
+  for (bool keep_ids : {false, true}) {
+    CAPTURE(keep_ids);
+    FleetOptions options;
+    options.keep_ids = keep_ids;
+    FleetSite site(options);
+    const std::string back_at_once = R"({"crash":true,"down_ms":0})";
+    for (int i = 0; i < 3; ++i) {
+      CHECK(site.Send(i, back_at_once).status == 502);
+      // A client comes back after some time, not within milliseconds.
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    REQUIRE(site.Runs(back_at_once) == 3);
+    std::this_thread::sleep_for(kNotice);
+    for (int daemon = 0; daemon < 4; ++daemon) {
+      CHECK(site.Send(daemon, back_at_once).status == 503);
+    }
+    CHECK(site.Runs(back_at_once) == 3);
+  }
+}
+
 // Guards against requests that are refused for what others did: each of these
 // is in flight when servers end, and completes in between.
 TEST_CASE("bystanders of many crashes are served on") {
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -28,8 +28,10 @@
       view.model = "chat";
       view.epoch = 1;
       view.open = true;
+      view.leader_host = HostOf(view.group);
       views.push_back(view);
       view.group = "orders/" + std::to_string(i);
+      view.leader_host = HostOf(view.group);
       view.model = "";
       view.service = "orders";
       views.push_back(view);
@@ -61,6 +63,10 @@
     return request;
   }
 
+  static std::string HostOf(const std::string& group) {
+    return group + "-host";
+  }
+
   void Feed(const RequestEvent& event) { actions = path.Handle(event, now); }
 
   void Pass(milliseconds time) {
@@ -431,6 +437,48 @@
   CHECK(f.path.stats().quarantined == 0);
 }
 
+// Guards against crashes that nobody counts: the server is back before its
+// address is tried, goes dark, or the attempt there was cancelled or is still
+// waiting when its new life is listed.
+TEST_CASE("a server that ended counts for all that it may have ended under") {
+  RequestPathOptions options;
+  options.isolate_suspects = false;
+  options.crashes_to_quarantine = 3;
+  for (int how = 0; how < 4; ++how) {
+    CAPTURE(how);
+    Fixture f(1, options);
+    Request request = f.MakeRequest("culprit");
+    request.idempotent = false;
+    Dispatch sent = f.Send(request);
+    if (how == 0) f.EndWith(sent.attempt, AttemptResult::kBroken);
+    if (how == 1) f.EndWith(sent.attempt, AttemptResult::kTimedOut);
+    if (how == 2) f.Feed(CallerLeft{sent.request});
+    f.Feed(ServerEnded{f.HostOf(sent.group)});
+    REQUIRE(f.All<ShareQuarantine>().size() == 1);
+    CHECK_FALSE(IsAcquittal(f.One<ShareQuarantine>().digest));
+    // It counts once, however often its end is told.
+    f.Feed(ServerEnded{f.HostOf(sent.group)});
+    CHECK(f.All<ShareQuarantine>().empty());
+  }
+}
+
+// Guards against requests that are suspected of the end of a server on which
+// they ran long before, or which served them.
+TEST_CASE("a server's end doesn't count for what it had ended well before") {
+  RequestPathOptions options;
+  options.isolate_suspects = false;
+  Fixture f(1, options);
+  Dispatch served = f.Send(f.MakeRequest("served"));
+  f.EndWith(served.attempt, AttemptResult::kComplete, 1, 200);
+  Request request = f.MakeRequest("old");
+  request.idempotent = false;
+  Dispatch old = f.Send(request);
+  f.EndWith(old.attempt, AttemptResult::kBroken);
+  f.Pass(milliseconds(11'000));
+  f.Feed(ServerEnded{f.HostOf(old.group)});
+  CHECK(f.All<ShareQuarantine>().empty());
+}
+
 // Guards against a request that waits for groups which are gone.
 TEST_CASE("queued requests are refused when the last group closes") {
   Fixture f(1);
--- a/testing/server_list_test.cc
+++ b/testing/server_list_test.cc
@@ -183,4 +183,38 @@
   CHECK(list.servers().count("s5") == 0);
 }
 
+// Guards against the end of a server that nobody notices, because it's back
+// under another id, or before its entry has lapsed.
+TEST_CASE("server list tells which servers have ended") {
+  auto server = [](const std::string& id, std::int64_t born,
+                   const std::string& address) {
+    BackendServer made = Server(id);
+    made.born = born;
+    made.address = address;
+    return made;
+  };
+  using Hosts = std::vector<std::string>;
+  ServerList list;
+  TimePoint now = kStart;
+  list.Replace({server("a", 10, "1"), server("b", 10, "2")}, now);
+  CHECK(list.TakeEnded().empty());
+  // Entries that change in something else, or come back after a lapse.
+  list.Apply({{"a", server("a", 10, "1")}}, now);
+  list.Apply({{"b", std::nullopt}}, now);
+  list.Apply({{"b", server("b", 10, "2")}}, now);
+  CHECK(list.TakeEnded().empty());
+  list.Apply({{"a", server("a", 20, "1")}}, now);
+  CHECK(list.TakeEnded() == Hosts{"a"});
+  CHECK(list.TakeEnded().empty());
+  // Another server has its address, while it's still listed or after that.
+  list.Apply({{"c", server("c", 30, "1")}}, now);
+  CHECK(list.TakeEnded() == Hosts{"a"});
+  list.Apply({{"b", std::nullopt}}, now);
+  list.Apply({{"d", server("d", 30, "2")}}, now + milliseconds(3'000));
+  CHECK(list.TakeEnded() == Hosts{"b"});
+  list.Apply({{"d", std::nullopt}}, now + milliseconds(4'000));
+  list.Apply({{"d", server("d", 40, "2")}}, now + milliseconds(5'000));
+  CHECK(list.TakeEnded() == Hosts{"d"});
+}
+
 }  // namespace clementine
