Read a list in which one entry is odd

Cause: an entry of another writer with 100,000 nested arrays ended every daemon that read the list (JsonText recurses), again after each restart; one with a number that no double holds, or with bytes that aren't UTF-8, made a whole page or batch unreadable, so that nobody followed the list while it stood there. Ports, slots, epochs and ranks out of range were taken. Change: texts nest 64 levels at most. Pages and batches are read by ParseForeignJson, in which what nests deeper or is too large reads as null, and the entries around it are read. An event or entry that can't be read is left out alone. DecodeServer and DecodeReport check addresses and numbers. Test: "one odd entry doesn't hide the others of a list or a watch", "adapter rejects entries with values out of range", "texts that nest too deeply are rejected". That the code before ended or lost the list is in the users' record (100,000 levels, 1e999); the tests themselves weren't run on it, since they need the new functions.

--- a/config/config.h
+++ b/config/config.h
@@ -29,9 +29,18 @@
 inline constexpr std::size_t kMaxObjectBytes = 1'000'000;
 
 /// @return The value of a JSON text.
-/// @throws nlohmann::json::parse_error when the text isn't JSON.
+/// @throws nlohmann::json::exception when the text isn't JSON, has a number
+/// that
+///     is too large, or nests more than 64 levels.
 nlohmann::json ParseJson(std::string_view text);
 
+/// Parses a text that holds entries of several writers, so that one odd entry
+/// doesn't hide the others: a value that nests more than 64 levels deep in the
+/// text, or a number that is too large, reads as null; a byte that can't stand
+/// in a string reads as "?".
+/// @throws nlohmann::json::exception when the text as a whole isn't JSON.
+nlohmann::json ParseForeignJson(std::string_view text);
+
 /// @return The value of a JSON text, or a discarded value when it isn't JSON.
 nlohmann::json TryParseJson(std::string_view text);
 
--- a/net/address.cc
+++ b/net/address.cc
@@ -8,6 +8,7 @@
 #include <stdexcept>
 
 #include "fmt/format.h"
+#include "net/net.h"
 
 namespace clementine {
 
@@ -34,6 +35,15 @@
   return {ip, port};
 }
 
+bool IsEndpoint(const std::string& address) {
+  try {
+    ParseEndpoint(address);
+    return true;
+  } catch (const std::runtime_error&) {
+    return false;
+  }
+}
+
 std::string FormatEndpoint(const boost::asio::ip::tcp::endpoint& endpoint) {
   return endpoint.address().is_v6()
              ? fmt::format("[{}]:{}", endpoint.address().to_string(),
--- a/net/net.h
+++ b/net/net.h
@@ -105,6 +105,9 @@
 /// Finds a header by name without regard to case; empty when absent.
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
 
+/// Whether a text is an address of the form IP:port.
+bool IsEndpoint(const std::string& address);
+
 /// The headers that are passed on: without those that concern one connection,
 /// and without the length, which the sender of a message sets itself.
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
--- a/testing/config_test.cc
+++ b/testing/config_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 #include <vector>
@@ -10,8 +11,12 @@
 #include "config/fields.h"
 
 using clementine::Finding;
+using clementine::JsonText;
 using clementine::ParseConfiguration;
+using clementine::ParseForeignJson;
+using clementine::ParseJson;
 using clementine::ParseSettings;
+using clementine::TryParseJson;
 using std::chrono::milliseconds;
 
 namespace {
@@ -251,3 +256,19 @@
   }
   CHECK(all.find("secret") == std::string::npos);
 }
+
+// Guards against a text that ends the process when it's written again, since
+// that takes stack for each level.
+TEST_CASE("texts that nest too deeply are rejected") {
+  std::string nested =
+      std::string(100'000, '[') + "1" + std::string(100'000, ']');
+  CHECK_THROWS_AS(ParseJson(nested), nlohmann::json::exception);
+  CHECK(TryParseJson(nested).is_discarded());
+  std::string beside = R"(,"b":[{"c":"]"}]})";
+  CHECK(JsonText(ParseForeignJson("{\"a\":" + nested + beside))
+            .ends_with(beside));
+  CHECK(JsonText(ParseForeignJson("[1e999,-1e999,1e-999,1e3,\"1e999\"]")) ==
+        "[null,null,0.0,1000.0,\"1e999\"]");
+  CHECK_THROWS_AS(ParseForeignJson("{\"a\":1"), nlohmann::json::exception);
+  CHECK_THROWS_AS(ParseForeignJson(""), nlohmann::json::exception);
+}
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -299,6 +299,98 @@
   CHECK(fixture.Put(put).status == ObjectStatus::kUnknown);
 }
 
+// Guards against an odd entry of another writer that ends every daemon which
+// reads the list, or hides the entries beside it (LOST).
+TEST_CASE("one odd entry doesn't hide the others of a list or a watch") {
+  auto nested = [](int depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+  };
+  const std::vector<std::string> odd = {
+      nested(100'000),
+      R"({"service":)" + nested(5'000) + "}",
+      R"({"slots":1e999,"sequence":-1e999999})",
+      R"({"slots":)" + std::string(400, '9') + "}",
+      "\"\xff\xfe\"",
+      "null",
+      "[1,2]"};
+  for (const std::string& entry : odd) {
+    CAPTURE(entry.substr(0, 40));
+    auto object = [](const std::string& name, const std::string& spec) {
+      return R"({"metadata":{"name":")" + name + R"(","revision":5},"spec":)" +
+             spec + "}";
+    };
+    std::string list = R"({"entries":[)" + object("bad", entry) + "," +
+                       object("good", kEntry) + R"(],"has_more":false,"at":7})";
+    std::string events = R"({"events":[{"object":)" + object("bad", entry) +
+                         R"(,"deleted":false},{"object":)" +
+                         object("good", kEntry) +
+                         R"(,"deleted":false},7,{"object":{}}],"at":7})";
+    StoreFixture fixture([&](RawConnection& raw, const std::string& request) {
+      bool watch = request.find("watch=") != std::string::npos;
+      raw.Send(HttpAnswer(200, watch ? events : list));
+    });
+    for (bool watch : {false, true}) {
+      CAPTURE(watch);
+      std::optional<ObjectBatch> batch;
+      auto done = [&](const ObjectBatch& read) { batch = read; };
+      if (watch) {
+        fixture.store.Watch("servers", 1, milliseconds(0), done);
+      } else {
+        fixture.store.List("servers", false, done);
+      }
+      REQUIRE(RunUntil(&fixture.io, [&] { return batch.has_value(); }));
+      REQUIRE(batch->status == ObjectBatch::Status::kOk);
+      CHECK(batch->revision == 7);
+      int usable = 0;
+      for (const StoredObject& read : batch->objects) {
+        auto server = DecodeServer(read.name, read.content);
+        usable += server ? 1 : 0;
+        CHECK(server.has_value() == (read.name == "good"));
+      }
+      CHECK(usable == 1);
+    }
+  }
+}
+
+// Guards against work for servers that can't exist, and numbers that wrap.
+TEST_CASE("adapter rejects entries with values out of range") {
+  auto with = [](const std::string& key, const Json& value) {
+    Json entry = ParseJson(kEntry);
+    if (key.starts_with("group.")) {
+      entry["group"][key.substr(6)] = value;
+    } else {
+      entry[key] = value;
+    }
+    return JsonText(entry);
+  };
+  CHECK(DecodeServer("a", with("slots", 26)));
+  const std::vector<std::pair<std::string, Json>> odd = {
+      {"address", "10.3.64.29:99999"},
+      {"address", "10.3.64.29:0"},
+      {"address", "10.3.64.29"},
+      {"address", "somewhere:80"},
+      {"slots", -5},
+      {"slots", 1e30},
+      {"slots", 2.5},
+      {"slots", 18446744073709551615ULL},
+      {"born", -1},
+      {"born", 1e300},
+      {"born", "today"},
+      {"group.epoch", -1},
+      {"group.epoch", 18446744073709551615ULL},
+      {"group.rank", -1},
+      {"group.rank", 4294967296LL}};
+  for (const auto& [key, value] : odd) {
+    CAPTURE(key);
+    CAPTURE(JsonText(value));
+    CHECK_FALSE(DecodeServer("a", with(key, value)));
+  }
+  CHECK_FALSE(DecodeReport(R"({"sequence":-1})"));
+  CHECK_FALSE(DecodeReport(R"({"sequence":1e999})"));
+  CHECK_FALSE(DecodeReport(std::string(100'000, '[')));
+  CHECK(DecodeReport(R"({"sequence":3})"));
+}
+
 // Guards against the quotes of a stored text that became part of the last field
 // of a daemon's object: its demand was dropped, and its address was no address.
 TEST_CASE("own values are read as the text that was written") {
