End a stream as complete only by events that go on with it

Cause: an answer to a resumed stream was taken for the rest of it whenever its status was 200, whatever its type, and any 2xx ended the stream as complete. Its events needed no number. So callers could find another server's error text in the middle of their stream, or a stream that ends early looked whole. Change: only text/event-stream is a stream. An event of a resumed answer needs the next number where the earlier ones have numbers; an answer that ends without a new event, with a part of one, or with another status or type is broken: another server is asked if the request may, or the stream is cut. A stream whose first server broke off between its last event and its end is cut now and was complete before; its client can resume it.

--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -34,6 +34,10 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
+bool IsEventStream(const HttpHeaders& headers) {
+  return FindHeader(headers, "Content-Type").starts_with("text/event-stream");
+}
+
 }  // namespace
 
 struct RelayExecutor::Caller {
@@ -314,7 +318,7 @@
     attempt->status = status;
     attempt->headers = EndToEndHeaders(headers);
     attempt->streams = attempt->caller->route->kind == RouteKind::kStream &&
-                       status == http_status::kOk;
+                       status == http_status::kOk && IsEventStream(headers);
   }
   if (judged != AnswerHead::kForeign &&
       platform::SaysLeaving(status, headers)) {
@@ -383,7 +387,14 @@
   if (complete && attempt->streams) {
     std::string rest = caller->stream.Finish();
     if (!rest.empty()) Deliver(caller, attempt.get(), rest);
-    if (caller->stream.gap()) end.result = AttemptResult::kBroken;
+  }
+  // Only events that go on can end a stream that has begun.
+  bool ends_stream =
+      attempt->streams ? caller->stream.CanEnd() : !caller->head_sent;
+  if (complete && !ends_stream) {
+    complete = false;
+    end.result = AttemptResult::kBroken;
+    end.detail = "doesn't go on with the stream";
   }
   // Ends under which a server may have crashed are told apart by the digest,
   // which is the same at all daemons and for each repetition of the request.
--- a/daemon/relay_stream.cc
+++ b/daemon/relay_stream.cc
@@ -1,6 +1,7 @@
 // Nothing of an event is parsed but its id. Event ids increase; events of a
-// resumed answer that repeat delivered ones are dropped, and one that skips a
-// number ends the answer, since what lies between is lost.
+// resumed answer that repeat delivered ones are dropped. One that skips a
+// number ends the answer, since what lies between is lost, and so does one
+// without a number: it isn't of this stream.
 
 #include "daemon/relay_stream.h"
 
@@ -59,13 +60,13 @@
 }
 
 bool RelayStream::Accept(std::string_view event) {
-  if (m_gap) return false;
+  if (m_broken) return false;
   std::string_view id = EventId(event);
   std::optional<std::int64_t> number = Number(id);
-  if (m_resumed && number && m_last_number) {
-    if (*number <= *m_last_number) return false;
-    if (*number != *m_last_number + 1) {
-      m_gap = true;
+  if (m_resumed && m_last_number) {
+    if (number && *number <= *m_last_number) return false;
+    if (!number || *number != *m_last_number + 1) {
+      m_broken = true;
       return false;
     }
   }
@@ -74,18 +75,22 @@
     m_last_number = number;
   }
   ++m_events;
+  m_went_on = true;
   return true;
 }
 
 std::string RelayStream::Finish() {
   std::string rest;
-  if (!m_gap) rest.swap(m_partial);
+  // An answer that goes on can't end with what isn't an event.
+  if (m_resumed && !m_partial.empty()) m_broken = true;
+  if (!m_broken) rest.swap(m_partial);
   return rest;
 }
 
 void RelayStream::Restart() {
   m_partial.clear();
   m_resumed = m_events > 0;
+  m_went_on = false;
 }
 
 }  // namespace clementine
--- a/daemon/relay_stream.h
+++ b/daemon/relay_stream.h
@@ -20,6 +20,10 @@
   /// The running answer ended complete. @return What follows its last event.
   std::string Finish();
 
+  /// Whether the running answer, which has ended complete, can end the stream:
+  /// it's the first one, or it told events after those of the earlier ones.
+  bool CanEnd() const { return !m_broken && (!m_resumed || m_went_on); }
+
   /// A new answer begins, which goes on after the last delivered event.
   void Restart();
 
@@ -31,8 +35,9 @@
   bool oversized() const { return held_bytes() > kMostEventBytes; }
   /// Bytes of an event that isn't complete.
   std::size_t held_bytes() const { return m_partial.size(); }
-  /// A number is missing between two events of a resumed stream.
-  bool gap() const { return m_gap; }
+  /// An event of a resumed stream doesn't follow the last one: a number is
+  /// missing between them, or it has none where the earlier ones have.
+  bool broken() const { return m_broken; }
 
  private:
   /// Events hold some tokens, below a KB.
@@ -45,7 +50,8 @@
   std::optional<std::int64_t> m_last_number;
   std::uint64_t m_events = 0;
   bool m_resumed = false;
-  bool m_gap = false;
+  bool m_went_on = false;  ///< The running answer told a new event.
+  bool m_broken = false;
 };
 
 }  // namespace clementine
--- a/testing/relay_fixture.h
+++ b/testing/relay_fixture.h
@@ -22,10 +22,11 @@
 
 inline constexpr char kSigned[] = "X-Clementinelb-Response-Signature: s\r\n";
 
-/// A relay before one plain server that follows a script.
+/// A relay before plain servers that follow scripts.
 struct RelayFixture {
   explicit RelayFixture(ScriptedServer::Script script,
-                        RouteKind kind = RouteKind::kIdempotent)
+                        RouteKind kind = RouteKind::kIdempotent,
+                        const ScriptedServer::Script& second = nullptr)
       : backends(&io, BackendOptions()),
         path(RequestPathOptions()),
         executor(Context()),
@@ -45,6 +46,8 @@
     route.kind = kind;
     route.timeout = milliseconds(4'000);
     route.shares = {{"desk", 1.0}};
+    route.resumable = second != nullptr;
+    route.max_attempts = second != nullptr ? 2 : 1;
     configuration.routes.push_back(route);
     auto routes = std::make_shared<const RouteTable>(configuration);
     ConfigurationChanged changed;
@@ -53,15 +56,24 @@
         ToRequestPathConfiguration(routes->configuration()));
     Feed(changed);
     executor.SetRoutes(routes);
+    std::vector<GroupView> views = {View("h1", backend.address)};
+    if (second != nullptr) {
+      other_backend = std::make_unique<ScriptedServer>(&io, second);
+      views.push_back(View("h2", other_backend->address));
+    }
+    executor.SetGroups(views);
+    Feed(GroupsChanged{views});
+  }
+
+  static GroupView View(const std::string& host, const std::string& address) {
     GroupView view;
-    view.group = "desk/h1";
+    view.group = "desk/" + host;
     view.service = "desk";
     view.epoch = 5;
-    view.leader_host = "h1";
-    view.leader_address = backend.address;
+    view.leader_host = host;
+    view.leader_address = address;
     view.open = true;
-    executor.SetGroups({view});
-    Feed(GroupsChanged{{view}});
+    return view;
   }
 
   RelayContext Context() {
@@ -73,6 +85,9 @@
     context.feed_fleet = [this](const FleetEvent& event) {
       fleet_events.push_back(event);
     };
+    context.share = [this](const ShareQuarantine& share) {
+      shared.push_back(share);
+    };
     return context;
   }
   void Feed(const RequestEvent& event) {
@@ -85,9 +100,6 @@
   std::string Call() {
     return CallTogether(1, [] {}).front();
   }
-    context.share = [this](const ShareQuarantine& share) {
-      shared.push_back(share);
-    };
 
   /// Calls side by side. @param watch Is called again and again meanwhile.
   /// @return All that each caller got.
@@ -121,13 +133,14 @@
   BackendClient backends;
   Metrics metrics;
   std::vector<FleetEvent> fleet_events;
+  std::vector<ShareQuarantine> shared;
   RequestPath path;
   RelayExecutor executor;
   ScriptedServer backend;
+  std::unique_ptr<ScriptedServer> other_backend;  ///< May be null.
   HttpServer front;
 };
 
 }  // namespace clementine::nettest
 
 #endif  // TESTING_RELAY_FIXTURE_H_
-  std::vector<ShareQuarantine> shared;
--- a/testing/relay_stream_test.cc
+++ b/testing/relay_stream_test.cc
@@ -40,10 +40,35 @@
   CHECK(out == Events(1, 4));
   stream.Restart();
   CHECK(stream.Take(Event(6)).empty());
-  CHECK(stream.gap());
+  CHECK(stream.broken());
   CHECK(stream.Finish().empty());
 }
 
+// Guards against another server's error text inside a stream (MIXED), and
+// against a stream that ends as complete without its last pieces (ORDER).
+TEST_CASE("relay stream goes on with events of the same series only") {
+  for (const std::string& foreign :
+       {std::string("data: upstream failed\n\n"),
+        std::string("HTTP/1.1 502 Bad Gateway\n\n"),
+        std::string("{\"error\":\"overloaded\"}"), std::string()}) {
+    CAPTURE(foreign);
+    RelayStream stream;
+    stream.Take(Events(1, 3));
+    stream.Restart();
+    CHECK(stream.Take(foreign).empty());
+    CHECK(stream.Finish().empty());
+    CHECK_FALSE(stream.CanEnd());
+  }
+  RelayStream stream;
+  stream.Take(Events(1, 3));
+  CHECK(stream.CanEnd());
+  stream.Restart();
+  stream.Take(Events(2, 3));
+  CHECK_FALSE(stream.CanEnd());
+  stream.Take(Event(4));
+  CHECK(stream.CanEnd());
+}
+
 // Guards against events that depend on how the network cut the bytes.
 TEST_CASE("relay stream delivers the same bytes however they are cut") {
   CHECK(rc::check([] {
