Check that both daemons connect each event and action

Cause: the class of incident BUDGET: a promise that is kept on one interface and was never connected on the other. Nothing failed when an event or action of the request path was left out of a daemon. Change: a test with a table of all of them; a kind that's added and not entered doesn't compile, and one that a daemon doesn't connect needs a reason. The other members found: LoadReported, CacheEvents and ObjectReply aren't fed, Replay and calls to objects aren't carried out on the users' platform, for the reasons in the table; DrainStarted isn't fed to the request path there, since what was accepted is finished. Test: "each event and action is connected in both daemons or says why not". Conclusion: no other member that breaks a promise was found this way.

--- /dev/null
+++ b/testing/interface_parity_test.cc
@@ -0,0 +1,202 @@
+// Which events and actions of the request path each daemon connects. Sharing of
+// crash marks was built for one daemon and left out of the other, which no test
+// of either noticed. A kind that is added fails to compile here until it's
+// entered, with a reason where a daemon doesn't connect it.
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <type_traits>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "core/fleet_control.h"
+#include "fmt/format.h"
+
+namespace clementine {
+namespace {
+
+/// How a daemon treats a kind of event or action.
+struct Use {
+  /// Text of the daemon's sources by which it's connected, or null.
+  const char* connected = nullptr;
+  /// Why it isn't connected; null when it is.
+  const char* reason = nullptr;
+};
+
+struct Entry {
+  const char* name;
+  Use chat;   ///< Interface `chat`: daemon.cc and what it uses.
+  Use relay;  ///< Interface `relay`: fleet_daemon.cc and what it uses.
+};
+
+/// What the control plane gives and isn't its own goes to the request path.
+constexpr char kPassedOn[] = "m_context.pass_on(event)";
+constexpr char kNoKeys[] = "requests that are passed on have no keys";
+constexpr char kNoCacheEvents[] = "the users' platform publishes none";
+constexpr char kNoLoad[] =
+    "reports are priced and late; groups are bounded "
+    "by their slots instead";
+constexpr char kNoStall[] = "silence ends an attempt by its timeouts";
+constexpr char kNoBusy[] = "the daemon's attempts carry it in their ends";
+constexpr char kPresence[] = "presence tells lost hosts, and epochs new lives";
+
+// One overload for each kind. Those of a kind that's missing here don't exist,
+// so that kAll doesn't compile.
+Entry EntryOf(std::type_identity<RequestArrived>) {
+  return {"RequestArrived", {"RequestArrived{"}, {"RequestArrived{"}};
+}
+Entry EntryOf(std::type_identity<CallerLeft>) {
+  return {"CallerLeft", {"CallerLeft{"}, {"CallerLeft{"}};
+}
+Entry EntryOf(std::type_identity<AttemptProgress>) {
+  return {"AttemptProgress", {"AttemptProgress{"}, {"AttemptProgress{"}};
+}
+Entry EntryOf(std::type_identity<AttemptEnded>) {
+  return {"AttemptEnded", {"AttemptEnded ended"}, {"AttemptEnded ended"}};
+}
+Entry EntryOf(std::type_identity<AttemptStalled>) {
+  return {"AttemptStalled", {nullptr, kNoStall}, {"AttemptStalled{"}};
+}
+Entry EntryOf(std::type_identity<ServerBusy>) {
+  return {"ServerBusy", {nullptr, kNoBusy}, {"RequestEvent(busy)"}};
+}
+Entry EntryOf(std::type_identity<ServerEnded>) {
+  return {"ServerEnded", {nullptr, kPresence}, {"<ServerEnded>"}};
+}
+Entry EntryOf(std::type_identity<LoadReported>) {
+  return {"LoadReported", {"LoadReported"}, {nullptr, kNoLoad}};
+}
+Entry EntryOf(std::type_identity<CacheEvents>) {
+  return {"CacheEvents", {"CacheEvents"}, {nullptr, kNoCacheEvents}};
+}
+Entry EntryOf(std::type_identity<GroupsChanged>) {
+  return {"GroupsChanged", {"GroupsChanged"}, {"<GroupsChanged>"}};
+}
+Entry EntryOf(std::type_identity<ConfigurationChanged>) {
+  return {"ConfigurationChanged",
+          {"ConfigurationChanged"},
+          {"ConfigurationChanged changed"}};
+}
+Entry EntryOf(std::type_identity<QuarantineLearned>) {
+  return {"QuarantineLearned", {kPassedOn}, {"RequestEvent(entry)"}};
+}
+Entry EntryOf(std::type_identity<DaemonsChanged>) {
+  return {"DaemonsChanged", {kPassedOn}, {"RequestEvent(*daemons)"}};
+}
+Entry EntryOf(std::type_identity<DrainStarted>) {
+  return {"DrainStarted",
+          {"DrainStarted{}"},
+          {nullptr,
+           "a daemon that stops takes requests until its server "
+           "stops, and finishes them"}};
+}
+Entry EntryOf(std::type_identity<ObjectReply>) {
+  return {"ObjectReply", {"ObjectReply"}, {nullptr, kNoKeys}};
+}
+Entry EntryOf(std::type_identity<Tick>) {
+  return {"Tick", {"Tick{"}, {"RequestEvent(Tick{})"}};
+}
+
+Entry EntryOf(std::type_identity<Dispatch>) {
+  return {"Dispatch",
+          {"On(const Dispatch& dispatch)"},
+          {"On(const Dispatch& dispatch)"}};
+}
+Entry EntryOf(std::type_identity<CancelAttempt>) {
+  return {"CancelAttempt",
+          {"On(const CancelAttempt& cancel)"},
+          {"On(const CancelAttempt& cancel)"}};
+}
+Entry EntryOf(std::type_identity<Refuse>) {
+  return {"Refuse", {"On(const Refuse& refuse)"}, {"On(const Refuse& refuse)"}};
+}
+Entry EntryOf(std::type_identity<Finish>) {
+  return {"Finish", {"On(const Finish& finish)"}, {"On(const Finish& finish)"}};
+}
+Entry EntryOf(std::type_identity<Replay>) {
+  return {"Replay", {"On(const Replay& replay)"}, {nullptr, kNoKeys}};
+}
+Entry EntryOf(std::type_identity<ShareQuarantine>) {
+  return {"ShareQuarantine",
+          {"feed_control(QuarantineFound{"},
+          {"m_context.share(share)"}};
+}
+Entry EntryOf(std::type_identity<GetObject>) {
+  return {"GetObject", {"On(const GetObject& get)"}, {nullptr, kNoKeys}};
+}
+Entry EntryOf(std::type_identity<PutObject>) {
+  return {"PutObject", {"On(const PutObject& put)"}, {nullptr, kNoKeys}};
+}
+Entry EntryOf(std::type_identity<DeleteObject>) {
+  return {"DeleteObject", {"On(const DeleteObject& del)"}, {nullptr, kNoKeys}};
+}
+Entry EntryOf(std::type_identity<LogDecision>) {
+  return {"LogDecision",
+          {"On(const LogDecision& log)"},
+          {"On(const LogDecision& log)"}};
+}
+
+template <typename Variant>
+struct Entries;
+template <typename... Kinds>
+struct Entries<std::variant<Kinds...>> {
+  static std::vector<Entry> All() {
+    return {EntryOf(std::type_identity<Kinds>())...};
+  }
+};
+
+std::string Sources(const std::vector<const char*>& files) {
+  std::string all;
+  for (const char* file : files) {
+    std::ifstream in(fmt::format("{}/daemon/{}", CLEMENTINE_SOURCE_DIR, file));
+    REQUIRE(in);
+    std::ostringstream text;
+    text << in.rdbuf();
+    all += text.str();
+  }
+  return all;
+}
+
+void Check(const Entry& entry, const Use& use, const std::string& sources) {
+  CAPTURE(entry.name);
+  CHECK((use.connected == nullptr) != (use.reason == nullptr));
+  if (use.connected != nullptr) {
+    CHECK_MESSAGE(sources.find(use.connected) != std::string::npos,
+                  use.connected);
+  } else {
+    // A handler that ignores its action doesn't name the parameter, and an
+    // event that isn't fed isn't made.
+    std::string handler = fmt::format("On(const {}& /*", entry.name);
+    std::string made = fmt::format("RequestEvent({}", entry.name);
+    bool ignored = sources.find(handler) != std::string::npos ||
+                   sources.find(made) == std::string::npos;
+    CHECK(ignored);
+  }
+}
+
+}  // namespace
+
+// Guards against a promise that is kept by one daemon and was never connected
+// in the other (BUDGET: crashes counted by each daemon alone).
+TEST_CASE(
+    "each event and action is connected in both daemons or says why not") {
+  std::string chat =
+      Sources({"daemon.cc", "request_executor.cc", "request_reader.cc",
+               "control_executor.cc", "control_executor.h", "cache_poller.cc"});
+  std::string relay =
+      Sources({"fleet_daemon.cc", "relay_executor.cc", "fleet_feed.cc"});
+  std::vector<Entry> entries = Entries<RequestEvent>::All();
+  for (const Entry& entry : Entries<RequestAction>::All()) {
+    entries.push_back(entry);
+  }
+  for (const Entry& entry : entries) {
+    Check(entry, entry.chat, chat);
+    Check(entry, entry.relay, relay);
+  }
+}
+
+}  // namespace clementine
