Judge refusals by the request that they name

Cause: an answer without an id was taken for that to the running request, on a kept connection too, and attempts of one request share their id. A faulty server that writes an earlier refusal once more could thus have callers told "not run" for a request that it runs. Requests that must not be repeated have a connection of their own, so that only repeatable ones were concerned. Change: on a connection that was in use before, an answer that names no request is dropped and the attempt is broken. A further attempt of a request at the same host has a new connection. attempt_ended tells whether the answer named its request.

--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -5,6 +5,7 @@
 #include "daemon/relay_executor.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/quarantine.h"
@@ -59,7 +60,8 @@
   int status = 0;
   HttpHeaders answer_headers;
   std::string answer_body;
-  std::string group;  ///< Of the last attempt; for the log.
+  std::string group;              ///< Of the last attempt; for the log.
+  std::set<std::string> sent_to;  ///< Hosts of all attempts.
 };
 
 struct RelayExecutor::Attempt {
@@ -75,6 +77,7 @@
   HttpHeaders headers;
   std::string body;
   bool streams = false;  ///< The answer is a stream of events.
+  bool named = false;    ///< The answer names its request.
 };
 
 RelayExecutor::RelayExecutor(RelayContext context)
@@ -233,7 +236,10 @@
   call.method = http.method;
   call.target = http.query.empty() ? http.path : http.path + "?" + http.query;
   call.body = caller.body;
-  call.idempotent = caller.request.idempotent;
+  // Attempts of a request share its id, so a second copy of a host's answer to
+  // an earlier one could be taken for that to this one.
+  call.idempotent = caller.request.idempotent &&
+                    caller.sent_to.count(m_heads[dispatch.group]) == 0;
   auto remaining =
       std::max(kLeastTimeout, std::chrono::floor<milliseconds>(
                                   caller.request.deadline - m_context.now()));
@@ -287,6 +293,7 @@
   }
   attempt->call = m_context.backends->Start(MakeCall(dispatch, *caller),
                                             std::move(handlers));
+  caller->sent_to.insert(attempt->host);
   caller->exchange->SetDrainHandler(
       [call = std::weak_ptr<BackendAttempt>(attempt->call)] {
         if (auto running = call.lock()) running->Resume();
@@ -312,8 +319,10 @@
 
 AnswerHead RelayExecutor::OnHead(Attempt* attempt, int status,
                                  const HttpHeaders& headers) {
-  AnswerHead judged = platform::JudgeAnswer(attempt->caller->headers.request_id,
-                                            status, headers);
+  attempt->named = platform::NamesRequest(headers);
+  AnswerHead judged =
+      platform::JudgeAnswer(attempt->caller->headers.request_id, status,
+                            headers, attempt->call->reused());
   if (judged == AnswerHead::kAnswer) {
     attempt->status = status;
     attempt->headers = EndToEndHeaders(headers);
@@ -407,6 +416,7 @@
             {"status", std::to_string(end.status)},
             {"events", std::to_string(caller->stream.events())},
             {"reused", end.reused ? "yes" : "no"},
+            {"named", attempt->named ? "yes" : "no"},
             {"ms", Milliseconds(m_context.now() - attempt->started)},
             {"detail", end.detail}});
   m_context.metrics->Add(
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -208,6 +208,8 @@
     m_client->BoundHeldBytes();
   }
 
+  bool reused() const override { return m_end.reused; }
+
   std::size_t held() const { return m_held; }
 
   /// Ends the call for the bytes it keeps.
--- a/net/net.h
+++ b/net/net.h
@@ -340,6 +340,9 @@
   /// BackendOptions::max_held_bytes for all calls, the one that keeps the most
   /// ends broken.
   virtual void Hold(std::size_t bytes) = 0;
+  /// Whether the connection served another call before this one, so that its
+  /// next answer may be a second one to that.
+  virtual bool reused() const = 0;
 };
 
 struct BackendOptions {
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -198,14 +198,19 @@
 TEST_CASE("adapter judges the heads of answers") {
   HttpHeaders good = {{"X-Clementinelb-Attempt-Id", "a1"},
                       {"X-Clementinelb-Response-Signature", "s"}};
-  CHECK(JudgeAnswer("a1", 200, good) == AnswerHead::kAnswer);
-  CHECK(JudgeAnswer("a2", 200, good) == AnswerHead::kForeign);
-  CHECK(JudgeAnswer("a1", 200, {}) == AnswerHead::kForeign);
-  CHECK(JudgeAnswer("a1", 500, {}) == AnswerHead::kAnswer);
-  CHECK(JudgeAnswer("a1", 503, {}) == AnswerHead::kAnswer);
-  CHECK(JudgeAnswer("a1", 421, {}) == AnswerHead::kNotRun);
-  CHECK(JudgeAnswer("a1", 503, {{"X-Clementinelb-Not-Executed", "1"}}) ==
+  CHECK(JudgeAnswer("a1", 200, good, false) == AnswerHead::kAnswer);
+  CHECK(JudgeAnswer("a2", 200, good, false) == AnswerHead::kForeign);
+  CHECK(JudgeAnswer("a1", 200, {}, false) == AnswerHead::kForeign);
+  CHECK(JudgeAnswer("a1", 500, {}, false) == AnswerHead::kAnswer);
+  CHECK(JudgeAnswer("a1", 503, {}, false) == AnswerHead::kAnswer);
+  CHECK(JudgeAnswer("a1", 421, {}, false) == AnswerHead::kNotRun);
+  CHECK(JudgeAnswer("a1", 503, {{"X-Clementinelb-Not-Executed", "1"}}, false) ==
         AnswerHead::kNotRun);
+  // On a connection that was in use before, an answer has to name its request.
+  CHECK(JudgeAnswer("a1", 200, good, true) == AnswerHead::kAnswer);
+  CHECK(JudgeAnswer("a1", 503, {{"X-Clementinelb-Not-Executed", "1"}}, true) ==
+        AnswerHead::kForeign);
+  CHECK(JudgeAnswer("a1", 500, {}, true) == AnswerHead::kForeign);
 }
 
 // Guards against an order that is taken for refused though it may be carried
--- a/testing/relay_fixture.h
+++ b/testing/relay_fixture.h
@@ -26,7 +26,8 @@
 struct RelayFixture {
   explicit RelayFixture(ScriptedServer::Script script,
                         RouteKind kind = RouteKind::kIdempotent,
-                        const ScriptedServer::Script& second = nullptr)
+                        const ScriptedServer::Script& second = nullptr,
+                        int attempts = 2)
       : backends(&io, BackendOptions()),
         path(RequestPathOptions()),
         executor(Context()),
@@ -47,7 +48,7 @@
     route.timeout = milliseconds(4'000);
     route.shares = {{"desk", 1.0}};
     route.resumable = second != nullptr;
-    route.max_attempts = second != nullptr ? 2 : 1;
+    route.max_attempts = second != nullptr ? attempts : 1;
     configuration.routes.push_back(route);
     auto routes = std::make_shared<const RouteTable>(configuration);
     ConfigurationChanged changed;
@@ -97,20 +98,25 @@
     }
   }
   /// @return All that the caller got.
-  std::string Call() {
-    return CallTogether(1, [] {}).front();
+  std::string Call(const std::string& headers = "") {
+    return CallTogether(
+               1, [] {}, headers)
+        .front();
   }
 
   /// Calls side by side. @param watch Is called again and again meanwhile.
+  /// @param headers Further lines of the requests.
   /// @return All that each caller got.
   std::vector<std::string> CallTogether(std::size_t count,
-                                        const std::function<void()>& watch) {
+                                        const std::function<void()>& watch,
+                                        const std::string& headers = "") {
     std::vector<std::shared_ptr<RawConnection>> callers;
     for (std::size_t i = 0; i < count; ++i) {
       callers.push_back(RawConnection::Connect(&io, front.address()));
       callers.back()->Send(
           "GET /x HTTP/1.1\r\nHost: desk.example\r\n"
-          "Connection: close\r\n\r\n");
+          "Connection: close\r\n" +
+          headers + "\r\n");
     }
     CHECK(RunUntil(&io, [&] {
       executor.CheckSilence();
