Tell requests apart by method and query

Requests without a body that differ in their query had the same digest, so that their crashes added up, and any of them that completed would acquit the others. Change: method and query are part of it. Test: none of its own; the process tests of crashes run with it.

--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -213,7 +213,8 @@
   bool stream = match.route->kind == RouteKind::kStream;
   request.request_class = stream ? RequestClass::kStream : RequestClass::kPlain;
   request.path = http.path;
-  request.content_digest = TextDigest(http.path + "\n" + http.body);
+  request.content_digest = TextDigest(fmt::format(
+      "{} {}?{}\n{}", http.method, http.path, http.query, http.body));
   request.idempotent = match.route->kind == RouteKind::kIdempotent ||
                        (stream && match.route->resumable);
   request.max_attempts = std::max(1, match.route->max_attempts);
