Mend what the linter finds in new tests

Cause: the new test files had not been linted. Change: a constant's name, a concatenation, a structured binding that a lambda captured, one statement without braces. Test: scripts/lint on these files prints nothing. Conclusion: no check changed.

--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -282,7 +282,7 @@
     server->http->SetRefusing(false);
     Begin(server);
     if (ended == server->id) co_return;
-    if (down < kEntryLife) co_await Sleep(kEntryLife - down);
+    co_await Sleep(std::max(milliseconds(0), kEntryLife - down));
     m_store.Remove("servers", ended);
   }
 
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include "config/config.h"
+#include "fmt/format.h"
 #include "platform/platform.h"
 #include "testing/net_test_support.h"
 
@@ -321,8 +322,9 @@
   for (const std::string& entry : odd) {
     CAPTURE(entry.substr(0, 40));
     auto object = [](const std::string& name, const std::string& spec) {
-      return R"({"metadata":{"name":")" + name + R"(","revision":5},"spec":)" +
-             spec + "}";
+      return fmt::format(
+          R"({{"metadata":{{"name":"{}","revision":5}},"spec":{}}})", name,
+          spec);
     };
     std::string list = R"({"entries":[)" + object("bad", entry) + "," +
                        object("good", kEntry) + R"(],"has_more":false,"at":7})";
@@ -385,10 +387,10 @@
       {"group.epoch", 18446744073709551615ULL},
       {"group.rank", -1},
       {"group.rank", 4294967296LL}};
-  for (const auto& [key, value] : odd) {
-    CAPTURE(key);
-    CAPTURE(JsonText(value));
-    CHECK_FALSE(DecodeServer("a", with(key, value)));
+  for (const auto& entry : odd) {
+    CAPTURE(entry.first);
+    CAPTURE(JsonText(entry.second));
+    CHECK_FALSE(DecodeServer("a", with(entry.first, entry.second)));
   }
   CHECK_FALSE(DecodeReport(R"({"sequence":-1})"));
   CHECK_FALSE(DecodeReport(R"({"sequence":1e999})"));
--- a/testing/relay_resume_test.cc
+++ b/testing/relay_resume_test.cc
@@ -62,24 +62,24 @@
 // Guards against an error's text in the middle of a caller's stream (MIXED),
 // and against a stream that ends as complete before its last piece (ORDER).
 TEST_CASE("an error of the next server cuts a stream that has begun") {
-  const std::string kError = "overloaded-by-others";
+  const std::string error = "overloaded-by-others";
   std::vector<std::string> answers = {
-      HttpAnswer(500, kError, kSigned),
-      HttpAnswer(404, kError, kSigned),
-      HttpAnswer(503, kError, "X-Clementinelb-Not-Executed: 1\r\n"),
-      HttpAnswer(200, kError,
+      HttpAnswer(500, error, kSigned),
+      HttpAnswer(404, error, kSigned),
+      HttpAnswer(503, error, "X-Clementinelb-Not-Executed: 1\r\n"),
+      HttpAnswer(200, error,
                  std::string(kSigned) + "Content-Type: text/plain\r\n"),
-      HttpAnswer(200, kError + "\n\n",
+      HttpAnswer(200, error + "\n\n",
                  std::string(kSigned) + "Content-Type: text/plain\r\n"),
       "HTTP/1.1 204 No Content\r\n" + std::string(kSigned) + "\r\n",
       StreamHead("text/event-stream") + "0\r\n\r\n",
-      StreamHead("text/event-stream") + Chunk(kError + "\n\n") + "0\r\n\r\n",
-      StreamHead("text/event-stream") + Chunk("data: " + kError) + "0\r\n\r\n"};
+      StreamHead("text/event-stream") + Chunk(error + "\n\n") + "0\r\n\r\n",
+      StreamHead("text/event-stream") + Chunk("data: " + error) + "0\r\n\r\n"};
   for (const std::string& answer : answers) {
     CAPTURE(answer);
     std::string received = CallStream(answer);
     CHECK(received.find("data: b") != std::string::npos);
-    CHECK(received.find(kError) == std::string::npos);
+    CHECK(received.find(error) == std::string::npos);
     CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
     CHECK_FALSE(EndsComplete(received));
   }
