--- a/core/crash_exchange.h
+++ b/core/crash_exchange.h
@@ -6,11 +6,11 @@
 // the daemon tells the marks to the others directly.
 //
 //   CrashExchange exchange("d1");
-//   exchange.Share(share, now, wall);                // A request path's
-//   action. for (const auto& learned : exchange.Objects(...))  // Read from the
-//   platform.
+//   exchange.Share(share, now, wall);
+//   for (const auto& learned : exchange.Objects(read_objects, wall)) {
 //     path.Handle(learned, now);
-//   for (const auto& action : exchange.Advance(...))   // Every some ten ms.
+//   }
+//   for (const auto& action : exchange.Advance(now, wall, cleans)) ...
 #ifndef CORE_CRASH_EXCHANGE_H_
 #define CORE_CRASH_EXCHANGE_H_
 
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -21,7 +21,8 @@
 constexpr std::size_t kMaxUnexplained = 1024;
 /// A server that ended is back, or its entry has lapsed, within some seconds.
 constexpr milliseconds kUnexplainedTime{10'000};
-constexpr int kSuccess = 2;
+/// First digit of the status of a success.
+constexpr int kSuccessClass = 2;
 constexpr int kClientErrors = 400;
 constexpr int kServerErrors = 500;
 constexpr int kTooManyRequests = 429;
@@ -361,7 +362,7 @@
 void RequestPath::Impl::Acquit(const std::string& digest,
                                const AttemptEnded& event) {
   bool good = event.result == AttemptResult::kComplete &&
-              (event.status == 0 || event.status / 100 == kSuccess);
+              (event.status == 0 || event.status / 100 == kSuccessClass);
   if (!good) return;
   std::erase_if(m_unexplained, [&digest](const auto& entry) {
     return entry.second.digest == digest;
