--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -36,6 +36,10 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
+std::string JoinParts(const std::vector<std::string>& parts) {
+  return parts.empty() ? "-" : fmt::format("{}", fmt::join(parts, ","));
+}
+
 bool IsEventStream(const HttpHeaders& headers) {
   return FindHeader(headers, "Content-Type").starts_with("text/event-stream");
 }
@@ -318,6 +322,8 @@
             {"group", attempt->group},
             {"host", attempt->host},
             {"digest", Quarantine::Digest(attempt->caller->request)},
+            {"parts", JoinParts(attempt->caller->headers.shared_parts)},
+            {"began", attempt->last_progress == TimePoint() ? "no" : "yes"},
             {"ms", Milliseconds(m_context.now() - attempt->started)}});
   m_context.metrics->Add("clementine_attempts_ended_total",
                          "result=\"cancelled\"");
@@ -418,6 +424,8 @@
   LogEvent("attempt_ended",
            {{"request", std::to_string(caller->id)},
             {"digest", complete ? "-" : Quarantine::Digest(caller->request)},
+            {"parts", complete ? "-" : JoinParts(caller->headers.shared_parts)},
+            {"began", attempt->last_progress == TimePoint() ? "no" : "yes"},
             {"group", attempt->group},
             {"host", attempt->host},
             {"result", AttemptResultName(end.result)},
