Show that requests with one deadly part end server after server

Cause: callers' requests of which no two are alike share a part of their prompts that ends servers; crashes are blamed on whole requests only. Change: the stand-in of the users' platform ends a server under a prompt part named "deadly"; a process test sends such requests to four daemons, restarts them, adds one, and sends sound requests that share the other part.

--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -6,6 +6,8 @@
 //   {"crash": true}     ends its server when it begins to run. The server's
 //       connections are reset and its port refuses for "down_ms" (default 500).
 //       With "down_ms" 0 only the connections are reset.
+// A request whose prompt has a part named "deadly" before its last one does
+// the same, whatever its body.
 // A server that ended comes back under a new id, and its old entry is removed a
 // second after its end, as the entry of one that sends nothing more.
 //
@@ -287,7 +289,7 @@
     ++m_runs[exchange->body()];
     Json body = TryParseJson(exchange->body());
     if (!body.is_object()) body = Json::object();
-    if (body.value("crash", false)) {
+    if (body.value("crash", false) || HasDeadlyPart(*exchange)) {
       milliseconds down(body.value("down_ms", kDefaultDown.count()));
       asio::co_spawn(*m_io, End(server, down), asio::detached);
       exchange->Drop();
@@ -300,6 +302,13 @@
     co_await exchange->Answer(200, std::string("done\n"), headers);
   }
 
+  static bool HasDeadlyPart(const Exchange& exchange) {
+    std::string parts = "," + exchange.Header("X-Clementinelb-Prompt-Prefix");
+    std::size_t found = parts.find(",deadly:");
+    return found != std::string::npos &&
+           parts.find(',', found + 1) != std::string::npos;
+  }
+
   asio::awaitable<void> Front(Exchange* exchange) {
     if (exchange->path() == "/control/runs") {
       Json runs = m_runs;
--- a/testing/process_crash_test.cc
+++ b/testing/process_crash_test.cc
@@ -161,6 +161,61 @@
 
 namespace {
 
+/// Sends requests of which no two are alike, but whose prompts may share parts.
+class PartSender {
+ public:
+  explicit PartSender(FleetSite* site) : m_site(site) {}
+
+  /// @param shared Shared parts, each with a comma after it.
+  int Send(int daemon, const std::string& shared) {
+    std::string number = std::to_string(++m_sent);
+    return m_site
+        ->Send(daemon, R"({"n":)" + number + "}", "/read/x",
+               shared + "own" + number + ":250")
+        .status;
+  }
+
+  /// Sends requests with the deadly part to all daemons in turn until servers
+  /// have ended.
+  void EndServers(int count) {
+    for (int daemon = 0; m_site->Ended() < count; ++daemon) {
+      REQUIRE(daemon < 10 * count);
+      Send(daemon % 4, kTainted);
+    }
+  }
+
+  static constexpr char kTainted[] = "common:400,deadly:800,";
+
+ private:
+  FleetSite* m_site;
+  int m_sent = 0;
+};
+
+}  // namespace
+
+// Guards against requests of which no two are alike, but which share a part
+// that ends servers: blaming whole requests never stops them (BUDGET).
+TEST_CASE("requests with a part that ends servers run at no daemon any more") {
+  FleetSite site;
+  PartSender sender(&site);
+  CHECK(sender.Send(0, "common:400,") == 200);
+  sender.EndServers(3);
+  std::this_thread::sleep_for(kNotice);
+  const int ended = site.Ended();
+  CHECK(ended <= 5);
+  for (int daemon = 0; daemon < 4; ++daemon) site.Restart(daemon);
+  int added = site.Add();
+  for (int daemon = 0; daemon <= added; ++daemon) {
+    CHECK(sender.Send(daemon, PartSender::kTainted) == 503);
+    CHECK(sender.Send(daemon, "other:90,deadly:800,") == 503);
+    // Sound requests share the other part (LOST).
+    CHECK(sender.Send(daemon, "common:400,") == 200);
+  }
+  CHECK(site.Ended() == ended);
+}
+
+namespace {
+
 using Clock = std::chrono::steady_clock;
 
 /// Random faults around one culprit, checked as the users' rule counts: from
--- a/testing/process_fleet.cc
+++ b/testing/process_fleet.cc
@@ -80,11 +80,14 @@
 }
 
 Answer FleetSite::Send(int daemon, const std::string& body,
-                       const std::string& path) {
+                       const std::string& path, const std::string& parts) {
   Headers headers = {
       {"Host", "desk.example"},
       {"X-Clementinelb-Attempt-Id", fmt::format("a{}", ++m_requests)},
       {"X-Clementinelb-Deadline-Ms", "4000"}};
+  if (!parts.empty()) {
+    headers.emplace_back("X-Clementinelb-Prompt-Prefix", parts);
+  }
   auto& process = m_daemons[static_cast<std::size_t>(daemon)];
   return Fetch(process->Listening("listen"), "POST", path, body, headers);
 }
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -26,8 +26,10 @@
   explicit FleetSite(FleetOptions options = {});
 
   /// Sends a request to a daemon on a connection of its own.
+  /// @param parts Parts of its prompt, as the platform spells them; may be "".
   Answer Send(int daemon, const std::string& body,
-              const std::string& path = "/read/x");
+              const std::string& path = "/read/x",
+              const std::string& parts = "");
 
   /// How often servers began to run a body so far.
   int Runs(const std::string& body);
