Send crash marks to daemons that start after them

Cause: on our own interface, crash marks are sent a number of times when they are new. A daemon that starts or restarts afterwards knows none, and sends quarantined requests to servers again. Change: a daemon that pings for the first time in its incarnation, or asks for all verdicts, gets all crash marks too.

--- a/core/membership.h
+++ b/core/membership.h
@@ -71,6 +71,12 @@
   bool IsKnown(const std::string& node) const {
     return m_members.count(node) > 0;
   }
+  /// Whether a daemon is known and has not been restarted since.
+  bool IsKnownIncarnation(const PeerInfo& peer) const {
+    auto found = m_members.find(peer.node);
+    return found != m_members.end() &&
+           found->second.update.peer.incarnation >= peer.incarnation;
+  }
 
   /// Notifies other daemons that this one stops. From then on it doesn't refute
   /// suspicions.
--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -205,10 +205,10 @@
   }
   bool new_daemon = message.kind == PeerMessageKind::kPing &&
                     message.sender.data_centre == m_self.data_centre &&
-                    !m_members.IsKnown(message.sender.node);
+                    !m_members.IsKnownIncarnation(message.sender);
   CollectMembershipResult(m_members.Receive(message, now), now, &result);
   if (new_daemon || message.want_presence) {
-    SendPresence(message.sender.peer_address, now, &result);
+    SendKnownUpdates(message.sender.peer_address, now, &result);
   }
   if (message.sender.data_centre == m_self.data_centre) {
     ReceiveHeader(message);
@@ -225,8 +225,8 @@
   return result;
 }
 
-void PeerExchange::SendPresence(const std::string& address, TimePoint now,
-                                PeerExchangeResult* result) {
+void PeerExchange::SendKnownUpdates(const std::string& address, TimePoint now,
+                                    PeerExchangeResult* result) {
   PeerMessage message;
   message.kind = PeerMessageKind::kPresence;
   message.sender = m_self;
@@ -237,6 +237,20 @@
     message.presence.clear();
   }
   if (!message.presence.empty()) {
+    SendMessage(address, message, now, result);
+    message.presence.clear();
+  }
+  // A daemon that starts later missed the crash marks when they were spread.
+  for (const auto& [digest, pending] : m_quarantine) {
+    if (pending.expires <= now) continue;
+    message.quarantine.push_back(
+        {digest,
+         std::chrono::duration_cast<milliseconds>(pending.expires - now)});
+    if (message.quarantine.size() < kMaxVerdictsPerMessage) continue;
+    SendMessage(address, message, now, result);
+    message.quarantine.clear();
+  }
+  if (!message.quarantine.empty()) {
     SendMessage(address, std::move(message), now, result);
   }
 }
--- a/core/peer_exchange.h
+++ b/core/peer_exchange.h
@@ -97,8 +97,9 @@
   int SendsForUpdate() const;
   void DropDeadReporters();
   void UpdatePresenceDigest();
-  void SendPresence(const std::string& address, TimePoint now,
-                    PeerExchangeResult* result);
+  /// Sends all verdicts and crash marks.
+  void SendKnownUpdates(const std::string& address, TimePoint now,
+                        PeerExchangeResult* result);
   bool IsPresenceStable(TimePoint now);
   void ComparePresence(const PeerMessage& message, TimePoint now,
                        PeerExchangeResult* result);
--- a/testing/peer_exchange_test.cc
+++ b/testing/peer_exchange_test.cc
@@ -203,6 +203,24 @@
   }
 }
 
+// Guards against a daemon that starts after crashes, knows none of them, and
+// sends a quarantined request to servers again.
+TEST_CASE("quarantine entries reach daemons that start after them") {
+  Network net(6);
+  net.Run(milliseconds(10'000));
+  for (int i = 0; i < 600; ++i) {
+    net.node(i % 6).SpreadQuarantine(
+        {"digest" + std::to_string(i), milliseconds(600'000)}, net.now());
+  }
+  net.Run(milliseconds(30'000));
+  net.Start(6, 1);
+  net.Start(4, 2);
+  net.quarantine[4].clear();
+  net.Run(milliseconds(5'000));
+  CHECK(net.quarantine[6].size() == 600);
+  CHECK(net.quarantine[4].size() == 600);
+}
+
 // Guards against a daemon that exceeds its traffic budget when nothing changes.
 TEST_CASE("steady traffic of a daemon stays within 2 KB/s") {
   constexpr int kNodes = 109;
