--- a/core/core.h
+++ b/core/core.h
@@ -115,8 +115,11 @@
   std::string service;  ///< Empty for models.
   std::string adapter;
   std::vector<std::uint64_t> prefix_blocks;  ///< Hashes of prompt blocks.
-  std::string content_digest;                ///< Digest of the body.
-  std::uint32_t prompt_tokens = 0;           ///< Estimated.
+  /// Identifiers of the parts of the prompt that other requests may share, at
+  /// most 16. Crashes can be blamed on them.
+  std::vector<std::string> shared_parts;
+  std::string content_digest;       ///< Digest of the body.
+  std::uint32_t prompt_tokens = 0;  ///< Estimated.
   std::uint32_t max_tokens = 0;
   bool idempotent = true;
   std::string idempotency_key;  ///< Empty when the caller gave none.
--- a/core/crash_exchange.cc
+++ b/core/crash_exchange.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <string_view>
 
 #include "core/exponential_backoff.h"
@@ -22,8 +23,10 @@
 constexpr milliseconds kBatchWindow{150};
 /// Acquittals are less urgent than marks: the mark of a request that has
 /// completed does no harm unless the request is in flight at two more crashes
-/// before the acquittal arrives and is quarantined for that reason.
-constexpr milliseconds kAcquittalDelay{2'000};
+/// before the acquittal arrives and is quarantined for that reason. Many
+/// daemons may have seen a part that one daemon's mark names.
+constexpr milliseconds kMinAcquittalDelay{1'000};
+constexpr milliseconds kMaxAcquittalDelay{2'500};
 constexpr milliseconds kWriteInterval{500};
 /// A write without a reply is repeated after this time. If the first write is
 /// carried out late, it only stores marks that are already known.
@@ -94,6 +97,13 @@
 // ---------------------------------------------------------------------------
 // Marks of this daemon and of others.
 
+CrashExchange::CrashExchange(std::string node)
+    : m_node(std::move(node)),
+      m_acquittal_delay(
+          kMinAcquittalDelay +
+          milliseconds(std::hash<std::string>()(m_node) %
+                       (kMaxAcquittalDelay - kMinAcquittalDelay).count())) {}
+
 void CrashExchange::ShareMark(const ShareQuarantine& share, TimePoint now,
                               WallTime wall) {
   if (share.digest.size() >= kMaxNameBytes ||
@@ -104,16 +114,12 @@
   if (acquits) {
     // If the mark was not written yet, neither the mark nor the acquittal needs
     // to be shared.
-    auto mark = m_marks.find(AcquittedMark(share.digest));
-    if (mark != m_marks.end() && mark->second.change > m_sent_change) {
-      m_marks.erase(mark);
-      return;
-    }
+    if (DropUnsentMark(AcquittedMark(share.digest))) return;
   }
   EvictIfFull();
   bool idle = !pending();
   m_marks[share.digest] = {wall + share.remaining, ++m_last_change};
-  TimePoint due = now + (acquits ? kAcquittalDelay : kBatchWindow);
+  TimePoint due = now + (acquits ? m_acquittal_delay : kBatchWindow);
   m_write_due_at = idle ? due : std::min(m_write_due_at, due);
   if (m_notify_count > 0 && !acquits) {
     m_notify_count = 0;
@@ -138,6 +144,9 @@
     stored.expires = WallTime();
     for (const CrashMark& mark : marks) {
       stored.expires = std::max(stored.expires, mark.expires);
+      if (object.name != m_node && IsAcquittal(mark.name)) {
+        DropUnsentMark(mark.name);
+      }
       bool own = object.name == m_node && mark.expires > wall;
       if (own && m_marks.size() < kMaxMarks) {
         m_marks.emplace(mark.name, Mark{mark.expires, 0});
@@ -161,12 +170,28 @@
   });
 }
 
+bool CrashExchange::DropUnsentMark(const std::string& name) {
+  auto mark = m_marks.find(name);
+  if (mark == m_marks.end() || mark->second.change <= m_sent_change) {
+    return false;
+  }
+  m_marks.erase(mark);
+  return true;
+}
+
+// Evicts a mark of the key with the fewest marks, which is the least likely to
+// be the cause of crashes, and among equals the one that expires first.
 void CrashExchange::EvictIfFull() {
   if (m_marks.size() < kMaxMarks) return;
-  m_marks.erase(std::min_element(m_marks.begin(), m_marks.end(),
-                                 [](const auto& a, const auto& b) {
-                                   return a.second.expires < b.second.expires;
-                                 }));
+  std::map<std::string, std::size_t> marks_by_key;
+  for (const auto& [name, mark] : m_marks) ++marks_by_key[KeyOfMark(name)];
+  m_marks.erase(std::min_element(
+      m_marks.begin(), m_marks.end(), [&](const auto& a, const auto& b) {
+        std::size_t a_count = marks_by_key[KeyOfMark(a.first)];
+        std::size_t b_count = marks_by_key[KeyOfMark(b.first)];
+        return a_count != b_count ? a_count < b_count
+                                  : a.second.expires < b.second.expires;
+      }));
 }
 
 bool CrashExchange::pending() const {
--- a/core/crash_exchange.h
+++ b/core/crash_exchange.h
@@ -69,7 +69,7 @@
   };
   using Action = std::variant<PutObject, DeleteObject, NotifyDaemons>;
 
-  explicit CrashExchange(std::string node) : m_node(std::move(node)) {}
+  explicit CrashExchange(std::string node);
 
   /// Adds a mark from this daemon's request path.
   void ShareMark(const ShareQuarantine& share, TimePoint now, WallTime wall);
@@ -109,12 +109,17 @@
   /// Encodes this daemon's marks for other daemons. Called after Expire.
   std::string Encode() const;
   void Expire(WallTime wall);
+  /// Removes a mark that was not written or sent yet.
+  /// @return Whether there was one.
+  bool DropUnsentMark(const std::string& name);
   void EvictIfFull();
   void WriteOrNotify(TimePoint now, std::vector<Action>* out);
   void RemoveExpiredObject(TimePoint now, WallTime wall,
                            std::vector<Action>* out);
 
   std::string m_node;
+  /// Differs between daemons, so that the first to acquit spares the others.
+  milliseconds m_acquittal_delay;
   std::map<std::string, Mark> m_marks;  ///< Marks of this daemon by name.
   std::map<std::string, StoredObject> m_objects;  ///< Objects by daemon.
   /// Marks of an earlier incarnation were read.
--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -6,8 +6,13 @@
 #include "core/quarantine.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
+#include "core/crash_attribution.h"
+#include "core/exponential_backoff.h"
+#include "fmt/format.h"
+
 namespace clementine {
 
 namespace {
@@ -19,11 +24,23 @@
 constexpr char kCrashSeparator = '/';
 /// Separates the digest from the name of the crash in an acquittal.
 constexpr char kAcquittalSeparator = '!';
-/// Includes the crashes of which the digest is acquitted.
-constexpr std::size_t kMaxCrashesPerDigest = 16;
+/// Includes the crashes of which the key is acquitted.
+constexpr std::size_t kMaxCrashesPerKey = 24;
+/// More than the limit, so that the cause of crashes can be told from keys that
+/// were in flight at some of them.
+constexpr std::size_t kMaxUnacquitted = 16;
+/// Digests of requests begin with a hexadecimal digit.
+constexpr char kPartPrefix = 'p';
+constexpr std::size_t kPartDigestChars = 16;
+/// A fault that is mended is usually mended within minutes.
+constexpr milliseconds kFirstTrialDelay{60'000};
+/// Twice the time in which the result of a trial reaches all daemons.
+constexpr milliseconds kTrialSpreadPerDaemon{2'000};
+/// A trial whose result is not known after this time did not run.
+constexpr milliseconds kTrialTimeout{30'000};
 /// Longer than it takes for a crash to become known to all daemons.
 constexpr milliseconds kCompletionWindow{10'000};
-constexpr std::size_t kMaxCompletions = 4096;
+constexpr std::size_t kMaxCompletions = 8192;
 constexpr char kUnnamedCrashPrefix[] = "unnamed#";
 
 std::size_t FindSeparator(const std::string& name) {
@@ -38,6 +55,10 @@
          name[separator] == kAcquittalSeparator;
 }
 
+std::string KeyOfMark(const std::string& name) {
+  return name.substr(0, FindSeparator(name));
+}
+
 std::string AcquittedMark(const std::string& acquittal) {
   std::string mark = acquittal;
   mark[FindSeparator(mark)] = kCrashSeparator;
@@ -48,31 +69,183 @@
   return TextDigest(request.organisation + '\n' + request.content_digest);
 }
 
-Quarantine::DigestState Quarantine::Classify(const std::string& digest,
-                                             TimePoint now) const {
-  auto count = static_cast<std::size_t>(Count(digest, now));
-  if (count == 0) return DigestState::kClear;
-  return count >= m_crash_limit ? DigestState::kQuarantined
-                                : DigestState::kSuspect;
+CrashKeys Quarantine::Keys(const Request& request) {
+  CrashKeys keys = {Digest(request)};
+  const std::string& target =
+      request.model.empty() ? request.service : request.model;
+  for (const std::string& part : request.shared_parts) {
+    std::string digest = TextDigest(fmt::format("{}\n{}", target, part));
+    keys.push_back(kPartPrefix + digest.substr(0, kPartDigestChars));
+  }
+  return keys;
+}
+
+std::size_t Quarantine::LimitOf(const std::string& key) const {
+  bool part = key.starts_with(kPartPrefix);
+  return part ? std::max(m_crash_limit, kMinPartCrashes) : m_crash_limit;
 }
 
-int Quarantine::Count(const std::string& digest, TimePoint now) const {
-  const Entry* entry = Find(digest, now);
+Quarantine::State Quarantine::Classify(const CrashKeys& keys,
+                                       TimePoint now) const {
+  if (!CausesOf(keys, now).empty()) return State::kQuarantined;
+  return Count(keys.front(), now) == 0 ? State::kClear : State::kSuspect;
+}
+
+int Quarantine::Count(const std::string& key, TimePoint now) const {
+  const Entry* entry = Find(key, now);
   return entry == nullptr ? 0 : static_cast<int>(CountUnacquitted(*entry));
 }
 
-milliseconds Quarantine::RemainingTime(const std::string& digest,
+CrashKeys Quarantine::BlamedKeys(const CrashKeys& keys, TimePoint now) const {
+  CrashKeys blamed;
+  for (const Cause* cause : CausesOf(keys, now)) {
+    blamed.insert(blamed.end(), cause->keys.begin(), cause->keys.end());
+  }
+  return blamed;
+}
+
+milliseconds Quarantine::RemainingTime(const CrashKeys& keys,
                                        TimePoint now) const {
-  const Entry* entry = Find(digest, now);
-  if (entry == nullptr) return milliseconds(0);
-  return std::chrono::ceil<milliseconds>(entry->expires_at - now);
+  milliseconds remaining{0};
+  for (const Cause* cause : CausesOf(keys, now)) {
+    remaining = std::max(
+        remaining, std::chrono::ceil<milliseconds>(cause->expires_at - now));
+  }
+  return remaining;
+}
+
+// ---------------------------------------------------------------------------
+// Causes and their trials.
+
+void Quarantine::UpdateCauses(TimePoint now) const {
+  if (!m_causes_outdated && now < m_causes_expire_at) return;
+  m_causes_outdated = false;
+  m_causes_expire_at = TimePoint::max();
+  std::vector<CrashEvidence> evidence;
+  for (const auto& [key, entry] : m_entries) {
+    if (entry.expires_at <= now) continue;
+    m_causes_expire_at = std::min(m_causes_expire_at, entry.expires_at);
+    std::size_t limit = LimitOf(key);
+    if (CountUnacquitted(entry) < limit) continue;
+    // With as many crashes, a part explains those of several requests.
+    CrashEvidence found{key, {}, limit, key.starts_with(kPartPrefix)};
+    for (const Crash& crash : entry.crashes) {
+      if (crash.acquitted) continue;
+      bool named = !crash.name.starts_with(kUnnamedCrashPrefix);
+      found.crashes.push_back(named ? crash.name : key + crash.name);
+    }
+    evidence.push_back(std::move(found));
+  }
+  std::vector<Cause> causes;
+  for (CrashCause& cause : AttributeCrashes(std::move(evidence))) {
+    causes.push_back(
+        MakeCause(std::move(cause.keys), cause.crashes.size(), now));
+  }
+  bool changed = causes.size() != m_causes.size();
+  m_causes_by_key.clear();
+  for (std::size_t i = 0; i < causes.size(); ++i) {
+    bool known = std::any_of(
+        m_causes.begin(), m_causes.end(),
+        [&](const Cause& old) { return old.keys == causes[i].keys; });
+    changed = changed || !known;
+    m_times_quarantined += known ? 0 : 1;
+    m_causes_by_key[causes[i].keys.front()].push_back(i);
+  }
+  m_cause_changes += changed ? 1 : 0;
+  m_causes = std::move(causes);
 }
 
+Quarantine::Cause Quarantine::MakeCause(CrashKeys keys, std::size_t crash_count,
+                                        TimePoint now) const {
+  Cause cause;
+  cause.crash_count = crash_count;
+  cause.expires_at = TimePoint::max();
+  for (const std::string& key : keys) {
+    const Entry& entry = *Find(key, now);
+    cause.expires_at = std::min(cause.expires_at, entry.expires_at);
+    int failed_trials = 0;
+    TimePoint last;
+    for (const Crash& crash : entry.crashes) {
+      if (crash.acquitted) continue;
+      bool late =
+          last != TimePoint() && crash.recorded_at - last >= kTrialTimeout;
+      failed_trials += late ? 1 : 0;
+      last = crash.recorded_at;
+    }
+    cause.last_crash = std::max(cause.last_crash, last);
+    cause.failed_trials = std::max(cause.failed_trials, failed_trials);
+  }
+  cause.keys = std::move(keys);
+  return cause;
+}
+
+std::vector<const Quarantine::Cause*> Quarantine::CausesOf(
+    const CrashKeys& keys, TimePoint now) const {
+  UpdateCauses(now);
+  std::vector<const Cause*> found;
+  if (m_causes.empty()) return found;
+  for (const std::string& key : keys) {
+    auto indexes = m_causes_by_key.find(key);
+    if (indexes == m_causes_by_key.end()) continue;
+    for (std::size_t index : indexes->second) {
+      const Cause& cause = m_causes[index];
+      bool all = std::all_of(
+          cause.keys.begin(), cause.keys.end(), [&](const std::string& part) {
+            return std::find(keys.begin(), keys.end(), part) != keys.end();
+          });
+      if (all) found.push_back(&cause);
+    }
+  }
+  return found;
+}
+
+std::uint64_t Quarantine::cause_changes(TimePoint now) const {
+  UpdateCauses(now);
+  return m_cause_changes;
+}
+
+std::uint64_t Quarantine::times_quarantined(TimePoint now) const {
+  UpdateCauses(now);
+  return m_times_quarantined;
+}
+
+TimePoint Quarantine::NextTrial(const Cause& cause) const {
+  milliseconds delay =
+      ExponentialBackoff(std::min(kFirstTrialDelay, m_duration / 2),
+                         m_duration / 2, cause.failed_trials);
+  std::size_t hash = std::hash<std::string>()(
+      fmt::format("{}{}{}", m_seed, cause.keys.front(), cause.crash_count));
+  milliseconds spread = m_daemons * kTrialSpreadPerDaemon;
+  return cause.last_crash + delay +
+         milliseconds(static_cast<std::int64_t>(hash % 1000) * spread.count() /
+                      1000);
+}
+
+bool Quarantine::StartTrial(const CrashKeys& keys, TimePoint now) {
+  std::vector<const Cause*> causes = CausesOf(keys, now);
+  auto due = [&](const Cause* cause) {
+    auto last = m_trials.find(fmt::format("{}", fmt::join(cause->keys, "+")));
+    return now >= NextTrial(*cause) &&
+           (last == m_trials.end() || now - last->second >= kTrialTimeout);
+  };
+  if (!std::all_of(causes.begin(), causes.end(), due)) return false;
+  std::erase_if(m_trials, [&](const auto& trial) {
+    return now - trial.second >= kTrialTimeout;
+  });
+  for (const Cause* cause : causes) {
+    m_trials[fmt::format("{}", fmt::join(cause->keys, "+"))] = now;
+  }
+  return true;
+}
+
+// ---------------------------------------------------------------------------
+// Crashes and acquittals.
+
 std::optional<ShareQuarantine> Quarantine::OnServerCrash(
-    const std::string& digest, const std::string& group, TimePoint started,
+    const std::string& key, const std::string& group, TimePoint started,
     TimePoint now) {
   int number = 1;
-  if (const Entry* entry = Find(digest, now)) {
+  if (const Entry* entry = Find(key, now)) {
     for (const Crash& crash : entry->crashes) {
       if (crash.name.compare(0, group.size() + 1, group + '#') == 0) {
         if (crash.recorded_at >= started) {
@@ -82,10 +255,10 @@
       }
     }
   }
-  if (HasRecentlyCompleted(digest, now)) return std::nullopt;
+  if (HasRecentlyCompleted(key, now)) return std::nullopt;
   std::string name = group + '#' + std::to_string(number);
-  Add(digest, name, /*acquitted=*/false, now + m_duration, now);
-  return ShareQuarantine{digest + kCrashSeparator + name, m_duration};
+  Add(key, name, /*acquitted=*/false, now + m_duration, now);
+  return ShareQuarantine{key + kCrashSeparator + name, m_duration};
 }
 
 std::vector<ShareQuarantine> Quarantine::OnPeerNotice(
@@ -112,9 +285,9 @@
 }
 
 std::vector<ShareQuarantine> Quarantine::OnRequestCompleted(
-    const std::string& digest, TimePoint now) {
-  m_completed[digest] = now;
-  m_completed_order.emplace_back(now, digest);
+    const std::string& key, TimePoint now) {
+  m_completed[key] = now;
+  m_completed_order.emplace_back(now, key);
   while (m_completed_order.size() > kMaxCompletions ||
          now - m_completed_order.front().first > kCompletionWindow) {
     auto oldest = m_completed.find(m_completed_order.front().second);
@@ -123,29 +296,30 @@
     if (last) m_completed.erase(oldest);
     m_completed_order.pop_front();
   }
-  return Acquit(digest, now);
+  return Acquit(key, now);
 }
 
-bool Quarantine::HasRecentlyCompleted(const std::string& digest,
+bool Quarantine::HasRecentlyCompleted(const std::string& key,
                                       TimePoint now) const {
-  auto found = m_completed.find(digest);
+  auto found = m_completed.find(key);
   return found != m_completed.end() && now - found->second <= kCompletionWindow;
 }
 
-std::vector<ShareQuarantine> Quarantine::Acquit(const std::string& digest,
+std::vector<ShareQuarantine> Quarantine::Acquit(const std::string& key,
                                                 TimePoint now) {
   std::vector<ShareQuarantine> shares;
-  Entry* entry = Find(digest, now);
+  Entry* entry = Find(key, now);
   if (entry == nullptr) return shares;
   auto remaining = std::chrono::ceil<milliseconds>(entry->expires_at - now);
   for (Crash& crash : entry->crashes) {
-    // The crashes of a digest that was shared without a name are unknown, so a
+    // The crashes of a key that was shared without a name are unknown, so a
     // completion cannot acquit it of them.
     if (crash.acquitted || crash.name.starts_with(kUnnamedCrashPrefix)) {
       continue;
     }
     crash.acquitted = true;
-    shares.push_back({digest + kAcquittalSeparator + crash.name, remaining});
+    m_causes_outdated = true;
+    shares.push_back({key + kAcquittalSeparator + crash.name, remaining});
   }
   return shares;
 }
@@ -162,26 +336,26 @@
   });
 }
 
-const Quarantine::Entry* Quarantine::Find(const std::string& digest,
+const Quarantine::Entry* Quarantine::Find(const std::string& key,
                                           TimePoint now) const {
-  auto found = m_entries.find(digest);
+  auto found = m_entries.find(key);
   if (found == m_entries.end() || found->second.expires_at <= now) {
     return nullptr;
   }
   return &found->second;
 }
 
-Quarantine::Entry* Quarantine::Find(const std::string& digest, TimePoint now) {
-  return const_cast<Entry*>(std::as_const(*this).Find(digest, now));
+Quarantine::Entry* Quarantine::Find(const std::string& key, TimePoint now) {
+  return const_cast<Entry*>(std::as_const(*this).Find(key, now));
 }
 
-void Quarantine::Add(const std::string& digest, std::string crash,
-                     bool acquitted, TimePoint expires_at, TimePoint now) {
-  Entry* entry = Find(digest, now);
+void Quarantine::Add(const std::string& key, std::string crash, bool acquitted,
+                     TimePoint expires_at, TimePoint now) {
+  Entry* entry = Find(key, now);
   if (entry == nullptr) {
-    m_entries.erase(digest);
+    m_entries.erase(key);
     EvictIfFull();
-    entry = &m_entries[digest];
+    entry = &m_entries[key];
   }
   entry->expires_at = std::max(entry->expires_at, expires_at);
   std::vector<Crash>& crashes = entry->crashes;
@@ -190,33 +364,39 @@
                    [&](const Crash& other) { return other.name == crash; });
   if (known != crashes.end()) {
     known->acquitted = known->acquitted || acquitted;
+    m_causes_outdated = true;
     return;
   }
-  if (!acquitted && CountUnacquitted(*entry) >= m_crash_limit) return;
-  if (crashes.size() >= kMaxCrashesPerDigest) {
+  if (!acquitted && CountUnacquitted(*entry) >= kMaxUnacquitted) {
+    // The latest crash has to be known for the time of the next trial.
+    crashes.erase(
+        std::find_if(crashes.begin(), crashes.end(),
+                     [](const Crash& old) { return !old.acquitted; }));
+  }
+  if (crashes.size() >= kMaxCrashesPerKey) {
     crashes.erase(std::find_if(crashes.begin(), crashes.end(),
                                [](const Crash& old) { return old.acquitted; }));
   }
   crashes.push_back({std::move(crash), now, acquitted});
-  m_times_quarantined +=
-      !acquitted && CountUnacquitted(*entry) == m_crash_limit ? 1 : 0;
+  m_causes_outdated = true;
 }
 
 void Quarantine::EvictIfFull() {
   if (m_entries.size() < kMaxEntries) {
     return;
   }
-  // Evicts a suspect rather than a quarantined digest, and among equals the one
-  // that expires first.
+  // Evicts a key with few crashes rather than one that reaches its limit, and
+  // among equals the one that expires first.
   auto victim = std::min_element(
       m_entries.begin(), m_entries.end(), [&](const auto& a, const auto& b) {
-        bool a_quarantined = CountUnacquitted(a.second) >= m_crash_limit;
-        bool b_quarantined = CountUnacquitted(b.second) >= m_crash_limit;
+        bool a_quarantined = CountUnacquitted(a.second) >= LimitOf(a.first);
+        bool b_quarantined = CountUnacquitted(b.second) >= LimitOf(b.first);
         return a_quarantined != b_quarantined
                    ? b_quarantined
                    : a.second.expires_at < b.second.expires_at;
       });
   m_entries.erase(victim);
+  m_causes_outdated = true;
 }
 
 }  // namespace clementine
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -1,14 +1,21 @@
-// Tracks the requests that were in flight when a replica crashed, and blocks
-// requests that were in flight at several crashes.
+// Tracks what was in flight when a replica crashed, and blocks what crashes
+// replicas: a request, or a part of prompts that several requests share.
 //
 // Most requests in flight at a crash did not cause it, since all requests of a
-// server fail when it crashes. A request that completes at any daemon is
-// acquitted of all crashes known at that time and of those that become known
-// within the next 10 s, since a request that crashes servers never completes.
+// server fail when it crashes. Three rules find the cause:
+//
+//   - A request that completes at any daemon is acquitted of all crashes known
+//     at that time and of those that become known within the next 10 s. A part
+//     is acquitted as soon as an answer to a request with it has begun, since a
+//     part that crashes servers does so when the answer begins.
+//   - A crash has one cause: see AttributeCrashes().
+//   - After a time without crashes, a single request may try again whether the
+//     cause still crashes servers; see StartTrial().
 #ifndef CORE_QUARANTINE_H_
 #define CORE_QUARANTINE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <string>
@@ -23,41 +30,78 @@
 /// @param name ShareQuarantine::digest or QuarantineLearned::digest.
 /// @return Whether it names an acquittal rather than a crash mark.
 bool IsAcquittal(const std::string& name);
+/// Returns the key of a crash mark or an acquittal.
+std::string KeyOfMark(const std::string& name);
 /// Returns the name of the crash mark that an acquittal withdraws.
 std::string AcquittedMark(const std::string& acquittal);
 
-/// Bounded table of request digests and the crashes at which a request with
-/// that digest was in flight. An acquittal that arrives before its crash mark
-/// takes effect. Invariant: the result does not depend on the order in which
-/// crashes and acquittals arrive, unless a bound of the table drops one. In
-/// particular, a crash that arrives when the number of unacquitted crashes has
-/// reached the limit is not recorded, and does not count when another crash is
-/// acquitted later.
+/// What crashes can be blamed on for one request: first the digest of the
+/// request, then a key for each part of its prompt that other requests share.
+using CrashKeys = std::vector<std::string>;
+
+/// Bounded table of keys and the crashes at which a request with that key was
+/// in flight. An acquittal that arrives before its crash mark takes effect.
+/// Invariant: the result does not depend on the order in which crashes and
+/// acquittals arrive, unless a bound of the table drops one.
 class Quarantine {
  public:
-  enum class DigestState { kClear, kSuspect, kQuarantined };
+  enum class State { kClear, kSuspect, kQuarantined };
 
-  /// @param crashes  Number of crashes at which a digest is quarantined.
+  /// @param crashes  Number of crashes at which a request is quarantined. A
+  ///     part needs at least kMinPartCrashes.
   /// @param duration Time for which a crash counts.
-  Quarantine(int crashes, milliseconds duration)
+  /// @param seed     Spreads the trials of the daemons.
+  Quarantine(int crashes, milliseconds duration, std::uint64_t seed = 1)
       : m_crash_limit(static_cast<std::size_t>(crashes)),
-        m_duration(duration) {}
+        m_duration(duration),
+        m_seed(seed) {}
+
+  /// Requests share parts by chance, so that two crashes prove little.
+  static constexpr std::size_t kMinPartCrashes = 3;
 
   /// Returns a digest of the request's organisation and content.
   static std::string Digest(const Request& request);
-
-  /// Returns whether the digest is clear, suspect or quarantined.
-  DigestState Classify(const std::string& digest, TimePoint now) const;
-
-  /// Time until the digest's entry expires; zero for an unknown digest.
-  milliseconds RemainingTime(const std::string& digest, TimePoint now) const;
+  /// Returns the keys of a request. Keys of parts differ between models, since
+  /// an answer of one model does not acquit a part at another.
+  static CrashKeys Keys(const Request& request);
+
+  /// Returns whether a request is clear, suspect or quarantined. Only its own
+  /// crashes make it a suspect: most requests that share a part with one that
+  /// was in flight at a crash are sound.
+  State Classify(const CrashKeys& keys, TimePoint now) const;
+  State Classify(const std::string& digest, TimePoint now) const {
+    return Classify(CrashKeys{digest}, now);
+  }
+
+  /// Keys that a quarantined request is blamed for; empty for others.
+  CrashKeys BlamedKeys(const CrashKeys& keys, TimePoint now) const;
+
+  /// Time until a quarantined request may be clear; zero for others.
+  milliseconds RemainingTime(const CrashKeys& keys, TimePoint now) const;
+  milliseconds RemainingTime(const std::string& digest, TimePoint now) const {
+    return RemainingTime(CrashKeys{digest}, now);
+  }
+
+  /// Tells whether a quarantined request may run as a trial: if it completes,
+  /// its causes are acquitted everywhere, and if it crashes its server, the
+  /// next trial is due after twice the time. Each daemon admits one trial at a
+  /// random time of a period that grows with the number of daemons, so that
+  /// about one runs before the daemons know its result.
+  /// @return True once; the request must then be dispatched.
+  bool StartTrial(const CrashKeys& keys, TimePoint now);
+  void SetDaemonCount(int daemons) { m_daemons = daemons < 1 ? 1 : daemons; }
+
+  /// Number of changes of the causes that are blamed so far. Running attempts
+  /// have to be checked again after a change.
+  std::uint64_t cause_changes(TimePoint now) const;
 
   /// Records a crash observed by this daemon.
+  /// @param key     One of the keys of a request that was in flight.
   /// @param group   Group and epoch of the replica.
   /// @param started When the attempt was dispatched.
   /// @return Crash mark to share; nothing when this crash was already recorded
   ///     or the request has recently completed.
-  std::optional<ShareQuarantine> OnServerCrash(const std::string& digest,
+  std::optional<ShareQuarantine> OnServerCrash(const std::string& key,
                                                const std::string& group,
                                                TimePoint started,
                                                TimePoint now);
@@ -67,21 +111,22 @@
   std::vector<ShareQuarantine> OnPeerNotice(const QuarantineLearned& notice,
                                             TimePoint now);
 
-  /// Number of unexpired crashes of which the digest is not acquitted.
-  int Count(const std::string& digest, TimePoint now) const;
+  /// Number of unexpired crashes of which the key is not acquitted.
+  int Count(const std::string& key, TimePoint now) const;
 
-  /// Acquits the digest of all known crashes.
+  /// Acquits a key of all known crashes: the digest of a request that has
+  /// completed, or a part of a request whose answer has begun.
   /// @return Acquittals to share.
-  std::vector<ShareQuarantine> OnRequestCompleted(const std::string& digest,
+  std::vector<ShareQuarantine> OnRequestCompleted(const std::string& key,
                                                   TimePoint now);
-  /// Whether a request with this digest completed within the last 10 s.
-  bool HasRecentlyCompleted(const std::string& digest, TimePoint now) const;
+  /// Whether the key was acquitted by a request within the last 10 s.
+  bool HasRecentlyCompleted(const std::string& key, TimePoint now) const;
 
   void Expire(TimePoint now);
 
   std::size_t size() const { return m_entries.size(); }
-  /// Number of times that a digest has reached the limit.
-  std::uint64_t times_quarantined() const { return m_times_quarantined; }
+  /// Number of times that a new cause was blamed.
+  std::uint64_t times_quarantined(TimePoint now) const;
 
  private:
   struct Crash {
@@ -90,29 +135,60 @@
     bool acquitted = false;
   };
   struct Entry {
-    /// At most kMaxCrashesPerDigest, of which at most m_crash_limit are not
+    /// At most kMaxCrashesPerKey, of which at most kMaxUnacquitted are not
     /// acquitted.
     std::vector<Crash> crashes;
     TimePoint expires_at;
   };
+  /// A blamed cause of crashes.
+  struct Cause {
+    CrashKeys keys;  ///< Sorted. Requests that have all of them are blocked.
+    std::size_t crash_count = 0;
+    int failed_trials = 0;  ///< Crashes long after the one before them.
+    TimePoint last_crash;
+    TimePoint expires_at;
+  };
 
-  const Entry* Find(const std::string& digest, TimePoint now) const;
-  Entry* Find(const std::string& digest, TimePoint now);
+  std::size_t LimitOf(const std::string& key) const;
+  /// Recomputes m_causes if crashes, acquittals or expiries have changed them.
+  void UpdateCauses(TimePoint now) const;
+  Cause MakeCause(CrashKeys keys, std::size_t crash_count, TimePoint now) const;
+  /// Returns the causes that block a request.
+  std::vector<const Cause*> CausesOf(const CrashKeys& keys,
+                                     TimePoint now) const;
+  TimePoint NextTrial(const Cause& cause) const;
+
+  const Entry* Find(const std::string& key, TimePoint now) const;
+  Entry* Find(const std::string& key, TimePoint now);
   /// Returns the number of the entry's crashes that are not acquitted.
   static std::size_t CountUnacquitted(const Entry& entry);
-  void Add(const std::string& digest, std::string crash, bool acquitted,
+  void Add(const std::string& key, std::string crash, bool acquitted,
            TimePoint expires_at, TimePoint now);
-  /// Acquits the digest of all named crashes. @return Acquittals to share.
-  std::vector<ShareQuarantine> Acquit(const std::string& digest, TimePoint now);
+  /// Acquits the key of all named crashes. @return Acquittals to share.
+  std::vector<ShareQuarantine> Acquit(const std::string& key, TimePoint now);
   void EvictIfFull();
 
   std::size_t m_crash_limit;
   milliseconds m_duration;
+  std::uint64_t m_seed;
+  int m_daemons = 1;
   std::unordered_map<std::string, Entry> m_entries;
-  /// Time of the last completion per digest. Bounded.
+  /// Time of the last completion per key. Bounded.
   std::unordered_map<std::string, TimePoint> m_completed;
   std::deque<std::pair<TimePoint, std::string>> m_completed_order;
-  std::uint64_t m_times_quarantined = 0;
+  /// Last trial of this daemon, by the keys of the cause. Bounded by removal
+  /// with the cause.
+  std::unordered_map<std::string, TimePoint> m_trials;
+
+  // Computed from m_entries when needed.
+  mutable bool m_causes_outdated = false;
+  mutable TimePoint m_causes_expire_at = TimePoint::max();
+  mutable std::vector<Cause> m_causes;
+  /// Indexes into m_causes by the first key of the cause.
+  mutable std::unordered_map<std::string, std::vector<std::size_t>>
+      m_causes_by_key;
+  mutable std::uint64_t m_cause_changes = 0;
+  mutable std::uint64_t m_times_quarantined = 0;
 };
 
 }  // namespace clementine
--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "core/request_path_impl.h"
+#include "fmt/format.h"
 
 namespace clementine {
 
@@ -46,6 +47,17 @@
   return longest != nullptr && longest->key_required;
 }
 
+bool RequestPath::Impl::StartTrial(const Request& request,
+                                   const CrashKeys& keys) {
+  bool trial = m_quarantine.StartTrial(keys, m_now);
+  std::string blamed =
+      fmt::format("{}", fmt::join(m_quarantine.BlamedKeys(keys, m_now), ","));
+  std::string parts = fmt::format("{}", fmt::join(request.shared_parts, ","));
+  Log(trial ? "crash_trial" : "blamed", request,
+      {{"keys", std::move(blamed)}, {"parts", std::move(parts)}});
+  return trial;
+}
+
 void RequestPath::Impl::On(const RequestArrived& event) {
   const Request& request = event.request;
   if (m_requests.count(request.id) > 0) {
@@ -62,12 +74,14 @@
     refuse(*reason, kDefaultRetryAfter);
     return;
   }
-  std::string digest = Quarantine::Digest(request);
-  if (m_quarantine.Classify(digest, m_now) ==
-          Quarantine::DigestState::kQuarantined &&
-      !IsRuleBroken("quarantine")) {
+  CrashKeys keys = Quarantine::Keys(request);
+  bool quarantined =
+      !IsRuleBroken("quarantine") &&
+      m_quarantine.Classify(keys, m_now) == Quarantine::State::kQuarantined;
+  bool trial = quarantined && StartTrial(request, keys);
+  if (quarantined && !trial) {
     refuse(RefusalReason::kQuarantined,
-           m_quarantine.RemainingTime(digest, m_now));
+           m_quarantine.RemainingTime(keys, m_now));
     return;
   }
   Pool* pool = m_router.FindPool(request);
@@ -79,8 +93,8 @@
     // A resent request is answered from the claim of the earlier call, which
     // needs no group. A request that acquires its claim is refused afterwards
     // unless a group has opened.
-    ActiveRequest& active = AddActive(request, std::move(digest),
-                                      m_router.FindOrCreatePool(request));
+    ActiveRequest& active =
+        AddActive(request, std::move(keys), m_router.FindOrCreatePool(request));
     Claim(&active);
     return;
   }
@@ -94,7 +108,8 @@
     refuse(RefusalReason::kOverloaded, decision.retry_after);
     return;
   }
-  ActiveRequest& active = AddActive(request, std::move(digest), pool);
+  ActiveRequest& active = AddActive(request, std::move(keys), pool);
+  active.trial = trial;
   if (decision.disposition == Admission::Disposition::kQueue) {
     m_queued_pools[pool->id] = pool;
     return;
@@ -103,10 +118,10 @@
 }
 
 RequestPath::Impl::ActiveRequest& RequestPath::Impl::AddActive(
-    const Request& request, std::string digest, Pool* pool) {
+    const Request& request, CrashKeys keys, Pool* pool) {
   ActiveRequest& active = m_requests[request.id];
   active.request = request;
-  active.digest = std::move(digest);
+  active.keys = std::move(keys);
   active.pool = pool;
   ++pool->users;
   SetTimer(&active, request.deadline);
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -22,6 +22,9 @@
 // The end of a server is detected within a few seconds: either its next
 // incarnation is listed, or its entry in the host list has expired.
 constexpr milliseconds kMaxAmbiguousEndAge{10'000};
+// What crashes servers at the beginning of an answer does so before its second
+// progress report.
+constexpr milliseconds kAnswerStartPeriod{100};
 constexpr int kSuccessClass = 2;  // Status / 100.
 constexpr int kMinClientErrorStatus = 400;
 constexpr int kMinServerErrorStatus = 500;
@@ -96,15 +99,11 @@
     RefuseActive(active, RefusalReason::kDeadline, kDefaultRetryAfter);
     return;
   }
-  Quarantine::DigestState verdict =
-      m_quarantine.Classify(active->digest, m_now);
-  if (verdict == Quarantine::DigestState::kQuarantined &&
-      !IsRuleBroken("quarantine")) {
-    RefuseActive(active, RefusalReason::kQuarantined,
-                 m_quarantine.RemainingTime(active->digest, m_now));
+  if (IsQuarantined(*active)) {
+    RefuseQuarantined(active);
     return;
   }
-  if (verdict == Quarantine::DigestState::kSuspect &&
+  if (m_quarantine.Classify(active->keys, m_now) != Quarantine::State::kClear &&
       m_options.isolate_suspects && !IsRuleBroken("isolation")) {
     active->state = State::kAwaitingIsolation;
     SetTimer(active, active->request.deadline);
@@ -137,6 +136,7 @@
   active->attempt = ++m_last_attempt;
   active->dispatched_at = m_now;
   active->first_progress_at = TimePoint();
+  active->survived_start = false;
   m_attempts[active->attempt] = active->request.id;
   m_router.OnAttemptStarted(group);
   if (active->attempts++ == 0) {
@@ -176,10 +176,8 @@
 // Returns true if the request was dispatched or refused, false if it still
 // waits for an isolated group.
 bool RequestPath::Impl::AdvanceIsolation(ActiveRequest* active) {
-  if (m_quarantine.Classify(active->digest, m_now) ==
-      Quarantine::DigestState::kQuarantined) {
-    RefuseActive(active, RefusalReason::kQuarantined,
-                 m_quarantine.RemainingTime(active->digest, m_now));
+  if (IsQuarantined(*active)) {
+    RefuseQuarantined(active);
     return true;
   }
   Pool& pool = *active->pool;
@@ -193,7 +191,7 @@
     return true;
   }
   if (active->group == nullptr) {
-    if (m_isolated_digests.count(active->digest) > 0 ||
+    if (m_isolated_digests.count(active->keys.front()) > 0 ||
         static_cast<std::size_t>(pool.isolated) >=
             1 + pool.size() / kGroupsPerIsolatedRequest) {
       return false;
@@ -210,7 +208,7 @@
     }
     active->group = group;
     active->holds_isolation = true;
-    m_isolated_digests.insert(active->digest);
+    m_isolated_digests.insert(active->keys.front());
     m_router.SetIsolated(group, true);
   }
   if (active->group->in_flight > 0) {
@@ -223,7 +221,7 @@
 void RequestPath::Impl::ReleaseGroup(ActiveRequest* active) {
   if (active->holds_isolation) {
     m_router.SetIsolated(active->group, false);
-    m_isolated_digests.erase(active->digest);
+    m_isolated_digests.erase(active->keys.front());
     active->holds_isolation = false;
   }
   active->group = nullptr;
@@ -257,6 +255,11 @@
   }
   active.offset = event.offset;
   active.last_progress_at = m_now;
+  if (!active.survived_start &&
+      m_now - active.first_progress_at >= kAnswerStartPeriod) {
+    active.survived_start = true;
+    AcquitParts(active);
+  }
 }
 
 void RequestPath::Impl::RecordMeasurements(const ActiveRequest& active,
@@ -294,7 +297,7 @@
     auto cancelled = m_ambiguous_ends.find(event.attempt);
     if (cancelled != m_ambiguous_ends.end()) {
       if (event.result == AttemptResult::kCrashed) {
-        OnCrash(cancelled->second.digest, cancelled->second.group_and_epoch,
+        OnCrash(cancelled->second.keys, cancelled->second.group_and_epoch,
                 cancelled->second.dispatched_at);
       }
       m_ambiguous_ends.erase(cancelled);
@@ -305,16 +308,18 @@
   active->offset = std::max(active->offset, event.offset);
   RecordMeasurements(*active, event.result);
   if (event.result == AttemptResult::kCrashed) {
-    OnCrash(active->digest, active->group_and_epoch, active->dispatched_at);
+    OnCrash(BlamableKeys(*active), active->group_and_epoch,
+            active->dispatched_at);
+    active->trial = false;
   }
   if (event.result == AttemptResult::kBroken ||
       event.result == AttemptResult::kTimedOut) {
     RememberAmbiguousEnd(
         event.attempt,
-        {active->digest, active->group_and_epoch, active->group->view.head_host,
-         active->dispatched_at, m_now});
+        {BlamableKeys(*active), active->group_and_epoch,
+         active->group->view.head_host, active->dispatched_at, m_now});
   }
-  Acquit(active->digest, event);
+  AcquitIfSuccessful(active->keys, event);
   active->last_group = active->group->view.group;
   UpdateServerBackoff(*active, event);
   ReleaseAttempt(active);
@@ -354,38 +359,79 @@
   DispatchOrWait(active);
 }
 
-void RequestPath::Impl::OnCrash(const std::string& digest,
-                                const std::string& group,
+void RequestPath::Impl::OnCrash(const CrashKeys& keys, const std::string& group,
                                 TimePoint dispatched_at) {
-  std::optional<ShareQuarantine> share =
-      m_quarantine.OnServerCrash(digest, group, dispatched_at, m_now);
-  if (share) {
-    ++m_stats.crash_marks;
-    auto ran =
-        std::chrono::duration_cast<milliseconds>(m_now - dispatched_at).count();
+  auto ran =
+      std::chrono::duration_cast<milliseconds>(m_now - dispatched_at).count();
+  for (const std::string& key : keys) {
+    std::optional<ShareQuarantine> share =
+        m_quarantine.OnServerCrash(key, group, dispatched_at, m_now);
+    if (!share) continue;
+    m_stats.crash_marks += 1;
     m_actions.push_back(LogDecision{
         "crash",
-        {{"digest", digest},
+        {{"digest", key},
          {"group", group},
          {"ran_ms", std::to_string(ran)},
-         {"crashes", std::to_string(m_quarantine.Count(digest, m_now))}}});
+         {"crashes", std::to_string(m_quarantine.Count(key, m_now))}}});
     m_actions.push_back(*share);
   }
 }
 
-void RequestPath::Impl::Acquit(const std::string& digest,
-                               const AttemptEnded& event) {
+CrashKeys RequestPath::Impl::BlamableKeys(const ActiveRequest& active) {
+  if (active.survived_start) return {active.keys.front()};
+  return active.keys;
+}
+
+void RequestPath::Impl::Acquit(const std::string& key) {
+  for (auto& [attempt, ambiguous] : m_ambiguous_ends) {
+    std::erase(ambiguous.keys, key);
+  }
+  for (ShareQuarantine& share : m_quarantine.OnRequestCompleted(key, m_now)) {
+    m_actions.push_back(
+        LogDecision{"acquitted", {{"digest", key}, {"of", share.digest}}});
+    m_actions.push_back(std::move(share));
+  }
+}
+
+void RequestPath::Impl::AcquitParts(const ActiveRequest& active) {
+  for (std::size_t i = 1; i < active.keys.size(); ++i) Acquit(active.keys[i]);
+}
+
+void RequestPath::Impl::AcquitIfSuccessful(const CrashKeys& keys,
+                                           const AttemptEnded& event) {
   bool succeeded = event.result == AttemptResult::kComplete &&
                    (event.status == 0 || event.status / 100 == kSuccessClass);
   if (!succeeded) return;
-  std::erase_if(m_ambiguous_ends, [&digest](const auto& entry) {
-    return entry.second.digest == digest;
-  });
-  for (ShareQuarantine& share :
-       m_quarantine.OnRequestCompleted(digest, m_now)) {
-    m_actions.push_back(
-        LogDecision{"acquitted", {{"digest", digest}, {"of", share.digest}}});
-    m_actions.push_back(std::move(share));
+  for (const std::string& key : keys) Acquit(key);
+}
+
+bool RequestPath::Impl::IsQuarantined(const ActiveRequest& active) const {
+  return !active.trial && !IsRuleBroken("quarantine") &&
+         m_quarantine.Classify(active.keys, m_now) ==
+             Quarantine::State::kQuarantined;
+}
+
+void RequestPath::Impl::RefuseQuarantined(ActiveRequest* active) {
+  RefuseActive(active, RefusalReason::kQuarantined,
+               m_quarantine.RemainingTime(active->keys, m_now));
+}
+
+void RequestPath::Impl::CancelBlamedAttempts() {
+  std::vector<RequestId> blamed;
+  for (const auto& [id, active] : m_requests) {
+    bool ended_by_blame = active.state == State::kRunning &&
+                          active.first_progress_at == TimePoint() &&
+                          !active.claimed &&
+                          !active.request.shared_parts.empty();
+    if (ended_by_blame && IsQuarantined(active)) blamed.push_back(id);
+  }
+  std::sort(blamed.begin(), blamed.end());
+  for (RequestId id : blamed) {
+    ActiveRequest* active = FindRequest(id);
+    active->may_have_run = true;
+    CancelRunningAttempt(active);
+    RefuseQuarantined(active);
   }
 }
 
@@ -394,8 +440,8 @@
   for (const auto& [id, active] : m_requests) {
     if (active.state == State::kRunning &&
         active.group->view.head_host == event.host) {
-      marked.push_back({active.digest, active.group_and_epoch, event.host,
-                        active.dispatched_at, m_now});
+      marked.push_back({BlamableKeys(active), active.group_and_epoch,
+                        event.host, active.dispatched_at, m_now});
     }
   }
   std::erase_if(m_ambiguous_ends, [&](const auto& entry) {
@@ -406,9 +452,9 @@
     return old || ran_there;
   });
   std::sort(marked.begin(), marked.end(),
-            [](const auto& a, const auto& b) { return a.digest < b.digest; });
+            [](const auto& a, const auto& b) { return a.keys < b.keys; });
   for (const AmbiguousEnd& attempt : marked) {
-    OnCrash(attempt.digest, attempt.group_and_epoch, attempt.dispatched_at);
+    OnCrash(attempt.keys, attempt.group_and_epoch, attempt.dispatched_at);
   }
 }
 
@@ -444,9 +490,7 @@
 std::optional<RefusalReason> RequestPath::Impl::CheckRetry(
     const ActiveRequest& active, const AttemptEnded& event,
     milliseconds delay) {
-  if (event.result == AttemptResult::kCrashed && !IsRuleBroken("quarantine") &&
-      m_quarantine.Classify(active.digest, m_now) ==
-          Quarantine::DigestState::kQuarantined) {
+  if (event.result == AttemptResult::kCrashed && IsQuarantined(active)) {
     return RefusalReason::kQuarantined;
   }
   if (!IsRetryAllowed(active, event)) {
@@ -485,7 +529,7 @@
   if (reason) {
     RefuseActive(active, *reason,
                  *reason == RefusalReason::kQuarantined
-                     ? m_quarantine.RemainingTime(active->digest, m_now)
+                     ? m_quarantine.RemainingTime(active->keys, m_now)
                      : event.retry_after);
     return;
   }
@@ -517,13 +561,13 @@
   DetachedAttempt detached = found->second;
   m_detached.erase(found);
   if (event.result == AttemptResult::kCrashed) {
-    OnCrash(detached.digest, detached.group_and_epoch, detached.dispatched_at);
+    OnCrash(detached.keys, detached.group_and_epoch, detached.dispatched_at);
   }
   if (detached.holds_isolation) {
     m_router.SetIsolated(detached.group, false);
-    m_isolated_digests.erase(detached.digest);
+    m_isolated_digests.erase(detached.keys.front());
   }
-  Acquit(detached.digest, event);
+  AcquitIfSuccessful(detached.keys, event);
   m_router.OnAttemptEnded(detached.group);
   ClaimState state = ClaimState::kUnknown;
   if (event.result == AttemptResult::kComplete ||
@@ -544,7 +588,7 @@
   m_attempts.erase(active->attempt);
   m_detached[active->attempt] = {
       active->request.id,     active->group,
-      active->digest,         active->group_and_epoch,
+      BlamableKeys(*active),  active->group_and_epoch,
       active->dispatched_at,  active->request.deadline + kClaimGracePeriod,
       active->holds_isolation};
   active->holds_isolation = false;
@@ -556,8 +600,8 @@
   m_actions.push_back(CancelAttempt{active->attempt});
   RememberAmbiguousEnd(
       active->attempt,
-      {active->digest, active->group_and_epoch, active->group->view.head_host,
-       active->dispatched_at, m_now});
+      {BlamableKeys(*active), active->group_and_epoch,
+       active->group->view.head_host, active->dispatched_at, m_now});
   ReleaseAttempt(active);
 }
 
@@ -581,7 +625,7 @@
   for (AttemptId attempt : expired) {
     m_actions.push_back(CancelAttempt{attempt});
     const DetachedAttempt& detached = m_detached[attempt];
-    RememberAmbiguousEnd(attempt, {detached.digest, detached.group_and_epoch,
+    RememberAmbiguousEnd(attempt, {detached.keys, detached.group_and_epoch,
                                    detached.group->view.head_host,
                                    detached.dispatched_at, m_now});
     EndDetached({attempt, AttemptResult::kTimedOut, 0, milliseconds(0), 0, ""});
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -58,7 +58,7 @@
                 m_options.claim_retention, !IsRuleBroken("claim_first"),
                 !IsRuleBroken("key_content")}),
       m_quarantine(m_options.crashes_to_quarantine,
-                   m_options.quarantine_duration) {
+                   m_options.quarantine_duration, m_options.seed) {
   if (IsRuleBroken("queue_bound")) {
     m_admission.IgnoreBounds();
   }
@@ -69,6 +69,11 @@
   m_now = now;
   m_actions.clear();
   std::visit([this](const auto& value) { On(value); }, event);
+  if (std::uint64_t changes = m_quarantine.cause_changes(m_now);
+      changes != m_cause_changes) {
+    m_cause_changes = changes;
+    CancelBlamedAttempts();
+  }
   RunTimers();
   if (!m_awaiting_isolation.empty()) {
     DispatchIsolated();
@@ -82,7 +87,7 @@
 
 RequestPathStats RequestPath::Impl::stats() const {
   RequestPathStats stats = m_stats;
-  stats.quarantined = m_quarantine.times_quarantined();
+  stats.quarantined = m_quarantine.times_quarantined(m_now);
   stats.suspects = m_quarantine.size();
   stats.in_flight = m_requests.size() - m_admission.queued();
   stats.queued = m_admission.queued();
@@ -219,6 +224,7 @@
   m_router.SetDaemonCount(event.live);
   if (event.share > 0.0) m_router.SetCapacityShare(event.share);
   m_admission.SetDaemonCount(event.live);
+  m_quarantine.SetDaemonCount(event.live);
 }
 
 void RequestPath::Impl::On(const DrainStarted& /*event*/) { m_draining = true; }
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -60,7 +60,8 @@
     Request request;
     State state = State::kQueued;
     Pool* pool = nullptr;
-    std::string digest;     ///< Digest of organisation and content.
+    CrashKeys keys;         ///< See Quarantine::Keys.
+    bool trial = false;     ///< Runs although it is quarantined.
     bool admitted = false;  ///< Counted as in flight by m_admission.
     bool reserved = false;  ///< Counted in Pool::reserved, has no attempt.
     bool claimed = false;   ///< Holds the claim of its idempotency key.
@@ -79,6 +80,8 @@
     TimePoint first_progress_at;
     TimePoint last_progress_at;
     std::uint64_t first_offset = 0;
+    /// The running attempt has gone on after the beginning of its answer.
+    bool survived_start = false;
     TimePoint wake_at;  ///< Entry in m_timers.
   };
   using Requests = std::unordered_map<RequestId, ActiveRequest>;
@@ -88,7 +91,7 @@
   struct DetachedAttempt {
     RequestId request = 0;
     RoutedGroup* group = nullptr;
-    std::string digest;
+    CrashKeys keys;
     std::string group_and_epoch;
     TimePoint dispatched_at;
     TimePoint expires_at;
@@ -98,7 +101,7 @@
   /// cancelled, lost its connection or timed out. If the crash is detected
   /// later, the request still gets a crash mark.
   struct AmbiguousEnd {
-    std::string digest;
+    CrashKeys keys;
     std::string group_and_epoch;
     std::string host;
     TimePoint dispatched_at;
@@ -125,8 +128,9 @@
   // Arrival and admission.
   std::optional<RefusalReason> CheckRequest(const Request& request) const;
   bool IsKeyRequired(const std::string& path) const;
-  ActiveRequest& AddActive(const Request& request, std::string digest,
-                           Pool* pool);
+  /// Tells whether a quarantined request may run as a trial, and logs it.
+  bool StartTrial(const Request& request, const CrashKeys& keys);
+  ActiveRequest& AddActive(const Request& request, CrashKeys keys, Pool* pool);
   void Admit(ActiveRequest* active);
   void Claim(ActiveRequest* active);
   void StartQueuedRequests();
@@ -157,11 +161,21 @@
   milliseconds TimeUntilGroup(const Pool* pool) const;
 
   // Ends of attempts.
-  void OnCrash(const std::string& digest, const std::string& group,
+  void OnCrash(const CrashKeys& keys, const std::string& group,
                TimePoint dispatched_at);
-  /// Withdraws the crash marks of a request that completed successfully: it
-  /// didn't cause the crashes at which it was in flight.
-  void Acquit(const std::string& digest, const AttemptEnded& event);
+  /// Withdraws the crash marks of a key: what it stands for didn't cause the
+  /// crashes at which it was in flight.
+  void Acquit(const std::string& key);
+  void AcquitParts(const ActiveRequest& active);
+  /// Acquits all keys if the attempt completed successfully.
+  void AcquitIfSuccessful(const CrashKeys& keys, const AttemptEnded& event);
+  /// Keys that a crash of the running attempt's server can be blamed on.
+  static CrashKeys BlamableKeys(const ActiveRequest& active);
+  bool IsQuarantined(const ActiveRequest& active) const;
+  void RefuseQuarantined(ActiveRequest* active);
+  /// Ends running attempts that a new cause of crashes is blamed for and that
+  /// have not begun their answers.
+  void CancelBlamedAttempts();
   void OnFailure(ActiveRequest* active, const AttemptEnded& event);
   /// @return Reason against a retry, or nullopt after taking one retry from the
   ///     retry budget.
@@ -217,6 +231,7 @@
   std::unordered_map<Admission::PoolId, Pool*> m_queued_pools;
   std::vector<RequestId> m_awaiting_isolation;  ///< Suspects without a group.
   std::unordered_set<std::string> m_isolated_digests;
+  std::uint64_t m_cause_changes = 0;  ///< Of m_quarantine, as last seen.
   std::set<std::pair<TimePoint, RequestId>> m_timers;
   AttemptId m_last_attempt = 0;
   /// Last removal of expired quarantine entries and of queued requests that are
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -187,6 +187,7 @@
   };
   hooks.on_crash_marks =
       [this](const std::vector<CrashExchange::Object>& objects) {
+        m_crash_marks_known = true;
         ApplyCrashMarks(m_crash_exchange->OnObjects(objects, WallNow()),
                         "platform");
       };
@@ -418,7 +419,10 @@
 // Health and metrics.
 
 bool FleetDaemon::IsReady() const {
-  return m_phase == Phase::kServing && m_routes != nullptr && m_groups_known;
+  // A daemon that does not know the crash marks would send requests that crash
+  // servers.
+  return m_phase == Phase::kServing && m_routes != nullptr && m_groups_known &&
+         m_crash_marks_known;
 }
 
 void FleetDaemon::OnHealthRequest(HttpExchange* exchange) {
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -111,6 +111,7 @@
   EventQueue<AnyEvent> m_queue;
   int m_live_daemons = 1;
   bool m_groups_known = false;
+  bool m_crash_marks_known = false;
   Phase m_phase = Phase::kServing;
   TimePoint m_stop_started_at;
 };
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -40,6 +40,14 @@
   return parts.empty() ? "-" : fmt::format("{}", fmt::join(parts, ","));
 }
 
+void SetPrompt(const platform::CallerHeaders& headers, Request* request) {
+  request->shared_parts = headers.shared_parts;
+  request->prompt_tokens = headers.prompt_tokens;
+  request->max_tokens = headers.expected_output_tokens > 0
+                            ? headers.expected_output_tokens
+                            : headers.max_output_tokens;
+}
+
 bool IsEventStream(const HttpHeaders& headers) {
   return FindHeader(headers, "Content-Type").starts_with("text/event-stream");
 }
@@ -161,10 +169,7 @@
   } else {
     read.model = service + "/" + caller->headers.model;
   }
-  read.prompt_tokens = caller->headers.prompt_tokens;
-  read.max_tokens = caller->headers.expected_output_tokens > 0
-                        ? caller->headers.expected_output_tokens
-                        : caller->headers.max_output_tokens;
+  SetPrompt(caller->headers, &read);
   CountDemand(service, *caller);
   LogEvent("request",
            {{"request", std::to_string(caller->id)},
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -21,6 +21,7 @@
 constexpr const char* kChatPath = "/v1/chat/completions";
 constexpr std::size_t kPrefixBlockBytes = 256;
 constexpr std::size_t kMaxPrefixBlocks = 1024;
+constexpr std::size_t kMaxSharedParts = 16;
 constexpr std::size_t kBytesPerToken = 4;  ///< To estimate prompt tokens.
 constexpr std::uint32_t kDefaultMaxTokens = 256;
 constexpr std::chrono::milliseconds kMaxTimeout{std::chrono::hours(24)};
@@ -68,6 +69,17 @@
   return text;
 }
 
+/// Returns a digest of each message before the last one, such as the system
+/// prompt, the tools and earlier turns.
+std::vector<std::string> SharedParts(const Json& messages) {
+  std::vector<std::string> parts;
+  for (std::size_t i = 0; i + 1 < messages.size(); ++i) {
+    if (parts.size() == kMaxSharedParts) break;
+    parts.push_back(TextDigest(JsonText(messages[i])));
+  }
+  return parts;
+}
+
 std::uint32_t MaxTokens(const Json& json) {
   for (const char* member : {"max_completion_tokens", "max_tokens"}) {
     auto found = json.find(member);
@@ -140,6 +152,7 @@
   request.prompt_tokens =
       static_cast<std::uint32_t>(prompt.size() / kBytesPerToken + 1);
   request.prefix_blocks = PrefixBlocks(prompt);
+  request.shared_parts = SharedParts(json["messages"]);
   result->streamed = WantsStream(json);
   auto model = json.find("model");
   bool named = model != json.end() && model->is_string();
--- a/testing/crash_exchange_test.cc
+++ b/testing/crash_exchange_test.cc
@@ -15,7 +15,7 @@
 namespace clementine {
 namespace {
 
-using DigestState = Quarantine::DigestState;
+using DigestState = Quarantine::State;
 
 constexpr milliseconds kLife{600'000};
 constexpr milliseconds kStep{50};
@@ -301,6 +301,55 @@
   CHECK(world.max_bytes < 16'384);
 }
 
+// Guards against writes of each daemon at each crash when prompts share parts:
+// daemons that saw answers to a part acquit it, but one acquittal is enough.
+TEST_CASE("shared parts need few writes at 73 and 195 daemons") {
+  for (int daemons : {73, 195}) {
+    CAPTURE(daemons);
+    World world(daemons);
+    world.Run(milliseconds(500));
+    // All daemons have seen answers to the parts, except those with requests
+    // in flight at the server.
+    for (int daemon = 26; daemon < daemons; ++daemon) {
+      for (int part = 0; part < 4; ++part) {
+        world[daemon].quarantine.OnRequestCompleted(fmt::format("p{}", part),
+                                                    world.now);
+      }
+    }
+    for (int daemon = 0; daemon < 26; ++daemon) {
+      world.Crash(daemon, fmt::format("digest-{}", daemon), "chat/0@1");
+      for (int part = 0; part < 4; ++part) {
+        world.Crash(daemon, fmt::format("p{}", part), "chat/0@1");
+      }
+    }
+    world.Run(milliseconds(5'000));
+    MESSAGE(daemons << " daemons: " << world.writes << " writes");
+    CHECK(world.writes <= 26 + daemons / 4);
+    CHECK(world.notices == 0);
+    for (int daemon = 0; daemon < daemons; ++daemon) {
+      CHECK(world[daemon].quarantine.Count("p0", world.now) == 0);
+    }
+  }
+}
+
+// Guards against evicting the marks of what crashes servers for those of
+// requests that were in flight with it.
+TEST_CASE("marks of a key with many crashes are kept") {
+  World world(2);
+  world.Run(milliseconds(500));
+  for (int i = 0; i < 3; ++i) {
+    world.Crash(0, "culprit", fmt::format("chat/{}@1", i));
+  }
+  world.Run(milliseconds(1'000));
+  for (int i = 0; i < 1'000; ++i) {
+    world.Crash(0, fmt::format("bystander-{}", i), "chat/9@1");
+  }
+  world.Run(milliseconds(1'000));
+  world.Add();
+  world.Run(milliseconds(1'000));
+  CHECK(world.CountRefusing("culprit") == 3);
+}
+
 // Guards against writing a mark after its request has completed.
 TEST_CASE("a mark that is acquitted at once is never written") {
   World world(2);
--- a/testing/net_daemon_test.cc
+++ b/testing/net_daemon_test.cc
@@ -52,6 +52,23 @@
   return "{" + members + "," + kMessages + "}";
 }
 
+// Guards against crashes of one interface that are never blamed on a part of a
+// prompt: the last message is the request's own.
+TEST_CASE("messages before the last one are shared parts") {
+  auto parts = [](const std::string& messages) {
+    ReadResult read =
+        Read(Chat(R"({"model":"m","messages":[)" + messages + "]}"));
+    REQUIRE(read.request);
+    return read.request->request.shared_parts;
+  };
+  const std::string system = R"({"role":"system","content":"be brief"},)";
+  auto one = parts(system + R"({"role":"user","content":"a"})");
+  auto two = parts(system + R"({"role":"user","content":"b"})");
+  CHECK(one.size() == 1);
+  CHECK(one == two);
+  CHECK(parts(R"({"role":"user","content":"a"})").empty());
+}
+
 // A request executor without a request path: the fixture records the executor's
 // events, and the test executes actions.
 struct ExecutorFixture {
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -194,6 +194,25 @@
   CHECK(FindHeader(ForwardHeaders(caller, info), "Last-Event-Id") == "17");
 }
 
+// Guards against blaming crashes on a part that no other request can share, and
+// against text of callers that takes unbounded memory.
+TEST_CASE("adapter reads the shared parts of a prompt") {
+  auto read = [](const std::string& value) {
+    return ReadCallerHeaders({{"x-clementinelb-prompt-prefix", value}})
+        .shared_parts;
+  };
+  using Parts = std::vector<std::string>;
+  CHECK(read("5c1e07a2:800,91bd3f06:410,e4402b7d:250") ==
+        Parts{"5c1e07a2", "91bd3f06"});
+  CHECK(read("e4402b7d:250").empty());
+  CHECK(read("").empty());
+  CHECK(read(" a:1 , b , ,:7,own:3") == Parts{"a", "b"});
+  CHECK(read(std::string(100, 'x') + ":1,b:2,own:3") == Parts{"b"});
+  std::string many;
+  for (int i = 0; i < 1'000; ++i) many += std::to_string(i) + ":1,";
+  CHECK(read(many).size() == 16);
+}
+
 // Guards against accepting an answer to another request or one without a
 // signature, and against reading an answer as a refusal incorrectly.
 TEST_CASE("adapter classifies the heads of answers") {
--- a/testing/quarantine_test.cc
+++ b/testing/quarantine_test.cc
@@ -5,7 +5,7 @@
 namespace clementine {
 namespace {
 
-using DigestState = Quarantine::DigestState;
+using DigestState = Quarantine::State;
 
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
 constexpr milliseconds kDuration{600'000};
@@ -87,7 +87,7 @@
     CHECK(one.Classify("d", now) == DigestState::kClear);
     CHECK(two.Classify("d", now) == DigestState::kClear);
   }
-  CHECK(one.times_quarantined() == 0);
+  CHECK(one.times_quarantined(kStart) == 0);
 }
 
 // Guards against a daemon that receives an acquittal before the crash mark and
@@ -154,6 +154,46 @@
   CHECK(quarantine.Classify("d", kStart) == DigestState::kQuarantined);
 }
 
+// Guards against a part that stays blocked after its fault was mended or though
+// it never crashed a server, and against many trials at once (BUDGET).
+TEST_CASE("one trial after another tells whether a cause still crashes") {
+  constexpr int kDaemons = 20;
+  std::vector<Quarantine> daemons;
+  for (int i = 0; i < kDaemons; ++i) {
+    daemons.emplace_back(3, kDuration, static_cast<std::uint64_t>(i));
+    daemons.back().SetDaemonCount(kDaemons);
+    for (int crash = 0; crash < 3; ++crash) {
+      daemons.back().OnPeerNotice(
+          {"pd/chat/" + std::to_string(crash) + "@1#1", kDuration}, kStart);
+    }
+  }
+  const CrashKeys keys = {"digest", "pd"};
+  // Each daemon gets such a request once a second. The result of a trial is
+  // known to all daemons a second later.
+  auto first_trials = [&](TimePoint from) {
+    int trials = 0;
+    for (TimePoint now = from; trials == 0; now += std::chrono::seconds(1)) {
+      REQUIRE(now < from + kDuration);
+      for (Quarantine& daemon : daemons) {
+        trials += daemon.StartTrial(keys, now) ? 1 : 0;
+      }
+      if (trials > 0) CHECK(now - from >= std::chrono::seconds(60));
+    }
+    return trials;
+  };
+  CHECK(first_trials(kStart) <= 3);
+  TimePoint later = kStart + std::chrono::minutes(4);
+  for (Quarantine& daemon : daemons) {
+    daemon.OnPeerNotice({"pd/chat/8@1#1", kDuration}, later);
+    CHECK_FALSE(daemon.StartTrial(keys, later + std::chrono::seconds(100)));
+    CHECK(daemon.Classify(keys, later) == DigestState::kQuarantined);
+    // A trial that begins its answer ends the quarantine.
+    daemon.OnRequestCompleted("pd", later + std::chrono::minutes(3));
+    CHECK(daemon.Classify(keys, later + std::chrono::minutes(3)) ==
+          DigestState::kClear);
+  }
+}
+
 // Guards against unbounded memory use as crashes accumulate.
 TEST_CASE("the table is bounded and keeps quarantined digests") {
   Quarantine quarantine(2, kDuration);
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -487,6 +487,62 @@
   CHECK(f.ActionsOfType<ShareQuarantine>().empty());
 }
 
+// Guards against blaming a part of a request whose answer had begun, and
+// against a part that is never blamed (BUDGET, LOST).
+TEST_CASE("a crash marks the shared parts of requests without an answer") {
+  RequestPathOptions options;
+  options.crashes_to_quarantine = 3;
+  options.isolate_suspects = false;
+  options.max_attempts = 1;
+  Fixture f(8, options);
+  auto with_parts = [&f](std::vector<std::string> parts) {
+    Request request = f.MakeRequest(std::to_string(f.last_id));
+    request.shared_parts = std::move(parts);
+    return request;
+  };
+  for (int i = 0; i < 3; ++i) {
+    // The answer to this request has begun and goes on.
+    Dispatch sound = f.SendRequest(with_parts({"common"}));
+    f.Feed(AttemptProgress{sound.attempt, 1});
+    f.AdvanceTime(milliseconds(200));
+    f.Feed(AttemptProgress{sound.attempt, 2});
+    f.EndAttempt(sound.attempt, AttemptResult::kCrashed, 2);
+    CHECK(f.ActionsOfType<ShareQuarantine>().size() == 1);
+    Dispatch bad = f.SendRequest(with_parts({"common", "deadly"}));
+    f.EndAttempt(bad.attempt, AttemptResult::kCrashed);
+    // Its digest and the deadly part.
+    CHECK(f.ActionsOfType<ShareQuarantine>().size() == 2);
+  }
+  f.Feed(RequestArrived{with_parts({"other", "deadly"})});
+  CHECK(f.SingleAction<Refuse>().reason == RefusalReason::kQuarantined);
+  CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
+  f.SendRequest(with_parts({"common"}));
+  // Another model's servers may run the part.
+  Request other = with_parts({"deadly"});
+  other.model = "";
+  other.service = "orders";
+  f.SendRequest(other);
+}
+
+// Guards against requests that wait at a server with a part that has been
+// blamed since they were sent, and end it too (BUDGET).
+TEST_CASE("attempts with a blamed part are ended before their answer begins") {
+  RequestPathOptions options;
+  options.crashes_to_quarantine = 3;
+  options.isolate_suspects = false;
+  Fixture f(8, options);
+  Request waiting = f.MakeRequest("waiting");
+  waiting.shared_parts = {"deadly"};
+  Dispatch sent = f.SendRequest(waiting);
+  std::string key = Quarantine::Keys(waiting)[1];
+  for (int i = 0; i < 3; ++i) {
+    f.Feed(QuarantineLearned{fmt::format("{}/g/{}@7#1", key, i),
+                             milliseconds(600'000)});
+  }
+  CHECK(f.SingleAction<CancelAttempt>().attempt == sent.attempt);
+  CHECK(f.SingleAction<Refuse>().reason == RefusalReason::kQuarantined);
+}
+
 // Guards against requests that wait although no group is left.
 TEST_CASE("queued requests are refused when the last group closes") {
   Fixture f(1);
