End a stream as broken off if it ends inside an event

Change: such a stream is broken, so that it is resumed at another server or cut, and its last part isn't passed on. A stream without length, chunks or any event is broken too.

--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -419,10 +419,13 @@
   // A stream that has begun can only be ended by an answer that continues it.
   bool ends_stream =
       attempt->is_stream ? caller->stream.CanEnd() : !caller->head_sent;
-  if (complete && !ends_stream) {
+  // A server that ends may close its connections as if its answers were whole.
+  bool empty =
+      attempt->is_stream && end.unframed && caller->stream.events() == 0;
+  if (complete && (!ends_stream || empty)) {
     complete = false;
     end.result = AttemptResult::kBroken;
-    end.detail = "answer does not continue the stream";
+    end.detail = "answer does not end or continue the stream";
   }
   // If a server may have crashed during the attempt, the digest identifies the
   // request: it is the same on all daemons and for each repetition.
--- a/daemon/relay_stream.cc
+++ b/daemon/relay_stream.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::string_view kEventEnd = "\n\n";
+/// Events that end with it are not split, but passed on at the end.
+constexpr std::string_view kCrlfEventEnd = "\r\n\r\n";
 constexpr std::string_view kIdField = "id:";
 
 std::string_view EventId(std::string_view event) {
@@ -82,8 +84,8 @@
 
 std::string RelayStream::Finish() {
   std::string rest;
-  // A resumed answer must end with a complete event.
-  if (m_resumed && !m_partial.empty()) m_broken = true;
+  bool whole_events = !m_resumed && m_partial.ends_with(kCrlfEventEnd);
+  if (!m_partial.empty() && !whole_events) m_broken = true;
   if (!m_broken) rest.swap(m_partial);
   return rest;
 }
@@ -92,6 +94,7 @@
   m_partial.clear();
   m_resumed = m_events > 0;
   m_has_new_event = false;
+  m_broken = false;
 }
 
 }  // namespace clementine
--- a/daemon/relay_stream.h
+++ b/daemon/relay_stream.h
@@ -17,12 +17,13 @@
   /// @return Bytes to deliver: complete events that were not delivered before.
   std::string ExtractEvents(std::string_view bytes);
 
-  /// The current answer has ended completely.
-  /// @return The bytes after its last event.
+  /// The current answer has ended. If it ended inside an event, it was broken
+  /// off, whatever its framing says.
+  /// @return Bytes to deliver after the last event.
   std::string Finish();
 
-  /// Whether the current answer, which has ended completely, can end the
-  /// stream: it is the first answer, or it delivered new events.
+  /// Whether the current answer, which has ended with a complete event, can end
+  /// the stream: it is the first answer, or it delivered new events.
   bool CanEnd() const { return !m_broken && (!m_resumed || m_has_new_event); }
 
   /// Starts a new answer, which has to continue after the last delivered event.
@@ -36,9 +37,9 @@
   bool oversized() const { return held_bytes() > kMaxEventBytes; }
   /// Size of the incomplete event, in bytes.
   std::size_t held_bytes() const { return m_partial.size(); }
-  /// Whether an event of a resumed stream did not follow the last delivered
-  /// one: its id skips a number, or it has no number although earlier events
-  /// have.
+  /// Whether the answer ended inside an event, or an event of a resumed stream
+  /// did not follow the last delivered one: its id skips a number, or it has no
+  /// number although earlier events have.
   bool broken() const { return m_broken; }
 
  private:
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -478,6 +478,7 @@
   }
   const auto& answer = parser->get();
   m_end.status = static_cast<int>(answer.result_int());
+  m_end.unframed = parser->need_eof();
   AnswerHead judged = JudgeHead(*parser);
   if (judged == AnswerHead::kForeign) {
     ++m_end.dropped;
--- a/net/net.h
+++ b/net/net.h
@@ -305,6 +305,9 @@
   milliseconds retry_after{0};
   bool leaving = false;      ///< The answer had a `leaving` header.
   bool reused = false;       ///< The connection came from the pool.
+  /// The answer had neither a length nor chunks, so that the end of its
+  /// connection completed it.
+  bool unframed = false;
   bool lost = false;         ///< The connection couldn't be made or broke.
   bool unreachable = false;  ///< Nothing answered the connection request.
   std::string detail;        ///< For the log.
--- a/testing/net_test_support.h
+++ b/testing/net_test_support.h
@@ -105,6 +105,13 @@
     m_socket.close(ignored);
   }
 
+  /// Closes the connection with a reset, after the bytes that were sent.
+  void Reset() {
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+  }
+
   std::string received;
   std::size_t flooded = 0;  ///< Bytes that Flood has sent.
   bool closed = false;
