Refuse requests that arrive late in a planned stop

Cause: further report: callers whose request was still being read when the daemon stopped listening had it passed on, and cut off without an answer at the end of the stop (LOST), also where it may not be repeated. It happens while another request keeps the daemon running. Change: from then on the relay refuses new requests with 503 and Retry-After. The check of an answer's end becomes a function of its own, for the linter.

--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -506,6 +506,7 @@
   auto elapsed = SuspendAwareNow() - m_stop_started_at;
   if (m_phase == Phase::kUnready && elapsed >= m_settings.drain_wait) {
     m_phase = Phase::kFinishing;
+    m_executor->RefuseNewRequests();
     m_server->Stop();
   }
   if (m_phase != Phase::kFinishing && m_phase != Phase::kReleasing) return;
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -135,6 +135,11 @@
   const HttpRequest& request = exchange->request();
   platform::CallerHeaders headers =
       platform::ReadCallerHeaders(request.headers);
+  if (m_stopping) {
+    RefuseWithoutAttempt(exchange.get(), http_status::kUnavailable, "stopping",
+                         headers.request_id);
+    return;
+  }
   if (m_routes == nullptr) {
     RefuseWithoutAttempt(exchange.get(), http_status::kUnavailable,
                          "no_configuration", headers.request_id);
@@ -405,28 +410,32 @@
   if (!caller->exchange->Write(bytes) && attempt->call) attempt->call->Pause();
 }
 
-void RelayExecutor::OnEnd(const std::shared_ptr<Attempt>& attempt,
-                          BackendEnd end) {
-  auto found = m_attempts.find(attempt->id);
-  if (found == m_attempts.end()) return;
-  m_attempts.erase(found);
+void RelayExecutor::CheckComplete(Attempt* attempt, BackendEnd* end) {
+  if (end->result != AttemptResult::kComplete) return;
   Caller* caller = attempt->caller.get();
-  bool complete = end.result == AttemptResult::kComplete;
-  if (complete && attempt->is_stream) {
+  if (attempt->is_stream) {
     std::string rest = caller->stream.Finish();
-    if (!rest.empty()) Deliver(caller, attempt.get(), rest);
+    if (!rest.empty()) Deliver(caller, attempt, rest);
   }
   // A stream that has begun can only be ended by an answer that continues it.
   bool ends_stream =
       attempt->is_stream ? caller->stream.CanEnd() : !caller->head_sent;
   // A server that ends may close its connections as if its answers were whole.
   bool empty =
-      attempt->is_stream && end.unframed && caller->stream.events() == 0;
-  if (complete && (!ends_stream || empty)) {
-    complete = false;
-    end.result = AttemptResult::kBroken;
-    end.detail = "answer does not end or continue the stream";
-  }
+      attempt->is_stream && end->unframed && caller->stream.events() == 0;
+  if (ends_stream && !empty) return;
+  end->result = AttemptResult::kBroken;
+  end->detail = "answer does not end or continue the stream";
+}
+
+void RelayExecutor::OnEnd(const std::shared_ptr<Attempt>& attempt,
+                          BackendEnd end) {
+  auto found = m_attempts.find(attempt->id);
+  if (found == m_attempts.end()) return;
+  m_attempts.erase(found);
+  Caller* caller = attempt->caller.get();
+  CheckComplete(attempt.get(), &end);
+  bool complete = end.result == AttemptResult::kComplete;
   // If a server may have crashed during the attempt, the digest identifies the
   // request: it is the same on all daemons and for each repetition.
   LogEvent("attempt_ended",
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -48,6 +48,10 @@
 
   void Execute(const RequestAction& action);
 
+  /// Refuses requests from now on. A request that was being read when the
+  /// daemon stopped listening might not end before the daemon does.
+  void RefuseNewRequests() { m_stopping = true; }
+
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   void SetGroups(const std::vector<GroupView>& groups);
 
@@ -90,6 +94,9 @@
   BackendCall MakeCall(const Dispatch& dispatch, const Caller& caller);
   AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
   void OnBytes(Attempt* attempt, std::string_view bytes);
+  /// Changes a complete result to a broken one if the answer does not end the
+  /// caller's answer.
+  void CheckComplete(Attempt* attempt, BackendEnd* end);
   void OnEnd(const std::shared_ptr<Attempt>& attempt, BackendEnd end);
   void EndOversized(Attempt* attempt);
   void ReportUnresponsiveGroup(const Attempt& attempt, const BackendEnd& end);
@@ -109,6 +116,7 @@
   DemandCounts m_demand;
   std::mt19937_64 m_random;
   RequestId m_last_request = 0;
+  bool m_stopping = false;
 };
 
 }  // namespace clementine
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -41,6 +41,9 @@
   /// Kills a daemon and starts it again.
   /// @param wait Whether to wait until it's ready, which takes the platform.
   void Restart(int daemon, bool wait = true);
+  Process& daemon(int index) {
+    return *m_daemons[static_cast<std::size_t>(index)];
+  }
   /// Starts one more daemon. @return Its index.
   int Add();
   Link& platform_link(int daemon) {
