--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -124,9 +124,9 @@
   std::vector<CrashEvidence> evidence;
   for (const auto& [key, entry] : m_entries) {
     if (entry.expires_at <= now) continue;
-    m_causes_expire_at = std::min(m_causes_expire_at, entry.expires_at);
     std::size_t limit = LimitOf(key);
     if (CountUnacquitted(entry) < limit) continue;
+    m_causes_expire_at = std::min(m_causes_expire_at, entry.expires_at);
     // With as many crashes, a part explains those of several requests.
     CrashEvidence found{key, {}, limit, key.starts_with(kPartPrefix)};
     for (const Crash& crash : entry.crashes) {
@@ -310,6 +310,7 @@
   std::vector<ShareQuarantine> shares;
   Entry* entry = Find(key, now);
   if (entry == nullptr) return shares;
+  NoteEvidenceChange(key, *entry);
   auto remaining = std::chrono::ceil<milliseconds>(entry->expires_at - now);
   for (Crash& crash : entry->crashes) {
     // The crashes of a key that was shared without a name are unknown, so a
@@ -318,12 +319,18 @@
       continue;
     }
     crash.acquitted = true;
-    m_causes_outdated = true;
     shares.push_back({key + kAcquittalSeparator + crash.name, remaining});
   }
   return shares;
 }
 
+// Keys below their limit are no causes. Most marks are of such keys, and many
+// arrive at once.
+void Quarantine::NoteEvidenceChange(const std::string& key,
+                                    const Entry& entry) {
+  if (CountUnacquitted(entry) >= LimitOf(key)) m_causes_outdated = true;
+}
+
 std::size_t Quarantine::CountUnacquitted(const Entry& entry) {
   return static_cast<std::size_t>(
       std::count_if(entry.crashes.begin(), entry.crashes.end(),
@@ -363,8 +370,8 @@
       std::find_if(crashes.begin(), crashes.end(),
                    [&](const Crash& other) { return other.name == crash; });
   if (known != crashes.end()) {
+    NoteEvidenceChange(key, *entry);
     known->acquitted = known->acquitted || acquitted;
-    m_causes_outdated = true;
     return;
   }
   if (!acquitted && CountUnacquitted(*entry) >= kMaxUnacquitted) {
@@ -378,7 +385,7 @@
                                [](const Crash& old) { return old.acquitted; }));
   }
   crashes.push_back({std::move(crash), now, acquitted});
-  m_causes_outdated = true;
+  NoteEvidenceChange(key, *entry);
 }
 
 void Quarantine::EvictIfFull() {
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -150,6 +150,9 @@
   };
 
   std::size_t LimitOf(const std::string& key) const;
+  /// Called with an entry while its unacquitted crashes are at their maximum:
+  /// after one was added, or before some are acquitted.
+  void NoteEvidenceChange(const std::string& key, const Entry& entry);
   /// Recomputes m_causes if crashes, acquittals or expiries have changed them.
   void UpdateCauses(TimePoint now) const;
   Cause MakeCause(CrashKeys keys, std::size_t crash_count, TimePoint now) const;
--- a/net/net.h
+++ b/net/net.h
@@ -303,8 +303,8 @@
   std::uint64_t offset = 0;  ///< Tokens delivered, earlier attempts included.
   std::uint64_t dropped = 0;
   milliseconds retry_after{0};
-  bool leaving = false;      ///< The answer had a `leaving` header.
-  bool reused = false;       ///< The connection came from the pool.
+  bool leaving = false;  ///< The answer had a `leaving` header.
+  bool reused = false;   ///< The connection came from the pool.
   /// The answer had neither a length nor chunks, so that the end of its
   /// connection completed it.
   bool unframed = false;
--- a/testing/interface_parity_test.cc
+++ b/testing/interface_parity_test.cc
@@ -206,4 +206,13 @@
   }
 }
 
+// Guards against crashes that are blamed on shared parts of prompts on one
+// interface only.
+TEST_CASE("both daemons read the shared parts of prompts") {
+  CHECK(Sources({"request_reader.cc"}).find("request.shared_parts = ") !=
+        std::string::npos);
+  CHECK(Sources({"relay_executor.cc"}).find("request->shared_parts = ") !=
+        std::string::npos);
+}
+
 }  // namespace clementine
