Let the daemons take turns at trials

Cause: found on reading: after a pause, requests with a blamed part that arrive at all daemons at once were tried by each of them, since the time of each had passed; with 195 daemons that ends as many servers (BUDGET). Change: each daemon may try in one slot of two seconds of each round, chosen at random. Test: "one trial after another tells whether a cause still crashes" now also sends such requests to all daemons after pauses of 3 to 8 minutes; the bound of 3 is the users'. Conclusion: a part comes back without a herd.

--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -35,7 +35,7 @@
 /// A fault that is mended is usually mended within minutes.
 constexpr milliseconds kFirstTrialDelay{60'000};
 /// Twice the time in which the result of a trial reaches all daemons.
-constexpr milliseconds kTrialSpreadPerDaemon{2'000};
+constexpr milliseconds kTrialSlot{2'000};
 /// A trial whose result is not known after this time did not run.
 constexpr milliseconds kTrialTimeout{30'000};
 /// Longer than it takes for a crash to become known to all daemons.
@@ -209,23 +209,23 @@
   return m_times_quarantined;
 }
 
-TimePoint Quarantine::NextTrial(const Cause& cause) const {
+bool Quarantine::IsTrialDue(const Cause& cause, TimePoint now) const {
   milliseconds delay =
       ExponentialBackoff(std::min(kFirstTrialDelay, m_duration / 2),
                          m_duration / 2, cause.failed_trials);
+  TimePoint first = cause.last_crash + delay;
+  if (now < first) return false;
   std::size_t hash = std::hash<std::string>()(
       fmt::format("{}{}{}", m_seed, cause.keys.front(), cause.crash_count));
-  milliseconds spread = m_daemons * kTrialSpreadPerDaemon;
-  return cause.last_crash + delay +
-         milliseconds(static_cast<std::int64_t>(hash % 1000) * spread.count() /
-                      1000);
+  auto own_slot = static_cast<int>(hash % static_cast<unsigned>(m_daemons));
+  return (now - first) / kTrialSlot % m_daemons == own_slot;
 }
 
 bool Quarantine::StartTrial(const CrashKeys& keys, TimePoint now) {
   std::vector<const Cause*> causes = CausesOf(keys, now);
   auto due = [&](const Cause* cause) {
     auto last = m_trials.find(fmt::format("{}", fmt::join(cause->keys, "+")));
-    return now >= NextTrial(*cause) &&
+    return IsTrialDue(*cause, now) &&
            (last == m_trials.end() || now - last->second >= kTrialTimeout);
   };
   if (!std::all_of(causes.begin(), causes.end(), due)) return false;
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -84,9 +84,9 @@
 
   /// Tells whether a quarantined request may run as a trial: if it completes,
   /// its causes are acquitted everywhere, and if it crashes its server, the
-  /// next trial is due after twice the time. Each daemon admits one trial at a
-  /// random time of a period that grows with the number of daemons, so that
-  /// about one runs before the daemons know its result.
+  /// next trial is due after twice the time. The daemons take turns at random,
+  /// so that about one trial runs before they know its result, however many
+  /// such requests arrive at once.
   /// @return True once; the request must then be dispatched.
   bool StartTrial(const CrashKeys& keys, TimePoint now);
   void SetDaemonCount(int daemons) { m_daemons = daemons < 1 ? 1 : daemons; }
@@ -159,7 +159,7 @@
   /// Returns the causes that block a request.
   std::vector<const Cause*> CausesOf(const CrashKeys& keys,
                                      TimePoint now) const;
-  TimePoint NextTrial(const Cause& cause) const;
+  bool IsTrialDue(const Cause& cause, TimePoint now) const;
 
   const Entry* Find(const std::string& key, TimePoint now) const;
   Entry* Find(const std::string& key, TimePoint now);
--- a/testing/quarantine_test.cc
+++ b/testing/quarantine_test.cc
@@ -182,6 +182,17 @@
     return trials;
   };
   CHECK(first_trials(kStart) <= 3);
+  // Requests that arrive at all daemons at once after a pause.
+  for (int minute = 3; minute < 9; ++minute) {
+    int trials = 0;
+    for (Quarantine daemon : daemons) {
+      bool tries =
+          daemon.StartTrial(keys, kStart + std::chrono::minutes(minute));
+      trials += tries ? 1 : 0;
+    }
+    CAPTURE(minute);
+    CHECK(trials <= 3);
+  }
   TimePoint later = kStart + std::chrono::minutes(4);
   for (Quarantine& daemon : daemons) {
     daemon.OnPeerNotice({"pd/chat/8@1#1", kDuration}, later);
