--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -135,14 +135,10 @@
   const HttpRequest& request = exchange->request();
   platform::CallerHeaders headers =
       platform::ReadCallerHeaders(request.headers);
-  if (m_stopping) {
-    RefuseWithoutAttempt(exchange.get(), http_status::kUnavailable, "stopping",
-                         headers.request_id);
-    return;
-  }
-  if (m_routes == nullptr) {
+  if (m_stopping || m_routes == nullptr) {
     RefuseWithoutAttempt(exchange.get(), http_status::kUnavailable,
-                         "no_configuration", headers.request_id);
+                         m_stopping ? "stopping" : "no_configuration",
+                         headers.request_id);
     return;
   }
   RouteTable::Match match =
