--- a/review/standin/clementine_site.py
+++ b/review/standin/clementine_site.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -31,10 +32,19 @@
 }
 
 
+_ports = iter(random.sample(range(20000, 32000), 12000))
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """A free port below the range of outgoing connections."""
+    for port in _ports:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+                return port
+            except OSError:
+                continue
+    raise OSError("no free port")
 
 
 class Record:
