--- a/review/standin/clementine_site.py
+++ b/review/standin/clementine_site.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import atexit
 import json
 import os
 import random
@@ -385,6 +386,20 @@
     return re.sub(r"\{\{([^}]+)\}\}", value, template)
 
 
+_started = []
+
+
+@atexit.register
+def kill_started():
+    """Ends every daemon that this script started, however it ends."""
+    for process in _started:
+        if process.returncode is None:
+            try:
+                os.kill(process.pid, signal.SIGKILL)
+            except OSError:
+                pass
+
+
 class Daemon:
     def __init__(self, store, record, folder, number):
         self.record = record
@@ -411,6 +426,7 @@
         self.process = await asyncio.create_subprocess_exec(
             BINARY, "--config", path, stdout=log, stderr=log, cwd=ROOT
         )
+        _started.append(self.process)
         self.record.write(f"start {self.name} pid={self.process.pid}")
 
     async def wait_ready(self):
@@ -465,6 +481,7 @@
     """Runs main(record, folder) and exits with its result; 2 if it fails."""
     path = os.path.join(os.path.dirname(os.path.abspath(sys.argv[0])), "record.txt")
     record = Record(path)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     if not os.access(BINARY, os.X_OK):
         record.write("target/clementined is missing")
         sys.exit(2)
