--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A deadly part in prompts for one model, then in prompts for another one."""
+"""A deadly part that stands behind 17 other parts of its prompts."""
 
 import os
 import sys
@@ -7,8 +7,8 @@
 from deadly import *  # noqa: E402,F403
 
 
-def choose(case, elapsed):
-    return list(MODELS)[0 if elapsed < 9.0 else 1], case.common[:2] + [DEADLY]
+def choose(case, _):
+    return case.random.choice(list(MODELS)), case.common[:17] + [DEADLY]
 
 
-run(DeadlyCase(6, 20.0, 18.0, choose).main)
+run(DeadlyCase(3, 3.0, 20.0, choose).main)
