Bound the bytes of messages that are not parsed yet

What callers saw: a server that sent an endless size line of a chunk took the daemon over its memory limit within 1.2 s; all its requests were cut (LOST).

Cause: limits counted what the parser had passed on. Bytes that it can't consume yet (a size line of a chunk, its extension, a trailer) stayed in a buffer without a limit, in the clients of backend servers and of the platform. Requests of callers and unfinished answers of the platform had limits each, but none together. Change: 64 KB of unparsed bytes for an answer; bytes not parsed, unfinished events and bodies count together, and the largest answer or unfinished request ends when all hold too much. net/read_some.h reads with a hook after each read, since Beast's operation reads on until its buffer is full. Metrics and a log line with the reason.

--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -112,6 +112,7 @@
         if (found == m_streams.end() || found->second.get() != stream) return;
       }
     }
+    stream->call->Hold(stream->frames.held_bytes());
   } catch (const std::runtime_error& error) {
     EndStream(peer, fmt::format("malformed frame: {}", error.what()));
   }
--- a/daemon/change_relay.h
+++ b/daemon/change_relay.h
@@ -81,6 +81,8 @@
   /// @return The next complete frame; empty until more bytes are appended.
   /// @throws std::runtime_error if the frame is malformed or not authentic.
   std::optional<Frame> Next();
+  /// Size of the incomplete frame, in bytes.
+  std::size_t held_bytes() const { return m_bytes.size(); }
 
  private:
   FrameCodes m_codes;
--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -23,6 +23,14 @@
                     backend.frames_dropped);
   metrics->SetTotal("clementine_answers_dropped_total", "",
                     backend.dropped_answers);
+  metrics->SetTotal("clementine_answers_oversized_total", "",
+                    backend.oversized_answers);
+  metrics->SetTotal("clementine_requests_dropped_total", "",
+                    server.dropped_requests);
+  metrics->Set("clementine_held_bytes", "from=\"backends\"",
+               static_cast<double>(backend.held_bytes));
+  metrics->Set("clementine_held_bytes", "from=\"callers\"",
+               static_cast<double>(server.held_bytes));
 }
 
 }  // namespace clementine
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -252,6 +252,10 @@
   m_metrics.SetTotal("clementine_peer_overflowed_total", "", peers.overflowed);
   m_metrics.SetTotal("clementine_platform_calls_total", "",
                      m_platform->calls());
+  m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
+                     m_platform->dropped_answers());
+  m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
+                static_cast<double>(m_platform->held_bytes()));
   ControlStatus control = m_control_plane->status(Clock::now());
   m_metrics.Set("clementine_generation", "", static_cast<double>(m_generation));
   m_metrics.Set("clementine_open_groups", "",
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -442,6 +442,10 @@
   SetCommonMetrics(m_request_path->stats(), m_server->stats(),
                    m_backends->stats(), &m_metrics);
   m_metrics.SetTotal("clementine_platform_calls_total", "", m_store->calls());
+  m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
+                     m_store->dropped_answers());
+  m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
+                static_cast<double>(m_store->held_bytes()));
   m_metrics.Set("clementine_open_groups", "",
                 static_cast<double>(m_control->open_groups()));
   for (const auto& [model, groups] : m_control->OpenGroupsByModel()) {
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -30,6 +30,7 @@
 #include "net/address.h"
 #include "net/connection_pool.h"
 #include "net/net.h"
+#include "net/read_some.h"
 
 namespace clementine {
 namespace {
@@ -53,6 +54,9 @@
 
 constexpr std::size_t kReadBytes = 16'384;
 constexpr std::uint32_t kMaxHeaderBytes = 32'768;
+/// Bytes of an answer that the parser has not consumed: its head, the size line
+/// of a chunk, or the fields after the last chunk, and the bytes read with it.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{2} * kMaxHeaderBytes;
 
 constexpr int kKeepAliveIdleSeconds = 10;
 constexpr int kKeepAliveIntervalSeconds = 3;
@@ -168,7 +172,8 @@
         m_handlers(std::move(handlers)),
         m_socket(*m_client->m_io),
         m_resumed(*m_client->m_io),
-        m_reader(m_call.attempt, m_call.resume_offset) {
+        m_reader(m_call.attempt, m_call.resume_offset),
+        m_buffer(kMaxUnparsedBytes) {
     m_resumed.expires_at(Clock::time_point::max());
     if (m_call.total_timeout > milliseconds(0)) {
       m_call_end = Clock::now() + m_call.total_timeout;
@@ -177,7 +182,7 @@
     ++m_client->m_stats.calls;
   }
   ~CallState() override {
-    SetHeld(0);
+    ReleaseHeld();
     m_client->m_calls.erase(this);
   }
 
@@ -187,7 +192,7 @@
 
   void Cancel() override {
     m_cancelled = true;
-    SetHeld(0);
+    ReleaseHeld();
     Close();
     m_resumed.cancel();
   }
@@ -203,20 +208,21 @@
   }
 
   void Hold(std::size_t bytes) override {
-    if (m_dropped || m_cancelled || m_reported) return;
-    SetHeld(bytes);
-    m_client->BoundHeldBytes();
+    if (m_reported) return;
+    m_held_by_owner = bytes;
+    UpdateHeld();
   }
 
   bool reused() const override { return m_end.reused; }
 
   std::size_t held() const { return m_held; }
 
-  /// Ends the call for the bytes it keeps.
+  /// Ends the call because all calls together keep too much.
   void Drop() {
+    LogDropped("held_bytes", m_held);
     m_dropped = true;
     m_paused = false;
-    SetHeld(0);
+    ReleaseHeld();
     Close();
     m_resumed.cancel();
   }
@@ -246,7 +252,8 @@
   asio::awaitable<void> ReadBody(Parser* parser);
   asio::awaitable<void> RelayBody(Parser* parser);
   AnswerHead JudgeHead(const Parser& parser);
-  asio::awaitable<error_code> ReadSome(Parser* parser, std::string_view* bytes);
+  asio::awaitable<error_code> ReadBytes(Parser* parser,
+                                        std::string_view* bytes);
   asio::awaitable<void> FinishTrailer(Parser* parser);
   asio::awaitable<bool> AddressRefuses();
   void TakeTokens(std::string_view bytes);
@@ -257,11 +264,26 @@
   void SetDeadline(std::chrono::milliseconds timeout) {
     m_deadline = std::min(Clock::now() + timeout, m_call_end);
   }
+  /// Counts what is kept of the answer: unparsed bytes, an unfinished event or
+  /// the body, and what the call's owner keeps.
+  void UpdateHeld() {
+    if (m_dropped || m_cancelled) return;
+    SetHeld(m_buffer.capacity() + m_reader.held_bytes() + m_end.body.size() +
+            m_held_by_owner);
+    m_client->BoundHeldBytes();
+  }
+  void ReleaseHeld() { SetHeld(0); }
   void SetHeld(std::size_t bytes) {
     m_client->m_stats.held_bytes += bytes;
     m_client->m_stats.held_bytes -= m_held;
     m_held = bytes;
   }
+  void LogDropped(const char* reason, std::size_t bytes) const {
+    LogEvent("answer_dropped", {{"address", m_call.address},
+                                {"attempt", m_call.attempt},
+                                {"reason", reason},
+                                {"bytes", std::to_string(bytes)}});
+  }
   void Close() {
     error_code ignored;
     m_socket.close(ignored);
@@ -274,6 +296,7 @@
   asio::steady_timer m_resumed;  ///< Cancelled by Resume.
   EventStreamReader m_reader;
   beast::flat_buffer m_buffer;
+  const std::function<void()> m_on_read = [this] { UpdateHeld(); };
   std::array<char, kReadBytes> m_bytes{};
   BackendEnd m_end;
   Clock::time_point m_deadline = Clock::time_point::max();
@@ -284,9 +307,10 @@
   bool m_first_token = false;
   bool m_broken = false;  ///< The connection failed after bytes were sent.
   bool m_reported = false;
-  bool m_not_run = false;  ///< Relayed: the head says so.
-  bool m_dropped = false;  ///< All answers together kept too much.
-  std::size_t m_held = 0;  ///< Part of the client's `held_bytes`.
+  bool m_not_run = false;           ///< Relayed: the head says so.
+  bool m_dropped = false;           ///< All answers together kept too much.
+  std::size_t m_held = 0;           ///< Part of the client's `held_bytes`.
+  std::size_t m_held_by_owner = 0;  ///< As told by Hold.
 };
 
 // ---------------------------------------------------------------------------
@@ -468,13 +492,13 @@
   parser->header_limit(kMaxHeaderBytes);
   parser->body_limit(boost::none);
   if (m_call.method == "HEAD") parser->skip(true);
-  error_code error;
-  co_await http::async_read_header(
-      m_socket, m_buffer, *parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    Fail("header", error);
-    co_return false;
+  while (!parser->is_header_done()) {
+    error_code error =
+        co_await ReadSome(&m_socket, &m_buffer, parser, &m_on_read);
+    if (error) {
+      Fail("header", error);
+      co_return false;
+    }
   }
   const auto& answer = parser->get();
   m_end.status = static_cast<int>(answer.result_int());
@@ -527,7 +551,7 @@
     }
     if (m_first_token) SetDeadline(m_call.gap_timeout);
     std::string_view bytes;
-    error_code error = co_await ReadSome(parser, &bytes);
+    error_code error = co_await ReadBytes(parser, &bytes);
     if (m_cancelled) co_return;
     if (!bytes.empty()) m_first_token = true;
     received += bytes.size();
@@ -551,16 +575,14 @@
   ReturnConnection(*parser);
 }
 
-asio::awaitable<error_code> CallState::ReadSome(Parser* parser,
-                                                std::string_view* bytes) {
+asio::awaitable<error_code> CallState::ReadBytes(Parser* parser,
+                                                 std::string_view* bytes) {
   auto& body = parser->get().body();
   body.data = m_bytes.data();
   body.size = m_bytes.size();
   body.more = true;
-  error_code error;
-  co_await http::async_read_some(
-      m_socket, m_buffer, *parser,
-      asio::redirect_error(asio::use_awaitable, error));
+  error_code error =
+      co_await ReadSome(&m_socket, &m_buffer, parser, &m_on_read);
   if (error == http::error::need_buffer) error = {};
   *bytes = std::string_view(m_bytes.data(), m_bytes.size() - body.size);
   co_return error;
@@ -577,7 +599,7 @@
     if (m_cancelled) co_return;
     if (m_first_token) SetDeadline(m_call.gap_timeout);
     std::string_view bytes;
-    error_code error = co_await ReadSome(parser, &bytes);
+    error_code error = co_await ReadBytes(parser, &bytes);
     if (m_cancelled) co_return;
     TakeTokens(bytes);
     if (m_cancelled) co_return;
@@ -615,7 +637,7 @@
   SetDeadline(kTrailerTimeout);
   while (!parser->is_done()) {
     std::string_view bytes;
-    error_code error = co_await ReadSome(parser, &bytes);
+    error_code error = co_await ReadBytes(parser, &bytes);
     if (error || !bytes.empty()) co_return;
   }
   ReturnConnection(*parser);
@@ -624,7 +646,7 @@
 asio::awaitable<void> CallState::ReadBody(Parser* parser) {
   while (!parser->is_done()) {
     std::string_view bytes;
-    error_code error = co_await ReadSome(parser, &bytes);
+    error_code error = co_await ReadBytes(parser, &bytes);
     if (m_cancelled) co_return;
     if (error) {
       Fail("body", error);
@@ -636,7 +658,7 @@
       co_return;
     }
     m_end.body.append(bytes);
-    Hold(m_end.body.size());
+    UpdateHeld();
   }
   Classify(*parser);
   ReturnConnection(*parser);
@@ -661,6 +683,11 @@
     m_end.detail = "answers too large together";
     return;
   }
+  if (error == http::error::buffer_overflow ||
+      error == http::error::header_limit) {
+    ++m_client->m_stats.oversized_answers;
+    LogDropped("unparsed_bytes", m_buffer.size());
+  }
   m_broken = true;
   m_end.lost = !m_timed_out;
   m_end.result =
@@ -695,7 +722,8 @@
 void CallState::Report() {
   if (m_reported || m_cancelled) return;
   m_reported = true;
-  SetHeld(0);
+  m_held_by_owner = 0;
+  ReleaseHeld();
   m_end.offset = m_reader.offset();
   if (m_handlers.end) m_handlers.end(std::move(m_end));
 }
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -7,6 +7,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
@@ -24,6 +25,7 @@
 #include "net/address.h"
 #include "net/header_name.h"
 #include "net/net.h"
+#include "net/read_some.h"
 
 namespace clementine {
 namespace {
@@ -113,6 +115,9 @@
   /// Whether answers end their connections.
   bool draining() const { return m_draining || m_stopping; }
   void StartDraining() { m_draining = true; }
+  /// Drops the unfinished requests that hold the most while all requests
+  /// together hold too much.
+  void BoundHeldBytes();
 
   std::string m_address;
   HttpServerStats m_stats;
@@ -147,6 +152,7 @@
   }
 
   ~HttpSession() {
+    SetHeld(0);
     m_server->m_sessions.erase(this);
     --m_server->m_stats.connections;
   }
@@ -179,6 +185,19 @@
     m_socket.close(ignored);
   }
 
+  /// Bytes kept of a request that is not complete yet.
+  std::size_t unfinished_bytes() const {
+    return m_reading_request ? m_held : 0;
+  }
+
+  /// Ends the reading of a request because all requests together hold too much.
+  void DropRequest() {
+    m_dropped = true;
+    SetHeld(0);
+    error_code ignored;
+    m_socket.cancel(ignored);
+  }
+
   // Used by the exchange.
   void QueueHead(int status, const HttpHeaders& headers, std::string_view body);
   void QueueStreamHead(int status, const HttpHeaders& headers);
@@ -203,11 +222,30 @@
   asio::awaitable<bool> WaitForRequest();
   asio::awaitable<bool> ReadRequest();
   asio::awaitable<bool> ReadParts(Parser* parser, error_code* error);
+  asio::awaitable<error_code> ReadBytes(Parser* parser);
   asio::awaitable<void> RejectRequest(error_code error);
   asio::awaitable<bool> WriteAnswer();
   asio::awaitable<error_code> WritePending();
   asio::awaitable<void> DrainInput();
   static asio::awaitable<void> WatchCaller(std::shared_ptr<HttpSession> self);
+  /// Counts the bytes kept of a request: those that are not parsed yet, its
+  /// head as far as it is read, and its body.
+  void UpdateHeld(std::size_t body_bytes) {
+    SetHeld(m_buffer.capacity() + m_head_bytes + body_bytes);
+  }
+  /// Frees what is kept of a request that was answered or rejected. Bytes of
+  /// the next one remain.
+  void ReleaseRequestBytes() {
+    if (m_dropped) m_buffer.clear();
+    if (m_buffer.size() == 0) m_buffer.shrink_to_fit();
+    m_head_bytes = 0;
+    UpdateHeld(0);
+  }
+  void SetHeld(std::size_t bytes) {
+    m_server->m_stats.held_bytes += bytes;
+    m_server->m_stats.held_bytes -= m_held;
+    m_held = bytes;
+  }
   ReadFault Explain(error_code error) const;
   void TakeRequest(Parser::value_type message);
   void Leave(const char* reason);
@@ -234,7 +272,10 @@
   bool m_head_request = false;
   bool m_keep_alive = true;
   bool m_watching = false;
-  bool m_full = false;  ///< Write returned false; the drain handler is due.
+  bool m_full = false;     ///< Write returned false; the drain handler is due.
+  std::size_t m_held = 0;  ///< Part of the server's `held_bytes`.
+  std::size_t m_head_bytes = 0;
+  bool m_dropped = false;  ///< All requests together held too much.
 };
 
 namespace {
@@ -311,6 +352,18 @@
   if (abort) m_sweep.cancel();
 }
 
+void HttpServer::Impl::BoundHeldBytes() {
+  while (m_stats.held_bytes > m_limits.max_held_bytes) {
+    auto most =
+        std::max_element(m_sessions.begin(), m_sessions.end(),
+                         [](const HttpSession* a, const HttpSession* b) {
+                           return a->unfinished_bytes() < b->unfinished_bytes();
+                         });
+    if (most == m_sessions.end() || (*most)->unfinished_bytes() == 0) return;
+    (*most)->DropRequest();
+  }
+}
+
 void HttpServer::Impl::Admit(tcp::socket socket) {
   if (m_sessions.size() >= m_limits.max_connections) {
     ++m_stats.refused_connections;
@@ -396,28 +449,33 @@
 }
 
 asio::awaitable<bool> HttpSession::ReadRequest() {
-  Parser parser;
-  parser.header_limit(
-      static_cast<std::uint32_t>(m_server->limits().max_header_bytes));
-  parser.body_limit(m_server->limits().max_body_bytes);
   error_code error;
-  bool complete = co_await ReadParts(&parser, &error);
-  if (!complete) {
-    co_await RejectRequest(error);
-    co_return false;
-  }
-  m_keep_alive = parser.keep_alive();
-  TakeRequest(parser.release());
-  co_return true;
+  {
+    Parser parser;
+    parser.header_limit(
+        static_cast<std::uint32_t>(m_server->limits().max_header_bytes));
+    parser.body_limit(m_server->limits().max_body_bytes);
+    bool complete = co_await ReadParts(&parser, &error);
+    if (complete) {
+      m_keep_alive = parser.keep_alive();
+      TakeRequest(parser.release());
+      co_return true;
+    }
+  }
+  co_await RejectRequest(error);
+  co_return false;
 }
 
 asio::awaitable<bool> HttpSession::ReadParts(Parser* parser,
                                              error_code* error) {
   SetDeadline(m_server->limits().header_timeout);
-  co_await http::async_read_header(
-      m_socket, m_buffer, *parser,
-      asio::redirect_error(asio::use_awaitable, *error));
-  if (*error) co_return false;
+  while (!parser->is_header_done()) {
+    *error = co_await ReadBytes(parser);
+    if (*error) co_return false;
+  }
+  for (const auto& field : parser->get()) {
+    m_head_bytes += field.name_string().size() + field.value().size();
+  }
   SetDeadline(m_server->limits().body_timeout);
   if (SameHeaderName(parser->get()[http::field::expect], "100-continue")) {
     static constexpr std::string_view kContinue =
@@ -427,8 +485,10 @@
         asio::redirect_error(asio::use_awaitable, *error));
     if (*error) co_return false;
   }
-  co_await http::async_read(m_socket, m_buffer, *parser,
-                            asio::redirect_error(asio::use_awaitable, *error));
+  while (!parser->is_done()) {
+    *error = co_await ReadBytes(parser);
+    if (*error) co_return false;
+  }
   if (!*error && parser->get().version() != 11 &&
       parser->get().version() != 10) {
     *error = http::error::bad_version;
@@ -436,10 +496,23 @@
   co_return !*error;
 }
 
+asio::awaitable<error_code> HttpSession::ReadBytes(Parser* parser) {
+  const std::function<void()> on_read = [this, parser] {
+    if (!m_dropped) UpdateHeld(parser->get().body().size());
+    m_server->BoundHeldBytes();
+  };
+  error_code error = co_await ReadSome(&m_socket, &m_buffer, parser, &on_read);
+  if (m_dropped) error = asio::error::no_memory;
+  co_return error;
+}
+
 ReadFault HttpSession::Explain(error_code error) const {
   if (m_timed_out) {
     return {408, "request_timeout", "the request didn't arrive in time"};
   }
+  if (m_dropped) {
+    return {503, "held_bytes", "all requests together hold too many bytes"};
+  }
   if (error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
     return {431, "header_too_large", "the header exceeds the limit"};
@@ -454,8 +527,10 @@
 }
 
 asio::awaitable<void> HttpSession::RejectRequest(error_code error) {
-  ++m_server->m_stats.malformed;
+  ++(m_dropped ? m_server->m_stats.dropped_requests
+               : m_server->m_stats.malformed);
   ReadFault fault = Explain(error);
+  ReleaseRequestBytes();
   LogEvent("request_rejected", {{"status", std::to_string(fault.status)},
                                 {"reason", fault.type},
                                 {"detail", error.message()}});
@@ -579,6 +654,7 @@
   m_answering = false;
   m_leave_handler = nullptr;
   m_drain_handler = nullptr;
+  ReleaseRequestBytes();
   co_return !m_left && m_keep_alive;
 }
 
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -20,6 +20,7 @@
 
 #include "net/address.h"
 #include "net/connection_pool.h"
+#include "net/read_some.h"
 
 namespace clementine {
 namespace {
@@ -34,6 +35,11 @@
 // The largest answers are the host list and the list of a data centre's
 // objects.
 constexpr std::size_t kMaxAnswerBytes = 16'000'000;
+// Of all unfinished answers together.
+constexpr std::size_t kMaxHeldBytes = 2 * kMaxAnswerBytes;
+// The head of an answer, the size line of a chunk, or the fields after the last
+// chunk, and the bytes read with it.
+constexpr std::size_t kMaxUnparsedBytes = 65'536;
 constexpr std::size_t kMaxIdleConnections = 8;
 // Reached only when the platform is slow; bounds memory and descriptors.
 constexpr std::size_t kMaxConnections = 256;
@@ -42,7 +48,9 @@
   explicit Connection(asio::io_context* io) : stream(*io) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
+  std::size_t held = 0;  // Bytes of the unfinished answer.
+  bool dropped = false;  // All answers together held too much.
 };
 
 }  // namespace
@@ -82,8 +90,10 @@
   void ForgetIdle() { m_idle.clear(); }
 
   std::uint64_t calls() const { return m_calls; }
+  const Stats& stats() const { return m_stats; }
 
  private:
+  using Parser = http::response_parser<http::string_body>;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   // `self` keeps the client's state until the call has ended.
@@ -168,10 +178,9 @@
         connection->stream, asio::buffer(message), kAwaitTuple);
     answer.sent = written > 0;
     if (write_error) co_return answer;
-    http::response_parser<http::string_body> parser;
+    Parser parser;
     parser.body_limit(kMaxAnswerBytes);
-    auto [read_error, bytes] = co_await http::async_read(
-        connection->stream, connection->buffer, parser, kAwaitTuple);
+    boost::system::error_code read_error = co_await Read(connection, &parser);
     if (read_error) {
       // Whatever stopped this connection may have stopped the idle ones too.
       if (read_error == beast::error::timeout) m_idle.clear();
@@ -188,6 +197,55 @@
     co_return answer;
   }
 
+  // Reads an answer within the limits of held bytes.
+  asio::awaitable<boost::system::error_code> Read(ConnectionPtr connection,
+                                                  Parser* parser) {
+    const std::function<void()> on_read = [this, connection, parser] {
+      SetHeld(connection.get(),
+              connection->buffer.capacity() + parser->get().body().size());
+      BoundHeldBytes();
+    };
+    boost::system::error_code result;
+    while (!result && !parser->is_done()) {
+      result = co_await ReadSome(&connection->stream, &connection->buffer,
+                                 parser, &on_read);
+    }
+    SetHeld(connection.get(), 0);
+    bool too_long = result == http::error::buffer_overflow ||
+                    result == http::error::header_limit ||
+                    result == http::error::body_limit;
+    if (too_long || connection->dropped) {
+      ++m_stats.dropped_answers;
+      LogEvent("answer_dropped",
+               {{"address", m_address},
+                {"reason", connection->dropped ? "held_bytes" : "too_long"},
+                {"detail", result.message()}});
+    }
+    co_return result;
+  }
+
+  void SetHeld(Connection* connection, std::size_t bytes) {
+    m_stats.held_bytes += bytes;
+    m_stats.held_bytes -= connection->held;
+    connection->held = bytes;
+  }
+
+  // Ends the answers that hold the most while all together hold too much.
+  void BoundHeldBytes() {
+    while (m_stats.held_bytes > kMaxHeldBytes) {
+      ConnectionPtr most;
+      for (const auto& weak : m_open) {
+        ConnectionPtr connection = weak.lock();
+        if (connection && (!most || connection->held > most->held)) {
+          most = std::move(connection);
+        }
+      }
+      SetHeld(most.get(), 0);
+      most->dropped = true;
+      most->stream.close();
+    }
+  }
+
   // Logs a status that the protocol doesn't give, once until it changes.
   void LogUnexpected(int status) {
     bool expected =
@@ -207,6 +265,7 @@
   std::vector<ConnectionPtr> m_idle;
   std::vector<std::weak_ptr<Connection>> m_open;  // Idle and busy.
   std::uint64_t m_calls = 0;
+  Stats m_stats;
   int m_logged_status = 0;
   bool m_stopped = false;
 };
@@ -231,4 +290,6 @@
 
 std::uint64_t HttpTransport::calls() const { return m_impl->calls(); }
 
+HttpTransport::Stats HttpTransport::stats() const { return m_impl->stats(); }
+
 }  // namespace clementine
--- a/net/http_transport.h
+++ b/net/http_transport.h
@@ -24,6 +24,11 @@
     std::string body;
   };
 
+  struct Stats {
+    std::uint64_t held_bytes = 0;  ///< Bytes kept of unfinished answers, now.
+    std::uint64_t dropped_answers = 0;  ///< Ended as they exceeded a limit.
+  };
+
   /// @param io      Must outlive the transport.
   /// @param address IP:port of the server.
   /// @param headers Sent with each call.
@@ -47,6 +52,8 @@
   /// Calls made so far, failed ones included.
   std::uint64_t calls() const;
 
+  Stats stats() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/net/net.h
+++ b/net/net.h
@@ -155,6 +155,9 @@
   std::size_t max_body_bytes = 1'048'576;
   std::size_t max_connections = 4096;
   std::size_t max_buffered_bytes = 65'536;  ///< Unsent bytes of one answer.
+  /// Of all requests together, from their first byte to the end of their
+  /// answers. A request that would exceed it is refused as not run.
+  std::size_t max_held_bytes = 50'331'648;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds body_timeout{30'000};
   std::chrono::milliseconds write_timeout{30'000};  ///< No progress in writing.
@@ -168,6 +171,8 @@
   std::uint64_t malformed = 0;  ///< Rejected before the handler saw them.
   std::uint64_t refused_connections = 0;
   std::uint64_t callers_left = 0;
+  std::uint64_t held_bytes = 0;  ///< Bytes kept of unanswered requests, now.
+  std::uint64_t dropped_requests = 0;  ///< Refused, as all held too much.
 };
 
 /// HTTP/1.1 server. Malformed, oversized, slow and truncated requests get a
@@ -242,6 +247,10 @@
   bool done() const { return m_done; }  ///< `data: [DONE]` was read.
   Fault fault() const { return m_fault; }
   std::uint64_t dropped() const { return m_dropped; }  ///< Foreign or repeated.
+  /// Size of the unfinished event, in bytes.
+  std::size_t held_bytes() const {
+    return m_partial.size() + m_id.size() + m_data.size() + m_event.size();
+  }
 
  private:
   using TokenHandler = std::function<void(std::string_view data)>;
@@ -339,7 +348,8 @@
   /// Stops reading until Resume; the gap timeout doesn't run meanwhile.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
-  /// Tells how many bytes of the answer are kept until it ends. Beyond
+  /// Tells how many bytes of the answer the owner of the call keeps until it
+  /// ends, beside those that the client keeps itself. Beyond
   /// BackendOptions::max_held_bytes for all calls, the one that keeps the most
   /// ends broken.
   virtual void Hold(std::size_t bytes) = 0;
@@ -356,9 +366,9 @@
   std::chrono::milliseconds idle_timeout{15'000};  ///< In the pool.
   std::size_t max_idle_per_address = 32;
   std::size_t max_body_bytes = 8'388'608;  ///< Of an answer.
-  /// Of all answers that are kept until they end: a fifth of the smallest host
-  /// of a daemon, which has 160 MB, and more than a whole answer of the largest
-  /// size.
+  /// Of all answers together, with the bytes that are not parsed yet: a fifth
+  /// of the smallest host of a daemon, which has 160 MB, and more than a whole
+  /// answer of the largest size.
   std::size_t max_held_bytes = 33'554'432;
 };
 
@@ -369,8 +379,10 @@
   std::uint64_t idle = 0;            ///< Connections in the pool now.
   std::uint64_t frames_dropped = 0;  ///< Events of another attempt or repeated.
   std::uint64_t gaps = 0;            ///< Streams ended by a missing event.
-  std::uint64_t held_bytes = 0;      ///< Of answers kept until they end, now.
+  std::uint64_t held_bytes = 0;      ///< Bytes kept of unfinished answers, now.
   std::uint64_t dropped_answers = 0;  ///< Ended, as all together kept too much.
+  /// Ended, as a head, the size line of a chunk or a trailer was too long.
+  std::uint64_t oversized_answers = 0;
 };
 
 /// Client of backend servers. Never repeats a call by itself. A result is
@@ -497,6 +509,8 @@
 
   /// Calls made so far, all kinds, failed ones included.
   std::uint64_t calls() const;
+  std::uint64_t held_bytes() const;       ///< Bytes of unfinished answers, now.
+  std::uint64_t dropped_answers() const;  ///< Ended as they exceeded a limit.
 
  private:
   class Impl;
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -120,6 +120,7 @@
                       std::move(done));
   }
   std::uint64_t calls() const { return m_transport.calls(); }
+  HttpTransport::Stats stats() const { return m_transport.stats(); }
 
  private:
   static HttpHeaders Headers(const std::string& token) {
@@ -197,4 +198,12 @@
 
 std::uint64_t PlatformClient::calls() const { return m_impl->calls(); }
 
+std::uint64_t PlatformClient::held_bytes() const {
+  return m_impl->stats().held_bytes;
+}
+
+std::uint64_t PlatformClient::dropped_answers() const {
+  return m_impl->stats().dropped_answers;
+}
+
 }  // namespace clementine
--- a/testing/hostile_server_test.cc
+++ b/testing/hostile_server_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using nettest::Chunk;
+using nettest::kLastChunk;
 using nettest::kSigned;
 using nettest::RawConnection;
 using nettest::RelayFixture;
@@ -42,6 +43,35 @@
   return max_sent;
 }
 
+/// Answers whose framing never ends: a head, the size line or an extension of a
+/// chunk, the fields after the last chunk. First bytes and repeated ones.
+const std::vector<std::pair<std::string, std::string>>& EndlessFraming() {
+  static const std::vector<std::pair<std::string, std::string>> kFraming = {
+      {"HTTP/1.1 200 OK\r\nX-Junk: ", std::string(16'384, 'x')},
+      {Head("text/event-stream"), std::string(16'384, '\xa5')},
+      {Head("text/event-stream"), std::string(16'384, '0')},
+      {Head("text/event-stream") + "4;x=", std::string(16'384, 'x')},
+      {Head("text/event-stream") + "0\r\n", "X-Field: y\r\n"},
+  };
+  return kFraming;
+}
+
+/// Answers the first request with endless bytes and later ones as a sound
+/// server does.
+ScriptedServer::Script SendForeverOnce(const std::string& first,
+                                       const std::string& piece,
+                                       const std::string& sound) {
+  auto done = std::make_shared<bool>(false);
+  return [=](RawConnection& raw, const std::string&) {
+    if (std::exchange(*done, true)) {
+      raw.Send(sound);
+    } else {
+      raw.Send(first);
+      raw.Flood(piece);
+    }
+  };
+}
+
 /// Sends a piece at regular intervals until the connection is closed.
 struct PeriodicSender : std::enable_shared_from_this<PeriodicSender> {
   PeriodicSender(boost::asio::io_context* io,
@@ -81,8 +111,9 @@
 
 /// Calls a server that never completes its answer.
 struct CallFixture {
-  explicit CallFixture(const ScriptedServer::Script& script)
-      : io_pointer(&io), client(&io, BackendOptions()), server(&io, script) {}
+  explicit CallFixture(const ScriptedServer::Script& script,
+                       const BackendOptions& options = {})
+      : io_pointer(&io), client(&io, options), server(&io, script) {}
 
   /// @return Duration of the planner's report call.
   milliseconds MeasureReportCall() {
@@ -174,6 +205,137 @@
   CHECK(MaxSentBytes(relay.backend) < 1'048'576 + kSocketBufferBytes);
 }
 
+// Guards against framing without end that fills the daemon's memory: the parser
+// passed on none of its bytes, so that no limit of a head or body applied. The
+// request is served by another server.
+TEST_CASE("an answer with endless framing is dropped and repeated elsewhere") {
+  for (const auto& [first, piece] : EndlessFraming()) {
+    for (RouteKind kind : {RouteKind::kIdempotent, RouteKind::kStream}) {
+      CAPTURE(first);
+      CAPTURE(static_cast<int>(kind));
+      const std::string sound =
+          Head("text/event-stream") + Chunk("id: 1\ndata: x\n\n") + kLastChunk;
+      ScriptedServer::Script script = SendForeverOnce(first, piece, sound);
+      RelayFixture relay(script, kind, script);
+      std::size_t max_held = 0;
+      std::string received =
+          relay
+              .CallConcurrently(
+                  1,
+                  [&] {
+                    max_held =
+                        std::max(max_held, relay.backends.stats().held_bytes);
+                  })
+              .front();
+      CHECK(received.find("HTTP/1.1 200") == 0);
+      CHECK(received.find("data: x") != std::string::npos);
+      CHECK(max_held < 262'144);
+      CHECK(relay.backends.stats().oversized_answers == 1);
+      CHECK(MaxSentBytes(relay.backend) + MaxSentBytes(*relay.other_backend) <
+            kSocketBufferBytes);
+    }
+  }
+}
+
+// Guards against a limit of unparsed bytes that refuses sound answers: heads up
+// to their limit, and chunks with long extensions and trailers.
+TEST_CASE("an answer with long framing is passed on") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\n" + std::string(kSigned) +
+      "Content-Type: text/plain\r\nX-Long: " + std::string(30'000, 'h') +
+      "\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string chunks;
+  for (int i = 0; i < 8; ++i) {
+    chunks += "4;x=" + std::string(30'000, 'e') + "\r\nbody\r\n";
+  }
+  RelayFixture relay([&](RawConnection& raw, const std::string&) {
+    raw.Send(head + chunks + "0\r\nX-Field: " + std::string(30'000, 't') +
+             "\r\n\r\n");
+  });
+  std::string received = relay.Call();
+  CHECK(received.find("HTTP/1.1 200") == 0);
+  CHECK(received.find("bodybodybodybodybodybodybodybody") != std::string::npos);
+  CHECK(relay.backends.stats().oversized_answers == 0);
+}
+
+// Guards against the same on calls that are not forwarded: streams and answers
+// of the chat interface, health checks and orders.
+TEST_CASE("a call ends when the framing of its answer does not") {
+  for (const auto& [first, piece] : EndlessFraming()) {
+    for (int kind = 0; kind < 4; ++kind) {
+      CAPTURE(first);
+      CAPTURE(kind);
+      CallFixture fixture(SendForever(first, piece));
+      bool ended = false;
+      std::size_t max_held = 0;
+      BackendCall call;
+      call.address = fixture.server.address;
+      call.event_stream = kind == 0;
+      BackendHandlers handlers;
+      handlers.end = [&](const BackendEnd& end) {
+        CHECK(end.result == AttemptResult::kBroken);
+        ended = true;
+      };
+      if (kind < 2) {
+        fixture.client.Start(call, std::move(handlers));
+      } else if (kind == 2) {
+        fixture.client.Probe(call.address, milliseconds(2'000),
+                             [&](const std::optional<HostHealth>& health) {
+                               CHECK_FALSE(health);
+                               ended = true;
+                             });
+      } else {
+        fixture.client.SendOrder(
+            call.address, HostOrder(),
+            std::chrono::steady_clock::now() + milliseconds(2'000),
+            [&](bool accepted, bool sent) {
+              CHECK_FALSE(accepted);
+              CHECK(sent);
+              ended = true;
+            });
+      }
+      CHECK(RunUntil(&fixture.io, [&] {
+        max_held = std::max(max_held, fixture.client.stats().held_bytes);
+        return ended;
+      }));
+      CHECK(max_held < 262'144);
+      CHECK(fixture.client.stats().oversized_answers == 1);
+    }
+  }
+}
+
+// Guards against unparsed bytes of many answers that together fill the memory,
+// each of them within its limit.
+TEST_CASE("the total size of unparsed bytes is bounded") {
+  constexpr std::size_t kMaxHeld = 262'144;
+  BackendOptions options;
+  options.max_held_bytes = kMaxHeld;
+  CallFixture fixture(
+      [](RawConnection& raw, const std::string&) {
+        raw.Send(Head("text/plain") + std::string(60'000, '0'));
+      },
+      options);
+  int ended = 0;
+  std::size_t max_held = 0;
+  for (int i = 0; i < 20; ++i) {
+    BackendCall call;
+    call.address = fixture.server.address;
+    call.idempotent = false;
+    call.first_byte_timeout = milliseconds(500);
+    BackendHandlers handlers;
+    handlers.end = [&](const BackendEnd&) { ++ended; };
+    fixture.client.Start(call, std::move(handlers));
+  }
+  CHECK(RunUntil(&fixture.io, [&] {
+    max_held = std::max(max_held, fixture.client.stats().held_bytes);
+    return ended == 20;
+  }));
+  CHECK(max_held <= kMaxHeld);
+  CHECK(max_held > kMaxHeld / 2);
+  CHECK(fixture.client.stats().dropped_answers > 10);
+  CHECK(fixture.client.stats().held_bytes == 0);
+}
+
 // Guards against a report that is endless or arrives one byte at a time: the
 // call never ended, and the server was not asked for a report again.
 TEST_CASE("a report call is bounded in time and size") {
