Blame crashes on any part of a prompt

What callers saw: requests with a deadly part behind 16 others crashed server after server without end (BUDGET); sound streams were cut and refused.

Cause: the first 16 parts of a prompt, with ids of up to 64 bytes, had a key, and parts behind them could not be blamed. The limit bounded memory and marks. Change: all parts have a key, held as 8 bytes each. If more than 16 remain, daemons share a Bloom filter of them and mark only parts that several crashes have in common, those with most crashes first (core/crash_candidates). Marks have a limit in bytes. Conclusion: what is sent is bounded by the filter's size and 16 marks; what is blamed is bounded by evidence and not by the place in the prompt.

--- a/config/config.h
+++ b/config/config.h
@@ -181,6 +181,9 @@
 /// Returns the XXH3-128 hash of a text as 32 hexadecimal digits.
 std::string TextDigest(const std::string& text);
 
+/// Returns the first 64 bits of the hash that TextDigest() returns.
+std::uint64_t TextHash(std::string_view text);
+
 /// Returns the digest of the section names and digests of a head. Heads with
 /// equal sections have equal digests.
 std::string HeadDigest(const ConfigHead& head);
--- a/config/head.cc
+++ b/config/head.cc
@@ -16,6 +16,10 @@
   return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
 }
 
+std::uint64_t TextHash(std::string_view text) {
+  return XXH3_128bits(text.data(), text.size()).high64;
+}
+
 std::string HeadDigest(const ConfigHead& head) {
   std::string listing;
   for (const auto& [name, digest] : head.sections) {
--- a/core/core.h
+++ b/core/core.h
@@ -115,8 +115,8 @@
   std::string service;  ///< Empty for models.
   std::string adapter;
   std::vector<std::uint64_t> prefix_blocks;  ///< Hashes of prompt blocks.
-  /// Identifiers of the parts of the prompt that other requests may share, at
-  /// most 16. Crashes can be blamed on them.
+  /// Identifiers of the parts of the prompt that other requests may share.
+  /// Crashes can be blamed on them.
   std::vector<std::string> shared_parts;
   std::string content_digest;       ///< Digest of the body.
   std::uint32_t prompt_tokens = 0;  ///< Estimated.
--- a/core/crash_exchange.cc
+++ b/core/crash_exchange.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <functional>
+#include <iterator>
 #include <string_view>
 
 #include "core/exponential_backoff.h"
@@ -43,8 +44,14 @@
 constexpr seconds kExpiredObjectRetention{60};
 constexpr milliseconds kRemovalInterval{1'000};
 /// Maximum length of a mark's name, which holds a digest, a group name and
-/// numbers.
+/// numbers. A filter of parts may be longer.
 constexpr std::size_t kMaxNameBytes = 256;
+constexpr std::size_t kMaxFilterNameBytes =
+    kMaxNameBytes + PartFilter::kMaxBytes / 3 * 4 + 4;
+
+std::size_t MaxNameBytes(std::string_view name) {
+  return IsPartFilter(name) ? kMaxFilterNameBytes : kMaxNameBytes;
+}
 
 /// Call ids of writes and removals. Other components count up from 1.
 constexpr CallId kWriteCall = ~CallId{0} - 1;
@@ -84,11 +91,11 @@
     auto [stop, error] =
         std::from_chars(line.data(), line.data() + line.size(), expires);
     line.remove_prefix(static_cast<std::size_t>(stop - line.data()));
-    if (error != std::errc() || line.size() < 2 || line.front() != ' ' ||
-        line.size() > kMaxNameBytes) {
+    if (error != std::errc() || line.size() < 2 || line.front() != ' ') {
       continue;
     }
     line.remove_prefix(1);
+    if (line.size() >= MaxNameBytes(line)) continue;
     marks.push_back({std::string(line), WallTime(seconds(expires))});
   }
   return marks;
@@ -106,7 +113,7 @@
 
 void CrashExchange::ShareMark(const ShareQuarantine& share, TimePoint now,
                               WallTime wall) {
-  if (share.digest.size() >= kMaxNameBytes ||
+  if (share.digest.size() >= MaxNameBytes(share.digest) ||
       share.digest.find('\n') != std::string::npos) {
     return;
   }
@@ -116,7 +123,10 @@
     // to be shared.
     if (DropUnsentMark(AcquittedMark(share.digest))) return;
   }
-  EvictIfFull();
+  if (m_marks.count(share.digest) == 0) {
+    EvictIfFull(share.digest.size());
+    m_mark_bytes += share.digest.size();
+  }
   bool idle = !pending();
   m_marks[share.digest] = {wall + share.remaining, ++m_last_change};
   TimePoint due = now + (acquits ? m_acquittal_delay : kBatchWindow);
@@ -148,8 +158,11 @@
         DropUnsentMark(mark.name);
       }
       bool own = object.name == m_node && mark.expires > wall;
-      if (own && m_marks.size() < kMaxMarks) {
-        m_marks.emplace(mark.name, Mark{mark.expires, 0});
+      bool fits = m_marks.size() < kMaxMarks &&
+                  m_mark_bytes + mark.name.size() <= kMaxMarkBytes;
+      if (own && fits &&
+          m_marks.emplace(mark.name, Mark{mark.expires, 0}).second) {
+        m_mark_bytes += mark.name.size();
       }
     }
     for (QuarantineLearned& entry : ToLearned(marks, wall)) {
@@ -165,9 +178,11 @@
 }
 
 void CrashExchange::Expire(WallTime wall) {
-  std::erase_if(m_marks, [wall](const auto& entry) {
-    return entry.second.expires <= wall;
-  });
+  for (auto mark = m_marks.begin(); mark != m_marks.end();) {
+    auto next = std::next(mark);
+    if (mark->second.expires <= wall) EraseMark(mark);
+    mark = next;
+  }
 }
 
 bool CrashExchange::DropUnsentMark(const std::string& name) {
@@ -175,23 +190,36 @@
   if (mark == m_marks.end() || mark->second.change <= m_sent_change) {
     return false;
   }
-  m_marks.erase(mark);
+  EraseMark(mark);
   return true;
 }
 
+void CrashExchange::EraseMark(std::map<std::string, Mark>::iterator mark) {
+  m_mark_bytes -= mark->first.size();
+  m_marks.erase(mark);
+}
+
 // Evicts a mark of the key with the fewest marks, which is the least likely to
 // be the cause of crashes, and among equals the one that expires first.
-void CrashExchange::EvictIfFull() {
-  if (m_marks.size() < kMaxMarks) return;
+void CrashExchange::EvictIfFull(std::size_t name_bytes) {
+  auto full = [&] {
+    return m_marks.size() >= kMaxMarks ||
+           m_mark_bytes + name_bytes > kMaxMarkBytes;
+  };
+  if (!full()) return;
   std::map<std::string, std::size_t> marks_by_key;
   for (const auto& [name, mark] : m_marks) ++marks_by_key[KeyOfMark(name)];
-  m_marks.erase(std::min_element(
-      m_marks.begin(), m_marks.end(), [&](const auto& a, const auto& b) {
-        std::size_t a_count = marks_by_key[KeyOfMark(a.first)];
-        std::size_t b_count = marks_by_key[KeyOfMark(b.first)];
-        return a_count != b_count ? a_count < b_count
-                                  : a.second.expires < b.second.expires;
-      }));
+  while (full()) {
+    auto victim = std::min_element(
+        m_marks.begin(), m_marks.end(), [&](const auto& a, const auto& b) {
+          std::size_t a_count = marks_by_key[KeyOfMark(a.first)];
+          std::size_t b_count = marks_by_key[KeyOfMark(b.first)];
+          return a_count != b_count ? a_count < b_count
+                                    : a.second.expires < b.second.expires;
+        });
+    --marks_by_key[KeyOfMark(victim->first)];
+    EraseMark(victim);
+  }
 }
 
 bool CrashExchange::pending() const {
--- a/core/crash_exchange.h
+++ b/core/crash_exchange.h
@@ -53,6 +53,9 @@
   /// Maximum number of marks of one daemon. A crash creates one mark for each
   /// request in flight on the server.
   static constexpr std::size_t kMaxMarks = 256;
+  /// Maximum size of their names together. A mark that names the 1,600 parts of
+  /// a request by a filter takes 5.5 KB.
+  static constexpr std::size_t kMaxMarkBytes = 65'536;
   /// Kind of the daemons' objects on the platform.
   static const char kKind[];
 
@@ -112,7 +115,9 @@
   /// Removes a mark that was not written or sent yet.
   /// @return Whether there was one.
   bool DropUnsentMark(const std::string& name);
-  void EvictIfFull();
+  /// Makes room for a mark.
+  void EvictIfFull(std::size_t name_bytes);
+  void EraseMark(std::map<std::string, Mark>::iterator mark);
   void WriteOrNotify(TimePoint now, std::vector<Action>* out);
   void RemoveExpiredObject(TimePoint now, WallTime wall,
                            std::vector<Action>* out);
@@ -121,6 +126,7 @@
   /// Differs between daemons, so that the first to acquit spares the others.
   milliseconds m_acquittal_delay;
   std::map<std::string, Mark> m_marks;  ///< Marks of this daemon by name.
+  std::size_t m_mark_bytes = 0;         ///< Size of these names.
   std::map<std::string, StoredObject> m_objects;  ///< Objects by daemon.
   /// Marks of an earlier incarnation were read.
   bool m_own_object_read = false;
--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -27,6 +27,10 @@
 /// MembershipOptions::updates_per_message.
 constexpr std::size_t kMaxUpdatesPerMessage = 32;
 constexpr std::size_t kMaxQuarantineEntries = 4096;
+/// Maximum size of the names of these entries. Names of filters take some
+/// kilobytes.
+constexpr std::size_t kMaxQuarantineBytes = 4'194'304;
+constexpr std::size_t kMaxMarkBytesPerMessage = 65'536;
 
 /// Minimum interval between reports of the generation to the lease holder.
 constexpr milliseconds kReportInterval{1'000};
@@ -77,9 +81,12 @@
     --pending.sends_left;
     message->presence.push_back(pending.update);
   }
+  std::size_t bytes = 0;
   for (auto& [digest, pending] : m_quarantine) {
     if (message->quarantine.size() >= kMaxUpdatesPerMessage) break;
     if (pending.sends_left <= 0 || pending.expires <= now) continue;
+    bytes += digest.size();
+    if (bytes > kMaxMarkBytesPerMessage) break;
     --pending.sends_left;
     message->quarantine.push_back(
         {digest,
@@ -185,8 +192,11 @@
                             &result);
   }
   ReportGeneration(now, &result);
-  std::erase_if(m_quarantine,
-                [&](const auto& item) { return item.second.expires <= now; });
+  std::erase_if(m_quarantine, [&](const auto& item) {
+    bool expired = item.second.expires <= now;
+    if (expired) m_quarantine_bytes -= item.first.size();
+    return expired;
+  });
   return result;
 }
 
@@ -241,14 +251,20 @@
     message.presence.clear();
   }
   // A daemon that starts later missed the crash marks when they were spread.
+  std::size_t bytes = 0;
   for (const auto& [digest, pending] : m_quarantine) {
     if (pending.expires <= now) continue;
     message.quarantine.push_back(
         {digest,
          std::chrono::duration_cast<milliseconds>(pending.expires - now)});
-    if (message.quarantine.size() < kMaxVerdictsPerMessage) continue;
+    bytes += digest.size();
+    if (message.quarantine.size() < kMaxVerdictsPerMessage &&
+        bytes < kMaxMarkBytesPerMessage) {
+      continue;
+    }
     SendMessage(address, message, now, result);
     message.quarantine.clear();
+    bytes = 0;
   }
   if (!message.quarantine.empty()) {
     SendMessage(address, std::move(message), now, result);
@@ -354,7 +370,11 @@
 
 bool PeerExchange::AddQuarantine(const std::string& digest, TimePoint expires) {
   if (m_quarantine.count(digest) > 0) return false;
-  if (m_quarantine.size() >= kMaxQuarantineEntries) return false;
+  if (m_quarantine.size() >= kMaxQuarantineEntries ||
+      m_quarantine_bytes + digest.size() > kMaxQuarantineBytes) {
+    return false;
+  }
+  m_quarantine_bytes += digest.size();
   m_quarantine[digest] = {expires, SendsForUpdate()};
   m_has_urgent_update = true;
   return true;
--- a/core/peer_exchange.h
+++ b/core/peer_exchange.h
@@ -131,6 +131,7 @@
   /// The latest verdict by reporter and host.
   std::map<std::pair<std::string, std::string>, KnownVerdict> m_presence;
   std::map<std::string, PendingQuarantine> m_quarantine;  ///< Keyed by digest.
+  std::size_t m_quarantine_bytes = 0;  ///< Size of these keys.
   std::uint64_t m_presence_digest = 0;
   std::uint64_t m_stable_digest = 0;  ///< At the last check.
   TimePoint m_stable_since{};
--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -6,7 +6,10 @@
 #include "core/quarantine.h"
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
+#include <iterator>
+#include <string_view>
 #include <utility>
 
 #include "core/crash_attribution.h"
@@ -31,24 +34,64 @@
 constexpr std::size_t kMaxUnacquitted = 16;
 /// Digests of requests begin with a hexadecimal digit.
 constexpr char kPartPrefix = 'p';
-constexpr std::size_t kPartDigestChars = 16;
+constexpr std::size_t kPartKeyChars = 17;
+/// Begins the key of a mark that names parts by a filter.
+constexpr char kFilterPrefix = 's';
+/// A request with more parts that may have caused a crash shares a filter.
+constexpr std::size_t kMaxNamedParts = CrashCandidates::kMaxMarkedParts;
 /// A fault that is mended is usually mended within minutes.
 constexpr milliseconds kFirstTrialDelay{60'000};
 /// Twice the time in which the result of a trial reaches all daemons.
 constexpr milliseconds kTrialSlot{2'000};
 /// A trial whose result is not known after this time did not run.
 constexpr milliseconds kTrialTimeout{30'000};
-/// Longer than it takes for a crash to become known to all daemons.
-constexpr milliseconds kCompletionWindow{10'000};
 constexpr std::size_t kMaxCompletions = 8192;
+constexpr std::size_t kMaxLoggedBytes = 600;
 constexpr char kUnnamedCrashPrefix[] = "unnamed#";
 
 std::size_t FindSeparator(const std::string& name) {
   return name.find_first_of({kCrashSeparator, kAcquittalSeparator});
 }
 
+std::optional<std::uint64_t> PartOfKey(std::string_view key) {
+  if (key.size() != kPartKeyChars || key.front() != kPartPrefix) {
+    return std::nullopt;
+  }
+  std::uint64_t part = 0;
+  const char* end = key.data() + key.size();
+  auto [stop, error] = std::from_chars(key.data() + 1, end, part, 16);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return part;
+}
+
 }  // namespace
 
+bool CrashKeys::Contains(const std::string& key) const {
+  if (key == digest) return true;
+  std::optional<std::uint64_t> part = PartOfKey(key);
+  return part && has_parts() &&
+         std::binary_search(parts->begin(), parts->end(), *part);
+}
+
+bool IsPartFilter(std::string_view name) {
+  return name.starts_with(kFilterPrefix);
+}
+
+std::string FormatParts(const std::vector<std::string>& parts) {
+  std::string text;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    if (text.size() > kMaxLoggedBytes) {
+      return text + fmt::format(",+{}", parts.size() - i);
+    }
+    text += (text.empty() ? "" : ",") + parts[i];
+  }
+  return text.empty() ? "-" : text;
+}
+
+std::string KeyOfPart(std::uint64_t part) {
+  return fmt::format("{}{:016x}", kPartPrefix, part);
+}
+
 bool IsAcquittal(const std::string& name) {
   std::size_t separator = FindSeparator(name);
   return separator != std::string::npos &&
@@ -70,13 +113,24 @@
 }
 
 CrashKeys Quarantine::Keys(const Request& request) {
-  CrashKeys keys = {Digest(request)};
+  CrashKeys keys;
+  keys.digest = Digest(request);
+  if (request.shared_parts.empty()) return keys;
   const std::string& target =
       request.model.empty() ? request.service : request.model;
+  std::vector<std::uint64_t> parts;
+  parts.reserve(request.shared_parts.size());
+  std::string text = target + '\n';
+  const std::size_t prefix = text.size();
   for (const std::string& part : request.shared_parts) {
-    std::string digest = TextDigest(fmt::format("{}\n{}", target, part));
-    keys.push_back(kPartPrefix + digest.substr(0, kPartDigestChars));
+    text.resize(prefix);
+    text += part;
+    parts.push_back(TextHash(text));
   }
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  keys.parts =
+      std::make_shared<const std::vector<std::uint64_t>>(std::move(parts));
   return keys;
 }
 
@@ -88,7 +142,7 @@
 Quarantine::State Quarantine::Classify(const CrashKeys& keys,
                                        TimePoint now) const {
   if (!CausesOf(keys, now).empty()) return State::kQuarantined;
-  return Count(keys.front(), now) == 0 ? State::kClear : State::kSuspect;
+  return Count(keys.digest, now) == 0 ? State::kClear : State::kSuspect;
 }
 
 int Quarantine::Count(const std::string& key, TimePoint now) const {
@@ -96,8 +150,8 @@
   return entry == nullptr ? 0 : static_cast<int>(CountUnacquitted(*entry));
 }
 
-CrashKeys Quarantine::BlamedKeys(const CrashKeys& keys, TimePoint now) const {
-  CrashKeys blamed;
+BlamedKeys Quarantine::FindBlamed(const CrashKeys& keys, TimePoint now) const {
+  BlamedKeys blamed;
   for (const Cause* cause : CausesOf(keys, now)) {
     blamed.insert(blamed.end(), cause->keys.begin(), cause->keys.end());
   }
@@ -142,20 +196,27 @@
         MakeCause(std::move(cause.keys), cause.crashes.size(), now));
   }
   bool changed = causes.size() != m_causes.size();
-  m_causes_by_key.clear();
+  m_causes_by_digest.clear();
+  m_causes_by_parts.clear();
   for (std::size_t i = 0; i < causes.size(); ++i) {
     bool known = std::any_of(
         m_causes.begin(), m_causes.end(),
         [&](const Cause& old) { return old.keys == causes[i].keys; });
     changed = changed || !known;
     m_times_quarantined += known ? 0 : 1;
-    m_causes_by_key[causes[i].keys.front()].push_back(i);
+    const std::string& first = causes[i].keys.front();
+    if (first.starts_with(kPartPrefix)) {
+      m_causes_by_parts.push_back(i);
+    } else {
+      m_causes_by_digest[first].push_back(i);
+    }
   }
   m_cause_changes += changed ? 1 : 0;
   m_causes = std::move(causes);
 }
 
-Quarantine::Cause Quarantine::MakeCause(CrashKeys keys, std::size_t crash_count,
+Quarantine::Cause Quarantine::MakeCause(BlamedKeys keys,
+                                        std::size_t crash_count,
                                         TimePoint now) const {
   Cause cause;
   cause.crash_count = crash_count;
@@ -183,18 +244,21 @@
     const CrashKeys& keys, TimePoint now) const {
   UpdateCauses(now);
   std::vector<const Cause*> found;
-  if (m_causes.empty()) return found;
-  for (const std::string& key : keys) {
-    auto indexes = m_causes_by_key.find(key);
-    if (indexes == m_causes_by_key.end()) continue;
-    for (std::size_t index : indexes->second) {
-      const Cause& cause = m_causes[index];
-      bool all = std::all_of(
-          cause.keys.begin(), cause.keys.end(), [&](const std::string& part) {
-            return std::find(keys.begin(), keys.end(), part) != keys.end();
-          });
-      if (all) found.push_back(&cause);
-    }
+  auto add_if_blamed = [&](std::size_t index) {
+    const Cause& cause = m_causes[index];
+    bool all =
+        std::all_of(cause.keys.begin(), cause.keys.end(),
+                    [&](const std::string& key) { return keys.Contains(key); });
+    if (all) found.push_back(&cause);
+  };
+  auto indexes = m_causes_by_digest.find(keys.digest);
+  if (indexes != m_causes_by_digest.end()) {
+    std::for_each(indexes->second.begin(), indexes->second.end(),
+                  add_if_blamed);
+  }
+  if (keys.has_parts()) {
+    std::for_each(m_causes_by_parts.begin(), m_causes_by_parts.end(),
+                  add_if_blamed);
   }
   return found;
 }
@@ -241,6 +305,61 @@
 // ---------------------------------------------------------------------------
 // Crashes and acquittals.
 
+std::vector<ShareQuarantine> Quarantine::OnServerCrash(const CrashKeys& keys,
+                                                       const std::string& group,
+                                                       TimePoint started,
+                                                       TimePoint now) {
+  std::vector<ShareQuarantine> marks;
+  auto mark = [&](const std::string& key) {
+    auto made = OnServerCrash(key, group, started, now);
+    if (made) marks.push_back(std::move(*made));
+  };
+  mark(keys.digest);
+  if (!keys.has_parts()) return marks;
+  const bool known = marks.empty();
+  std::vector<std::uint64_t> parts;
+  std::copy_if(keys.parts->begin(), keys.parts->end(),
+               std::back_inserter(parts), [&](std::uint64_t part) {
+                 return !m_acquitted_parts.Contains(part, now);
+               });
+  if (parts.size() <= kMaxNamedParts) {
+    for (std::uint64_t part : parts) mark(KeyOfPart(part));
+    return marks;
+  }
+  if (known) return marks;
+  std::string crash = m_candidates.CrashName(group, started);
+  marks.push_back(
+      {kFilterPrefix + PartFilter(parts).Encode() + kCrashSeparator + crash,
+       m_duration});
+  m_candidates.AddParts(crash, parts, now);
+  for (const auto& [key, entry] : m_entries) {
+    std::optional<std::uint64_t> part = PartOfKey(key);
+    if (!part || entry.expires_at <= now) continue;
+    for (const Crash& other : entry.crashes) {
+      if (!other.acquitted) m_candidates.AddReported(other.name, *part, now);
+    }
+  }
+  std::vector<ShareQuarantine> suspects = MarkSuspectParts(now);
+  marks.insert(marks.end(), suspects.begin(), suspects.end());
+  return marks;
+}
+
+std::vector<ShareQuarantine> Quarantine::MarkSuspectParts(TimePoint now) {
+  std::vector<ShareQuarantine> marks;
+  for (const CrashCandidates::Mark& suspect : m_candidates.SuspectMarks()) {
+    std::string key = KeyOfPart(suspect.part);
+    if (const Entry* entry = Find(key, now)) {
+      bool marked = std::any_of(
+          entry->crashes.begin(), entry->crashes.end(),
+          [&](const Crash& crash) { return crash.name == suspect.crash; });
+      if (marked) continue;
+    }
+    Add(key, suspect.crash, /*acquitted=*/false, now + m_duration, now);
+    marks.push_back({key + kCrashSeparator + suspect.crash, m_duration});
+  }
+  return marks;
+}
+
 std::optional<ShareQuarantine> Quarantine::OnServerCrash(
     const std::string& key, const std::string& group, TimePoint started,
     TimePoint now) {
@@ -269,11 +388,28 @@
   TimePoint expires_at = now + std::min(notice.remaining, m_duration);
   std::size_t end = FindSeparator(notice.digest);
   if (end != std::string::npos) {
-    Add(notice.digest.substr(0, end), notice.digest.substr(end + 1),
-        IsAcquittal(notice.digest), expires_at, now);
-    std::string digest = notice.digest.substr(0, end);
-    return HasRecentlyCompleted(digest, now) ? Acquit(digest, now)
-                                             : std::vector<ShareQuarantine>();
+    std::string key = notice.digest.substr(0, end);
+    std::string crash = notice.digest.substr(end + 1);
+    if (IsPartFilter(key)) {
+      std::optional<PartFilter> filter =
+          PartFilter::Decode(std::string_view(key).substr(1));
+      bool suspected =
+          filter && m_candidates.AddReported(crash, std::move(*filter), now);
+      return suspected ? MarkSuspectParts(now) : std::vector<ShareQuarantine>();
+    }
+    bool acquits = IsAcquittal(notice.digest);
+    Add(key, crash, acquits, expires_at, now);
+    std::vector<ShareQuarantine> shares;
+    if (HasRecentlyCompleted(key, now)) shares = Acquit(key, now);
+    if (std::optional<std::uint64_t> part = PartOfKey(key)) {
+      bool sound = acquits || HasRecentlyCompleted(key, now);
+      if (sound) m_candidates.Remove(*part);
+      if (!sound && m_candidates.AddReported(crash, *part, now)) {
+        std::vector<ShareQuarantine> suspects = MarkSuspectParts(now);
+        shares.insert(shares.end(), suspects.begin(), suspects.end());
+      }
+    }
+    return shares;
   }
   // A notice that names no crash quarantines its digest immediately: it counts
   // as the maximum number of crashes.
@@ -289,7 +425,7 @@
   m_completed[key] = now;
   m_completed_order.emplace_back(now, key);
   while (m_completed_order.size() > kMaxCompletions ||
-         now - m_completed_order.front().first > kCompletionWindow) {
+         now - m_completed_order.front().first > kAcquittalWindow) {
     auto oldest = m_completed.find(m_completed_order.front().second);
     bool last = oldest != m_completed.end() &&
                 oldest->second == m_completed_order.front().first;
@@ -302,7 +438,25 @@
 bool Quarantine::HasRecentlyCompleted(const std::string& key,
                                       TimePoint now) const {
   auto found = m_completed.find(key);
-  return found != m_completed.end() && now - found->second <= kCompletionWindow;
+  if (found != m_completed.end() && now - found->second <= kAcquittalWindow) {
+    return true;
+  }
+  std::optional<std::uint64_t> part = PartOfKey(key);
+  return part && m_acquitted_parts.Contains(*part, now);
+}
+
+std::vector<ShareQuarantine> Quarantine::AcquitParts(const CrashKeys& keys,
+                                                     TimePoint now) {
+  std::vector<ShareQuarantine> shares;
+  if (!keys.has_parts()) return shares;
+  for (std::uint64_t part : *keys.parts) {
+    m_acquitted_parts.Add(part, now);
+    m_candidates.Remove(part);
+    if (m_marked_parts.count(part) == 0) continue;
+    std::vector<ShareQuarantine> acquittals = Acquit(KeyOfPart(part), now);
+    shares.insert(shares.end(), acquittals.begin(), acquittals.end());
+  }
+  return shares;
 }
 
 std::vector<ShareQuarantine> Quarantine::Acquit(const std::string& key,
@@ -338,9 +492,13 @@
 }
 
 void Quarantine::Expire(TimePoint now) {
+  m_candidates.Expire(now);
   std::erase_if(m_entries, [now](const auto& entry) {
     return entry.second.expires_at <= now;
   });
+  std::erase_if(m_marked_parts, [this](std::uint64_t part) {
+    return m_entries.count(KeyOfPart(part)) == 0;
+  });
 }
 
 const Quarantine::Entry* Quarantine::Find(const std::string& key,
@@ -363,6 +521,8 @@
     m_entries.erase(key);
     EvictIfFull();
     entry = &m_entries[key];
+    std::optional<std::uint64_t> part = PartOfKey(key);
+    if (part) m_marked_parts.insert(*part);
   }
   entry->expires_at = std::max(entry->expires_at, expires_at);
   std::vector<Crash>& crashes = entry->crashes;
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -8,7 +8,9 @@
 //     at that time and of those that become known within the next 10 s. A part
 //     is acquitted as soon as an answer to a request with it has begun, since a
 //     part that crashes servers does so when the answer begins.
-//   - A crash has one cause: see AttributeCrashes().
+//   - A crash has one cause: see AttributeCrashes(). Of prompts with many
+//     parts, only those are marked that several crashes have in common: see
+//     CrashCandidates.
 //   - After a time without crashes, a single request may try again whether the
 //     cause still crashes servers; see StartTrial().
 #ifndef CORE_QUARANTINE_H_
@@ -17,27 +19,51 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
 #include "core/core.h"
+#include "core/crash_candidates.h"
+#include "core/recent_parts.h"
 
 namespace clementine {
 
 /// @param name ShareQuarantine::digest or QuarantineLearned::digest.
 /// @return Whether it names an acquittal rather than a crash mark.
 bool IsAcquittal(const std::string& name);
+/// @return Whether it names the parts of a request by a PartFilter.
+bool IsPartFilter(std::string_view name);
 /// Returns the key of a crash mark or an acquittal.
 std::string KeyOfMark(const std::string& name);
 /// Returns the name of the crash mark that an acquittal withdraws.
 std::string AcquittedMark(const std::string& acquittal);
 
-/// What crashes can be blamed on for one request: first the digest of the
-/// request, then a key for each part of its prompt that other requests share.
-using CrashKeys = std::vector<std::string>;
+/// Returns the key of a part of prompts.
+std::string KeyOfPart(std::uint64_t part);
+
+/// What crashes can be blamed on for one request: the request as a whole, and
+/// the parts of its prompt that other requests share.
+struct CrashKeys {
+  std::string digest;
+  /// Hashes of the parts, sorted and unique; null if there are none. Shared,
+  /// since a prompt may have thousands of parts.
+  std::shared_ptr<const std::vector<std::uint64_t>> parts;
+
+  bool has_parts() const { return parts != nullptr && !parts->empty(); }
+  bool Contains(const std::string& key) const;
+};
+
+/// Returns identifiers of parts for the log, at most some hundred characters.
+std::string FormatParts(const std::vector<std::string>& parts);
+
+/// Keys that are blamed together: the digest of a request, or keys of parts.
+using BlamedKeys = std::vector<std::string>;
 
 /// Bounded table of keys and the crashes at which a request with that key was
 /// in flight. An acquittal that arrives before its crash mark takes effect.
@@ -54,10 +80,13 @@
   Quarantine(int crashes, milliseconds duration, std::uint64_t seed = 1)
       : m_crash_limit(static_cast<std::size_t>(crashes)),
         m_duration(duration),
-        m_seed(seed) {}
+        m_seed(seed),
+        m_candidates(duration) {}
 
   /// Requests share parts by chance, so that two crashes prove little.
   static constexpr std::size_t kMinPartCrashes = 3;
+  /// Longer than it takes for a crash to become known to all daemons.
+  static constexpr milliseconds kAcquittalWindow{10'000};
 
   /// Returns a digest of the request's organisation and content.
   static std::string Digest(const Request& request);
@@ -70,16 +99,16 @@
   /// was in flight at a crash are sound.
   State Classify(const CrashKeys& keys, TimePoint now) const;
   State Classify(const std::string& digest, TimePoint now) const {
-    return Classify(CrashKeys{digest}, now);
+    return Classify(CrashKeys{digest, nullptr}, now);
   }
 
   /// Keys that a quarantined request is blamed for; empty for others.
-  CrashKeys BlamedKeys(const CrashKeys& keys, TimePoint now) const;
+  BlamedKeys FindBlamed(const CrashKeys& keys, TimePoint now) const;
 
   /// Time until a quarantined request may be clear; zero for others.
   milliseconds RemainingTime(const CrashKeys& keys, TimePoint now) const;
   milliseconds RemainingTime(const std::string& digest, TimePoint now) const {
-    return RemainingTime(CrashKeys{digest}, now);
+    return RemainingTime(CrashKeys{digest, nullptr}, now);
   }
 
   /// Tells whether a quarantined request may run as a trial: if it completes,
@@ -95,7 +124,15 @@
   /// have to be checked again after a change.
   std::uint64_t cause_changes(TimePoint now) const;
 
-  /// Records a crash observed by this daemon.
+  /// Records a crash observed by this daemon, at which a request was in flight.
+  /// @param keys    Keys of the request that may have caused the crash.
+  /// @param group   Group and epoch of the replica.
+  /// @param started When the attempt was dispatched.
+  /// @return Crash marks to share.
+  std::vector<ShareQuarantine> OnServerCrash(const CrashKeys& keys,
+                                             const std::string& group,
+                                             TimePoint started, TimePoint now);
+  /// The same for a single key.
   /// @param key     One of the keys of a request that was in flight.
   /// @param group   Group and epoch of the replica.
   /// @param started When the attempt was dispatched.
@@ -107,7 +144,8 @@
                                                TimePoint now);
 
   /// Records a crash mark or an acquittal from another daemon.
-  /// @return Acquittals to share if the request has recently completed here.
+  /// @return Acquittals to share if the request has recently completed here,
+  ///     and crash marks of parts that are suspected now.
   std::vector<ShareQuarantine> OnPeerNotice(const QuarantineLearned& notice,
                                             TimePoint now);
 
@@ -119,6 +157,10 @@
   /// @return Acquittals to share.
   std::vector<ShareQuarantine> OnRequestCompleted(const std::string& key,
                                                   TimePoint now);
+  /// Acquits the parts of a request whose answer has begun.
+  /// @return Acquittals to share.
+  std::vector<ShareQuarantine> AcquitParts(const CrashKeys& keys,
+                                           TimePoint now);
   /// Whether the key was acquitted by a request within the last 10 s.
   bool HasRecentlyCompleted(const std::string& key, TimePoint now) const;
 
@@ -142,7 +184,7 @@
   };
   /// A blamed cause of crashes.
   struct Cause {
-    CrashKeys keys;  ///< Sorted. Requests that have all of them are blocked.
+    BlamedKeys keys;  ///< Sorted. Requests that have all of them are blocked.
     std::size_t crash_count = 0;
     int failed_trials = 0;  ///< Crashes long after the one before them.
     TimePoint last_crash;
@@ -155,7 +197,8 @@
   void NoteEvidenceChange(const std::string& key, const Entry& entry);
   /// Recomputes m_causes if crashes, acquittals or expiries have changed them.
   void UpdateCauses(TimePoint now) const;
-  Cause MakeCause(CrashKeys keys, std::size_t crash_count, TimePoint now) const;
+  Cause MakeCause(BlamedKeys keys, std::size_t crash_count,
+                  TimePoint now) const;
   /// Returns the causes that block a request.
   std::vector<const Cause*> CausesOf(const CrashKeys& keys,
                                      TimePoint now) const;
@@ -170,12 +213,19 @@
   /// Acquits the key of all named crashes. @return Acquittals to share.
   std::vector<ShareQuarantine> Acquit(const std::string& key, TimePoint now);
   void EvictIfFull();
+  /// Marks the parts that are suspected of several crashes.
+  /// @return Crash marks to share.
+  std::vector<ShareQuarantine> MarkSuspectParts(TimePoint now);
 
   std::size_t m_crash_limit;
   milliseconds m_duration;
   std::uint64_t m_seed;
   int m_daemons = 1;
+  CrashCandidates m_candidates;
+  RecentParts m_acquitted_parts{kAcquittalWindow};
   std::unordered_map<std::string, Entry> m_entries;
+  /// Parts with an entry, and some whose entry was removed.
+  std::unordered_set<std::uint64_t> m_marked_parts;
   /// Time of the last completion per key. Bounded.
   std::unordered_map<std::string, TimePoint> m_completed;
   std::deque<std::pair<TimePoint, std::string>> m_completed_order;
@@ -187,9 +237,11 @@
   mutable bool m_causes_outdated = false;
   mutable TimePoint m_causes_expire_at = TimePoint::max();
   mutable std::vector<Cause> m_causes;
-  /// Indexes into m_causes by the first key of the cause.
+  /// Indexes into m_causes by the first key of the cause, if it is a digest.
   mutable std::unordered_map<std::string, std::vector<std::size_t>>
-      m_causes_by_key;
+      m_causes_by_digest;
+  /// Indexes of the other causes.
+  mutable std::vector<std::size_t> m_causes_by_parts;
   mutable std::uint64_t m_cause_changes = 0;
   mutable std::uint64_t m_times_quarantined = 0;
 };
--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -51,10 +51,10 @@
                                    const CrashKeys& keys) {
   bool trial = m_quarantine.StartTrial(keys, m_now);
   std::string blamed =
-      fmt::format("{}", fmt::join(m_quarantine.BlamedKeys(keys, m_now), ","));
-  std::string parts = fmt::format("{}", fmt::join(request.shared_parts, ","));
+      fmt::format("{}", fmt::join(m_quarantine.FindBlamed(keys, m_now), ","));
   Log(trial ? "crash_trial" : "blamed", request,
-      {{"keys", std::move(blamed)}, {"parts", std::move(parts)}});
+      {{"keys", std::move(blamed)},
+       {"parts", FormatParts(request.shared_parts)}});
   return trial;
 }
 
@@ -121,6 +121,7 @@
     const Request& request, CrashKeys keys, Pool* pool) {
   ActiveRequest& active = m_requests[request.id];
   active.request = request;
+  active.request.shared_parts = {};  // As hashes in `keys`.
   active.keys = std::move(keys);
   active.pool = pool;
   ++pool->users;
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t kMaxAmbiguousEnds = 1024;
 // The end of a server is detected within a few seconds: either its next
 // incarnation is listed, or its entry in the host list has expired.
-constexpr milliseconds kMaxAmbiguousEndAge{10'000};
+constexpr milliseconds kMaxAmbiguousEndAge = Quarantine::kAcquittalWindow;
 // What crashes servers at the beginning of an answer does so before its second
 // progress report.
 constexpr milliseconds kAnswerStartPeriod{100};
@@ -191,7 +191,7 @@
     return true;
   }
   if (active->group == nullptr) {
-    if (m_isolated_digests.count(active->keys.front()) > 0 ||
+    if (m_isolated_digests.count(active->keys.digest) > 0 ||
         static_cast<std::size_t>(pool.isolated) >=
             1 + pool.size() / kGroupsPerIsolatedRequest) {
       return false;
@@ -208,7 +208,7 @@
     }
     active->group = group;
     active->holds_isolation = true;
-    m_isolated_digests.insert(active->keys.front());
+    m_isolated_digests.insert(active->keys.digest);
     m_router.SetIsolated(group, true);
   }
   if (active->group->in_flight > 0) {
@@ -221,7 +221,7 @@
 void RequestPath::Impl::ReleaseGroup(ActiveRequest* active) {
   if (active->holds_isolation) {
     m_router.SetIsolated(active->group, false);
-    m_isolated_digests.erase(active->keys.front());
+    m_isolated_digests.erase(active->keys.digest);
     active->holds_isolation = false;
   }
   active->group = nullptr;
@@ -296,9 +296,13 @@
     }
     auto cancelled = m_ambiguous_ends.find(event.attempt);
     if (cancelled != m_ambiguous_ends.end()) {
+      AmbiguousEnd& ambiguous = cancelled->second;
+      // Acquittals of parts are not remembered for longer.
+      bool old = m_now - ambiguous.ended_at > kMaxAmbiguousEndAge;
+      if (old) ambiguous.keys.parts = nullptr;
       if (event.result == AttemptResult::kCrashed) {
-        OnCrash(cancelled->second.keys, cancelled->second.group_and_epoch,
-                cancelled->second.dispatched_at);
+        OnCrash(ambiguous.keys, ambiguous.group_and_epoch,
+                ambiguous.dispatched_at);
       }
       m_ambiguous_ends.erase(cancelled);
     }
@@ -361,41 +365,43 @@
 
 void RequestPath::Impl::OnCrash(const CrashKeys& keys, const std::string& group,
                                 TimePoint dispatched_at) {
-  auto ran =
-      std::chrono::duration_cast<milliseconds>(m_now - dispatched_at).count();
-  for (const std::string& key : keys) {
-    std::optional<ShareQuarantine> share =
-        m_quarantine.OnServerCrash(key, group, dispatched_at, m_now);
-    if (!share) continue;
-    m_stats.crash_marks += 1;
-    m_actions.push_back(LogDecision{
-        "crash",
-        {{"digest", key},
-         {"group", group},
-         {"ran_ms", std::to_string(ran)},
-         {"crashes", std::to_string(m_quarantine.Count(key, m_now))}}});
-    m_actions.push_back(*share);
+  ShareMarks(m_quarantine.OnServerCrash(keys, group, dispatched_at, m_now),
+             group,
+             std::chrono::duration_cast<milliseconds>(m_now - dispatched_at));
+}
+
+void RequestPath::Impl::ShareMarks(std::vector<ShareQuarantine> shares,
+                                   const std::string& group, milliseconds ran) {
+  for (ShareQuarantine& share : shares) {
+    if (IsAcquittal(share.digest)) {
+      m_actions.push_back(LogDecision{
+          "acquitted",
+          {{"digest", KeyOfMark(share.digest)}, {"of", share.digest}}});
+    } else {
+      m_stats.crash_marks += 1;
+      std::string key = KeyOfMark(share.digest);
+      std::string crashes = std::to_string(m_quarantine.Count(key, m_now));
+      if (IsPartFilter(key)) {
+        crashes = "-";
+        key = fmt::format("parts_filter_{}_bytes", key.size());
+      }
+      m_actions.push_back(LogDecision{"crash",
+                                      {{"digest", std::move(key)},
+                                       {"group", group},
+                                       {"ran_ms", std::to_string(ran.count())},
+                                       {"crashes", std::move(crashes)}}});
+    }
+    m_actions.push_back(std::move(share));
   }
 }
 
 CrashKeys RequestPath::Impl::BlamableKeys(const ActiveRequest& active) {
-  if (active.survived_start) return {active.keys.front()};
+  if (active.survived_start) return {active.keys.digest, nullptr};
   return active.keys;
 }
 
-void RequestPath::Impl::Acquit(const std::string& key) {
-  for (auto& [attempt, ambiguous] : m_ambiguous_ends) {
-    std::erase(ambiguous.keys, key);
-  }
-  for (ShareQuarantine& share : m_quarantine.OnRequestCompleted(key, m_now)) {
-    m_actions.push_back(
-        LogDecision{"acquitted", {{"digest", key}, {"of", share.digest}}});
-    m_actions.push_back(std::move(share));
-  }
-}
-
 void RequestPath::Impl::AcquitParts(const ActiveRequest& active) {
-  for (std::size_t i = 1; i < active.keys.size(); ++i) Acquit(active.keys[i]);
+  ShareMarks(m_quarantine.AcquitParts(active.keys, m_now), "", milliseconds(0));
 }
 
 void RequestPath::Impl::AcquitIfSuccessful(const CrashKeys& keys,
@@ -403,7 +409,9 @@
   bool succeeded = event.result == AttemptResult::kComplete &&
                    (event.status == 0 || event.status / 100 == kSuccessClass);
   if (!succeeded) return;
-  for (const std::string& key : keys) Acquit(key);
+  ShareMarks(m_quarantine.OnRequestCompleted(keys.digest, m_now), "",
+             milliseconds(0));
+  ShareMarks(m_quarantine.AcquitParts(keys, m_now), "", milliseconds(0));
 }
 
 bool RequestPath::Impl::IsQuarantined(const ActiveRequest& active) const {
@@ -422,8 +430,7 @@
   for (const auto& [id, active] : m_requests) {
     bool ended_by_blame = active.state == State::kRunning &&
                           active.first_progress_at == TimePoint() &&
-                          !active.claimed &&
-                          !active.request.shared_parts.empty();
+                          !active.claimed && active.keys.has_parts();
     if (ended_by_blame && IsQuarantined(active)) blamed.push_back(id);
   }
   std::sort(blamed.begin(), blamed.end());
@@ -451,8 +458,9 @@
     if (ran_there) marked.push_back(attempt);
     return old || ran_there;
   });
-  std::sort(marked.begin(), marked.end(),
-            [](const auto& a, const auto& b) { return a.keys < b.keys; });
+  std::sort(marked.begin(), marked.end(), [](const auto& a, const auto& b) {
+    return a.keys.digest < b.keys.digest;
+  });
   for (const AmbiguousEnd& attempt : marked) {
     OnCrash(attempt.keys, attempt.group_and_epoch, attempt.dispatched_at);
   }
@@ -565,7 +573,7 @@
   }
   if (detached.holds_isolation) {
     m_router.SetIsolated(detached.group, false);
-    m_isolated_digests.erase(detached.keys.front());
+    m_isolated_digests.erase(detached.keys.digest);
   }
   AcquitIfSuccessful(detached.keys, event);
   m_router.OnAttemptEnded(detached.group);
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -215,9 +215,7 @@
 }
 
 void RequestPath::Impl::On(const QuarantineLearned& event) {
-  for (ShareQuarantine& share : m_quarantine.OnPeerNotice(event, m_now)) {
-    m_actions.push_back(std::move(share));
-  }
+  ShareMarks(m_quarantine.OnPeerNotice(event, m_now), "", milliseconds(0));
 }
 
 void RequestPath::Impl::On(const DaemonsChanged& event) {
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -163,9 +163,13 @@
   // Ends of attempts.
   void OnCrash(const CrashKeys& keys, const std::string& group,
                TimePoint dispatched_at);
-  /// Withdraws the crash marks of a key: what it stands for didn't cause the
-  /// crashes at which it was in flight.
-  void Acquit(const std::string& key);
+  /// Logs and shares crash marks and acquittals.
+  /// @param group  Group and epoch of a replica that crashed here.
+  /// @param ran    How long the attempt had run there.
+  void ShareMarks(std::vector<ShareQuarantine> shares, const std::string& group,
+                  milliseconds ran);
+  /// Withdraws the crash marks of the parts: they didn't cause the crashes at
+  /// which they were in flight.
   void AcquitParts(const ActiveRequest& active);
   /// Acquits all keys if the attempt completed successfully.
   void AcquitIfSuccessful(const CrashKeys& keys, const AttemptEnded& event);
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -36,18 +36,17 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
 }
 
-std::string JoinParts(const std::vector<std::string>& parts) {
-  return parts.empty() ? "-" : fmt::format("{}", fmt::join(parts, ","));
-}
-
 void SetPrompt(const platform::CallerHeaders& headers, Request* request) {
-  request->shared_parts = headers.shared_parts;
   request->prompt_tokens = headers.prompt_tokens;
   request->max_tokens = headers.expected_output_tokens > 0
                             ? headers.expected_output_tokens
                             : headers.max_output_tokens;
 }
 
+void SetSharedParts(const HttpHeaders& headers, Request* request) {
+  request->shared_parts = platform::ReadSharedParts(headers);
+}
+
 bool IsEventStream(const HttpHeaders& headers) {
   return FindHeader(headers, "Content-Type").starts_with("text/event-stream");
 }
@@ -77,6 +76,11 @@
   std::set<std::string> attempted_hosts;  ///< Hosts of all attempts.
 };
 
+std::string RelayExecutor::LoggedParts(const Caller& caller) {
+  return FormatParts(
+      platform::ReadSharedParts(caller.exchange->request().headers));
+}
+
 struct RelayExecutor::Attempt {
   AttemptId id = 0;
   std::shared_ptr<Caller> caller;
@@ -188,7 +192,10 @@
     LogAnswer(*left, "caller_left", 0, "");
     m_context.feed(CallerLeft{id});
   });
-  m_context.feed(RequestArrived{read});
+  // The request path keeps their hashes.
+  Request with_parts = read;
+  SetSharedParts(request.headers, &with_parts);
+  m_context.feed(RequestArrived{std::move(with_parts)});
 }
 
 void RelayExecutor::CountDemand(const std::string& service,
@@ -328,7 +335,7 @@
             {"group", attempt->group},
             {"host", attempt->host},
             {"digest", Quarantine::Digest(attempt->caller->request)},
-            {"parts", JoinParts(attempt->caller->headers.shared_parts)},
+            {"parts", LoggedParts(*attempt->caller)},
             {"began", attempt->last_progress == TimePoint() ? "no" : "yes"},
             {"ms", Milliseconds(m_context.now() - attempt->started)}});
   m_context.metrics->Add("clementine_attempts_ended_total",
@@ -437,7 +444,7 @@
   LogEvent("attempt_ended",
            {{"request", std::to_string(caller->id)},
             {"digest", complete ? "-" : Quarantine::Digest(caller->request)},
-            {"parts", complete ? "-" : JoinParts(caller->headers.shared_parts)},
+            {"parts", complete ? "-" : LoggedParts(*caller)},
             {"began", attempt->last_progress == TimePoint() ? "no" : "yes"},
             {"group", attempt->group},
             {"host", attempt->host},
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -106,6 +106,7 @@
   void LogAnswer(const Caller& caller, const char* outcome, int status,
                  const char* reason);
   std::shared_ptr<Caller> TakeCaller(RequestId id);
+  static std::string LoggedParts(const Caller& caller);
 
   RelayContext m_context;
   std::shared_ptr<const RouteTable> m_routes;
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -106,6 +106,8 @@
   });
   caller->exchange = std::move(exchange);
   caller->read = std::move(read);
+  // The request path keeps their hashes.
+  caller->read.request.shared_parts = {};
   m_callers.emplace(caller->id, caller);
   m_context.feed(RequestArrived{std::move(request)});
 }
--- a/daemon/request_reader.cc
+++ b/daemon/request_reader.cc
@@ -21,7 +21,6 @@
 constexpr const char* kChatPath = "/v1/chat/completions";
 constexpr std::size_t kPrefixBlockBytes = 256;
 constexpr std::size_t kMaxPrefixBlocks = 1024;
-constexpr std::size_t kMaxSharedParts = 16;
 constexpr std::size_t kBytesPerToken = 4;  ///< To estimate prompt tokens.
 constexpr std::uint32_t kDefaultMaxTokens = 256;
 constexpr std::chrono::milliseconds kMaxTimeout{std::chrono::hours(24)};
@@ -74,7 +73,6 @@
 std::vector<std::string> SharedParts(const Json& messages) {
   std::vector<std::string> parts;
   for (std::size_t i = 0; i + 1 < messages.size(); ++i) {
-    if (parts.size() == kMaxSharedParts) break;
     parts.push_back(TextDigest(JsonText(messages[i])));
   }
   return parts;
--- a/testing/process_crash_test.cc
+++ b/testing/process_crash_test.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <thread>
 
+#include "fmt/format.h"
 #include "testing/process_fleet.h"
 
 namespace clementine {
@@ -214,6 +215,34 @@
   CHECK(site.Ended() == ended);
 }
 
+// Guards against a part that can't be blamed because of its place in a long
+// prompt, of which no daemon sees two crashes (BUDGET).
+TEST_CASE("a deadly part behind 400 others runs at no daemon any more") {
+  FleetSite site;
+  PartSender sender(&site);
+  int sent = 0;
+  auto behind_others = [&sent] {
+    std::string parts;
+    ++sent;
+    for (int i = 0; i < 400; ++i) parts += fmt::format("{:x}a{:x}:9,", sent, i);
+    return parts + "deadly:800,";
+  };
+  CHECK(sender.Send(0, "common:400,") == 200);
+  for (int daemon = 0; site.Ended() < 3; ++daemon) {
+    REQUIRE(daemon < 30);
+    sender.Send(daemon % 4, behind_others());
+  }
+  std::this_thread::sleep_for(kNotice);
+  const int ended = site.Ended();
+  CHECK(ended <= 5);
+  for (int daemon = 0; daemon < 4; ++daemon) {
+    CHECK(sender.Send(daemon, behind_others()) == 503);
+    CHECK(sender.Send(daemon, PartSender::kTainted) == 503);
+    CHECK(sender.Send(daemon, "common:400,") == 200);
+  }
+  CHECK(site.Ended() == ended);
+}
+
 namespace {
 
 using Clock = std::chrono::steady_clock;
