Frame an answer of unknown length as complete only if its server lives

What callers saw: an answer that its server had broken off came as a complete one (ORDER), with a final chunk or a Content-Length of the daemon's own.

Cause: the end of a connection was taken for the end of an answer that has neither a length nor chunks. The kernel closes the connections of a process that exits in order. Only connections that broke led to a check of the address. Change: after such an answer the address is tried as after a broken connection. Refused, the attempt has crashed; unreachable, it is broken; the request goes on elsewhere if it may. A server that is leaving may end after its last answer, unless others of its answers end in the same moment. Both interfaces.

--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -25,6 +25,8 @@
                     backend.dropped_answers);
   metrics->SetTotal("clementine_answers_oversized_total", "",
                     backend.oversized_answers);
+  metrics->SetTotal("clementine_answers_unverified_total", "",
+                    backend.unverified_answers);
   metrics->SetTotal("clementine_requests_dropped_total", "",
                     server.dropped_requests);
   metrics->Set("clementine_held_bytes", "from=\"backends\"",
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -93,8 +93,9 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
-  bool is_stream = false;      ///< The answer is a stream of events.
-  bool names_request = false;  ///< The answer contains the request id.
+  bool is_stream = false;       ///< The answer is a stream of events.
+  bool names_request = false;   ///< The answer contains the request id.
+  bool server_leaving = false;  ///< The answer says so.
 };
 
 RelayExecutor::RelayExecutor(RelayContext context)
@@ -108,10 +109,12 @@
 
 void RelayExecutor::SetGroups(const std::vector<GroupView>& groups) {
   m_head_hosts.clear();
+  m_leaving_groups.clear();
   std::set<std::string> names;
   for (const GroupView& group : groups) {
     m_head_hosts[group.group] = group.head_host;
     names.insert(group.group);
+    if (group.leaving) m_leaving_groups.insert(group.group);
   }
   m_silence.RetainGroups(names);
 }
@@ -273,6 +276,7 @@
   if (caller.stream.events() > 0) info.resume_after = caller.stream.last_id();
   call.headers = platform::ForwardHeaders(http.headers, info);
   call.event_stream = caller.route->kind == RouteKind::kStream;
+  call.verify_unframed = true;
   if (!call.event_stream) call.max_body_bytes = kMaxBodyBytes;
   call.first_byte_timeout = remaining;
   call.gap_timeout = remaining;
@@ -306,6 +310,10 @@
   handlers.bytes = [this, attempt](std::string_view bytes) {
     OnBytes(attempt.get(), bytes);
   };
+  handlers.server_leaving = [this, attempt] {
+    return attempt->server_leaving ||
+           m_leaving_groups.count(attempt->group) > 0;
+  };
   handlers.end = [this, attempt](BackendEnd end) {
     OnEnd(attempt, std::move(end));
   };
@@ -356,6 +364,7 @@
   }
   if (classification != AnswerHead::kForeign &&
       platform::HasLeavingHeader(status, headers)) {
+    attempt->server_leaving = true;
     m_context.feed_fleet(ServerLeaving{attempt->host, "answer"});
   }
   m_silence.OnResponseData(attempt->id, /*has_event=*/false, m_context.now());
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -113,6 +114,7 @@
   std::unordered_map<RequestId, std::shared_ptr<Caller>> m_callers;
   std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
   std::unordered_map<std::string, std::string> m_head_hosts;  ///< By group.
+  std::set<std::string> m_leaving_groups;
   SilenceWatch m_silence;
   DemandCounts m_demand;
   std::mt19937_64 m_random;
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -118,8 +118,10 @@
 
 void RequestExecutor::SetGroups(const std::vector<GroupView>& groups) {
   m_heads.clear();
+  m_leaving_groups.clear();
   for (const GroupView& group : groups) {
     m_heads[group.group] = group.head_host;
+    if (group.leaving) m_leaving_groups.insert(group.group);
   }
 }
 
@@ -166,6 +168,7 @@
       may_queue ? remaining
                 : std::min(remaining, m_context.settings->first_token_timeout);
   call.gap_timeout = m_context.settings->token_gap_timeout;
+  call.verify_unframed = true;
   return call;
 }
 
@@ -200,6 +203,9 @@
     reported.load.epoch = attempt->epoch;
     m_context.feed(reported);
   };
+  handlers.server_leaving = [this, group = attempt->group] {
+    return m_leaving_groups.count(group) > 0;
+  };
   handlers.end = [this, attempt](BackendEnd end) {
     OnAttemptEnd(attempt, std::move(end));
   };
--- a/daemon/request_executor.h
+++ b/daemon/request_executor.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -81,6 +82,7 @@
   std::unordered_map<RequestId, std::shared_ptr<Caller>> m_callers;
   std::unordered_map<AttemptId, std::shared_ptr<Attempt>> m_attempts;
   std::unordered_map<std::string, std::string> m_heads;  ///< Host by group.
+  std::set<std::string> m_leaving_groups;
   std::size_t m_platform_calls = 0;
   RequestId m_last_request = 0;
   std::string m_event;  ///< Buffer, reused for each relayed event.
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -237,6 +237,8 @@
  private:
   using Parser = http::response_parser<http::buffer_body>;
 
+  enum class Address { kAccepts, kRefuses, kUnreachable };
+
   /// Frees the handlers when the call's coroutine ends or is destroyed.
   struct ReleaseHandlers {
     CallState* call;
@@ -255,7 +257,10 @@
   asio::awaitable<error_code> ReadBytes(Parser* parser,
                                         std::string_view* bytes);
   asio::awaitable<void> FinishTrailer(Parser* parser);
-  asio::awaitable<bool> AddressRefuses();
+  asio::awaitable<Address> ProbeAddress();
+  asio::awaitable<void> VerifyUnframedEnd();
+  /// Begins to check whether the server lives.
+  void StartProbing();
   void TakeTokens(std::string_view bytes);
   void Classify(const Parser& parser);
   void Fail(const char* phase, error_code error);
@@ -305,7 +310,10 @@
   bool m_paused = false;
   bool m_timed_out = false;
   bool m_first_token = false;
-  bool m_broken = false;  ///< The connection failed after bytes were sent.
+  bool m_broken = false;      ///< The connection failed after bytes were sent.
+  bool m_unverified = false;  ///< Only the connection's end ended the answer.
+  bool m_probing = false;     ///< Has begun to check whether its server lives.
+  bool m_ended_with_others = false;  ///< As other answers of its server.
   bool m_reported = false;
   bool m_not_run = false;           ///< Relayed: the head says so.
   bool m_dropped = false;           ///< All answers together kept too much.
@@ -402,8 +410,12 @@
     if (self->m_timed_out) {
       self->m_client->m_pool.Purge(self->m_call.address);
     } else if (self->m_broken) {
-      bool refused = co_await self->AddressRefuses();
-      if (refused) self->m_end.result = AttemptResult::kCrashed;
+      Address address = co_await self->ProbeAddress();
+      if (address == Address::kRefuses) {
+        self->m_end.result = AttemptResult::kCrashed;
+      }
+    } else if (self->m_unverified) {
+      co_await self->VerifyUnframedEnd();
     }
   }
   self->Report();
@@ -572,6 +584,7 @@
   m_end.result = AttemptResult::kComplete;
   if (m_end.status >= 500) m_end.result = AttemptResult::kError;
   if (m_not_run) m_end.result = AttemptResult::kRefused;
+  m_unverified = m_call.verify_unframed && m_end.unframed && !m_not_run;
   ReturnConnection(*parser);
 }
 
@@ -661,6 +674,9 @@
     UpdateHeld();
   }
   Classify(*parser);
+  m_unverified = m_call.verify_unframed && m_end.unframed &&
+                 (m_end.result == AttemptResult::kComplete ||
+                  m_end.result == AttemptResult::kError);
   ReturnConnection(*parser);
 }
 
@@ -701,7 +717,8 @@
 
 // A process that exits closes its connections before or after its listening
 // socket, so one accepted connection doesn't prove that it lives.
-asio::awaitable<bool> CallState::AddressRefuses() {
+asio::awaitable<CallState::Address> CallState::ProbeAddress() {
+  StartProbing();
   asio::steady_timer pause(*m_client->m_io);
   for (int probe = 1;; ++probe) {
     error_code error;
@@ -712,13 +729,47 @@
         asio::redirect_error(asio::use_awaitable, error));
     m_deadline = Clock::time_point::max();
     Close();
-    if (error == asio::error::connection_refused) co_return true;
-    if (error || m_cancelled || probe == kCrashProbes) co_return false;
+    if (error == asio::error::connection_refused) co_return Address::kRefuses;
+    if (error || m_cancelled) co_return Address::kUnreachable;
+    if (probe == kCrashProbes) co_return Address::kAccepts;
     pause.expires_after(kCrashProbePause);
     co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
   }
 }
 
+asio::awaitable<void> CallState::VerifyUnframedEnd() {
+  Close();
+  Address address = co_await ProbeAddress();
+  if (address == Address::kAccepts || m_cancelled) co_return;
+  bool leaves = m_end.leaving ||
+                (m_handlers.server_leaving && m_handlers.server_leaving());
+  if (address == Address::kRefuses && leaves) {
+    // Lets the ends of other answers in the same moment arrive.
+    asio::steady_timer pause(*m_client->m_io, kCrashProbePause);
+    error_code ignored;
+    co_await pause.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    if (m_cancelled || !m_ended_with_others) co_return;
+  }
+  ++m_client->m_stats.unverified_answers;
+  m_end.result = address == Address::kRefuses ? AttemptResult::kCrashed
+                                              : AttemptResult::kBroken;
+  m_end.lost = true;
+  m_end.detail = "the server ended with an answer of unknown length";
+}
+
+// Answers that end in the same moment point to the end of the process.
+void CallState::StartProbing() {
+  m_probing = true;
+  for (CallState* other : m_client->m_calls) {
+    if (other == this || !other->m_probing ||
+        other->m_call.address != m_call.address) {
+      continue;
+    }
+    m_ended_with_others = other->m_ended_with_others = true;
+  }
+}
+
 void CallState::Report() {
   if (m_reported || m_cancelled) return;
   m_reported = true;
--- a/net/net.h
+++ b/net/net.h
@@ -291,6 +291,10 @@
   /// The call ends at the latest after this time, however its bytes come.
   std::chrono::milliseconds total_timeout{0};  ///< 0: no limit.
   std::size_t max_body_bytes = 0;  ///< Of a relayed answer; 0: no limit.
+  /// An answer whose length only the end of its connection tells counts as
+  /// complete only if its server accepts connections afterwards: a process that
+  /// ends closes its connections as if its answers were complete.
+  bool verify_unframed = false;
   /// Passes the answer on unread: the hooks `head` and `bytes` get it, and
   /// `headers` hold all headers of the call, Host included.
   bool relay = false;
@@ -332,6 +336,9 @@
   std::function<AnswerHead(int status, const HttpHeaders& headers)> head;
   /// Relayed calls: the next bytes of an accepted answer's body.
   std::function<void(std::string_view bytes)> bytes;
+  /// Whether the server has announced that it is leaving. Such a server may end
+  /// as soon as its last answer is complete. Empty: it has not.
+  std::function<bool()> server_leaving;
   std::function<void(BackendEnd end)> end;  ///< Exactly once unless cancelled.
 };
 
@@ -383,11 +390,14 @@
   std::uint64_t dropped_answers = 0;  ///< Ended, as all together kept too much.
   /// Ended, as a head, the size line of a chunk or a trailer was too long.
   std::uint64_t oversized_answers = 0;
+  /// Answers without length and chunks whose server was gone at their end.
+  std::uint64_t unverified_answers = 0;
 };
 
 /// Client of backend servers. Never repeats a call by itself. A result is
 /// kNotSent only if the connection was never established, and kCrashed only if
-/// the connection broke and the address then refuses a new one.
+/// the connection broke, or ended an answer of unknown length, and the address
+/// then refuses a new one.
 class BackendClient {
  public:
   BackendClient(boost::asio::io_context* io, BackendOptions options);
--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -6,6 +6,10 @@
 //   {"crash": true}     ends its server when it begins to run. The server's
 //       connections are reset and its port refuses for "down_ms" (default 500).
 //       With "down_ms" 0 only the connections are reset.
+//   {"unframed": TEXT}  answers the first run with this text, with neither
+//       length nor chunks; later runs answer whole, with chunks. Members beside
+//       it: "events": the answer is a stream; "reset": the connection ends by a
+//       reset; "gone": the server ends with it.
 // A request whose prompt has a part named "deadly" before its last one does
 // the same, whatever its body.
 // A server that ended comes back under a new id, and its old entry is removed a
@@ -20,6 +24,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "config/config.h"
+#include "fmt/format.h"
 #include "net/net.h"
 #include "testing/standin_http.h"
 
@@ -227,6 +232,16 @@
     };
     Json routes = Json::array(
         {route("/read/", "idempotent"), route("/order/", "non_idempotent")});
+    routes.push_back(route("/stream/", "streaming"));
+    Json resumed = route("/resume/", "streaming");
+    resumed["name"] = "r-resume";
+    resumed["stream_resume"] = true;
+    resumed["max_attempts"] = 2;
+    routes.push_back(std::move(resumed));
+    Json repeated = route("/repeat/", "idempotent");
+    repeated["name"] = "r-repeat";
+    repeated["max_attempts"] = 2;
+    routes.push_back(std::move(repeated));
     Json service = {{"name", kService},
                     {"health_path", "/healthz"},
                     {"max_connections", 400},
@@ -299,9 +314,47 @@
     headers.emplace_back("X-Clementinelb-Attempt-Id",
                          exchange->Header("X-Clementinelb-Attempt-Id"));
     headers.emplace_back("X-Clementinelb-Response-Signature", "standin");
+    if (body.contains("unframed")) {
+      co_await AnswerUnframed(server, exchange, body, headers);
+      co_return;
+    }
     co_await exchange->Answer(200, std::string("done\n"), headers);
   }
 
+  asio::awaitable<void> AnswerUnframed(Server* server, Exchange* exchange,
+                                       Json how, Headers headers) {
+    std::string type =
+        how.contains("events") ? "text/event-stream" : "text/plain";
+    if (m_runs[exchange->body()] > 1) {
+      if (!how.contains("events")) {
+        co_await exchange->Answer(200, std::string("whole"), headers);
+        co_return;
+      }
+      co_await exchange->StartStream(headers);
+      for (int event = 1; event <= 20; ++event) {
+        std::string text = fmt::format("id: {}\ndata: x\n\n", event);
+        co_await exchange->Send(std::move(text));
+      }
+      co_await exchange->EndStream();
+      co_return;
+    }
+    std::string head =
+        fmt::format("HTTP/1.1 200 OK\r\nContent-Type: {}\r\n", type);
+    for (const auto& [name, value] : headers) {
+      head += fmt::format("{}: {}\r\n", name, value);
+    }
+    head += "\r\n" + how["unframed"].get<std::string>();
+    co_await exchange->SendRaw(std::move(head));
+    co_await Sleep(milliseconds(50));
+    bool gone = how.value("gone", false);
+    if (gone) server->http->SetRefusing(true);
+    exchange->Drop(how.value("reset", false));
+    if (gone) {
+      milliseconds down(2'000);
+      asio::co_spawn(*m_io, End(server, down), asio::detached);
+    }
+  }
+
   static bool HasDeadlyPart(const Exchange& exchange) {
     std::string parts = "," + exchange.Header("X-Clementinelb-Prompt-Prefix");
     std::size_t found = parts.find(",deadly:");
--- /dev/null
+++ b/testing/process_unframed_test.cc
@@ -0,0 +1,144 @@
+// Answers that have neither a length nor chunks, before daemons and servers as
+// separate processes: what the caller sees when such an answer ends.
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "config/config.h"
+#include "fmt/format.h"
+#include "net/address.h"
+#include "testing/process_fleet.h"
+
+namespace clementine {
+namespace {
+
+using testing::FleetSite;
+
+std::string Events(int count) {
+  std::string events;
+  for (int i = 1; i <= count; ++i) {
+    events += fmt::format("id: {}\ndata: x\n\n", i);
+  }
+  return events;
+}
+
+/// What a caller received until its connection ended.
+struct Received {
+  std::string bytes;
+  int status() const { return std::stoi(bytes.substr(9, 3)); }
+  bool chunked() const {
+    return bytes.find("Transfer-Encoding: chunked") != std::string::npos;
+  }
+  /// Whether the framing says that the answer is complete.
+  bool complete() const {
+    return chunked() ? bytes.ends_with("\r\n0\r\n\r\n")
+                     : bytes.find("Content-Length: ") != std::string::npos;
+  }
+  int events() const {
+    int count = 0;
+    for (std::size_t at = bytes.find("data: x"); at != std::string::npos;
+         at = bytes.find("data: x", at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+};
+
+struct Row {
+  std::string path;
+  nlohmann::json how;
+};
+
+Received Call(FleetSite* site, const Row& row) {
+  static int requests = 0;
+  namespace asio = boost::asio;
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect(ParseEndpoint(site->daemon(0).Listening("listen")));
+  nlohmann::json how = row.how;
+  how["request"] = ++requests;  // Each body runs anew.
+  std::string body = JsonText(how);
+  std::string request = fmt::format(
+      "POST {} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n"
+      "X-Clementinelb-Attempt-Id: u{}\r\nX-Clementinelb-Deadline-Ms: 4000\r\n"
+      "Content-Length: {}\r\n\r\n{}",
+      row.path, requests, body.size(), body);
+  asio::write(socket, asio::buffer(request));
+  Received received;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(received.bytes), error);
+  REQUIRE(received.bytes.size() > 12);
+  return received;
+}
+
+nlohmann::json Stream(const std::string& text, bool gone, bool reset) {
+  return {
+      {"unframed", text}, {"events", true}, {"gone", gone}, {"reset", reset}};
+}
+
+nlohmann::json Body(const std::string& text, bool gone) {
+  return {{"unframed", text}, {"gone", gone}};
+}
+
+}  // namespace
+
+// Guards against an answer that its server broke off and that reaches the
+// caller as a complete one (ORDER): a process that ends closes its connections
+// in order.
+TEST_CASE("an answer of unknown length is not complete if its server is gone") {
+  FleetSite site({.daemons = 1, .servers = 24});
+  for (const Row& row :
+       {Row{"/stream/a", Stream(Events(5), true, false)},
+        Row{"/stream/b", Stream(Events(5) + "id: 6\ndat", true, false)},
+        Row{"/stream/c", Stream(Events(5) + "id: 6\ndat", false, false)},
+        Row{"/stream/d", Stream(Events(5), true, true)}}) {
+    CAPTURE(row.path);
+    Received received = Call(&site, row);
+    CHECK(received.status() == 200);
+    CHECK(received.events() == 5);
+    CHECK_FALSE(received.complete());
+  }
+  for (const Row& row :
+       {Row{"/stream/e", Stream("", true, false)},
+        Row{"/read/f", Body("half", true)}, Row{"/order/g", Body("half", true)},
+        Row{"/order/h", Body("", true)}}) {
+    CAPTURE(row.path);
+    Received received = Call(&site, row);
+    CHECK(received.status() == 502);
+    CHECK(received.bytes.find("half") == std::string::npos);
+  }
+}
+
+// Guards against a request that is not repeated although it may be.
+TEST_CASE("an answer that a server broke off goes on at another server") {
+  FleetSite site({.daemons = 1, .servers = 12});
+  Received stream = Call(&site, {"/resume/a", Stream(Events(5), true, false)});
+  CHECK(stream.status() == 200);
+  CHECK(stream.complete());
+  CHECK(stream.events() == 20);
+  Received body = Call(&site, {"/repeat/b", Body("half", true)});
+  CHECK(body.status() == 200);
+  CHECK(body.bytes.ends_with("whole"));
+}
+
+// Guards against sound answers of unknown length that are no longer served.
+TEST_CASE("an answer of unknown length is complete if its server lives") {
+  FleetSite site({.daemons = 1, .servers = 12});
+  Received stream =
+      Call(&site, {"/stream/a", Stream(Events(20), false, false)});
+  CHECK(stream.status() == 200);
+  CHECK(stream.complete());
+  CHECK(stream.events() == 20);
+  for (const char* path : {"/read/b", "/order/c"}) {
+    Received body = Call(&site, {path, Body("text", false)});
+    CHECK(body.status() == 200);
+    CHECK(body.complete());
+    CHECK(body.bytes.ends_with("text"));
+  }
+}
+
+}  // namespace clementine
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -155,9 +155,17 @@
   co_await Write(std::move(bytes));
 }
 
-void Exchange::Drop() {
+asio::awaitable<void> Exchange::SendRaw(std::string bytes) {
+  co_await Write(std::move(bytes));
+}
+
+void Exchange::Drop(bool reset) {
   m_dropped = true;
   beast::error_code ignored;
+  if (reset) {
+    m_connection->stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                             ignored);
+  }
   m_connection->stream.socket().close(ignored);
 }
 
--- a/testing/standin_http.h
+++ b/testing/standin_http.h
@@ -71,8 +71,12 @@
   asio::awaitable<void> Send(std::string text);
   asio::awaitable<void> EndStream();
 
+  /// Sends bytes as they are. @throws boost::system::system_error.
+  asio::awaitable<void> SendRaw(std::string bytes);
+
   /// Closes the connection without a further byte.
-  void Drop();
+  /// @param reset Whether by a reset, which may discard bytes on their way.
+  void Drop(bool reset = false);
   bool dropped() const { return m_dropped; }
 
   /// Whether the caller has closed its side of the connection.
