Send streams to HTTP/1.0 callers without chunks

What callers saw: an HTTP/1.0 caller got chunk sizes in the text of its stream.

Cause: streams were sent in chunks whatever the version of the request. Change: to HTTP/1.0, the end of the connection ends a stream, and a reset tells that it was cut off; an orderly end would make it look complete (ORDER). Test: "a stream to an HTTP/1.0 caller ends with its connection" fails before (no bytes as sent, "chunked" in the head, an orderly end after an abort), passes now.

--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -208,6 +208,11 @@
   }
   void Abort() {
     m_leave_handler = nullptr;
+    // Without chunks, only a reset tells the caller that the answer is cut off.
+    if (m_unframed) {
+      error_code ignored;
+      m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     Leave("aborted");
   }
   HttpRequest ReleaseRequest() { return std::move(m_request); }
@@ -269,6 +274,8 @@
   bool m_finished = false;
   bool m_left = false;
   bool m_chunked = false;
+  bool m_unframed = false;  ///< The end of the connection ends the answer.
+  bool m_http_1_0 = false;
   bool m_head_request = false;
   bool m_keep_alive = true;
   bool m_watching = false;
@@ -581,6 +588,7 @@
   }
   m_request.body = std::move(message.body());
   m_head_request = message.method() == http::verb::head;
+  m_http_1_0 = message.version() == 10;
   ++m_server->m_stats.requests;
 }
 
@@ -596,17 +604,23 @@
 }
 
 void HttpSession::QueueStreamHead(int status, const HttpHeaders& headers) {
-  m_keep_alive = m_keep_alive && !m_server->draining();
+  // HTTP/1.0 has no chunks; the end of the connection ends the answer.
+  m_keep_alive = m_keep_alive && !m_server->draining() && !m_http_1_0;
   m_pending += FormatHead(status, headers, !m_keep_alive);
-  m_pending += "Transfer-Encoding: chunked\r\n\r\n";
-  m_chunked = true;
+  m_pending += m_http_1_0 ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
+  m_chunked = !m_http_1_0;
+  m_unframed = m_http_1_0;
   m_wake.cancel();
 }
 
 bool HttpSession::QueueChunk(std::string_view bytes) {
   if (m_left || bytes.empty()) return true;
-  fmt::format_to(std::back_inserter(m_pending), "{:x}\r\n", bytes.size());
-  m_pending.append(bytes).append("\r\n");
+  if (m_unframed) {
+    m_pending.append(bytes);
+  } else {
+    fmt::format_to(std::back_inserter(m_pending), "{:x}\r\n", bytes.size());
+    m_pending.append(bytes).append("\r\n");
+  }
   m_wake.cancel();
   if (m_pending.size() > m_server->limits().max_buffered_bytes) m_full = true;
   return !m_full;
@@ -614,7 +628,7 @@
 
 asio::awaitable<bool> HttpSession::WriteAnswer() {
   m_answering = true;
-  m_finished = m_left = m_chunked = m_full = false;
+  m_finished = m_left = m_chunked = m_unframed = m_full = false;
   m_deadline = Clock::time_point::max();
   ++m_server->m_stats.exchanges;
   if (!m_watching) {
--- a/testing/net_http_server_test.cc
+++ b/testing/net_http_server_test.cc
@@ -201,4 +201,29 @@
   CHECK(caller->received.ends_with("complete"));
 }
 
+// Guards against chunks that an HTTP/1.0 caller takes for the text of a stream,
+// and against a stream that was cut off and looks complete to it (ORDER).
+TEST_CASE("a stream to an HTTP/1.0 caller ends with its connection") {
+  for (bool complete : {true, false}) {
+    CAPTURE(complete);
+    Fixture fixture;
+    auto caller = fixture.Connect();
+    caller->Send("GET /a HTTP/1.0\r\nHost: x\r\n\r\n");
+    CHECK(fixture.Until([&] { return !fixture.exchanges.empty(); }));
+    fixture.exchanges[0]->StartStream(200, {});
+    fixture.exchanges[0]->Write("data: x\n\n");
+    CHECK(fixture.Until(
+        [&] { return caller->received.ends_with("\r\n\r\ndata: x\n\n"); }));
+    if (complete) {
+      fixture.exchanges[0]->EndStream();
+    } else {
+      fixture.exchanges[0]->Abort();
+    }
+    CHECK(fixture.Until([&] { return caller->closed; }));
+    CHECK(caller->received.find("chunked") == std::string::npos);
+    CHECK(caller->received.ends_with("data: x\n\n"));
+    CHECK((caller->close_error == boost::asio::error::eof) == complete);
+  }
+}
+
 }  // namespace clementine::nettest
--- a/testing/net_test_support.h
+++ b/testing/net_test_support.h
@@ -64,6 +64,7 @@
           self->m_reading = false;
           if (error) {
             self->closed = true;
+            self->close_error = error;
           } else if (!self->paused) {
             self->Read();
           }
@@ -115,6 +116,7 @@
   std::string received;
   std::size_t flooded = 0;  ///< Bytes that Flood has sent.
   bool closed = false;
+  boost::system::error_code close_error;  ///< With which the connection ended.
   bool paused = false;
   std::function<void(RawConnection&)> on_bytes;
 
