--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -391,8 +391,7 @@
     std::string key = notice.digest.substr(0, end);
     std::string crash = notice.digest.substr(end + 1);
     if (IsPartFilter(key)) {
-      std::optional<PartFilter> filter =
-          PartFilter::Decode(std::string_view(key).substr(1));
+      std::optional<PartFilter> filter = PartFilter::Decode(key.substr(1));
       bool suspected =
           filter && m_candidates.AddReported(crash, std::move(*filter), now);
       return suspected ? MarkSuspectParts(now) : std::vector<ShareQuarantine>();
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -43,8 +43,11 @@
                             : headers.max_output_tokens;
 }
 
-void SetSharedParts(const HttpHeaders& headers, Request* request) {
-  request->shared_parts = platform::ReadSharedParts(headers);
+/// The parts are passed to the request path only, which keeps their hashes.
+Request WithSharedParts(const Request& request, const HttpHeaders& headers) {
+  Request with_parts = request;
+  with_parts.shared_parts = platform::ReadSharedParts(headers);
+  return with_parts;
 }
 
 bool IsEventStream(const HttpHeaders& headers) {
@@ -195,10 +198,7 @@
     LogAnswer(*left, "caller_left", 0, "");
     m_context.feed(CallerLeft{id});
   });
-  // The request path keeps their hashes.
-  Request with_parts = read;
-  SetSharedParts(request.headers, &with_parts);
-  m_context.feed(RequestArrived{std::move(with_parts)});
+  m_context.feed(RequestArrived{WithSharedParts(read, request.headers)});
 }
 
 void RelayExecutor::CountDemand(const std::string& service,
--- a/testing/held_bytes_test.cc
+++ b/testing/held_bytes_test.cc
@@ -88,7 +88,9 @@
 TEST_CASE("the total size of unfinished platform answers is bounded") {
   boost::asio::io_context io;
   ScriptedServer server(&io, [&](RawConnection& raw, const std::string&) {
-    raw.Send(kJsonHead + Chunk(std::string(12'000'000, ' ')));
+    std::string body;
+    body.resize(12'000'000, ' ');
+    raw.Send(kJsonHead + Chunk(body));
   });
   PlatformClient client(&io, server.address, "");
   int ended = 0;
--- a/testing/hostile_server_test.cc
+++ b/testing/hostile_server_test.cc
@@ -43,17 +43,22 @@
   return max_sent;
 }
 
+struct Framing {
+  std::string first;
+  std::string piece;  ///< Sent again and again after it.
+};
+
 /// Answers whose framing never ends: a head, the size line or an extension of a
-/// chunk, the fields after the last chunk. First bytes and repeated ones.
-const std::vector<std::pair<std::string, std::string>>& EndlessFraming() {
-  static const std::vector<std::pair<std::string, std::string>> kFraming = {
+/// chunk, the fields after the last chunk.
+const std::vector<Framing>& EndlessFraming() {
+  static const std::vector<Framing> framing = {
       {"HTTP/1.1 200 OK\r\nX-Junk: ", std::string(16'384, 'x')},
       {Head("text/event-stream"), std::string(16'384, '\xa5')},
       {Head("text/event-stream"), std::string(16'384, '0')},
       {Head("text/event-stream") + "4;x=", std::string(16'384, 'x')},
       {Head("text/event-stream") + "0\r\n", "X-Field: y\r\n"},
   };
-  return kFraming;
+  return framing;
 }
 
 /// Answers the first request with endless bytes and later ones as a sound
@@ -209,13 +214,14 @@
 // passed on none of its bytes, so that no limit of a head or body applied. The
 // request is served by another server.
 TEST_CASE("an answer with endless framing is dropped and repeated elsewhere") {
-  for (const auto& [first, piece] : EndlessFraming()) {
+  for (const Framing& framing : EndlessFraming()) {
     for (RouteKind kind : {RouteKind::kIdempotent, RouteKind::kStream}) {
-      CAPTURE(first);
+      CAPTURE(framing.first);
       CAPTURE(static_cast<int>(kind));
       const std::string sound =
           Head("text/event-stream") + Chunk("id: 1\ndata: x\n\n") + kLastChunk;
-      ScriptedServer::Script script = SendForeverOnce(first, piece, sound);
+      ScriptedServer::Script script =
+          SendForeverOnce(framing.first, framing.piece, sound);
       RelayFixture relay(script, kind, script);
       std::size_t max_held = 0;
       std::string received =
@@ -261,11 +267,11 @@
 // Guards against the same on calls that are not forwarded: streams and answers
 // of the chat interface, health checks and orders.
 TEST_CASE("a call ends when the framing of its answer does not") {
-  for (const auto& [first, piece] : EndlessFraming()) {
+  for (const Framing& framing : EndlessFraming()) {
     for (int kind = 0; kind < 4; ++kind) {
-      CAPTURE(first);
+      CAPTURE(framing.first);
       CAPTURE(kind);
-      CallFixture fixture(SendForever(first, piece));
+      CallFixture fixture(SendForever(framing.first, framing.piece));
       bool ended = false;
       std::size_t max_held = 0;
       BackendCall call;
--- a/testing/interface_parity_test.cc
+++ b/testing/interface_parity_test.cc
@@ -211,7 +211,7 @@
 TEST_CASE("both daemons read the shared parts of prompts") {
   CHECK(Sources({"request_reader.cc"}).find("request.shared_parts = ") !=
         std::string::npos);
-  CHECK(Sources({"relay_executor.cc"}).find("request->shared_parts = ") !=
+  CHECK(Sources({"relay_executor.cc"}).find("with_parts.shared_parts = ") !=
         std::string::npos);
 }
 
--- a/testing/quarantine_test.cc
+++ b/testing/quarantine_test.cc
@@ -158,14 +158,14 @@
 // it never crashed a server, and against many trials at once (BUDGET).
 TEST_CASE("one trial after another tells whether a cause still crashes") {
   constexpr int kDaemons = 20;
-  const std::string kPart = KeyOfPart(0xd);
+  const std::string part_key = KeyOfPart(0xd);
   std::vector<Quarantine> daemons;
   for (int i = 0; i < kDaemons; ++i) {
     daemons.emplace_back(3, kDuration, static_cast<std::uint64_t>(i));
     daemons.back().SetDaemonCount(kDaemons);
     for (int crash = 0; crash < 3; ++crash) {
       daemons.back().OnPeerNotice(
-          {kPart + "/chat/" + std::to_string(crash) + "@1#1", kDuration},
+          {part_key + "/chat/" + std::to_string(crash) + "@1#1", kDuration},
           kStart);
     }
   }
@@ -198,11 +198,11 @@
   }
   TimePoint later = kStart + std::chrono::minutes(4);
   for (Quarantine& daemon : daemons) {
-    daemon.OnPeerNotice({kPart + "/chat/8@1#1", kDuration}, later);
+    daemon.OnPeerNotice({part_key + "/chat/8@1#1", kDuration}, later);
     CHECK_FALSE(daemon.StartTrial(keys, later + std::chrono::seconds(100)));
     CHECK(daemon.Classify(keys, later) == DigestState::kQuarantined);
     // A trial that begins its answer ends the quarantine.
-    daemon.OnRequestCompleted(kPart, later + std::chrono::minutes(3));
+    daemon.OnRequestCompleted(part_key, later + std::chrono::minutes(3));
     CHECK(daemon.Classify(keys, later + std::chrono::minutes(3)) ==
           DigestState::kClear);
   }
