Add up the crashes of short and long prompts with a part

Cause: a part that a request marked by name was not looked up among the parts of this daemon's longer prompts, whose marks came one crash later. Change: exact marks of this daemon count for its candidates as those of others. Test: "crashes of short and long prompts with a part add up"; not run against the code before, where the second crash leaves the first one unmarked.

--- a/core/quarantine.cc
+++ b/core/quarantine.cc
@@ -53,6 +53,12 @@
   return name.find_first_of({kCrashSeparator, kAcquittalSeparator});
 }
 
+void AppendMarks(std::vector<ShareQuarantine> more,
+                 std::vector<ShareQuarantine>* marks) {
+  marks->insert(marks->end(), std::make_move_iterator(more.begin()),
+                std::make_move_iterator(more.end()));
+}
+
 std::optional<std::uint64_t> PartOfKey(std::string_view key) {
   if (key.size() != kPartKeyChars || key.front() != kPartPrefix) {
     return std::nullopt;
@@ -323,7 +329,15 @@
                  return !m_acquitted_parts.Contains(part, now);
                });
   if (parts.size() <= kMaxNamedParts) {
-    for (std::uint64_t part : parts) mark(KeyOfPart(part));
+    for (std::uint64_t part : parts) {
+      const std::size_t before = marks.size();
+      mark(KeyOfPart(part));
+      if (marks.size() == before) continue;
+      // Prompts with more parts that were in flight at other crashes.
+      const std::string& name = marks.back().digest;
+      m_candidates.AddReported(name.substr(FindSeparator(name) + 1), part, now);
+    }
+    AppendMarks(MarkSuspectParts(now), &marks);
     return marks;
   }
   if (known) return marks;
@@ -339,8 +353,7 @@
       if (!other.acquitted) m_candidates.AddReported(other.name, *part, now);
     }
   }
-  std::vector<ShareQuarantine> suspects = MarkSuspectParts(now);
-  marks.insert(marks.end(), suspects.begin(), suspects.end());
+  AppendMarks(MarkSuspectParts(now), &marks);
   return marks;
 }
 
@@ -404,8 +417,7 @@
       bool sound = acquits || HasRecentlyCompleted(key, now);
       if (sound) m_candidates.Remove(*part);
       if (!sound && m_candidates.AddReported(crash, *part, now)) {
-        std::vector<ShareQuarantine> suspects = MarkSuspectParts(now);
-        shares.insert(shares.end(), suspects.begin(), suspects.end());
+        AppendMarks(MarkSuspectParts(now), &shares);
       }
     }
     return shares;
@@ -452,8 +464,7 @@
     m_acquitted_parts.Add(part, now);
     m_candidates.Remove(part);
     if (m_marked_parts.count(part) == 0) continue;
-    std::vector<ShareQuarantine> acquittals = Acquit(KeyOfPart(part), now);
-    shares.insert(shares.end(), acquittals.begin(), acquittals.end());
+    AppendMarks(Acquit(KeyOfPart(part), now), &shares);
   }
   return shares;
 }
--- a/testing/crash_candidates_test.cc
+++ b/testing/crash_candidates_test.cc
@@ -166,4 +166,31 @@
   }
 }
 
+// Guards against a part that is only known from long prompts or only from short
+// ones, so that its crashes don't add up.
+TEST_CASE("crashes of short and long prompts with a part add up") {
+  Quarantine quarantine(3, kDuration);
+  auto with_parts = [](int number, int others) {
+    Request request;
+    request.model = "m";
+    request.content_digest = std::to_string(number);
+    request.shared_parts = {"deadly"};
+    for (int i = 0; i < others; ++i) {
+      request.shared_parts.push_back(fmt::format("{}-{}", number, i));
+    }
+    return Quarantine::Keys(request);
+  };
+  TimePoint now = kStart;
+  const CrashKeys deadly = with_parts(9, 0);
+  for (int i = 0; i < 3; ++i) {
+    now += milliseconds(1'000);
+    CHECK(quarantine.FindBlamed(deadly, now).empty());
+    std::string group = fmt::format("g{}@1", i);
+    quarantine.OnServerCrash(with_parts(i, i == 1 ? 2 : 100), group, now, now);
+    CHECK(quarantine.Count(KeyOfPart(deadly.parts->front()), now) ==
+          (i == 0 ? 0 : i + 1));
+  }
+  CHECK(quarantine.FindBlamed(deadly, now).size() == 1);
+}
+
 }  // namespace clementine
