Keep the limits of held bytes below the memory of the smallest host

Cause: each server and client of a daemon had the same default limit; together they were 272 MB, above a host's 160 MB. Test: the 112 cases of the touched libraries pass.

--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -12,10 +12,14 @@
 namespace clementine {
 namespace {
 
+/// More than a frame with a whole history (ChangeHistory::kMaxBytes).
+constexpr std::size_t kMaxHeldBytes = 25'165'824;
+
 BackendOptions ClientOptions(milliseconds silence_timeout) {
   BackendOptions options;
   options.connect_timeout = silence_timeout;
   options.max_idle_per_address = 0;
+  options.max_held_bytes = kMaxHeldBytes;
   return options;
 }
 
--- a/daemon/crash_notices.cc
+++ b/daemon/crash_notices.cc
@@ -14,12 +14,15 @@
 constexpr milliseconds kConnectTimeout{300};
 constexpr milliseconds kAnswerTimeout{500};
 constexpr std::size_t kMaxRunningCalls = 32;
+/// Of answers, which are empty or one line.
+constexpr std::size_t kMaxHeldBytes = 1'048'576;
 constexpr char kCodeHeader[] = "X-Notice-Code";
 
 BackendOptions ClientOptions() {
   BackendOptions options;
   options.connect_timeout = kConnectTimeout;
   options.max_idle_per_address = 0;
+  options.max_held_bytes = kMaxHeldBytes;
   return options;
 }
 
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -37,6 +37,10 @@
 /// Unsent bytes for one of these connections; holds several configurations of
 /// 1 MB.
 constexpr std::size_t kMaxChangeBufferedBytes = 4'194'304;
+/// Bytes held of requests: with those of callers and of answers, all limits
+/// together stay below the 160 MB of the smallest host.
+constexpr std::size_t kMaxChangeHeldBytes = 16'777'216;
+constexpr std::size_t kMaxHealthHeldBytes = 2'097'152;
 constexpr milliseconds kChangeWriteTimeout{2'000};
 /// A server's connection limit divided by this is the limit of its idle
 /// connections.
@@ -128,8 +132,10 @@
         m_executor->Accept(exchange);
       });
   if (!m_settings.health.empty()) {
+    HttpLimits health_limits;
+    health_limits.max_held_bytes = kMaxHealthHeldBytes;
     m_health = std::make_unique<HttpServer>(
-        m_io, m_settings.health, HttpLimits{},
+        m_io, m_settings.health, health_limits,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
           OnHealthRequest(exchange.get());
         });
@@ -139,6 +145,7 @@
     changes_limits.max_connections = kMaxChangeConnections;
     changes_limits.max_buffered_bytes = kMaxChangeBufferedBytes;
     changes_limits.write_timeout = kChangeWriteTimeout;
+    changes_limits.max_held_bytes = kMaxChangeHeldBytes;
     m_peer_server = std::make_unique<HttpServer>(
         m_io, m_settings.listen_changes, changes_limits,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
--- a/net/net.h
+++ b/net/net.h
@@ -157,7 +157,7 @@
   std::size_t max_buffered_bytes = 65'536;  ///< Unsent bytes of one answer.
   /// Of all requests together, from their first byte to the end of their
   /// answers. A request that would exceed it is refused as not run.
-  std::size_t max_held_bytes = 50'331'648;
+  std::size_t max_held_bytes = 33'554'432;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds body_timeout{30'000};
   std::chrono::milliseconds write_timeout{30'000};  ///< No progress in writing.
