Use the usual alias for JSON in peer_message.cc

Cause: the new files of core/ moved peer_message.cc into one batch of the sanitizer build with placement_object.cc, whose parameter "json" shadows the import of nlohmann::json there; -Wshadow is an error. Change: the alias Json, as in other files; no other change. Test: the sanitizer build succeeds.

--- a/core/peer_message.cc
+++ b/core/peer_message.cc
@@ -10,16 +10,16 @@
 namespace clementine {
 namespace {
 
-using nlohmann::json;
+using Json = nlohmann::json;
 
 constexpr int kProtocolVersion = 1;
 
-json PeerToJson(const PeerInfo& peer) {
-  return json::array(
+Json PeerToJson(const PeerInfo& peer) {
+  return Json::array(
       {peer.node, peer.data_centre, peer.peer_address, peer.incarnation});
 }
 
-PeerInfo PeerFromJson(const json& value) {
+PeerInfo PeerFromJson(const Json& value) {
   PeerInfo peer;
   value.at(0).get_to(peer.node);
   value.at(1).get_to(peer.data_centre);
@@ -28,12 +28,12 @@
   return peer;
 }
 
-json MemberToJson(const MemberUpdate& update) {
-  return json::array({PeerToJson(update.peer), update.refutation,
+Json MemberToJson(const MemberUpdate& update) {
+  return Json::array({PeerToJson(update.peer), update.refutation,
                       static_cast<int>(update.state)});
 }
 
-MemberUpdate MemberFromJson(const json& value) {
+MemberUpdate MemberFromJson(const Json& value) {
   MemberUpdate update;
   update.peer = PeerFromJson(value.at(0));
   value.at(1).get_to(update.refutation);
@@ -45,15 +45,15 @@
   return update;
 }
 
-json PresenceToJson(const PresenceUpdate& update) {
-  return json::array({update.reporter, update.sequence, update.host,
+Json PresenceToJson(const PresenceUpdate& update) {
+  return Json::array({update.reporter, update.sequence, update.host,
                       update.group, update.epoch, update.present,
                       update.leaving, update.adapters, update.info.data_centre,
                       update.info.fabric_domain, update.info.address,
                       update.info.accelerators, update.info.engine});
 }
 
-PresenceUpdate PresenceFromJson(const json& value) {
+PresenceUpdate PresenceFromJson(const Json& value) {
   PresenceUpdate update;
   value.at(0).get_to(update.reporter);
   value.at(1).get_to(update.sequence);
@@ -72,22 +72,22 @@
   return update;
 }
 
-json QuarantineToJson(const QuarantineUpdate& update) {
-  return json::array({update.digest, update.remaining.count()});
+Json QuarantineToJson(const QuarantineUpdate& update) {
+  return Json::array({update.digest, update.remaining.count()});
 }
 
-QuarantineUpdate QuarantineFromJson(const json& value) {
+QuarantineUpdate QuarantineFromJson(const Json& value) {
   QuarantineUpdate update;
   value.at(0).get_to(update.digest);
   update.remaining = milliseconds(value.at(1).get<std::int64_t>());
   return update;
 }
 
-json PullToJson(const ConfigPull& pull) {
-  return json::array({pull.generation, pull.head_digest, pull.sections});
+Json PullToJson(const ConfigPull& pull) {
+  return Json::array({pull.generation, pull.head_digest, pull.sections});
 }
 
-ConfigPull PullFromJson(const json& value) {
+ConfigPull PullFromJson(const Json& value) {
   ConfigPull pull;
   value.at(0).get_to(pull.generation);
   value.at(1).get_to(pull.head_digest);
@@ -95,13 +95,13 @@
   return pull;
 }
 
-json DeltaToJson(const ConfigDelta& delta) {
-  return json::array({delta.base, delta.head.generation, delta.head.apply_id,
+Json DeltaToJson(const ConfigDelta& delta) {
+  return Json::array({delta.base, delta.head.generation, delta.head.apply_id,
                       delta.head.author, delta.head.sections, delta.removed,
                       delta.head_digest, delta.texts});
 }
 
-ConfigDelta DeltaFromJson(const json& value) {
+ConfigDelta DeltaFromJson(const Json& value) {
   ConfigDelta delta;
   value.at(0).get_to(delta.base);
   value.at(1).get_to(delta.head.generation);
@@ -115,23 +115,23 @@
 }
 
 template <typename T, typename Convert>
-void AddList(json* out, const char* key, const std::vector<T>& items,
+void AddList(Json* out, const char* key, const std::vector<T>& items,
              Convert convert) {
   if (items.empty()) return;
-  json list = json::array();
+  Json list = Json::array();
   for (const T& item : items) list.push_back(convert(item));
   (*out)[key] = std::move(list);
 }
 
 template <typename T, typename Convert>
-void ReadList(const json& in, const char* key, std::vector<T>* items,
+void ReadList(const Json& in, const char* key, std::vector<T>* items,
               Convert convert) {
   auto found = in.find(key);
   if (found == in.end()) return;
-  for (const json& item : *found) items->push_back(convert(item));
+  for (const Json& item : *found) items->push_back(convert(item));
 }
 
-PeerMessage FromJson(const json& value) {
+PeerMessage FromJson(const Json& value) {
   int version = value.at("v").get<int>();
   if (version != kProtocolVersion) {
     throw PeerMessageError(
@@ -172,7 +172,7 @@
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
-  json out = {{"v", kProtocolVersion},
+  Json out = {{"v", kProtocolVersion},
               {"k", static_cast<int>(message.kind)},
               {"f", PeerToJson(message.sender)},
               {"s", message.sequence}};
@@ -187,11 +187,11 @@
   if (message.placement_version != 0) out["pv"] = message.placement_version;
   if (message.coordinator.fence != 0) {
     out["c"] =
-        json::array({message.coordinator.node, message.coordinator.fence});
+        Json::array({message.coordinator.node, message.coordinator.fence});
   }
   if (message.kind == PeerMessageKind::kPlacement) {
     out["pl"] =
-        json::array({message.placement.version, message.placement.value});
+        Json::array({message.placement.version, message.placement.value});
   }
   if (!message.target.node.empty()) out["t"] = PeerToJson(message.target);
   AddList(&out, "m", message.members, MemberToJson);
@@ -203,7 +203,7 @@
   if (message.kind == PeerMessageKind::kConfigDelta) {
     out["cd"] = DeltaToJson(message.delta);
   }
-  std::vector<std::uint8_t> bytes = json::to_cbor(out);
+  std::vector<std::uint8_t> bytes = Json::to_cbor(out);
   return std::string(bytes.begin(), bytes.end());
 }
 
@@ -214,8 +214,8 @@
                     bytes.size(), kMaxPeerMessageBytes));
   }
   try {
-    return FromJson(json::from_cbor(bytes));
-  } catch (const json::exception& error) {
+    return FromJson(Json::from_cbor(bytes));
+  } catch (const Json::exception& error) {
     throw PeerMessageError(
         fmt::format("damaged peer message: {}", error.what()));
   }
