Log what told the end of an answer and how long its server was checked

Change: attempt_ended of both interfaces has framing and verified_ms; the metric clementine_answers_received_total counts answers by framing and result. "200 crashed" doesn't mean that a server ended.

--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -1,5 +1,7 @@
 #include "daemon/common_metrics.h"
 
+#include "fmt/format.h"
+
 namespace clementine {
 
 void SetCommonMetrics(const RequestPathStats& path,
@@ -35,4 +37,12 @@
                static_cast<double>(server.held_bytes));
 }
 
+void CountAnswer(const BackendEnd& end, Metrics* metrics) {
+  if (end.framing == AnswerFraming::kNone) return;
+  metrics->Add("clementine_answers_received_total",
+               fmt::format("framing=\"{}\",result=\"{}\"",
+                           AnswerFramingName(end.framing),
+                           AttemptResultName(end.result)));
+}
+
 }  // namespace clementine
--- a/daemon/common_metrics.h
+++ b/daemon/common_metrics.h
@@ -13,6 +13,9 @@
                       const HttpServerStats& server,
                       const BackendStats& backend, Metrics* metrics);
 
+/// Counts an attempt that got an answer, by its framing and result.
+void CountAnswer(const BackendEnd& end, Metrics* metrics);
+
 }  // namespace clementine
 
 #endif  // DAEMON_COMMON_METRICS_H_
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "core/quarantine.h"
+#include "daemon/common_metrics.h"
 #include "daemon/relay_stream.h"
 #include "fmt/format.h"
 #include "net/http_status.h"
@@ -433,8 +434,9 @@
   bool ends_stream =
       attempt->is_stream ? caller->stream.CanEnd() : !caller->head_sent;
   // A server that ends may close its connections as if its answers were whole.
-  bool empty =
-      attempt->is_stream && end->unframed && caller->stream.events() == 0;
+  bool empty = attempt->is_stream &&
+               end->framing == AnswerFraming::kConnection &&
+               caller->stream.events() == 0;
   if (ends_stream && !empty) return;
   end->result = AttemptResult::kBroken;
   end->detail = "answer does not end or continue the stream";
@@ -460,6 +462,8 @@
             {"result", AttemptResultName(end.result)},
             {"status", std::to_string(end.status)},
             {"events", std::to_string(caller->stream.events())},
+            {"framing", AnswerFramingName(end.framing)},
+            {"verified_ms", std::to_string(end.verified_for.count())},
             {"reused", end.reused ? "yes" : "no"},
             {"named", attempt->names_request ? "yes" : "no"},
             {"ms", Milliseconds(m_context.now() - attempt->started)},
@@ -467,6 +471,7 @@
   m_context.metrics->Add(
       "clementine_attempts_ended_total",
       fmt::format("result=\"{}\"", AttemptResultName(end.result)));
+  CountAnswer(end, m_context.metrics);
   // The request path gets the backoff with AttemptEnded.
   if (end.BusyFor() > milliseconds(0)) {
     m_context.feed_fleet(ServerBusy{attempt->host, end.BusyFor()});
--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -10,6 +10,7 @@
 
 #include "daemon/answers.h"
 #include "daemon/chat_answer.h"
+#include "daemon/common_metrics.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -306,16 +307,20 @@
   if (found == m_attempts.end()) return;
   m_attempts.erase(found);
   Caller* caller = attempt->caller.get();
-  LogEvent("attempt_ended", {{"request", std::to_string(caller->id)},
-                             {"attempt", attempt->wire_id},
-                             {"group", attempt->group},
-                             {"result", AttemptResultName(end.result)},
-                             {"status", std::to_string(end.status)},
-                             {"offset", std::to_string(caller->delivered)},
-                             {"detail", end.detail}});
+  LogEvent("attempt_ended",
+           {{"request", std::to_string(caller->id)},
+            {"attempt", attempt->wire_id},
+            {"group", attempt->group},
+            {"result", AttemptResultName(end.result)},
+            {"status", std::to_string(end.status)},
+            {"offset", std::to_string(caller->delivered)},
+            {"framing", AnswerFramingName(end.framing)},
+            {"verified_ms", std::to_string(end.verified_for.count())},
+            {"detail", end.detail}});
   m_context.metrics->Add(
       "clementine_attempts_total",
       fmt::format("result=\"{}\"", AttemptResultName(end.result)));
+  CountAnswer(end, m_context.metrics);
   ReportSuspect(*attempt, end);
   CancelOnEngine(*attempt, end);
   StoreAnswer(attempt.get(), &end);
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -98,6 +98,12 @@
   return "none";
 }
 
+template <typename Parser>
+AnswerFraming FramingOf(const Parser& parser) {
+  if (parser.need_eof()) return AnswerFraming::kConnection;
+  return parser.chunked() ? AnswerFraming::kChunks : AnswerFraming::kLength;
+}
+
 std::string FormatRequest(const BackendCall& call, const std::string& token) {
   fmt::memory_buffer out;
   auto append = [&out](std::string_view name, std::string_view value) {
@@ -415,7 +421,10 @@
         self->m_end.result = AttemptResult::kCrashed;
       }
     } else if (self->m_unverified) {
+      Clock::time_point begin = Clock::now();
       co_await self->VerifyUnframedEnd();
+      self->m_end.verified_for =
+          std::chrono::duration_cast<milliseconds>(Clock::now() - begin);
     }
   }
   self->Report();
@@ -514,7 +523,7 @@
   }
   const auto& answer = parser->get();
   m_end.status = static_cast<int>(answer.result_int());
-  m_end.unframed = parser->need_eof();
+  m_end.framing = FramingOf(*parser);
   AnswerHead judged = JudgeHead(*parser);
   if (judged == AnswerHead::kForeign) {
     ++m_end.dropped;
@@ -584,7 +593,8 @@
   m_end.result = AttemptResult::kComplete;
   if (m_end.status >= 500) m_end.result = AttemptResult::kError;
   if (m_not_run) m_end.result = AttemptResult::kRefused;
-  m_unverified = m_call.verify_unframed && m_end.unframed && !m_not_run;
+  m_unverified = m_call.verify_unframed &&
+                 m_end.framing == AnswerFraming::kConnection && !m_not_run;
   ReturnConnection(*parser);
 }
 
@@ -674,7 +684,8 @@
     UpdateHeld();
   }
   Classify(*parser);
-  m_unverified = m_call.verify_unframed && m_end.unframed &&
+  m_unverified = m_call.verify_unframed &&
+                 m_end.framing == AnswerFraming::kConnection &&
                  (m_end.result == AttemptResult::kComplete ||
                   m_end.result == AttemptResult::kError);
   ReturnConnection(*parser);
@@ -791,6 +802,20 @@
 
 // ---------------------------------------------------------------------------
 
+const char* AnswerFramingName(AnswerFraming framing) {
+  switch (framing) {
+    case AnswerFraming::kNone:
+      return "none";
+    case AnswerFraming::kLength:
+      return "length";
+    case AnswerFraming::kChunks:
+      return "chunks";
+    case AnswerFraming::kConnection:
+      return "connection";
+  }
+  return "none";
+}
+
 milliseconds BackendEnd::BusyFor() const {
   return RequestedBackoff(status, retry_after);
 }
--- a/net/net.h
+++ b/net/net.h
@@ -307,6 +307,17 @@
   kForeign,  ///< Of another call, or not to be trusted.
 };
 
+/// What tells where an answer ends.
+enum class AnswerFraming {
+  kNone,        ///< There was no answer.
+  kLength,      ///< Its length, which may be 0.
+  kChunks,      ///< The chunked coding.
+  kConnection,  ///< The end of its connection, which doesn't prove it whole.
+};
+
+/// @return As used in logs and as a label of metrics.
+const char* AnswerFramingName(AnswerFraming framing);
+
 /// How a call ended.
 struct BackendEnd {
   AttemptResult result = AttemptResult::kBroken;
@@ -318,9 +329,9 @@
   milliseconds retry_after{0};
   bool leaving = false;  ///< The answer had a `leaving` header.
   bool reused = false;   ///< The connection came from the pool.
-  /// The answer had neither a length nor chunks, so that the end of its
-  /// connection completed it.
-  bool unframed = false;
+  AnswerFraming framing = AnswerFraming::kNone;
+  /// Time for which the end of an answer waited for evidence on its server.
+  milliseconds verified_for{0};
   bool lost = false;         ///< The connection couldn't be made or broke.
   bool unreachable = false;  ///< Nothing answered the connection request.
   std::string detail;        ///< For the log.
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -95,7 +95,7 @@
     Fixture fixture(false, milliseconds(0), 3);
     for (const BackendEnd& end : fixture.Run(relay)) {
       CHECK(end.result == AttemptResult::kComplete);
-      CHECK(end.unframed);
+      CHECK(end.framing == AnswerFraming::kConnection);
       CHECK(relay == end.body.empty());
     }
     CHECK(fixture.client.stats().unverified_answers == 0);
