Show that an accepting address does not make an answer whole

Cause: after an answer without length and chunks, the daemon asks whether somebody listens at the server's address, not whether the process that answered has outlived its answer; a server that is leaving passes without evidence. The case "a server that is leaving may end after its last unframed answer" asserted that an answer which ends in the same instant as all connections of its process is whole; nothing tells such an answer from one that was cut. It is replaced by two: one expects it to be broken, the other expects the last answer of a server that has closed listening socket and idle connections to be whole.

--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -9,7 +9,11 @@
 //   {"unframed": TEXT}  answers the first run with this text, with neither
 //       length nor chunks; later runs answer whole, with chunks. Members beside
 //       it: "events": the answer is a stream; "reset": the connection ends by a
-//       reset; "gone": the server ends with it.
+//       reset; "gone": the server ends with it, and "refuses_after_ms" later
+//       its port refuses (default 0); "replaced": all its connections end, but
+//       its port goes on accepting, as if another process listened there;
+//       "leaving": the answer says that the server is leaving; "closes_idle":
+//       the other connections end 100 ms before this one.
 // A request whose prompt has a part named "deadly" before its last one does
 // the same, whatever its body.
 // A server that ended comes back under a new id, and its old entry is removed a
@@ -343,18 +347,35 @@
     for (const auto& [name, value] : headers) {
       head += fmt::format("{}: {}\r\n", name, value);
     }
+    if (how.value("leaving", false)) head += "Server-Leaving: 1\r\n";
     head += "\r\n" + how["unframed"].get<std::string>();
     co_await exchange->SendRaw(std::move(head));
     co_await Sleep(milliseconds(50));
     bool gone = how.value("gone", false);
-    if (gone) server->http->SetRefusing(true);
+    if (how.value("closes_idle", false)) {
+      if (gone) server->http->SetRefusing(true);
+      server->http->CloseConnections(exchange);
+      co_await Sleep(milliseconds(100));
+    }
+    milliseconds refuses_after(how.value("refuses_after_ms", 0));
+    if (gone && refuses_after == milliseconds(0)) {
+      server->http->SetRefusing(true);
+    }
     exchange->Drop(how.value("reset", false));
+    if (how.value("replaced", false) || refuses_after > milliseconds(0)) {
+      server->http->CloseConnections(nullptr);
+    }
     if (gone) {
-      milliseconds down(2'000);
-      asio::co_spawn(*m_io, End(server, down), asio::detached);
+      asio::co_spawn(*m_io, EndLater(server, refuses_after), asio::detached);
     }
   }
 
+  asio::awaitable<void> EndLater(Server* server, milliseconds delay) {
+    constexpr milliseconds kDown{2'000};
+    if (delay > milliseconds(0)) co_await Sleep(delay);
+    co_await End(server, kDown);
+  }
+
   static bool HasDeadlyPart(const Exchange& exchange) {
     std::string parts = "," + exchange.Header("X-Clementinelb-Prompt-Prefix");
     std::size_t found = parts.find(",deadly:");
--- a/testing/net_test_support.h
+++ b/testing/net_test_support.h
@@ -142,10 +142,15 @@
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
-  /// Refuses connections from now on and closes the present ones.
-  void Stop() {
+  /// Refuses connections from now on.
+  void StopListening() {
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
+  }
+
+  /// Refuses connections from now on and closes the present ones.
+  void Stop() {
+    StopListening();
     for (auto& connection : connections) {
       connection->on_bytes = nullptr;
       connection->Close();
--- a/testing/process_unframed_test.cc
+++ b/testing/process_unframed_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <thread>
 
 #include "config/config.h"
 #include "fmt/format.h"
@@ -53,7 +54,7 @@
   nlohmann::json how;
 };
 
-Received Call(FleetSite* site, const Row& row) {
+Received CallOnce(FleetSite* site, const Row& row) {
   static int requests = 0;
   namespace asio = boost::asio;
   asio::io_context io;
@@ -75,6 +76,18 @@
   return received;
 }
 
+/// Calls again if the request has not run: a server that an earlier row ended
+/// may be picked before the daemon knows.
+Received Call(FleetSite* site, const Row& row) {
+  constexpr int kUnavailable = 503;
+  Received received = CallOnce(site, row);
+  for (int i = 0; i < 10 && received.status() == kUnavailable; ++i) {
+    std::this_thread::sleep_for(milliseconds(200));
+    received = CallOnce(site, row);
+  }
+  return received;
+}
+
 nlohmann::json Stream(const std::string& text, bool gone, bool reset) {
   return {
       {"unframed", text}, {"events", true}, {"gone", gone}, {"reset", reset}};
@@ -84,6 +97,11 @@
   return {{"unframed", text}, {"gone", gone}};
 }
 
+nlohmann::json With(nlohmann::json how, const nlohmann::json& more) {
+  how.update(more);
+  return how;
+}
+
 }  // namespace
 
 // Guards against an answer that its server broke off and that reaches the
@@ -113,6 +131,62 @@
   }
 }
 
+// Guards against broken answers that count as complete because something
+// accepts connections at the address of a server that ended (ORDER).
+TEST_CASE("an address that accepts connections does not make an answer whole") {
+  FleetSite site({.daemons = 1, .servers = 24});
+  for (const nlohmann::json& how :
+       {nlohmann::json{{"refuses_after_ms", 100}, {"gone", true}},
+        nlohmann::json{{"refuses_after_ms", 400}, {"gone", true}},
+        nlohmann::json{{"replaced", true}}}) {
+    CAPTURE(how);
+    Received stream =
+        Call(&site, {"/stream/a", With(Stream(Events(5), false, false), how)});
+    CHECK(stream.status() == 200);
+    CHECK(stream.events() == 5);
+    CHECK_FALSE(stream.complete());
+    Received body = Call(&site, {"/order/b", With(Body("half", false), how)});
+    CHECK(body.status() == 502);
+    Received resumed =
+        Call(&site, {"/resume/c", With(Stream(Events(5), false, false), how)});
+    CHECK(resumed.complete());
+    CHECK(resumed.events() == 20);
+  }
+}
+
+// Guards against broken answers that count as complete because their server
+// had said that it is leaving (ORDER).
+TEST_CASE("a leaving server that ends with its answer has broken it off") {
+  FleetSite site({.daemons = 1, .servers = 24});
+  nlohmann::json leaving = {{"leaving", true}};
+  Received stream =
+      Call(&site, {"/stream/a", With(Stream(Events(5), true, false), leaving)});
+  CHECK(stream.events() == 5);
+  CHECK_FALSE(stream.complete());
+  Received body = Call(&site, {"/order/b", With(Body("half", true), leaving)});
+  CHECK(body.status() == 502);
+}
+
+// Guards against sound answers that are refused as their server closes idle
+// connections, or ends as it had announced.
+TEST_CASE(
+    "an answer that outlives the idle connections of its server is whole") {
+  FleetSite site({.daemons = 1, .servers = 24});
+  for (const nlohmann::json& how :
+       {nlohmann::json{{"closes_idle", true}},
+        nlohmann::json{
+            {"closes_idle", true}, {"leaving", true}, {"gone", true}}}) {
+    CAPTURE(how);
+    Received stream =
+        Call(&site, {"/stream/a", With(Stream(Events(20), false, false), how)});
+    CHECK(stream.complete());
+    CHECK(stream.events() == 20);
+    Received body = Call(&site, {"/order/b", With(Body("text", false), how)});
+    CHECK(body.status() == 200);
+    CHECK(body.bytes.ends_with("text"));
+  }
+}
+
 // Guards against a request that is not repeated although it may be.
 TEST_CASE("an answer that a server broke off goes on at another server") {
   FleetSite site({.daemons = 1, .servers = 12});
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
 #include "net/net.h"
@@ -17,35 +18,40 @@
 
 const char kHead[] = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
 
-/// Calls a server that answers, waits for all of `calls` requests and then ends
-/// their connections.
+/// Calls a server that answers, waits for all of `calls` requests, and ends
+/// their answers with `end` once these have been written.
 struct Fixture {
-  explicit Fixture(bool server_ends, milliseconds refuses_after = {},
-                   int call_count = 1)
+  using End = std::function<void(Fixture*)>;
+
+  explicit Fixture(End end, int call_count = 1)
       : calls(call_count),
         client(&io, BackendOptions()),
         server(&io, [=, this](RawConnection& raw, const std::string&) {
           raw.Send(std::string(kHead) + "text");
           waiting.push_back(raw.shared_from_this());
-          if (static_cast<int>(waiting.size()) == calls) {
-            End(server_ends, refuses_after);
-          }
+          if (static_cast<int>(waiting.size()) < calls) return;
+          After(milliseconds(50), [=, this] { end(this); });
         }) {}
 
-  void End(bool server_ends, milliseconds refuses_after) {
-    // After the answers have been written.
-    timer.expires_after(milliseconds(50));
-    timer.async_wait([=, this](const boost::system::error_code&) {
-      if (server_ends && refuses_after == milliseconds(0)) {
-        server.Stop();
-        return;
+  void After(milliseconds delay, std::function<void()> action) {
+    timer.expires_after(delay);
+    timer.async_wait(
+        [action = std::move(action)](const boost::system::error_code& error) {
+          if (!error) action();
+        });
+  }
+
+  void CloseAnswers() {
+    for (auto& raw : waiting) raw->Close();
+  }
+
+  /// Closes the connections that have no request.
+  void CloseIdle() {
+    for (auto& raw : server.connections) {
+      if (std::find(waiting.begin(), waiting.end(), raw) == waiting.end()) {
+        raw->Close();
       }
-      for (auto& raw : waiting) raw->Close();
-      if (!server_ends) return;
-      timer.expires_after(refuses_after);
-      timer.async_wait(
-          [this](const boost::system::error_code&) { server.Stop(); });
-    });
+    }
   }
 
   std::vector<BackendEnd> Run(bool relay, bool leaving = false) {
@@ -75,6 +81,27 @@
   std::vector<BackendEnd> ends;
 };
 
+/// The server's process ends.
+void EndServer(Fixture* fixture) { fixture->server.Stop(); }
+
+/// The process ends; its listening socket is closed later.
+Fixture::End EndServerAfter(milliseconds delay) {
+  return [delay](Fixture* fixture) {
+    fixture->CloseAnswers();
+    fixture->CloseIdle();
+    fixture->After(delay, [fixture] { fixture->server.Stop(); });
+  };
+}
+
+/// The process ends; another one listens at its address.
+void ReplaceServer(Fixture* fixture) {
+  fixture->CloseAnswers();
+  fixture->CloseIdle();
+}
+
+/// The answers end; the process lives.
+void EndAnswers(Fixture* fixture) { fixture->CloseAnswers(); }
+
 }  // namespace
 
 // Guards against an answer that counts as complete although its server ended,
@@ -82,17 +109,29 @@
 TEST_CASE("an unframed answer of a server that ended is broken") {
   for (bool relay : {false, true}) {
     CAPTURE(relay);
-    CHECK(Fixture(true).Run(relay)[0].result == AttemptResult::kCrashed);
-    CHECK(Fixture(true, milliseconds(5)).Run(relay)[0].result ==
+    CHECK(Fixture(EndServer).Run(relay)[0].result == AttemptResult::kCrashed);
+    CHECK(Fixture(EndServerAfter(milliseconds(5))).Run(relay)[0].result ==
           AttemptResult::kCrashed);
   }
 }
 
+// Guards against broken answers that count as complete because something
+// accepts connections at the address of a server that ended (ORDER).
+TEST_CASE("an unframed answer is broken although its address accepts") {
+  for (bool relay : {false, true}) {
+    CAPTURE(relay);
+    CHECK(Fixture(EndServerAfter(milliseconds(400))).Run(relay)[0].result ==
+          AttemptResult::kBroken);
+    CHECK(Fixture(ReplaceServer).Run(relay)[0].result ==
+          AttemptResult::kBroken);
+  }
+}
+
 // Guards against sound answers that are no longer served.
 TEST_CASE("an unframed answer of a server that lives is complete") {
   for (bool relay : {false, true}) {
     CAPTURE(relay);
-    Fixture fixture(false, milliseconds(0), 3);
+    Fixture fixture(EndAnswers, 3);
     for (const BackendEnd& end : fixture.Run(relay)) {
       CHECK(end.result == AttemptResult::kComplete);
       CHECK(end.framing == AnswerFraming::kConnection);
@@ -102,17 +141,37 @@
   }
 }
 
-// Guards against whole answers that are lost when a server which is leaving
-// ends after its last one, and against broken ones if it crashes before.
-TEST_CASE("a server that is leaving may end after its last unframed answer") {
+// Guards against sound answers that are refused because the server closed idle
+// connections some time before, as idle timeouts and planned stops do.
+TEST_CASE("an unframed answer that outlives idle connections is complete") {
   for (bool relay : {false, true}) {
     CAPTURE(relay);
-    CHECK(Fixture(true).Run(relay, /*leaving=*/true)[0].result ==
+    Fixture lives([](Fixture* fixture) {
+      fixture->CloseIdle();
+      fixture->After(milliseconds(100), [=] { fixture->CloseAnswers(); });
+    });
+    CHECK(lives.Run(relay)[0].result == AttemptResult::kComplete);
+    Fixture leaves([](Fixture* fixture) {
+      fixture->server.StopListening();
+      fixture->CloseIdle();
+      fixture->After(milliseconds(100), [=] { fixture->server.Stop(); });
+    });
+    CHECK(leaves.Run(relay, /*leaving=*/true)[0].result ==
           AttemptResult::kComplete);
-    // Answers that end together don't each come last.
-    Fixture together(true, milliseconds(0), 3);
-    for (const BackendEnd& end : together.Run(relay, /*leaving=*/true)) {
-      CHECK(end.result == AttemptResult::kCrashed);
+  }
+}
+
+// Guards against broken answers that count as complete because their server is
+// leaving: a process that ends with an answer may have cut it off.
+TEST_CASE(
+    "an unframed answer of a leaving server that ends with it is broken") {
+  for (bool relay : {false, true}) {
+    CAPTURE(relay);
+    for (int calls : {1, 3}) {
+      Fixture fixture(EndServer, calls);
+      for (const BackendEnd& end : fixture.Run(relay, /*leaving=*/true)) {
+        CHECK(end.result == AttemptResult::kCrashed);
+      }
     }
   }
 }
