Take an answer of unknown length for whole only if its process outlives it

Cause: the check asked whether somebody listens at the address. Listening sockets outlive processes: they are closed later, held by a supervisor, or bound by a successor. A leaving server passed without any evidence. Change: while such an answer is read, one connection to its server is held, shared by all such answers of the server (ServerWatch). The kernel closes all connections of a process that ends in the same moment, whoever listens afterwards. The answer is whole if that connection, an idle one or one of another call was open before its end and still is 20 ms after; it is broken if the held one ended in the same moment. Without one in time, the address is tried as before; a server that is leaving and has closed its other connections some time before may end with its last answer. The verdict's evidence is in the log (verified_by). Both interfaces, in net/. Sound answers: servers that live, that close idle connections before, that end as announced, and three answers at once (one connection more, not three). A server that lives and ends one answer early still can't be told from one that has finished.

--- a/daemon/request_executor.cc
+++ b/daemon/request_executor.cc
@@ -315,6 +315,7 @@
             {"status", std::to_string(end.status)},
             {"offset", std::to_string(caller->delivered)},
             {"framing", AnswerFramingName(end.framing)},
+            {"verified_by", EndEvidenceName(end.evidence)},
             {"verified_ms", std::to_string(end.verified_for.count())},
             {"detail", end.detail}});
   m_context.metrics->Add(
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -23,6 +23,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <unordered_map>
 #include <unordered_set>
 
 #include "config/config.h"
@@ -31,6 +32,7 @@
 #include "net/connection_pool.h"
 #include "net/net.h"
 #include "net/read_some.h"
+#include "net/server_watch.h"
 
 namespace clementine {
 namespace {
@@ -150,6 +152,8 @@
   void Stop();
   /// Ends the call that keeps the most, if all together keep too much.
   void BoundHeldBytes();
+  /// The watch of a server, shared by the calls that need one.
+  std::shared_ptr<ServerWatch> Watch(const std::string& address);
   /// Runs the deadline timer while there are calls or idle connections.
   void EnsureSweep();
 
@@ -158,6 +162,7 @@
   ConnectionPool m_pool;
   BackendStats m_stats;
   std::unordered_set<CallState*> m_calls;
+  std::unordered_map<std::string, std::weak_ptr<ServerWatch>> m_watches;
 
  private:
   static asio::awaitable<void> Sweep(std::shared_ptr<Impl> self);
@@ -189,6 +194,7 @@
   }
   ~CallState() override {
     ReleaseHeld();
+    ReleaseWatch();
     m_client->m_calls.erase(this);
   }
 
@@ -199,6 +205,7 @@
   void Cancel() override {
     m_cancelled = true;
     ReleaseHeld();
+    ReleaseWatch();
     Close();
     m_resumed.cancel();
   }
@@ -265,6 +272,11 @@
   asio::awaitable<void> FinishTrailer(Parser* parser);
   asio::awaitable<Address> ProbeAddress();
   asio::awaitable<void> VerifyUnframedEnd();
+  /// What other connections to the server tell of an answer that has ended.
+  ServerWatch::Verdict JudgeByConnections();
+  bool IsOpenSince(Clock::time_point time);
+  asio::awaitable<void> JudgeByAddress();
+  void SetUnverified(Address address, const char* reason);
   /// Begins to check whether the server lives.
   void StartProbing();
   void TakeTokens(std::string_view bytes);
@@ -284,6 +296,11 @@
     m_client->BoundHeldBytes();
   }
   void ReleaseHeld() { SetHeld(0); }
+  void ReleaseWatch() {
+    if (!m_watch) return;
+    if (m_watch.use_count() == 1) m_client->m_watches.erase(m_call.address);
+    m_watch.reset();
+  }
   void SetHeld(std::size_t bytes) {
     m_client->m_stats.held_bytes += bytes;
     m_client->m_stats.held_bytes -= m_held;
@@ -318,7 +335,11 @@
   bool m_first_token = false;
   bool m_broken = false;      ///< The connection failed after bytes were sent.
   bool m_unverified = false;  ///< Only the connection's end ended the answer.
-  bool m_probing = false;     ///< Has begun to check whether its server lives.
+  std::shared_ptr<ServerWatch> m_watch;  ///< While such an answer is read.
+  Clock::time_point m_connected_at = Clock::time_point::max();
+  /// When the connection was seen to have ended.
+  Clock::time_point m_connection_end = Clock::time_point::max();
+  bool m_probing = false;  ///< Has begun to check whether its server lives.
   bool m_ended_with_others = false;  ///< As other answers of its server.
   bool m_reported = false;
   bool m_not_run = false;           ///< Relayed: the head says so.
@@ -397,6 +418,18 @@
   }
 }
 
+std::shared_ptr<ServerWatch> BackendClient::Impl::Watch(
+    const std::string& address) {
+  std::weak_ptr<ServerWatch>& entry = m_watches[address];
+  std::shared_ptr<ServerWatch> watch = entry.lock();
+  if (!watch) {
+    watch = std::make_shared<ServerWatch>(m_io, address);
+    entry = watch;
+  }
+  watch->Ensure();
+  return watch;
+}
+
 void BackendClient::Impl::Stop() {
   m_stopped = true;
   std::vector<CallState*> calls(m_calls.begin(), m_calls.end());
@@ -456,6 +489,7 @@
     if (reused) {
       m_socket = std::move(*reused);
       m_end.reused = true;
+      m_connected_at = Clock::now();
       ++m_client->m_stats.reused;
       co_return true;
     }
@@ -480,6 +514,7 @@
     m_broken = m_timed_out = false;
     co_return false;
   }
+  m_connected_at = Clock::now();
   PrepareSocket(&m_socket, m_client->m_options.user_timeout);
   co_return true;
 }
@@ -524,6 +559,9 @@
   const auto& answer = parser->get();
   m_end.status = static_cast<int>(answer.result_int());
   m_end.framing = FramingOf(*parser);
+  if (m_call.verify_unframed && m_end.framing == AnswerFraming::kConnection) {
+    m_watch = m_client->Watch(m_call.address);
+  }
   AnswerHead judged = JudgeHead(*parser);
   if (judged == AnswerHead::kForeign) {
     ++m_end.dropped;
@@ -716,6 +754,7 @@
     LogDropped("unparsed_bytes", m_buffer.size());
   }
   m_broken = true;
+  m_connection_end = Clock::now();
   m_end.lost = !m_timed_out;
   m_end.result =
       m_timed_out ? AttemptResult::kTimedOut : AttemptResult::kBroken;
@@ -749,7 +788,55 @@
 }
 
 asio::awaitable<void> CallState::VerifyUnframedEnd() {
+  m_connection_end = Clock::now();
   Close();
+  ServerWatch::Verdict verdict = JudgeByConnections();
+  if (verdict == ServerWatch::Verdict::kOutlived) {
+    asio::steady_timer pause(*m_client->m_io, ServerWatch::kMoment);
+    error_code ignored;
+    co_await pause.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    if (m_cancelled) co_return;
+    verdict = JudgeByConnections();
+  }
+  if (verdict == ServerWatch::Verdict::kUnknown) {
+    m_end.evidence = EndEvidence::kAddress;
+    co_await JudgeByAddress();
+    co_return;
+  }
+  m_end.evidence = EndEvidence::kConnections;
+  if (verdict == ServerWatch::Verdict::kOutlived) co_return;
+  Address address = co_await ProbeAddress();
+  if (m_cancelled) co_return;
+  SetUnverified(address, "all connections to its server ended");
+}
+
+ServerWatch::Verdict CallState::JudgeByConnections() {
+  using Verdict = ServerWatch::Verdict;
+  Verdict verdict =
+      m_watch ? m_watch->Judge(m_connection_end) : Verdict::kUnknown;
+  if (verdict == Verdict::kOutlived ||
+      m_client->m_pool.HasOpenSince(m_call.address, m_connection_end)) {
+    return Verdict::kOutlived;
+  }
+  bool outlived = std::any_of(
+      m_client->m_calls.begin(), m_client->m_calls.end(),
+      [this](CallState* other) {
+        return other != this && other->m_call.address == m_call.address &&
+               other->IsOpenSince(m_connection_end);
+      });
+  return outlived ? Verdict::kOutlived : verdict;
+}
+
+bool CallState::IsOpenSince(Clock::time_point time) {
+  return m_connected_at < time &&
+         m_connection_end == Clock::time_point::max() && m_socket.is_open() &&
+         !HasEnded(&m_socket);
+}
+
+// Without another connection, all that can be asked is whether somebody listens
+// at the address.
+asio::awaitable<void> CallState::JudgeByAddress() {
   Address address = co_await ProbeAddress();
   if (address == Address::kAccepts || m_cancelled) co_return;
   bool leaves = m_end.leaving ||
@@ -762,14 +849,17 @@
         asio::redirect_error(asio::use_awaitable, ignored));
     if (m_cancelled || !m_ended_with_others) co_return;
   }
+  SetUnverified(address, address == Address::kRefuses
+                             ? "its server refuses connections"
+                             : "its server can't be reached");
+}
+
+void CallState::SetUnverified(Address address, const char* reason) {
   ++m_client->m_stats.unverified_answers;
   m_end.result = address == Address::kRefuses ? AttemptResult::kCrashed
                                               : AttemptResult::kBroken;
   m_end.lost = true;
-  m_end.detail =
-      fmt::format("answer without a length ended and its server {}",
-                  address == Address::kRefuses ? "refuses connections"
-                                               : "can't be reached");
+  m_end.detail = fmt::format("answer without a length ended and {}", reason);
 }
 
 // Answers that end in the same moment point to the end of the process.
@@ -789,6 +879,7 @@
   m_reported = true;
   m_held_by_owner = 0;
   ReleaseHeld();
+  ReleaseWatch();
   m_end.offset = m_reader.offset();
   if (m_handlers.end) m_handlers.end(std::move(m_end));
 }
@@ -816,6 +907,18 @@
   return "none";
 }
 
+const char* EndEvidenceName(EndEvidence evidence) {
+  switch (evidence) {
+    case EndEvidence::kNone:
+      return "-";
+    case EndEvidence::kConnections:
+      return "connections";
+    case EndEvidence::kAddress:
+      return "address";
+  }
+  return "-";
+}
+
 milliseconds BackendEnd::BusyFor() const {
   return RequestedBackoff(status, retry_after);
 }
--- a/net/connection_pool.cc
+++ b/net/connection_pool.cc
@@ -17,6 +17,14 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HasEnded(boost::asio::ip::tcp::socket* socket) {
+  char byte = 0;
+  ssize_t size =
+      ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size >= 0) return size == 0;
+  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
 std::optional<ConnectionPool::Socket> ConnectionPool::Take(
     const std::string& address) {
   auto found = m_idle.find(address);
@@ -54,6 +62,15 @@
   }
 }
 
+bool ConnectionPool::HasOpenSince(const std::string& address,
+                                  Clock::time_point time) {
+  auto found = m_idle.find(address);
+  if (found == m_idle.end()) return false;
+  return std::any_of(
+      found->second.begin(), found->second.end(),
+      [&](Idle& idle) { return idle.since < time && StillOpen(&idle.socket); });
+}
+
 std::size_t ConnectionPool::size() const {
   std::size_t total = 0;
   for (const auto& [address, idle] : m_idle) total += idle.size();
--- a/net/connection_pool.h
+++ b/net/connection_pool.h
@@ -16,6 +16,10 @@
 /// unasked.
 bool StillOpen(boost::asio::ip::tcp::socket* socket);
 
+/// Whether the peer has closed or reset a connection and no byte from before is
+/// left to read.
+bool HasEnded(boost::asio::ip::tcp::socket* socket);
+
 /// Keeps connections that are proven idle. Invariant: at most
 /// `max_per_address` connections for an address.
 class ConnectionPool {
@@ -36,6 +40,9 @@
   /// Closes connections that were idle for longer than the idle timeout.
   void Expire(Clock::time_point now);
 
+  /// Whether a connection that has been idle since before a time is open.
+  bool HasOpenSince(const std::string& address, Clock::time_point time);
+
   /// Sets the bound; connections above it close as they are returned.
   void SetMaxPerAddress(std::size_t most) { m_max_per_address = most; }
 
--- a/net/net.h
+++ b/net/net.h
@@ -292,8 +292,10 @@
   std::chrono::milliseconds total_timeout{0};  ///< 0: no limit.
   std::size_t max_body_bytes = 0;  ///< Of a relayed answer; 0: no limit.
   /// An answer whose length only the end of its connection tells counts as
-  /// complete only if its server accepts connections afterwards: a process that
-  /// ends closes its connections as if its answers were complete.
+  /// complete only if its server's process outlives it: a process that ends
+  /// closes its connections as if its answers were complete. The evidence is
+  /// another connection that was open before the end and still is afterwards.
+  /// Without one, the address has to accept connections.
   bool verify_unframed = false;
   /// Passes the answer on unread: the hooks `head` and `bytes` get it, and
   /// `headers` hold all headers of the call, Host included.
@@ -318,6 +320,16 @@
 /// @return As used in logs and as a label of metrics.
 const char* AnswerFramingName(AnswerFraming framing);
 
+/// What the verdict on the end of an answer rests on (verify_unframed).
+enum class EndEvidence {
+  kNone,         ///< None was needed.
+  kConnections,  ///< Other connections to the server.
+  kAddress,      ///< New connections to its address.
+};
+
+/// @return As used in logs.
+const char* EndEvidenceName(EndEvidence evidence);
+
 /// How a call ended.
 struct BackendEnd {
   AttemptResult result = AttemptResult::kBroken;
@@ -330,8 +342,10 @@
   bool leaving = false;  ///< The answer had a `leaving` header.
   bool reused = false;   ///< The connection came from the pool.
   AnswerFraming framing = AnswerFraming::kNone;
-  /// Time for which the end of an answer waited for evidence on its server.
+  /// Time for which the end of an answer waited for evidence on its server, and
+  /// which it was.
   milliseconds verified_for{0};
+  EndEvidence evidence = EndEvidence::kNone;
   bool lost = false;         ///< The connection couldn't be made or broke.
   bool unreachable = false;  ///< Nothing answered the connection request.
   std::string detail;        ///< For the log.
@@ -348,7 +362,8 @@
   /// Relayed calls: the next bytes of an accepted answer's body.
   std::function<void(std::string_view bytes)> bytes;
   /// Whether the server has announced that it is leaving. Such a server may end
-  /// as soon as its last answer is complete. Empty: it has not.
+  /// after its last answer, when it has closed all other connections before.
+  /// Empty: it has not.
   std::function<bool()> server_leaving;
   std::function<void(BackendEnd end)> end;  ///< Exactly once unless cancelled.
 };
@@ -401,7 +416,7 @@
   std::uint64_t dropped_answers = 0;  ///< Ended, as all together kept too much.
   /// Ended, as a head, the size line of a chunk or a trailer was too long.
   std::uint64_t oversized_answers = 0;
-  /// Answers without length and chunks whose server was gone at their end.
+  /// Answers without length and chunks that their server has not outlived.
   std::uint64_t unverified_answers = 0;
 };
 
