Hold no connection for an unframed answer that says it has not run

Cause: the connection was made before the head was judged, so a busy server that refused a request without a length got a connection that nothing needed. Change: it is made for answers that are passed on. Test: the cases on unframed answers pass.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -559,9 +559,6 @@
   const auto& answer = parser->get();
   m_end.status = static_cast<int>(answer.result_int());
   m_end.framing = FramingOf(*parser);
-  if (m_call.verify_unframed && m_end.framing == AnswerFraming::kConnection) {
-    m_watch = m_client->Watch(m_call.address);
-  }
   AnswerHead judged = JudgeHead(*parser);
   if (judged == AnswerHead::kForeign) {
     ++m_end.dropped;
@@ -572,6 +569,10 @@
     co_return false;
   }
   m_not_run = judged == AnswerHead::kNotRun;
+  if (m_call.verify_unframed && !m_not_run && !m_cancelled &&
+      m_end.framing == AnswerFraming::kConnection) {
+    m_watch = m_client->Watch(m_call.address);
+  }
   m_end.content_type = std::string(answer[http::field::content_type]);
   m_end.retry_after = ParseRetryAfter(answer[http::field::retry_after],
                                       std::chrono::system_clock::now());
