Watch servers whose last answer had neither length nor chunks from the call on

What callers saw: half a body with 200 (MIXED), if its head and its end arrive together, its server has ended and something listens at its address. Cause: the connection that has to outlive the answer was made once the head was there, too late for answers that come in one piece. Change: a server whose last answer had no length and no chunks is expected to do so again; for its next answer the connection is made before the request is sent. Test: "a short unframed answer is broken if its server was replaced" fails without the change (complete where broken is expected) and passes with it. Conclusion: the first such answer of a server is judged by its address only, unless another connection to it is open.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -54,6 +54,9 @@
 /// How long to wait for the end of the chunked coding after the last event.
 constexpr std::chrono::milliseconds kTrailerTimeout{1'000};
 
+/// Bounds what is kept of servers that no longer exist.
+constexpr std::size_t kMaxUnframedServers = 4'096;
+
 constexpr std::size_t kReadBytes = 16'384;
 constexpr std::uint32_t kMaxHeaderBytes = 32'768;
 /// Bytes of an answer that the parser has not consumed: its head, the size line
@@ -163,6 +166,8 @@
   BackendStats m_stats;
   std::unordered_set<CallState*> m_calls;
   std::unordered_map<std::string, std::weak_ptr<ServerWatch>> m_watches;
+  /// Addresses whose last answer only the end of its connection ended.
+  std::unordered_set<std::string> m_unframed_servers;
 
  private:
   static asio::awaitable<void> Sweep(std::shared_ptr<Impl> self);
@@ -275,6 +280,8 @@
   /// What other connections to the server tell of an answer that has ended.
   ServerWatch::Verdict JudgeByConnections();
   bool IsOpenSince(Clock::time_point time);
+  /// Holds a connection to the server if the answer's framing needs it.
+  void WatchServer();
   asio::awaitable<void> JudgeByAddress();
   void SetUnverified(Address address, const char* reason);
   /// Begins to check whether the server lives.
@@ -467,6 +474,10 @@
   // GCC 12 miscompiles co_await inside && and ||, so each has its statement.
   bool connected = co_await Connect();
   if (!connected) co_return;
+  if (m_call.verify_unframed &&
+      m_client->m_unframed_servers.count(m_call.address) > 0) {
+    m_watch = m_client->Watch(m_call.address);
+  }
   bool written = co_await WriteRequest();
   if (!written) co_return;
   Parser parser;
@@ -569,10 +580,7 @@
     co_return false;
   }
   m_not_run = judged == AnswerHead::kNotRun;
-  if (m_call.verify_unframed && !m_not_run && !m_cancelled &&
-      m_end.framing == AnswerFraming::kConnection) {
-    m_watch = m_client->Watch(m_call.address);
-  }
+  if (m_call.verify_unframed && !m_not_run && !m_cancelled) WatchServer();
   m_end.content_type = std::string(answer[http::field::content_type]);
   m_end.retry_after = ParseRetryAfter(answer[http::field::retry_after],
                                       std::chrono::system_clock::now());
@@ -583,6 +591,20 @@
   co_return !m_cancelled;
 }
 
+// The next answer of the same server may end as soon as it begins, so that a
+// connection would come too late for it.
+void CallState::WatchServer() {
+  std::unordered_set<std::string>& unframed = m_client->m_unframed_servers;
+  if (m_end.framing != AnswerFraming::kConnection) {
+    unframed.erase(m_call.address);
+    ReleaseWatch();
+    return;
+  }
+  if (unframed.size() >= kMaxUnframedServers) unframed.clear();
+  unframed.insert(m_call.address);
+  if (!m_watch) m_watch = m_client->Watch(m_call.address);
+}
+
 AnswerHead CallState::JudgeHead(const Parser& parser) {
   const auto& answer = parser.get();
   if (!m_call.relay) {
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 
 #include "net/net.h"
 #include "testing/net_test_support.h"
@@ -81,6 +82,22 @@
   std::vector<BackendEnd> ends;
 };
 
+BackendEnd CallOnce(boost::asio::io_context* io, BackendClient* client,
+                    const std::string& address, bool relay) {
+  BackendCall call;
+  call.address = address;
+  call.target = "/";
+  call.relay = relay;
+  call.verify_unframed = true;
+  call.idempotent = false;
+  std::optional<BackendEnd> received;
+  BackendHandlers handlers;
+  handlers.end = [&](const BackendEnd& end) { received = end; };
+  client->Start(call, std::move(handlers));
+  REQUIRE(RunUntil(io, [&] { return received.has_value(); }));
+  return *received;
+}
+
 /// The server's process ends.
 void EndServer(Fixture* fixture) { fixture->server.Stop(); }
 
@@ -127,6 +144,33 @@
   }
 }
 
+// Guards against broken answers that count as complete because their head and
+// their end arrive together, too late to connect to the server in between.
+TEST_CASE("a short unframed answer is broken if its server was replaced") {
+  for (bool relay : {false, true}) {
+    CAPTURE(relay);
+    boost::asio::io_context io;
+    boost::asio::steady_timer work(io, milliseconds(20));
+    ScriptedServer server(&io, [&](RawConnection& raw, const std::string&) {
+      auto answer = [&server, &raw] {
+        raw.Send(std::string(kHead) + "text");
+        bool first = server.requests.size() == 1;
+        raw.Close();
+        for (auto& other : server.connections) {
+          if (!first) other->Close();
+        }
+      };
+      work.async_wait([answer](const boost::system::error_code&) { answer(); });
+    });
+    BackendClient client(&io, BackendOptions());
+    CHECK(CallOnce(&io, &client, server.address, relay).result ==
+          AttemptResult::kComplete);
+    work.expires_after(milliseconds(20));
+    CHECK(CallOnce(&io, &client, server.address, relay).result ==
+          AttemptResult::kBroken);
+  }
+}
+
 // Guards against sound answers that are no longer served.
 TEST_CASE("an unframed answer of a server that lives is complete") {
   for (bool relay : {false, true}) {
