Name the liveness connection so, and test a pause around an answer's end

Cause: "watch" is the word for calls that wait for changes of objects; a second meaning stops a reader. A pause of the daemon at the end of an answer had no test. New case: the ends are noticed 300 ms late, of a process that was replaced and of one that lives.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -30,9 +30,9 @@
 #include "fmt/format.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
+#include "net/liveness_connection.h"
 #include "net/net.h"
 #include "net/read_some.h"
-#include "net/server_watch.h"
 
 namespace clementine {
 namespace {
@@ -155,8 +155,10 @@
   void Stop();
   /// Ends the call that keeps the most, if all together keep too much.
   void BoundHeldBytes();
-  /// The watch of a server, shared by the calls that need one.
-  std::shared_ptr<ServerWatch> Watch(const std::string& address);
+  /// The connection that tells whether a server lives, shared by the calls that
+  /// need one.
+  std::shared_ptr<LivenessConnection> ShareLivenessConnection(
+      const std::string& address);
   /// Runs the deadline timer while there are calls or idle connections.
   void EnsureSweep();
 
@@ -165,7 +167,8 @@
   ConnectionPool m_pool;
   BackendStats m_stats;
   std::unordered_set<CallState*> m_calls;
-  std::unordered_map<std::string, std::weak_ptr<ServerWatch>> m_watches;
+  std::unordered_map<std::string, std::weak_ptr<LivenessConnection>>
+      m_liveness_connections;
   /// Addresses whose last answer only the end of its connection ended.
   std::unordered_set<std::string> m_unframed_servers;
 
@@ -199,7 +202,7 @@
   }
   ~CallState() override {
     ReleaseHeld();
-    ReleaseWatch();
+    ReleaseLiveness();
     m_client->m_calls.erase(this);
   }
 
@@ -210,7 +213,7 @@
   void Cancel() override {
     m_cancelled = true;
     ReleaseHeld();
-    ReleaseWatch();
+    ReleaseLiveness();
     Close();
     m_resumed.cancel();
   }
@@ -278,10 +281,10 @@
   asio::awaitable<Address> ProbeAddress();
   asio::awaitable<void> VerifyUnframedEnd();
   /// What other connections to the server tell of an answer that has ended.
-  ServerWatch::Verdict JudgeByConnections();
+  LivenessConnection::Verdict JudgeByConnections();
   bool IsOpenSince(Clock::time_point time);
-  /// Holds a connection to the server if the answer's framing needs it.
-  void WatchServer();
+  /// Holds a liveness connection if the framing of the answer needs one.
+  void HoldIfUnframed();
   asio::awaitable<void> JudgeByAddress();
   void SetUnverified(Address address, const char* reason);
   /// Begins to check whether the server lives.
@@ -303,10 +306,12 @@
     m_client->BoundHeldBytes();
   }
   void ReleaseHeld() { SetHeld(0); }
-  void ReleaseWatch() {
-    if (!m_watch) return;
-    if (m_watch.use_count() == 1) m_client->m_watches.erase(m_call.address);
-    m_watch.reset();
+  void ReleaseLiveness() {
+    if (!m_liveness) return;
+    if (m_liveness.use_count() == 1) {
+      m_client->m_liveness_connections.erase(m_call.address);
+    }
+    m_liveness.reset();
   }
   void SetHeld(std::size_t bytes) {
     m_client->m_stats.held_bytes += bytes;
@@ -329,6 +334,11 @@
   BackendHandlers m_handlers;
   tcp::socket m_socket;
   asio::steady_timer m_resumed;  ///< Cancelled by Resume.
+  Clock::time_point m_connected_at = Clock::time_point::max();
+  /// When the connection was seen to have ended.
+  Clock::time_point m_connection_end = Clock::time_point::max();
+  /// Held while an answer is read that only the end of its connection ends.
+  std::shared_ptr<LivenessConnection> m_liveness;
   EventStreamReader m_reader;
   beast::flat_buffer m_buffer;
   const std::function<void()> m_on_read = [this] { UpdateHeld(); };
@@ -342,11 +352,7 @@
   bool m_first_token = false;
   bool m_broken = false;      ///< The connection failed after bytes were sent.
   bool m_unverified = false;  ///< Only the connection's end ended the answer.
-  std::shared_ptr<ServerWatch> m_watch;  ///< While such an answer is read.
-  Clock::time_point m_connected_at = Clock::time_point::max();
-  /// When the connection was seen to have ended.
-  Clock::time_point m_connection_end = Clock::time_point::max();
-  bool m_probing = false;  ///< Has begun to check whether its server lives.
+  bool m_probing = false;     ///< Has begun to check whether its server lives.
   bool m_ended_with_others = false;  ///< As other answers of its server.
   bool m_reported = false;
   bool m_not_run = false;           ///< Relayed: the head says so.
@@ -425,16 +431,16 @@
   }
 }
 
-std::shared_ptr<ServerWatch> BackendClient::Impl::Watch(
-    const std::string& address) {
-  std::weak_ptr<ServerWatch>& entry = m_watches[address];
-  std::shared_ptr<ServerWatch> watch = entry.lock();
-  if (!watch) {
-    watch = std::make_shared<ServerWatch>(m_io, address);
-    entry = watch;
+std::shared_ptr<LivenessConnection>
+BackendClient::Impl::ShareLivenessConnection(const std::string& address) {
+  std::weak_ptr<LivenessConnection>& entry = m_liveness_connections[address];
+  std::shared_ptr<LivenessConnection> held = entry.lock();
+  if (!held) {
+    held = std::make_shared<LivenessConnection>(m_io, address);
+    entry = held;
   }
-  watch->Ensure();
-  return watch;
+  held->Ensure();
+  return held;
 }
 
 void BackendClient::Impl::Stop() {
@@ -476,7 +482,7 @@
   if (!connected) co_return;
   if (m_call.verify_unframed &&
       m_client->m_unframed_servers.count(m_call.address) > 0) {
-    m_watch = m_client->Watch(m_call.address);
+    m_liveness = m_client->ShareLivenessConnection(m_call.address);
   }
   bool written = co_await WriteRequest();
   if (!written) co_return;
@@ -580,7 +586,9 @@
     co_return false;
   }
   m_not_run = judged == AnswerHead::kNotRun;
-  if (m_call.verify_unframed && !m_not_run && !m_cancelled) WatchServer();
+  if (m_call.verify_unframed && !m_not_run && !m_cancelled) {
+    HoldIfUnframed();
+  }
   m_end.content_type = std::string(answer[http::field::content_type]);
   m_end.retry_after = ParseRetryAfter(answer[http::field::retry_after],
                                       std::chrono::system_clock::now());
@@ -593,16 +601,18 @@
 
 // The next answer of the same server may end as soon as it begins, so that a
 // connection would come too late for it.
-void CallState::WatchServer() {
+void CallState::HoldIfUnframed() {
   std::unordered_set<std::string>& unframed = m_client->m_unframed_servers;
   if (m_end.framing != AnswerFraming::kConnection) {
     unframed.erase(m_call.address);
-    ReleaseWatch();
+    ReleaseLiveness();
     return;
   }
   if (unframed.size() >= kMaxUnframedServers) unframed.clear();
   unframed.insert(m_call.address);
-  if (!m_watch) m_watch = m_client->Watch(m_call.address);
+  if (!m_liveness) {
+    m_liveness = m_client->ShareLivenessConnection(m_call.address);
+  }
 }
 
 AnswerHead CallState::JudgeHead(const Parser& parser) {
@@ -813,31 +823,32 @@
 asio::awaitable<void> CallState::VerifyUnframedEnd() {
   m_connection_end = Clock::now();
   Close();
-  ServerWatch::Verdict verdict = JudgeByConnections();
-  if (verdict == ServerWatch::Verdict::kOutlived) {
-    asio::steady_timer pause(*m_client->m_io, ServerWatch::kMoment);
+  LivenessConnection::Verdict verdict = JudgeByConnections();
+  if (verdict == LivenessConnection::Verdict::kOutlived) {
+    asio::steady_timer pause(*m_client->m_io,
+                             LivenessConnection::kSimultaneous);
     error_code ignored;
     co_await pause.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     if (m_cancelled) co_return;
     verdict = JudgeByConnections();
   }
-  if (verdict == ServerWatch::Verdict::kUnknown) {
+  if (verdict == LivenessConnection::Verdict::kUnknown) {
     m_end.evidence = EndEvidence::kAddress;
     co_await JudgeByAddress();
     co_return;
   }
   m_end.evidence = EndEvidence::kConnections;
-  if (verdict == ServerWatch::Verdict::kOutlived) co_return;
+  if (verdict == LivenessConnection::Verdict::kOutlived) co_return;
   Address address = co_await ProbeAddress();
   if (m_cancelled) co_return;
   SetUnverified(address, "all connections to its server ended");
 }
 
-ServerWatch::Verdict CallState::JudgeByConnections() {
-  using Verdict = ServerWatch::Verdict;
+LivenessConnection::Verdict CallState::JudgeByConnections() {
+  using Verdict = LivenessConnection::Verdict;
   Verdict verdict =
-      m_watch ? m_watch->Judge(m_connection_end) : Verdict::kUnknown;
+      m_liveness ? m_liveness->Judge(m_connection_end) : Verdict::kUnknown;
   if (verdict == Verdict::kOutlived ||
       m_client->m_pool.HasOpenSince(m_call.address, m_connection_end)) {
     return Verdict::kOutlived;
@@ -902,7 +913,7 @@
   m_reported = true;
   m_held_by_owner = 0;
   ReleaseHeld();
-  ReleaseWatch();
+  ReleaseLiveness();
   m_end.offset = m_reader.offset();
   if (m_handlers.end) m_handlers.end(std::move(m_end));
 }
--- a/net/server_watch.cc
+++ b/net/liveness_connection.cc
@@ -1,7 +1,7 @@
 // A connection that was never accepted by the process counts too: the kernel
 // resets it when the listening socket is closed.
 
-#include "net/server_watch.h"
+#include "net/liveness_connection.h"
 
 #include <array>
 #include <boost/asio/awaitable.hpp>
@@ -23,7 +23,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/// Connections made, one after the other, before the watch gives up.
+/// Connections made, one after the other, until the next call needs one.
 constexpr int kMaxConnections = 3;
 /// Bytes that a server may send unasked, such as an answer that tells of its
 /// idle timeout.
@@ -31,7 +31,12 @@
 
 }  // namespace
 
-struct ServerWatch::State {
+struct LivenessConnection::State {
+  struct Lifetime {
+    Clock::time_point opened_at;
+    Clock::time_point closed_at;
+  };
+
   State(asio::io_context* io, tcp::endpoint server)
       : endpoint(std::move(server)), socket(*io), pause(*io) {}
 
@@ -41,18 +46,20 @@
   tcp::endpoint endpoint;
   tcp::socket socket;
   asio::steady_timer pause;
-  std::optional<Clock::time_point> opened_at;  ///< Set while one is open.
-  std::optional<Clock::time_point> closed_at;  ///< By the server, the last one.
-  Clock::time_point closed_opened_at;  ///< When that one was established.
+  /// When the present connection was established; empty without one.
+  std::optional<Clock::time_point> opened_at;
+  std::optional<Lifetime>
+      last_closed;  ///< The last one that the server closed.
   bool running = false;
   bool stopped = false;
 };
 
-asio::awaitable<void> ServerWatch::State::Run(std::shared_ptr<State> self) {
+asio::awaitable<void> LivenessConnection::State::Run(
+    std::shared_ptr<State> self) {
   for (int made = 0; made < kMaxConnections; ++made) {
     error_code error;
     if (made > 0) {
-      self->pause.expires_after(kMoment);
+      self->pause.expires_after(kSimultaneous);
       co_await self->pause.async_wait(
           asio::redirect_error(asio::use_awaitable, error));
     }
@@ -70,7 +77,7 @@
   self->running = false;
 }
 
-asio::awaitable<void> ServerWatch::State::ReadUntilClosed() {
+asio::awaitable<void> LivenessConnection::State::ReadUntilClosed() {
   std::array<char, 512> bytes{};
   error_code error;
   std::size_t received = 0;
@@ -79,39 +86,38 @@
         asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
   }
   // A connection that is given up here says nothing about the server.
-  if (error) {
-    closed_at = Clock::now();
-    closed_opened_at = *opened_at;
-  }
+  if (error) last_closed = {*opened_at, Clock::now()};
   socket.close(error);
 }
 
-ServerWatch::ServerWatch(asio::io_context* io, const std::string& address)
+LivenessConnection::LivenessConnection(asio::io_context* io,
+                                       const std::string& address)
     : m_state(std::make_shared<State>(io, ParseEndpoint(address))) {}
 
-ServerWatch::~ServerWatch() {
+LivenessConnection::~LivenessConnection() {
   error_code ignored;
   m_state->stopped = true;
   m_state->pause.cancel();
   m_state->socket.close(ignored);
 }
 
-void ServerWatch::Ensure() {
+void LivenessConnection::Ensure() {
   if (m_state->running) return;
   m_state->running = true;
   asio::co_spawn(m_state->pause.get_executor(), State::Run(m_state),
                  asio::detached);
 }
 
-ServerWatch::Verdict ServerWatch::Judge(Clock::time_point answer_end) {
+LivenessConnection::Verdict LivenessConnection::Judge(
+    Clock::time_point answer_end) {
   if (m_state->opened_at && *m_state->opened_at < answer_end) {
     // The event loop may not have delivered the end yet.
     return HasEnded(&m_state->socket) ? Verdict::kEndedWith
                                       : Verdict::kOutlived;
   }
-  bool ended_with = m_state->closed_at &&
-                    *m_state->closed_at >= answer_end - kMoment &&
-                    m_state->closed_opened_at < answer_end;
+  const std::optional<State::Lifetime>& closed = m_state->last_closed;
+  bool ended_with = closed && closed->opened_at < answer_end &&
+                    closed->closed_at >= answer_end - kSimultaneous;
   return ended_with ? Verdict::kEndedWith : Verdict::kUnknown;
 }
 
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
+#include <thread>
 
 #include "net/net.h"
 #include "testing/net_test_support.h"
@@ -119,6 +120,14 @@
 /// The answers end; the process lives.
 void EndAnswers(Fixture* fixture) { fixture->CloseAnswers(); }
 
+/// The client, on the same thread, does nothing for a while after the end.
+Fixture::End PauseAfter(const Fixture::End& end) {
+  return [end](Fixture* fixture) {
+    end(fixture);
+    std::this_thread::sleep_for(milliseconds(300));
+  };
+}
+
 }  // namespace
 
 // Guards against an answer that counts as complete although its server ended,
@@ -171,6 +180,18 @@
   }
 }
 
+// Guards against a verdict that depends on when a daemon which was paused or
+// had no processor time notices the ends of connections.
+TEST_CASE("a pause does not change the verdict on an unframed answer") {
+  for (bool relay : {false, true}) {
+    CAPTURE(relay);
+    CHECK(Fixture(PauseAfter(ReplaceServer)).Run(relay)[0].result ==
+          AttemptResult::kBroken);
+    CHECK(Fixture(PauseAfter(EndAnswers)).Run(relay)[0].result ==
+          AttemptResult::kComplete);
+  }
+}
+
 // Guards against sound answers that are no longer served.
 TEST_CASE("an unframed answer of a server that lives is complete") {
   for (bool relay : {false, true}) {
