Hold no liveness connection for token streams, and check both daemons' wiring

Cause: on the chat interface an event of its own ends a token stream, so the connection held beside one without length and chunks served nothing. Nothing noticed if one daemon stopped asking for the check. Change: it is held for answers that only the end of their connection ends. interface_parity_test checks that both executors ask for the check, name leaving servers and log and count what the verdict rests on.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -490,11 +490,17 @@
   bool answered = co_await ReadHeader(&parser);
   if (!answered) co_return;
   std::string_view type = parser.get()[http::field::content_type];
+  bool token_stream = !m_call.relay && m_call.event_stream &&
+                      parser.get().result_int() == 200 &&
+                      type.starts_with("text/event-stream");
+  // An event of its own ends a token stream.
+  if (token_stream) {
+    co_await ReadStream(&parser);
+    co_return;
+  }
+  if (m_call.verify_unframed && !m_not_run) HoldIfUnframed();
   if (m_call.relay) {
     co_await RelayBody(&parser);
-  } else if (m_call.event_stream && parser.get().result_int() == 200 &&
-             type.starts_with("text/event-stream")) {
-    co_await ReadStream(&parser);
   } else {
     co_await ReadBody(&parser);
   }
@@ -586,9 +592,6 @@
     co_return false;
   }
   m_not_run = judged == AnswerHead::kNotRun;
-  if (m_call.verify_unframed && !m_not_run && !m_cancelled) {
-    HoldIfUnframed();
-  }
   m_end.content_type = std::string(answer[http::field::content_type]);
   m_end.retry_after = ParseRetryAfter(answer[http::field::retry_after],
                                       std::chrono::system_clock::now());
--- a/testing/interface_parity_test.cc
+++ b/testing/interface_parity_test.cc
@@ -215,4 +215,19 @@
         std::string::npos);
 }
 
+// Guards against broken answers without length and chunks that one interface
+// passes on as complete, or ends without a trace in its log.
+TEST_CASE("both daemons verify the ends of answers without a length") {
+  for (const char* file : {"request_executor.cc", "relay_executor.cc"}) {
+    CAPTURE(file);
+    std::string source = Sources({file});
+    for (const char* part :
+         {"call.verify_unframed = true", "handlers.server_leaving = ",
+          "EndEvidenceName(end.evidence)", "CountAnswer(end, "}) {
+      CAPTURE(part);
+      CHECK(source.find(part) != std::string::npos);
+    }
+  }
+}
+
 }  // namespace clementine
