Tell simultaneous ends by handlers, not by the time between them

Cause: a daemon with a quarter of a core may run the handler of one connection's end tens of milliseconds after that of another which ended at the same time. Change: the liveness connection counts as just closed until a timer and a few turns of the event loop have passed, which ready sockets precede. Test: "simultaneous ends stay so if a handler runs late" fails without the change (unknown where ended-with is expected) and passes with it.

--- a/net/liveness_connection.cc
+++ b/net/liveness_connection.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -32,47 +33,41 @@
 }  // namespace
 
 struct LivenessConnection::State {
-  struct Lifetime {
-    Clock::time_point opened_at;
-    Clock::time_point closed_at;
-  };
-
   State(asio::io_context* io, tcp::endpoint server)
       : endpoint(std::move(server)), socket(*io), pause(*io) {}
 
   static asio::awaitable<void> Run(std::shared_ptr<State> self);
   asio::awaitable<void> ReadUntilClosed();
+  asio::awaitable<void> WaitForSimultaneousEnds();
 
   tcp::endpoint endpoint;
   tcp::socket socket;
   asio::steady_timer pause;
   /// When the present connection was established; empty without one.
   std::optional<Clock::time_point> opened_at;
-  std::optional<Lifetime>
-      last_closed;  ///< The last one that the server closed.
+  /// When a connection was established that the server has just closed; empty
+  /// once all ends that were simultaneous have been handled.
+  std::optional<Clock::time_point> just_closed_opened_at;
   bool running = false;
   bool stopped = false;
 };
 
 asio::awaitable<void> LivenessConnection::State::Run(
     std::shared_ptr<State> self) {
-  for (int made = 0; made < kMaxConnections; ++made) {
-    error_code error;
-    if (made > 0) {
-      self->pause.expires_after(kSimultaneous);
-      co_await self->pause.async_wait(
-          asio::redirect_error(asio::use_awaitable, error));
-    }
-    if (self->stopped) break;
+  for (int made = 0; made < kMaxConnections && !self->stopped; ++made) {
     self->socket = tcp::socket(self->pause.get_executor());
+    error_code error;
     co_await self->socket.async_connect(
         self->endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (self->stopped) break;
-    if (error) continue;
-    self->opened_at = Clock::now();
-    co_await self->ReadUntilClosed();
-    if (self->stopped) break;
-    self->opened_at.reset();
+    if (!error) {
+      self->opened_at = Clock::now();
+      co_await self->ReadUntilClosed();
+      if (self->stopped) break;
+      self->opened_at.reset();
+    }
+    co_await self->WaitForSimultaneousEnds();
+    self->just_closed_opened_at.reset();
   }
   self->running = false;
 }
@@ -86,10 +81,23 @@
         asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
   }
   // A connection that is given up here says nothing about the server.
-  if (error) last_closed = {*opened_at, Clock::now()};
+  if (error) just_closed_opened_at = opened_at;
   socket.close(error);
 }
 
+// A process without processor time may run the handler of one end long after
+// that of the other. Timers are served after the sockets that are ready, and
+// handlers in turn, so the other end has been handled when this returns.
+asio::awaitable<void> LivenessConnection::State::WaitForSimultaneousEnds() {
+  constexpr int kTurns = 8;
+  error_code ignored;
+  pause.expires_after(kSimultaneous);
+  co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  for (int turn = 0; turn < kTurns; ++turn) {
+    co_await asio::post(pause.get_executor(), asio::use_awaitable);
+  }
+}
+
 LivenessConnection::LivenessConnection(asio::io_context* io,
                                        const std::string& address)
     : m_state(std::make_shared<State>(io, ParseEndpoint(address))) {}
@@ -115,9 +123,8 @@
     return HasEnded(&m_state->socket) ? Verdict::kEndedWith
                                       : Verdict::kOutlived;
   }
-  const std::optional<State::Lifetime>& closed = m_state->last_closed;
-  bool ended_with = closed && closed->opened_at < answer_end &&
-                    closed->closed_at >= answer_end - kSimultaneous;
+  bool ended_with = m_state->just_closed_opened_at &&
+                    *m_state->just_closed_opened_at < answer_end;
   return ended_with ? Verdict::kEndedWith : Verdict::kUnknown;
 }
 
--- a/net/liveness_connection.h
+++ b/net/liveness_connection.h
@@ -20,8 +20,9 @@
  public:
   using Clock = std::chrono::steady_clock;
 
-  /// Ends of connections that are seen within this time of each other count as
-  /// simultaneous. So long has a process to outlive its answer.
+  /// Ends of connections that are handled within this time of each other, or
+  /// later because this process got no processor time, count as simultaneous.
+  /// So long has a process to outlive its answer.
   static constexpr std::chrono::milliseconds kSimultaneous{20};
 
   /// @param address IP:port of the server.
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <thread>
 
+#include "net/liveness_connection.h"
 #include "net/net.h"
 #include "testing/net_test_support.h"
 
@@ -15,6 +16,8 @@
 namespace {
 
 using nettest::RawConnection;
+using Clock = std::chrono::steady_clock;
+using nettest::RunFor;
 using nettest::RunUntil;
 using nettest::ScriptedServer;
 
@@ -192,6 +195,26 @@
   }
 }
 
+// Guards against two ends that count as unrelated since the daemon got no
+// processor time between their handlers.
+TEST_CASE("simultaneous ends stay so if a handler runs late") {
+  using Verdict = LivenessConnection::Verdict;
+  boost::asio::io_context io;
+  ScriptedServer server(&io, [](RawConnection&, const std::string&) {});
+  LivenessConnection liveness(&io, server.address);
+  liveness.Ensure();
+  REQUIRE(RunUntil(&io, [&] { return server.connections.size() == 1; }));
+  RunFor(&io, milliseconds(20));
+  CHECK(liveness.Judge(Clock::now()) == Verdict::kOutlived);
+  server.connections[0]->Close();
+  RunFor(&io, milliseconds(5));
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(liveness.Judge(Clock::now()) == Verdict::kEndedWith);
+  // An end that is handled after that is another one.
+  RunFor(&io, milliseconds(100));
+  CHECK(liveness.Judge(Clock::now()) == Verdict::kOutlived);
+}
+
 // Guards against sound answers that are no longer served.
 TEST_CASE("an unframed answer of a server that lives is complete") {
   for (bool relay : {false, true}) {
