--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -602,8 +602,8 @@
   co_return !m_cancelled;
 }
 
-// The next answer of the same server may end as soon as it begins, so that a
-// connection would come too late for it.
+// Remembers the server, because its next answer may end as soon as it begins: a
+// connection that is made then comes too late.
 void CallState::HoldIfUnframed() {
   std::unordered_set<std::string>& unframed = m_client->m_unframed_servers;
   if (m_end.framing != AnswerFraming::kConnection) {
--- a/net/liveness_connection.h
+++ b/net/liveness_connection.h
@@ -22,7 +22,7 @@
 
   /// Ends of connections that are handled within this time of each other, or
   /// later because this process got no processor time, count as simultaneous.
-  /// So long has a process to outlive its answer.
+  /// A server's process has to outlive an answer by this time.
   static constexpr std::chrono::milliseconds kSimultaneous{20};
 
   /// @param address IP:port of the server.
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -183,6 +183,32 @@
   }
 }
 
+// Guards against an end that is seen so late, as the caller reads slowly, that
+// a connection to the server's successor counts as evidence.
+TEST_CASE("an unframed answer read late from a replaced server is broken") {
+  boost::asio::io_context io;
+  ScriptedServer server(&io, [](RawConnection& raw, const std::string&) {
+    raw.Send(std::string(kHead) + "text");
+  });
+  BackendClient client(&io, BackendOptions());
+  BackendCall call;
+  call.address = server.address;
+  call.target = "/";
+  call.relay = call.verify_unframed = true;
+  std::shared_ptr<BackendAttempt> attempt;
+  std::optional<BackendEnd> received;
+  BackendHandlers handlers;
+  handlers.bytes = [&](std::string_view) { attempt->Pause(); };
+  handlers.end = [&](const BackendEnd& end) { received = end; };
+  attempt = client.Start(call, std::move(handlers));
+  RunFor(&io, milliseconds(50));
+  for (auto& raw : server.connections) raw->Close();
+  RunFor(&io, milliseconds(200));
+  attempt->Resume();
+  REQUIRE(RunUntil(&io, [&] { return received.has_value(); }));
+  CHECK(received->result == AttemptResult::kBroken);
+}
+
 // Guards against a verdict that depends on when a daemon which was paused or
 // had no processor time notices the ends of connections.
 TEST_CASE("a pause does not change the verdict on an unframed answer") {
