Decode evacuations, cold servers and the platform's era

Cause: the platform states which data centres are evacuated, how long a server stays cold and whether its store was restored from a copy. None of it reached the core. A caller's own priority header was forwarded, so a caller could move ahead of others at the backend server. The caller's priority header is no longer forwarded.

--- a/config/config.h
+++ b/config/config.h
@@ -237,6 +237,16 @@
   std::size_t max_body_bytes = 1'048'576;
   std::size_t max_connections = 4096;
   std::size_t max_queued = 4096;
+  /// Memory that the process may use, in bytes, and its open descriptors;
+  /// 0: unknown.
+  std::size_t memory = 0;
+  std::size_t max_descriptors = 0;
+  /// Requests that may reach a cold backend server within a second: its rate
+  /// multiplied by `cold_overshoot`, plus `cold_tolerance`.
+  double cold_overshoot = 1.0;
+  double cold_tolerance = 0.0;
+  /// Second attempts that may be started for slow ones, per request; 0: none.
+  double hedge_ratio = 0.0;
   std::chrono::milliseconds header_timeout{10'000};
   std::chrono::milliseconds body_timeout{30'000};
   std::chrono::milliseconds probe_interval{1'000};
@@ -259,6 +269,9 @@
   std::chrono::milliseconds configuration_notice{2'000};
   /// Maximum time until all daemons refuse a revoked key.
   std::chrono::milliseconds revocation_notice{5'000};
+  /// Maximum time until no daemon sends new requests to a data centre that is
+  /// being evacuated; 0: evacuations are not followed.
+  std::chrono::milliseconds evacuation_notice{0};
   std::chrono::milliseconds stop_limit{60'000};  ///< Limit of a graceful stop.
   double retry_ratio = 0.1;                      ///< Retries per first attempt.
   std::chrono::seconds claim_retention{86'400};
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -20,6 +20,7 @@
 
 constexpr std::size_t kMaxCount = 1'000'000;
 constexpr std::size_t kMaxBytes = 1'000'000'000;
+constexpr std::size_t kMaxMemory = 1'000'000'000'000;
 constexpr double kMinCapacity = 0.001;
 constexpr double kMaxCapacity = 1'000'000.0;
 constexpr char kTokenSection[] = "organisation_tokens";
@@ -56,7 +57,12 @@
       SizeField("max_body_bytes", 1'024, kMaxBytes, &s.max_body_bytes),
       SizeField("max_connections", 1, kMaxCount, &s.max_connections),
       SizeField("max_queued", 1, kMaxCount, &s.max_queued),
-      NumberField("retry_ratio", 0.0, 1.0, &s.retry_ratio)};
+      NumberField("retry_ratio", 0.0, 1.0, &s.retry_ratio),
+      SizeField("memory", 0, kMaxMemory, &s.memory),
+      SizeField("max_descriptors", 0, kMaxCount, &s.max_descriptors),
+      NumberField("cold_overshoot", 1.0, 100.0, &s.cold_overshoot),
+      NumberField("cold_tolerance", 0.0, 1e6, &s.cold_tolerance),
+      NumberField("hedge_ratio", 0.0, 1.0, &s.hedge_ratio)};
   table["experiment"] = {
       NameField("route_policy", NameKind::kPlain, &s.route_policy),
       BoolField("admission", &s.admission)};
@@ -74,6 +80,8 @@
       duration("leaving_notice", &s.leaving_notice),
       duration("configuration_notice", &s.configuration_notice),
       duration("revocation_notice", &s.revocation_notice),
+      DurationField("evacuation_notice", milliseconds(0), hours(1),
+                    &s.evacuation_notice),
       duration("stop_limit", &s.stop_limit),
       DurationField("claim_retention", seconds(1), hours(24 * 365),
                     &s.claim_retention)};
--- a/core/change_follower.h
+++ b/core/change_follower.h
@@ -34,8 +34,10 @@
   kServers,
   kConfiguration,
   kCrashes,  ///< Crash marks that daemons share; see core/crash_exchange.h.
+  /// Evacuations of data centres; followed only where the settings ask for it.
+  kEvacuations,
 };
-inline constexpr std::size_t kChangeKinds = 3;
+inline constexpr std::size_t kChangeKinds = 4;
 /// Number of kinds that a daemon requires to serve requests. They are the first
 /// values of ChangeKind.
 inline constexpr std::size_t kRequiredKinds = 2;
--- a/core/core.h
+++ b/core/core.h
@@ -101,6 +101,9 @@
   ObjectStatus status = ObjectStatus::kUnknown;
   std::uint64_t version = 0;
   std::string value;
+  /// Number that increases each time the platform was restored from a copy;
+  /// empty if the platform doesn't state it.
+  std::optional<std::uint64_t> era = std::nullopt;
 };
 
 // ---------------------------------------------------------------------------
@@ -130,6 +133,7 @@
   /// late answer is still of some use to the caller. 0 means that only
   /// `deadline` matters.
   milliseconds target{0};
+  int priority = 0;      ///< From route or organisation; 0 is the most urgent.
   int max_attempts = 0;  ///< 0 selects RequestPathOptions::max_attempts.
 };
 
@@ -150,6 +154,12 @@
   int max_running = 8;   ///< Requests that the group runs concurrently.
   bool open = false;     ///< May receive requests.
   bool leaving = false;  ///< Accepts no new requests.
+  /// The data centre is being evacuated: the group gets no new requests.
+  bool evacuated = false;
+  /// Requests per second that this daemon may send to the group until
+  /// `cold_until`, because its head is cold. Unused once that time has passed.
+  double cold_rate = 0.0;
+  TimePoint cold_until;
 };
 
 struct LoadReport {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -69,6 +69,10 @@
 struct FleetService {
   std::string name;
   int max_connections = 0;  ///< To one server, from all callers; 0: unlimited.
+  /// Requests per second that a cold server tolerates from all daemons
+  /// together; 0: a cold server has no limit.
+  double cold_requests_per_second = 0.0;
+  milliseconds cold_duration{0};     ///< After the start of a server.
   std::optional<EngineSpec> engine;  ///< Empty for a plain service.
 };
 
@@ -127,6 +131,8 @@
   std::string fabric_domain;
   int slots = 1;  ///< Requests that a server of a plain service runs at once.
   bool leaving = false;
+  /// Remaining time, when the entry was written, for which the server is cold.
+  milliseconds cold_remaining{0};
   /// The entry is gone, but the server may only be partitioned from the
   /// platform; see ServerList.
   bool lapsed = false;
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -184,6 +184,11 @@
   m_groups_dirty = true;
 }
 
+void FleetControl::On(const EvacuationsChanged& event) {
+  m_evacuated_data_centres = event.data_centres;
+  m_groups_dirty = true;
+}
+
 void FleetControl::On(const GroupUnresponsive& event) {
   // The group of a plain host is named "<service>/<host>".
   bool plain = event.group.find('/') != std::string::npos;
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -39,6 +39,10 @@
 struct FleetConfigured {
   std::shared_ptr<const FleetConfiguration> configuration;
 };
+/// The data centres that are being evacuated now; replaces the previous set.
+struct EvacuationsChanged {
+  std::set<std::string> data_centres;
+};
 /// Result of a QueryServerStatus. `server` is the report of the backend server
 /// about itself, or empty when the query failed.
 struct ServerStatusResult {
@@ -70,9 +74,10 @@
 
 using FleetEvent =
     std::variant<RequestsCounted, ServersListed, ServersChanged,
-                 ServerListUnavailable, FleetConfigured, ServerStatusResult,
-                 ServerLeaving, ServerBusy, OrderEnded, GroupUnresponsive,
-                 ObjectReply, NodesListed, DrainStarted, Tick>;
+                 ServerListUnavailable, FleetConfigured, EvacuationsChanged,
+                 ServerStatusResult, ServerLeaving, ServerBusy, OrderEnded,
+                 GroupUnresponsive, ObjectReply, NodesListed, DrainStarted,
+                 Tick>;
 
 // Actions. GroupsChanged, DaemonsChanged, ServerEnded, GetObject, PutObject,
 // ListNodes and LogDecision are actions as well.
@@ -164,6 +169,7 @@
   void On(const ServersChanged& event);
   void On(const ServerListUnavailable& event);
   void On(const FleetConfigured& event);
+  void On(const EvacuationsChanged& event);
   void On(const ServerStatusResult& event);
   void On(const ServerLeaving& event);
   void On(const ServerBusy& event);
@@ -212,6 +218,7 @@
   ServerList m_list;
   GroupPlanner m_planner;
   std::shared_ptr<const FleetConfiguration> m_configuration;
+  std::set<std::string> m_evacuated_data_centres;
   /// By host; used by the planner only.
   std::map<std::string, StatusQuery> m_queries;
   std::string m_last_queried_host;  ///< The next pass starts after this host.
--- a/daemon/change_message.cc
+++ b/daemon/change_message.cc
@@ -107,7 +107,8 @@
 }
 
 constexpr std::array<ChangeKind, kChangeKinds> kKinds = {
-    ChangeKind::kServers, ChangeKind::kConfiguration, ChangeKind::kCrashes};
+    ChangeKind::kServers, ChangeKind::kConfiguration, ChangeKind::kCrashes,
+    ChangeKind::kEvacuations};
 
 ChangeKind ParseKind(const std::string& name) {
   for (ChangeKind kind : kKinds) {
@@ -143,6 +144,8 @@
       return "configuration";
     case ChangeKind::kCrashes:
       return "crashes";
+    case ChangeKind::kEvacuations:
+      return "evacuations";
   }
   return "";
 }
@@ -150,9 +153,10 @@
 std::string EncodeChangeQuery(const ChangeRevisions& known) {
   std::string query;
   for (ChangeKind kind : kKinds) {
-    query +=
-        fmt::format("{}{}={}", query.empty() ? "" : "&", ChangeKindName(kind),
-                    known[static_cast<std::size_t>(kind)]);
+    std::uint64_t revision = known[static_cast<std::size_t>(kind)];
+    if (revision == kKindNotRequested) continue;
+    query += fmt::format("{}{}={}", query.empty() ? "" : "&",
+                         ChangeKindName(kind), revision);
   }
   return query;
 }
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -48,8 +48,12 @@
 
 /// The minimum of the times within which changes have to take effect.
 milliseconds ChangeBound(const Settings& settings) {
-  return std::min({settings.leaving_notice, settings.configuration_notice,
-                   settings.revocation_notice});
+  milliseconds bound =
+      std::min({settings.leaving_notice, settings.configuration_notice,
+                settings.revocation_notice});
+  return settings.evacuation_notice > milliseconds(0)
+             ? std::min(bound, settings.evacuation_notice)
+             : bound;
 }
 
 ChangeKeys PeerKeys(const Settings& settings) {
@@ -200,7 +204,9 @@
       };
   m_feed = std::make_unique<FleetFeed>(
       m_io, m_store.get(), &m_change_relay, m_settings.seed ^ m_incarnation,
-      ChangeBound(m_settings), std::move(hooks), PeerKeys(m_settings));
+      FleetFeed::Bounds{ChangeBound(m_settings),
+                        m_settings.evacuation_notice > milliseconds(0)},
+      std::move(hooks), PeerKeys(m_settings));
   m_feed->Start();
 }
 
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -27,13 +27,14 @@
 }  // namespace
 
 FleetFeed::FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
-                     ChangeRelay* relay, std::uint64_t seed, milliseconds bound,
+                     ChangeRelay* relay, std::uint64_t seed, Bounds bounds,
                      Hooks hooks, ChangeKeys keys)
     : m_store(store),
       m_relay(relay),
-      m_bound(bound),
+      m_bound(bounds.change),
+      m_follow_evacuations(bounds.follow_evacuations),
       m_hooks(std::move(hooks)),
-      m_follower(bound, seed),
+      m_follower(bounds.change, seed),
       m_peers(io, m_follower.times().silence_timeout,
               {m_hooks.now,
                [this](const std::string& peer, const ChangeUpdate& update,
@@ -45,7 +46,8 @@
       m_jitter(seed),
       m_servers(io),
       m_configuration(io),
-      m_crashes(io) {
+      m_crashes(io),
+      m_evacuations(io) {
   SetHandlers();
   m_follower.SetRoles(m_role.roles, WatchDuration(ChangeKind::kServers));
 }
@@ -57,9 +59,11 @@
     case ChangeKind::kConfiguration:
       return m_configuration;
     case ChangeKind::kCrashes:
+      return m_crashes;
+    case ChangeKind::kEvacuations:
       break;
   }
-  return m_crashes;
+  return m_evacuations;
 }
 
 void FleetFeed::SetHandlers() {
@@ -99,6 +103,14 @@
     ApplyCrashMarks(batch);
   };
   m_crashes.on_list = m_crashes.on_changes;
+  m_evacuations.kind = ChangeKind::kEvacuations;
+  m_evacuations.object_kind = platform::kEvacuationKind;
+  m_evacuations.on_list = [this](const platform::ObjectBatch& batch) {
+    ApplyEvacuations(/*whole=*/true, batch);
+  };
+  m_evacuations.on_changes = [this](const platform::ObjectBatch& batch) {
+    ApplyEvacuations(/*whole=*/false, batch);
+  };
 }
 
 FleetFeed::~FleetFeed() { *m_alive = false; }
@@ -107,6 +119,13 @@
   ContinueReading(&m_configuration);
   ContinueReading(&m_servers);
   ContinueReading(&m_crashes);
+  if (m_follow_evacuations) ContinueReading(&m_evacuations);
+}
+
+std::vector<FleetFeed::KindState*> FleetFeed::FollowedKinds() {
+  std::vector<KindState*> kinds = {&m_servers, &m_configuration, &m_crashes};
+  if (m_follow_evacuations) kinds.push_back(&m_evacuations);
+  return kinds;
 }
 
 void FleetFeed::SetRole(const Role& role) {
@@ -114,7 +133,7 @@
   m_role = role;
   m_follower.SetRoles(role.roles, WatchDuration(ChangeKind::kServers));
   if (!role.roles.reads_platform) return;
-  for (KindState* state : {&m_servers, &m_configuration, &m_crashes}) {
+  for (KindState* state : FollowedKinds()) {
     if (!state->running) ContinueReading(state);
   }
 }
@@ -126,7 +145,8 @@
       LogEvent("change_source", {{"from", open->peer}});
       m_peers.Subscribe(
           open->peer,
-          {m_servers.revision, m_configuration.revision, m_crashes.revision});
+          {m_servers.revision, m_configuration.revision, m_crashes.revision,
+           m_follow_evacuations ? m_evacuations.revision : kKindNotRequested});
     } else if (const auto* end =
                    std::get_if<ChangeFollower::Unsubscribe>(&action)) {
       LogEvent("change_source_left",
@@ -385,6 +405,21 @@
   m_hooks.on_crash_marks(std::move(objects));
 }
 
+void FleetFeed::ApplyEvacuations(bool whole,
+                                 const platform::ObjectBatch& batch) {
+  if (whole) m_evacuated_data_centres.clear();
+  for (const platform::StoredObject& object : batch.objects) {
+    if (object.deleted) {
+      m_evacuated_data_centres.erase(object.name);
+    } else {
+      m_evacuated_data_centres.insert(object.name);
+    }
+  }
+  if (whole || !batch.objects.empty()) {
+    m_hooks.feed(EvacuationsChanged{m_evacuated_data_centres});
+  }
+}
+
 // Sources may have sent parts of different versions. The list from the platform
 // contains all parts. Revision 0 makes sure that the list is applied even if
 // its revision is already known.
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,13 +50,17 @@
     friend bool operator==(const Role&, const Role&) = default;
   };
 
+  struct Bounds {
+    milliseconds change{0};  ///< Within which changes have to take effect.
+    bool follow_evacuations = false;
+  };
+
   /// @param store Must outlive the feed.
   /// @param relay Receives all changes that this daemon learns.
-  /// @param bound Time within which changes have to take effect.
   /// @param keys Shared with the other daemons.
   FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
-            ChangeRelay* relay, std::uint64_t seed, milliseconds bound,
-            Hooks hooks, ChangeKeys keys = {});
+            ChangeRelay* relay, std::uint64_t seed, Bounds bounds, Hooks hooks,
+            ChangeKeys keys = {});
   ~FleetFeed();
   FleetFeed(const FleetFeed&) = delete;
   FleetFeed& operator=(const FleetFeed&) = delete;
@@ -99,6 +104,7 @@
   };
 
   KindState& StateOf(ChangeKind kind);
+  std::vector<KindState*> FollowedKinds();
   /// Sets the handlers of each kind.
   void SetHandlers();
   /// Watches for changes, or lists all objects if the changes are not
@@ -128,11 +134,13 @@
   milliseconds ReadPause(const KindState& state, bool empty) const;
   void ApplyConfiguration(bool whole, const platform::ObjectBatch& batch);
   void ApplyCrashMarks(const platform::ObjectBatch& batch);
+  void ApplyEvacuations(bool whole, const platform::ObjectBatch& batch);
   void RereadIncompleteConfiguration();
 
   platform::ObjectStore* m_store;
   ChangeRelay* m_relay;
   milliseconds m_bound;
+  bool m_follow_evacuations;
   Hooks m_hooks;
   ChangeFollower m_follower;
   ChangeClient m_peers;
@@ -140,6 +148,8 @@
   KindState m_servers;
   KindState m_configuration;
   KindState m_crashes;
+  KindState m_evacuations;
+  std::set<std::string> m_evacuated_data_centres;
   platform::ConfigurationParts m_parts;
   bool m_configuration_incomplete = false;  ///< Parts of several
                                             ///< versions.
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -241,6 +241,7 @@
   request.idempotent = match.route->kind == RouteKind::kIdempotent ||
                        (stream && match.route->resumable);
   request.max_attempts = std::max(1, match.route->max_attempts);
+  request.priority = match.priority;
   return caller;
 }
 
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -187,6 +187,10 @@
       co_return answer;
     }
     answer.status = static_cast<int>(parser.get().result_int());
+    for (const auto& field : parser.get()) {
+      answer.headers.emplace_back(std::string(field.name_string()),
+                                  std::string(field.value()));
+    }
     answer.body = std::move(parser.get().body());
     LogUnexpected(answer.status);
     if (parser.keep_alive() && connection->buffer.size() == 0 && !m_stopped &&
--- a/net/http_transport.h
+++ b/net/http_transport.h
@@ -21,6 +21,7 @@
   struct Answer {
     bool sent = false;  ///< At least one byte may have reached the server.
     int status = 0;     ///< HTTP status; 0 without a complete answer.
+    HttpHeaders headers;
     std::string body;
   };
 
--- a/testing/fleet_feed_test.cc
+++ b/testing/fleet_feed_test.cc
@@ -34,7 +34,7 @@
                         }),
         store(&io, platform_server.address(), milliseconds(6'000)),
         relay(Now, milliseconds(50)),
-        feed(&io, &store, &relay, 1, bound, Hooks()) {}
+        feed(&io, &store, &relay, 1, {bound, false}, Hooks()) {}
 
   FleetFeed::Hooks Hooks() {
     FleetFeed::Hooks hooks;
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -180,7 +180,10 @@
   CHECK(read.timeout == milliseconds(8'000));
   CHECK(read.prompt_tokens == 1460);
   CHECK(read.max_output_tokens == 80);
-  ForwardInfo info{"i-1", "t1", milliseconds(700), ""};
+  ForwardInfo info;
+  info.host = "i-1";
+  info.organisation = "t1";
+  info.remaining = milliseconds(700);
   HttpHeaders sent = ForwardHeaders(caller, info);
   CHECK(FindHeader(sent, "X-Clementinelb-Key").empty());
   CHECK(FindHeader(sent, "X-Clementinelb-Tenant") == "t1");
@@ -190,10 +193,38 @@
   CHECK(FindHeader(sent, "Last-Event-Id") == "12");
   CHECK(FindHeader(sent, "X-Hop").empty());
   CHECK(FindHeader(sent, "Content-Length").empty());
+  info.priority = 3;
+  CHECK(FindHeader(ForwardHeaders(caller, info),
+                   "X-Clementinelb-Request-Priority") == "3");
   info.resume_after = "17";
   CHECK(FindHeader(ForwardHeaders(caller, info), "Last-Event-Id") == "17");
 }
 
+// Guards against callers that move ahead of others at the backend server.
+TEST_CASE("adapter never forwards a caller's own priority") {
+  HttpHeaders caller = {{"x-clementinelb-request-priority", "0"}};
+  HttpHeaders sent = ForwardHeaders(caller, ForwardInfo{});
+  CHECK(FindHeader(sent, "X-Clementinelb-Request-Priority").empty());
+}
+
+// Guards against an entry that is lost because of its cold time, and against a
+// server that stays limited because of an invalid one.
+TEST_CASE("adapter decodes how long a server stays cold") {
+  auto cold = [](const Json& value) {
+    Json json = Json::parse(kEntry);
+    json["cold_remaining_ms"] = value;
+    std::optional<BackendServer> server = DecodeServer("i-1", JsonText(json));
+    REQUIRE(server);
+    return server->cold_remaining;
+  };
+  CHECK(cold(2'900) == milliseconds(2'900));
+  CHECK(cold(0) == milliseconds(0));
+  CHECK(cold(nullptr) == milliseconds(0));
+  CHECK(cold(-5) == milliseconds(0));
+  CHECK(cold(1e300) == milliseconds(0));
+  CHECK(cold("soon") == milliseconds(0));
+}
+
 // Guards against blaming crashes on a part that no other request can share, and
 // against parts that can't be blamed because of their position or length.
 TEST_CASE("adapter reads the shared parts of a prompt") {
