Search allocations from the same starts as before

Cause: the additional start of the search changed the groups of small fleets, whose search is complete, and their callers were served worse. Change: the start is removed. The cost of a model without groups alone gives every model groups in the large fleet. Test: the fleet of 166 domains in the planner's test world opens 154 groups of 8 and 801 of 2 hosts, as with the start.

--- a/core/group_allocation.cc
+++ b/core/group_allocation.cc
@@ -156,21 +156,6 @@
   }
 
   const DomainPlan& plan(std::size_t d) const { return m_plans[d]; }
-  int hosts(std::size_t d) const { return m_domains[d].hosts; }
-  double HostsOfPlan(std::size_t model, const DomainPlan& plan) const {
-    return plan.groups[model] * GroupSize(model);
-  }
-  /// Fraction of all busy hosts that each model keeps busy.
-  std::vector<double> BusyHostShares() const {
-    std::vector<double> shares;
-    double total = 0.0;
-    for (std::size_t model = 0; model < m_needs.size(); ++model) {
-      shares.push_back(m_needs[model].busy_groups * GroupSize(model));
-      total += shares.back();
-    }
-    for (double& share : shares) share = total > 0.0 ? share / total : 0.0;
-    return shares;
-  }
   double total_requests() const { return m_total_requests; }
 
   void SetPlan(std::size_t d, const DomainPlan& plan) {
@@ -318,34 +303,6 @@
     }
   }
 
-  /// Restarts from an allocation in which each model's fraction of the hosts is
-  /// its fraction of the hosts that the requests keep busy.
-  void ApportionHosts() {
-    std::vector<double> shares = m_state.BusyHostShares();
-    std::vector<double> deficits(shares.size(), 0.0);
-    for (std::size_t d = 0; d < m_domain_plans.size(); ++d) {
-      for (std::size_t model = 0; model < shares.size(); ++model) {
-        deficits[model] += shares[model] * m_state.hosts(d);
-      }
-      auto deviation = [&](const DomainPlan& plan) {
-        double sum = 0.0;
-        for (std::size_t model = 0; model < shares.size(); ++model) {
-          double rest = deficits[model] - m_state.HostsOfPlan(model, plan);
-          sum += rest * rest;
-        }
-        return sum;
-      };
-      m_state.SetPlan(d, *std::min_element(
-                             m_domain_plans[d].begin(), m_domain_plans[d].end(),
-                             [&](const DomainPlan& a, const DomainPlan& b) {
-                               return deviation(a) < deviation(b);
-                             }));
-      for (std::size_t model = 0; model < shares.size(); ++model) {
-        deficits[model] -= m_state.HostsOfPlan(model, m_state.plan(d));
-      }
-    }
-  }
-
   double Value() const { return m_state.Value(); }
 
   Allocation Run() {
@@ -436,12 +393,8 @@
   AllocationSearch search(needs, domains, options);
   Allocation best = search.Run();
   double best_value = search.Value();
-  for (std::size_t start = 0; start <= needs.size(); ++start) {
-    if (start < needs.size()) {
-      search.MaximizeModel(start);
-    } else {
-      search.ApportionHosts();
-    }
+  for (std::size_t model = 0; model < needs.size(); ++model) {
+    search.MaximizeModel(model);
     Allocation found = search.Run();
     if (search.Value() <= best_value) continue;
     best_value = search.Value();
--- a/core/group_allocation.h
+++ b/core/group_allocation.h
@@ -70,11 +70,10 @@
                        const AllocationOptions& options);
 
 /// Returns the best allocation found by local search from several starts: the
-/// active groups, for each model the allocation with the most groups of that
-/// model, and one that divides the hosts by the models' busy hosts. Each search
-/// ends when no change of one domain, with the responses of the other domains,
-/// improves the value, or after a fixed number of rounds. In large fleets the
-/// responses of other domains are not tried.
+/// active groups, and for each model the allocation with the most groups of
+/// that model. Each search ends when no change of one domain, with the
+/// responses of the other domains, improves the value, or after a fixed number
+/// of rounds. In large fleets the responses of other domains are not tried.
 Allocation AllocateGroups(const std::vector<ModelNeed>& needs,
                           const std::vector<DomainHosts>& domains,
                           const AllocationOptions& options);
