Measure rates over whole intervals only

Cause: a daemon published the rate of the interval in which its first requests arrived, so it was too low by a random part. Change: the first interval with requests is left out of the rate and of the demand. Test: two node directory cases expected a rate after that interval; they now expect none after it and the exact rate after the next one, which is as strict. 13 directory, demand and fleet cases pass.

--- a/core/demand.h
+++ b/core/demand.h
@@ -52,6 +52,8 @@
   /// @param elapsed Since the last call.
   void Update(const DemandCounts& counts,
               std::chrono::duration<double> elapsed);
+  /// Leaves the requests since the last call out of the rates.
+  void Skip(const DemandCounts& counts) { m_last = counts; }
   const DemandByModel& rates() const { return m_rates; }
 
  private:
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -340,6 +340,16 @@
   if (now - m_measured_at < kRateInterval) return;
   double rate =
       static_cast<double>(m_requests - m_measured_requests) / time.count();
+  if (m_rate == 0.0 && rate > 0.0 && !m_receives_requests) {
+    // The first requests arrived during the interval, so its rate is too low.
+    // In a large fleet the other daemons would use it for 20 s and more, to
+    // divide the capacity and to allocate groups.
+    m_receives_requests = true;
+    m_demand.Skip(m_counts);
+    m_measured_at = now;
+    m_measured_requests = m_requests;
+    return;
+  }
   if (m_rate == 0.0 && rate > 0.0) {
     // The other daemons do not know this rate yet. A list returns their rates.
     m_next_put_at = now;
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -152,6 +152,7 @@
   double m_share = 0.0;
   /// Requests per second of this daemon; 0 until the first requests.
   double m_rate = 0.0;
+  bool m_receives_requests = false;  ///< Requests were counted once.
   std::uint64_t m_requests = 0;
   std::uint64_t m_measured_requests = 0;
   DemandCounts m_counts;
--- a/testing/node_directory_test.cc
+++ b/testing/node_directory_test.cc
@@ -198,8 +198,10 @@
   NodeDirectory directory("n1", 1, 1);
   directory.Advance(kStart);
   CHECK(directory.share() == 0.0);
-  directory.SetRequestCount(60);
-  TimePoint now = kStart + milliseconds(2'000);
+  directory.SetRequestCount(10);
+  directory.Advance(kStart + milliseconds(2'000));
+  directory.SetRequestCount(70);
+  TimePoint now = kStart + milliseconds(4'000);
   directory.Advance(now);
   directory.OnNodesListed({true, {{"n2", "1/1/10.00"}, {"n3", "1/1/20.00"}}},
                           now);
@@ -215,8 +217,12 @@
   REQUIRE(puts.size() == 1);
   CHECK(puts[0].value == "1/1/? - - -");
   directory.OnNodesListed({true, {{"n2", "2/1/?"}, {"n3", "2/1/?"}}}, kStart);
-  directory.SetRequestCount(60);
-  TimePoint now = kStart + milliseconds(2'000);
+  // Guards against a rate of the interval in which the first requests arrived:
+  // it is too low, and the other daemons use it until the next renewal.
+  directory.SetRequestCount(10);
+  CHECK(Puts(directory.Advance(kStart + milliseconds(2'000))).empty());
+  directory.SetRequestCount(70);
+  TimePoint now = kStart + milliseconds(4'000);
   // A measured rate is published at once.
   puts = Puts(directory.Advance(now));
   REQUIRE(puts.size() == 1);
