Send nothing new to a data centre that is being evacuated

Cause: an evacuation reached FleetControl and nothing used it, so requests and the planner's orders went on to the data centre after the notice. Change: core/evacuation decides when a data centre must be left: the notice without the change bound and the time that a request needs to reach its server. An entry of unknown age (after a start or an outage of the sources) is left at once. Until then its groups are used only while the others have no room; afterwards they are in no pool, so first attempts, retries, resumed streams, queued and isolated requests avoid them. Groups are published, and the planner acts, only once the evacuations are known. The planner gives no join, open or stage order there, keeps the groups that stand there, and allocates without those hosts, also those of remembered domains. For 10 s after an evacuation was taken back no surplus group is closed elsewhere. Log events evacuation_started, evacuation_left, evacuation_ended and evacuation_unknown; metrics clementine_evacuation and clementine_evacuation_left.

--- a/core/core.h
+++ b/core/core.h
@@ -156,6 +156,9 @@
   bool leaving = false;  ///< Accepts no new requests.
   /// The data centre is being evacuated: the group gets no new requests.
   bool evacuated = false;
+  /// The data centre will be left soon: the group gets new requests only while
+  /// the other groups have no room.
+  bool evacuating = false;
   /// Requests per second that this daemon may send to the group until
   /// `cold_until`, because its head is cold. Unused once that time has passed.
   double cold_rate = 0.0;
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -71,10 +71,15 @@
 
 bool IsSameView(const GroupView& a, const GroupView& b) {
   return a.group == b.group && a.epoch == b.epoch && a.open == b.open &&
-         a.leaving == b.leaving && a.head_host == b.head_host &&
+         a.leaving == b.leaving && a.evacuated == b.evacuated &&
+         a.evacuating == b.evacuating && a.head_host == b.head_host &&
          a.head_address == b.head_address && a.max_running == b.max_running;
 }
 
+bool IsUsable(const GroupView& view) {
+  return view.open && !view.leaving && !view.evacuated;
+}
+
 std::string FormatOrderCount(const std::optional<std::uint64_t>& count) {
   return count ? std::to_string(*count) : "any";
 }
@@ -88,7 +93,8 @@
                m_options.lease_duration, m_options.max_order_duration,
                Mutation::kNone},
               &m_calls, &m_jitter),
-      m_nodes(m_options.node, m_options.incarnation, m_options.seed + 1) {
+      m_nodes(m_options.node, m_options.incarnation, m_options.seed + 1),
+      m_evacuation(m_options.departure_delay) {
   // Reports that no daemon has acted under the lease yet if the lease object is
   // missing. Lease infers this from an absent placement object; this platform
   // has no placement object, and orders require the lease.
@@ -121,6 +127,7 @@
 
 void FleetControl::On(const ServersListed& event) {
   m_list.Replace(event.servers, m_now);
+  m_evacuation.OnSourcesAnswered(m_now);
   ReportEndedServers();
   m_groups_dirty = true;
 }
@@ -163,6 +170,7 @@
 void FleetControl::On(const ServersChanged& event) {
   if (m_planning) LogChanges(event.changes);
   m_list.Apply(event.changes, m_now);
+  m_evacuation.OnSourcesAnswered(m_now);
   ReportEndedServers();
   m_groups_dirty = m_groups_dirty || !event.changes.empty();
 }
@@ -177,6 +185,7 @@
 
 void FleetControl::On(const ServerListUnavailable& event) {
   m_list.OnUnreachable(event.since);
+  m_evacuation.OnSourcesLost();
 }
 
 void FleetControl::On(const FleetConfigured& event) {
@@ -184,11 +193,6 @@
   m_groups_dirty = true;
 }
 
-void FleetControl::On(const EvacuationsChanged& event) {
-  m_evacuated_data_centres = event.data_centres;
-  m_groups_dirty = true;
-}
-
 void FleetControl::On(const GroupUnresponsive& event) {
   // The group of a plain host is named "<service>/<host>".
   bool plain = event.group.find('/') != std::string::npos;
@@ -279,7 +283,7 @@
 }
 
 void FleetControl::PublishGroups() {
-  if (!m_configuration || !m_list.known()) return;
+  if (!AreInputsKnown()) return;
   std::vector<GroupView> groups;
   for (const auto& [name, service] : m_configuration->services) {
     if (service.engine) {
@@ -288,6 +292,7 @@
       AddPlainHosts(service, &groups);
     }
   }
+  for (GroupView& view : groups) ApplyEvacuation(&view);
   if (groups.size() == m_published_groups.size() &&
       std::equal(groups.begin(), groups.end(), m_published_groups.begin(),
                  IsSameView)) {
@@ -297,22 +302,23 @@
   for (const GroupView& view : m_published_groups) before[view.group] = &view;
   m_open_groups = 0;
   for (const GroupView& view : groups) {
-    bool usable = view.open && !view.leaving;
+    bool usable = IsUsable(view);
     if (usable) ++m_open_groups;
     auto old = before.find(view.group);
-    bool was_usable = old != before.end() && old->second->open &&
-                      !old->second->leaving && old->second->epoch == view.epoch;
+    bool was_usable = old != before.end() && IsUsable(*old->second) &&
+                      old->second->epoch == view.epoch;
     if (usable != was_usable) {
       Log("gate", {{"group", view.group},
                    {"epoch", std::to_string(view.epoch)},
                    {"head", view.head_host},
                    {"open", usable ? "yes" : "no"},
-                   {"leaving", view.leaving ? "yes" : "no"}});
+                   {"leaving", view.leaving ? "yes" : "no"},
+                   {"evacuated", view.evacuated ? "yes" : "no"}});
     }
     if (old != before.end()) before.erase(old);
   }
   for (const auto& [name, view] : before) {
-    if (view->open && !view->leaving) {
+    if (IsUsable(*view)) {
       Log("gate", {{"group", name},
                    {"epoch", std::to_string(view->epoch)},
                    {"open", "no"},
@@ -327,7 +333,7 @@
   std::map<std::string, int> open;
   for (const GroupView& view : m_published_groups) {
     if (view.model.empty()) continue;
-    open[view.model] += view.open && !view.leaving ? 1 : 0;
+    open[view.model] += IsUsable(view) ? 1 : 0;
   }
   return open;
 }
@@ -395,8 +401,7 @@
   if (m_stopping) m_lease.Release(m_orders_running == 0, m_now, &out);
   SetLeaseDelays();
   // Until the other daemons have been discovered, every daemon has rank 0.
-  bool may_compete = m_configuration != nullptr && m_list.known() &&
-                     m_nodes.IsRankKnown(m_now);
+  bool may_compete = AreInputsKnown() && m_nodes.IsRankKnown(m_now);
   m_lease.Advance(may_compete, m_now, &out);
   AppendActions(std::move(out));
 }
@@ -406,6 +411,7 @@
   m_last_tick_at = m_now;
   if (m_list.Expire(m_now)) m_groups_dirty = true;
   LogLapsedServers();
+  AdvanceEvacuations();
   std::size_t suspected = m_suspicions.size();
   std::erase_if(m_suspicions, [this](const auto& entry) {
     return entry.second.until <= m_now;
@@ -557,7 +563,8 @@
 }
 
 void FleetControl::SendPlannedOrders() {
-  if (!m_configuration || !m_list.known()) return;
+  if (!AreInputsKnown()) return;
+  PassEvacuationsToPlanner();
   m_planner.SetDemand(m_nodes.Demand());
   m_planner.SetListSettled(m_list.is_settled(m_now));
   for (GroupPlanner::Order& planned : m_planner.Plan(
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/evacuation.h"
 #include "core/fleet.h"
 #include "core/group_planner.h"
 #include "core/jitter.h"
@@ -112,6 +113,9 @@
   /// run before. Loads of weights are free until the first request; see
   /// GroupPlanner::SetFreeLoads.
   bool first_start = false;
+  /// Whether evacuations are read. No group is published before they are known.
+  bool follow_evacuations = false;
+  milliseconds departure_delay{0};  ///< See Evacuation.
 };
 
 /// Invariant: an order is sent only if this daemon's lease remains valid until
@@ -138,6 +142,10 @@
   std::vector<std::string> daemon_addresses() const {
     return m_nodes.addresses();
   }
+  /// Evacuated data centres that have servers or daemons.
+  std::map<std::string, Evacuation::Phase> evacuations() const {
+    return m_evacuation.known_data_centres();
+  }
   bool servers_known() const { return m_list.known(); }
   /// Number of groups and plain hosts that accept requests.
   std::size_t open_groups() const { return m_open_groups; }
@@ -205,6 +213,13 @@
                        std::vector<GroupView>* groups) const;
   void AddPlainHosts(const FleetService& service,
                      std::vector<GroupView>* groups) const;
+  void AdvanceEvacuations();
+  void ReportEvacuations(const std::vector<Evacuation::Change>& changes);
+  void ApplyEvacuation(GroupView* view) const;
+  /// Whether everything has been read that publishing groups and planning
+  /// depend on.
+  bool AreInputsKnown() const;
+  void PassEvacuationsToPlanner();
   bool IsSuspected(const std::string& group, std::uint64_t epoch) const;
   void AppendActions(std::vector<ControlAction> actions);
   void Log(const char* event,
@@ -218,7 +233,7 @@
   ServerList m_list;
   GroupPlanner m_planner;
   std::shared_ptr<const FleetConfiguration> m_configuration;
-  std::set<std::string> m_evacuated_data_centres;
+  Evacuation m_evacuation;
   /// By host; used by the planner only.
   std::map<std::string, StatusQuery> m_queries;
   std::string m_last_queried_host;  ///< The next pass starts after this host.
--- a/core/group_forming.cc
+++ b/core/group_forming.cc
@@ -103,7 +103,10 @@
     const std::vector<std::string>& members = forming.members;
     auto head = pass->servers->find(members.front());
     // A group whose head is listed in it was handled by EvaluateGroup.
-    if (!HasPendingOrder(members.front()) || !IsForming(key, *pass)) continue;
+    if (!HasPendingOrder(members.front()) || !IsForming(key, *pass) ||
+        pass->IsEvacuated(head->second)) {
+      continue;
+    }
     ++pass->active_groups[{head->second.fabric_domain, GroupModel(key.first)}];
     pass->active_group_keys.insert(key);
     pass->hosts_in_active_groups.insert(members.begin(), members.end());
@@ -112,8 +115,9 @@
 
 void GroupPlanner::FindFreeHosts(Pass* pass) {
   for (const auto& [id, server] : *pass->servers) {
-    if (pass->IsUsable(server) && !HasPendingOrder(id) &&
-        IsOrderCountKnown(server) && m_hosts[id].not_before <= pass->now &&
+    if (pass->IsUsable(server) && !pass->IsEvacuated(server) &&
+        !HasPendingOrder(id) && IsOrderCountKnown(server) &&
+        m_hosts[id].not_before <= pass->now &&
         pass->reserved_hosts.count(id) == 0 && !IsAheadOfList(server)) {
       pass->free_hosts[server.fabric_domain].push_back(&server);
     }
@@ -171,6 +175,7 @@
     bool in_active_group =
         server.lapsed && pass.hosts_in_active_groups.count(id) > 0;
     if (!pass.IsUsable(server) && !in_active_group) continue;
+    if (pass.IsEvacuated(server)) continue;
     DomainHosts& domain = domains[server.fabric_domain];
     if (domain.hosts++ == 0) {
       domain.name = server.fabric_domain;
@@ -273,7 +278,8 @@
     // A newer configuration may have other models.
     bool has_same_models =
         remembered.domain.active_groups.size() == pass->engine->models.size();
-    if (listed.count(name) > 0 || !has_same_models) continue;
+    bool evacuated = pass->evacuated->count(remembered.domain.data_centre) > 0;
+    if (listed.count(name) > 0 || !has_same_models || evacuated) continue;
     domains->push_back(remembered.domain);
     domains->back().is_fixed = true;
   }
@@ -292,7 +298,9 @@
 }
 
 bool GroupPlanner::IsSurplusStable(const std::string& domain,
-                                   const std::string& model, const Pass& pass) {
+                                   const std::string& model,
+                                   const Pass& pass) const {
+  if (m_surplus_held) return false;
   auto since = pass.state->surplus_since.find({domain, model});
   return since != pass.state->surplus_since.end() &&
          pass.now - since->second >= kMinSurplusDuration;
@@ -440,6 +448,7 @@
 
 void GroupPlanner::CloseSurplus(const std::map<GroupKey, ReportedGroup>& groups,
                                 Pass* pass) {
+  if (m_surplus_held) return;
   for (const auto& [key, group] : groups) {
     if (pass->active_group_keys.count(key) == 0 ||
         group.members.front() == nullptr) {
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -111,6 +111,7 @@
     pass.state = &m_services[name];
     pass.servers = &servers;
     pass.failed = &failed;
+    pass.evacuated = &m_evacuated;
     pass.now = now;
     PlanService(&pass);
     std::move(pass.orders.begin(), pass.orders.end(),
@@ -177,6 +178,7 @@
     if (member != nullptr) pass->hosts_in_active_groups.insert(member->id);
   }
   const BackendServer* head = group.members.front();
+  if (pass->IsEvacuated(*head)) return;
   ++pass->active_groups[{head->fabric_domain, group.model}];
   pass->active_group_keys.insert({group.name, group.epoch});
 }
@@ -194,6 +196,8 @@
     if (HasPendingOpen(head->id)) {
       ReserveMembers(group, pass);
       if (model != nullptr) CountActiveGroup(group, pass);
+    } else if (pass->IsEvacuated(*head)) {
+      ReserveMembers(group, pass);
     } else if (model != nullptr) {
       EvaluateFormingGroup(group, *model, pass);
     }
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -130,6 +130,16 @@
   /// platform, a removed server may only have begun to leave.
   void SetListSettled(bool settled) { m_list_settled = settled; }
 
+  /// Sets the data centres that are evacuated. Their hosts get no join, open or
+  /// stage order and do not count as capacity. Their groups are not closed.
+  void SetEvacuated(std::set<std::string> data_centres) {
+    m_evacuated = std::move(data_centres);
+  }
+
+  /// Sets whether surplus groups are kept, because an evacuation was recently
+  /// taken back.
+  void SetSurplusHeld(bool held) { m_surplus_held = held; }
+
   /// Sets whether loads of weights are free of cost and limits. They are when
   /// the whole system starts for the first time, until the first request:
   /// hosts that load weights then withhold no capacity from requests.
@@ -276,6 +286,7 @@
     ServiceState* state = nullptr;
     const Servers* servers = nullptr;
     const std::set<std::string>* failed = nullptr;
+    const std::set<std::string>* evacuated = nullptr;  ///< Data centres.
     TimePoint now;
     std::set<std::string> reserved_hosts;  ///< No other group may take these.
     std::map<std::string, Hosts> free_hosts;  ///< By fabric domain.
@@ -293,6 +304,9 @@
 
     /// Whether a host belongs to the service, answers, and is not leaving.
     bool IsUsable(const BackendServer& host) const;
+    bool IsEvacuated(const BackendServer& host) const {
+      return evacuated->count(host.data_centre) > 0;
+    }
     /// Returns the target minus the active groups of a model in a domain;
     /// negative if there is a surplus.
     int MissingGroups(const std::string& domain,
@@ -366,8 +380,8 @@
   void UpdateAllocation(Pass* pass);
   void RecordModelGroups(const Pass& pass);
   static void RecordSurplus(Pass* pass);
-  static bool IsSurplusStable(const std::string& domain,
-                              const std::string& model, const Pass& pass);
+  bool IsSurplusStable(const std::string& domain, const std::string& model,
+                       const Pass& pass) const;
   void FormGroups(Pass* pass);
   std::optional<Candidate> BestCandidate(const Pass& pass);
   Candidate EvaluateCandidate(const std::string& domain, const Hosts& free,
@@ -432,6 +446,8 @@
   std::uint64_t m_epoch = 0;  ///< Highest one seen or used.
   bool m_free_loads = false;
   bool m_list_settled = true;
+  std::set<std::string> m_evacuated;  ///< Data centres.
+  bool m_surplus_held = false;
   TimePoint m_term_started_at;  ///< Time of the first pass.
   /// Loads that may start now. All services share them, and each pass refills
   /// them at the rate of its service. With several services that have an engine
--- a/core/group_staging.cc
+++ b/core/group_staging.cc
@@ -121,8 +121,9 @@
   std::set<std::string> changing;  // Surplus groups whose hosts change.
   for (const auto& [id, server] : *pass.servers) {
     if (server.fabric_domain != domain || !pass.IsUsable(server) ||
-        HasPendingOrder(id) || !IsOrderCountKnown(server) ||
-        m_loads.count(id) > 0 || HasStaged(server, model.name)) {
+        pass.IsEvacuated(server) || HasPendingOrder(id) ||
+        !IsOrderCountKnown(server) || m_loads.count(id) > 0 ||
+        HasStaged(server, model.name)) {
       continue;
     }
     if (pass.hosts_in_active_groups.count(id) == 0) {
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -290,6 +290,12 @@
   }
 }
 
+bool NodeDirectory::HasDataCentre(const std::string& data_centre) const {
+  return std::any_of(m_nodes.begin(), m_nodes.end(), [&](const auto& entry) {
+    return entry.second.data_centre == data_centre;
+  });
+}
+
 bool NodeDirectory::IsRankKnown(TimePoint now) const {
   if (m_started_at == TimePoint()) return false;
   return m_last_list_at >= m_started_at + kDiscoveryDelay ||
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -89,6 +89,9 @@
   /// of crash marks.
   std::vector<std::string> addresses() const;
 
+  /// Whether another live daemon is in a data centre.
+  bool HasDataCentre(const std::string& data_centre) const;
+
   /// This daemon's position, starting at 0, in an order of all live daemons
   /// that every daemon computes in the same way.
   int Rank() const { return m_rank; }
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -183,7 +183,7 @@
   Pool& pool = *active->pool;
   if (active->group != nullptr &&
       (!active->group->listed || !active->group->view.open ||
-       active->group->view.leaving)) {
+       active->group->view.leaving || active->group->view.evacuated)) {
     ReleaseGroup(active);
   }
   if (pool.size() == 0) {
--- a/core/router.cc
+++ b/core/router.cc
@@ -133,7 +133,8 @@
   Pool* pool = FindOrCreatePool(pool_name);
   bool already_added = std::find(group->pools.begin(), group->pools.end(),
                                  pool) != group->pools.end();
-  if (!group->view.open || group->view.leaving || already_added) {
+  if (!group->view.open || group->view.leaving || group->view.evacuated ||
+      already_added) {
     return;
   }
   if (auto until = m_backoff.BackoffUntil(group->view.head_host)) {
@@ -144,6 +145,10 @@
   (group->local ? pool->local : pool->remote).push_back(group);
   (group->local ? pool->local_in_flight : pool->remote_in_flight) +=
       group->in_flight;
+  if (group->view.evacuating) {
+    pool->evacuating_in_flight += group->in_flight;
+    if (!group->isolated) pool->evacuating_capacity += Capacity(*group);
+  }
   if (group->isolated) {
     ++pool->isolated;
   } else {
@@ -162,6 +167,8 @@
     pool->local_in_flight = 0;
     pool->remote_in_flight = 0;
     pool->isolated = 0;
+    pool->evacuating_capacity = 0;
+    pool->evacuating_in_flight = 0;
     pool->backoff_until.reset();
   }
 }
@@ -301,8 +308,29 @@
                   static_cast<int>(pool.local_capacity * m_capacity_share));
 }
 
+bool Router::HasRoomElsewhere(const Pool& pool) const {
+  int capacity = pool.local_capacity + pool.remote_capacity;
+  int staying = capacity - pool.evacuating_capacity;
+  int in_flight =
+      pool.local_in_flight + pool.remote_in_flight - pool.evacuating_in_flight;
+  return staying > 0 &&
+         in_flight < std::max(1.0, static_cast<double>(Limit(pool)) * staying /
+                                       capacity);
+}
+
 RoutedGroup* Router::Pick(const Request& request, const Pool& pool,
                           const RoutedGroup* avoid, TimePoint now) {
+  if (pool.evacuating_capacity > 0 && HasRoomElsewhere(pool)) {
+    m_skip_evacuating = true;
+    RoutedGroup* group = PickEligible(request, pool, avoid, now);
+    m_skip_evacuating = false;
+    if (group != nullptr) return group;
+  }
+  return PickEligible(request, pool, avoid, now);
+}
+
+RoutedGroup* Router::PickEligible(const Request& request, const Pool& pool,
+                                  const RoutedGroup* avoid, TimePoint now) {
   if (m_policy) {
     return PickByPolicy(request, pool, avoid);
   }
@@ -433,7 +461,9 @@
   for (const auto* list : {&pool.local, &pool.remote}) {
     for (RoutedGroup* group : *list) {
       if (IsEligible(*group, avoid) &&
-          (best == nullptr || Load(*group, now) < Load(*best, now))) {
+          (best == nullptr ||
+           std::pair(group->view.evacuating, Load(*group, now)) <
+               std::pair(best->view.evacuating, Load(*best, now)))) {
         best = group;
       }
     }
@@ -449,6 +479,7 @@
   int change = isolated ? -Capacity(*group) : Capacity(*group);
   for (Pool* pool : group->pools) {
     (group->local ? pool->local_capacity : pool->remote_capacity) += change;
+    if (group->view.evacuating) pool->evacuating_capacity += change;
     pool->isolated += isolated ? 1 : -1;
   }
 }
@@ -457,6 +488,7 @@
   group->in_flight += delta;
   for (Pool* pool : group->pools) {
     (group->local ? pool->local_in_flight : pool->remote_in_flight) += delta;
+    if (group->view.evacuating) pool->evacuating_in_flight += delta;
   }
 }
 
--- a/core/router.h
+++ b/core/router.h
@@ -40,7 +40,7 @@
 /// Groups that can serve the same requests: those of one model, of one model
 /// and adapter, or of one service.
 /// Invariant: `local` and `remote` contain only groups that are open, aren't
-/// leaving, and whose server isn't backing off.
+/// leaving or evacuated, and whose server isn't backing off.
 struct Pool {
   std::string name;
   std::uint32_t id = 0;  ///< Never reused.
@@ -52,7 +52,9 @@
   int remote_in_flight = 0;
   int reserved = 0;  ///< Admitted requests without a running attempt.
   int isolated = 0;  ///< Groups reserved for suspects.
-  int users = 0;     ///< Requests that refer to this pool.
+  int evacuating_capacity = 0;  ///< Part of the capacities above.
+  int evacuating_in_flight = 0;
+  int users = 0;  ///< Requests that refer to this pool.
   /// End of the backoff that ends first among the servers of this pool.
   std::optional<TimePoint> backoff_until;
 
@@ -120,8 +122,14 @@
  private:
   bool IsEligible(const RoutedGroup& group, const RoutedGroup* avoid) const {
     bool busy = group.half_open && group.in_flight > 0;
-    return !group.isolated && &group != avoid && !busy;
+    bool excluded = group.view.evacuating && m_skip_evacuating;
+    return !group.isolated && &group != avoid && !busy && !excluded;
   }
+  /// Whether groups outside the data centres that are being evacuated can take
+  /// this daemon's next request to a pool.
+  bool HasRoomElsewhere(const Pool& pool) const;
+  RoutedGroup* PickEligible(const Request& request, const Pool& pool,
+                            const RoutedGroup* avoid, TimePoint now);
   double Load(const RoutedGroup& group, TimePoint now) const;
   /// @param cached_fraction Fraction of the prompt that the group has cached.
   double Cost(const RoutedGroup& group, double cached_fraction,
@@ -160,6 +168,8 @@
   PrefixCache m_cache;
   ServerBackoff m_backoff;
   TimePoint m_slowness_updated_at;
+  /// Set while Pick considers only groups that are not being evacuated.
+  bool m_skip_evacuating = false;
 };
 
 }  // namespace clementine
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -56,6 +56,15 @@
              : bound;
 }
 
+/// Time from learning of an evacuation until this daemon leaves the data
+/// centre. A request may need the whole connect timeout to reach its server,
+/// and departures are carried out with the ticks.
+milliseconds DepartureDelay(const Settings& settings) {
+  return Evacuation::DepartureDelay(
+      settings.evacuation_notice, ChangeBound(settings),
+      settings.connect_timeout + 2 * kTickInterval);
+}
+
 ChangeKeys PeerKeys(const Settings& settings) {
   ChangeKeys keys;
   for (const std::string& key :
@@ -171,6 +180,9 @@
   control_options.incarnation = m_incarnation;
   control_options.seed = m_settings.seed ^ m_incarnation;
   control_options.first_start = m_settings.first_start;
+  control_options.follow_evacuations =
+      m_settings.evacuation_notice > milliseconds(0);
+  control_options.departure_delay = DepartureDelay(m_settings);
   m_control = std::make_unique<FleetControl>(std::move(control_options));
   m_crash_exchange = std::make_unique<CrashExchange>(m_settings.node);
 }
@@ -433,7 +445,7 @@
 
 bool FleetDaemon::IsReady() const {
   // A daemon that does not know the crash marks would send requests that crash
-  // servers.
+  // servers. Groups are published only when the evacuations are known.
   return m_phase == Phase::kServing && m_routes != nullptr && m_groups_known &&
          m_crash_marks_known;
 }
@@ -481,6 +493,20 @@
 }
 
 void FleetDaemon::SetControlMetrics() {
+  std::map<std::string, Evacuation::Phase> evacuations =
+      m_control->evacuations();
+  // A data centre that is no longer evacuated keeps its series with value 0.
+  for (const auto& [name, phase] : evacuations) {
+    m_evacuated_names.insert(name);
+  }
+  for (const std::string& name : m_evacuated_names) {
+    auto found = evacuations.find(name);
+    std::string label = fmt::format("data_centre=\"{}\"", name);
+    bool active = found != evacuations.end();
+    bool left = active && found->second == Evacuation::Phase::kLeft;
+    m_metrics.Set("clementine_evacuation", label, active ? 1 : 0);
+    m_metrics.Set("clementine_evacuation_left", label, left ? 1 : 0);
+  }
   const GroupPlanner::OrderStats& orders = m_control->order_stats();
   m_metrics.SetTotal("clementine_order_effects_total", "",
                      orders.observed_effects);
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -109,6 +110,8 @@
   boost::asio::steady_timer m_tick;
   TimePoint m_last_tick_at;
   EventQueue<AnyEvent> m_queue;
+  /// Data centres that were evacuated since the start, for metrics.
+  std::set<std::string> m_evacuated_names;
   int m_live_daemons = 1;
   bool m_groups_known = false;
   bool m_crash_marks_known = false;
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -127,6 +127,53 @@
   CHECK(f.path.stats().in_flight == 0);
 }
 
+// Guards against new attempts in an evacuated data centre: retries, resumed
+// streams, queued and new requests. Running attempts go on.
+TEST_CASE("evacuated groups get no attempt and keep those they run") {
+  Fixture f;
+  Dispatch running = f.SendRequest(f.MakeRequest());
+  Dispatch broken = f.SendRequest(f.MakeRequest());
+  for (int i = 0; i < 14; ++i) f.SendRequest(f.MakeRequest());
+  f.Feed(RequestArrived{f.MakeRequest()});
+  REQUIRE(f.path.stats().queued == 1);
+  std::vector<GroupView> views = f.views;
+  for (GroupView& view : views) view.evacuated = true;
+  f.Feed(GroupsChanged{views});
+  // The queued request is refused at once.
+  CHECK(f.ActionsOfType<CancelAttempt>().empty());
+  CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
+  CHECK(f.SingleAction<Refuse>().status == 503);
+  CHECK(f.SingleAction<Refuse>().retry_after > milliseconds(0));
+  f.Feed(RequestArrived{f.MakeRequest()});
+  CHECK(f.SingleAction<Refuse>().reason == RefusalReason::kNoGroup);
+  CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
+  f.EndAttempt(broken.attempt, AttemptResult::kBroken, 9);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(f.ActionsOfType<Dispatch>().empty());
+    f.AdvanceTime(milliseconds(100));
+  }
+  f.EndAttempt(running.attempt, AttemptResult::kComplete, 5, 200);
+  CHECK(f.SingleAction<Finish>().attempt == running.attempt);
+  f.Feed(GroupsChanged{f.views});
+  CHECK(f.SendRequest(f.MakeRequest()).attempt > running.attempt);
+}
+
+// Guards against a suspect that starts on its reserved group after the data
+// centre was left.
+TEST_CASE("a group that is reserved for a suspect is released on evacuation") {
+  Fixture f;
+  Dispatch suspect = f.SendRequest(f.MakeRequest("bad"));
+  f.EndAttempt(suspect.attempt, AttemptResult::kCrashed);
+  std::vector<GroupView> views = f.views;
+  for (GroupView& view : views) view.evacuated = true;
+  f.Feed(GroupsChanged{views});
+  for (int i = 0; i < 20; ++i) {
+    CHECK(f.ActionsOfType<Dispatch>().empty());
+    f.AdvanceTime(milliseconds(100));
+  }
+  CHECK(f.path.stats().in_flight == 0);
+}
+
 // Guards against refusals with a wrong reason or outcome.
 TEST_CASE("requests that can't be served are refused as not-run") {
   Fixture f;
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -67,6 +67,37 @@
   CHECK(router.FindPool(request) == nullptr);
 }
 
+// Guards against new requests to a data centre that is being evacuated while
+// others have room, and to one that was left.
+TEST_CASE("router prefers groups outside evacuated data centres") {
+  std::vector<GroupView> groups = MakeGroups(6);
+  for (int i = 0; i < 4; ++i)
+    groups[static_cast<std::size_t>(i)].evacuating = true;
+  Router router("east", 1, {});
+  router.SetGroups(groups);
+  Request request = ChatRequest();
+  Pool* pool = router.FindPool(request);
+  CHECK(router.Limit(*pool) == 48);
+  auto counts = PickMany(&router, request, 16);
+  CHECK(counts["chat/4"] + counts["chat/5"] == 16);
+  CHECK_FALSE(router.PickToIsolate(*pool, nullptr, kStart)->view.evacuating);
+  // The others are full.
+  counts = PickMany(&router, request, 8);
+  CHECK(counts["chat/4"] + counts["chat/5"] < 8);
+  for (GroupView& view : groups) {
+    view.evacuated = std::exchange(view.evacuating, false);
+  }
+  router.SetGroups(groups);
+  counts = PickMany(&router, request, 8);
+  CHECK(counts["chat/4"] + counts["chat/5"] == 8);
+  for (GroupView& view : groups) view.evacuated = true;
+  router.SetGroups(groups);
+  CHECK(router.Pick(request, *router.FindPool(request), nullptr, kStart) ==
+        nullptr);
+  CHECK(router.PickToIsolate(*router.FindPool(request), nullptr, kStart) ==
+        nullptr);
+}
+
 // Guards against herding: without load reports, requests spread evenly.
 TEST_CASE("router balances its attempts over all groups") {
   Router router("east", 1, {});
