Limit the requests to cold servers over all daemons

Cause: a cold server crashes well above the rate that it tolerates from all daemons together; the entry's cold time and the configured rate were decoded and unused. After an evacuation is taken back the servers may be cold. A daemon that is cut off keeps its view of the live daemons, and one that knows none sends nothing. The router picks a cold group only with a token; a request that could only go there waits for the token within its target or is refused as not run. Log event cold_limited, metrics clementine_cold_groups and clementine_cold_waits_total.

--- a/core/core.h
+++ b/core/core.h
@@ -406,6 +406,7 @@
   std::uint64_t dispatched = 0;   ///< Attempts, including retries.
   std::uint64_t retried = 0;      ///< Attempts after the first of a request.
   std::uint64_t quarantined = 0;  ///< Times that a digest was quarantined.
+  std::uint64_t cold_waits = 0;   ///< Requests that waited for a cold server.
   std::uint64_t crash_marks = 0;  ///< Crash marks created by this daemon.
   /// Digests in the quarantine table: suspect, quarantined and acquitted ones.
   std::uint64_t suspects = 0;
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -72,7 +72,8 @@
 bool IsSameView(const GroupView& a, const GroupView& b) {
   return a.group == b.group && a.epoch == b.epoch && a.open == b.open &&
          a.leaving == b.leaving && a.evacuated == b.evacuated &&
-         a.evacuating == b.evacuating && a.head_host == b.head_host &&
+         a.evacuating == b.evacuating && a.cold_until == b.cold_until &&
+         a.cold_rate == b.cold_rate && a.head_host == b.head_host &&
          a.head_address == b.head_address && a.max_running == b.max_running;
 }
 
@@ -94,7 +95,9 @@
                Mutation::kNone},
               &m_calls, &m_jitter),
       m_nodes(m_options.node, m_options.incarnation, m_options.seed + 1),
-      m_evacuation(m_options.departure_delay) {
+      m_evacuation(m_options.departure_delay),
+      m_cold({m_options.node, m_options.cold_overshoot,
+              m_options.cold_tolerance, m_options.list_delay}) {
   // Reports that no daemon has acted under the lease yet if the lease object is
   // missing. Lease infers this from an absent placement object; this platform
   // has no placement object, and orders require the lease.
@@ -126,7 +129,12 @@
 }
 
 void FleetControl::On(const ServersListed& event) {
+  bool stale = m_list.known() && !m_list.reachable();
   m_list.Replace(event.servers, m_now);
+  for (const BackendServer& server : event.servers) {
+    ObserveServer(server, /*is_change=*/false, stale);
+  }
+  m_cold.Retain(m_list.servers());
   m_evacuation.OnSourcesAnswered(m_now);
   ReportEndedServers();
   m_groups_dirty = true;
@@ -169,7 +177,14 @@
 
 void FleetControl::On(const ServersChanged& event) {
   if (m_planning) LogChanges(event.changes);
+  bool stale = m_list.known() && !m_list.reachable();
   m_list.Apply(event.changes, m_now);
+  bool removed = false;
+  for (const ServerList::Change& change : event.changes) {
+    removed = removed || !change.server;
+    if (change.server) ObserveServer(*change.server, /*is_change=*/true, stale);
+  }
+  if (removed) m_cold.Retain(m_list.servers());
   m_evacuation.OnSourcesAnswered(m_now);
   ReportEndedServers();
   m_groups_dirty = m_groups_dirty || !event.changes.empty();
@@ -292,7 +307,10 @@
       AddPlainHosts(service, &groups);
     }
   }
-  for (GroupView& view : groups) ApplyEvacuation(&view);
+  for (GroupView& view : groups) {
+    ApplyEvacuation(&view);
+    ApplyColdLimit(&view);
+  }
   if (groups.size() == m_published_groups.size() &&
       std::equal(groups.begin(), groups.end(), m_published_groups.begin(),
                  IsSameView)) {
@@ -325,6 +343,7 @@
                    {"why", "not listed"}});
     }
   }
+  RecordColdGroups(groups);
   m_published_groups = groups;
   m_actions.emplace_back(GroupsChanged{std::move(groups)});
 }
@@ -364,6 +383,8 @@
 
 void FleetControl::On(const NodesListed& event) {
   m_nodes.OnNodesListed(event, m_now);
+  m_cold.SetDaemons(m_nodes.listed_names());
+  if (!m_cold_hosts.empty()) m_groups_dirty = true;
 }
 
 void FleetControl::On(const DrainStarted& /*event*/) { m_stopping = true; }
@@ -406,12 +427,14 @@
   AppendActions(std::move(out));
 }
 
-void FleetControl::On(const Tick& /*event*/) {
+void FleetControl::On(const Tick& event) {
+  m_wall = event.wall;
   if (m_now - m_last_tick_at > kMinOwnPause) m_last_pause_end = m_now;
   m_last_tick_at = m_now;
   if (m_list.Expire(m_now)) m_groups_dirty = true;
   LogLapsedServers();
   AdvanceEvacuations();
+  AdvanceColdServers();
   std::size_t suspected = m_suspicions.size();
   std::erase_if(m_suspicions, [this](const auto& entry) {
     return entry.second.until <= m_now;
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/cold_limit.h"
 #include "core/evacuation.h"
 #include "core/fleet.h"
 #include "core/group_planner.h"
@@ -116,6 +117,9 @@
   /// Whether evacuations are read. No group is published before they are known.
   bool follow_evacuations = false;
   milliseconds departure_delay{0};  ///< See Evacuation.
+  double cold_overshoot = 1.0;      ///< See ColdLimit.
+  double cold_tolerance = 0.0;
+  milliseconds list_delay{0};
 };
 
 /// Invariant: an order is sent only if this daemon's lease remains valid until
@@ -146,6 +150,8 @@
   std::map<std::string, Evacuation::Phase> evacuations() const {
     return m_evacuation.known_data_centres();
   }
+  /// Number of published groups whose head is cold.
+  std::size_t cold_groups() const { return m_cold_hosts.size(); }
   bool servers_known() const { return m_list.known(); }
   /// Number of groups and plain hosts that accept requests.
   std::size_t open_groups() const { return m_open_groups; }
@@ -220,6 +226,15 @@
   /// depend on.
   bool AreInputsKnown() const;
   void PassEvacuationsToPlanner();
+  /// @return The service of a server if it limits requests to cold servers.
+  const FleetService* FindColdService(const BackendServer& server) const;
+  /// @param is_change See ColdLimit::Source.
+  void ObserveServer(const BackendServer& server, bool is_change,
+                     bool is_stale);
+  void ApplyColdLimit(GroupView* view) const;
+  /// Records and reports the cold groups that are about to be published.
+  void RecordColdGroups(const std::vector<GroupView>& groups);
+  void AdvanceColdServers();
   bool IsSuspected(const std::string& group, std::uint64_t epoch) const;
   void AppendActions(std::vector<ControlAction> actions);
   void Log(const char* event,
@@ -234,6 +249,10 @@
   GroupPlanner m_planner;
   std::shared_ptr<const FleetConfiguration> m_configuration;
   Evacuation m_evacuation;
+  ColdLimit m_cold;
+  std::set<std::string> m_cold_hosts;  ///< Cold heads of published groups.
+  TimePoint m_next_cold_end = TimePoint::max();
+  std::chrono::system_clock::time_point m_wall;  ///< At the last tick.
   /// By host; used by the planner only.
   std::map<std::string, StatusQuery> m_queries;
   std::string m_last_queried_host;  ///< The next pass starts after this host.
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -142,6 +142,11 @@
     record = std::move(newer);
   }
   UpdateLiveDaemons(now);
+  if (!IsRankKnown(now)) return;
+  m_listed_names = {m_node};
+  for (const auto& [name, record] : m_nodes) {
+    if (name != m_node) m_listed_names.push_back(name);
+  }
 }
 
 milliseconds NodeDirectory::RenewalInterval() const {
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -89,6 +89,14 @@
   /// of crash marks.
   std::vector<std::string> addresses() const;
 
+  /// Names of the live daemons, including this one, as of the last complete
+  /// list. Kept while the platform cannot be read: a daemon that then took the
+  /// others for dead would take over their shares. Empty until the other
+  /// daemons had time to be discovered.
+  const std::vector<std::string>& listed_names() const {
+    return m_listed_names;
+  }
+
   /// Whether another live daemon is in a data centre.
   bool HasDataCentre(const std::string& data_centre) const;
 
@@ -144,6 +152,7 @@
   std::map<std::string, NodeRecord> m_nodes;
   std::uint64_t m_renewal = 0;
   OwnObject m_own;
+  std::vector<std::string> m_listed_names;
   TimePoint m_started_at;    ///< Time of the first pass.
   TimePoint m_last_list_at;  ///< Time of the last complete list.
   TimePoint m_next_put_at;
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -16,6 +16,7 @@
 constexpr milliseconds kInitialRetryDelay{20};
 constexpr milliseconds kMaxRetryDelay{1'000};
 constexpr milliseconds kIsolationPollInterval{20};
+constexpr milliseconds kMinColdWait{10};
 // A pool isolates at most one group, plus one for every 8 groups that it has.
 constexpr std::size_t kGroupsPerIsolatedRequest = 8;
 constexpr std::size_t kMaxAmbiguousEnds = 1024;
@@ -119,6 +120,7 @@
     SetTimer(active, m_now + kIsolationPollInterval);
     return;
   }
+  if (group == nullptr && AwaitColdStart(active)) return;
   if (group == nullptr) {
     RefuseActive(active, RefusalReason::kNoGroup, TimeUntilGroup(active->pool));
     return;
@@ -126,6 +128,25 @@
   StartAttempt(active, group);
 }
 
+// Waits for a cold group's next token, unless the request would then be late.
+// Requests that wait keep their admission, so the others of the pool queue.
+bool RequestPath::Impl::AwaitColdStart(ActiveRequest* active) {
+  std::optional<TimePoint> next =
+      m_router.NextColdStart(*active->pool, FindLastGroup(*active), m_now);
+  if (!next) return false;
+  TimePoint start_by = active->request.deadline;
+  milliseconds target = active->request.target;
+  if (target > milliseconds(0)) {
+    start_by = std::min(start_by, active->admitted_at + target);
+  }
+  if (*next >= start_by) return false;
+  if (active->state != State::kAwaitingRetry) ++m_stats.cold_waits;
+  active->state = State::kAwaitingRetry;
+  // Several requests may wait for one token.
+  SetTimer(active, std::max(*next, m_now + kMinColdWait));
+  return true;
+}
+
 void RequestPath::Impl::StartAttempt(ActiveRequest* active,
                                      RoutedGroup* group) {
   SetReserved(active, false);
@@ -138,7 +159,7 @@
   active->first_progress_at = TimePoint();
   active->survived_start = false;
   m_attempts[active->attempt] = active->request.id;
-  m_router.OnAttemptStarted(group);
+  m_router.OnAttemptStarted(group, m_now);
   if (active->attempts++ == 0) {
     m_budget.OnFirstAttempt(active->request.organisation, m_now);
   } else {
@@ -211,7 +232,8 @@
     m_isolated_digests.insert(active->keys.digest);
     m_router.SetIsolated(group, true);
   }
-  if (active->group->in_flight > 0) {
+  if (active->group->in_flight > 0 ||
+      !Router::HasColdToken(*active->group, m_now)) {
     return false;
   }
   StartAttempt(active, active->group);
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -191,9 +191,9 @@
       group.open = true;
       group.leaving = false;
     }
-    m_router.SetGroups(all);
+    m_router.SetGroups(all, m_now);
   } else {
-    m_router.SetGroups(event.groups);
+    m_router.SetGroups(event.groups, m_now);
   }
   RefuseOrClaimUnserved();
   std::vector<Admission::PoolId> pools = m_router.PoolIds();
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -52,7 +52,7 @@
     kQueued,            ///< In a queue of m_admission.
     kClaiming,          ///< The claim of its idempotency key is being written.
     kRunning,           ///< Has a running attempt.
-    kAwaitingRetry,     ///< Waits for a retry delay, or for isolated groups.
+    kAwaitingRetry,     ///< Waits for a retry delay, isolated or cold groups.
     kAwaitingIsolation  ///< Suspect that waits for a group of its own.
   };
 
@@ -151,6 +151,7 @@
   /// idle. Refuses the suspect if no group can serve it.
   /// @return False while the suspect still waits.
   bool AdvanceIsolation(ActiveRequest* active);
+  bool AwaitColdStart(ActiveRequest* active);
   void ReleaseAttempt(ActiveRequest* active);
   void ReleaseGroup(ActiveRequest* active);
   void RecordMeasurements(const ActiveRequest& active, AttemptResult result);
--- a/core/router.cc
+++ b/core/router.cc
@@ -48,7 +48,8 @@
 }
 
 int Capacity(const RoutedGroup& group) {
-  return group.half_open ? 1 : std::max(1, group.view.max_running);
+  bool cold = group.view.cold_until != TimePoint();
+  return group.half_open || cold ? 1 : std::max(1, group.view.max_running);
 }
 
 }  // namespace
@@ -76,7 +77,7 @@
       m_cache(kMaxCachedBlocks),
       m_backoff(seed + 1) {}
 
-void Router::SetGroups(const std::vector<GroupView>& groups) {
+void Router::SetGroups(const std::vector<GroupView>& groups, TimePoint now) {
   ClearPools();
   for (auto& [name, group] : m_groups) {
     group->listed = false;
@@ -94,7 +95,7 @@
       m_slots[state->slot] = state.get();
       m_cache.Reset(state->slot);
     }
-    UpdateGroup(state.get(), view);
+    UpdateGroup(state.get(), view, now);
   }
   m_backoff.RetainServers([&](const std::string& host) {
     return std::any_of(
@@ -104,7 +105,9 @@
   RemoveUnused();
 }
 
-void Router::UpdateGroup(RoutedGroup* group, const GroupView& view) {
+void Router::UpdateGroup(RoutedGroup* group, const GroupView& view,
+                         TimePoint now) {
+  if (group->view.cold_until == TimePoint()) group->cold_bucket = {0.0, now};
   if (group->view.epoch != view.epoch) {
     m_cache.Reset(group->slot);
     group->speed = GroupSpeed();
@@ -142,6 +145,11 @@
         std::min(pool->backoff_until.value_or(*until), *until);
     return;
   }
+  if (group->view.cold_until != TimePoint() && group->view.cold_rate <= 0.0) {
+    TimePoint until = group->view.cold_until;
+    pool->backoff_until = std::min(pool->backoff_until.value_or(until), until);
+    return;
+  }
   (group->local ? pool->local : pool->remote).push_back(group);
   (group->local ? pool->local_in_flight : pool->remote_in_flight) +=
       group->in_flight;
@@ -332,7 +340,7 @@
 RoutedGroup* Router::PickEligible(const Request& request, const Pool& pool,
                                   const RoutedGroup* avoid, TimePoint now) {
   if (m_policy) {
-    return PickByPolicy(request, pool, avoid);
+    return PickByPolicy(request, pool, avoid, now);
   }
   bool prefer_remote = IsLocalFull(pool) && !pool.remote.empty();
   for (bool remote : {prefer_remote, !prefer_remote}) {
@@ -379,7 +387,7 @@
                                       TimePoint now) {
   RoutedGroup* best = nullptr;
   auto consider = [&](RoutedGroup* group) {
-    if (!IsEligible(*group, avoid)) {
+    if (!IsEligible(*group, avoid, now)) {
       return;
     }
     double own = Cost(*group, 0.0, now);
@@ -421,7 +429,7 @@
   for (std::size_t i = 0; i < match.count; ++i) {
     RoutedGroup* group = m_slots[match.slots[i]];
     if (group == nullptr || group->local == remote ||
-        !IsEligible(*group, avoid) ||
+        !IsEligible(*group, avoid, now) ||
         std::find(group->pools.begin(), group->pools.end(), &pool) ==
             group->pools.end()) {
       continue;
@@ -436,13 +444,13 @@
 }
 
 RoutedGroup* Router::PickByPolicy(const Request& request, const Pool& pool,
-                                  const RoutedGroup* avoid) {
+                                  const RoutedGroup* avoid, TimePoint now) {
   std::vector<RoutedGroup*> groups;
   std::vector<const GroupView*> views;
   std::vector<int> in_flight;
   for (const auto* list : {&pool.local, &pool.remote}) {
     for (RoutedGroup* group : *list) {
-      if (IsEligible(*group, avoid)) {
+      if (IsEligible(*group, avoid, now)) {
         groups.push_back(group);
         views.push_back(&group->view);
         in_flight.push_back(group->in_flight);
@@ -460,7 +468,7 @@
   RoutedGroup* best = nullptr;
   for (const auto* list : {&pool.local, &pool.remote}) {
     for (RoutedGroup* group : *list) {
-      if (IsEligible(*group, avoid) &&
+      if (IsEligible(*group, avoid, now) &&
           (best == nullptr ||
            std::pair(group->view.evacuating, Load(*group, now)) <
                std::pair(best->view.evacuating, Load(*best, now)))) {
@@ -492,6 +500,29 @@
   }
 }
 
+std::optional<TimePoint> Router::NextColdStart(const Pool& pool,
+                                               const RoutedGroup* avoid,
+                                               TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const auto* list : {&pool.local, &pool.remote}) {
+    for (const RoutedGroup* group : *list) {
+      if (!IsAvailable(*group, avoid) || HasColdToken(*group, now)) continue;
+      TimePoint start =
+          std::min(group->view.cold_until,
+                   group->cold_bucket.NextTokenAt(group->view.cold_rate, now));
+      next = std::min(next.value_or(start), start);
+    }
+  }
+  return next;
+}
+
+void Router::OnAttemptStarted(RoutedGroup* group, TimePoint now) {
+  if (now < group->view.cold_until) {
+    group->cold_bucket.Take(group->view.cold_rate, now);
+  }
+  AddInFlight(group, 1);
+}
+
 void Router::OnAttemptEnded(RoutedGroup* group) {
   AddInFlight(group, -1);
   if (!group->listed && group->in_flight == 0) {
--- a/core/router.h
+++ b/core/router.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/cold_limit.h"
 #include "core/core.h"
 #include "core/prefix_cache.h"
 #include "core/server_backoff.h"
@@ -28,6 +29,7 @@
   /// The backoff of its server has ended (ServerBackoff::State::kHalfOpen):
   /// runs one request at a time until the server has accepted one.
   bool half_open = false;
+  ColdBucket cold_bucket;   ///< Used while the head is cold.
   int in_flight = 0;        ///< Attempts of this daemon.
   double other_load = 0.0;  ///< Requests of other daemons in the last report.
   double kv_used = 0.0;
@@ -40,7 +42,8 @@
 /// Groups that can serve the same requests: those of one model, of one model
 /// and adapter, or of one service.
 /// Invariant: `local` and `remote` contain only groups that are open, aren't
-/// leaving or evacuated, and whose server isn't backing off.
+/// leaving or evacuated, whose server isn't backing off, and that aren't cold
+/// without a share for this daemon.
 struct Pool {
   std::string name;
   std::uint32_t id = 0;  ///< Never reused.
@@ -55,7 +58,8 @@
   int evacuating_capacity = 0;  ///< Part of the capacities above.
   int evacuating_in_flight = 0;
   int users = 0;  ///< Requests that refer to this pool.
-  /// End of the backoff that ends first among the servers of this pool.
+  /// End of the backoff or the cold time that ends first among the servers of
+  /// this pool that get no requests for one of these reasons.
   std::optional<TimePoint> backoff_until;
 
   std::size_t size() const { return local.size() + remote.size(); }
@@ -71,7 +75,8 @@
   /// @param policy Replaces the weighted policy unless empty.
   Router(std::string data_centre, std::uint64_t seed, RoutePolicy policy);
 
-  void SetGroups(const std::vector<GroupView>& groups);
+  void SetGroups(const std::vector<GroupView>& groups,
+                 TimePoint now = TimePoint());
   /// Gives this daemon an equal share of the capacity of the groups. Replaces a
   /// share set by SetCapacityShare, and is replaced by a later one.
   void SetDaemonCount(int daemons) {
@@ -104,6 +109,16 @@
                     const RoutedGroup* avoid, TimePoint now);
   /// @return The group with the lowest load, to be isolated for a suspect, or
   ///     null.
+  /// @return When a group of the pool that is cold may take a request next;
+  ///     empty if no group only waits for that.
+  std::optional<TimePoint> NextColdStart(const Pool& pool,
+                                         const RoutedGroup* avoid,
+                                         TimePoint now) const;
+  /// Whether a group is warm or has a token for a request.
+  static bool HasColdToken(const RoutedGroup& group, TimePoint now) {
+    return now >= group.view.cold_until ||
+           group.cold_bucket.Available(group.view.cold_rate, now) >= 1.0;
+  }
   RoutedGroup* PickToIsolate(const Pool& pool, const RoutedGroup* avoid,
                              TimePoint now) const;
   void SetIsolated(RoutedGroup* group, bool isolated);
@@ -116,11 +131,15 @@
   /// Makes groups available again whose server's backoff has ended.
   void AdvanceBackoff(TimePoint now);
 
-  void OnAttemptStarted(RoutedGroup* group) { AddInFlight(group, 1); }
+  void OnAttemptStarted(RoutedGroup* group, TimePoint now);
   void OnAttemptEnded(RoutedGroup* group);
 
  private:
-  bool IsEligible(const RoutedGroup& group, const RoutedGroup* avoid) const {
+  bool IsEligible(const RoutedGroup& group, const RoutedGroup* avoid,
+                  TimePoint now) const {
+    return IsAvailable(group, avoid) && HasColdToken(group, now);
+  }
+  bool IsAvailable(const RoutedGroup& group, const RoutedGroup* avoid) const {
     bool busy = group.half_open && group.in_flight > 0;
     bool excluded = group.view.evacuating && m_skip_evacuating;
     return !group.isolated && &group != avoid && !busy && !excluded;
@@ -146,10 +165,10 @@
                               bool remote, const RoutedGroup* avoid,
                               double* cost, TimePoint now);
   RoutedGroup* PickByPolicy(const Request& request, const Pool& pool,
-                            const RoutedGroup* avoid);
+                            const RoutedGroup* avoid, TimePoint now);
   bool IsLocalFull(const Pool& pool) const;
   void AddInFlight(RoutedGroup* group, int delta);
-  void UpdateGroup(RoutedGroup* group, const GroupView& view);
+  void UpdateGroup(RoutedGroup* group, const GroupView& view, TimePoint now);
   void AddToPools(RoutedGroup* group);
   void RebuildPools();
   Pool* FindOrCreatePool(const std::string& name);
--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -10,6 +10,7 @@
   metrics->SetTotal("clementine_dispatched_total", "", path.dispatched);
   metrics->SetTotal("clementine_retried_total", "", path.retried);
   metrics->SetTotal("clementine_quarantined_total", "", path.quarantined);
+  metrics->SetTotal("clementine_cold_waits_total", "", path.cold_waits);
   metrics->SetTotal("clementine_crash_marks_total", "", path.crash_marks);
   metrics->Set("clementine_crash_suspects", "",
                static_cast<double>(path.suspects));
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -183,6 +183,9 @@
   control_options.follow_evacuations =
       m_settings.evacuation_notice > milliseconds(0);
   control_options.departure_delay = DepartureDelay(m_settings);
+  control_options.cold_overshoot = m_settings.cold_overshoot;
+  control_options.cold_tolerance = m_settings.cold_tolerance;
+  control_options.list_delay = ChangeBound(m_settings);
   m_control = std::make_unique<FleetControl>(std::move(control_options));
   m_crash_exchange = std::make_unique<CrashExchange>(m_settings.node);
 }
@@ -412,7 +415,7 @@
     RecordTickGap();
     Feed(FleetEvent(
         RequestsCounted{m_server->stats().requests, m_executor->demand()}));
-    Feed(FleetEvent(Tick{}));
+    Feed(FleetEvent(Tick{WallNow()}));
     Feed(RequestEvent(Tick{}));
     m_feed->SetRole(
         {m_control->change_roles(), m_control->is_planner_or_standby()});
@@ -471,6 +474,8 @@
                      m_store->dropped_answers());
   m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
                 static_cast<double>(m_store->held_bytes()));
+  m_metrics.Set("clementine_cold_groups", "",
+                static_cast<double>(m_control->cold_groups()));
   m_metrics.Set("clementine_open_groups", "",
                 static_cast<double>(m_control->open_groups()));
   for (const auto& [model, groups] : m_control->OpenGroupsByModel()) {
--- a/testing/decision_bench.cc
+++ b/testing/decision_bench.cc
@@ -71,7 +71,7 @@
   TimePoint start = std::chrono::steady_clock::now();
   for (int i = 0; i < kRounds; ++i) {
     RoutedGroup* group = router.Pick(request, *pool, nullptr, start);
-    router.OnAttemptStarted(group);
+    router.OnAttemptStarted(group, start);
   }
   return Nanoseconds(start, kRounds);
 }
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -174,6 +174,38 @@
   CHECK(f.path.stats().in_flight == 0);
 }
 
+// Guards against a request that a cold group cannot take yet and that is
+// refused although a token comes in time, waits too long, or is retried without
+// pause.
+TEST_CASE("a request waits for a cold group's token or is refused at once") {
+  Fixture f(1);
+  std::vector<GroupView> views = f.views;
+  for (GroupView& view : views) {
+    view.cold_rate = 2.0;
+    view.cold_until = f.now + milliseconds(60'000);
+  }
+  f.Feed(GroupsChanged{views});
+  Request patient = f.MakeRequest();
+  patient.target = milliseconds(1'000);
+  f.Feed(RequestArrived{patient});
+  CHECK(f.ActionsOfType<Dispatch>().empty());
+  int waited = 0;
+  while (f.ActionsOfType<Dispatch>().empty() && waited < 100) {
+    CHECK(f.ActionsOfType<Refuse>().empty());
+    f.AdvanceTime(milliseconds(50));
+    ++waited;
+  }
+  CHECK(waited == 10);
+  CHECK(f.path.stats().cold_waits == 1);
+  f.EndAttempt(f.SingleAction<Dispatch>().attempt, AttemptResult::kComplete, 5,
+               200);
+  Request urgent = f.MakeRequest();
+  urgent.target = milliseconds(250);
+  f.Feed(RequestArrived{urgent});
+  CHECK(f.SingleAction<Refuse>().reason == RefusalReason::kNoGroup);
+  CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
+}
+
 // Guards against refusals with a wrong reason or outcome.
 TEST_CASE("requests that can't be served are refused as not-run") {
   Fixture f;
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -42,7 +42,7 @@
     RoutedGroup* group =
         router->Pick(request, *router->FindPool(request), nullptr, kStart);
     REQUIRE(group != nullptr);
-    router->OnAttemptStarted(group);
+    router->OnAttemptStarted(group, kStart);
     ++counts[group->view.group];
   }
   return counts;
