Report an empty first list of evacuations

Cause: a list at revision 0 is no newer than what is known, so a platform that never had an evacuation would have left a daemon unready for good. Change: the first answer about evacuations is always reported. Test: "an empty list of evacuations at revision 0 is reported".

--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -415,7 +415,10 @@
       m_evacuated_data_centres.insert(object.name);
     }
   }
-  if (whole || !batch.objects.empty()) {
+  // The first list may be empty at revision 0. It is then no newer than what is
+  // known, but it shows that nothing is evacuated.
+  bool first = !std::exchange(m_evacuations_known, true);
+  if (first || whole || !batch.objects.empty()) {
     m_hooks.feed(EvacuationsChanged{m_evacuated_data_centres});
   }
 }
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -150,6 +150,7 @@
   KindState m_crashes;
   KindState m_evacuations;
   std::set<std::string> m_evacuated_data_centres;
+  bool m_evacuations_known = false;  ///< Reported at least once.
   platform::ConfigurationParts m_parts;
   bool m_configuration_incomplete = false;  ///< Parts of several
                                             ///< versions.
--- a/testing/fleet_feed_test.cc
+++ b/testing/fleet_feed_test.cc
@@ -27,19 +27,22 @@
 
   /// @param watch Answers watches.
   /// @param bound See FleetFeed.
-  FeedFixture(Answerer watch, milliseconds bound)
+  FeedFixture(Answerer watch, milliseconds bound,
+              bool follow_evacuations = false)
       : platform_server(&io, "127.0.0.1:0", HttpLimits{},
                         [this, watch = std::move(watch)](const auto& exchange) {
                           Answer(watch, exchange);
                         }),
         store(&io, platform_server.address(), milliseconds(6'000)),
         relay(Now, milliseconds(50)),
-        feed(&io, &store, &relay, 1, {bound, false}, Hooks()) {}
+        feed(&io, &store, &relay, 1, {bound, follow_evacuations}, Hooks()) {}
 
   FleetFeed::Hooks Hooks() {
     FleetFeed::Hooks hooks;
     hooks.now = Now;
-    hooks.feed = [](const FleetEvent&) {};
+    hooks.feed = [this](const FleetEvent& event) {
+      if (std::holds_alternative<EvacuationsChanged>(event)) ++evacuation_sets;
+    };
     hooks.on_crash_marks = [](const std::vector<CrashExchange::Object>&) {};
     hooks.on_configuration = [this](const FleetConfiguration& configuration) {
       versions.push_back(configuration.version);
@@ -55,6 +58,9 @@
     } else if (request.path.find(platform::kConfigurationKind) !=
                std::string::npos) {
       exchange->Answer(200, {}, ConfigurationList(lists++ == 0 ? 5 : 9));
+    } else if (request.path.find(platform::kEvacuationKind) !=
+               std::string::npos) {
+      exchange->Answer(200, {}, R"({"entries":[],"has_more":false,"at":0})");
     } else {
       exchange->Answer(200, {}, R"({"entries":[],"has_more":false,"at":5})");
     }
@@ -75,7 +81,8 @@
 
   boost::asio::io_context io;
   std::vector<std::shared_ptr<HttpExchange>> hanging;  ///< Never answered.
-  int lists = 0;  ///< Number of lists of the configuration.
+  int lists = 0;            ///< Number of lists of the configuration.
+  int evacuation_sets = 0;  ///< EvacuationsChanged events.
   HttpServer platform_server;
   platform::ObjectStore store;
   ChangeRelay relay;
@@ -137,4 +144,22 @@
   CHECK(fixture.lists == 2);
 }
 
+// Guards against a daemon that never becomes ready, because the platform never
+// had an evacuation and its list of them is at revision 0.
+TEST_CASE("an empty list of evacuations at revision 0 is reported") {
+  FeedFixture fixture(
+      [](FeedFixture* self, const std::shared_ptr<HttpExchange>& exchange) {
+        self->hanging.push_back(exchange);
+      },
+      milliseconds(3'000), /*follow_evacuations=*/true);
+  fixture.feed.SetRole({});
+  TimePoint start = Now();
+  fixture.feed.Start();
+  while (fixture.evacuation_sets == 0 && Now() - start < milliseconds(4'000)) {
+    fixture.io.restart();
+    fixture.io.run_one_for(milliseconds(20));
+  }
+  CHECK(fixture.evacuation_sets == 1);
+}
+
 }  // namespace clementine
