Cache whether a daemon holds a share of a cold server

Cause: each publication of the groups hashed the name of every daemon for every cold head; a fleet that starts has thousands of them. Change: the answer is kept until the daemons or the number of holders change. Test: cold_limit_test passes.

--- a/core/cold_limit.cc
+++ b/core/cold_limit.cc
@@ -81,6 +81,9 @@
   std::erase_if(m_servers, [&](const auto& entry) {
     return servers.count(entry.first) == 0;
   });
+  std::erase_if(m_held, [&](const auto& entry) {
+    return servers.count(entry.first) == 0;
+  });
 }
 
 TimePoint ColdLimit::ColdUntil(const std::string& server, milliseconds duration,
@@ -98,14 +101,24 @@
   return std::chrono::ceil<EndResolution>(until);
 }
 
+void ColdLimit::SetDaemons(const std::vector<std::string>& names) {
+  if (names == m_daemons) return;
+  m_daemons = names;
+  m_held.clear();
+}
+
 double ColdLimit::RateFor(const std::string& server, double rate) const {
   double allowance = rate * m_options.overshoot + m_options.tolerance;
   ColdShare share =
       DivideColdRate(rate, allowance, static_cast<int>(m_daemons.size()));
-  bool holds = share.holders > 0 &&
-               IsAssigned(m_options.node, "cold " + server, m_daemons,
-                          static_cast<std::size_t>(share.holders));
-  return holds ? share.rate : 0.0;
+  if (share.holders == 0) return 0.0;
+  Held& held = m_held[server];
+  if (held.holders != share.holders) {
+    held.holders = share.holders;
+    held.is_holder = IsAssigned(m_options.node, "cold " + server, m_daemons,
+                                static_cast<std::size_t>(share.holders));
+  }
+  return held.is_holder ? share.rate : 0.0;
 }
 
 }  // namespace clementine
--- a/core/cold_limit.h
+++ b/core/cold_limit.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/fleet.h"
@@ -72,9 +73,7 @@
 
   /// Sets the names of the live daemons, including this one; empty if unknown.
   /// A daemon that does not know them holds no share.
-  void SetDaemons(std::vector<std::string> names) {
-    m_daemons = std::move(names);
-  }
+  void SetDaemons(const std::vector<std::string>& names);
 
   /// Records an entry. The server is cold for the entry's remaining time from
   /// the first time that the entry is seen, which is later than it was written.
@@ -105,9 +104,18 @@
     TimePoint cold_until;
   };
 
+  /// Whether this daemon is one of a number of holders.
+  struct Held {
+    int holders = 0;
+    bool is_holder = false;
+  };
+
   Options m_options;
   std::vector<std::string> m_daemons;
   std::map<std::string, Record> m_servers;
+  /// By server. Needed for each cold server at each publication, and costs a
+  /// hash of every daemon's name.
+  mutable std::unordered_map<std::string, Held> m_held;
 };
 
 }  // namespace clementine
--- a/testing/cold_limit_test.cc
+++ b/testing/cold_limit_test.cc
@@ -21,9 +21,10 @@
 constexpr milliseconds kDuration{3'000};
 constexpr milliseconds kListDelay{3'000};
 
-ColdLimit MakeLimit(const std::string& node, std::vector<std::string> names) {
+ColdLimit MakeLimit(const std::string& node,
+                    const std::vector<std::string>& names) {
   ColdLimit limit({node, 1.5, 5.0, kListDelay});
-  limit.SetDaemons(std::move(names));
+  limit.SetDaemons(names);
   return limit;
 }
 
