--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -71,10 +71,16 @@
 
 bool IsSameView(const GroupView& a, const GroupView& b) {
   return a.group == b.group && a.epoch == b.epoch && a.open == b.open &&
-         a.leaving == b.leaving && a.head_host == b.head_host &&
+         a.leaving == b.leaving && a.evacuated == b.evacuated &&
+         a.evacuating == b.evacuating && a.cold_until == b.cold_until &&
+         a.cold_rate == b.cold_rate && a.head_host == b.head_host &&
          a.head_address == b.head_address && a.max_running == b.max_running;
 }
 
+bool IsUsable(const GroupView& view) {
+  return view.open && !view.leaving && !view.evacuated;
+}
+
 std::string FormatOrderCount(const std::optional<std::uint64_t>& count) {
   return count ? std::to_string(*count) : "any";
 }
@@ -88,7 +94,10 @@
                m_options.lease_duration, m_options.max_order_duration,
                Mutation::kNone},
               &m_calls, &m_jitter),
-      m_nodes(m_options.node, m_options.incarnation, m_options.seed + 1) {
+      m_nodes(m_options.node, m_options.incarnation, m_options.seed + 1),
+      m_evacuation(m_options.departure_delay),
+      m_cold({m_options.node, m_options.cold_overshoot,
+              m_options.cold_tolerance, m_options.list_delay}) {
   // Reports that no daemon has acted under the lease yet if the lease object is
   // missing. Lease infers this from an absent placement object; this platform
   // has no placement object, and orders require the lease.
@@ -120,7 +129,13 @@
 }
 
 void FleetControl::On(const ServersListed& event) {
+  bool stale = m_list.known() && !m_list.reachable();
   m_list.Replace(event.servers, m_now);
+  for (const BackendServer& server : event.servers) {
+    ObserveServer(server, /*is_change=*/false, stale);
+  }
+  m_cold.Retain(m_list.servers());
+  m_evacuation.OnSourcesAnswered(m_now);
   ReportEndedServers();
   m_groups_dirty = true;
 }
@@ -162,7 +177,15 @@
 
 void FleetControl::On(const ServersChanged& event) {
   if (m_planning) LogChanges(event.changes);
+  bool stale = m_list.known() && !m_list.reachable();
   m_list.Apply(event.changes, m_now);
+  bool removed = false;
+  for (const ServerList::Change& change : event.changes) {
+    removed = removed || !change.server;
+    if (change.server) ObserveServer(*change.server, /*is_change=*/true, stale);
+  }
+  if (removed) m_cold.Retain(m_list.servers());
+  m_evacuation.OnSourcesAnswered(m_now);
   ReportEndedServers();
   m_groups_dirty = m_groups_dirty || !event.changes.empty();
 }
@@ -177,6 +200,7 @@
 
 void FleetControl::On(const ServerListUnavailable& event) {
   m_list.OnUnreachable(event.since);
+  m_evacuation.OnSourcesLost();
 }
 
 void FleetControl::On(const FleetConfigured& event) {
@@ -184,11 +208,6 @@
   m_groups_dirty = true;
 }
 
-void FleetControl::On(const EvacuationsChanged& event) {
-  m_evacuated_data_centres = event.data_centres;
-  m_groups_dirty = true;
-}
-
 void FleetControl::On(const GroupUnresponsive& event) {
   // The group of a plain host is named "<service>/<host>".
   bool plain = event.group.find('/') != std::string::npos;
@@ -279,7 +298,7 @@
 }
 
 void FleetControl::PublishGroups() {
-  if (!m_configuration || !m_list.known()) return;
+  if (!AreInputsKnown()) return;
   std::vector<GroupView> groups;
   for (const auto& [name, service] : m_configuration->services) {
     if (service.engine) {
@@ -288,6 +307,10 @@
       AddPlainHosts(service, &groups);
     }
   }
+  for (GroupView& view : groups) {
+    ApplyEvacuation(&view);
+    ApplyColdLimit(&view);
+  }
   if (groups.size() == m_published_groups.size() &&
       std::equal(groups.begin(), groups.end(), m_published_groups.begin(),
                  IsSameView)) {
@@ -297,28 +320,30 @@
   for (const GroupView& view : m_published_groups) before[view.group] = &view;
   m_open_groups = 0;
   for (const GroupView& view : groups) {
-    bool usable = view.open && !view.leaving;
+    bool usable = IsUsable(view);
     if (usable) ++m_open_groups;
     auto old = before.find(view.group);
-    bool was_usable = old != before.end() && old->second->open &&
-                      !old->second->leaving && old->second->epoch == view.epoch;
+    bool was_usable = old != before.end() && IsUsable(*old->second) &&
+                      old->second->epoch == view.epoch;
     if (usable != was_usable) {
       Log("gate", {{"group", view.group},
                    {"epoch", std::to_string(view.epoch)},
                    {"head", view.head_host},
                    {"open", usable ? "yes" : "no"},
-                   {"leaving", view.leaving ? "yes" : "no"}});
+                   {"leaving", view.leaving ? "yes" : "no"},
+                   {"evacuated", view.evacuated ? "yes" : "no"}});
     }
     if (old != before.end()) before.erase(old);
   }
   for (const auto& [name, view] : before) {
-    if (view->open && !view->leaving) {
+    if (IsUsable(*view)) {
       Log("gate", {{"group", name},
                    {"epoch", std::to_string(view->epoch)},
                    {"open", "no"},
                    {"why", "not listed"}});
     }
   }
+  RecordColdGroups(groups);
   m_published_groups = groups;
   m_actions.emplace_back(GroupsChanged{std::move(groups)});
 }
@@ -327,7 +352,7 @@
   std::map<std::string, int> open;
   for (const GroupView& view : m_published_groups) {
     if (view.model.empty()) continue;
-    open[view.model] += view.open && !view.leaving ? 1 : 0;
+    open[view.model] += IsUsable(view) ? 1 : 0;
   }
   return open;
 }
@@ -358,6 +383,8 @@
 
 void FleetControl::On(const NodesListed& event) {
   m_nodes.OnNodesListed(event, m_now);
+  m_cold.SetDaemons(m_nodes.listed_names());
+  if (!m_cold_hosts.empty()) m_groups_dirty = true;
 }
 
 void FleetControl::On(const DrainStarted& /*event*/) { m_stopping = true; }
@@ -395,17 +422,19 @@
   if (m_stopping) m_lease.Release(m_orders_running == 0, m_now, &out);
   SetLeaseDelays();
   // Until the other daemons have been discovered, every daemon has rank 0.
-  bool may_compete = m_configuration != nullptr && m_list.known() &&
-                     m_nodes.IsRankKnown(m_now);
+  bool may_compete = AreInputsKnown() && m_nodes.IsRankKnown(m_now);
   m_lease.Advance(may_compete, m_now, &out);
   AppendActions(std::move(out));
 }
 
-void FleetControl::On(const Tick& /*event*/) {
+void FleetControl::On(const Tick& event) {
+  m_wall = event.wall;
   if (m_now - m_last_tick_at > kMinOwnPause) m_last_pause_end = m_now;
   m_last_tick_at = m_now;
   if (m_list.Expire(m_now)) m_groups_dirty = true;
   LogLapsedServers();
+  AdvanceEvacuations();
+  AdvanceColdServers();
   std::size_t suspected = m_suspicions.size();
   std::erase_if(m_suspicions, [this](const auto& entry) {
     return entry.second.until <= m_now;
@@ -562,7 +591,8 @@
 }
 
 void FleetControl::SendPlannedOrders() {
-  if (!m_configuration || !m_list.known()) return;
+  if (!AreInputsKnown()) return;
+  PassEvacuationsToPlanner();
   m_planner.SetDemand(m_nodes.Demand());
   m_planner.SetListSettled(m_list.is_settled(m_now));
   for (GroupPlanner::Order& planned : m_planner.Plan(
--- a/core/router.cc
+++ b/core/router.cc
@@ -48,7 +48,8 @@
 }
 
 int Capacity(const RoutedGroup& group) {
-  return group.half_open ? 1 : std::max(1, group.view.max_running);
+  bool cold = group.view.cold_until != TimePoint();
+  return group.half_open || cold ? 1 : std::max(1, group.view.max_running);
 }
 
 }  // namespace
@@ -76,7 +77,7 @@
       m_cache(kMaxCachedBlocks),
       m_backoff(seed + 1) {}
 
-void Router::SetGroups(const std::vector<GroupView>& groups) {
+void Router::SetGroups(const std::vector<GroupView>& groups, TimePoint now) {
   ClearPools();
   for (auto& [name, group] : m_groups) {
     group->listed = false;
@@ -94,7 +95,7 @@
       m_slots[state->slot] = state.get();
       m_cache.Reset(state->slot);
     }
-    UpdateGroup(state.get(), view);
+    UpdateGroup(state.get(), view, now);
   }
   m_backoff.RetainServers([&](const std::string& host) {
     return std::any_of(
@@ -104,7 +105,9 @@
   RemoveUnused();
 }
 
-void Router::UpdateGroup(RoutedGroup* group, const GroupView& view) {
+void Router::UpdateGroup(RoutedGroup* group, const GroupView& view,
+                         TimePoint now) {
+  if (group->view.cold_until == TimePoint()) group->cold_bucket = {0.0, now};
   if (group->view.epoch != view.epoch) {
     m_cache.Reset(group->slot);
     group->speed = GroupSpeed();
@@ -133,7 +136,8 @@
   Pool* pool = FindOrCreatePool(pool_name);
   bool already_added = std::find(group->pools.begin(), group->pools.end(),
                                  pool) != group->pools.end();
-  if (!group->view.open || group->view.leaving || already_added) {
+  if (!group->view.open || group->view.leaving || group->view.evacuated ||
+      already_added) {
     return;
   }
   if (auto until = m_backoff.BackoffUntil(group->view.head_host)) {
@@ -141,9 +145,18 @@
         std::min(pool->backoff_until.value_or(*until), *until);
     return;
   }
+  if (group->view.cold_until != TimePoint() && group->view.cold_rate <= 0.0) {
+    TimePoint until = group->view.cold_until;
+    pool->backoff_until = std::min(pool->backoff_until.value_or(until), until);
+    return;
+  }
   (group->local ? pool->local : pool->remote).push_back(group);
   (group->local ? pool->local_in_flight : pool->remote_in_flight) +=
       group->in_flight;
+  if (group->view.evacuating) {
+    pool->evacuating_in_flight += group->in_flight;
+    if (!group->isolated) pool->evacuating_capacity += Capacity(*group);
+  }
   if (group->isolated) {
     ++pool->isolated;
   } else {
@@ -162,6 +175,8 @@
     pool->local_in_flight = 0;
     pool->remote_in_flight = 0;
     pool->isolated = 0;
+    pool->evacuating_capacity = 0;
+    pool->evacuating_in_flight = 0;
     pool->backoff_until.reset();
   }
 }
@@ -301,10 +316,31 @@
                   static_cast<int>(pool.local_capacity * m_capacity_share));
 }
 
+bool Router::HasRoomElsewhere(const Pool& pool) const {
+  int capacity = pool.local_capacity + pool.remote_capacity;
+  int staying = capacity - pool.evacuating_capacity;
+  int in_flight =
+      pool.local_in_flight + pool.remote_in_flight - pool.evacuating_in_flight;
+  return staying > 0 &&
+         in_flight < std::max(1.0, static_cast<double>(Limit(pool)) * staying /
+                                       capacity);
+}
+
 RoutedGroup* Router::Pick(const Request& request, const Pool& pool,
                           const RoutedGroup* avoid, TimePoint now) {
+  if (pool.evacuating_capacity > 0 && HasRoomElsewhere(pool)) {
+    m_skip_evacuating = true;
+    RoutedGroup* group = PickEligible(request, pool, avoid, now);
+    m_skip_evacuating = false;
+    if (group != nullptr) return group;
+  }
+  return PickEligible(request, pool, avoid, now);
+}
+
+RoutedGroup* Router::PickEligible(const Request& request, const Pool& pool,
+                                  const RoutedGroup* avoid, TimePoint now) {
   if (m_policy) {
-    return PickByPolicy(request, pool, avoid);
+    return PickByPolicy(request, pool, avoid, now);
   }
   bool prefer_remote = IsLocalFull(pool) && !pool.remote.empty();
   for (bool remote : {prefer_remote, !prefer_remote}) {
@@ -351,7 +387,7 @@
                                       TimePoint now) {
   RoutedGroup* best = nullptr;
   auto consider = [&](RoutedGroup* group) {
-    if (!IsEligible(*group, avoid)) {
+    if (!IsEligible(*group, avoid, now)) {
       return;
     }
     double own = Cost(*group, 0.0, now);
@@ -393,7 +429,7 @@
   for (std::size_t i = 0; i < match.count; ++i) {
     RoutedGroup* group = m_slots[match.slots[i]];
     if (group == nullptr || group->local == remote ||
-        !IsEligible(*group, avoid) ||
+        !IsEligible(*group, avoid, now) ||
         std::find(group->pools.begin(), group->pools.end(), &pool) ==
             group->pools.end()) {
       continue;
@@ -408,13 +444,13 @@
 }
 
 RoutedGroup* Router::PickByPolicy(const Request& request, const Pool& pool,
-                                  const RoutedGroup* avoid) {
+                                  const RoutedGroup* avoid, TimePoint now) {
   std::vector<RoutedGroup*> groups;
   std::vector<const GroupView*> views;
   std::vector<int> in_flight;
   for (const auto* list : {&pool.local, &pool.remote}) {
     for (RoutedGroup* group : *list) {
-      if (IsEligible(*group, avoid)) {
+      if (IsEligible(*group, avoid, now)) {
         groups.push_back(group);
         views.push_back(&group->view);
         in_flight.push_back(group->in_flight);
@@ -432,8 +468,10 @@
   RoutedGroup* best = nullptr;
   for (const auto* list : {&pool.local, &pool.remote}) {
     for (RoutedGroup* group : *list) {
-      if (IsEligible(*group, avoid) &&
-          (best == nullptr || Load(*group, now) < Load(*best, now))) {
+      if (IsEligible(*group, avoid, now) &&
+          (best == nullptr ||
+           std::pair(group->view.evacuating, Load(*group, now)) <
+               std::pair(best->view.evacuating, Load(*best, now)))) {
         best = group;
       }
     }
@@ -449,6 +487,7 @@
   int change = isolated ? -Capacity(*group) : Capacity(*group);
   for (Pool* pool : group->pools) {
     (group->local ? pool->local_capacity : pool->remote_capacity) += change;
+    if (group->view.evacuating) pool->evacuating_capacity += change;
     pool->isolated += isolated ? 1 : -1;
   }
 }
@@ -457,7 +496,31 @@
   group->in_flight += delta;
   for (Pool* pool : group->pools) {
     (group->local ? pool->local_in_flight : pool->remote_in_flight) += delta;
+    if (group->view.evacuating) pool->evacuating_in_flight += delta;
+  }
+}
+
+std::optional<TimePoint> Router::NextColdStart(const Pool& pool,
+                                               const RoutedGroup* avoid,
+                                               TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const auto* list : {&pool.local, &pool.remote}) {
+    for (const RoutedGroup* group : *list) {
+      if (!IsAvailable(*group, avoid) || HasColdToken(*group, now)) continue;
+      TimePoint start =
+          std::min(group->view.cold_until,
+                   group->cold_bucket.NextTokenAt(group->view.cold_rate, now));
+      next = std::min(next.value_or(start), start);
+    }
+  }
+  return next;
+}
+
+void Router::OnAttemptStarted(RoutedGroup* group, TimePoint now) {
+  if (now < group->view.cold_until) {
+    group->cold_bucket.Take(group->view.cold_rate, now);
   }
+  AddInFlight(group, 1);
 }
 
 void Router::OnAttemptEnded(RoutedGroup* group) {
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -127,6 +127,85 @@
   CHECK(f.path.stats().in_flight == 0);
 }
 
+// Guards against new attempts in an evacuated data centre: retries, resumed
+// streams, queued and new requests. Running attempts go on.
+TEST_CASE("evacuated groups get no attempt and keep those they run") {
+  Fixture f;
+  Dispatch running = f.SendRequest(f.MakeRequest());
+  Dispatch broken = f.SendRequest(f.MakeRequest());
+  for (int i = 0; i < 14; ++i) f.SendRequest(f.MakeRequest());
+  f.Feed(RequestArrived{f.MakeRequest()});
+  REQUIRE(f.path.stats().queued == 1);
+  std::vector<GroupView> views = f.views;
+  for (GroupView& view : views) view.evacuated = true;
+  f.Feed(GroupsChanged{views});
+  // The queued request is refused at once.
+  CHECK(f.ActionsOfType<CancelAttempt>().empty());
+  CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
+  CHECK(f.SingleAction<Refuse>().status == 503);
+  CHECK(f.SingleAction<Refuse>().retry_after > milliseconds(0));
+  f.Feed(RequestArrived{f.MakeRequest()});
+  CHECK(f.SingleAction<Refuse>().reason == RefusalReason::kNoGroup);
+  CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
+  f.EndAttempt(broken.attempt, AttemptResult::kBroken, 9);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(f.ActionsOfType<Dispatch>().empty());
+    f.AdvanceTime(milliseconds(100));
+  }
+  f.EndAttempt(running.attempt, AttemptResult::kComplete, 5, 200);
+  CHECK(f.SingleAction<Finish>().attempt == running.attempt);
+  f.Feed(GroupsChanged{f.views});
+  CHECK(f.SendRequest(f.MakeRequest()).attempt > running.attempt);
+}
+
+// Guards against a suspect that starts on its reserved group after the data
+// centre was left.
+TEST_CASE("a group that is reserved for a suspect is released on evacuation") {
+  Fixture f;
+  Dispatch suspect = f.SendRequest(f.MakeRequest("bad"));
+  f.EndAttempt(suspect.attempt, AttemptResult::kCrashed);
+  std::vector<GroupView> views = f.views;
+  for (GroupView& view : views) view.evacuated = true;
+  f.Feed(GroupsChanged{views});
+  for (int i = 0; i < 20; ++i) {
+    CHECK(f.ActionsOfType<Dispatch>().empty());
+    f.AdvanceTime(milliseconds(100));
+  }
+  CHECK(f.path.stats().in_flight == 0);
+}
+
+// Guards against a request that a cold group cannot take yet and that is
+// refused although a token comes in time, waits too long, or is retried without
+// pause.
+TEST_CASE("a request waits for a cold group's token or is refused at once") {
+  Fixture f(1);
+  std::vector<GroupView> views = f.views;
+  for (GroupView& view : views) {
+    view.cold_rate = 2.0;
+    view.cold_until = f.now + milliseconds(60'000);
+  }
+  f.Feed(GroupsChanged{views});
+  Request patient = f.MakeRequest();
+  patient.target = milliseconds(1'000);
+  f.Feed(RequestArrived{patient});
+  CHECK(f.ActionsOfType<Dispatch>().empty());
+  int waited = 0;
+  while (f.ActionsOfType<Dispatch>().empty() && waited < 100) {
+    CHECK(f.ActionsOfType<Refuse>().empty());
+    f.AdvanceTime(milliseconds(50));
+    ++waited;
+  }
+  CHECK(waited == 10);
+  CHECK(f.path.stats().cold_waits == 1);
+  f.EndAttempt(f.SingleAction<Dispatch>().attempt, AttemptResult::kComplete, 5,
+               200);
+  Request urgent = f.MakeRequest();
+  urgent.target = milliseconds(250);
+  f.Feed(RequestArrived{urgent});
+  CHECK(f.SingleAction<Refuse>().reason == RefusalReason::kNoGroup);
+  CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
+}
+
 // Guards against refusals with a wrong reason or outcome.
 TEST_CASE("requests that can't be served are refused as not-run") {
   Fixture f;
