Steer a daemon's capacity limit by the servers' answers

Cause: each daemon could use only its rounded-down share of the groups' capacity, so many daemons rejected requests while the fleet had room. Change: core/capacity_limit: fair share plus a margin in units of the standard deviation, raised by first events in time and lowered by late ones and by servers that refuse as full. It applies to pools whose requests have targets; others keep their limit.

--- a/core/core.h
+++ b/core/core.h
@@ -394,6 +394,16 @@
   std::string broken_rule;
 };
 
+/// Concurrency limit of this daemon in a pool whose requests have targets.
+struct PoolLimitStats {
+  std::string pool;
+  double fair_share = 0.0;
+  int limit = 0;
+  double margin = 0.0;     ///< See CapacityLimit::margin.
+  std::uint64_t late = 0;  ///< First events that missed their target.
+  std::uint64_t full = 0;  ///< Requests that servers refused as full.
+};
+
 /// Counters and gauges of the request path, for /metrics and status.
 struct RequestPathStats {
   std::uint64_t arrived = 0;
@@ -408,6 +418,7 @@
   std::uint64_t suspects = 0;
   std::uint64_t in_flight = 0;
   std::uint64_t queued = 0;
+  std::vector<PoolLimitStats> limits;
 };
 
 /// Handles requests from arrival to final answer. Each request gets exactly one
--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -98,11 +98,12 @@
     Claim(&active);
     return;
   }
+  if (request.target > milliseconds(0)) m_router.SteerLimit(pool);
   Admission::Decision decision{Admission::Disposition::kRun, milliseconds(0)};
   if (m_options.admission) {
     decision = m_admission.Offer(
-        request, pool->id, {m_router.Limit(*pool), m_router.HasRoom(*pool)},
-        m_now);
+        request, pool->id,
+        {m_router.Limit(*pool, m_now), m_router.HasRoom(*pool, m_now)}, m_now);
   }
   if (decision.disposition == Admission::Disposition::kRefuse) {
     refuse(RefusalReason::kOverloaded, decision.retry_after);
@@ -155,7 +156,7 @@
 void RequestPath::Impl::StartQueuedRequests() {
   for (Admission::PoolId id : m_admission.BackloggedPools()) {
     Pool* pool = m_queued_pools[id];
-    while (m_router.HasRoom(*pool)) {
+    while (m_router.HasRoom(*pool, m_now)) {
       std::optional<RequestId> next = m_admission.StartNext(id, m_now);
       if (!next) {
         break;
@@ -172,8 +173,8 @@
 void RequestPath::Impl::RefusePredictedMisses() {
   for (Admission::PoolId id : m_admission.BackloggedPools()) {
     Pool* pool = m_queued_pools[id];
-    for (const Admission::PredictedMiss& miss :
-         m_admission.FindPredictedMisses(id, m_router.Limit(*pool), m_now)) {
+    for (const Admission::PredictedMiss& miss : m_admission.FindPredictedMisses(
+             id, m_router.Limit(*pool, m_now), m_now)) {
       RefuseActive(FindRequest(miss.request), RefusalReason::kOverloaded,
                    miss.retry_after);
     }
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -72,6 +72,7 @@
   const std::string& host = active.group->view.head_host;
   milliseconds wait = RequestedBackoff(event.status, event.retry_after);
   if (wait > milliseconds(0)) {
+    m_router.OnServerFull(active.pool, m_now);
     On(ServerBusy{host, wait});
   } else if (!ProvesNotRun(event.result)) {
     // A broken, timed-out or crashed attempt counts as accepted as well: its
@@ -249,9 +250,12 @@
     m_router.OnRequestAccepted(active.group->view.head_host);
     active.first_progress_at = m_now;
     active.first_offset = event.offset;
-    active.group->speed.AddFirstProgress(
-        std::chrono::duration_cast<milliseconds>(m_now - active.dispatched_at),
-        m_now);
+    auto latency =
+        std::chrono::duration_cast<milliseconds>(m_now - active.dispatched_at);
+    active.group->speed.AddFirstProgress(latency, m_now);
+    if (active.request.target > milliseconds(0)) {
+      m_router.OnFirstEvent(active.pool, latency, active.request.target, m_now);
+    }
   }
   active.offset = event.offset;
   active.last_progress_at = m_now;
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -91,6 +91,7 @@
   stats.suspects = m_quarantine.size();
   stats.in_flight = m_requests.size() - m_admission.queued();
   stats.queued = m_admission.queued();
+  stats.limits = m_router.LimitStats(m_now);
   return stats;
 }
 
@@ -259,6 +260,9 @@
   }
   m_router.UpdateGroupSlowness(m_now);
   m_router.AdvanceBackoff(m_now);
+  for (LogDecision& line : m_router.AdvanceLimits(m_now)) {
+    m_actions.push_back(std::move(line));
+  }
   ExpireDetached();
   if (m_now - m_last_expiry_at < kExpiryInterval) {
     return;
--- a/core/router.cc
+++ b/core/router.cc
@@ -18,6 +18,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "fmt/format.h"
+
 namespace clementine {
 
 namespace {
@@ -38,6 +40,10 @@
 // Fraction of the capacity of other data centres that may be used.
 constexpr double kRemoteCapacityFraction = 0.5;
 constexpr std::chrono::seconds kSlownessUpdateInterval{1};
+// A limit is logged when its margin has moved by this much, at most once per
+// interval.
+constexpr double kLoggedMarginChange = 0.5;
+constexpr std::chrono::seconds kLimitLogInterval{1};
 
 std::string PoolName(const std::string& service, const std::string& model,
                      const std::string& adapter) {
@@ -71,6 +77,7 @@
 
 Router::Router(std::string data_centre, std::uint64_t seed, RoutePolicy policy)
     : m_data_centre(std::move(data_centre)),
+      m_seed(seed),
       m_random(seed),
       m_policy(std::move(policy)),
       m_cache(kMaxCachedBlocks),
@@ -286,13 +293,67 @@
   return pool.get();
 }
 
-int Router::Limit(const Pool& pool) const {
+double Router::FairShare(const Pool& pool) const {
+  return m_capacity_share *
+         (pool.local_capacity + kRemoteCapacityFraction * pool.remote_capacity);
+}
+
+int Router::Limit(const Pool& pool, TimePoint now) const {
   if (pool.local_capacity + pool.remote_capacity == 0) {
     return 0;
   }
-  double capacity =
-      pool.local_capacity + kRemoteCapacityFraction * pool.remote_capacity;
-  return std::max(1, static_cast<int>(capacity * m_capacity_share));
+  double fair_share = FairShare(pool);
+  return pool.limit ? pool.limit->RoundedLimit(fair_share, now)
+                    : std::max(1, static_cast<int>(fair_share));
+}
+
+void Router::SteerLimit(Pool* pool) {
+  if (!pool->limit) pool->limit.emplace(std::mt19937_64(m_seed + pool->id)());
+}
+
+void Router::OnFirstEvent(Pool* pool, milliseconds latency, milliseconds target,
+                          TimePoint now) {
+  if (pool->limit) {
+    pool->limit->OnFirstEvent(latency, target, FairShare(*pool), now);
+  }
+}
+
+void Router::OnServerFull(Pool* pool, TimePoint now) {
+  if (pool->limit) pool->limit->OnServerFull(FairShare(*pool), now);
+}
+
+std::vector<LogDecision> Router::AdvanceLimits(TimePoint now) {
+  std::vector<LogDecision> lines;
+  for (auto& [name, pool] : m_pools) {
+    if (!pool->limit) continue;
+    pool->limit->Advance(now);
+    double margin = pool->limit->margin();
+    if (std::abs(margin - pool->logged_margin) < kLoggedMarginChange ||
+        now - pool->logged_at < kLimitLogInterval) {
+      continue;
+    }
+    pool->logged_margin = margin;
+    pool->logged_at = now;
+    lines.push_back({"capacity_limit",
+                     {{"pool", name},
+                      {"fair_share", fmt::format("{:.2f}", FairShare(*pool))},
+                      {"margin", fmt::format("{:.2f}", margin)},
+                      {"limit", std::to_string(Limit(*pool, now))},
+                      {"in_use", std::to_string(InUse(*pool))},
+                      {"reason", LimitReasonName(pool->limit->reason())}}});
+  }
+  return lines;
+}
+
+std::vector<PoolLimitStats> Router::LimitStats(TimePoint now) const {
+  std::vector<PoolLimitStats> all;
+  for (const auto& [name, pool] : m_pools) {
+    if (!pool->limit) continue;
+    all.push_back({name, FairShare(*pool), Limit(*pool, now),
+                   pool->limit->margin(), pool->limit->late(),
+                   pool->limit->full()});
+  }
+  return all;
 }
 
 bool Router::IsLocalFull(const Pool& pool) const {
--- a/core/router.h
+++ b/core/router.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/capacity_limit.h"
 #include "core/core.h"
 #include "core/prefix_cache.h"
 #include "core/server_backoff.h"
@@ -55,6 +56,11 @@
   int users = 0;     ///< Requests that refer to this pool.
   /// End of the backoff that ends first among the servers of this pool.
   std::optional<TimePoint> backoff_until;
+  /// Set if requests of this pool have latency targets. Without it, the limit
+  /// is this daemon's share of the capacity.
+  std::optional<CapacityLimit> limit;
+  double logged_margin = 0.0;  ///< Margin in the last log line.
+  TimePoint logged_at;
 
   std::size_t size() const { return local.size() + remote.size(); }
 };
@@ -88,13 +94,30 @@
   /// Returns the pool of a request. Creates it if necessary; a pool without
   /// groups exists as long as it has users.
   Pool* FindOrCreatePool(const Request& request);
+  /// @return Requests that this daemon runs in a pool if each daemon runs its
+  ///     share of the capacity; not rounded.
+  double FairShare(const Pool& pool) const;
   /// @return Number of requests that this daemon may run concurrently in a
   /// pool.
-  int Limit(const Pool& pool) const;
-  bool HasRoom(const Pool& pool) const {
-    return pool.local_in_flight + pool.remote_in_flight + pool.reserved <
-           Limit(pool);
+  int Limit(const Pool& pool, TimePoint now) const;
+  bool HasRoom(const Pool& pool, TimePoint now) const {
+    return InUse(pool) < Limit(pool, now);
   }
+  /// Whether a request of little value may run, such as one that is late: this
+  /// daemon uses less than its fair share.
+  bool HasSpareRoom(const Pool& pool, TimePoint now) const {
+    return InUse(pool) < FairShare(pool) && HasRoom(pool, now);
+  }
+  /// Steers the limit of a pool by the results of its requests from now on.
+  void SteerLimit(Pool* pool);
+  /// Adds a measurement for the limit of a pool; see CapacityLimit.
+  void OnFirstEvent(Pool* pool, milliseconds latency, milliseconds target,
+                    TimePoint now);
+  void OnServerFull(Pool* pool, TimePoint now);
+  /// Advances the limits of all pools.
+  /// @return Log lines of limits that have moved considerably.
+  std::vector<LogDecision> AdvanceLimits(TimePoint now);
+  std::vector<PoolLimitStats> LimitStats(TimePoint now) const;
 
   /// @param avoid Group that must not be picked, or null.
   /// @return A group of the pool, or null if no group can take the request.
@@ -122,6 +145,9 @@
     bool busy = group.half_open && group.in_flight > 0;
     return !group.isolated && &group != avoid && !busy;
   }
+  static int InUse(const Pool& pool) {
+    return pool.local_in_flight + pool.remote_in_flight + pool.reserved;
+  }
   double Load(const RoutedGroup& group, TimePoint now) const;
   /// @param cached_fraction Fraction of the prompt that the group has cached.
   double Cost(const RoutedGroup& group, double cached_fraction,
@@ -150,6 +176,7 @@
   void RemoveUnused();
 
   std::string m_data_centre;
+  std::uint64_t m_seed;
   std::mt19937_64 m_random;
   RoutePolicy m_policy;
   double m_capacity_share = 1.0;
--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -15,6 +15,16 @@
                static_cast<double>(path.suspects));
   metrics->Set("clementine_in_flight", "", static_cast<double>(path.in_flight));
   metrics->Set("clementine_queued", "", static_cast<double>(path.queued));
+  for (const PoolLimitStats& limit : path.limits) {
+    std::string label = fmt::format("pool=\"{}\"", limit.pool);
+    metrics->Set("clementine_limit_fair_share", label, limit.fair_share);
+    metrics->Set("clementine_limit_margin", label, limit.margin);
+    metrics->Set("clementine_limit_requests", label, limit.limit);
+    metrics->SetTotal("clementine_limit_lowered_total",
+                      label + ",reason=\"late\"", limit.late);
+    metrics->SetTotal("clementine_limit_lowered_total",
+                      label + ",reason=\"server_full\"", limit.full);
+  }
   metrics->Set("clementine_connections", "",
                static_cast<double>(server.connections));
   metrics->SetTotal("clementine_malformed_total", "", server.malformed);
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -101,7 +101,7 @@
   auto counts = PickMany(&router, ChatRequest(), 12);
   CHECK(counts["chat/0"] == 8);
   CHECK(counts["chat/1"] == 4);
-  CHECK_FALSE(router.HasRoom(*router.FindPool(ChatRequest())));
+  CHECK_FALSE(router.HasRoom(*router.FindPool(ChatRequest()), kStart));
 }
 
 // Guards against limits that the daemons together exceed.
@@ -109,11 +109,11 @@
   Router router("east", 1, {});
   router.SetGroups(MakeGroups(6));
   Pool& pool = *router.FindPool(ChatRequest());
-  CHECK(router.Limit(pool) == 48);
+  CHECK(router.Limit(pool, kStart) == 48);
   router.SetDaemonCount(6);
-  CHECK(router.Limit(pool) == 8);
+  CHECK(router.Limit(pool, kStart) == 8);
   router.SetDaemonCount(1000);
-  CHECK(router.Limit(pool) == 1);
+  CHECK(router.Limit(pool, kStart) == 1);
 }
 
 // Guards against a retry on the group that has just failed.
