Order, hold and return requests by what callers gain

Cause: a queued request could spend three quarters of its target waiting although the server needs most of it; late requests were refused and came back as second arrivals during the overload, and Request::priority was unused. In-flight limits of organisations were rounded down at each daemon. Change: the wait is bounded by half of what the measured time to the first event leaves. Late requests are held for up to four targets behind the others and take only spare room. More urgent requests go first, less urgent ones yield while more urgent ones are refused or late more often, and Retry-After grows with the priority and with the part that is refused. In-flight limits are rounded up at a part of the daemons.

--- a/core/admission.cc
+++ b/core/admission.cc
@@ -5,11 +5,20 @@
 // its organisation's last virtual finish time. Its virtual finish time is later
 // by its cost (see RequestCost) divided by the weight of the organisation. When
 // a batch request is close to its deadline, every second turn goes to batch.
-// This keeps batch from starving, and from starving the other classes.
+// This keeps batch from starving, and from starving the other classes. Within a
+// class, more urgent requests go first. A request isn't overtaken by those that
+// arrive more than kPriorityStep later for each priority between them.
+//
+// Late requests: an answer later than its target is worth less, but more than a
+// rejection, after which the caller comes back as a second arrival and is late
+// as well. A request that can't meet its target any more therefore stays queued
+// behind all others of its class, and starts only in spare room, so that it
+// doesn't take the place of a request that can still be in time. It is refused
+// after a few targets, or at once while most held requests don't get a place.
 //
 // Refusal on arrival: a request is refused when the queues are full, when it
 // isn't expected to finish before its deadline, or when it isn't expected to
-// start within kMaxWaitFraction of its latency target. Its expected wait is the
+// start early enough for its latency target. Its expected wait is the
 // number of requests in front of it divided by the drain rate. The drain rate
 // is the concurrency limit divided by the measured service time (Little's law),
 // which makes it fall as soon as groups are lost. While no request ends, the
@@ -26,6 +35,7 @@
 namespace {
 
 constexpr std::size_t kBatchIndex = 3;
+constexpr int kLastPriority = 3;  // Higher ones count as this.
 constexpr double kSampleWeight = 0.1;
 // The drain rate falls when the next end of a request is overdue by more than
 // this many expected intervals.
@@ -35,9 +45,12 @@
 // A queued request is refused only when its expected wait exceeds the time to
 // its deadline by this factor, because the estimate is noisy.
 constexpr double kMissMargin = 1.5;
-// Fraction of the latency target that a request may spend in a queue. The
-// server needs the rest to process the prompt.
+// Largest fraction of the latency target that a request may spend in a queue,
+// while the time to the first event isn't known.
 constexpr double kMaxWaitFraction = 0.75;
+// Fraction of the target that the measured time to the first event leaves which
+// a request may spend in a queue. The server's own queue may need the rest.
+constexpr double kSlackFraction = 0.5;
 // A batch request is urgent when the time to its deadline is less than this
 // many service times, or less than the minimum.
 constexpr double kUrgentServiceTimes = 3.0;
@@ -48,6 +61,36 @@
 // parallel and cost less than generated ones.
 constexpr double kPromptTokenCost = 0.1;
 
+// A less urgent request goes before a more urgent one that arrives this much
+// later, for each priority between them.
+constexpr milliseconds kPriorityStep{250};
+// Added to the arrival time of a late request in the order of a queue.
+constexpr std::chrono::hours kLateStep{24};
+// A late request is held for this many targets. A caller who is refused sooner
+// comes back sooner.
+constexpr int kLateHoldTargets = 4;
+// Late requests are held while at least this fraction of those held before have
+// started.
+constexpr double kMinLateStarted = 0.5;
+constexpr double kLateSampleWeight = 0.2;
+// Recovery of the fraction by each request that isn't held because of it.
+constexpr double kLateRecovery = 0.02;
+// Added to Retry-After for each priority, as a fraction of it: more urgent
+// callers return sooner.
+constexpr double kRetryAfterPerPriority = 0.5;
+// Callers who return during an overload are late in any case and take the place
+// of others who could be in time. Retry-After grows with the ratio of refused
+// to admitted requests times this factor. The bound keeps callers from staying
+// away long after the overload has ended.
+constexpr double kReturnSpread = 3.0;
+constexpr milliseconds kMaxReturnSpread{8'000};
+constexpr double kMaxRefused = 0.9;
+// A less urgent request takes only spare room, and isn't queued, while more
+// urgent ones are refused or late more often, by more than this fraction of the
+// requests. A difference of 0.05 in favour of the less urgent ones is allowed.
+constexpr double kMaxFavour = 0.02;
+constexpr double kSampleWeightOfFractions = 0.05;
+
 std::size_t ClassIndex(RequestClass request_class) {
   switch (request_class) {
     case RequestClass::kCounter:
@@ -62,11 +105,19 @@
   return kBatchIndex;
 }
 
+std::size_t PriorityLevel(int priority) {
+  return static_cast<std::size_t>(std::clamp(priority, 0, kLastPriority));
+}
+
 double RequestCost(const Request& request) {
   return kBaseRequestCost + kPromptTokenCost * request.prompt_tokens +
          request.max_tokens;
 }
 
+double Ms(TimePoint::duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 milliseconds RetryAfter(double wait_ms) {
   if (!(wait_ms < static_cast<double>(kMaxRetryAfter.count()))) {
     return kMaxRetryAfter;
@@ -75,8 +126,8 @@
                   milliseconds(static_cast<std::int64_t>(wait_ms)));
 }
 
-double Ms(TimePoint::duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
+void AddFraction(double* average, double sample, double weight) {
+  *average += weight * (sample - *average);
 }
 
 void AddSample(double* average, double sample) {
@@ -88,9 +139,14 @@
 
 std::size_t Admission::PoolQueues::backlog() const {
   std::size_t all = 0;
-  for (std::size_t count : queued) {
-    all += count;
-  }
+  for (std::size_t i = 0; i < kClasses; ++i) all += QueuedUpTo(i, kLateRank);
+  return all;
+}
+
+std::size_t Admission::PoolQueues::QueuedUpTo(std::size_t class_index,
+                                              std::size_t rank) const {
+  std::size_t all = 0;
+  for (std::size_t i = 0; i <= rank; ++i) all += queued[class_index][i];
   return all;
 }
 
@@ -120,7 +176,10 @@
 }
 
 int Admission::InFlightLimit(const Organisation& organisation) const {
-  return std::max(1, organisation.max_in_flight / m_daemon_count);
+  double share =
+      static_cast<double>(organisation.max_in_flight) / m_daemon_count;
+  double offset = static_cast<double>(m_seed >> 11) * 0x1.0p-53;
+  return std::max(1, static_cast<int>(share + offset));
 }
 
 bool Admission::HasQueueSpace(const Organisation& organisation,
@@ -143,56 +202,144 @@
   Flow& flow = pool.flows[request.organisation];
   flow.organisation = &FindOrganisation(request.organisation);
   Organisation& organisation = *flow.organisation;
-  double cost = RequestCost(request);
-  bool first =
-      flow.queues[class_index].empty() &&
-      (pool.backlog() == 0 || FindNextFlow(&pool, class_index) == nullptr);
-  if (capacity.has_room && first && MayRun(organisation)) {
-    RecordStart(&pool, &flow, cost);
+  std::size_t priority = PriorityLevel(request.priority);
+  pool.holds_late = capacity.holds_late;
+  QueuedRequest waiting{
+      request.id,     request.deadline, TimePoint::max(), RequestCost(request),
+      request.target, priority,         priority};
+  bool batch = class_index == kBatchIndex;
+  QueueKey key{batch ? request.deadline
+                     : now + kPriorityStep * static_cast<int>(priority),
+               ++m_sequence};
+  Flow* next = pool.backlog() == 0 ? nullptr : FindNextFlow(&pool, class_index);
+  bool first = next == nullptr ||
+               (!batch && key < next->queues[class_index].begin()->first);
+  bool yields = IsFavoured(pool, priority) && !capacity.has_spare;
+  if (capacity.has_room && first && !yields && MayRun(organisation)) {
+    RecordStart(&pool, &flow, waiting);
     return {Disposition::kRun, milliseconds(0)};
   }
-  if (!HasQueueSpace(organisation, class_index == kBatchIndex)) {
-    return {Disposition::kRefuse, DrainTime(pool_id, capacity.limit, now)};
+  if (!HasQueueSpace(organisation, batch)) {
+    return RefuseWith(&pool, waiting, DrainTime(pool_id, capacity.limit, now));
   }
+  const Queue& queue = flow.queues[class_index];
   double rate = DrainRate(pool, capacity.limit, now);
-  double wait = ExpectedWaitMs(pool, flow, class_index,
-                               flow.queues[class_index].size(), rate);
+  auto ahead = static_cast<std::size_t>(
+      std::distance(queue.begin(), queue.lower_bound(key)));
+  double wait = ExpectedWaitMs(pool, flow, class_index, priority, ahead, rate);
   double finish = wait + pool.class_service_ms[class_index];
   if (rate > 0.0 && finish > Ms(request.deadline - now)) {
     // Retry-After is the time by which the expected end exceeds the deadline.
-    return {Disposition::kRefuse,
-            RetryAfter(finish - Ms(request.deadline - now))};
+    return RefuseWith(&pool, waiting,
+                      RetryAfter(finish - Ms(request.deadline - now)));
+  }
+  if (yields) {
+    return RefuseWith(&pool, waiting, RetryAfter(wait));
   }
-  TimePoint start_by = TimePoint::max();
   if (request.target > milliseconds(0)) {
-    milliseconds max_wait(static_cast<std::int64_t>(
-        static_cast<double>(request.target.count()) * kMaxWaitFraction));
+    milliseconds max_wait = MaxWait(pool, request.target);
+    waiting.start_by = now + max_wait;
     if (wait > Ms(max_wait)) {
-      return {Disposition::kRefuse, RetryAfter(wait)};
+      milliseconds hold = LateHold(pool, waiting, class_index, now);
+      double late_wait = ExpectedWaitMs(pool, flow, class_index, kLateRank,
+                                        queue.size(), rate);
+      if (late_wait > Ms(hold)) {
+        AddFraction(&pool.late_started, 1.0, kLateRecovery);
+        return RefuseWith(&pool, waiting, RetryAfter(wait));
+      }
+      waiting.rank = kLateRank;
+      waiting.start_by = now + hold;
+      key.first += kLateStep;
     }
-    start_by = now + max_wait;
-  }
-  if (pool.backlog() == 0) {
-    pool.busy_since = now;
   }
-  QueueKey key{class_index == kBatchIndex ? request.deadline : TimePoint(),
-               ++m_sequence};
-  flow.queues[class_index][key] = {request.id, request.deadline, start_by,
-                                   cost};
-  m_queued_requests[request.id] = {&pool, request.organisation, class_index,
-                                   key};
-  ++pool.queued[class_index];
-  ++organisation.queued;
+  Enqueue(&pool, &flow, request.organisation, class_index, key, waiting);
+  if (pool.backlog() == 1) pool.busy_since = now;
+  return {Disposition::kQueue, milliseconds(0)};
+}
+
+void Admission::Enqueue(PoolQueues* pool, Flow* flow,
+                        const std::string& organisation,
+                        std::size_t class_index, QueueKey key,
+                        const QueuedRequest& waiting) {
+  flow->queues[class_index][key] = waiting;
+  m_queued_requests[waiting.request] = {pool, organisation, class_index, key};
+  ++pool->queued[class_index][waiting.rank];
+  ++flow->organisation->queued;
   if (class_index == kBatchIndex) {
-    ++organisation.queued_batch;
+    ++flow->organisation->queued_batch;
     ++m_queued_batch;
   }
-  return {Disposition::kQueue, milliseconds(0)};
 }
 
-void Admission::RecordStart(PoolQueues* pool, Flow* flow, double cost) const {
+Admission::Decision Admission::RefuseWith(PoolQueues* pool,
+                                          const QueuedRequest& request,
+                                          milliseconds retry_after) {
+  AddFraction(&pool->refused, 1.0, kSampleWeightOfFractions);
+  AddFraction(&pool->lost[request.priority], 1.0, kSampleWeightOfFractions);
+  double wait =
+      Ms(retry_after) *
+      (1.0 + kRetryAfterPerPriority * static_cast<double>(request.priority));
+  if (pool->holds_late) {
+    double refused = std::min(pool->refused, kMaxRefused);
+    double spread = wait * (1.0 + kReturnSpread * refused / (1.0 - refused));
+    wait = std::max(wait, std::min(spread, Ms(kMaxReturnSpread)));
+  }
+  return {Disposition::kRefuse, RetryAfter(wait)};
+}
+
+bool Admission::IsFavoured(const PoolQueues& pool, std::size_t priority) {
+  return std::any_of(
+      pool.lost.begin(),
+      pool.lost.begin() + static_cast<std::ptrdiff_t>(priority),
+      [&](double lost) { return lost > pool.lost[priority] + kMaxFavour; });
+}
+
+milliseconds Admission::MaxWait(const PoolQueues& pool, milliseconds target) {
+  auto whole = static_cast<double>(target.count());
+  double wait = kMaxWaitFraction * whole;
+  if (pool.first_event_ms > 0.0) {
+    wait = std::min(wait, kSlackFraction * (whole - pool.first_event_ms));
+  }
+  return milliseconds(static_cast<std::int64_t>(std::max(0.0, wait)));
+}
+
+milliseconds Admission::LateHold(const PoolQueues& pool,
+                                 const QueuedRequest& waiting,
+                                 std::size_t class_index, TimePoint now) {
+  if (!pool.holds_late || pool.late_started < kMinLateStarted) {
+    return milliseconds(0);
+  }
+  // Half of the time to the deadline is left for the answer, or more if answers
+  // take longer.
+  double left = Ms(waiting.deadline - now);
+  double reserve = std::max(left / 2.0, pool.class_service_ms[class_index]);
+  auto most = static_cast<double>(kLateHoldTargets * waiting.target.count());
+  return milliseconds(
+      static_cast<std::int64_t>(std::clamp(left - reserve, 0.0, most)));
+}
+
+void Admission::HoldLate(PoolQueues* pool, RequestId request, TimePoint now) {
+  QueuePosition position = m_queued_requests[request];
+  Flow& flow = pool->flows[position.organisation];
+  auto entry = flow.queues[position.class_index].find(position.key);
+  QueuedRequest waiting = entry->second;
+  milliseconds hold = LateHold(*pool, waiting, position.class_index, now);
+  RemoveEntry(pool, &flow, position.class_index, entry);
+  waiting.rank = kLateRank;
+  waiting.start_by = now + hold;
+  position.key.first += kLateStep;
+  Enqueue(pool, &flow, position.organisation, position.class_index,
+          position.key, waiting);
+}
+
+void Admission::RecordStart(PoolQueues* pool, Flow* flow,
+                            const QueuedRequest& request) const {
+  AddFraction(&pool->refused, 0.0, kSampleWeightOfFractions);
+  if (request.target == milliseconds(0)) {
+    AddFraction(&pool->lost[request.priority], 0.0, kSampleWeightOfFractions);
+  }
   double start = std::max(pool->virtual_time, flow->virtual_finish);
-  flow->virtual_finish = start + cost / flow->organisation->weight;
+  flow->virtual_finish = start + request.cost / flow->organisation->weight;
   pool->virtual_time = start;
   ++flow->organisation->in_flight;
 }
@@ -222,25 +369,42 @@
 Admission::Flow* Admission::FindNextFlow(PoolQueues* pool,
                                          std::size_t class_index) {
   Flow* next = nullptr;
-  if (pool->queued[class_index] == 0) {
+  if (pool->QueuedUpTo(class_index, kLateRank) == 0) {
     return next;
   }
+  auto may_run = [&](const Flow& flow) {
+    return !flow.queues[class_index].empty() && MayRun(*flow.organisation);
+  };
+  auto head = [&](const Flow& flow) -> const Queue::value_type& {
+    return *flow.queues[class_index].begin();
+  };
+  for (auto& [name, flow] : pool->flows) {
+    if (may_run(flow) &&
+        (next == nullptr || head(flow).first < head(*next).first)) {
+      next = &flow;
+    }
+  }
+  if (next == nullptr) return next;
+  // Among the organisations whose next request has the rank of the first one,
+  // the shares decide.
+  std::size_t rank = head(*next).second.rank;
   for (auto& [name, flow] : pool->flows) {
-    if (!flow.queues[class_index].empty() && MayRun(*flow.organisation) &&
-        (next == nullptr || flow.virtual_finish < next->virtual_finish)) {
+    if (may_run(flow) && head(flow).second.rank == rank &&
+        flow.virtual_finish < next->virtual_finish) {
       next = &flow;
     }
   }
   return next;
 }
 
-std::optional<RequestId> Admission::StartNext(PoolId pool_id, TimePoint now) {
+std::optional<RequestId> Admission::StartNext(PoolId pool_id, TimePoint now,
+                                              bool has_spare) {
   auto found = m_pools.find(pool_id);
   if (found == m_pools.end()) {
     return std::nullopt;
   }
   PoolQueues& pool = found->second;
-  if (!pool.last_was_urgent && pool.queued[kBatchIndex] > 0) {
+  if (!pool.last_was_urgent && pool.QueuedUpTo(kBatchIndex, kLateRank) > 0) {
     if (Flow* urgent = FindUrgentBatch(&pool, now)) {
       pool.last_was_urgent = true;
       return StartFirst(&pool, urgent, kBatchIndex);
@@ -248,9 +412,10 @@
   }
   pool.last_was_urgent = false;
   for (std::size_t class_index = 0; class_index < kClasses; ++class_index) {
-    if (Flow* flow = FindNextFlow(&pool, class_index)) {
-      return StartFirst(&pool, flow, class_index);
-    }
+    Flow* flow = FindNextFlow(&pool, class_index);
+    if (flow == nullptr) continue;
+    bool late = flow->queues[class_index].begin()->second.rank == kLateRank;
+    if (!late || has_spare) return StartFirst(&pool, flow, class_index);
   }
   return std::nullopt;
 }
@@ -260,15 +425,18 @@
   auto entry = flow->queues[class_index].begin();
   QueuedRequest waiting = entry->second;
   RemoveEntry(pool, flow, class_index, entry);
-  RecordStart(pool, flow, waiting.cost);
+  RecordStart(pool, flow, waiting);
+  if (waiting.rank == kLateRank) {
+    AddFraction(&pool->late_started, 1.0, kLateSampleWeight);
+  }
   return waiting.request;
 }
 
 void Admission::RemoveEntry(PoolQueues* pool, Flow* flow,
                             std::size_t class_index, Queue::iterator entry) {
   m_queued_requests.erase(entry->second.request);
+  --pool->queued[class_index][entry->second.rank];
   flow->queues[class_index].erase(entry);
-  --pool->queued[class_index];
   --flow->organisation->queued;
   if (class_index == kBatchIndex) {
     --flow->organisation->queued_batch;
@@ -301,6 +469,15 @@
   pool.last_attempt_end_at = now;
 }
 
+void Admission::RecordFirstEvent(PoolId pool_id, int priority,
+                                 milliseconds latency, bool late) {
+  PoolQueues& pool = m_pools[pool_id];
+  AddSample(&pool.first_event_ms,
+            std::max(1.0, static_cast<double>(latency.count())));
+  AddFraction(&pool.lost[PriorityLevel(priority)], late ? 1.0 : 0.0,
+              kSampleWeightOfFractions);
+}
+
 double Admission::DrainRate(const PoolQueues& pool, int limit,
                             TimePoint now) const {
   if (pool.service_ms == 0.0) {
@@ -319,16 +496,17 @@
 }
 
 double Admission::ExpectedWaitMs(const PoolQueues& pool, const Flow& flow,
-                                 std::size_t class_index, std::size_t ahead,
-                                 double rate) const {
+                                 std::size_t class_index, std::size_t rank,
+                                 std::size_t ahead, double rate) const {
   if (rate <= 0.0) {
     return 0.0;
   }
-  // Requests of classes that are served first. `by_flow` accounts for other
+  // Requests of classes that are served first; late ones only before others
+  // that are late, too. `by_flow` accounts for other
   // organisations in the same class.
   std::size_t higher_classes = 0;
   for (std::size_t i = 0; i < class_index; ++i) {
-    higher_classes += pool.queued[i];
+    higher_classes += pool.QueuedUpTo(i, std::max(rank, kPriorities - 1));
   }
   double total_weight = 0.0;
   for (const auto& [name, other] : pool.flows) {
@@ -339,7 +517,7 @@
   double fair_share = flow.organisation->weight / total_weight;
   auto own_queue = static_cast<double>(ahead + 1);
   double by_flow = own_queue / fair_share;
-  double by_queue = static_cast<double>(pool.queued[class_index] + 1);
+  auto by_queue = static_cast<double>(pool.QueuedUpTo(class_index, rank) + 1);
   double wait =
       (static_cast<double>(higher_classes) + std::min(by_flow, by_queue)) /
       rate;
@@ -354,33 +532,45 @@
 }
 
 std::vector<Admission::PredictedMiss> Admission::FindPredictedMisses(
-    PoolId pool_id, int limit, TimePoint now) const {
+    PoolId pool_id, int limit, TimePoint now) {
   std::vector<PredictedMiss> misses;
+  std::vector<RequestId> late;
   auto found = m_pools.find(pool_id);
   if (found == m_pools.end()) {
     return misses;
   }
-  const PoolQueues& pool = found->second;
+  PoolQueues& pool = found->second;
   double rate = DrainRate(pool, limit, now);
+  auto add_miss = [&](const QueuedRequest& waiting, double wait) {
+    Decision refusal = RefuseWith(&pool, waiting, RetryAfter(wait));
+    misses.push_back({waiting.request, refusal.retry_after});
+  };
   for (const auto& [name, flow] : pool.flows) {
     for (std::size_t class_index = 0; class_index < kClasses; ++class_index) {
       std::size_t ahead = 0;
       for (const auto& [key, waiting] : flow.queues[class_index]) {
         double left = Ms(waiting.deadline - now);
-        double wait = ExpectedWaitMs(pool, flow, class_index, ahead, rate);
-        if (now > waiting.start_by) {
-          misses.push_back({waiting.request, RetryAfter(wait)});
+        double wait =
+            ExpectedWaitMs(pool, flow, class_index, waiting.rank, ahead, rate);
+        bool overdue = now > waiting.start_by;
+        if (overdue && waiting.rank != kLateRank &&
+            LateHold(pool, waiting, class_index, now) > milliseconds(0)) {
+          late.push_back(waiting.request);
+        } else if (overdue) {
+          if (waiting.rank == kLateRank) {
+            AddFraction(&pool.late_started, 0.0, kLateSampleWeight);
+          }
+          add_miss(waiting, wait);
         } else if (left <= 0.0 || pool.class_service_ms[class_index] > left ||
                    wait > kMissMargin * left) {
-          misses.push_back(
-              {waiting.request,
-               RetryAfter(wait + pool.class_service_ms[class_index] - left)});
+          add_miss(waiting, wait + pool.class_service_ms[class_index] - left);
         } else {
           ++ahead;
         }
       }
     }
   }
+  for (RequestId request : late) HoldLate(&pool, request, now);
   return misses;
 }
 
--- a/core/capacity_limit.cc
+++ b/core/capacity_limit.cc
@@ -33,6 +33,9 @@
 constexpr double kFastStartFactor = 4.0;
 // Fall by a server that refuses, in falls by a late event.
 constexpr double kFullFactor = 2.0;
+// Margin that requests of little value leave to the others. With less, the
+// fleet is full.
+constexpr double kSpareMargin = 1.0;
 // Change by one call of Advance() while nothing is measured.
 constexpr double kSilentStep = 0.05;
 // Time for which a limit is rounded in the same direction. Longer than a
@@ -94,6 +97,13 @@
   return m_fast_start ? std::max(1.0, limit) : limit;
 }
 
+double CapacityLimit::SpareLimit(double fair_share) const {
+  if (m_margin < kSpareMargin) return 0.0;
+  double root =
+      std::sqrt(std::max(0.0, fair_share)) + (m_margin - kSpareMargin) / 2.0;
+  return root * root;
+}
+
 int CapacityLimit::RoundedLimit(double fair_share, TimePoint now) const {
   if (fair_share <= 0.0) return 0;
   auto period = static_cast<double>(now.time_since_epoch() / kRoundingPeriod);
--- a/core/capacity_limit.h
+++ b/core/capacity_limit.h
@@ -50,6 +50,9 @@
   ///     their part of the capacity; need not be whole.
   /// @return The limit in requests, not rounded.
   double Limit(double fair_share) const;
+  /// @return Limit for requests of little value: the limit with a margin that
+  ///     is less by one standard deviation; 0 while the fleet is full.
+  double SpareLimit(double fair_share) const;
   /// Returns the limit rounded to a whole number. It is rounded up for a
   /// fraction of the time that equals the fraction of the limit.
   int RoundedLimit(double fair_share, TimePoint now) const;
--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -103,7 +103,9 @@
   if (m_options.admission) {
     decision = m_admission.Offer(
         request, pool->id,
-        {m_router.Limit(*pool, m_now), m_router.HasRoom(*pool, m_now)}, m_now);
+        {m_router.Limit(*pool, m_now), m_router.HasRoom(*pool, m_now),
+         pool->limit.has_value(), m_router.HasSpareRoom(*pool, m_now)},
+        m_now);
   }
   if (decision.disposition == Admission::Disposition::kRefuse) {
     refuse(RefusalReason::kOverloaded, decision.retry_after);
@@ -125,6 +127,7 @@
   active.request.shared_parts = {};  // As hashes in `keys`.
   active.keys = std::move(keys);
   active.pool = pool;
+  active.arrived_at = m_now;
   ++pool->users;
   SetTimer(&active, request.deadline);
   return active;
@@ -157,7 +160,8 @@
   for (Admission::PoolId id : m_admission.BackloggedPools()) {
     Pool* pool = m_queued_pools[id];
     while (m_router.HasRoom(*pool, m_now)) {
-      std::optional<RequestId> next = m_admission.StartNext(id, m_now);
+      std::optional<RequestId> next =
+          m_admission.StartNext(id, m_now, m_router.HasSpareRoom(*pool, m_now));
       if (!next) {
         break;
       }
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -52,7 +52,7 @@
       m_random(m_options.seed),
       m_router(m_options.data_centre, m_options.seed + 1,
                m_options.route_policy),
-      m_admission(m_options.max_queued),
+      m_admission(m_options.max_queued, std::mt19937_64(m_options.seed + 3)()),
       m_budget(IsRuleBroken("retry_budget") ? 1e9 : m_options.retry_ratio),
       m_ledger({m_options.node, m_options.incarnation, m_options.seed + 2,
                 m_options.claim_retention, !IsRuleBroken("claim_first"),
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -75,6 +75,7 @@
     /// avoids.
     std::string last_group;
     std::uint64_t offset = 0;  ///< Tokens or bytes delivered to the caller.
+    TimePoint arrived_at;
     TimePoint admitted_at;
     TimePoint dispatched_at;
     TimePoint first_progress_at;
--- a/core/router.cc
+++ b/core/router.cc
@@ -307,6 +307,11 @@
                     : std::max(1, static_cast<int>(fair_share));
 }
 
+bool Router::HasSpareRoom(const Pool& pool, TimePoint now) const {
+  return pool.limit && HasRoom(pool, now) &&
+         InUse(pool) < pool.limit->SpareLimit(FairShare(pool));
+}
+
 void Router::SteerLimit(Pool* pool) {
   if (!pool->limit) pool->limit.emplace(std::mt19937_64(m_seed + pool->id)());
 }
--- a/core/router.h
+++ b/core/router.h
@@ -103,11 +103,9 @@
   bool HasRoom(const Pool& pool, TimePoint now) const {
     return InUse(pool) < Limit(pool, now);
   }
-  /// Whether a request of little value may run, such as one that is late: this
-  /// daemon uses less than its fair share.
-  bool HasSpareRoom(const Pool& pool, TimePoint now) const {
-    return InUse(pool) < FairShare(pool) && HasRoom(pool, now);
-  }
+  /// Whether a request that is late may run: the room isn't needed for the
+  /// usual variance of the others. False without a steered limit.
+  bool HasSpareRoom(const Pool& pool, TimePoint now) const;
   /// Steers the limit of a pool by the results of its requests from now on.
   void SteerLimit(Pool* pool);
   /// Adds a measurement for the limit of a pool; see CapacityLimit.
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include "core/retry_budget.h"
 
 namespace clementine {
@@ -278,5 +280,124 @@
   CHECK(retries == 3);
 }
 
+// Guards against an urgent request that waits behind less urgent ones, and
+// against less urgent ones that never start.
+TEST_CASE("more urgent requests start first, but don't starve others") {
+  Fixture f;
+  auto offer = [&](int priority, milliseconds after) {
+    Request request;
+    request.id = ++f.last_id;
+    request.organisation = "ash";
+    request.request_class = RequestClass::kStream;
+    request.deadline = kStart + milliseconds(60'000);
+    request.priority = priority;
+    return f.admission.Offer(request, kPool, kFull, kStart + after).disposition;
+  };
+  CHECK(offer(2, milliseconds(0)) == Disposition::kQueue);    // 1
+  CHECK(offer(0, milliseconds(10)) == Disposition::kQueue);   // 2
+  CHECK(offer(1, milliseconds(20)) == Disposition::kQueue);   // 3
+  CHECK(offer(0, milliseconds(490)) == Disposition::kQueue);  // 4
+  CHECK(offer(0, milliseconds(510)) == Disposition::kQueue);  // 5
+  for (RequestId id : {2U, 3U, 4U, 1U, 5U}) {
+    CHECK(f.admission.StartNext(kPool, kStart + milliseconds(520)) == id);
+  }
+}
+
+// Guards against rejected callers of little urgency that return before more
+// urgent ones, and against queueing the former while the latter are refused.
+TEST_CASE("less urgent requests return later and aren't favoured") {
+  Fixture f;
+  Request request;
+  request.organisation = "ash";
+  request.request_class = RequestClass::kStream;
+  auto offer = [&](int priority, milliseconds target) {
+    ++request.id;
+    request.priority = priority;
+    request.target = target;
+    request.deadline = kStart + milliseconds(60'000);
+    return f.admission.Offer(request, kPool, kFull, kStart);
+  };
+  while (offer(0, milliseconds(200)).disposition == Disposition::kQueue) {
+  }
+  milliseconds urgent = offer(0, milliseconds(200)).retry_after;
+  Admission::Decision other = offer(1, milliseconds(2'000));
+  CHECK(other.disposition == Disposition::kRefuse);
+  CHECK(other.retry_after > urgent);
+}
+
+// Guards against refused callers that come back into an overload, where they
+// are late in any case and make others late.
+TEST_CASE("Retry-After grows with the part of requests that is refused") {
+  Fixture f;
+  Admission::PoolCapacity full{4, false, true};
+  Request request;
+  request.organisation = "ash";
+  request.request_class = RequestClass::kStream;
+  request.target = milliseconds(1);
+  request.deadline = kStart + milliseconds(1'000);
+  milliseconds last{0};
+  for (int i = 0; i < 100; ++i) {
+    ++request.id;
+    Admission::Decision refused =
+        f.admission.Offer(request, kPool, full, kStart);
+    REQUIRE(refused.disposition == Disposition::kRefuse);
+    CHECK(refused.retry_after >= last);
+    last = refused.retry_after;
+  }
+  CHECK(last == milliseconds(8'000));
+}
+
+// Guards against requests that wait so long that the server's own time makes
+// them late, and against rejecting a late request that spare room can serve.
+TEST_CASE("late requests wait behind the others for spare room") {
+  Fixture f;
+  Admission::PoolCapacity full{4, false, true};
+  f.admission.RecordFirstEvent(kPool, 0, milliseconds(80), false);
+  auto offer = [&] {
+    return f
+        .Offer("ash", RequestClass::kStream, milliseconds(5'000), full,
+               milliseconds(200))
+        .disposition;
+  };
+  // One request ends every 25 ms and 60 ms are left for waiting, so the third
+  // is late, which holds it for up to 800 ms.
+  for (int i = 0; i < 4; ++i) CHECK(offer() == Disposition::kQueue);
+  TimePoint now = kStart + milliseconds(61);
+  CHECK(f.admission.StartNext(kPool, kStart) == 1);
+  CHECK(f.admission.FindPredictedMisses(kPool, 4, now).empty());
+  // All are late now, and the first place is that of a new request.
+  CHECK_FALSE(f.admission.StartNext(kPool, now));
+  f.Offer("elm", RequestClass::kStream, milliseconds(5'000), full,
+          milliseconds(200));
+  CHECK(f.admission.StartNext(kPool, now) == 5);
+  CHECK(f.admission.StartNext(kPool, now, /*has_spare=*/true).has_value());
+  // Those that found no room are refused, and no others are held.
+  now = kStart + milliseconds(2'000);
+  CHECK(f.admission.FindPredictedMisses(kPool, 4, now).size() == 2);
+}
+
+// Guards against limits of organisations that are rounded down at each of many
+// daemons, which leaves a part of them unused.
+TEST_CASE("in-flight limits of many daemons add up to that of the fleet") {
+  constexpr int kDaemons = 84;
+  int admitted = 0;
+  std::mt19937_64 random(3);
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    Admission admission(100, random());
+    admission.SetOrganisations({{"ash", {"ash", 1.0, 150, 30}}});
+    admission.SetDaemonCount(kDaemons);
+    Request request;
+    request.organisation = "ash";
+    request.deadline = kStart + milliseconds(1'000);
+    auto runs = [&] {
+      ++request.id;
+      return admission.Offer(request, kPool, {100, true}, kStart).disposition ==
+             Disposition::kRun;
+    };
+    while (runs()) ++admitted;
+  }
+  CHECK(admitted == doctest::Approx(150).epsilon(0.1));
+}
+
 }  // namespace
 }  // namespace clementine
