Tell backend servers the priority of requests that share a service

Cause: requests that wait at a backend server were served in the order of arrival, whatever their priority. Change: RouteTable::ForwardedPriority: 3 x priority, at most 9, where the routes of a service, or the organisations that may use them, have more than one priority. Services with one priority get no header, as before. Test: route table case for services with one and several priorities; "*relay*,*route table*,*priority*" pass.

--- a/core/route_table.cc
+++ b/core/route_table.cc
@@ -14,6 +14,10 @@
 /// fleet's configuration has no such limits, so the value is high enough never
 /// to be reached; RequestPath divides capacity between organisations by weight.
 constexpr int kMaxOrganisationRequests = 100'000;
+/// Backend servers take priorities of 0 to 9. The distance lets them tell
+/// neighbouring priorities of the configuration apart.
+constexpr int kForwardedPriorityStep = 3;
+constexpr int kMaxForwardedPriority = 9;
 
 std::string HostName(std::string_view host) {
   std::string name(host.substr(0, host.find(':')));
@@ -37,6 +41,28 @@
       m_keys[key] = &organisation;
     }
   }
+  for (const RouteRule& route : m_configuration.routes) {
+    std::set<int> priorities = {route.priority};
+    for (const FleetOrganisation& organisation :
+         m_configuration.organisations) {
+      if (!route.is_public && organisation.priority) {
+        priorities.insert(*organisation.priority);
+      }
+    }
+    for (const ServiceShare& share : route.shares) {
+      m_priorities[share.service].insert(priorities.begin(), priorities.end());
+    }
+  }
+}
+
+std::optional<int> RouteTable::ForwardedPriority(const std::string& service,
+                                                 int priority) const {
+  auto found = m_priorities.find(service);
+  if (found == m_priorities.end() || found->second.size() < 2) {
+    return std::nullopt;
+  }
+  int level = std::clamp(priority, 0, kMaxForwardedPriority);
+  return std::min(kMaxForwardedPriority, kForwardedPriorityStep * level);
 }
 
 RouteTable::Match RouteTable::Find(std::string_view host, std::string_view path,
--- a/core/route_table.h
+++ b/core/route_table.h
@@ -3,6 +3,8 @@
 #define CORE_ROUTE_TABLE_H_
 
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -43,6 +45,13 @@
   static const std::string& PickService(const RouteRule& route,
                                         std::uint64_t random);
 
+  /// Value of the priority header for backend servers of a service: 0 to 9,
+  /// where 0 is served first. Empty if all requests of the service have one
+  /// priority, so that its servers see no difference.
+  /// @param priority Of the request; 0 is the most urgent.
+  std::optional<int> ForwardedPriority(const std::string& service,
+                                       int priority) const;
+
   const FleetConfiguration& configuration() const { return m_configuration; }
 
  private:
@@ -51,6 +60,7 @@
   FleetConfiguration m_configuration;
   std::unordered_map<std::string, Prefixes> m_hosts;
   std::unordered_map<std::string, const FleetOrganisation*> m_keys;
+  std::unordered_map<std::string, std::set<int>> m_priorities;  ///< By service.
 };
 
 /// Converts the configuration to the form that RequestPath takes. Models are
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -65,6 +65,7 @@
   const RouteRule* route = nullptr;
   Request request;
   std::string forwarded_organisation;  ///< Empty if none is sent to servers.
+  std::string service;                 ///< Chosen for this request.
   std::shared_ptr<const std::string> body;
   TimePoint arrived;
   TimePoint first_event;
@@ -176,6 +177,7 @@
   }
   const std::string& service =
       RouteTable::PickService(*caller->route, m_random());
+  caller->service = service;
   if (caller->headers.model.empty()) {
     read.service = service;
   } else {
@@ -275,6 +277,8 @@
   info.host = m_head_hosts[dispatch.group];
   info.organisation = caller.forwarded_organisation;
   info.remaining = remaining;
+  info.priority =
+      caller.routes->ForwardedPriority(caller.service, caller.request.priority);
   if (caller.stream.events() > 0) info.resume_after = caller.stream.last_id();
   call.headers = platform::ForwardHeaders(http.headers, info);
   call.event_stream = caller.route->kind == RouteKind::kStream;
--- a/testing/route_table_test.cc
+++ b/testing/route_table_test.cc
@@ -80,4 +80,30 @@
   CHECK(b == 100);
 }
 
+// Guards against servers that serve requests of different priorities alike, and
+// against a header for services whose requests all have the same priority.
+TEST_CASE("a priority is forwarded only where a service has several") {
+  FleetConfiguration configuration;
+  auto add = [&](const char* host, const char* service, int priority) {
+    RouteRule route;
+    route.host = host;
+    route.path_prefix = "/";
+    route.priority = priority;
+    route.shares = {{service, 1.0}};
+    configuration.routes.push_back(route);
+  };
+  add("a.example", "desk", 1);
+  add("b.example", "desk", 2);
+  add("c.example", "shop", 2);
+  CHECK(RouteTable(configuration).ForwardedPriority("desk", 1) == 3);
+  CHECK(RouteTable(configuration).ForwardedPriority("desk", 2) == 6);
+  CHECK(RouteTable(configuration).ForwardedPriority("desk", 2'000'000'000) ==
+        9);
+  CHECK(RouteTable(configuration).ForwardedPriority("desk", -1) == 0);
+  CHECK_FALSE(RouteTable(configuration).ForwardedPriority("shop", 2));
+  CHECK_FALSE(RouteTable(configuration).ForwardedPriority("none", 2));
+  configuration.organisations.push_back({"ash", {"key"}, 0});
+  CHECK(RouteTable(configuration).ForwardedPriority("shop", 2) == 6);
+}
+
 }  // namespace clementine
