Spread requests with targets over more groups

Cause: a daemon of the relay knows of a group's load only what it sent there itself. Of a sample of 4 it often takes a group that it uses already, and it sends requests behind its own long prompts. Change: pools whose requests have targets sample 16 groups. Prompt tokens of own attempts without a first event count as load, 1,000 like one request. Other pools sample 4 groups and don't count prompts, as before.

--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -140,6 +140,10 @@
   active->survived_start = false;
   m_attempts[active->attempt] = active->request.id;
   m_router.OnAttemptStarted(group);
+  if (active->request.target > milliseconds(0)) {
+    active->waiting_prompt_tokens = active->request.prompt_tokens;
+    group->waiting_prompt_tokens += active->waiting_prompt_tokens;
+  }
   if (active->attempts++ == 0) {
     m_budget.OnFirstAttempt(active->request.organisation, m_now);
   } else {
@@ -228,9 +232,15 @@
   active->group = nullptr;
 }
 
+void RequestPath::Impl::EndPromptWait(ActiveRequest* active) {
+  active->group->waiting_prompt_tokens -=
+      std::exchange(active->waiting_prompt_tokens, 0);
+}
+
 // Removes the running attempt from m_attempts and from its group.
 void RequestPath::Impl::ReleaseAttempt(ActiveRequest* active) {
   m_attempts.erase(active->attempt);
+  EndPromptWait(active);
   RoutedGroup* group = active->group;
   ReleaseGroup(active);
   m_router.OnAttemptEnded(group);
@@ -254,6 +264,7 @@
         std::chrono::duration_cast<milliseconds>(m_now - active.dispatched_at);
     active.group->speed.AddFirstProgress(latency, m_now);
     if (active.request.target > milliseconds(0)) {
+      EndPromptWait(&active);
       m_router.OnFirstEvent(active.pool, latency, active.request.target, m_now);
       m_admission.RecordFirstEvent(
           active.pool->id, active.request.priority, latency,
@@ -601,6 +612,7 @@
 
 void RequestPath::Impl::DetachAttempt(ActiveRequest* active) {
   m_attempts.erase(active->attempt);
+  EndPromptWait(active);
   m_detached[active->attempt] = {
       active->request.id,     active->group,
       BlamableKeys(*active),  active->group_and_epoch,
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -81,6 +81,8 @@
     TimePoint first_progress_at;
     TimePoint last_progress_at;
     std::uint64_t first_offset = 0;
+    /// Counted in RoutedGroup::waiting_prompt_tokens.
+    std::uint64_t waiting_prompt_tokens = 0;
     /// The running attempt has gone on after the beginning of its answer.
     bool survived_start = false;
     TimePoint wake_at;  ///< Entry in m_timers.
@@ -153,6 +155,8 @@
   /// @return False while the suspect still waits.
   bool AdvanceIsolation(ActiveRequest* active);
   void ReleaseAttempt(ActiveRequest* active);
+  /// The running attempt has its first event, or ends.
+  void EndPromptWait(ActiveRequest* active);
   void ReleaseGroup(ActiveRequest* active);
   void RecordMeasurements(const ActiveRequest& active, AttemptResult result);
   const RoutedGroup* FindLastGroup(const ActiveRequest& active) const;
--- a/core/router.cc
+++ b/core/router.cc
@@ -7,8 +7,10 @@
 // The cost of a group is its load relative to its capacity, multiplied by its
 // slowness, plus a term for the fraction of the prompt that it doesn't have
 // cached, plus penalties for a nearly full KV cache and for a group whose
-// maximum number of requests is reached by this daemon's requests alone. The
-// weight of the load of other daemons decays with the age of the load report.
+// maximum number of requests is reached by this daemon's requests alone. Where
+// requests have latency targets, prompts of this daemon that wait for their
+// first event count as load. The weight of the load of other daemons decays with
+// the age of the load report.
 //
 // Groups in the local data centre are preferred. Remote groups are used when
 // this daemon's share of the local capacity is in use.
@@ -40,6 +42,13 @@
 // Fraction of the capacity of other data centres that may be used.
 constexpr double kRemoteCapacityFraction = 0.5;
 constexpr std::chrono::seconds kSlownessUpdateInterval{1};
+// Sample where requests have latency targets: the requests of this daemon are
+// all that it knows of the groups' load, and a larger sample spreads them more
+// evenly.
+constexpr std::size_t kLargeSampleSize = 16;
+// Prompt tokens that have to be processed before a request delay it like one
+// more request in its group.
+constexpr double kPromptTokensPerRequest = 1'000.0;
 // A limit is logged when its margin has moved by this much, at most once per
 // interval.
 constexpr double kLoggedMarginChange = 0.5;
@@ -372,6 +381,7 @@
   if (m_policy) {
     return PickByPolicy(request, pool, avoid);
   }
+  std::size_t sample = pool.limit ? kLargeSampleSize : kSampleSize;
   bool prefer_remote = IsLocalFull(pool) && !pool.remote.empty();
   for (bool remote : {prefer_remote, !prefer_remote}) {
     double cost = 0.0;
@@ -379,7 +389,7 @@
         FindBestCached(request, pool, remote, avoid, &cost, now);
     double sample_cost = 0.0;
     RoutedGroup* sampled = PickBestOfSample(remote ? pool.remote : pool.local,
-                                            avoid, &sample_cost, now);
+                                            sample, avoid, &sample_cost, now);
     if (sampled != nullptr && (cached == nullptr || sample_cost < cost)) {
       return sampled;
     }
@@ -396,7 +406,9 @@
     std::chrono::duration<double> age = now - group.measured_at;
     other_load = group.other_load * std::exp2(-age / kReportHalfLife);
   }
-  return (group.in_flight + other_load + 1.0) / Capacity(group);
+  double prompts = static_cast<double>(group.waiting_prompt_tokens) /
+                   kPromptTokensPerRequest;
+  return (group.in_flight + other_load + prompts + 1.0) / Capacity(group);
 }
 
 double Router::Cost(const RoutedGroup& group, double cached_fraction,
@@ -413,6 +425,7 @@
 }
 
 RoutedGroup* Router::PickBestOfSample(const std::vector<RoutedGroup*>& list,
+                                      std::size_t sample,
                                       const RoutedGroup* avoid, double* cost,
                                       TimePoint now) {
   RoutedGroup* best = nullptr;
@@ -430,9 +443,9 @@
     return nullptr;
   }
   std::size_t start = m_random() % list.size();
-  if (list.size() > kSampleSize) {
+  if (list.size() > sample) {
     consider(list[start]);
-    for (std::size_t i = 1; i < kSampleSize; ++i) {
+    for (std::size_t i = 1; i < sample; ++i) {
       consider(list[m_random() % list.size()]);
     }
   }
@@ -440,7 +453,7 @@
   for (std::size_t i = 0; i < list.size() && best == nullptr; ++i) {
     consider(list[(start + i) % list.size()]);
   }
-  if (list.size() <= kSampleSize) {
+  if (list.size() <= sample) {
     for (std::size_t i = 0; i < list.size(); ++i) {
       consider(list[(start + i) % list.size()]);
     }
--- a/core/router.h
+++ b/core/router.h
@@ -29,7 +29,9 @@
   /// The backoff of its server has ended (ServerBackoff::State::kHalfOpen):
   /// runs one request at a time until the server has accepted one.
   bool half_open = false;
-  int in_flight = 0;        ///< Attempts of this daemon.
+  int in_flight = 0;  ///< Attempts of this daemon.
+  /// Prompt tokens of this daemon's attempts that have no first event yet.
+  std::uint64_t waiting_prompt_tokens = 0;
   double other_load = 0.0;  ///< Requests of other daemons in the last report.
   double kv_used = 0.0;
   TimePoint measured_at;  ///< Time of the last load report.
@@ -153,8 +155,8 @@
   /// Returns the cheapest group of a random sample of a list, or null.
   /// @param cost Set to the cost of the returned group.
   RoutedGroup* PickBestOfSample(const std::vector<RoutedGroup*>& list,
-                                const RoutedGroup* avoid, double* cost,
-                                TimePoint now);
+                                std::size_t sample, const RoutedGroup* avoid,
+                                double* cost, TimePoint now);
   /// Returns the cheapest group among those that have the longest prefix of the
   /// prompt cached, or null.
   /// @param cost Set to the cost of the returned group.
--- a/testing/decision_bench.cc
+++ b/testing/decision_bench.cc
@@ -58,7 +58,8 @@
          rounds;
 }
 
-double MeasurePick(int groups, RoutePolicy policy) {
+/// @param targets Whether the requests have latency targets.
+double MeasurePick(int groups, RoutePolicy policy, bool targets = false) {
   Router router("east", 1, std::move(policy));
   router.SetGroups(MakeGroups(groups));
   Request request;
@@ -68,6 +69,7 @@
     router.ApplyCacheEvents({"chat/1", block, {block}, {}});
   }
   Pool* pool = router.FindPool(request);
+  if (targets) router.SteerLimit(pool);
   TimePoint start = std::chrono::steady_clock::now();
   for (int i = 0; i < kRounds; ++i) {
     RoutedGroup* group = router.Pick(request, *pool, nullptr, start);
@@ -141,9 +143,10 @@
 int main() {
   for (int groups : {3, 42, 375}) {
     std::printf(
-        "pick groups=%d weighted_ns=%.0f round_robin_ns=%.0f "
+        "pick groups=%d weighted_ns=%.0f targets_ns=%.0f round_robin_ns=%.0f "
         "least_in_flight_ns=%.0f\n",
         groups, clementine::MeasurePick(groups, {}),
+        clementine::MeasurePick(groups, {}, /*targets=*/true),
         clementine::MeasurePick(groups, clementine::RoundRobinPolicy()),
         clementine::MeasurePick(groups, clementine::LeastInFlightPolicy()));
   }
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -252,5 +252,19 @@
   }
 }
 
+// Guards against sending requests behind the long prompts of earlier ones, and
+// against few daemons that spread their requests unevenly.
+TEST_CASE("router with targets spreads requests and avoids waiting prompts") {
+  Router router("", 1, {});
+  router.SetGroups(MakeGroups(16));
+  Request request = ChatRequest();
+  Pool& pool = *router.FindPool(request);
+  router.SteerLimit(&pool);
+  pool.remote[3]->waiting_prompt_tokens = 8'000;
+  std::map<std::string, int> counts = PickMany(&router, request, 60);
+  CHECK(counts.count(pool.remote[3]->view.group) == 0);
+  for (const auto& [name, count] : counts) CHECK(count == 4);
+}
+
 }  // namespace
 }  // namespace clementine
