--- a/core/router.cc
+++ b/core/router.cc
@@ -9,8 +9,8 @@
 // cached, plus penalties for a nearly full KV cache and for a group whose
 // maximum number of requests is reached by this daemon's requests alone. Where
 // requests have latency targets, prompts of this daemon that wait for their
-// first event count as load. The weight of the load of other daemons decays with
-// the age of the load report.
+// first event count as load. The weight of the load of other daemons decays
+// with the age of the load report.
 //
 // Groups in the local data centre are preferred. Remote groups are used when
 // this daemon's share of the local capacity is in use.
--- a/testing/capacity_limit_test.cc
+++ b/testing/capacity_limit_test.cc
@@ -44,9 +44,10 @@
   bool measured = false;
 };
 
+template <typename Group>
 struct End {
   double at = 0.0;
-  int group = 0;
+  Group* group = nullptr;
   int daemon = 0;
   bool operator>(const End& other) const { return at > other.at; }
 };
@@ -54,78 +55,110 @@
 /// Poisson arrivals at random daemons and exponential service times. A request
 /// goes to the group with the fewest requests, so that only the limit is
 /// tested and not the choice of the group.
-/// @param ideal A single queue before all slots, whose requests leave it when
-///     they can't meet their target any more; no limits.
-Results Play(const Fleet& fleet, double load, bool ideal) {
-  std::mt19937_64 random(7);
-  int all_slots = fleet.groups * fleet.slots;
-  int groups = ideal ? 1 : fleet.groups;
-  int slots = ideal ? all_slots : fleet.slots;
-  double fair_share = static_cast<double>(all_slots) / fleet.daemons;
-  std::vector<CapacityLimit> limits;
-  for (int i = 0; i < fleet.daemons; ++i) limits.emplace_back(random());
-  std::vector<int> in_flight(static_cast<std::size_t>(fleet.daemons));
-  std::vector<int> running(static_cast<std::size_t>(groups));
-  std::vector<std::deque<Waiting>> queues(static_cast<std::size_t>(groups));
-  std::priority_queue<End, std::vector<End>, std::greater<>> ends;
-  Results results;
-  std::exponential_distribution<double> gap(load * all_slots / kServiceMs);
-  std::exponential_distribution<double> service(1.0 / kServiceMs);
-  double duration = kServiceMs * (200.0 + 40.0 * fleet.daemons / all_slots);
-  auto start = [&](const Waiting& request, int group, double now) {
-    ++running[static_cast<std::size_t>(group)];
-    double first = now - request.arrived + kFirstEventMs;
-    if (request.measured && first > kTargetMs) results.late += 1.0;
-    // Told at the start rather than at the event, to keep the loop short.
-    limits[static_cast<std::size_t>(request.daemon)].OnFirstEvent(
-        milliseconds(static_cast<int>(first)),
-        milliseconds(static_cast<int>(kTargetMs)), fair_share, At(now));
-    ends.push({now + service(random), group, request.daemon});
-  };
-  for (double now = gap(random); now < duration; now += gap(random)) {
-    while (!ends.empty() && ends.top().at <= now) {
-      End end = ends.top();
-      ends.pop();
-      auto& queue = queues[static_cast<std::size_t>(end.group)];
-      --running[static_cast<std::size_t>(end.group)];
-      --in_flight[static_cast<std::size_t>(end.daemon)];
-      while (!queue.empty()) {
-        Waiting next = queue.front();
-        queue.pop_front();
-        if (ideal && end.at - next.arrived + kFirstEventMs > kTargetMs) {
-          results.rejected += next.measured ? 1.0 : 0.0;
-          --in_flight[static_cast<std::size_t>(next.daemon)];
-          continue;
-        }
-        start(next, end.group, end.at);
-        break;
-      }
-    }
-    auto daemon = static_cast<std::size_t>(
-        random() % static_cast<std::uint64_t>(fleet.daemons));
-    Waiting request{now, static_cast<int>(daemon), now > duration / 2.0};
-    results.requests += request.measured ? 1.0 : 0.0;
-    if (!ideal &&
-        in_flight[daemon] >= limits[daemon].RoundedLimit(fair_share, At(now))) {
-      results.rejected += request.measured ? 1.0 : 0.0;
-      continue;
+class Play {
+ public:
+  /// @param load Arriving work divided by the capacity.
+  /// @param ideal A single queue before all slots, whose requests leave it when
+  ///     they can't meet their target any more; no limits.
+  Play(const Fleet& fleet, double load, bool ideal)
+      : m_ideal(ideal),
+        m_all_slots(fleet.groups * fleet.slots),
+        m_slots(ideal ? m_all_slots : fleet.slots),
+        m_fair_share(static_cast<double>(m_all_slots) / fleet.daemons),
+        m_gap(load * m_all_slots / kServiceMs),
+        m_service(1.0 / kServiceMs),
+        m_in_flight(static_cast<std::size_t>(fleet.daemons)),
+        m_groups(ideal ? 1U : static_cast<std::size_t>(fleet.groups)) {
+    for (int i = 0; i < fleet.daemons; ++i) m_limits.emplace_back(m_random());
+  }
+
+  Results Run() {
+    double duration = kServiceMs * (200.0 + 40.0 / m_fair_share);
+    for (double now = m_gap(m_random); now < duration; now += m_gap(m_random)) {
+      while (!m_ends.empty() && m_ends.top().at <= now) OnEnd();
+      auto daemon = static_cast<int>(m_random() % m_limits.size());
+      OnArrival({now, daemon, now > duration / 2.0});
     }
-    ++in_flight[daemon];
-    std::size_t group = 0;
-    for (std::size_t i = 1; i < queues.size(); ++i) {
-      auto load_of = [&](std::size_t g) {
-        return running[g] + static_cast<int>(queues[g].size());
-      };
-      if (load_of(i) < load_of(group)) group = i;
+    return m_results;
+  }
+
+ private:
+  struct Group {
+    int running = 0;
+    std::deque<Waiting> queue;
+
+    int load() const { return running + static_cast<int>(queue.size()); }
+  };
+
+  int& InFlight(int daemon) {
+    return m_in_flight[static_cast<std::size_t>(daemon)];
+  }
+  CapacityLimit& Limit(int daemon) {
+    return m_limits[static_cast<std::size_t>(daemon)];
+  }
+
+  void OnArrival(const Waiting& request) {
+    double now = request.arrived;
+    m_results.requests += request.measured ? 1.0 : 0.0;
+    int limit = Limit(request.daemon).RoundedLimit(m_fair_share, At(now));
+    if (!m_ideal && InFlight(request.daemon) >= limit) {
+      m_results.rejected += request.measured ? 1.0 : 0.0;
+      return;
     }
-    if (running[group] < slots) {
-      start(request, static_cast<int>(group), now);
+    ++InFlight(request.daemon);
+    auto group = std::min_element(
+        m_groups.begin(), m_groups.end(),
+        [](const Group& a, const Group& b) { return a.load() < b.load(); });
+    if (group->running < m_slots) {
+      Start(request, &*group, now);
     } else {
-      queues[group].push_back(request);
+      group->queue.push_back(request);
     }
   }
-  return results;
-}
+
+  void Start(const Waiting& request, Group* group, double now) {
+    ++group->running;
+    double first = now - request.arrived + kFirstEventMs;
+    if (request.measured && first > kTargetMs) m_results.late += 1.0;
+    // Told at the start rather than at the event, to keep the loop short.
+    Limit(request.daemon)
+        .OnFirstEvent(milliseconds(static_cast<int>(first)),
+                      milliseconds(static_cast<int>(kTargetMs)), m_fair_share,
+                      At(now));
+    m_ends.push({now + m_service(m_random), group, request.daemon});
+  }
+
+  void OnEnd() {
+    End<Group> end = m_ends.top();
+    m_ends.pop();
+    --end.group->running;
+    --InFlight(end.daemon);
+    while (!end.group->queue.empty()) {
+      Waiting next = end.group->queue.front();
+      end.group->queue.pop_front();
+      if (!m_ideal || end.at - next.arrived + kFirstEventMs <= kTargetMs) {
+        Start(next, end.group, end.at);
+        return;
+      }
+      m_results.rejected += next.measured ? 1.0 : 0.0;
+      --InFlight(next.daemon);
+    }
+  }
+
+  bool m_ideal;
+  int m_all_slots;
+  int m_slots;
+  double m_fair_share;
+  std::mt19937_64 m_random{7};
+  std::exponential_distribution<double> m_gap;
+  std::exponential_distribution<double> m_service;
+  std::vector<CapacityLimit> m_limits;
+  std::vector<int> m_in_flight;
+  std::vector<Group> m_groups;
+  std::priority_queue<End<Group>, std::vector<End<Group>>, std::greater<>>
+      m_ends;
+  Results m_results;
+};
 
 // Guards against daemons that reject requests while the fleet has room, because
 // each may use only a fixed share of it.
@@ -137,8 +170,8 @@
         CAPTURE(daemons);
         CAPTURE(load);
         CAPTURE(groups);
-        CHECK(Play(fleet, load, false).Lost() <=
-              Play(fleet, load, true).Lost() + 0.02);
+        CHECK(Play(fleet, load, false).Run().Lost() <=
+              Play(fleet, load, true).Run().Lost() + 0.02);
       }
     }
   }
@@ -153,8 +186,8 @@
       Fleet fleet{daemons, 2, 20};
       CAPTURE(daemons);
       CAPTURE(load);
-      CHECK(Play(fleet, load, false).Lost() <=
-            Play(fleet, load, true).Lost() + (load < 0.9 ? 0.05 : 0.16));
+      CHECK(Play(fleet, load, false).Run().Lost() <=
+            Play(fleet, load, true).Run().Lost() + (load < 0.9 ? 0.05 : 0.16));
     }
   }
 }
@@ -164,7 +197,7 @@
 TEST_CASE("limits reject at once when the whole fleet is full") {
   for (int daemons : {1, 6, 84, 195, 980}) {
     for (double load : {1.2, 2.0}) {
-      Results results = Play({daemons, 10, 20}, load, false);
+      Results results = Play({daemons, 10, 20}, load, false).Run();
       CAPTURE(daemons);
       CAPTURE(load);
       CHECK(results.late / (results.requests - results.rejected) < 0.21);
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -569,5 +569,35 @@
   CHECK(f.path.stats().in_flight == 100);
 }
 
+// Guards against a limit that doesn't hear the answers: a pool whose requests
+// have targets must use more than the rounded-down share while answers are in
+// time, and less as soon as they are late.
+TEST_CASE("first events of requests with targets steer the limit") {
+  Fixture f;
+  f.Feed(DaemonsChanged{4, 0.0});
+  auto run = [&](milliseconds first_event) {
+    Request request = f.MakeRequest();
+    request.target = milliseconds(250);
+    AttemptId attempt = f.SendRequest(request).attempt;
+    f.now += first_event;
+    f.Feed(AttemptProgress{attempt, 1});
+    AttemptEnded end;
+    end.attempt = attempt;
+    end.result = AttemptResult::kComplete;
+    f.Feed(end);
+  };
+  CHECK(f.path.stats().limits.empty());
+  for (int i = 0; i < 20; ++i) run(milliseconds(100));
+  REQUIRE(f.path.stats().limits.size() == 1);
+  f.Feed(Tick{});
+  CHECK(f.SingleAction<LogDecision>().event == "capacity_limit");
+  PoolLimitStats in_time = f.path.stats().limits[0];
+  CHECK(in_time.limit > in_time.fair_share);
+  CHECK(in_time.margin > 2.0);
+  for (int i = 0; i < 5; ++i) run(milliseconds(300));
+  CHECK(f.path.stats().limits[0].margin == 0.0);
+  CHECK(f.path.stats().limits[0].late == 5);
+}
+
 }  // namespace
 }  // namespace clementine
