Leave prompts that are too long for their target out of the limit

Cause: a first event that is late because of its long prompt lowered the margin like one that waited. With more than one such request in ten the limit would stay at the fair share while the fleet has room. Change: core/first_event_times keeps the low envelope of the times from dispatch to first event by length of the prompt. Where it exceeds the target, first events don't move the limit.

--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -265,7 +265,8 @@
     active.group->speed.AddFirstProgress(latency, m_now);
     if (active.request.target > milliseconds(0)) {
       EndPromptWait(&active);
-      m_router.OnFirstEvent(active.pool, latency, active.request.target, m_now);
+      m_router.OnFirstEvent(active.pool, active.request.prompt_tokens, latency,
+                            active.request.target, m_now);
       m_admission.RecordFirstEvent(
           active.pool->id, active.request.priority, latency,
           m_now - active.arrived_at > active.request.target);
--- a/core/router.cc
+++ b/core/router.cc
@@ -325,9 +325,12 @@
   if (!pool->limit) pool->limit.emplace(std::mt19937_64(m_seed + pool->id)());
 }
 
-void Router::OnFirstEvent(Pool* pool, milliseconds latency, milliseconds target,
+void Router::OnFirstEvent(Pool* pool, std::uint32_t prompt_tokens,
+                          milliseconds latency, milliseconds target,
                           TimePoint now) {
-  if (pool->limit) {
+  if (!pool->limit) return;
+  pool->first_events.Add(prompt_tokens, latency);
+  if (!pool->first_events.ExceedsTarget(prompt_tokens, target)) {
     pool->limit->OnFirstEvent(latency, target, FairShare(*pool), now);
   }
 }
--- a/core/router.h
+++ b/core/router.h
@@ -12,6 +12,7 @@
 
 #include "core/capacity_limit.h"
 #include "core/core.h"
+#include "core/first_event_times.h"
 #include "core/prefix_cache.h"
 #include "core/server_backoff.h"
 #include "core/straggler.h"
@@ -61,6 +62,7 @@
   /// Set if requests of this pool have latency targets. Without it, the limit
   /// is this daemon's share of the capacity.
   std::optional<CapacityLimit> limit;
+  FirstEventTimes first_events;
   double logged_margin = 0.0;  ///< Margin in the last log line.
   TimePoint logged_at;
 
@@ -110,9 +112,11 @@
   bool HasSpareRoom(const Pool& pool, TimePoint now) const;
   /// Steers the limit of a pool by the results of its requests from now on.
   void SteerLimit(Pool* pool);
-  /// Adds a measurement for the limit of a pool; see CapacityLimit.
-  void OnFirstEvent(Pool* pool, milliseconds latency, milliseconds target,
-                    TimePoint now);
+  /// Adds a measurement for the limit of a pool; see CapacityLimit. The first
+  /// event of a prompt that is too long for its target at any load says nothing
+  /// about the load, and doesn't move the limit.
+  void OnFirstEvent(Pool* pool, std::uint32_t prompt_tokens,
+                    milliseconds latency, milliseconds target, TimePoint now);
   void OnServerFull(Pool* pool, TimePoint now);
   /// Advances the limits of all pools.
   /// @return Log lines of limits that have moved considerably.
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -266,5 +266,29 @@
   for (const auto& [name, count] : counts) CHECK(count == 4);
 }
 
+// Guards against a limit that falls, and makes the daemon reject requests, on
+// answers that are late because of their long prompts while servers are free;
+// and against ignoring late answers to short prompts or in a full pool.
+TEST_CASE("only lateness that comes from the load lowers the limit") {
+  Router router("", 1, {});
+  router.SetGroups(MakeGroups(16));
+  Request request = ChatRequest();
+  Pool& pool = *router.FindPool(request);
+  router.SteerLimit(&pool);
+  auto add = [&](int count, std::uint32_t tokens, int latency) {
+    for (int i = 0; i < count; ++i) {
+      router.OnFirstEvent(&pool, tokens, milliseconds(latency),
+                          milliseconds(250), kStart);
+    }
+  };
+  add(5, 20'000, 400);
+  add(200, 500, 180);
+  CHECK(pool.limit->margin() == CapacityLimit::kMaxMargin);
+  add(100, 20'000, 400);
+  CHECK(pool.limit->margin() == CapacityLimit::kMaxMargin);
+  add(50, 500, 300);
+  CHECK(pool.limit->margin() == 0.0);
+}
+
 }  // namespace
 }  // namespace clementine
