--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -73,6 +73,7 @@
   const std::string& host = active.group->view.head_host;
   milliseconds wait = RequestedBackoff(event.status, event.retry_after);
   if (wait > milliseconds(0)) {
+    m_router.OnServerFull(active.pool, m_now);
     On(ServerBusy{host, wait});
   } else if (!ProvesNotRun(event.result)) {
     // A broken, timed-out or crashed attempt counts as accepted as well: its
@@ -160,6 +161,10 @@
   active->survived_start = false;
   m_attempts[active->attempt] = active->request.id;
   m_router.OnAttemptStarted(group, m_now);
+  if (active->request.target > milliseconds(0)) {
+    active->waiting_prompt_tokens = active->request.prompt_tokens;
+    group->waiting_prompt_tokens += active->waiting_prompt_tokens;
+  }
   if (active->attempts++ == 0) {
     m_budget.OnFirstAttempt(active->request.organisation, m_now);
   } else {
@@ -249,9 +254,15 @@
   active->group = nullptr;
 }
 
+void RequestPath::Impl::EndPromptWait(ActiveRequest* active) {
+  active->group->waiting_prompt_tokens -=
+      std::exchange(active->waiting_prompt_tokens, 0);
+}
+
 // Removes the running attempt from m_attempts and from its group.
 void RequestPath::Impl::ReleaseAttempt(ActiveRequest* active) {
   m_attempts.erase(active->attempt);
+  EndPromptWait(active);
   RoutedGroup* group = active->group;
   ReleaseGroup(active);
   m_router.OnAttemptEnded(group);
@@ -271,9 +282,17 @@
     m_router.OnRequestAccepted(active.group->view.head_host);
     active.first_progress_at = m_now;
     active.first_offset = event.offset;
-    active.group->speed.AddFirstProgress(
-        std::chrono::duration_cast<milliseconds>(m_now - active.dispatched_at),
-        m_now);
+    auto latency =
+        std::chrono::duration_cast<milliseconds>(m_now - active.dispatched_at);
+    active.group->speed.AddFirstProgress(latency, m_now);
+    if (active.request.target > milliseconds(0)) {
+      EndPromptWait(&active);
+      m_router.OnFirstEvent(active.pool, active.request.prompt_tokens, latency,
+                            active.request.target, m_now);
+      m_admission.RecordFirstEvent(
+          active.pool->id, active.request.priority, latency,
+          m_now - active.arrived_at > active.request.target);
+    }
   }
   active.offset = event.offset;
   active.last_progress_at = m_now;
@@ -616,6 +635,7 @@
 
 void RequestPath::Impl::DetachAttempt(ActiveRequest* active) {
   m_attempts.erase(active->attempt);
+  EndPromptWait(active);
   m_detached[active->attempt] = {
       active->request.id,     active->group,
       BlamableKeys(*active),  active->group_and_epoch,
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -52,7 +52,7 @@
       m_random(m_options.seed),
       m_router(m_options.data_centre, m_options.seed + 1,
                m_options.route_policy),
-      m_admission(m_options.max_queued),
+      m_admission(m_options.max_queued, std::mt19937_64(m_options.seed + 3)()),
       m_budget(IsRuleBroken("retry_budget") ? 1e9 : m_options.retry_ratio),
       m_ledger({m_options.node, m_options.incarnation, m_options.seed + 2,
                 m_options.claim_retention, !IsRuleBroken("claim_first"),
@@ -91,6 +91,7 @@
   stats.suspects = m_quarantine.size();
   stats.in_flight = m_requests.size() - m_admission.queued();
   stats.queued = m_admission.queued();
+  stats.limits = m_router.LimitStats(m_now);
   return stats;
 }
 
@@ -259,6 +260,9 @@
   }
   m_router.UpdateGroupSlowness(m_now);
   m_router.AdvanceBackoff(m_now);
+  for (LogDecision& line : m_router.AdvanceLimits(m_now)) {
+    m_actions.push_back(std::move(line));
+  }
   ExpireDetached();
   if (m_now - m_last_expiry_at < kExpiryInterval) {
     return;
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -75,11 +75,14 @@
     /// avoids.
     std::string last_group;
     std::uint64_t offset = 0;  ///< Tokens or bytes delivered to the caller.
+    TimePoint arrived_at;
     TimePoint admitted_at;
     TimePoint dispatched_at;
     TimePoint first_progress_at;
     TimePoint last_progress_at;
     std::uint64_t first_offset = 0;
+    /// Counted in RoutedGroup::waiting_prompt_tokens.
+    std::uint64_t waiting_prompt_tokens = 0;
     /// The running attempt has gone on after the beginning of its answer.
     bool survived_start = false;
     TimePoint wake_at;  ///< Entry in m_timers.
@@ -153,6 +156,8 @@
   bool AdvanceIsolation(ActiveRequest* active);
   bool AwaitColdStart(ActiveRequest* active);
   void ReleaseAttempt(ActiveRequest* active);
+  /// The running attempt has its first event, or ends.
+  void EndPromptWait(ActiveRequest* active);
   void ReleaseGroup(ActiveRequest* active);
   void RecordMeasurements(const ActiveRequest& active, AttemptResult result);
   const RoutedGroup* FindLastGroup(const ActiveRequest& active) const;
--- a/core/router.cc
+++ b/core/router.cc
@@ -7,8 +7,10 @@
 // The cost of a group is its load relative to its capacity, multiplied by its
 // slowness, plus a term for the fraction of the prompt that it doesn't have
 // cached, plus penalties for a nearly full KV cache and for a group whose
-// maximum number of requests is reached by this daemon's requests alone. The
-// weight of the load of other daemons decays with the age of the load report.
+// maximum number of requests is reached by this daemon's requests alone. Where
+// requests have latency targets, prompts of this daemon that wait for their
+// first event count as load. The weight of the load of other daemons decays
+// with the age of the load report.
 //
 // Groups in the local data centre are preferred. Remote groups are used when
 // this daemon's share of the local capacity is in use.
@@ -18,6 +20,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "fmt/format.h"
+
 namespace clementine {
 
 namespace {
@@ -38,6 +42,17 @@
 // Fraction of the capacity of other data centres that may be used.
 constexpr double kRemoteCapacityFraction = 0.5;
 constexpr std::chrono::seconds kSlownessUpdateInterval{1};
+// Sample where requests have latency targets: the requests of this daemon are
+// all that it knows of the groups' load, and a larger sample spreads them more
+// evenly.
+constexpr std::size_t kLargeSampleSize = 16;
+// Prompt tokens that have to be processed before a request delay it like one
+// more request in its group.
+constexpr double kPromptTokensPerRequest = 1'000.0;
+// A limit is logged when its margin has moved by this much, at most once per
+// interval.
+constexpr double kLoggedMarginChange = 0.5;
+constexpr std::chrono::seconds kLimitLogInterval{1};
 
 std::string PoolName(const std::string& service, const std::string& model,
                      const std::string& adapter) {
@@ -72,6 +87,7 @@
 
 Router::Router(std::string data_centre, std::uint64_t seed, RoutePolicy policy)
     : m_data_centre(std::move(data_centre)),
+      m_seed(seed),
       m_random(seed),
       m_policy(std::move(policy)),
       m_cache(kMaxCachedBlocks),
@@ -301,13 +317,75 @@
   return pool.get();
 }
 
-int Router::Limit(const Pool& pool) const {
+double Router::FairShare(const Pool& pool) const {
+  return m_capacity_share *
+         (pool.local_capacity + kRemoteCapacityFraction * pool.remote_capacity);
+}
+
+int Router::Limit(const Pool& pool, TimePoint now) const {
   if (pool.local_capacity + pool.remote_capacity == 0) {
     return 0;
   }
-  double capacity =
-      pool.local_capacity + kRemoteCapacityFraction * pool.remote_capacity;
-  return std::max(1, static_cast<int>(capacity * m_capacity_share));
+  double fair_share = FairShare(pool);
+  return pool.limit ? pool.limit->RoundedLimit(fair_share, now)
+                    : std::max(1, static_cast<int>(fair_share));
+}
+
+bool Router::HasSpareRoom(const Pool& pool, TimePoint now) const {
+  return pool.limit && HasRoom(pool, now) &&
+         InUse(pool) < pool.limit->SpareLimit(FairShare(pool));
+}
+
+void Router::SteerLimit(Pool* pool) {
+  if (!pool->limit) pool->limit.emplace(std::mt19937_64(m_seed + pool->id)());
+}
+
+void Router::OnFirstEvent(Pool* pool, std::uint32_t prompt_tokens,
+                          milliseconds latency, milliseconds target,
+                          TimePoint now) {
+  if (!pool->limit) return;
+  pool->first_events.Add(prompt_tokens, latency);
+  if (!pool->first_events.ExceedsTarget(prompt_tokens, target)) {
+    pool->limit->OnFirstEvent(latency, target, FairShare(*pool), now);
+  }
+}
+
+void Router::OnServerFull(Pool* pool, TimePoint now) {
+  if (pool->limit) pool->limit->OnServerFull(FairShare(*pool), now);
+}
+
+std::vector<LogDecision> Router::AdvanceLimits(TimePoint now) {
+  std::vector<LogDecision> lines;
+  for (auto& [name, pool] : m_pools) {
+    if (!pool->limit) continue;
+    pool->limit->Advance(now);
+    double margin = pool->limit->margin();
+    if (std::abs(margin - pool->logged_margin) < kLoggedMarginChange ||
+        now - pool->logged_at < kLimitLogInterval) {
+      continue;
+    }
+    pool->logged_margin = margin;
+    pool->logged_at = now;
+    lines.push_back({"capacity_limit",
+                     {{"pool", name},
+                      {"fair_share", fmt::format("{:.2f}", FairShare(*pool))},
+                      {"margin", fmt::format("{:.2f}", margin)},
+                      {"limit", std::to_string(Limit(*pool, now))},
+                      {"in_use", std::to_string(InUse(*pool))},
+                      {"reason", LimitReasonName(pool->limit->reason())}}});
+  }
+  return lines;
+}
+
+std::vector<PoolLimitStats> Router::LimitStats(TimePoint now) const {
+  std::vector<PoolLimitStats> all;
+  for (const auto& [name, pool] : m_pools) {
+    if (!pool->limit) continue;
+    all.push_back({name, FairShare(*pool), Limit(*pool, now),
+                   pool->limit->margin(), pool->limit->late(),
+                   pool->limit->full()});
+  }
+  return all;
 }
 
 bool Router::IsLocalFull(const Pool& pool) const {
@@ -342,6 +420,7 @@
   if (m_policy) {
     return PickByPolicy(request, pool, avoid, now);
   }
+  std::size_t sample = pool.limit ? kLargeSampleSize : kSampleSize;
   bool prefer_remote = IsLocalFull(pool) && !pool.remote.empty();
   for (bool remote : {prefer_remote, !prefer_remote}) {
     double cost = 0.0;
@@ -349,7 +428,7 @@
         FindBestCached(request, pool, remote, avoid, &cost, now);
     double sample_cost = 0.0;
     RoutedGroup* sampled = PickBestOfSample(remote ? pool.remote : pool.local,
-                                            avoid, &sample_cost, now);
+                                            sample, avoid, &sample_cost, now);
     if (sampled != nullptr && (cached == nullptr || sample_cost < cost)) {
       return sampled;
     }
@@ -366,7 +445,9 @@
     std::chrono::duration<double> age = now - group.measured_at;
     other_load = group.other_load * std::exp2(-age / kReportHalfLife);
   }
-  return (group.in_flight + other_load + 1.0) / Capacity(group);
+  double prompts = static_cast<double>(group.waiting_prompt_tokens) /
+                   kPromptTokensPerRequest;
+  return (group.in_flight + other_load + prompts + 1.0) / Capacity(group);
 }
 
 double Router::Cost(const RoutedGroup& group, double cached_fraction,
@@ -383,6 +464,7 @@
 }
 
 RoutedGroup* Router::PickBestOfSample(const std::vector<RoutedGroup*>& list,
+                                      std::size_t sample,
                                       const RoutedGroup* avoid, double* cost,
                                       TimePoint now) {
   RoutedGroup* best = nullptr;
@@ -400,9 +482,9 @@
     return nullptr;
   }
   std::size_t start = m_random() % list.size();
-  if (list.size() > kSampleSize) {
+  if (list.size() > sample) {
     consider(list[start]);
-    for (std::size_t i = 1; i < kSampleSize; ++i) {
+    for (std::size_t i = 1; i < sample; ++i) {
       consider(list[m_random() % list.size()]);
     }
   }
@@ -410,7 +492,7 @@
   for (std::size_t i = 0; i < list.size() && best == nullptr; ++i) {
     consider(list[(start + i) % list.size()]);
   }
-  if (list.size() <= kSampleSize) {
+  if (list.size() <= sample) {
     for (std::size_t i = 0; i < list.size(); ++i) {
       consider(list[(start + i) % list.size()]);
     }
--- a/core/router.h
+++ b/core/router.h
@@ -10,8 +10,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/capacity_limit.h"
 #include "core/cold_limit.h"
 #include "core/core.h"
+#include "core/first_event_times.h"
 #include "core/prefix_cache.h"
 #include "core/server_backoff.h"
 #include "core/straggler.h"
@@ -30,7 +32,9 @@
   /// runs one request at a time until the server has accepted one.
   bool half_open = false;
   ColdBucket cold_bucket;   ///< Used while the head is cold.
-  int in_flight = 0;        ///< Attempts of this daemon.
+  int in_flight = 0;  ///< Attempts of this daemon.
+  /// Prompt tokens of this daemon's attempts that have no first event yet.
+  std::uint64_t waiting_prompt_tokens = 0;
   double other_load = 0.0;  ///< Requests of other daemons in the last report.
   double kv_used = 0.0;
   TimePoint measured_at;  ///< Time of the last load report.
@@ -61,6 +65,12 @@
   /// End of the backoff or the cold time that ends first among the servers of
   /// this pool that get no requests for one of these reasons.
   std::optional<TimePoint> backoff_until;
+  /// Set if requests of this pool have latency targets. Without it, the limit
+  /// is this daemon's share of the capacity.
+  std::optional<CapacityLimit> limit;
+  FirstEventTimes first_events;
+  double logged_margin = 0.0;  ///< Margin in the last log line.
+  TimePoint logged_at;
 
   std::size_t size() const { return local.size() + remote.size(); }
 };
@@ -95,13 +105,30 @@
   /// Returns the pool of a request. Creates it if necessary; a pool without
   /// groups exists as long as it has users.
   Pool* FindOrCreatePool(const Request& request);
+  /// @return Requests that this daemon runs in a pool if each daemon runs its
+  ///     share of the capacity; not rounded.
+  double FairShare(const Pool& pool) const;
   /// @return Number of requests that this daemon may run concurrently in a
   /// pool.
-  int Limit(const Pool& pool) const;
-  bool HasRoom(const Pool& pool) const {
-    return pool.local_in_flight + pool.remote_in_flight + pool.reserved <
-           Limit(pool);
+  int Limit(const Pool& pool, TimePoint now) const;
+  bool HasRoom(const Pool& pool, TimePoint now) const {
+    return InUse(pool) < Limit(pool, now);
   }
+  /// Whether a request that is late may run: the room isn't needed for the
+  /// usual variance of the others. False without a steered limit.
+  bool HasSpareRoom(const Pool& pool, TimePoint now) const;
+  /// Steers the limit of a pool by the results of its requests from now on.
+  void SteerLimit(Pool* pool);
+  /// Adds a measurement for the limit of a pool; see CapacityLimit. The first
+  /// event of a prompt that is too long for its target at any load says nothing
+  /// about the load, and doesn't move the limit.
+  void OnFirstEvent(Pool* pool, std::uint32_t prompt_tokens,
+                    milliseconds latency, milliseconds target, TimePoint now);
+  void OnServerFull(Pool* pool, TimePoint now);
+  /// Advances the limits of all pools.
+  /// @return Log lines of limits that have moved considerably.
+  std::vector<LogDecision> AdvanceLimits(TimePoint now);
+  std::vector<PoolLimitStats> LimitStats(TimePoint now) const;
 
   /// @param avoid Group that must not be picked, or null.
   /// @return A group of the pool, or null if no group can take the request.
@@ -149,6 +176,9 @@
   bool HasRoomElsewhere(const Pool& pool) const;
   RoutedGroup* PickEligible(const Request& request, const Pool& pool,
                             const RoutedGroup* avoid, TimePoint now);
+  static int InUse(const Pool& pool) {
+    return pool.local_in_flight + pool.remote_in_flight + pool.reserved;
+  }
   double Load(const RoutedGroup& group, TimePoint now) const;
   /// @param cached_fraction Fraction of the prompt that the group has cached.
   double Cost(const RoutedGroup& group, double cached_fraction,
@@ -156,8 +186,8 @@
   /// Returns the cheapest group of a random sample of a list, or null.
   /// @param cost Set to the cost of the returned group.
   RoutedGroup* PickBestOfSample(const std::vector<RoutedGroup*>& list,
-                                const RoutedGroup* avoid, double* cost,
-                                TimePoint now);
+                                std::size_t sample, const RoutedGroup* avoid,
+                                double* cost, TimePoint now);
   /// Returns the cheapest group among those that have the longest prefix of the
   /// prompt cached, or null.
   /// @param cost Set to the cost of the returned group.
@@ -177,6 +207,7 @@
   void RemoveUnused();
 
   std::string m_data_centre;
+  std::uint64_t m_seed;
   std::mt19937_64 m_random;
   RoutePolicy m_policy;
   double m_capacity_share = 1.0;
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -132,7 +132,7 @@
   auto counts = PickMany(&router, ChatRequest(), 12);
   CHECK(counts["chat/0"] == 8);
   CHECK(counts["chat/1"] == 4);
-  CHECK_FALSE(router.HasRoom(*router.FindPool(ChatRequest())));
+  CHECK_FALSE(router.HasRoom(*router.FindPool(ChatRequest()), kStart));
 }
 
 // Guards against limits that the daemons together exceed.
@@ -140,11 +140,11 @@
   Router router("east", 1, {});
   router.SetGroups(MakeGroups(6));
   Pool& pool = *router.FindPool(ChatRequest());
-  CHECK(router.Limit(pool) == 48);
+  CHECK(router.Limit(pool, kStart) == 48);
   router.SetDaemonCount(6);
-  CHECK(router.Limit(pool) == 8);
+  CHECK(router.Limit(pool, kStart) == 8);
   router.SetDaemonCount(1000);
-  CHECK(router.Limit(pool) == 1);
+  CHECK(router.Limit(pool, kStart) == 1);
 }
 
 // Guards against a retry on the group that has just failed.
@@ -283,5 +283,43 @@
   }
 }
 
+// Guards against sending requests behind the long prompts of earlier ones, and
+// against few daemons that spread their requests unevenly.
+TEST_CASE("router with targets spreads requests and avoids waiting prompts") {
+  Router router("", 1, {});
+  router.SetGroups(MakeGroups(16));
+  Request request = ChatRequest();
+  Pool& pool = *router.FindPool(request);
+  router.SteerLimit(&pool);
+  pool.remote[3]->waiting_prompt_tokens = 8'000;
+  std::map<std::string, int> counts = PickMany(&router, request, 60);
+  CHECK(counts.count(pool.remote[3]->view.group) == 0);
+  for (const auto& [name, count] : counts) CHECK(count == 4);
+}
+
+// Guards against a limit that falls, and makes the daemon reject requests, on
+// answers that are late because of their long prompts while servers are free;
+// and against ignoring late answers to short prompts or in a full pool.
+TEST_CASE("only lateness that comes from the load lowers the limit") {
+  Router router("", 1, {});
+  router.SetGroups(MakeGroups(16));
+  Request request = ChatRequest();
+  Pool& pool = *router.FindPool(request);
+  router.SteerLimit(&pool);
+  auto add = [&](int count, std::uint32_t tokens, int latency) {
+    for (int i = 0; i < count; ++i) {
+      router.OnFirstEvent(&pool, tokens, milliseconds(latency),
+                          milliseconds(250), kStart);
+    }
+  };
+  add(5, 20'000, 400);
+  add(200, 500, 180);
+  CHECK(pool.limit->margin() == CapacityLimit::kMaxMargin);
+  add(100, 20'000, 400);
+  CHECK(pool.limit->margin() == CapacityLimit::kMaxMargin);
+  add(50, 500, 300);
+  CHECK(pool.limit->margin() == 0.0);
+}
+
 }  // namespace
 }  // namespace clementine
