Start a second attempt of a slow request

Cause: a request that meets a slow server waits for it until its deadline, although other servers have room. The relay keeps a stream parser for each attempt until one delivers. Off unless hedge_ratio is set. Measured: nothing.

--- a/core/admission.cc
+++ b/core/admission.cc
@@ -403,6 +403,11 @@
   });
 }
 
+bool Admission::IsBacklogged(PoolId pool) const {
+  auto found = m_pools.find(pool);
+  return found != m_pools.end() && found->second.backlog() > 0;
+}
+
 std::vector<Admission::PoolId> Admission::BackloggedPools() const {
   std::vector<PoolId> ids;
   for (const auto& [id, pool] : m_pools) {
--- a/core/admission.h
+++ b/core/admission.h
@@ -89,6 +89,8 @@
   /// are kept.
   void RetainPools(const std::vector<PoolId>& pools);
 
+  /// @return Whether requests wait for this pool.
+  bool IsBacklogged(PoolId pool) const;
   std::vector<PoolId> BackloggedPools() const;
   std::size_t queued() const { return m_queued_requests.size(); }
 
--- a/core/core.h
+++ b/core/core.h
@@ -28,6 +28,7 @@
 #ifndef CORE_CORE_H_
 #define CORE_CORE_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -319,6 +320,10 @@
   std::string address;
   std::uint64_t resume_offset = 0;
   int priority = 0;  ///< Higher is more urgent.
+  /// The request has a running attempt already, and nothing of its answer was
+  /// delivered. The first attempt that delivers something wins; the other is
+  /// cancelled.
+  bool hedge = false;
 };
 struct CancelAttempt {
   AttemptId attempt = 0;
@@ -379,7 +384,8 @@
                              ///< control, as a baseline for comparison.
   RoutePolicy route_policy;  ///< Empty selects the weighted policy.
   int max_attempts = 3;
-  double retry_ratio = 0.1;  ///< Retries allowed per first attempt.
+  double retry_ratio = 0.1;  ///< Retries and hedges per first attempt.
+  double hedge_ratio = 0.0;  ///< Hedges per first attempt; 0 disables them.
   int crashes_to_quarantine = 2;
   /// Runs the next attempt of a request that was in flight at a crash on a
   /// group that runs nothing else.
@@ -394,14 +400,31 @@
   std::string broken_rule;
 };
 
+/// Reason against a second attempt of a request whose first attempt is slow.
+enum class HedgeDenial {
+  kDraining,  ///< This daemon shuts down.
+  kSuspect,   ///< The request may have caused a crash.
+  kQueue,     ///< Requests wait for the pool.
+  kFull,      ///< The pool's limit has no room.
+  kNoGroup,   ///< No other group is fast enough and has room.
+  kBudget,    ///< The budget of hedges or of retries is exhausted.
+};
+inline constexpr std::size_t kHedgeDenials = 6;
+const char* HedgeDenialName(HedgeDenial denial);
+
 /// Counters and gauges of the request path, for /metrics and status.
 struct RequestPathStats {
   std::uint64_t arrived = 0;
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;  ///< Refusals, except those counted in `unknown`.
   std::uint64_t unknown = 0;  ///< Refusals with Outcome::kUnknown.
-  std::uint64_t dispatched = 0;   ///< Attempts, including retries.
-  std::uint64_t retried = 0;      ///< Attempts after the first of a request.
+  std::uint64_t dispatched = 0;  ///< Attempts, including retries.
+  std::uint64_t retried = 0;     ///< Attempts after the first of a request.
+  std::uint64_t hedged = 0;      ///< Second attempts beside a running one.
+  std::uint64_t hedges_won = 0;  ///< Hedges whose answer counted.
+  /// Attempts cancelled because the other one of their request won.
+  std::uint64_t hedges_cancelled = 0;
+  std::array<std::uint64_t, kHedgeDenials> hedges_denied{};  ///< By reason.
   std::uint64_t quarantined = 0;  ///< Times that a digest was quarantined.
   std::uint64_t crash_marks = 0;  ///< Crash marks created by this daemon.
   /// Digests in the quarantine table: suspect, quarantined and acquitted ones.
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -30,7 +30,9 @@
 constexpr int kMinServerErrorStatus = 500;
 constexpr int kTooManyRequests = 429;
 
-int Priority(RequestClass request_class) {
+}  // namespace
+
+int DispatchPriority(RequestClass request_class) {
   switch (request_class) {
     case RequestClass::kCounter:
       return 3;
@@ -44,8 +46,6 @@
   return 0;
 }
 
-}  // namespace
-
 bool ProvesNotRun(AttemptResult result) {
   return result == AttemptResult::kNotSent ||
          result == AttemptResult::kRefused ||
@@ -145,7 +145,7 @@
     ++m_stats.retried;
   }
   ++m_stats.dispatched;
-  SetTimer(active, active->request.deadline);
+  SetTimer(active, HedgeTime(*active));
   Log("route", active->request,
       {{"attempt", std::to_string(active->attempt)},
        {"group", group->view.group},
@@ -153,10 +153,10 @@
        {"in_flight", std::to_string(group->in_flight)},
        {"alone", active->holds_isolation ? "yes" : "no"},
        {"resume", std::to_string(active->offset)}});
-  m_actions.push_back(Dispatch{active->request.id, active->attempt,
-                               group->view.group, group->view.epoch,
-                               group->view.head_address, active->offset,
-                               Priority(active->request.request_class)});
+  m_actions.push_back(
+      Dispatch{active->request.id, active->attempt, group->view.group,
+               group->view.epoch, group->view.head_address, active->offset,
+               DispatchPriority(active->request.request_class)});
 }
 
 // Isolates a group for each waiting suspect. The suspect is dispatched once the
@@ -245,7 +245,12 @@
     return;
   }
   active.may_have_run = true;
+  SelectAttempt(&active, event.attempt);
+  if (active.other != nullptr) {
+    CancelOther(&active, /*lost=*/true);
+  }
   if (active.first_progress_at == TimePoint()) {
+    RecordFirstResult(active);
     m_router.OnRequestAccepted(active.group->view.head_host);
     active.first_progress_at = m_now;
     active.first_offset = event.offset;
@@ -309,12 +314,23 @@
     return;
   }
   ActiveRequest* active = FindRequest(found->second);
+  SelectAttempt(active, event.attempt);
+  bool succeeded = event.result == AttemptResult::kComplete &&
+                   (event.status == 0 || event.status / 100 == kSuccessClass);
+  if (active->other != nullptr &&
+      (succeeded || event.offset > active->offset)) {
+    CancelOther(active, /*lost=*/true);
+  }
+  if (succeeded && active->first_progress_at == TimePoint()) {
+    RecordFirstResult(*active);
+  }
   active->offset = std::max(active->offset, event.offset);
   RecordMeasurements(*active, event.result);
   if (event.result == AttemptResult::kCrashed) {
     OnCrash(BlamableKeys(*active), active->group_and_epoch,
             active->dispatched_at);
     active->trial = false;
+    active->after_crash = true;
   }
   if (event.result == AttemptResult::kBroken ||
       event.result == AttemptResult::kTimedOut) {
@@ -327,6 +343,11 @@
   active->last_group = active->group->view.group;
   UpdateServerBackoff(*active, event);
   ReleaseAttempt(active);
+  if (active->other != nullptr) {
+    active->may_have_run |= !ProvesNotRun(event.result);
+    ContinueWithOther(active, event.attempt, AttemptResultName(event.result));
+    return;
+  }
   if (event.result != AttemptResult::kComplete) {
     OnFailure(active, event);
     return;
@@ -344,6 +365,14 @@
       active->claimed) {
     return;
   }
+  SelectAttempt(active, event.attempt);
+  if (active->other != nullptr) {
+    RecordMeasurements(*active, AttemptResult::kTimedOut);
+    active->may_have_run = true;
+    CancelSelected(active);
+    ContinueWithOther(active, event.attempt, "stalled");
+    return;
+  }
   AttemptEnded stalled;
   stalled.attempt = event.attempt;
   stalled.result = AttemptResult::kTimedOut;
@@ -450,6 +479,11 @@
       marked.push_back({BlamableKeys(active), active.group_and_epoch,
                         event.host, active.dispatched_at, m_now});
     }
+    if (active.other != nullptr &&
+        active.other->group->view.head_host == event.host) {
+      marked.push_back({BlamableKeys(active), active.other->group_and_epoch,
+                        event.host, active.other->dispatched_at, m_now});
+    }
   }
   std::erase_if(m_ambiguous_ends, [&](const auto& entry) {
     const AmbiguousEnd& attempt = entry.second;
@@ -605,6 +639,13 @@
 }
 
 void RequestPath::Impl::CancelRunningAttempt(ActiveRequest* active) {
+  if (active->other != nullptr) {
+    CancelOther(active, /*lost=*/false);
+  }
+  CancelSelected(active);
+}
+
+void RequestPath::Impl::CancelSelected(ActiveRequest* active) {
   m_actions.push_back(CancelAttempt{active->attempt});
   RememberAmbiguousEnd(
       active->attempt,
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -53,7 +53,9 @@
       m_router(m_options.data_centre, m_options.seed + 1,
                m_options.route_policy),
       m_admission(m_options.max_queued),
-      m_budget(IsRuleBroken("retry_budget") ? 1e9 : m_options.retry_ratio),
+      m_budget(IsRuleBroken("retry_budget") ? 1e9 : m_options.retry_ratio,
+               m_options.hedge_ratio),
+      m_hedge_delays(m_options.hedge_ratio),
       m_ledger({m_options.node, m_options.incarnation, m_options.seed + 2,
                 m_options.claim_retention, !IsRuleBroken("claim_first"),
                 !IsRuleBroken("key_content")}),
@@ -165,6 +167,9 @@
   if (active->admitted) {
     m_admission.OnRequestEnded(active->request.organisation);
   }
+  if (active->other != nullptr) {
+    CancelOther(active, /*lost=*/false);
+  }
   if (active->group != nullptr) {
     ReleaseGroup(active);
   }
@@ -198,6 +203,7 @@
   RefuseOrClaimUnserved();
   std::vector<Admission::PoolId> pools = m_router.PoolIds();
   m_admission.RetainPools(pools);
+  m_hedge_delays.RetainPools(pools);
   std::erase_if(m_queued_pools, [&](const auto& entry) {
     return std::find(pools.begin(), pools.end(), entry.first) == pools.end();
   });
@@ -287,8 +293,12 @@
 
 void RequestPath::Impl::OnTimer(ActiveRequest* active) {
   if (m_now < active->request.deadline) {
-    // Only the timer of a backoff expires before the deadline.
-    DispatchOrWait(active);
+    // Only the timers of a hedge and of a backoff expire before the deadline.
+    if (active->state == State::kRunning) {
+      TryHedge(active);
+    } else {
+      DispatchOrWait(active);
+    }
     return;
   }
   if (active->state == State::kRunning) {
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -18,6 +18,7 @@
 #include "core/admission.h"
 #include "core/claim_ledger.h"
 #include "core/core.h"
+#include "core/hedging.h"
 #include "core/quarantine.h"
 #include "core/retry_budget.h"
 #include "core/router.h"
@@ -34,6 +35,9 @@
 /// @return HTTP status of a refusal.
 int HttpStatusFor(RefusalReason reason, Outcome outcome);
 
+/// @return Priority of a Dispatch for this class.
+int DispatchPriority(RequestClass request_class);
+
 /// @return Whether this result proves that the backend server didn't execute
 ///     the request.
 bool ProvesNotRun(AttemptResult result);
@@ -51,11 +55,20 @@
   enum class State {
     kQueued,            ///< In a queue of m_admission.
     kClaiming,          ///< The claim of its idempotency key is being written.
-    kRunning,           ///< Has a running attempt.
+    kRunning,           ///< Has a running attempt, or two with a hedge.
     kAwaitingRetry,     ///< Waits for a retry delay, or for isolated groups.
     kAwaitingIsolation  ///< Suspect that waits for a group of its own.
   };
 
+  /// Running attempt beside the one in ActiveRequest.
+  /// Invariant: it exists only while neither of the two has made progress.
+  struct OtherAttempt {
+    AttemptId attempt = 0;
+    RoutedGroup* group = nullptr;
+    std::string group_and_epoch;
+    TimePoint dispatched_at;
+  };
+
   struct ActiveRequest {
     Request request;
     State state = State::kQueued;
@@ -80,6 +93,9 @@
     TimePoint first_progress_at;
     TimePoint last_progress_at;
     std::uint64_t first_offset = 0;
+    std::unique_ptr<OtherAttempt> other;  ///< Null unless hedged.
+    AttemptId hedge = 0;       ///< Its hedge, also after the end of it.
+    bool after_crash = false;  ///< An attempt has ended with a crash.
     /// The running attempt has gone on after the beginning of its answer.
     bool survived_start = false;
     TimePoint wake_at;  ///< Entry in m_timers.
@@ -151,6 +167,32 @@
   /// idle. Refuses the suspect if no group can serve it.
   /// @return False while the suspect still waits.
   bool AdvanceIsolation(ActiveRequest* active);
+  // Hedges; see docs/design/hedging.md.
+  /// @return Whether a hedge of this request is allowed by what it is and by
+  ///     what has become of it so far.
+  bool IsHedgeable(const ActiveRequest& active) const;
+  /// @return When the running attempt counts as slow, or the deadline.
+  TimePoint HedgeTime(const ActiveRequest& active) const;
+  /// The running attempt is slow: starts a hedge, or looks again later.
+  void TryHedge(ActiveRequest* active);
+  void StartHedge(ActiveRequest* active, RoutedGroup* group);
+  /// @param group Set to the group for the hedge.
+  /// @return Reason against a hedge, or nullopt after taking it from the
+  /// budget.
+  std::optional<HedgeDenial> FindHedge(const ActiveRequest& active,
+                                       RoutedGroup** group);
+  /// Makes `attempt` the one in ActiveRequest if it is the other one.
+  static void SelectAttempt(ActiveRequest* active, AttemptId attempt);
+  /// Cancels the other attempt, because the selected one has won or the request
+  /// ends.
+  void CancelOther(ActiveRequest* active, bool lost);
+  /// The selected attempt has ended or was cancelled: goes on with the other.
+  /// @param result For the log.
+  void ContinueWithOther(ActiveRequest* active, AttemptId ended,
+                         const char* result);
+  /// The selected attempt has made its first progress, or has succeeded without
+  /// any.
+  void RecordFirstResult(const ActiveRequest& active);
   void ReleaseAttempt(ActiveRequest* active);
   void ReleaseGroup(ActiveRequest* active);
   void RecordMeasurements(const ActiveRequest& active, AttemptResult result);
@@ -194,7 +236,10 @@
   // Ends of requests.
   void FinishActive(ActiveRequest* active, const AttemptEnded& event);
   void DetachAttempt(ActiveRequest* active);
+  /// Cancels the running attempt, and the other one of a hedged request.
   void CancelRunningAttempt(ActiveRequest* active);
+  /// Cancels the attempt in ActiveRequest only.
+  void CancelSelected(ActiveRequest* active);
   void RememberAmbiguousEnd(AttemptId attempt, AmbiguousEnd ambiguous);
   void SettleClaim(ActiveRequest* active, ClaimState state, int status,
                    const std::string& body);
@@ -223,6 +268,7 @@
   Router m_router;
   Admission m_admission;
   RetryBudget m_budget;
+  HedgeDelays m_hedge_delays;
   ClaimLedger m_ledger;
   Quarantine m_quarantine;
   std::shared_ptr<const Configuration> m_configuration;
--- a/core/retry_budget.cc
+++ b/core/retry_budget.cc
@@ -15,12 +15,26 @@
 // couldn't retry before it has served 1 / ratio requests.
 constexpr double kMinRetries = 3.0;
 
+// Largest share of the retry budget that hedges may take.
+constexpr double kMaxHedgeShare = 0.5;
+// Hedges that are allowed in a window regardless of the ratio: a daemon with
+// few requests has less than 1 / ratio of them in a window.
+constexpr double kMinRecentHedges = 1.0;
+
 bool IsWithin(double ratio, std::uint64_t first_attempts,
               std::uint64_t retries) {
   return static_cast<double>(retries + 1) <=
          std::max(kMinRetries, ratio * static_cast<double>(first_attempts));
 }
 
+// Retries count as well, so that hedges stop when attempts fail.
+template <typename Counts>
+bool IsWithinHedges(double ratio, const Counts& counts, double min_hedges) {
+  return static_cast<double>(counts.retries + 1) <=
+         std::max(min_hedges,
+                  ratio * static_cast<double>(counts.first_attempts));
+}
+
 }  // namespace
 
 RetryBudget::Counts* RetryBudget::Meter::Bucket(TimePoint now) {
@@ -35,13 +49,18 @@
   return &window[static_cast<std::size_t>(current) % kSeconds];
 }
 
-bool RetryBudget::Meter::AllowsRetry(double ratio, TimePoint now) {
+RetryBudget::Counts RetryBudget::Meter::Recent(TimePoint now) {
   Bucket(now);
   Counts recent;
   for (const Counts& bucket : window) {
     recent.first_attempts += bucket.first_attempts;
     recent.retries += bucket.retries;
   }
+  return recent;
+}
+
+bool RetryBudget::Meter::AllowsRetry(double ratio, TimePoint now) {
+  Counts recent = Recent(now);
   return IsWithin(ratio, total.first_attempts, total.retries) &&
          IsWithin(ratio, recent.first_attempts, recent.retries);
 }
@@ -59,11 +78,32 @@
   if (!m_all.AllowsRetry(m_ratio, now) || !own.AllowsRetry(m_ratio, now)) {
     return false;
   }
-  for (Meter* meter : {&m_all, &own}) {
+  TakeRetry(&own, now);
+  return true;
+}
+
+// The window counts for all organisations only: an organisation with few
+// requests would never be allowed a hedge within it.
+bool RetryBudget::TryHedge(const std::string& organisation, TimePoint now) {
+  Meter& own = m_organisations[organisation];
+  if (!m_all.AllowsRetry(m_ratio, now) || !own.AllowsRetry(m_ratio, now)) {
+    return false;
+  }
+  double ratio = std::min(m_hedge_ratio, m_ratio * kMaxHedgeShare);
+  if (!IsWithinHedges(ratio, m_all.total, 0.0) ||
+      !IsWithinHedges(ratio, m_all.Recent(now), kMinRecentHedges) ||
+      !IsWithinHedges(ratio, own.total, 0.0)) {
+    return false;
+  }
+  TakeRetry(&own, now);
+  return true;
+}
+
+void RetryBudget::TakeRetry(Meter* own, TimePoint now) {
+  for (Meter* meter : {&m_all, own}) {
     ++meter->total.retries;
     ++meter->Bucket(now)->retries;
   }
-  return true;
 }
 
 }  // namespace clementine
--- a/core/router.cc
+++ b/core/router.cc
@@ -37,6 +37,8 @@
 constexpr double kFullGroupCost = 1.0;
 // Fraction of the capacity of other data centres that may be used.
 constexpr double kRemoteCapacityFraction = 0.5;
+// Groups that are looked at for a hedge; bounds its cost in a large pool.
+constexpr std::size_t kHedgeSampleSize = 64;
 constexpr std::chrono::seconds kSlownessUpdateInterval{1};
 
 std::string PoolName(const std::string& service, const std::string& model,
@@ -441,6 +443,50 @@
   return best;
 }
 
+bool Router::CanHedge(const RoutedGroup& group, const RoutedGroup& first,
+                      TimePoint now) const {
+  return IsEligible(group, &first) && !group.half_open &&
+         group.view.head_host != first.view.head_host &&
+         group.speed.slowness() <= 1.0 && group.view.cold_until <= now &&
+         Load(group, now) <= 1.0;
+}
+
+RoutedGroup* Router::PickForHedge(const Pool& pool, const RoutedGroup& first,
+                                  TimePoint now) {
+  bool other_domain = false;  // The pool has a group in another domain.
+  for (const auto* list : {&pool.local, &pool.remote}) {
+    if (list->empty()) continue;
+    RoutedGroup* best = nullptr;
+    std::size_t start = m_random() % list->size();
+    std::size_t count = std::min(list->size(), kHedgeSampleSize);
+    for (std::size_t i = 0; i < count; ++i) {
+      RoutedGroup* group = (*list)[(start + i) % list->size()];
+      if (group->view.fabric_domain == first.view.fabric_domain &&
+          !group->view.fabric_domain.empty()) {
+        continue;
+      }
+      other_domain = true;
+      if (CanHedge(*group, first, now) &&
+          (best == nullptr || Cost(*group, 0.0, now) < Cost(*best, 0.0, now))) {
+        best = group;
+      }
+    }
+    if (best != nullptr) return best;
+  }
+  // A large pool has other domains, although the sample may not show them.
+  if (other_domain || pool.size() > kHedgeSampleSize) return nullptr;
+  RoutedGroup* best = nullptr;
+  for (const auto* list : {&pool.local, &pool.remote}) {
+    for (RoutedGroup* group : *list) {
+      if (CanHedge(*group, first, now) &&
+          (best == nullptr || Cost(*group, 0.0, now) < Cost(*best, 0.0, now))) {
+        best = group;
+      }
+    }
+  }
+  return best;
+}
+
 void Router::SetIsolated(RoutedGroup* group, bool isolated) {
   if (group->isolated == isolated) {
     return;
--- a/core/router.h
+++ b/core/router.h
@@ -100,6 +100,11 @@
   /// @return A group of the pool, or null if no group can take the request.
   RoutedGroup* Pick(const Request& request, const Pool& pool,
                     const RoutedGroup* avoid, TimePoint now);
+  /// @return A group for a second attempt of a request that runs on `first`, or
+  ///     null: on another host, in another fabric domain if the pool has one,
+  ///     neither slow nor cold, and with room for a request.
+  RoutedGroup* PickForHedge(const Pool& pool, const RoutedGroup& first,
+                            TimePoint now);
   /// @return The group with the lowest load, to be isolated for a suspect, or
   ///     null.
   RoutedGroup* PickToIsolate(const Pool& pool, const RoutedGroup* avoid,
@@ -139,6 +144,8 @@
                               double* cost, TimePoint now);
   RoutedGroup* PickByPolicy(const Request& request, const Pool& pool,
                             const RoutedGroup* avoid);
+  bool CanHedge(const RoutedGroup& group, const RoutedGroup& first,
+                TimePoint now) const;
   bool IsLocalFull(const Pool& pool) const;
   void AddInFlight(RoutedGroup* group, int delta);
   void UpdateGroup(RoutedGroup* group, const GroupView& view);
--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -9,6 +9,16 @@
                       const BackendStats& backend, Metrics* metrics) {
   metrics->SetTotal("clementine_dispatched_total", "", path.dispatched);
   metrics->SetTotal("clementine_retried_total", "", path.retried);
+  metrics->SetTotal("clementine_hedges_started_total", "", path.hedged);
+  metrics->SetTotal("clementine_hedges_won_total", "", path.hedges_won);
+  metrics->SetTotal("clementine_hedges_cancelled_total", "",
+                    path.hedges_cancelled);
+  for (std::size_t i = 0; i < kHedgeDenials; ++i) {
+    metrics->SetTotal(
+        "clementine_hedges_denied_total",
+        fmt::format("reason=\"{}\"", HedgeDenialName(HedgeDenial(i))),
+        path.hedges_denied[i]);
+  }
   metrics->SetTotal("clementine_quarantined_total", "", path.quarantined);
   metrics->SetTotal("clementine_crash_marks_total", "", path.crash_marks);
   metrics->Set("clementine_crash_suspects", "",
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -117,6 +117,7 @@
   path_options.seed = m_settings.seed ^ m_incarnation;
   path_options.max_queued = m_settings.max_queued;
   path_options.retry_ratio = m_settings.retry_ratio;
+  path_options.hedge_ratio = m_settings.hedge_ratio;
   path_options.admission = m_settings.admission;
   // A request is quarantined after three crashes. Until then, it runs like any
   // other request: reserving a group for one suspect would take capacity from
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -69,7 +69,10 @@
   TimePoint arrived;
   TimePoint first_event;
   AttemptId current = 0;
-  RelayStream stream;
+  RelayStream stream;  ///< Of the current attempt.
+  /// The current attempt has delivered something or answered with success: a
+  /// hedge can't take its place.
+  bool decided = false;
   bool head_sent = false;
   // The answer, set when an attempt has returned one.
   AttemptId answered_by = 0;
@@ -97,6 +100,8 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
+  /// Set for a hedge until it becomes the current attempt.
+  std::unique_ptr<RelayStream> hedge_stream;
   bool is_stream = false;       ///< The answer is a stream of events.
   bool names_request = false;   ///< The answer contains the request id.
   bool server_leaving = false;  ///< The answer says so.
@@ -302,9 +307,14 @@
   attempt->epoch = dispatch.epoch;
   attempt->host = m_head_hosts[dispatch.group];
   attempt->started = m_context.now();
-  caller->current = dispatch.attempt;
-  caller->group = dispatch.group;
-  caller->stream.Restart();
+  if (dispatch.hedge) {
+    attempt->hedge_stream = std::make_unique<RelayStream>();
+  } else {
+    caller->current = dispatch.attempt;
+    caller->group = dispatch.group;
+    caller->decided = false;
+    caller->stream.Restart();
+  }
   BackendHandlers handlers;
   handlers.head = [this, attempt](int status, const HttpHeaders& headers) {
     return OnHead(attempt.get(), status, headers);
@@ -327,12 +337,38 @@
   attempt->call = m_context.backends->Start(MakeCall(dispatch, *caller),
                                             std::move(handlers));
   caller->attempted_hosts.insert(attempt->host);
-  caller->exchange->SetDrainHandler(
-      [call = std::weak_ptr<BackendAttempt>(attempt->call)] {
+  if (!dispatch.hedge) ResumeOnDrain(*attempt);
+}
+
+void RelayExecutor::ResumeOnDrain(const Attempt& attempt) {
+  attempt.caller->exchange->SetDrainHandler(
+      [call = std::weak_ptr<BackendAttempt>(attempt.call)] {
         if (auto running = call.lock()) running->Resume();
       });
 }
 
+bool RelayExecutor::CanAnswer(const Attempt& attempt) {
+  const Caller& caller = *attempt.caller;
+  return caller.current == attempt.id ||
+         (attempt.hedge_stream != nullptr && !caller.decided);
+}
+
+RelayStream* RelayExecutor::StreamOf(Attempt* attempt) {
+  return attempt->hedge_stream != nullptr ? attempt->hedge_stream.get()
+                                          : &attempt->caller->stream;
+}
+
+void RelayExecutor::Decide(Attempt* attempt) {
+  Caller* caller = attempt->caller.get();
+  caller->decided = true;
+  if (caller->current == attempt->id) return;
+  caller->current = attempt->id;
+  caller->group = attempt->group;
+  caller->stream = std::move(*attempt->hedge_stream);
+  attempt->hedge_stream.reset();
+  ResumeOnDrain(*attempt);
+}
+
 void RelayExecutor::On(const CancelAttempt& cancel) {
   auto found = m_attempts.find(cancel.attempt);
   if (found == m_attempts.end()) return;
@@ -375,21 +411,23 @@
 
 void RelayExecutor::OnBytes(Attempt* attempt, std::string_view bytes) {
   Caller* caller = attempt->caller.get();
-  if (caller->current != attempt->id) return;
+  if (!CanAnswer(*attempt)) return;
   if (!attempt->is_stream) {
     attempt->body.append(bytes);
     attempt->call->Hold(attempt->body.size());
     return;
   }
-  std::string events = caller->stream.ExtractEvents(bytes);
-  if (caller->stream.oversized()) {
+  RelayStream* stream = StreamOf(attempt);
+  std::string events = stream->ExtractEvents(bytes);
+  if (stream->oversized()) {
     EndOversized(attempt);
     return;
   }
-  attempt->call->Hold(caller->stream.held_bytes());
+  attempt->call->Hold(stream->held_bytes());
   // Only complete events count as progress; a server that sends single bytes
   // makes none.
   if (events.empty()) return;
+  Decide(attempt);
   TimePoint now = m_context.now();
   m_silence.OnResponseData(attempt->id, /*has_event=*/true, now);
   bool first = caller->first_event == TimePoint();
@@ -427,17 +465,20 @@
 void RelayExecutor::CheckComplete(Attempt* attempt, BackendEnd* end) {
   if (end->result != AttemptResult::kComplete) return;
   Caller* caller = attempt->caller.get();
-  if (attempt->is_stream) {
-    std::string rest = caller->stream.Finish();
-    if (!rest.empty()) Deliver(caller, attempt, rest);
+  if (attempt->is_stream && CanAnswer(*attempt)) {
+    std::string rest = StreamOf(attempt)->Finish();
+    if (!rest.empty()) {
+      Decide(attempt);
+      Deliver(caller, attempt, rest);
+    }
   }
   // A stream that has begun can only be ended by an answer that continues it.
   bool ends_stream =
-      attempt->is_stream ? caller->stream.CanEnd() : !caller->head_sent;
+      attempt->is_stream ? StreamOf(attempt)->CanEnd() : !caller->head_sent;
   // A server that ends may close its connections as if its answers were whole.
   bool empty = attempt->is_stream &&
                end->framing == AnswerFraming::kConnection &&
-               caller->stream.events() == 0;
+               StreamOf(attempt)->events() == 0;
   if (ends_stream && !empty) return;
   end->result = AttemptResult::kBroken;
   end->detail = "answer does not end or continue the stream";
@@ -462,7 +503,7 @@
             {"host", attempt->host},
             {"result", AttemptResultName(end.result)},
             {"status", std::to_string(end.status)},
-            {"events", std::to_string(caller->stream.events())},
+            {"events", std::to_string(StreamOf(attempt.get())->events())},
             {"framing", AnswerFramingName(end.framing)},
             {"verified_by", EndEvidenceName(end.evidence)},
             {"verified_ms", std::to_string(end.verified_for.count())},
@@ -482,7 +523,8 @@
   m_silence.OnAttemptEnded(attempt->id);
   bool answered = end.result == AttemptResult::kComplete ||
                   end.result == AttemptResult::kError;
-  if (answered) {
+  if (answered && CanAnswer(*attempt)) {
+    if (complete && attempt->status / 100 == 2) Decide(attempt.get());
     caller->answered_by = attempt->id;
     caller->status = attempt->status;
     caller->answer_headers = std::move(attempt->headers);
@@ -491,7 +533,7 @@
   AttemptEnded ended;
   ended.attempt = attempt->id;
   ended.result = end.result;
-  ended.offset = caller->stream.events();
+  ended.offset = StreamOf(attempt.get())->events();
   ended.retry_after = end.retry_after;
   ended.status = end.status;
   m_context.feed(std::move(ended));
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -20,6 +20,8 @@
 
 namespace clementine {
 
+class RelayStream;
+
 /// Dependencies of the executor. All of them must outlive it.
 struct RelayContext {
   BackendClient* backends = nullptr;
@@ -35,7 +37,8 @@
 /// Forwards requests to backend servers and their answers to callers.
 /// Invariant: bytes of an attempt are sent to a caller only while it is the
 /// current attempt of that caller's request; of a stream, only complete events
-/// are sent.
+/// are sent. A hedge becomes the current attempt with its first event or its
+/// complete answer, unless the attempt beside it has delivered one before.
 class RelayExecutor {
  public:
   explicit RelayExecutor(RelayContext context);
@@ -94,6 +97,14 @@
   void CountDemand(const std::string& service, const Caller& caller);
   BackendCall MakeCall(const Dispatch& dispatch, const Caller& caller);
   AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
+  /// Lets an attempt that was paused go on when its caller reads again.
+  static void ResumeOnDrain(const Attempt& attempt);
+  /// Whether the attempt is current, or is a hedge that may still become so.
+  static bool CanAnswer(const Attempt& attempt);
+  /// Returns the stream that the attempt's bytes belong to.
+  static RelayStream* StreamOf(Attempt* attempt);
+  /// Makes the attempt, which delivers or has succeeded, the current one.
+  static void Decide(Attempt* attempt);
   void OnBytes(Attempt* attempt, std::string_view bytes);
   /// Changes a complete result to a broken one if the answer does not end the
   /// caller's answer.
