--- a/testing/relay_fixture.h
+++ b/testing/relay_fixture.h
@@ -27,9 +27,10 @@
   explicit RelayFixture(ScriptedServer::Script script,
                         RouteKind kind = RouteKind::kIdempotent,
                         const ScriptedServer::Script& second = nullptr,
-                        int attempts = 2)
+                        int attempts = 2,
+                        const RequestPathOptions& options = {})
       : backends(&io, BackendOptions()),
-        path(RequestPathOptions()),
+        path(options),
         executor(Context()),
         backend(&io, std::move(script)),
         front(&io, "127.0.0.1:0", HttpLimits{},
