--- a/core/cold_limit.cc
+++ b/core/cold_limit.cc
@@ -63,7 +63,7 @@
   Record& record = entry->second;
   bool other_process = added || record.incarnation != server.incarnation;
   milliseconds cold_for =
-      std::min<milliseconds>(server.cold_remaining, kMaxColdTime);
+      std::min<milliseconds>(server.cold_time, kMaxColdTime);
   if (!source.is_change && !other_process && record.cold_for == cold_for) {
     return;
   }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -132,7 +132,7 @@
   int slots = 1;  ///< Requests that a server of a plain service runs at once.
   bool leaving = false;
   /// Remaining time, when the entry was written, for which the server is cold.
-  milliseconds cold_remaining{0};
+  milliseconds cold_time{0};
   /// The entry is gone, but the server may only be partitioned from the
   /// platform; see ServerList.
   bool lapsed = false;
--- a/core/router.h
+++ b/core/router.h
@@ -31,8 +31,8 @@
   /// The backoff of its server has ended (ServerBackoff::State::kHalfOpen):
   /// runs one request at a time until the server has accepted one.
   bool half_open = false;
-  ColdBucket cold_bucket;   ///< Used while the head is cold.
-  int in_flight = 0;  ///< Attempts of this daemon.
+  ColdBucket cold_bucket;  ///< Used while the head is cold.
+  int in_flight = 0;       ///< Attempts of this daemon.
   /// Prompt tokens of this daemon's attempts that have no first event yet.
   std::uint64_t waiting_prompt_tokens = 0;
   double other_load = 0.0;  ///< Requests of other daemons in the last report.
@@ -134,8 +134,11 @@
   /// @return A group of the pool, or null if no group can take the request.
   RoutedGroup* Pick(const Request& request, const Pool& pool,
                     const RoutedGroup* avoid, TimePoint now);
-  /// @return The group with the lowest load, to be isolated for a suspect, or
-  ///     null.
+  /// @return A group for a second attempt of a request that runs on `first`, or
+  ///     null: on another host, in another fabric domain if the pool has one,
+  ///     neither slow nor cold, and with room for a request.
+  RoutedGroup* PickForHedge(const Pool& pool, const RoutedGroup& first,
+                            TimePoint now);
   /// @return When a group of the pool that is cold may take a request next;
   ///     empty if no group only waits for that.
   std::optional<TimePoint> NextColdStart(const Pool& pool,
@@ -146,6 +149,8 @@
     return now >= group.view.cold_until ||
            group.cold_bucket.Available(group.view.cold_rate, now) >= 1.0;
   }
+  /// @return The group with the lowest load, to be isolated for a suspect, or
+  ///     null.
   RoutedGroup* PickToIsolate(const Pool& pool, const RoutedGroup* avoid,
                              TimePoint now) const;
   void SetIsolated(RoutedGroup* group, bool isolated);
@@ -196,6 +201,8 @@
                               double* cost, TimePoint now);
   RoutedGroup* PickByPolicy(const Request& request, const Pool& pool,
                             const RoutedGroup* avoid, TimePoint now);
+  bool CanHedge(const RoutedGroup& group, const RoutedGroup& first,
+                TimePoint now) const;
   bool IsLocalFull(const Pool& pool) const;
   void AddInFlight(RoutedGroup* group, int delta);
   void UpdateGroup(RoutedGroup* group, const GroupView& view, TimePoint now);
--- a/testing/cold_limit_test.cc
+++ b/testing/cold_limit_test.cc
@@ -35,7 +35,7 @@
   server.service = "desk";
   server.address = "h:1";
   server.data_centre = "a";
-  server.cold_remaining = cold_for;
+  server.cold_time = cold_for;
   return server;
 }
 
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -215,7 +215,7 @@
     json["cold_remaining_ms"] = value;
     std::optional<BackendServer> server = DecodeServer("i-1", JsonText(json));
     REQUIRE(server);
-    return server->cold_remaining;
+    return server->cold_time;
   };
   CHECK(cold(2'900) == milliseconds(2'900));
   CHECK(cold(0) == milliseconds(0));
