Adapt the parts to each other's signatures

Cause: the router's limit and its room depend on the time since the capacity limit. Change: calls pass the time.

--- a/core/request_hedges.cc
+++ b/core/request_hedges.cc
@@ -32,7 +32,7 @@
   state.suspect =
       m_quarantine.Classify(active.keys, m_now) != Quarantine::State::kClear;
   state.requests_wait = m_admission.IsBacklogged(active.pool->id);
-  state.has_room = m_router.HasRoom(*active.pool);
+  state.has_room = m_router.HasRoom(*active.pool, m_now);
   if (std::optional<HedgeDenial> denial = CheckHedge(state)) return denial;
   *group = m_router.PickForHedge(*active.pool, *active.group, m_now);
   if (*group == nullptr) return HedgeDenial::kNoGroup;
--- a/core/router.cc
+++ b/core/router.cc
@@ -396,19 +396,19 @@
                   static_cast<int>(pool.local_capacity * m_capacity_share));
 }
 
-bool Router::HasRoomElsewhere(const Pool& pool) const {
+bool Router::HasRoomElsewhere(const Pool& pool, TimePoint now) const {
   int capacity = pool.local_capacity + pool.remote_capacity;
   int staying = capacity - pool.evacuating_capacity;
   int in_flight =
       pool.local_in_flight + pool.remote_in_flight - pool.evacuating_in_flight;
   return staying > 0 &&
-         in_flight < std::max(1.0, static_cast<double>(Limit(pool)) * staying /
-                                       capacity);
+         in_flight < std::max(1.0, static_cast<double>(Limit(pool, now)) *
+                                       staying / capacity);
 }
 
 RoutedGroup* Router::Pick(const Request& request, const Pool& pool,
                           const RoutedGroup* avoid, TimePoint now) {
-  if (pool.evacuating_capacity > 0 && HasRoomElsewhere(pool)) {
+  if (pool.evacuating_capacity > 0 && HasRoomElsewhere(pool, now)) {
     m_skip_evacuating = true;
     RoutedGroup* group = PickEligible(request, pool, avoid, now);
     m_skip_evacuating = false;
--- a/core/router.h
+++ b/core/router.h
@@ -178,7 +178,7 @@
   }
   /// Whether groups outside the data centres that are being evacuated can take
   /// this daemon's next request to a pool.
-  bool HasRoomElsewhere(const Pool& pool) const;
+  bool HasRoomElsewhere(const Pool& pool, TimePoint now) const;
   RoutedGroup* PickEligible(const Request& request, const Pool& pool,
                             const RoutedGroup* avoid, TimePoint now);
   static int InUse(const Pool& pool) {
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -77,7 +77,7 @@
   router.SetGroups(groups);
   Request request = ChatRequest();
   Pool* pool = router.FindPool(request);
-  CHECK(router.Limit(*pool) == 48);
+  CHECK(router.Limit(*pool, kStart) == 48);
   auto counts = PickMany(&router, request, 16);
   CHECK(counts["chat/4"] + counts["chat/5"] == 16);
   CHECK_FALSE(router.PickToIsolate(*pool, nullptr, kStart)->view.evacuating);
