--- a/core/evacuation.cc
+++ b/core/evacuation.cc
@@ -80,6 +80,7 @@
   for (const auto& [name, entry] : m_active) {
     if (!entry.unknown) phases[name] = PhaseOf(name);
   }
+  for (const auto& [name, ended_at] : m_ended) phases[name] = Phase::kNone;
   return phases;
 }
 
--- a/core/evacuation.h
+++ b/core/evacuation.h
@@ -74,7 +74,8 @@
   Phase PhaseOf(const std::string& data_centre) const;
   /// All evacuated data centres, whether or not they have been left.
   std::set<std::string> data_centres() const;
-  /// Evacuated data centres that have servers or daemons, for metrics.
+  /// Evacuated data centres that have servers or daemons, and those whose
+  /// evacuation was taken back within kEndedRetention, for metrics.
   std::map<std::string, Phase> known_data_centres() const;
   /// @return When the evacuation of a data centre was taken back; empty if it
   ///     is evacuated or was not within kEndedRetention.
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -146,7 +146,7 @@
   std::vector<std::string> daemon_addresses() const {
     return m_nodes.addresses();
   }
-  /// Evacuated data centres that have servers or daemons.
+  /// See Evacuation::known_data_centres.
   std::map<std::string, Evacuation::Phase> evacuations() const {
     return m_evacuation.known_data_centres();
   }
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -507,7 +507,8 @@
   for (const std::string& name : m_evacuated_names) {
     auto found = evacuations.find(name);
     std::string label = fmt::format("data_centre=\"{}\"", name);
-    bool active = found != evacuations.end();
+    bool active =
+        found != evacuations.end() && found->second != Evacuation::Phase::kNone;
     bool left = active && found->second == Evacuation::Phase::kLeft;
     m_metrics.Set("clementine_evacuation", label, active ? 1 : 0);
     m_metrics.Set("clementine_evacuation_left", label, left ? 1 : 0);
--- a/testing/process_fleet.cc
+++ b/testing/process_fleet.cc
@@ -57,8 +57,9 @@
       "changes = 127.0.0.1:0\n[platform]\naddress = {}\n"
       "[timeouts]\nconnect_timeout = 300ms\ndrain_wait = 300ms\n"
       "leaving_notice = 2000ms\nconfiguration_notice = 2000ms\n"
-      "revocation_notice = 5000ms\nstop_limit = 7s\n",
-      index + 1, store);
+      "revocation_notice = 5000ms\nstop_limit = 7s\n"
+      "evacuation_notice = {}ms\n",
+      index + 1, store, m_options.evacuation_notice.count());
   std::string path =
       m_folder.Write(fmt::format("d{}.ini", index + 1), settings);
   return std::make_unique<Process>(
@@ -104,6 +105,18 @@
       .get<int>();
 }
 
+void FleetSite::SetEvacuated(bool evacuated) {
+  std::string path = "/objects/evacuations";
+  if (evacuated) {
+    nlohmann::json entry = {{"metadata", {{"name", "dc1"}}},
+                            {"spec", nlohmann::json::object()}};
+    REQUIRE(Fetch(m_standin.address(), "POST", path, JsonText(entry)).status ==
+            201);
+  } else {
+    REQUIRE(Fetch(m_standin.address(), "DELETE", path + "/dc1").status == 200);
+  }
+}
+
 void FleetSite::SetStore(const std::string& state) {
   nlohmann::json faults = {{"store", state}};
   REQUIRE(
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -18,6 +18,8 @@
   bool keep_ids = false;  ///< Servers come back under the id that they had.
   /// Calls of all daemons to the platform pass links of their own.
   bool linked = false;
+  /// See Settings; 0 does not follow evacuations.
+  std::chrono::milliseconds evacuation_notice{0};
 };
 
 class FleetSite {
@@ -35,6 +37,8 @@
   int Runs(const std::string& body);
   /// Servers that ended so far.
   int Ended();
+  /// Writes or deletes the evacuation of the servers' data centre.
+  void SetEvacuated(bool evacuated);
   /// @param state "up", "busy" or "down".
   void SetStore(const std::string& state);
 
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -71,8 +71,9 @@
 // others have room, and to one that was left.
 TEST_CASE("router prefers groups outside evacuated data centres") {
   std::vector<GroupView> groups = MakeGroups(6);
-  for (int i = 0; i < 4; ++i)
-    groups[static_cast<std::size_t>(i)].evacuating = true;
+  for (std::size_t i = 0; i < 4; ++i) {
+    groups[i].evacuating = true;
+  }
   Router router("east", 1, {});
   router.SetGroups(groups);
   Request request = ChatRequest();
