Let an interrupted request wait for a cold group until its deadline

Cause: the wait for a token was limited by the target also after a first attempt, so a stream that only a cold group could resume was cut off. Change: the target limits the wait of requests without an attempt only. Test: "an interrupted stream waits for a cold group's token".

--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -128,7 +128,8 @@
   StartAttempt(active, group);
 }
 
-// Waits for a cold group's next token, unless the request would then be late.
+// Waits for a cold group's next token, unless the request would then be late. A
+// request that has begun is better late than cut off.
 // Requests that wait keep their admission, so the others of the pool queue.
 bool RequestPath::Impl::AwaitColdStart(ActiveRequest* active) {
   std::optional<TimePoint> next =
@@ -136,7 +137,7 @@
   if (!next) return false;
   TimePoint start_by = active->request.deadline;
   milliseconds target = active->request.target;
-  if (target > milliseconds(0)) {
+  if (target > milliseconds(0) && active->attempts == 0) {
     start_by = std::min(start_by, active->admitted_at + target);
   }
   if (*next >= start_by) return false;
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -206,6 +206,28 @@
   CHECK(f.SingleAction<Refuse>().outcome == Outcome::kNotRun);
 }
 
+// Guards against a stream that is cut off because its target has passed while
+// only a cold group could resume it.
+TEST_CASE("an interrupted stream waits for a cold group's token") {
+  Fixture f;
+  Request request = f.MakeRequest();
+  request.target = milliseconds(50);
+  Dispatch first = f.SendRequest(request);
+  f.Feed(AttemptProgress{first.attempt, 7});
+  std::vector<GroupView> views = f.views;
+  for (GroupView& view : views) {
+    view.cold_rate = 2.0;
+    view.cold_until = f.now + milliseconds(60'000);
+  }
+  f.Feed(GroupsChanged{views});
+  f.EndAttempt(first.attempt, AttemptResult::kBroken, 9);
+  for (int i = 0; i < 20 && f.ActionsOfType<Dispatch>().empty(); ++i) {
+    CHECK(f.ActionsOfType<Refuse>().empty());
+    f.AdvanceTime(milliseconds(50));
+  }
+  CHECK(f.SingleAction<Dispatch>().resume_offset == 9);
+}
+
 // Guards against refusals with a wrong reason or outcome.
 TEST_CASE("requests that can't be served are refused as not-run") {
   Fixture f;
