Steer the limit of pools whose answers aren't streams too

Cause: routes without streams have a latency target as well, but their pools kept the rounded-down share, so their requests waited at the daemon while servers were free. Change: Request::answer_target, from the route; the time from dispatch to the answer steers the limit of the pool. Such requests wait until their deadline as before, so the limit stays at least 1.

--- a/core/core.h
+++ b/core/core.h
@@ -133,6 +133,9 @@
   /// late answer is still of some use to the caller. 0 means that only
   /// `deadline` matters.
   milliseconds target{0};
+  /// Latency target of an answer that isn't a stream. Only steers the limit of
+  /// the pool; the request waits until its deadline. 0: none.
+  milliseconds answer_target{0};
   int priority = 0;      ///< From route or organisation; 0 is the most urgent.
   int max_attempts = 0;  ///< 0 selects RequestPathOptions::max_attempts.
 };
--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -58,6 +58,23 @@
   return trial;
 }
 
+Admission::Decision RequestPath::Impl::OfferToPool(const Request& request,
+                                                   Pool* pool) {
+  bool refusable = request.target > milliseconds(0);
+  if (refusable || request.answer_target > milliseconds(0)) {
+    m_router.SteerLimit(pool, /*always_one=*/!refusable);
+  }
+  if (!m_options.admission) {
+    return {Admission::Disposition::kRun, milliseconds(0)};
+  }
+  Admission::PoolCapacity capacity;
+  capacity.limit = m_router.Limit(*pool, m_now);
+  capacity.has_room = m_router.HasRoom(*pool, m_now);
+  capacity.holds_late = pool->limit.has_value();
+  capacity.has_spare = m_router.HasSpareRoom(*pool, m_now);
+  return m_admission.Offer(request, pool->id, capacity, m_now);
+}
+
 void RequestPath::Impl::On(const RequestArrived& event) {
   const Request& request = event.request;
   if (m_requests.count(request.id) > 0) {
@@ -98,15 +115,7 @@
     Claim(&active);
     return;
   }
-  if (request.target > milliseconds(0)) m_router.SteerLimit(pool);
-  Admission::Decision decision{Admission::Disposition::kRun, milliseconds(0)};
-  if (m_options.admission) {
-    decision = m_admission.Offer(
-        request, pool->id,
-        {m_router.Limit(*pool, m_now), m_router.HasRoom(*pool, m_now),
-         pool->limit.has_value(), m_router.HasSpareRoom(*pool, m_now)},
-        m_now);
-  }
+  Admission::Decision decision = OfferToPool(request, pool);
   if (decision.disposition == Admission::Disposition::kRefuse) {
     refuse(RefusalReason::kOverloaded, decision.retry_after);
     return;
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -297,6 +297,11 @@
         static_cast<double>(active.offset - active.first_offset) / time.count(),
         m_now);
   }
+  if (active.request.answer_target > milliseconds(0) &&
+      result == AttemptResult::kComplete) {
+    m_router.OnFirstEvent(active.pool, active.request.prompt_tokens, ran,
+                          active.request.answer_target, m_now);
+  }
   if (m_options.admission &&
       (result == AttemptResult::kComplete || result == AttemptResult::kError)) {
     m_admission.RecordServiceTime(active.pool->id, active.request.request_class,
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -133,6 +133,8 @@
   bool IsKeyRequired(const std::string& path) const;
   /// Tells whether a quarantined request may run as a trial, and logs it.
   bool StartTrial(const Request& request, const CrashKeys& keys);
+  /// Asks admission whether a request may run, waits or is refused.
+  Admission::Decision OfferToPool(const Request& request, Pool* pool);
   ActiveRequest& AddActive(const Request& request, CrashKeys keys, Pool* pool);
   void Admit(ActiveRequest* active);
   void Claim(ActiveRequest* active);
--- a/core/router.cc
+++ b/core/router.cc
@@ -312,8 +312,9 @@
     return 0;
   }
   double fair_share = FairShare(pool);
-  return pool.limit ? pool.limit->RoundedLimit(fair_share, now)
-                    : std::max(1, static_cast<int>(fair_share));
+  if (!pool.limit) return std::max(1, static_cast<int>(fair_share));
+  int limit = pool.limit->RoundedLimit(fair_share, now);
+  return pool.always_one ? std::max(1, limit) : limit;
 }
 
 bool Router::HasSpareRoom(const Pool& pool, TimePoint now) const {
@@ -321,7 +322,8 @@
          InUse(pool) < pool.limit->SpareLimit(FairShare(pool));
 }
 
-void Router::SteerLimit(Pool* pool) {
+void Router::SteerLimit(Pool* pool, bool always_one) {
+  pool->always_one = pool->always_one || always_one;
   if (!pool->limit) pool->limit.emplace(std::mt19937_64(m_seed + pool->id)());
 }
 
--- a/core/router.h
+++ b/core/router.h
@@ -62,6 +62,9 @@
   /// Set if requests of this pool have latency targets. Without it, the limit
   /// is this daemon's share of the capacity.
   std::optional<CapacityLimit> limit;
+  /// The limit is at least 1 always, because requests of this pool wait for
+  /// their turn and aren't refused.
+  bool always_one = false;
   FirstEventTimes first_events;
   double logged_margin = 0.0;  ///< Margin in the last log line.
   TimePoint logged_at;
@@ -111,7 +114,8 @@
   /// usual variance of the others. False without a steered limit.
   bool HasSpareRoom(const Pool& pool, TimePoint now) const;
   /// Steers the limit of a pool by the results of its requests from now on.
-  void SteerLimit(Pool* pool);
+  /// @param always_one See Pool::always_one.
+  void SteerLimit(Pool* pool, bool always_one = false);
   /// Adds a measurement for the limit of a pool; see CapacityLimit. The first
   /// event of a prompt that is too long for its target at any load says nothing
   /// about the load, and doesn't move the limit.
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -44,6 +44,11 @@
                             : headers.max_output_tokens;
 }
 
+void SetTarget(const RouteRule& route, Request* request) {
+  bool stream = route.kind == RouteKind::kStream;
+  (stream ? request->target : request->answer_target) = route.target_latency;
+}
+
 /// The parts are passed to the request path only, which keeps their hashes.
 Request WithSharedParts(const Request& request, const HttpHeaders& headers) {
   Request with_parts = request;
@@ -172,9 +177,7 @@
       std::min(caller->headers.timeout.value_or(kDefaultTimeout),
                caller->route->timeout);
   read.deadline = caller->arrived + timeout;
-  if (caller->route->kind == RouteKind::kStream) {
-    read.target = caller->route->target_latency;
-  }
+  SetTarget(*caller->route, &read);
   const std::string& service =
       RouteTable::PickService(*caller->route, m_random());
   caller->service = service;
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -571,16 +571,16 @@
 
 // Guards against a limit that doesn't hear the answers: a pool whose requests
 // have targets must use more than the rounded-down share while answers are in
-// time, and less as soon as they are late.
+// time, and less as soon as they are late. Whole answers count as well.
 TEST_CASE("first events of requests with targets steer the limit") {
   Fixture f;
   f.Feed(DaemonsChanged{4, 0.0});
-  auto run = [&](milliseconds first_event) {
+  auto run = [&](milliseconds first_event, bool stream = true) {
     Request request = f.MakeRequest();
-    request.target = milliseconds(250);
+    (stream ? request.target : request.answer_target) = milliseconds(250);
     AttemptId attempt = f.SendRequest(request).attempt;
     f.now += first_event;
-    f.Feed(AttemptProgress{attempt, 1});
+    if (stream) f.Feed(AttemptProgress{attempt, 1});
     AttemptEnded end;
     end.attempt = attempt;
     end.result = AttemptResult::kComplete;
@@ -597,6 +597,8 @@
   for (int i = 0; i < 5; ++i) run(milliseconds(300));
   CHECK(f.path.stats().limits[0].margin == 0.0);
   CHECK(f.path.stats().limits[0].late == 5);
+  for (int i = 0; i < 20; ++i) run(milliseconds(100), /*stream=*/false);
+  CHECK(f.path.stats().limits[0].margin > 1.0);
 }
 
 }  // namespace
