Let less urgent requests yield only while more urgent ones arrive

Cause: the fraction of more urgent requests that were refused or late stayed as last measured. After they had stopped arriving in an overload, less urgent ones would have yielded to nobody, for ever. Change: a priority counts for 10 s after its last arrival. Test: "less urgent requests return later and aren't favoured" failed in a first form that left the queue stalled; it starts the queued requests now. Other admission, limit and request path cases pass.

--- a/core/admission.cc
+++ b/core/admission.cc
@@ -89,6 +89,9 @@
 // urgent ones are refused or late more often, by more than this fraction of the
 // requests. A difference of 0.05 in favour of the less urgent ones is allowed.
 constexpr double kMaxFavour = 0.02;
+// More urgent requests count for this time after their last arrival; what was
+// measured of them before says nothing about the load now.
+constexpr std::chrono::seconds kFavourWindow{10};
 constexpr double kSampleWeightOfFractions = 0.05;
 
 std::size_t ClassIndex(RequestClass request_class) {
@@ -204,6 +207,7 @@
   Organisation& organisation = *flow.organisation;
   std::size_t priority = PriorityLevel(request.priority);
   pool.holds_late = capacity.holds_late;
+  pool.arrived_at[priority] = now;
   QueuedRequest waiting{
       request.id,     request.deadline, TimePoint::max(), RequestCost(request),
       request.target, priority,         priority};
@@ -214,7 +218,7 @@
   Flow* next = pool.backlog() == 0 ? nullptr : FindNextFlow(&pool, class_index);
   bool first = next == nullptr ||
                (!batch && key < next->queues[class_index].begin()->first);
-  bool yields = IsFavoured(pool, priority) && !capacity.has_spare;
+  bool yields = IsFavoured(pool, priority, now) && !capacity.has_spare;
   if (capacity.has_room && first && !yields && MayRun(organisation)) {
     RecordStart(&pool, &flow, waiting);
     return {Disposition::kRun, milliseconds(0)};
@@ -287,11 +291,15 @@
   return {Disposition::kRefuse, RetryAfter(wait)};
 }
 
-bool Admission::IsFavoured(const PoolQueues& pool, std::size_t priority) {
-  return std::any_of(
-      pool.lost.begin(),
-      pool.lost.begin() + static_cast<std::ptrdiff_t>(priority),
-      [&](double lost) { return lost > pool.lost[priority] + kMaxFavour; });
+bool Admission::IsFavoured(const PoolQueues& pool, std::size_t priority,
+                           TimePoint now) {
+  for (std::size_t i = 0; i < priority; ++i) {
+    if (now - pool.arrived_at[i] < kFavourWindow &&
+        pool.lost[i] > pool.lost[priority] + kMaxFavour) {
+      return true;
+    }
+  }
+  return false;
 }
 
 milliseconds Admission::MaxWait(const PoolQueues& pool, milliseconds target) {
--- a/core/admission.h
+++ b/core/admission.h
@@ -161,6 +161,7 @@
     double refused = 0.0;  ///< Moving average of the fraction refused.
     /// Moving average of the fraction refused or late, by priority.
     std::array<double, kPriorities> lost{};
+    std::array<TimePoint, kPriorities> arrived_at{};  ///< Last arrival.
     TimePoint last_attempt_end_at;  ///< Last call of RecordServiceTime.
     TimePoint busy_since;           ///< When the queues last became non-empty.
 
@@ -204,7 +205,8 @@
                              milliseconds retry_after);
   /// Whether more urgent requests of a pool are refused or late more often than
   /// those of a priority.
-  static bool IsFavoured(const PoolQueues& pool, std::size_t priority);
+  static bool IsFavoured(const PoolQueues& pool, std::size_t priority,
+                         TimePoint now);
   void Enqueue(PoolQueues* pool, Flow* flow, const std::string& organisation,
                std::size_t class_index, QueueKey key,
                const QueuedRequest& waiting);
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -304,7 +304,8 @@
 }
 
 // Guards against rejected callers of little urgency that return before more
-// urgent ones, and against queueing the former while the latter are refused.
+// urgent ones, against queueing the former while the latter are refused, and
+// against starving them because of old measurements of the latter.
 TEST_CASE("less urgent requests return later and aren't favoured") {
   Fixture f;
   Request request;
@@ -323,6 +324,16 @@
   Admission::Decision other = offer(1, milliseconds(2'000));
   CHECK(other.disposition == Disposition::kRefuse);
   CHECK(other.retry_after > urgent);
+  while (f.admission.StartNext(kPool, kStart)) {
+  }
+  auto offer_later = [&](milliseconds later) {
+    ++request.id;
+    return f.admission.Offer(request, kPool, {4, true}, kStart + later)
+        .disposition;
+  };
+  CHECK(offer_later(milliseconds(9'000)) != Disposition::kRun);
+  // Once no more urgent request has come for a while, it yields to none.
+  CHECK(offer_later(milliseconds(10'000)) == Disposition::kRun);
 }
 
 // Guards against refused callers that come back into an overload, where they
