Break answers without a final status, skip interim ones

Cause: each place that reads a status took whatever the parser returned, so 600, 999 and 101 reached callers, and an interim answer ended the call: an order that was carried out had no answer. A caller's Expect was forwarded, so that its server sent such an interim answer. Change: the client of backend servers and the HTTP transport of the platform skip up to eight interim answers, except 101, and break an answer whose status isn't 200 to 599. It is counted and logged as answer_invalid with its value. Expect isn't forwarded, since the daemon has answered it and has read the body. Measured: nothing.

--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -37,6 +37,8 @@
                     backend.dropped_answers);
   metrics->SetTotal("clementine_answers_oversized_total", "",
                     backend.oversized_answers);
+  metrics->SetTotal("clementine_answers_invalid_total", "",
+                    backend.invalid_answers);
   metrics->SetTotal("clementine_answers_unverified_total", "",
                     backend.unverified_answers);
   metrics->SetTotal("clementine_requests_dropped_total", "",
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -254,6 +254,8 @@
                      m_platform->calls());
   m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
                      m_platform->dropped_answers());
+  m_metrics.SetTotal("clementine_platform_answers_invalid_total", "",
+                     m_platform->invalid_answers());
   m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
                 static_cast<double>(m_platform->held_bytes()));
   ControlStatus control = m_control_plane->status(Clock::now());
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -458,6 +458,8 @@
   m_metrics.SetTotal("clementine_platform_calls_total", "", m_store->calls());
   m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
                      m_store->dropped_answers());
+  m_metrics.SetTotal("clementine_platform_answers_invalid_total", "",
+                     m_store->invalid_answers());
   m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
                 static_cast<double>(m_store->held_bytes()));
   m_metrics.Set("clementine_open_groups", "",
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -30,6 +30,7 @@
 #include "fmt/format.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
+#include "net/http_status.h"
 #include "net/liveness_connection.h"
 #include "net/net.h"
 #include "net/read_some.h"
@@ -270,7 +271,10 @@
   asio::awaitable<void> Perform();
   asio::awaitable<bool> Connect();
   asio::awaitable<bool> WriteRequest();
-  asio::awaitable<bool> ReadHeader(Parser* parser);
+  asio::awaitable<bool> ReadHeader(std::optional<Parser>* parser);
+  /// Reads the header of the final answer, or of the first invalid one.
+  asio::awaitable<error_code> ReadFinalHeader(std::optional<Parser>* parser);
+  void RejectStatus(int status);
   asio::awaitable<void> ReadStream(Parser* parser);
   asio::awaitable<void> ReadBody(Parser* parser);
   asio::awaitable<void> RelayBody(Parser* parser);
@@ -486,23 +490,23 @@
   }
   bool written = co_await WriteRequest();
   if (!written) co_return;
-  Parser parser;
+  std::optional<Parser> parser;
   bool answered = co_await ReadHeader(&parser);
   if (!answered) co_return;
-  std::string_view type = parser.get()[http::field::content_type];
+  std::string_view type = parser->get()[http::field::content_type];
   bool token_stream = !m_call.relay && m_call.event_stream &&
-                      parser.get().result_int() == 200 &&
+                      parser->get().result_int() == 200 &&
                       type.starts_with("text/event-stream");
   // An event of its own ends a token stream.
   if (token_stream) {
-    co_await ReadStream(&parser);
+    co_await ReadStream(&*parser);
     co_return;
   }
   if (m_call.verify_unframed && !m_not_run) HoldIfUnframed();
   if (m_call.relay) {
-    co_await RelayBody(&parser);
+    co_await RelayBody(&*parser);
   } else {
-    co_await ReadBody(&parser);
+    co_await ReadBody(&*parser);
   }
 }
 
@@ -567,22 +571,49 @@
   co_return false;
 }
 
-asio::awaitable<bool> CallState::ReadHeader(Parser* parser) {
-  parser->header_limit(kMaxHeaderBytes);
-  parser->body_limit(boost::none);
-  if (m_call.method == "HEAD") parser->skip(true);
-  while (!parser->is_header_done()) {
-    error_code error =
-        co_await ReadSome(&m_socket, &m_buffer, parser, &m_on_read);
-    if (error) {
-      Fail("header", error);
-      co_return false;
+asio::awaitable<error_code> CallState::ReadFinalHeader(
+    std::optional<Parser>* parser) {
+  error_code error;
+  int interim = 0;
+  do {
+    parser->emplace();
+    (*parser)->header_limit(kMaxHeaderBytes);
+    (*parser)->body_limit(boost::none);
+    if (m_call.method == "HEAD") (*parser)->skip(true);
+    while (!error && !(*parser)->is_header_done()) {
+      error = co_await ReadSome(&m_socket, &m_buffer, &**parser, &m_on_read);
     }
+  } while (
+      !error &&
+      http_status::IsInterim(static_cast<int>((*parser)->get().result_int())) &&
+      ++interim <= http_status::kMaxInterimAnswers);
+  co_return error;
+}
+
+void CallState::RejectStatus(int status) {
+  ++m_client->m_stats.invalid_answers;
+  m_end.detail = fmt::format("answer with status {}", status);
+  LogEvent("answer_invalid", {{"address", m_call.address},
+                              {"attempt", m_call.attempt},
+                              {"status", std::to_string(status)}});
+  Close();
+}
+
+asio::awaitable<bool> CallState::ReadHeader(std::optional<Parser>* parser) {
+  error_code error = co_await ReadFinalHeader(parser);
+  if (error) {
+    Fail("header", error);
+    co_return false;
+  }
+  const auto& answer = (*parser)->get();
+  int status = static_cast<int>(answer.result_int());
+  if (!http_status::IsFinal(status)) {
+    RejectStatus(status);
+    co_return false;
   }
-  const auto& answer = parser->get();
-  m_end.status = static_cast<int>(answer.result_int());
-  m_end.framing = FramingOf(*parser);
-  AnswerHead judged = JudgeHead(*parser);
+  m_end.status = status;
+  m_end.framing = FramingOf(**parser);
+  AnswerHead judged = JudgeHead(**parser);
   if (judged == AnswerHead::kForeign) {
     ++m_end.dropped;
     ++m_client->m_stats.frames_dropped;
--- a/net/end_to_end.cc
+++ b/net/end_to_end.cc
@@ -1,5 +1,7 @@
 // Headers that concern one connection must not be passed on: those that HTTP
-// names, and those that the Connection header names.
+// names, and those that the Connection header names. An expectation (Expect)
+// isn't passed on either: the daemon has answered it itself and has read the
+// whole body before it forwards a request.
 
 #include <algorithm>
 #include <array>
@@ -10,10 +12,16 @@
 namespace clementine {
 namespace {
 
-constexpr std::array<std::string_view, 9> kHopByHop = {
-    "Connection",        "Keep-Alive", "Proxy-Authenticate",
-    "Proxy-Connection",  "TE",         "Trailer",
-    "Transfer-Encoding", "Upgrade",    "Content-Length"};
+constexpr std::array<std::string_view, 10> kHopByHop = {"Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Authenticate",
+                                                        "Proxy-Connection",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Transfer-Encoding",
+                                                        "Upgrade",
+                                                        "Content-Length",
+                                                        "Expect"};
 
 std::string_view Trim(std::string_view text) {
   while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -17,9 +17,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 #include "net/address.h"
 #include "net/connection_pool.h"
+#include "net/http_status.h"
 #include "net/read_some.h"
 
 namespace clementine {
@@ -178,22 +180,29 @@
         connection->stream, asio::buffer(message), kAwaitTuple);
     answer.sent = written > 0;
     if (write_error) co_return answer;
-    Parser parser;
-    parser.body_limit(kMaxAnswerBytes);
-    boost::system::error_code read_error = co_await Read(connection, &parser);
+    std::optional<Parser> parser;
+    boost::system::error_code read_error =
+        co_await ReadFinal(connection, &parser);
     if (read_error) {
       // Whatever stopped this connection may have stopped the idle ones too.
       if (read_error == beast::error::timeout) m_idle.clear();
       co_return answer;
     }
-    answer.status = static_cast<int>(parser.get().result_int());
-    for (const auto& field : parser.get()) {
+    int status = static_cast<int>(parser->get().result_int());
+    if (!http_status::IsFinal(status)) {
+      ++m_stats.invalid_answers;
+      LogEvent("answer_invalid",
+               {{"address", m_address}, {"status", std::to_string(status)}});
+      co_return answer;
+    }
+    answer.status = status;
+    for (const auto& field : parser->get()) {
       answer.headers.emplace_back(std::string(field.name_string()),
                                   std::string(field.value()));
     }
-    answer.body = std::move(parser.get().body());
+    answer.body = std::move(parser->get().body());
     LogUnexpected(answer.status);
-    if (parser.keep_alive() && connection->buffer.size() == 0 && !m_stopped &&
+    if (parser->keep_alive() && connection->buffer.size() == 0 && !m_stopped &&
         m_idle.size() < kMaxIdleConnections) {
       connection->stream.expires_never();
       m_idle.push_back(std::move(connection));
@@ -201,6 +210,22 @@
     co_return answer;
   }
 
+  // Reads the final answer, or the first invalid one.
+  asio::awaitable<boost::system::error_code> ReadFinal(
+      ConnectionPtr connection, std::optional<Parser>* parser) {
+    boost::system::error_code error;
+    int interim = 0;
+    do {
+      parser->emplace();
+      (*parser)->body_limit(kMaxAnswerBytes);
+      error = co_await Read(connection, &**parser);
+    } while (!error &&
+             http_status::IsInterim(
+                 static_cast<int>((*parser)->get().result_int())) &&
+             ++interim <= http_status::kMaxInterimAnswers);
+    co_return error;
+  }
+
   // Reads an answer within the limits of held bytes.
   asio::awaitable<boost::system::error_code> Read(ConnectionPtr connection,
                                                   Parser* parser) {
--- a/net/http_transport.h
+++ b/net/http_transport.h
@@ -26,6 +26,7 @@
   };
 
   struct Stats {
+    std::uint64_t invalid_answers = 0;  ///< Without a final status.
     std::uint64_t held_bytes = 0;  ///< Bytes kept of unfinished answers, now.
     std::uint64_t dropped_answers = 0;  ///< Ended as they exceeded a limit.
   };
--- a/net/net.h
+++ b/net/net.h
@@ -416,6 +416,7 @@
   std::uint64_t dropped_answers = 0;  ///< Ended, as all together kept too much.
   /// Ended, as a head, the size line of a chunk or a trailer was too long.
   std::uint64_t oversized_answers = 0;
+  std::uint64_t invalid_answers = 0;  ///< Ended, as their status isn't final.
   /// Answers without length and chunks that their server has not outlived.
   std::uint64_t unverified_answers = 0;
 };
@@ -547,6 +548,7 @@
   std::uint64_t calls() const;
   std::uint64_t held_bytes() const;       ///< Bytes of unfinished answers, now.
   std::uint64_t dropped_answers() const;  ///< Ended as they exceeded a limit.
+  std::uint64_t invalid_answers() const;  ///< Without a final status.
 
  private:
   class Impl;
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -206,4 +206,8 @@
   return m_impl->stats().dropped_answers;
 }
 
+std::uint64_t PlatformClient::invalid_answers() const {
+  return m_impl->stats().invalid_answers;
+}
+
 }  // namespace clementine
--- a/testing/answer_status_test.cc
+++ b/testing/answer_status_test.cc
@@ -91,6 +91,8 @@
       CHECK(received.starts_with("HTTP/1.1 502"));
       CHECK(received.find("Reason") == std::string::npos);
       CHECK(received.find("body") == std::string::npos);
+      CHECK(relay.backends.stats().invalid_answers ==
+            (status == "199" ? 0 : 1));
     }
   }
 }
@@ -129,13 +131,13 @@
 TEST_CASE("relay does not forward an expectation") {
   RelayFixture relay([](RawConnection& raw, const std::string& request) {
     std::string interim =
-        request.find("Expect") == std::string::npos ? "" : kInterim;
+        request.find("\r\nExpect:") == std::string::npos ? "" : kInterim;
     raw.Send(interim + Answer("200", "body"));
   });
   std::string received = relay.Call("Expect: 100-continue\r\n");
   CHECK(received.find("HTTP/1.1 200") != std::string::npos);
   REQUIRE(relay.backend.requests.size() == 1);
-  CHECK(relay.backend.requests[0].find("Expect") == std::string::npos);
+  CHECK(relay.backend.requests[0].find("\r\nExpect:") == std::string::npos);
 }
 
 // Guards against the same on the interface `chat`.
