Hedge only where a second attempt is likely to win

Change: an attempt that lost to its hedge adds twice its time to the speed of its group. The hedge waits for another median unless at least half of the attempts that reach the quantile last for longer than a median from then on. Test: 103 cases of hedges, the request path, the relay, admission, quarantine and documents pass.

--- a/core/hedging.cc
+++ b/core/hedging.cc
@@ -1,12 +1,19 @@
-// The P-square estimator keeps five markers for its quantile, whatever the
-// number of samples. Two windows alternate, so that the delay follows changes.
+// The extended P-square estimator keeps nine markers for three quantiles,
+// whatever the number of samples. Two windows alternate, so that the delay
+// follows changes.
 
 #include "core/hedging.h"
 
+// clang-format off
+// The quantile header uses std::ostringstream without including it.
+#include <sstream>
+// clang-format on
+
 #include <algorithm>
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <cmath>
 #include <cstdint>
@@ -17,20 +24,21 @@
 
 namespace acc = boost::accumulators;
 
-// A quantile above 0.99 needs hundreds of samples, which pools with few
-// requests collect in minutes only.
-constexpr double kMinQuantile = 0.5;
-constexpr double kMaxQuantile = 0.99;
+// A share below 0.01 needs hundreds of samples, which pools with few requests
+// collect in minutes only. A share of 0.5 or more would select usual times.
+constexpr double kMinShare = 0.01;
+constexpr double kMaxShare = 0.4;
 constexpr std::size_t kMinSamples = 20;
 // As long as the window of the retry budget, which the hedges are taken from.
 constexpr std::chrono::seconds kWindow{10};
 // Older measurements say little about the present load of a pool.
 constexpr std::chrono::seconds kMaxAge{300};
 
-/// Samples that a window needs until its quantile isn't just its maximum.
-std::size_t RequiredSamples(double quantile) {
+/// Samples that a window needs until the quantile 1 - share / 2 isn't just its
+/// maximum.
+std::size_t RequiredSamples(double share) {
   return std::max(kMinSamples,
-                  static_cast<std::size_t>(std::ceil(1.0 / (1.0 - quantile))));
+                  static_cast<std::size_t>(std::ceil(2.0 / share)));
 }
 
 }  // namespace
@@ -64,9 +72,9 @@
 /// Times of one pool and request class.
 class HedgeDelays::Times {
  public:
-  explicit Times(double quantile)
-      : m_quantile(quantile),
-        m_required(RequiredSamples(quantile)),
+  explicit Times(double share)
+      : m_share(share),
+        m_required(RequiredSamples(share)),
         m_last(Empty()),
         m_current(Empty()) {}
 
@@ -86,12 +94,12 @@
   std::optional<milliseconds> Delay(TimePoint now) const {
     std::optional<double> delay;
     if (IsUsable(m_last) && now - m_last_ended_at <= kMaxAge) {
-      delay = acc::p_square_quantile(m_last);
+      delay = DelayOf(m_last);
     }
     // The larger one: when all servers become slow, the last window would let
     // every request be hedged.
     if (IsUsable(m_current) && now - m_added_at <= kMaxAge) {
-      delay = std::max(delay.value_or(0.0), acc::p_square_quantile(m_current));
+      delay = std::max(delay.value_or(0.0), DelayOf(m_current));
     }
     if (!delay) return std::nullopt;
     // An attempt that takes exactly as long isn't slow: the times of some pools
@@ -101,16 +109,33 @@
 
  private:
   using Estimator = acc::accumulator_set<
-      double, acc::stats<acc::tag::p_square_quantile, acc::tag::count>>;
+      double,
+      acc::stats<acc::tag::extended_p_square_quantile, acc::tag::count>>;
 
   Estimator Empty() const {
-    return Estimator(acc::quantile_probability = m_quantile);
+    std::array<double, 3> probabilities = {0.5, 1.0 - m_share,
+                                           1.0 - m_share / 2.0};
+    return Estimator(acc::tag::extended_p_square::probabilities =
+                         probabilities);
+  }
+  static double Quantile(const Estimator& window, double probability) {
+    return acc::quantile(window, acc::quantile_probability = probability);
+  }
+  /// A hedge takes about the median, so it wins if the attempt lasts for longer
+  /// than that from now on. If less than half of the attempts that reach the
+  /// quantile do, the hedge waits for another median: an attempt that runs for
+  /// as long is slower than the measured ones.
+  double DelayOf(const Estimator& window) const {
+    double median = Quantile(window, 0.5);
+    double slow = Quantile(window, 1.0 - m_share);
+    bool wins = Quantile(window, 1.0 - m_share / 2.0) >= slow + median;
+    return wins ? slow : slow + median;
   }
   bool IsUsable(const Estimator& window) const {
     return acc::count(window) >= m_required;
   }
 
-  double m_quantile;
+  double m_share;
   std::size_t m_required;
   Estimator m_last;
   Estimator m_current;
@@ -120,14 +145,14 @@
 };
 
 HedgeDelays::HedgeDelays(double ratio)
-    : m_quantile(std::clamp(1.0 - ratio, kMinQuantile, kMaxQuantile)) {}
+    : m_share(std::clamp(ratio, kMinShare, kMaxShare)) {}
 
 HedgeDelays::~HedgeDelays() = default;
 
 void HedgeDelays::AddTime(PoolId pool, RequestClass request_class,
                           milliseconds time, TimePoint now) {
   std::unique_ptr<Times>& times = m_times[{pool, request_class}];
-  if (times == nullptr) times = std::make_unique<Times>(m_quantile);
+  if (times == nullptr) times = std::make_unique<Times>(m_share);
   times->Add(time, now);
 }
 
--- a/core/hedging.h
+++ b/core/hedging.h
@@ -30,7 +30,8 @@
   using PoolId = std::uint32_t;
 
   /// @param ratio Share of the requests that may be hedged. The delay is the
-  ///     quantile 1 - ratio of the measured times, but at least the median.
+  ///     quantile 1 - ratio of the measured times, or that and the median if a
+  ///     hedge after the quantile would rarely win.
   explicit HedgeDelays(double ratio);
   ~HedgeDelays();
 
@@ -50,7 +51,7 @@
  private:
   class Times;
 
-  double m_quantile;
+  double m_share;
   std::map<std::pair<PoolId, RequestClass>, std::unique_ptr<Times>> m_times;
 };
 
--- a/core/request_hedges.cc
+++ b/core/request_hedges.cc
@@ -121,7 +121,10 @@
     // The first attempt would have taken at least as long. The time of a hedge
     // that lost says nothing.
     if (hedge_won) {
-      other.group->speed.AddFirstProgress(ran, m_now);
+      // How long the attempt would have taken isn't known. Slow times spread
+      // widely, so it's taken as twice the time until now. That time itself is
+      // little more than usual and would hide a slow group.
+      other.group->speed.AddFirstProgress(2 * ran, m_now);
       if (other.group->speed.slowness() <= 1.0) {
         m_hedge_delays.AddTime(active->pool->id, active->request.request_class,
                                ran, m_now);
