Order the relay's state by the era of the platform's store

Cause: After a restore, revisions and the lease go back. Followers ignored the lower revisions, and a daemon could take the restored older lease while the planner still believed in its own. Change: StoreEra holds the highest era. FleetFeed, ChangeHistory and the change frames order state by era and revision and list every kind again on a higher era. The lease is not held until a write in the new era was granted; fences of an era start above all fences of earlier eras. Daemons write their own objects again.

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -102,6 +102,11 @@
   RecordAsOf(kind, as_of);
 }
 
+void ChangeFollower::OnPeerHeartbeat(const std::string& peer, TimePoint now) {
+  auto found = m_streams.find(peer);
+  if (found != m_streams.end()) found->second.last_data_at = now;
+}
+
 void ChangeFollower::OnPeerEnded(const std::string& peer, TimePoint now) {
   AvoidPeer(peer, now);
   m_streams.erase(peer);
--- a/core/change_follower.h
+++ b/core/change_follower.h
@@ -107,6 +107,9 @@
   /// A peer reported that it knows all changes of a kind up to `as_of`.
   void OnPeerUpdate(const std::string& peer, ChangeKind kind, TimePoint as_of,
                     TimePoint now);
+  /// A peer sent data that isn't comparable with the known state, because the
+  /// store was restored and only one side has seen that.
+  void OnPeerHeartbeat(const std::string& peer, TimePoint now);
   /// The subscription has ended or could not be established.
   void OnPeerEnded(const std::string& peer, TimePoint now);
 
--- a/core/crash_exchange.cc
+++ b/core/crash_exchange.cc
@@ -223,6 +223,7 @@
 }
 
 bool CrashExchange::pending() const {
+  if (m_rewrite && !m_marks.empty()) return true;
   return m_last_change != m_written_change &&
          std::any_of(m_marks.begin(), m_marks.end(), [this](const auto& entry) {
            return entry.second.change > m_written_change;
@@ -263,17 +264,28 @@
   if (now - m_sent_at < (m_in_flight ? kReplyTimeout : kWriteInterval)) return;
   m_sent_at = now;
   m_sent_change = m_last_change;
+  m_rewrite_sent = m_rewrite;
   m_in_flight = true;
   out->emplace_back(PutObject{kWriteCall, fmt::format("{}/{}", kKind, m_node),
                               Encode(), m_own.if_version()});
 }
 
+void CrashExchange::OnStoreRestored(TimePoint now) {
+  m_rewrite = true;
+  m_rewrite_sent = false;
+  m_in_flight = false;
+  m_own.SetExists(true);
+  m_objects.clear();
+  m_write_due_at = now + kBatchWindow;
+}
+
 void CrashExchange::OnReply(const ObjectReply& reply, TimePoint now) {
   if (reply.call != kWriteCall) return;
   m_in_flight = false;
   if (m_own.OnReply(reply.status)) m_sent_at = TimePoint();
   if (reply.status == ObjectStatus::kOk) {
     m_written_change = m_sent_change;
+    if (m_rewrite_sent) m_rewrite = false;
     m_notify_at = TimePoint();
     m_notify_count = 0;
     m_write_due_at = now;
--- a/core/crash_exchange.h
+++ b/core/crash_exchange.h
@@ -90,6 +90,10 @@
   /// The platform's reply to a PutObject or DeleteObject.
   void OnReply(const ObjectReply& reply, TimePoint now);
 
+  /// The store was restored from a copy that may lack marks: writes this
+  /// daemon's marks again. Revisions of other objects are no longer used.
+  void OnStoreRestored(TimePoint now);
+
   /// @param removes_expired Whether this daemon removes objects of other
   ///     daemons whose marks have all expired. One such daemon is enough.
   std::vector<Action> Advance(TimePoint now, WallTime wall,
@@ -133,6 +137,9 @@
   std::uint64_t m_last_change = 0;  ///< Number of the last change of m_marks.
   std::uint64_t m_written_change = 0;  ///< Last change stored on the platform.
   std::uint64_t m_sent_change = 0;     ///< Last change in the write in flight.
+  /// All marks have to be written, because the store was restored.
+  bool m_rewrite = false;
+  bool m_rewrite_sent = false;  ///< By the write in flight.
   OwnObject m_own;
   bool m_in_flight = false;  ///< A write has no reply yet.
   TimePoint m_write_due_at;  ///< Time of the next write.
--- a/core/fleet_control.cc
+++ b/core/fleet_control.cc
@@ -86,7 +86,7 @@
       m_jitter(m_options.seed),
       m_lease({m_options.node, m_options.incarnation, kLeaseKey,
                m_options.lease_duration, m_options.max_order_duration,
-               Mutation::kNone},
+               Mutation::kNone, m_options.first_start},
               &m_calls, &m_jitter),
       m_nodes(m_options.node, m_options.incarnation, m_options.seed + 1) {
   // Reports that no daemon has acted under the lease yet if the lease object is
@@ -119,7 +119,43 @@
   if (event.total > 0) m_planner.SetFreeLoads(false);
 }
 
+bool FleetControl::ObserveEra(std::optional<std::uint64_t> era) {
+  std::uint64_t before = m_store_era.highest();
+  switch (m_store_era.Observe(era)) {
+    case StoreEra::Verdict::kCurrent:
+      return true;
+    case StoreEra::Verdict::kOlder:
+      if (m_store_era.ShouldLogOlder(*era)) {
+        Log("store_era_older", {{"era", std::to_string(*era)},
+                                {"highest", std::to_string(before)}});
+      }
+      return false;
+    case StoreEra::Verdict::kFirst:
+      m_lease.SetStoreEra(m_store_era.highest());
+      return true;
+    case StoreEra::Verdict::kRestored:
+      break;
+  }
+  Log("store_restored", {{"era", std::to_string(*era)},
+                         {"before", std::to_string(before)},
+                         {"held_lease", m_lease.IsHolder() ? "yes" : "no"}});
+  std::vector<ControlAction> out;
+  m_lease.OnStoreRestored(*era, m_now, &out);
+  AppendActions(std::move(out));
+  m_nodes.OnStoreRestored(m_now);
+  m_list.OnStoreRestored(m_now);
+  m_actions.emplace_back(StoreEraSeen{*era});
+  return true;
+}
+
+void FleetControl::On(const StoreEraSeen& event) { ObserveEra(event.era); }
+
+void FleetControl::NoteEpoch(const GroupMembership& member) {
+  m_lease.NoteFence(member.epoch / GroupPlanner::kEpochsPerTerm);
+}
+
 void FleetControl::On(const ServersListed& event) {
+  for (const BackendServer& server : event.servers) NoteEpoch(server.member);
   m_list.Replace(event.servers, m_now);
   ReportEndedServers();
   m_groups_dirty = true;
@@ -161,6 +197,9 @@
 }
 
 void FleetControl::On(const ServersChanged& event) {
+  for (const ServerList::Change& change : event.changes) {
+    if (change.server) NoteEpoch(change.server->member);
+  }
   if (m_planning) LogChanges(event.changes);
   m_list.Apply(event.changes, m_now);
   ReportEndedServers();
@@ -348,15 +387,22 @@
 }
 
 void FleetControl::On(const ObjectReply& event) {
-  if (m_nodes.OnReply(event, m_now)) return;
+  bool answered = event.status != ObjectStatus::kUnavailable &&
+                  event.status != ObjectStatus::kUnknown;
+  bool usable = !(answered || event.era) || ObserveEra(event.era);
+  ObjectReply reply = event;
+  if (!usable) reply.status = ObjectStatus::kUnknown;
+  if (m_nodes.OnReply(reply, m_now)) return;
   std::optional<PendingCall> call = m_calls.Take(event.call);
   if (!call) return;
   std::vector<ControlAction> out;
-  m_lease.OnReply(*call, event, m_now, &out);
+  m_lease.OnReply(*call, reply, m_now, &out);
   AppendActions(std::move(out));
 }
 
 void FleetControl::On(const NodesListed& event) {
+  bool answered = event.complete || event.era;
+  if (answered && !ObserveEra(event.era)) return;
   m_nodes.OnNodesListed(event, m_now);
 }
 
@@ -506,6 +552,7 @@
 
 void FleetControl::On(const ServerStatusResult& event) {
   if (event.server) {
+    NoteEpoch(event.server->member);
     m_planner.OnReport(event.host, *event.server, m_now);
   }
   auto found = m_queries.find(event.host);
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -21,6 +21,7 @@
 #include "core/node_directory.h"
 #include "core/platform_calls.h"
 #include "core/server_list.h"
+#include "core/store_era.h"
 
 namespace clementine {
 
@@ -43,6 +44,12 @@
 struct EvacuationsChanged {
   std::set<std::string> data_centres;
 };
+/// Era of the platform's store; see StoreEra. As an event: an answer to another
+/// component, or another daemon, stated it first. As an action: the store was
+/// restored; the other components have to read and write their objects again.
+struct StoreEraSeen {
+  std::uint64_t era = 0;
+};
 /// Result of a QueryServerStatus. `server` is the report of the backend server
 /// about itself, or empty when the query failed.
 struct ServerStatusResult {
@@ -74,10 +81,10 @@
 
 using FleetEvent =
     std::variant<RequestsCounted, ServersListed, ServersChanged,
-                 ServerListUnavailable, FleetConfigured, EvacuationsChanged,
-                 ServerStatusResult, ServerLeaving, ServerBusy, OrderEnded,
-                 GroupUnresponsive, ObjectReply, NodesListed, DrainStarted,
-                 Tick>;
+                 ServerListUnavailable, StoreEraSeen, FleetConfigured,
+                 EvacuationsChanged, ServerStatusResult, ServerLeaving,
+                 ServerBusy, OrderEnded, GroupUnresponsive, ObjectReply,
+                 NodesListed, DrainStarted, Tick>;
 
 // Actions. GroupsChanged, DaemonsChanged, ServerEnded, GetObject, PutObject,
 // ListNodes and LogDecision are actions as well.
@@ -91,9 +98,10 @@
   std::string address;
 };
 
-using FleetAction = std::variant<SendGroupOrder, QueryServerStatus,
-                                 GroupsChanged, DaemonsChanged, ServerEnded,
-                                 GetObject, PutObject, ListNodes, LogDecision>;
+using FleetAction =
+    std::variant<SendGroupOrder, QueryServerStatus, GroupsChanged,
+                 DaemonsChanged, ServerEnded, GetObject, PutObject, ListNodes,
+                 StoreEraSeen, LogDecision>;
 
 struct FleetControlOptions {
   std::string node;
@@ -138,6 +146,7 @@
   std::vector<std::string> daemon_addresses() const {
     return m_nodes.addresses();
   }
+  std::uint64_t store_era() const { return m_store_era.highest(); }
   bool servers_known() const { return m_list.known(); }
   /// Number of groups and plain hosts that accept requests.
   std::size_t open_groups() const { return m_open_groups; }
@@ -168,6 +177,7 @@
   void On(const ServersListed& event);
   void On(const ServersChanged& event);
   void On(const ServerListUnavailable& event);
+  void On(const StoreEraSeen& event);
   void On(const FleetConfigured& event);
   void On(const EvacuationsChanged& event);
   void On(const ServerStatusResult& event);
@@ -180,6 +190,11 @@
   void On(const DrainStarted& event);
   void On(const Tick& event);
 
+  /// Records the era of an answer of the platform's store.
+  /// @return Whether the answer may be used; false if its era is older.
+  bool ObserveEra(std::optional<std::uint64_t> era);
+  /// Reports the fence of the planner that chose a group's epoch to the lease.
+  void NoteEpoch(const GroupMembership& member);
   void LogChanges(const std::vector<ServerList::Change>& changes);
   void LogLapsedServers();
   /// Reports servers that have ended according to the latest list or changes.
@@ -214,6 +229,7 @@
   Jitter m_jitter;
   PlatformCalls m_calls;
   Lease m_lease;
+  StoreEra m_store_era;
   NodeDirectory m_nodes;
   ServerList m_list;
   GroupPlanner m_planner;
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -32,10 +32,6 @@
 constexpr milliseconds kMaxRejoinTime{600};
 /// Maximum interval between the joins of one group's members.
 constexpr milliseconds kMaxJoinSpread{2'500};
-/// Greater than the number of epochs that a planner uses in one term. Terms
-/// below 2^33 keep epochs below 2^53, the limit up to which every JSON library
-/// preserves integers.
-constexpr std::uint64_t kEpochsPerTerm = std::uint64_t{1} << 20;
 
 }  // namespace
 
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -145,6 +145,11 @@
   ///     use the same name and epoch.
   void Reset(std::uint64_t term);
 
+  /// Greater than the number of epochs that a planner uses in one term. Terms
+  /// below 2^33 keep epochs below 2^53, the limit up to which every JSON
+  /// library preserves integers.
+  static constexpr std::uint64_t kEpochsPerTerm = std::uint64_t{1} << 20;
+
  private:
   using GroupKey = std::pair<std::string, std::uint64_t>;
   /// Maximum delay after which an unanswered order may still be carried out.
--- a/core/lease.cc
+++ b/core/lease.cc
@@ -18,6 +18,7 @@
 #include <utility>
 
 #include "config/config.h"
+#include "core/store_era.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -36,6 +37,8 @@
 /// lease of another holder.
 constexpr milliseconds kMaxTakeoverReadAge{2'000};
 constexpr std::size_t kMaxRememberedWrites = 16;
+/// Fences below this keep the epochs of groups below 2^53.
+constexpr std::uint64_t kMaxFence = std::uint64_t{1} << 33;
 
 bool SameWrite(const LeaseRecord& a, const LeaseRecord& b) {
   return a.holder == b.holder && a.incarnation == b.incarnation &&
@@ -110,6 +113,46 @@
   }
 }
 
+void Lease::SetStoreEra(std::uint64_t era) { m_store_era = era; }
+
+void Lease::NoteFence(std::uint64_t fence) {
+  // A damaged entry of a server must not use up the range of fences.
+  if (fence < kMaxFence) m_noted_fence = std::max(m_noted_fence, fence);
+}
+
+void Lease::OnStoreRestored(std::uint64_t era, TimePoint now, Actions* out) {
+  SetStoreEra(era);
+  m_restored = true;
+  NoteFence(m_record.fence);
+  NoteFence(m_stored.fence);
+  for (const Write& write : m_writes) NoteFence(write.record.fence);
+  if (IsUnexpiredAt(now)) {
+    m_retake_until = m_granted_sent_at + m_options.duration -
+                     m_options.duration / kClockDriftDivisor;
+  }
+  // The restored record may be an earlier write of this daemon, which proves
+  // nothing about the time since.
+  m_writes.clear();
+  m_granted_sent_at = TimePoint{};
+  m_is_holder = false;
+  m_superseded = true;
+  m_stored_known = false;
+  m_version = 0;
+  m_must_read = true;
+  m_next_call_at = now;
+  m_waiting_for = "lease not read since the store was restored";
+  Apply("expired", out);
+}
+
+// An old copy may be a released lease or lack the lease, although another
+// daemon was granted it after the copy was made.
+bool Lease::MayBeOldCopy() const {
+  std::uint64_t first_fence = FirstFenceOfEra(m_store_era);
+  if (first_fence == 0) return m_restored;
+  bool never_held = m_version == 0 && m_options.first_start && !m_restored;
+  return m_stored.fence < first_fence && !never_held;
+}
+
 void Lease::Release(bool orders_ended, TimePoint now, Actions* out) {
   Apply("stop", out);
   if (m_machine.state() == "releasing" && orders_ended && !m_pending) {
@@ -160,7 +203,9 @@
     return;
   }
   m_backoff.OnSuccess();
-  if (call.write && reply.status == ObjectStatus::kOk) {
+  // A write that was sent before the store was restored proves no grant.
+  bool outdated = call.write && m_writes.empty();
+  if (call.write && reply.status == ObjectStatus::kOk && !outdated) {
     Write write = m_writes.back();
     m_must_read = false;
     m_stored = write.record;
@@ -283,10 +328,13 @@
 }
 
 TimePoint Lease::TakeoverTime() const {
+  bool own_grant = m_version_seen_at < m_retake_until && MayBeOldCopy();
+  if (own_grant) return m_version_seen_at;
   milliseconds wait = m_options.duration + m_options.max_order_duration;
   // If neither lease nor placement exists, no earlier holder can be active.
   bool never_held = m_version == 0 && m_placement_absent;
-  if (never_held || (m_version != 0 && m_stored.holder.empty()) ||
+  bool released = m_version != 0 && m_stored.holder.empty();
+  if (((never_held || released) && !MayBeOldCopy()) ||
       m_options.mutation == Mutation::kTakeLeaseEarly) {
     wait = milliseconds(0);
   }
@@ -303,6 +351,10 @@
   record.holder = m_options.node;
   record.term = m_stored.term + 1;
   record.fence = m_stored.fence + 1;
+  if (m_store_era > 0) {
+    record.fence = std::max(
+        {record.fence, m_noted_fence + 1, FirstFenceOfEra(m_store_era)});
+  }
   Put(record, now, out);
 }
 
--- a/core/lease.h
+++ b/core/lease.h
@@ -50,6 +50,8 @@
     /// An order has ended this long after it was sent. Setting longest_order.
     milliseconds max_order_duration{5'000};
     Mutation mutation = Mutation::kNone;
+    /// No daemon has run before; an absent lease was never held.
+    bool first_start = false;
   };
 
   Lease(Options options, PlatformCalls* calls, Jitter* jitter);
@@ -65,6 +67,17 @@
   /// higher fence if its own is not higher, which is the case after an operator
   /// deleted the lease object.
   void RaiseFence(std::uint64_t placement_fence);
+  /// Sets the era of the store. Fences of an era are above those of all earlier
+  /// eras.
+  void SetStoreEra(std::uint64_t era);
+  /// The store was restored from a copy: the lease is not held until a write
+  /// that is sent after this call was granted. No earlier version, write or
+  /// read is used. The holder may take the lease at once while its earlier
+  /// grant is unexpired, because no other daemon can hold it in that time.
+  void OnStoreRestored(std::uint64_t era, TimePoint now, Actions* out);
+  /// Reports a fence that some daemon was granted. The next takeover uses a
+  /// higher one. In contrast to RaiseFence, a lease that is held is kept.
+  void NoteFence(std::uint64_t fence);
   /// Gives daemons that are not the preferred candidates longer delays.
   /// @param takeover_delay Added to the wait before taking an expired lease.
   /// @param read_delay     Upper bound of the delay added between two reads
@@ -104,6 +117,8 @@
   };
 
   bool IsUnexpiredAt(TimePoint time) const;
+  /// Whether the stored lease may be a copy that lacks a later grant.
+  bool MayBeOldCopy() const;
   TimePoint TakeoverTime() const;
   void SendRead(TimePoint now, Actions* out);
   void Put(LeaseRecord record, TimePoint now, Actions* out);
@@ -143,6 +158,11 @@
   /// Recent writes. One that was reported as failed may still be applied.
   std::deque<Write> m_writes;
   std::uint64_t m_min_fence = 0;
+  std::uint64_t m_noted_fence = 0;  ///< Highest one that was seen.
+  std::uint64_t m_store_era = 0;
+  bool m_restored = false;  ///< The store was restored since the start.
+  /// End of the grant that this daemon had when the store was restored.
+  TimePoint m_retake_until;
   std::uint64_t m_tenure = 0;
   /// Another record was stored after this daemon's last granted one.
   bool m_superseded = true;
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -128,6 +128,13 @@
   return true;
 }
 
+void NodeDirectory::OnStoreRestored(TimePoint now) {
+  m_own.SetExists(true);
+  m_next_put_at =
+      std::min(m_next_put_at,
+               now + m_jitter.Between(milliseconds(0), RenewalInterval() / 2));
+}
+
 void NodeDirectory::OnNodesListed(const NodesListed& listed, TimePoint now) {
   if (!listed.complete) return;
   m_last_list_at = now;
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -22,7 +22,9 @@
 struct NodesListed {
   bool complete = false;  ///< False if the platform did not answer.
   /// Names and values.
-  std::vector<std::pair<std::string, std::string>> nodes;
+  std::vector<std::pair<std::string, std::string>> nodes = {};
+  /// See ObjectReply::era.
+  std::optional<std::uint64_t> era = std::nullopt;
 };
 struct ListNodes {};
 
@@ -47,6 +49,10 @@
   std::vector<Action> Advance(TimePoint now);
   /// @return Whether the reply belongs to this directory.
   bool OnReply(const ObjectReply& reply, TimePoint now);
+  /// The store was restored from a copy that may lack this daemon's object or
+  /// have an earlier one: writes it again soon. The writes of all daemons are
+  /// spread over the time within which each of them renews its object.
+  void OnStoreRestored(TimePoint now);
   void OnNodesListed(const NodesListed& listed, TimePoint now);
 
   /// Sets the number of requests that this daemon has received since it
--- a/core/server_list.cc
+++ b/core/server_list.cc
@@ -8,8 +8,11 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
+#include "core/store_era.h"
+
 namespace clementine {
 namespace {
 
@@ -50,6 +53,58 @@
     m_grace_until = now + kReturnGracePeriod;
   }
   m_reachable = true;
+  if (std::exchange(m_restored, false)) {
+    m_rewriting_until = now + kRewriteDuration;
+    m_grace_until = std::max(m_grace_until, now + kReturnGracePeriod);
+    for (auto& [id, end] : m_grace_ends) end = std::max(end, m_rewriting_until);
+  }
+  ExpireHeldLeaving(now);
+}
+
+void ServerList::OnStoreRestored(TimePoint now) {
+  if (!m_known) return;
+  ExpireHeldLeaving(now);
+  m_restored = true;
+  // Covers the time until the first list, which takes the place of this end.
+  m_rewriting_until = now + kRewriteDuration;
+  for (const auto& [id, server] : m_servers) {
+    if (server.leaving) m_held_leaving[id] = server.incarnation;
+  }
+}
+
+void ServerList::ExpireHeldLeaving(TimePoint now) {
+  if (now >= m_rewriting_until && !m_restored) m_held_leaving.clear();
+}
+
+bool ServerList::IsOlderCopy(const BackendServer& server) const {
+  auto known = m_servers.find(server.id);
+  if (known == m_servers.end()) {
+    auto unlisted = m_unlisted.find(server.id);
+    return unlisted != m_unlisted.end() &&
+           server.incarnation < unlisted->second.incarnation;
+  }
+  return std::tie(server.incarnation, server.orders) <
+         std::tie(known->second.incarnation, known->second.orders);
+}
+
+// A list in this time mixes copies with entries that were written again. Of two
+// entries with the same number of orders either may be the newer one; the next
+// renewal, which comes within about a second, decides. Only the start of
+// leaving is taken from the list at once.
+void ServerList::PutRestored(const BackendServer& server, TimePoint now) {
+  auto known = m_servers.find(server.id);
+  if (now >= m_rewriting_until || known == m_servers.end() ||
+      known->second.lapsed) {
+    if (now >= m_rewriting_until || !IsOlderCopy(server)) Put(server);
+    return;
+  }
+  BackendServer& stored = known->second;
+  if (std::tie(server.incarnation, server.orders) >
+      std::tie(stored.incarnation, stored.orders)) {
+    Put(server);
+  } else if (server.incarnation == stored.incarnation && server.leaving) {
+    stored.leaving = true;
+  }
 }
 
 void ServerList::OnUnreachable(TimePoint since) {
@@ -58,7 +113,8 @@
 }
 
 bool ServerList::is_settled(TimePoint now) const {
-  return m_reachable && now >= m_grace_until + kSettlingDuration;
+  return m_reachable && now >= m_rewriting_until &&
+         now >= m_grace_until + kSettlingDuration;
 }
 
 void ServerList::RecordEndedServers(const BackendServer& server) {
@@ -86,6 +142,10 @@
   stored = server;
   m_kept_members.erase(server.id);
   m_unlisted.erase(server.id);
+  auto held = m_held_leaving.find(server.id);
+  if (held != m_held_leaving.end() && held->second == server.incarnation) {
+    stored.leaving = true;
+  }
   auto marked = m_leaving_marks.find(server.id);
   if (marked == m_leaving_marks.end()) return;
   if (marked->second == server.incarnation) {
@@ -131,9 +191,10 @@
   });
 }
 
-void ServerList::Remove(const std::string& id, TimePoint now) {
-  if (now < m_grace_until) {
-    m_grace_ends.emplace(id, m_grace_until);
+void ServerList::Remove(const std::string& id, TimePoint grace_until,
+                        TimePoint now) {
+  if (now < grace_until) {
+    m_grace_ends.emplace(id, grace_until);
     return;
   }
   m_grace_ends.erase(id);
@@ -205,10 +266,11 @@
   for (const auto& [id, server] : m_servers) {
     if (listed.count(id) == 0) missing.push_back(id);
   }
-  for (const std::string& id : missing) Remove(id, now);
+  TimePoint grace_until = std::max(m_grace_until, m_rewriting_until);
+  for (const std::string& id : missing) Remove(id, grace_until, now);
   for (const auto& [id, server] : listed) {
     m_grace_ends.erase(id);
-    Put(server);
+    PutRestored(server, now);
   }
 }
 
@@ -217,9 +279,10 @@
   for (const Change& change : changes) {
     if (change.server) {
       m_grace_ends.erase(change.id);
+      if (now < m_rewriting_until && IsOlderCopy(*change.server)) continue;
       Put(*change.server);
     } else {
-      Remove(change.id, now);
+      Remove(change.id, m_grace_until, now);
     }
   }
 }
--- a/core/server_list.h
+++ b/core/server_list.h
@@ -41,6 +41,13 @@
   /// The platform did not answer, or refused the call.
   /// @param since Time after which the list may lack changes.
   void OnUnreachable(TimePoint since);
+  /// The platform's store was restored from a copy. For kRewriteDuration from
+  /// the first list or changes that follow, servers that a list lacks are kept,
+  /// and entries that are older than the known ones are ignored, because
+  /// servers are still writing their entries again. Removals seen as changes
+  /// are deferred as after an outage. A server that is listed as leaving keeps
+  /// leaving in this incarnation for that time.
+  void OnStoreRestored(TimePoint now);
   /// Marks a server that announced itself that it is leaving. The mark holds
   /// for this incarnation of the server regardless of later list entries,
   /// because the list may be older than the announcement.
@@ -71,7 +78,13 @@
 
  private:
   void OnPlatformAnswer(TimePoint now);
-  void Remove(const std::string& id, TimePoint now);
+  /// Whether an entry may be one that a restored store had kept.
+  bool IsOlderCopy(const BackendServer& server) const;
+  /// Puts an entry of a list that may hold older copies.
+  void PutRestored(const BackendServer& server, TimePoint now);
+  void ExpireHeldLeaving(TimePoint now);
+  /// @param grace_until Time before which the entry is not removed.
+  void Remove(const std::string& id, TimePoint grace_until, TimePoint now);
   void Put(const BackendServer& server);
   void Erase(const std::string& id, TimePoint now);
   /// Records the servers whose end is implied by an entry that is about to be
@@ -105,6 +118,11 @@
   std::map<std::string, UnlistedServer> m_unlisted;  ///< By server id.
   /// Servers that announced that they are leaving, and their incarnation.
   std::map<std::string, std::int64_t> m_leaving_marks;
+  /// Servers that were listed as leaving before the store was restored, and
+  /// their incarnation. Empty when no copy is being written again.
+  std::map<std::string, std::int64_t> m_held_leaving;
+  bool m_restored = false;      ///< No list has followed the restore yet.
+  TimePoint m_rewriting_until;  ///< Entries may be older copies until then.
   /// End of each removed entry's grace period.
   std::map<std::string, TimePoint> m_grace_ends;
   /// Still listed, marked as lapsed.
--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -48,7 +48,8 @@
 }
 
 void ChangeClient::Subscribe(const std::string& peer,
-                             const ChangeRevisions& known) {
+                             const ChangeRevisions& known,
+                             const ChangeRevisions& eras) {
   Unsubscribe(peer);
   auto stream = std::make_shared<Stream>();
   stream->peer = peer;
@@ -62,6 +63,9 @@
       "/changes?" + SignChangeQuery(m_keys, EncodeChangeQuery(known), &codes);
   stream->frames = ChangeFrameReader(std::move(codes));
   call.headers = {{"Host", peer}};
+  if (eras != ChangeRevisions{}) {
+    call.headers.emplace_back(kChangeErasHeader, EncodeChangeEras(eras));
+  }
   call.idempotent = false;
   call.first_byte_timeout = m_silence_timeout;
   call.gap_timeout = m_silence_timeout;
--- a/daemon/change_client.h
+++ b/daemon/change_client.h
@@ -41,7 +41,9 @@
 
   /// @param peer  Address, IP:port.
   /// @param known Revisions after which changes are requested.
-  void Subscribe(const std::string& peer, const ChangeRevisions& known);
+  /// @param eras In which the revisions in `known` count.
+  void Subscribe(const std::string& peer, const ChangeRevisions& known,
+                 const ChangeRevisions& eras = {});
   void Unsubscribe(const std::string& peer);
 
  private:
--- a/daemon/change_history.cc
+++ b/daemon/change_history.cc
@@ -34,8 +34,17 @@
 }
 
 void ChangeHistory::Replace(const platform::ObjectBatch& all, TimePoint as_of) {
-  bool first = !m_as_of;
-  if (!first && all.revision < m_revision) return;
+  std::uint64_t era = all.era.value_or(m_era);
+  bool first = !m_as_of || era > m_era;
+  if (era < m_era || (!first && all.revision < m_revision)) return;
+  if (era > m_era) {
+    // Revisions of the earlier era aren't comparable with those of this one.
+    m_entries.clear();
+    m_bytes = 0;
+    m_removed = 0;
+    m_min_delta_revision = 0;
+  }
+  m_era = era;
   AdvanceAsOf(as_of);
   std::map<std::string, const platform::StoredObject*> listed;
   for (const platform::StoredObject& object : all.objects) {
@@ -62,7 +71,7 @@
 }
 
 void ChangeHistory::Add(const platform::ObjectBatch& batch, TimePoint as_of) {
-  if (!m_as_of) return;
+  if (!m_as_of || batch.era.value_or(m_era) != m_era) return;
   AdvanceAsOf(as_of);
   if (batch.revision <= m_revision) return;
   m_revision = batch.revision;
@@ -95,13 +104,25 @@
 }
 
 ChangeDelta ChangeHistory::DeltaAfter(std::uint64_t revision) const {
+  if (revision < m_min_delta_revision) return All();
+  ChangeDelta delta;
+  delta.era = m_era;
+  delta.revision = std::max(revision, m_revision);
+  for (const auto& [name, entry] : m_entries) {
+    if (entry.changed_revision > revision) {
+      delta.objects.push_back(entry.object);
+    }
+  }
+  return delta;
+}
+
+ChangeDelta ChangeHistory::All() const {
   ChangeDelta delta;
-  delta.whole = revision < m_min_delta_revision;
-  delta.revision = delta.whole ? m_revision : std::max(revision, m_revision);
+  delta.whole = true;
+  delta.era = m_era;
+  delta.revision = m_revision;
   for (const auto& [name, entry] : m_entries) {
-    bool included =
-        delta.whole ? !entry.object.deleted : entry.changed_revision > revision;
-    if (included) delta.objects.push_back(entry.object);
+    if (!entry.object.deleted) delta.objects.push_back(entry.object);
   }
   return delta;
 }
--- a/daemon/change_history.h
+++ b/daemon/change_history.h
@@ -19,14 +19,16 @@
   /// If true, `objects` holds all existing objects; otherwise, those that
   /// changed.
   bool whole = false;
+  /// Era of the store in which `revision` counts; 0 if the store states none.
+  std::uint64_t era = 0;
   std::uint64_t revision = 0;
   std::vector<platform::StoredObject> objects;
 };
 
 /// Stores only the latest state of each object. Its size is therefore bounded
 /// by the size of the objects on the platform, regardless of how often they
-/// change. Invariant: the revision and the time up to which it is current never
-/// move back.
+/// change. Invariant: the pair of era and revision, and the time up to which it
+/// is current, never move back.
 class ChangeHistory {
  public:
   /// Replaces the state by a list of all existing objects. Ignores a list older
@@ -37,11 +39,14 @@
   /// @param as_of Time up to which no other changes were made.
   void Add(const platform::ObjectBatch& batch, TimePoint as_of);
 
-  /// Returns the changes after `revision`.
+  /// Returns the changes after `revision` of the current era.
   ChangeDelta DeltaAfter(std::uint64_t revision) const;
 
   /// Whether the objects are known and fit into the memory limit.
   bool known() const { return m_as_of && m_bytes <= kMaxBytes; }
+  /// Returns all objects.
+  ChangeDelta All() const;
+  std::uint64_t era() const { return m_era; }
   std::uint64_t revision() const { return m_revision; }
   /// Time up to which all changes are known. Valid only while known().
   TimePoint as_of() const { return *m_as_of; }
@@ -64,6 +69,7 @@
   std::map<std::string, Entry> m_entries;  ///< By name.
   std::uint64_t m_min_delta_revision = 0;  ///< Removals after this revision
                                            ///< are stored.
+  std::uint64_t m_era = 0;
   std::uint64_t m_revision = 0;
   std::optional<TimePoint> m_as_of;
   std::size_t m_bytes = 0;
--- a/daemon/change_message.cc
+++ b/daemon/change_message.cc
@@ -123,6 +123,8 @@
   update.age = milliseconds(json.at("age").get<std::uint32_t>());
   update.delta.revision = json.at("at").get<std::uint64_t>();
   update.delta.whole = json.at("whole").get<bool>();
+  // Daemons of earlier versions send no era.
+  update.delta.era = json.value("era", std::uint64_t{0});
   for (const Json& entry : json.at("objects")) {
     platform::StoredObject object;
     object.name = entry.at("name").get<std::string>();
@@ -184,6 +186,22 @@
   return known;
 }
 
+std::string EncodeChangeEras(const ChangeRevisions& eras) {
+  return fmt::format("{}", fmt::join(eras, ","));
+}
+
+ChangeRevisions DecodeChangeEras(std::string_view text) {
+  ChangeRevisions eras{};
+  const char* at = text.data();
+  const char* end = text.data() + text.size();
+  for (std::uint64_t& era : eras) {
+    auto [stop, error] = std::from_chars(at, end, era);
+    if (error != std::errc()) return {};
+    at = stop == end ? stop : stop + 1;
+  }
+  return eras;
+}
+
 std::string EncodeChangeBody(const std::vector<ChangeUpdate>& all) {
   Json kinds = Json::array();
   for (const ChangeUpdate& update : all) {
@@ -199,6 +217,7 @@
                      {"age", update.age.count()},
                      {"whole", update.delta.whole},
                      {"objects", std::move(objects)}});
+    if (update.delta.era > 0) kinds.back()["era"] = update.delta.era;
   }
   std::string plain = JsonText(kinds);
   if (plain.size() < kDeflateThresholdBytes) {
--- a/daemon/change_relay.cc
+++ b/daemon/change_relay.cc
@@ -24,18 +24,36 @@
                      [](const ChangeHistory& known) { return known.known(); });
 }
 
-ChangeUpdate ChangeRelay::UpdateAfter(ChangeKind kind,
+ChangeUpdate ChangeRelay::UpdateAfter(ChangeKind kind, std::uint64_t era,
                                       std::uint64_t revision) const {
   const ChangeHistory& history = History(kind);
   ChangeUpdate update;
   update.kind = kind;
-  update.delta = history.DeltaAfter(revision);
+  if (era < history.era()) {
+    update.delta = history.All();
+  } else if (era == history.era()) {
+    update.delta = history.DeltaAfter(revision);
+  } else {
+    update.delta.era = history.era();
+    update.delta.revision = history.revision();
+  }
   update.age =
       std::max(milliseconds(0),
                std::chrono::ceil<milliseconds>(m_now() - history.as_of()));
   return update;
 }
 
+void ChangeRelay::RecordSent(ChangeKind kind, Follower* follower) const {
+  const auto index = static_cast<std::size_t>(kind);
+  const ChangeHistory& history = History(kind);
+  std::uint64_t& known = follower->known[index];
+  std::uint64_t& era = follower->eras[index];
+  if (era > history.era()) return;
+  known = era < history.era() ? history.revision()
+                              : std::max(known, history.revision());
+  era = history.era();
+}
+
 void ChangeRelay::ReplaceObjects(ChangeKind kind,
                                  const platform::ObjectBatch& all,
                                  TimePoint as_of) {
@@ -56,6 +74,7 @@
   const std::size_t index = static_cast<std::size_t>(kind);
   ChangeHistory& history = m_histories[index];
   std::uint64_t before = history.revision();
+  std::uint64_t era_before = history.era();
   TimePoint as_of_before = history.known() ? history.as_of() : TimePoint();
   change(&history);
   if (m_followers.empty()) return;
@@ -65,17 +84,21 @@
     return;
   }
   if (!history.known() ||
-      (history.revision() == before && history.as_of() == as_of_before)) {
+      (history.era() == era_before && history.revision() == before &&
+       history.as_of() == as_of_before)) {
     return;
   }
-  std::string shared = EncodeChangeBody({UpdateAfter(kind, before)});
+  std::string shared =
+      EncodeChangeBody({UpdateAfter(kind, era_before, before)});
   for (Follower& follower : m_followers) {
-    std::uint64_t& known = follower.known[index];
+    std::uint64_t known = follower.known[index];
+    std::uint64_t era = follower.eras[index];
     if (follower.behind || known == kKindNotRequested) continue;
-    SendFrame(&follower, known == before
-                             ? shared
-                             : EncodeChangeBody({UpdateAfter(kind, known)}));
-    known = std::max(known, history.revision());
+    bool same = known == before && era == era_before;
+    SendFrame(
+        &follower,
+        same ? shared : EncodeChangeBody({UpdateAfter(kind, era, known)}));
+    RecordSent(kind, &follower);
   }
 }
 
@@ -95,10 +118,10 @@
   std::vector<ChangeUpdate> updates;
   for (std::size_t index = 0; index < kChangeKinds; ++index) {
     auto kind = static_cast<ChangeKind>(index);
-    std::uint64_t& known = follower->known[index];
+    std::uint64_t known = follower->known[index];
     if (!History(kind).known() || known == kKindNotRequested) continue;
-    updates.push_back(UpdateAfter(kind, known));
-    known = std::max(known, History(kind).revision());
+    updates.push_back(UpdateAfter(kind, follower->eras[index], known));
+    RecordSent(kind, follower);
   }
   SendFrame(follower, EncodeChangeBody(updates));
 }
@@ -126,6 +149,8 @@
   follower.exchange = exchange;
   follower.codes = std::move(*codes);
   follower.known = *known;
+  follower.eras =
+      DecodeChangeEras(FindHeader(request.headers, kChangeErasHeader));
   follower.opened_at = m_now();
   exchange->StartStream(http_status::kOk,
                         {{"Content-Type", "application/octet-stream"}});
--- a/daemon/change_relay.h
+++ b/daemon/change_relay.h
@@ -11,8 +11,11 @@
 //                            inflated body, or 0 if it is not deflated. CODE:
 //                            authentication code, if daemons share keys.
 //   [{"kind":"servers","at":REVISION,"age":MS,"whole":BOOL,
-//     "objects":[{"name","revision","content","deleted"}]}]
+//     "objects":[{"name","revision","content","deleted"}],"era":ERA}]
 //
+// REVISION counts within ERA, the era of the platform's store. "era" is absent
+// if the store states none. The header kChangeErasHeader of the request has the
+// eras of its revisions.
 // `age` is the age of the time up to which all changes are known, when the
 // frame was sent. ELAPSED allows the receiver to detect a delayed frame.
 #ifndef DAEMON_CHANGE_RELAY_H_
@@ -50,6 +53,15 @@
 std::string EncodeChangeQuery(const ChangeRevisions& known);
 std::optional<ChangeRevisions> DecodeChangeQuery(const std::string& query);
 
+/// Header of a request for changes: the era of each revision in the query, in
+/// the order of ChangeKind. It isn't part of the query, because daemons of
+/// earlier versions reject queries with unknown parts. Absent if the store
+/// states no era.
+inline constexpr char kChangeErasHeader[] = "X-Clementine-Change-Eras";
+std::string EncodeChangeEras(const ChangeRevisions& eras);
+/// @return Zeros if the text is malformed or empty.
+ChangeRevisions DecodeChangeEras(std::string_view text);
+
 /// Content of a frame for one kind.
 struct ChangeUpdate {
   ChangeKind kind = ChangeKind::kServers;
@@ -123,6 +135,7 @@
     std::shared_ptr<HttpExchange> exchange;
     FrameCodes codes;
     ChangeRevisions known{};
+    ChangeRevisions eras{};  ///< In which `known` counts.
     TimePoint opened_at;
     TimePoint last_sent_at;
     /// Has too much unsent data. Gets the current state when that is sent.
@@ -134,7 +147,12 @@
   }
   /// Whether the kinds that a daemon requires to serve requests are known.
   bool HasRequiredKinds() const;
-  ChangeUpdate UpdateAfter(ChangeKind kind, std::uint64_t revision) const;
+  /// @param era In which `revision` counts. If it is earlier than the era of
+  ///     the history, the update holds all objects; if it is later, none.
+  ChangeUpdate UpdateAfter(ChangeKind kind, std::uint64_t era,
+                           std::uint64_t revision) const;
+  /// Records that a follower was sent the current state of a kind.
+  void RecordSent(ChangeKind kind, Follower* follower) const;
   void ApplyUpdate(ChangeKind kind,
                    const std::function<void(ChangeHistory*)>& change);
   void SendFrame(Follower* follower, const std::string& body);
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -256,6 +256,9 @@
     m_store->Put(*put, reply);
   } else if (std::holds_alternative<ListNodes>(action)) {
     ListAllNodes();
+  } else if (auto* restored = std::get_if<StoreEraSeen>(&action)) {
+    m_feed->OnEraSeen(restored->era);
+    m_crash_exchange->OnStoreRestored(SuspendAwareNow());
   } else if (auto* log = std::get_if<LogDecision>(&action)) {
     LogEvent(log->event, log->fields);
   }
@@ -354,6 +357,7 @@
   m_store->List(kind, true, [this](const platform::ObjectBatch& b) {
     NodesListed listed;
     listed.complete = b.status == platform::ObjectBatch::Status::kOk;
+    listed.era = b.era;
     for (const platform::StoredObject& object : b.objects) {
       listed.nodes.emplace_back(object.name,
                                 platform::DecodeOwnValue(object.content));
@@ -372,6 +376,8 @@
 
 void FleetDaemon::ShareCrashMarks() {
   auto reply = [this](const ObjectReply& answer) {
+    // An answer of an older era doesn't show that the marks are stored.
+    if (answer.era && *answer.era < m_control->store_era()) return;
     m_crash_exchange->OnReply(answer, SuspendAwareNow());
   };
   for (const CrashExchange::Action& action : m_crash_exchange->Advance(
@@ -472,6 +478,8 @@
     m_metrics.SetTotal("clementine_model_refused_total", label, count.refused);
   }
   SetControlMetrics();
+  m_metrics.Set("clementine_store_era", "",
+                static_cast<double>(m_control->store_era()));
   m_metrics.Set("clementine_holds_lease", "", m_control->holds_lease() ? 1 : 0);
   m_metrics.Set("clementine_live_daemons", "", m_control->live_nodes());
   m_metrics.Set(
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -23,6 +23,10 @@
 constexpr milliseconds kMaxBackoff{1'000};
 /// Entries of servers stay valid during an outage of this duration.
 constexpr milliseconds kToleratedOutage{2'000};
+/// After a restore, daemons that don't read the platform list it themselves
+/// after a random part of the bound divided by this. Their sources send the new
+/// state earlier in most cases.
+constexpr int kRelistsPerBound = 4;
 
 }  // namespace
 
@@ -146,7 +150,9 @@
       m_peers.Subscribe(
           open->peer,
           {m_servers.revision, m_configuration.revision, m_crashes.revision,
-           m_follow_evacuations ? m_evacuations.revision : kKindNotRequested});
+           m_follow_evacuations ? m_evacuations.revision : kKindNotRequested},
+          {m_servers.era, m_configuration.era, m_crashes.era,
+           m_evacuations.era});
     } else if (const auto* end =
                    std::get_if<ChangeFollower::Unsubscribe>(&action)) {
       LogEvent("change_source_left",
@@ -159,10 +165,63 @@
       Poll(&StateOf(query.kind));
     }
   }
+  ListAfterRestore();
+  EndHeldEvacuations();
   RereadIncompleteConfiguration();
   ReportOutdated();
 }
 
+// ---------------------------------------------------------------------------
+// Eras of the store.
+
+bool FleetFeed::ObserveEra(std::optional<std::uint64_t> era) {
+  switch (m_era.Observe(era)) {
+    case StoreEra::Verdict::kCurrent:
+      return true;
+    case StoreEra::Verdict::kOlder:
+      if (m_era.ShouldLogOlder(*era)) {
+        LogEvent("store_era_older",
+                 {{"era", std::to_string(*era)},
+                  {"highest", std::to_string(m_era.highest())}});
+      }
+      return false;
+    case StoreEra::Verdict::kFirst:
+      break;
+    case StoreEra::Verdict::kRestored:
+      OnStoreRestored();
+      break;
+  }
+  m_hooks.feed(StoreEraSeen{m_era.highest()});
+  return true;
+}
+
+void FleetFeed::OnStoreRestored() {
+  TimePoint now = m_hooks.now();
+  m_restored = true;
+  for (KindState* state : FollowedKinds()) state->history_gone = state->listed;
+  bool reads = m_role.roles.reads_platform;
+  m_next_relist_at = reads ? now
+                           : now + m_jitter.Between(milliseconds(0),
+                                                    m_bound / kRelistsPerBound);
+  m_held_evacuations.merge(std::set<std::string>(m_evacuated_data_centres));
+  m_hold_until = now + kRewriteDuration;
+}
+
+// A watch that is in progress may hang; therefore the list doesn't wait for it.
+void FleetFeed::ListAfterRestore() {
+  TimePoint now = m_hooks.now();
+  if (!m_restored || now < m_next_relist_at) return;
+  m_next_relist_at = now + kMaxBackoff;
+  for (KindState* state : FollowedKinds()) {
+    if (state->era < m_era.highest()) Poll(state);
+  }
+}
+
+std::uint64_t FleetFeed::EraOf(const ChangeDelta& delta) const {
+  bool unknown = delta.era == 0 && !m_restored;
+  return unknown ? m_era.highest() : delta.era;
+}
+
 std::optional<milliseconds> FleetFeed::Age() const {
   TimePoint::duration age = m_follower.Age(m_hooks.now());
   if (age == TimePoint::duration::max()) return std::nullopt;
@@ -190,8 +249,8 @@
                on_answer = std::move(on_answer),
                alive = m_alive](const platform::ObjectBatch& batch) {
     if (!*alive) return;
-    OnPlatformAnswer(state, list, sent, wait, batch);
-    on_answer(batch.status, batch.objects.empty());
+    auto status = OnPlatformAnswer(state, list, sent, wait, batch);
+    on_answer(status, batch.objects.empty());
   };
   if (list) {
     // A stale list of crash marks suffices and costs less, because the watch
@@ -203,21 +262,29 @@
   }
 }
 
-void FleetFeed::OnPlatformAnswer(KindState* state, bool list, TimePoint sent,
-                                 milliseconds wait,
-                                 const platform::ObjectBatch& batch) {
+platform::ObjectBatch::Status FleetFeed::OnPlatformAnswer(
+    KindState* state, bool list, TimePoint sent, milliseconds wait,
+    const platform::ObjectBatch& batch) {
   using Status = platform::ObjectBatch::Status;
+  bool answered = batch.status != Status::kFailed || batch.era.has_value();
+  bool usable = !answered || ObserveEra(batch.era);
   SetReachable(state, batch.status != Status::kFailed);
   if (batch.status == Status::kFailed) {
     OnPlatformFailure(state);
-    return;
+    return Status::kFailed;
   }
   state->failures = 0;
+  if (!usable) return Status::kFailed;
+  if (!list && state->era != m_era.highest()) {
+    // The watch began at a revision of an earlier era.
+    state->history_gone = true;
+    return Status::kHistoryGone;
+  }
   state->history_gone =
       batch.status == Status::kHistoryGone || (state->history_gone && !list);
   if (batch.status == Status::kHistoryGone) {
     LogEvent("platform_history_gone", {{"kind", state->object_kind}});
-    return;
+    return Status::kHistoryGone;
   }
   state->listed = true;
   // The platform may have produced an answer with changes immediately after the
@@ -230,7 +297,10 @@
   // changed.
   bool whole = list || (state->kind == ChangeKind::kConfiguration &&
                         !batch.objects.empty() && !batch.objects[0].deleted);
-  ApplyUpdate(state, whole, batch, as_of, "");
+  platform::ObjectBatch current = batch;
+  current.era = m_era.highest();
+  ApplyUpdate(state, whole, current, as_of, "");
+  return Status::kOk;
 }
 
 // Starts the next list or watch if one is needed: before the first list, after
@@ -321,10 +391,24 @@
 void FleetFeed::OnPeerUpdate(const std::string& peer,
                              const ChangeUpdate& update, TimePoint as_of) {
   KindState* state = &StateOf(update.kind);
+  // Other daemons may see the restore of the store first.
+  bool stated = update.delta.era > 0;
+  if (stated && m_era.highest() < update.delta.era) {
+    ObserveEra(update.delta.era);
+  }
+  std::uint64_t era = EraOf(update.delta);
+  bool comparable = state->listed && (era == state->era ||
+                                      (era > state->era && update.delta.whole));
+  if (state->listed && !comparable) {
+    m_follower.OnPeerHeartbeat(peer, m_hooks.now());
+    return;
+  }
   m_follower.OnPeerUpdate(peer, update.kind, as_of, m_hooks.now());
   if (!state->listed) return;
+  if (era > state->era) state->history_gone = false;
   platform::ObjectBatch batch;
   batch.status = platform::ObjectBatch::Status::kOk;
+  batch.era = era;
   batch.revision = update.delta.revision;
   batch.objects = update.delta.objects;
   ApplyUpdate(state, update.delta.whole, batch, as_of, peer);
@@ -348,13 +432,20 @@
 void FleetFeed::ApplyUpdate(KindState* state, bool whole,
                             const platform::ObjectBatch& batch, TimePoint as_of,
                             const std::string& source) {
-  bool newer = batch.revision > state->revision;
+  std::uint64_t era = batch.era.value_or(state->era);
+  bool newer = IsNewerState(era, batch.revision, state->era, state->revision);
+  bool first_of_era = era > state->era;
   bool fresh = m_hooks.now() - as_of <= kToleratedOutage;
   platform::ObjectBatch known;
   known.status = batch.status;
-  known.revision = std::max(state->revision, batch.revision);
+  known.era = std::max(state->era, era);
+  known.revision = newer ? batch.revision : state->revision;
   if (newer) known.objects = batch.objects;
+  state->era = *known.era;
   state->revision = known.revision;
+  if (first_of_era && m_restored && state->kind == ChangeKind::kEvacuations) {
+    m_hold_until = m_hooks.now() + kRewriteDuration;
+  }
   if (whole && newer) {
     m_relay->ReplaceObjects(state->kind, known, as_of);
     state->on_list(known);
@@ -411,13 +502,27 @@
   for (const platform::StoredObject& object : batch.objects) {
     if (object.deleted) {
       m_evacuated_data_centres.erase(object.name);
+      m_held_evacuations.erase(object.name);
     } else {
       m_evacuated_data_centres.insert(object.name);
     }
   }
-  if (whole || !batch.objects.empty()) {
-    m_hooks.feed(EvacuationsChanged{m_evacuated_data_centres});
+  if (whole || !batch.objects.empty()) PublishEvacuations();
+}
+
+void FleetFeed::PublishEvacuations() {
+  std::set<std::string> all = m_evacuated_data_centres;
+  all.insert(m_held_evacuations.begin(), m_held_evacuations.end());
+  m_hooks.feed(EvacuationsChanged{std::move(all)});
+}
+
+void FleetFeed::EndHeldEvacuations() {
+  bool current = m_evacuations.era == m_era.highest();
+  if (m_held_evacuations.empty() || !current || m_hooks.now() < m_hold_until) {
+    return;
   }
+  m_held_evacuations.clear();
+  PublishEvacuations();
 }
 
 // Sources may have sent parts of different versions. The list from the platform
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -18,6 +18,7 @@
 #include "core/crash_exchange.h"
 #include "core/fleet_control.h"
 #include "core/jitter.h"
+#include "core/store_era.h"
 #include "daemon/change_client.h"
 #include "daemon/change_relay.h"
 #include "platform/platform.h"
@@ -69,6 +70,10 @@
 
   void SetRole(const Role& role);
 
+  /// An answer to another component stated the era of the store. On a higher
+  /// era than known, all kinds are listed again.
+  void OnEraSeen(std::uint64_t era) { ObserveEra(era); }
+
   /// Executes the actions that are due. Called every few tens of milliseconds.
   void Tick();
 
@@ -88,6 +93,7 @@
     ChangeKind kind = ChangeKind::kServers;
     const char* object_kind = "";  ///< The platform's name of the kind.
     boost::asio::steady_timer timer;
+    std::uint64_t era = 0;  ///< In which `revision` counts.
     std::uint64_t revision = 0;
     bool listed = false;        ///< A list has been received.
     bool history_gone = false;  ///< The platform no longer has the changes
@@ -116,8 +122,20 @@
   /// Processes an answer of the platform.
   /// @param list The answer is to a list, not to a watch.
   /// @param wait Maximum time for which the platform held the request.
-  void OnPlatformAnswer(KindState* state, bool list, TimePoint sent,
-                        milliseconds wait, const platform::ObjectBatch& batch);
+  /// @return kHistoryGone if a list is needed; kFailed if the answer has no
+  ///     effect.
+  platform::ObjectBatch::Status OnPlatformAnswer(
+      KindState* state, bool list, TimePoint sent, milliseconds wait,
+      const platform::ObjectBatch& batch);
+  /// Records the era of an answer or of a peer's update.
+  /// @return Whether its content may be used; false if its era is older.
+  bool ObserveEra(std::optional<std::uint64_t> era);
+  void OnStoreRestored();
+  /// Lists the kinds whose state is of an earlier era.
+  void ListAfterRestore();
+  /// Era of a peer's update. Peers of earlier versions state none; after a
+  /// restore, their revisions count as those of the first era.
+  std::uint64_t EraOf(const ChangeDelta& delta) const;
   void ContinueReading(KindState* state);
   void Poll(KindState* state);
   void OnPeerUpdate(const std::string& peer, const ChangeUpdate& update,
@@ -135,6 +153,9 @@
   void ApplyConfiguration(bool whole, const platform::ObjectBatch& batch);
   void ApplyCrashMarks(const platform::ObjectBatch& batch);
   void ApplyEvacuations(bool whole, const platform::ObjectBatch& batch);
+  /// Ends the time for which evacuations that a restored store lacks are held.
+  void EndHeldEvacuations();
+  void PublishEvacuations();
   void RereadIncompleteConfiguration();
 
   platform::ObjectStore* m_store;
@@ -149,7 +170,14 @@
   KindState m_configuration;
   KindState m_crashes;
   KindState m_evacuations;
-  std::set<std::string> m_evacuated_data_centres;
+  std::set<std::string> m_evacuated_data_centres;  ///< As stored.
+  /// Known before the store was restored, until `m_hold_until`: the operator
+  /// may still be writing them again.
+  std::set<std::string> m_held_evacuations;
+  TimePoint m_hold_until;
+  StoreEra m_era;
+  bool m_restored = false;     ///< Since the start of this daemon.
+  TimePoint m_next_relist_at;  ///< See ListAfterRestore.
   platform::ConfigurationParts m_parts;
   bool m_configuration_incomplete = false;  ///< Parts of several
                                             ///< versions.
