Add a restore drill to the stand-in of the users' platform

Cause: No test showed daemons with a store that comes back from an old copy. Change: fleet_standin copies and restores its store, states its era, answers 410 for revisions that it lacks, and writes again what the operator and the servers wrote.

--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -20,6 +20,12 @@
 // second after its end, as the entry of one that sends nothing more.
 //
 // GET /control/runs answers {"runs": {BODY: COUNT}, "ended": N}.
+// POST /control/drill {"do": "copy"} copies the store; {"do": "restore"} puts
+// the copy in its place and raises the era. "rewrite_ms" later (default 1,000)
+// the operator and the servers write again what the copy lacks of theirs.
+// {"do": "configure", "version": N} writes a version of the configuration.
+// Answers of the store state its era if --era is at least 1. A watch from a
+// revision that the store doesn't have is answered 410.
 // POST /control/faults {"store": "up" | "busy" | "down"}: "busy" answers calls
 // to the store 503, "down" closes their connections.
 
@@ -61,6 +67,12 @@
   }
   asio::awaitable<void> Handle(Exchange* exchange);
 
+  void SetEra(std::uint64_t era) { m_era = era; }
+  void Copy() { m_copy = {m_objects, m_revision}; }
+  void Restore();
+  /// Writes what the last restore lost of these kinds.
+  void Rewrite(const std::vector<std::string>& kinds);
+
  private:
   struct Object {
     std::uint64_t revision = 0;
@@ -91,11 +103,36 @@
   asio::awaitable<void> Write(Exchange* exchange, std::string kind,
                               std::string name);
 
-  std::map<std::string, Objects> m_objects;
+  Headers EraHeader() const {
+    if (m_era == 0) return {};
+    return {{"Store-Era", std::to_string(m_era)}};
+  }
+
+  using Kinds = std::map<std::string, Objects>;
+  Kinds m_objects;
   std::uint64_t m_revision = 1;
+  std::uint64_t m_era = 0;  ///< 0: not stated.
+  std::pair<Kinds, std::uint64_t> m_copy;
+  Kinds m_lost;  ///< State before the last restore.
   ChangeSignal m_changed;
 };
 
+void Store::Restore() {
+  m_lost = std::move(m_objects);
+  m_objects = m_copy.first;
+  m_revision = m_copy.second;
+  ++m_era;
+  m_changed.Notify();
+}
+
+void Store::Rewrite(const std::vector<std::string>& kinds) {
+  for (const std::string& kind : kinds) {
+    for (const auto& [name, object] : m_lost[kind]) {
+      if (!object.deleted) Put(kind, name, object.spec);
+    }
+  }
+}
+
 Json Store::List(const std::string& kind) const {
   Json entries = Json::array();
   auto found = m_objects.find(kind);
@@ -125,13 +162,19 @@
                                    std::uint64_t since) {
   milliseconds wait(exchange->QueryNumber("wait_ms").value_or(0));
   auto end = Clock::now() + std::min(wait, kMostWatchTime);
+  std::uint64_t era = m_era;
   Json events = Events(kind, since);
-  while (events.empty() && Clock::now() < end) {
+  while (events.empty() && since <= m_revision && era == m_era &&
+         Clock::now() < end) {
     co_await m_changed.WaitUntil(end);
     events = Events(kind, since);
   }
+  if (since > m_revision) {
+    co_await exchange->Answer(410, std::string(), EraHeader());
+    co_return;
+  }
   Json answer = {{"events", std::move(events)}, {"at", m_revision}};
-  co_await exchange->Answer(200, answer);
+  co_await exchange->Answer(200, answer, EraHeader());
 }
 
 asio::awaitable<void> Store::Write(Exchange* exchange, std::string kind,
@@ -150,12 +193,12 @@
   }
   if (!exists && !create) {
     Json none = Json::object();
-    co_await exchange->Answer(404, none);
+    co_await exchange->Answer(404, none, EraHeader());
     co_return;
   }
   if (exists && (create || (wanted && *wanted != found->second.revision))) {
     Json current = Text(name, found->second);
-    co_await exchange->Answer(409, current);
+    co_await exchange->Answer(409, current, EraHeader());
     co_return;
   }
   if (remove) {
@@ -164,7 +207,7 @@
     Put(kind, name, body.value("spec", Json()));
   }
   Json written = Text(name, objects[name]);
-  co_await exchange->Answer(create ? 201 : 200, written);
+  co_await exchange->Answer(create ? 201 : 200, written, EraHeader());
 }
 
 asio::awaitable<void> Store::Handle(Exchange* exchange) {
@@ -181,24 +224,25 @@
     auto found = objects.find(name);
     bool exists = found != objects.end() && !found->second.deleted;
     Json answer = exists ? Text(name, found->second) : Json::object();
-    co_await exchange->Answer(exists ? 200 : 404, answer);
+    co_await exchange->Answer(exists ? 200 : 404, answer, EraHeader());
   } else if (auto since = exchange->QueryNumber("watch")) {
     co_await Watch(exchange, std::move(kind), *since);
   } else {
     Json answer = List(kind);
-    co_await exchange->Answer(200, answer);
+    co_await exchange->Answer(200, answer, EraHeader());
   }
 }
 
 /// All servers and the store's address.
 class Fleet {
  public:
-  Fleet(asio::io_context* io, int servers, bool keep_ids)
+  Fleet(asio::io_context* io, int servers, bool keep_ids, std::uint64_t era)
       : m_io(io),
         m_keep_ids(keep_ids),
         m_front(io, "127.0.0.1:0",
                 [this](Exchange* exchange) { return Front(exchange); }) {
-    m_store.Put("config", "main", Configuration());
+    m_store.SetEra(era);
+    m_store.Put("config", "main", Configuration(1));
     for (int i = 0; i < servers; ++i) {
       auto server = std::make_unique<Server>();
       Server* raw = server.get();
@@ -221,7 +265,7 @@
     std::unique_ptr<HttpServer> http;
   };
 
-  static Json Configuration() {
+  static Json Configuration(int version) {
     auto route = [](const char* prefix, const char* type) {
       return Json{{"name", std::string("r-") + type},
                   {"hostname", "desk.example"},
@@ -251,7 +295,7 @@
                     {"max_connections", 400},
                     {"protocol", "h1"},
                     {"tls", false}};
-    return {{"version", 1},
+    return {{"version", version},
             {"routes", std::move(routes)},
             {"services", Json::array({std::move(service)})},
             {"limits",
@@ -383,11 +427,37 @@
            parts.find(',', found + 1) != std::string::npos;
   }
 
+  asio::awaitable<void> Drill(Exchange* exchange) {
+    Json order = ParseJson(exchange->body());
+    std::string what = order.at("do").get<std::string>();
+    if (what == "copy") {
+      m_store.Copy();
+    } else if (what == "configure") {
+      int version = order.at("version").get<int>();
+      m_store.Put("config", "main", Configuration(version));
+    } else {
+      m_store.Restore();
+      asio::co_spawn(*m_io,
+                     Rewrite(milliseconds(order.value("rewrite_ms", 1'000))),
+                     asio::detached);
+    }
+    Json done = Json::object();
+    co_await exchange->Answer(200, done);
+  }
+
+  asio::awaitable<void> Rewrite(milliseconds delay) {
+    co_await Sleep(delay);
+    std::vector<std::string> kinds = {"servers", "config", "evacuations"};
+    m_store.Rewrite(kinds);
+  }
+
   asio::awaitable<void> Front(Exchange* exchange) {
     if (exchange->path() == "/control/runs") {
       Json runs = m_runs;
       Json answer = {{"runs", std::move(runs)}, {"ended", m_ended}};
       co_await exchange->Answer(200, answer);
+    } else if (exchange->path() == "/control/drill") {
+      co_await Drill(exchange);
     } else if (exchange->path() == "/control/faults") {
       m_state = ParseJson(exchange->body()).at("store").get<std::string>();
       Json done = Json::object();
@@ -419,13 +489,15 @@
 int main(int argc, char** argv) {
   int servers = 6;
   bool keep_ids = false;
+  std::uint64_t era = 0;
   CLI::App app("Stand-in of the users' platform and its servers for tests");
   app.add_option("--servers", servers, "Plain backend servers");
   app.add_flag("--keep-ids", keep_ids,
                "Servers come back under the id that they had");
+  app.add_option("--era", era, "Era of the store; 0: not stated");
   CLI11_PARSE(app, argc, argv);
   boost::asio::io_context io(1);
-  clementine::standin::Fleet fleet(&io, servers, keep_ids);
+  clementine::standin::Fleet fleet(&io, servers, keep_ids, era);
   clementine::LogEvent("listening", {{"address", fleet.address()}});
   clementine::standin::RunUntilTerminated(&io);
   clementine::LogEvent("stopped", {});
--- a/testing/process_fleet.cc
+++ b/testing/process_fleet.cc
@@ -17,6 +17,9 @@
   std::vector<std::string> arguments = {BinaryPath("fleet_standin"),
                                         "--servers",
                                         std::to_string(options.servers)};
+  if (options.era > 0) {
+    arguments.insert(arguments.end(), {"--era", std::to_string(options.era)});
+  }
   if (options.keep_ids) arguments.emplace_back("--keep-ids");
   return arguments;
 }
@@ -111,6 +114,11 @@
           .status == 200);
 }
 
+void FleetSite::Drill(const nlohmann::json& order) {
+  REQUIRE(Fetch(m_standin.address(), "POST", "/control/drill", JsonText(order))
+              .status == 200);
+}
+
 bool FleetSite::WaitForLog(int daemon, const std::vector<std::string>& texts) {
   return WaitFor(kLongWait, [&] {
     std::string log = Log(daemon);
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -16,6 +16,7 @@
   int daemons = 4;  ///< Named d1, d2, ...
   int servers = 12;
   bool keep_ids = false;  ///< Servers come back under the id that they had.
+  int era = 0;            ///< Of the store; 0: not stated.
   /// Calls of all daemons to the platform pass links of their own.
   bool linked = false;
 };
@@ -38,6 +39,9 @@
   /// @param state "up", "busy" or "down".
   void SetStore(const std::string& state);
 
+  /// @param order See POST /control/drill of fleet_standin.
+  void Drill(const nlohmann::json& order);
+
   /// Kills a daemon and starts it again.
   /// @param wait Whether to wait until it's ready, which takes the platform.
   void Restart(int daemon, bool wait = true);
