Test the feed with a restored store

Cause: The feed's reading after a restore had no test with a scripted platform. Change: Two tests of FleetFeed. Test: A restored store is listed anew and nothing reverts; an older or malformed era changes nothing.

--- a/testing/fleet_feed_test.cc
+++ b/testing/fleet_feed_test.cc
@@ -137,4 +137,143 @@
   CHECK(fixture.lists == 2);
 }
 
+namespace {
+
+/// A platform with one evacuation, of which the test sets the state, and a feed
+/// that follows it.
+struct RestoreFixture {
+  RestoreFixture()
+      : server(&io, "127.0.0.1:0", HttpLimits{},
+               [this](const auto& exchange) { Answer(exchange); }),
+        store(&io, server.address(), milliseconds(6'000)),
+        relay(Now, milliseconds(50)),
+        feed(&io, &store, &relay, 1, {milliseconds(600), true}, Hooks()) {
+    feed.SetRole({});
+    feed.Start();
+  }
+
+  FleetFeed::Hooks Hooks() {
+    FleetFeed::Hooks hooks;
+    hooks.now = [this] { return Now() + skipped; };
+    hooks.feed = [this](const FleetEvent& event) {
+      if (const auto* changed = std::get_if<EvacuationsChanged>(&event)) {
+        evacuated = changed->data_centres;
+      } else if (const auto* seen = std::get_if<StoreEraSeen>(&event)) {
+        seen_era = seen->era;
+      }
+    };
+    hooks.on_crash_marks = [](const std::vector<CrashExchange::Object>&) {};
+    hooks.on_configuration = [this](const FleetConfiguration& configuration) {
+      versions.push_back(configuration.version);
+    };
+    return hooks;
+  }
+
+  void Answer(const std::shared_ptr<HttpExchange>& exchange) {
+    const HttpRequest& request = exchange->request();
+    HttpHeaders headers = {{"Store-Era", era}};
+    if (request.query.find("watch=") != std::string::npos) {
+      ++watches;
+      bool gone = request.query.find("watch=" + std::to_string(revision)) ==
+                  std::string::npos;
+      exchange->Answer(
+          gone ? 410 : 200, headers,
+          gone ? "" : R"({"events":[],"at":)" + std::to_string(revision) + "}");
+      return;
+    }
+    ++lists;
+    std::string entries;
+    if (request.path.find(platform::kConfigurationKind) != std::string::npos) {
+      entries =
+          R"({"metadata":{"name":"main","revision":1},"spec":{"version":)" +
+          std::to_string(version) + R"(,"routes":[],"services":[]}})";
+    } else if (request.path.find(platform::kEvacuationKind) !=
+                   std::string::npos &&
+               evacuation) {
+      entries = R"({"metadata":{"name":"dc1","revision":1},"spec":{}})";
+    }
+    exchange->Answer(200, headers,
+                     R"({"entries":[)" + entries +
+                         R"(],"has_more":false,"at":)" +
+                         std::to_string(revision) + "}");
+  }
+
+  bool Run(const std::function<bool()>& done) {
+    TimePoint start = Now();
+    while (!done() && Now() - start < milliseconds(4'000)) {
+      io.restart();
+      io.run_one_for(milliseconds(20));
+      feed.Tick();
+    }
+    return done();
+  }
+
+  boost::asio::io_context io;
+  std::string era = "4";
+  std::uint64_t revision = 90;
+  int version = 8;
+  bool evacuation = true;
+  int lists = 0;
+  int watches = 0;
+  milliseconds skipped{0};  ///< Added to the feed's clock.
+  std::set<std::string> evacuated;
+  std::uint64_t seen_era = 0;
+  std::vector<std::uint64_t> versions;
+  HttpServer server;
+  platform::ObjectStore store;
+  ChangeRelay relay;
+  FleetFeed feed;
+};
+
+}  // namespace
+
+// Guards against followers that ignore the lower revisions of a restored store,
+// and against a configuration or an evacuation that goes back because the copy
+// lacks it.
+TEST_CASE("a restored store is listed anew, and nothing reverts") {
+  RestoreFixture fixture;
+  REQUIRE(fixture.Run([&] {
+    return fixture.versions.size() == 1 && fixture.evacuated.size() == 1 &&
+           fixture.watches > 4;
+  }));
+  fixture.era = "5";
+  fixture.revision = 60;
+  fixture.version = 7;
+  fixture.evacuation = false;
+  int lists = fixture.lists;
+  REQUIRE(fixture.Run([&] { return fixture.lists >= lists + 4; }));
+  int watches = fixture.watches;
+  REQUIRE(fixture.Run([&] { return fixture.watches >= watches + 8; }));
+  CHECK(fixture.seen_era == 5);
+  CHECK(fixture.versions == std::vector<std::uint64_t>{8});
+  CHECK(fixture.evacuated == std::set<std::string>{"dc1"});
+  // The operator had taken the evacuation back; it ends when the time is over.
+  fixture.skipped = kRewriteDuration;
+  CHECK(fixture.Run([&] { return fixture.evacuated.empty(); }));
+  fixture.revision = 61;
+  fixture.version = 9;
+  CHECK(fixture.Run([&] { return fixture.versions.size() == 2; }));
+}
+
+// Guards against state of an older era, or a malformed era, that changes what a
+// daemon knows.
+TEST_CASE("an era that goes back or is malformed changes nothing") {
+  RestoreFixture fixture;
+  REQUIRE(fixture.Run([&] { return fixture.versions.size() == 1; }));
+  fixture.era = "3";
+  fixture.revision = 200;
+  fixture.version = 20;
+  int watches = fixture.watches;
+  REQUIRE(fixture.Run([&] { return fixture.watches >= watches + 4; }));
+  CHECK(fixture.versions == std::vector<std::uint64_t>{8});
+  fixture.revision = 90;
+  fixture.version = 8;
+  fixture.era = "x5";
+  int lists = fixture.lists;
+  watches = fixture.watches;
+  REQUIRE(fixture.Run([&] { return fixture.watches >= watches + 4; }));
+  CHECK(fixture.lists == lists);
+  CHECK(fixture.seen_era == 4);
+}
+
 }  // namespace clementine
