Keep claims and placements through a restored store on interface chat

Cause: A store that comes back from a copy lacks claims, so that an order could run twice; placements and watches of interface chat went back with it. Change: PlatformClient reads the era and treats answers of an older one as lost. ClaimLedger remembers the claims of the last minute, writes them again, and for 10 s grants no claim: a request whose claim is neither stored nor known is refused with outcome unknown. ControlPlane lists again, keeps the known placement until the next holder writes it with epochs above those of the copy, and tells other daemons the era. platform_standin learns the drill. Test: process_restore_test "an order runs once although its claim was lost".

--- a/core/claim_ledger.cc
+++ b/core/claim_ledger.cc
@@ -22,6 +22,7 @@
 
 #include "config/config.h"
 #include "core/exponential_backoff.h"
+#include "core/store_era.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -39,6 +40,14 @@
 /// request with the same key may replace them after the retention period.
 constexpr std::size_t kMaxScheduledDeletions = 16'384;
 constexpr int kMaxDeletesPerAdvance = 4;
+/// Claims are kept in memory for longer than the age of a copy from which a
+/// store is restored, which is some seconds. The bounds limit the memory.
+constexpr milliseconds kKnownClaimRetention{60'000};
+constexpr std::size_t kMaxKnownClaims = 4096;
+constexpr std::size_t kMaxKnownBodyBytes = 4'194'304;
+/// Reads of an object that holds a running claim of another call, while a claim
+/// is written again.
+constexpr int kMaxRewriteAttempts = 12;
 constexpr milliseconds kMinRetryAfter{1'000};
 constexpr milliseconds kMaxRetryAfter{2'000};
 constexpr int kConflictStatus = 409;
@@ -189,7 +198,12 @@
     entry.record.ends_by = ToWallClockMs(ends_by);
   }
   m_by_request[request.id] = entry.number;
-  WriteRecord(&(m_entries[entry.number] = std::move(entry)), 0, actions);
+  Entry& stored = m_entries[entry.number] = std::move(entry);
+  if (MayLackClaims(now)) {
+    SendCall(&stored, Call::kGet, actions);
+  } else {
+    WriteRecord(&stored, 0, actions);
+  }
 }
 
 void ClaimLedger::Settle(RequestId request, ClaimState state, int status,
@@ -208,9 +222,13 @@
   m_body_bytes += entry.record.body.size();
   entry.claiming = false;
   entry.attempts = 0;
-  if (entry.held) {
+  if (entry.held && entry.call == Call::kNone) {
     entry.held = false;
     WriteRecord(&entry, entry.version, actions);
+  } else if (entry.held) {
+    // The claim is being written again after a restore of the store; the
+    // outcome follows that write.
+    entry.held = false;
   } else if (entry.call == Call::kNone) {
     ScheduleCall(&entry, Call::kGet, now);
   }
@@ -247,12 +265,23 @@
   if (entry->claiming) {
     return OnClaimPut(entry, reply, now, actions);
   }
+  if (entry->held) {
+    OnHeldPut(entry, reply, now, actions);
+    return std::nullopt;
+  }
   OnRecordPut(entry, reply, now, actions);
   return std::nullopt;
 }
 
 std::optional<ClaimLedger::Result> ClaimLedger::OnClaimPut(
     Entry* entry, const ObjectReply& reply, TimePoint now, Actions* actions) {
+  if (reply.status == ObjectStatus::kOk && entry->unverified) {
+    // Granted in a store that may lack an earlier claim. The result is final
+    // for the caller; the claim is released.
+    Result result = ResolveUnverified(entry, now);
+    Abandon(entry, now);
+    return result;
+  }
   if (reply.status == ObjectStatus::kOk) {
     return OnAcquired(entry, reply.version);
   }
@@ -271,6 +300,18 @@
   return ScheduleReadBack(entry, now);
 }
 
+// The claim of a running request was written again after a restore.
+void ClaimLedger::OnHeldPut(Entry* entry, const ObjectReply& reply,
+                            TimePoint now, Actions* actions) {
+  if (reply.status == ObjectStatus::kOk) {
+    entry->version = reply.version;
+  } else if (reply.status == ObjectStatus::kNotFound) {
+    WriteRecord(entry, 0, actions);
+  } else {
+    ScheduleCall(entry, Call::kGet, now);
+  }
+}
+
 void ClaimLedger::OnRecordPut(Entry* entry, const ObjectReply& reply,
                               TimePoint now, Actions* actions) {
   switch (reply.status) {
@@ -285,7 +326,8 @@
       WriteRecord(entry, 0, actions);
       return;
     case ObjectStatus::kUnavailable:
-      if (entry->sent_state == ClaimState::kRunning && !entry->ambiguous) {
+      if (entry->record.state == ClaimState::kReleased &&
+          entry->sent_state == ClaimState::kRunning && !entry->ambiguous) {
         Erase(entry);  // Abandoned, and the claim was never written.
         return;
       }
@@ -305,6 +347,16 @@
   if (reply.status == ObjectStatus::kOk) {
     return OnStoredObject(entry, reply, now, actions);
   }
+  if (reply.status == ObjectStatus::kNotFound && entry->claiming &&
+      (MayLackClaims(now) || entry->unverified)) {
+    Result result = ResolveUnverified(entry, now);
+    if (entry->ambiguous) {
+      Abandon(entry, now);
+    } else {
+      Erase(entry);
+    }
+    return result;
+  }
   if (reply.status == ObjectStatus::kNotFound) {
     // Repeating the write is safe: whichever write arrives second fails.
     if (!entry->claiming || entry->attempts < kMaxAttempts) {
@@ -325,12 +377,39 @@
   std::optional<ClaimRecord> record = DecodeClaim(reply.value);
   bool own = record && record->id == entry->record.id;
   if (entry->claiming) {
+    if (own && entry->unverified) {
+      Result result = ResolveUnverified(entry, now);
+      Abandon(entry, now);
+      return result;
+    }
     if (own) {
       return OnAcquired(entry, reply.version);
     }
     return ResolveAgainst(entry, reply, now, actions);
   }
+  if (own && entry->held) {
+    entry->version = reply.version;
+    return std::nullopt;
+  }
+  if (entry->seen_only) {
+    Erase(entry);  // The claim, or a later one, is stored.
+    return std::nullopt;
+  }
+  if (!own && m_restored && entry->record.state != ClaimState::kReleased &&
+      record && record->state != ClaimState::kDone &&
+      record->state != ClaimState::kUnknown &&
+      entry->attempts < kMaxRewriteAttempts) {
+    // While the store may lack claims, other daemons only release claims.
+    if (record->state == ClaimState::kReleased) {
+      ++entry->attempts;
+      WriteRecord(entry, reply.version, actions);
+    } else {
+      ScheduleCall(entry, Call::kGet, now);
+    }
+    return std::nullopt;
+  }
   if (!own) {
+    if (entry->held) return std::nullopt;
     OnOtherClaim(entry, record, reply.version, actions);
   } else if (record->state == entry->record.state) {
     ScheduleDeletion(entry, reply.version, now);
@@ -377,6 +456,9 @@
     m_deletions.pop_front();
   }
   m_deletions.push_back({entry->key, version, now + m_options.retention});
+  if (entry->record.state != ClaimState::kReleased) {
+    Remember(entry->key, entry->record, !entry->seen_only, now);
+  }
   Erase(entry);
 }
 
@@ -401,8 +483,18 @@
       record->state = ClaimState::kUnknown;
     }
   }
-  if (record && record->state == ClaimState::kReleased &&
-      entry->attempts < kMaxAttempts) {
+  bool released = record && record->state == ClaimState::kReleased;
+  if (released && (MayLackClaims(now) || entry->unverified)) {
+    result = ResolveUnverified(entry, now);
+    if (entry->ambiguous) {
+      Abandon(entry, now);
+    } else {
+      Erase(entry);
+    }
+    return result;
+  }
+  if (record && !released) Remember(entry->key, *record, false, now);
+  if (released && entry->attempts < kMaxAttempts) {
     ++entry->attempts;
     WriteRecord(entry, reply.version, actions);
     return std::nullopt;
@@ -552,6 +644,93 @@
   m_entries.erase(entry->number);
 }
 
+// ---------------------------------------------------------------------------
+// Restored store.
+
+void ClaimLedger::Remember(const std::string& key, const ClaimRecord& record,
+                           bool own, TimePoint now) {
+  ForgetOldClaims(now);
+  KnownClaim known{key, record, now, own};
+  if (known.record.body.size() + m_known_bytes > kMaxKnownBodyBytes) {
+    known.record.body.clear();
+    known.record.body_omitted = known.record.state == ClaimState::kDone;
+  }
+  m_known_bytes += known.record.body.size();
+  m_known.push_back(std::move(known));
+}
+
+void ClaimLedger::ForgetOldClaims(TimePoint now) {
+  while (!m_known.empty() &&
+         (m_known.size() >= kMaxKnownClaims ||
+          now - m_known.front().known_at > kKnownClaimRetention)) {
+    m_known_bytes -= m_known.front().record.body.size();
+    m_known.pop_front();
+  }
+}
+
+const ClaimLedger::KnownClaim* ClaimLedger::FindKnown(
+    const std::string& key) const {
+  auto found =
+      std::find_if(m_known.rbegin(), m_known.rend(),
+                   [&](const KnownClaim& known) { return known.key == key; });
+  return found == m_known.rend() ? nullptr : &*found;
+}
+
+void ClaimLedger::WriteAgain(const KnownClaim& known, Actions* actions) {
+  Entry entry;
+  entry.number = ++m_last_number;
+  entry.key = known.key;
+  entry.record = known.record;
+  entry.claiming = false;
+  entry.seen_only = !known.own;
+  m_body_bytes += entry.record.body.size();
+  WriteRecord(&(m_entries[entry.number] = std::move(entry)), 0, actions);
+}
+
+void ClaimLedger::OnStoreRestored(TimePoint now, Actions* actions) {
+  m_restored = true;
+  m_unverified_until = now + kUnverifiedClaimDuration;
+  for (auto& [number, entry] : m_entries) {
+    if (entry.claiming && entry.call == Call::kPut && entry.call_id != 0) {
+      entry.unverified = true;
+    } else if (entry.held && entry.call == Call::kNone) {
+      // The store may lack the claim of a request that is running.
+      WriteRecord(&entry, 0, actions);
+    }
+  }
+  ForgetOldClaims(now);
+  std::deque<KnownClaim> known = m_known;
+  std::set<std::string> written;
+  for (auto claim = known.rbegin(); claim != known.rend(); ++claim) {
+    if (written.insert(claim->key).second) WriteAgain(*claim, actions);
+  }
+  if (!known.empty()) {
+    actions->push_back(LogDecision{
+        "claims_written_again", {{"claims", std::to_string(written.size())}}});
+  }
+}
+
+ClaimLedger::Result ClaimLedger::ResolveUnverified(Entry* entry,
+                                                   TimePoint now) {
+  const KnownClaim* known = FindKnown(entry->key);
+  Result result;
+  result.request = entry->request;
+  if (known != nullptr && known->record.content != entry->record.content &&
+      m_options.check_content) {
+    result.refuse = {entry->request, RefusalReason::kKeyReused,
+                     Outcome::kNotRun, kKeyReusedStatus, milliseconds(0)};
+    return result;
+  }
+  if (known != nullptr) return ResultFromRecord(*entry, known->record, now);
+  // Another call with this key may have run in the time that the copy lacks.
+  milliseconds wait =
+      std::max(kMinRetryAfter,
+               std::chrono::ceil<milliseconds>(m_unverified_until - now));
+  result.refuse = {entry->request, RefusalReason::kOutcomeUnknown,
+                   Outcome::kUnknown, kBadGatewayStatus, wait};
+  return result;
+}
+
 std::optional<TimePoint> ClaimLedger::NextDue() const {
   return m_due.empty() ? std::nullopt
                        : std::optional<TimePoint>(m_due.begin()->first);
--- a/core/claim_ledger.h
+++ b/core/claim_ledger.h
@@ -93,6 +93,13 @@
   std::optional<Result> OnReply(const ObjectReply& reply, TimePoint now,
                                 Actions* actions);
 
+  /// The store was restored from a copy, or this daemon has started and doesn't
+  /// know when it was. Writes all claims that this daemon holds or has seen
+  /// again. For kUnverifiedClaimDuration it grants no claim, because the copy
+  /// may lack the claim of an earlier call: a request whose claim is neither
+  /// stored nor known here is refused with outcome unknown.
+  void OnStoreRestored(TimePoint now, Actions* actions);
+
   /// Sends calls that are due and deletes claims past their retention period.
   void Advance(TimePoint now, Actions* actions);
 
@@ -112,10 +119,13 @@
     ClaimNumber number = 0;
     RequestId request = 0;
     std::string key;
-    ClaimRecord record;         ///< Target content of the object.
-    bool claiming = true;       ///< The request waits for the claim.
-    bool held = false;          ///< Acquired; the request is in progress.
-    bool ambiguous = false;     ///< A write may still take effect.
+    ClaimRecord record;      ///< Target content of the object.
+    bool claiming = true;    ///< The request waits for the claim.
+    bool held = false;       ///< Acquired; the request is in progress.
+    bool ambiguous = false;  ///< A write may still take effect.
+    /// The store was restored after the write in flight was sent.
+    bool unverified = false;
+    bool seen_only = false;     ///< Claim of another daemon, written again.
     std::uint64_t version = 0;  ///< Version that the next write requires.
     ClaimState sent_state = ClaimState::kRunning;  ///< State in the last write.
     int attempts = 0;
@@ -123,6 +133,13 @@
     CallId call_id = 0;       ///< 0 when no call is outstanding.
     TimePoint due_at;
   };
+  /// A claim that this daemon made or has seen.
+  struct KnownClaim {
+    std::string key;
+    ClaimRecord record;
+    TimePoint known_at;
+    bool own = false;
+  };
   struct PendingDeletion {
     std::string key;
     std::uint64_t version = 0;
@@ -139,6 +156,8 @@
                               TimePoint now, Actions* actions);
   std::optional<Result> OnClaimPut(Entry* entry, const ObjectReply& reply,
                                    TimePoint now, Actions* actions);
+  void OnHeldPut(Entry* entry, const ObjectReply& reply, TimePoint now,
+                 Actions* actions);
   void OnRecordPut(Entry* entry, const ObjectReply& reply, TimePoint now,
                    Actions* actions);
   /// Handles a reply with the stored version and value. A value that can't be
@@ -151,6 +170,17 @@
   void OnOtherClaim(Entry* entry, const std::optional<ClaimRecord>& record,
                     std::uint64_t version, Actions* actions);
   Result OnAcquired(Entry* entry, std::uint64_t version);
+  /// Keeps a claim in memory for longer than the age of a copy.
+  void Remember(const std::string& key, const ClaimRecord& record, bool own,
+                TimePoint now);
+  void ForgetOldClaims(TimePoint now);
+  const KnownClaim* FindKnown(const std::string& key) const;
+  /// Writes a claim again that the restored store may lack.
+  void WriteAgain(const KnownClaim& known, Actions* actions);
+  /// Ends a request whose claim is not stored within the time in which the
+  /// store may lack claims: from the known claim, or as unknown.
+  Result ResolveUnverified(Entry* entry, TimePoint now);
+  bool MayLackClaims(TimePoint now) const { return now < m_unverified_until; }
   void ScheduleDeletion(Entry* entry, std::uint64_t version, TimePoint now);
   /// Writes the entry's record on condition of the given version.
   void WriteRecord(Entry* entry, std::uint64_t version, Actions* actions);
@@ -183,6 +213,10 @@
   std::unordered_map<CallId, ClaimNumber> m_by_call;
   std::set<std::pair<TimePoint, ClaimNumber>> m_due;
   std::deque<PendingDeletion> m_deletions;
+  std::deque<KnownClaim> m_known;  ///< In order of known_at.
+  std::size_t m_known_bytes = 0;   ///< Of their bodies.
+  TimePoint m_unverified_until;
+  bool m_restored = false;
   std::size_t m_body_bytes = 0;
 };
 
--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -15,6 +15,7 @@
 #include "core/presence.h"
 #include "core/rendezvous.h"
 #include "core/status.h"
+#include "core/store_era.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -41,6 +42,10 @@
 /// Interval at which verdicts are checked for changes caused by the age of
 /// health.
 constexpr milliseconds kVerdictInterval{200};
+/// Daemons order copies of the placement by era and version in one number.
+/// Versions count the writes of one object and stay far below 2^40.
+constexpr int kVersionBits = 40;
+constexpr std::uint64_t kMaxCopyEra = (std::uint64_t{1} << 20) - 1;
 
 /// State of a host list call or a watch, which are repeated.
 struct PeriodicCall {
@@ -181,14 +186,49 @@
   void On(const QuarantineFound& event) {
     m_peers.SpreadQuarantine(event, m_now);
   }
+  void On(const StoreEraSeen& event) { ObserveEra(event.era); }
   void On(const DrainStarted&) {
     m_placement.Drain();
     ApplyPeerResult(m_peers.Leave(m_now));
   }
   void On(const Tick&) {}
 
+  void ObserveEra(std::uint64_t era) {
+    std::uint64_t before = m_store_era.highest();
+    StoreEra::Verdict verdict = m_store_era.Observe(era);
+    bool restored = verdict == StoreEra::Verdict::kRestored;
+    if (!restored && verdict != StoreEra::Verdict::kFirst) return;
+    m_peers.SetStoreEra(era);
+    m_placement.OnStoreEra(era, restored, m_now, &m_out);
+    m_out.push_back(StoreEraSeen{era});
+    if (!restored) return;
+    m_out.push_back(LogDecision{
+        "store_restored",
+        {{"era", std::to_string(era)}, {"before", std::to_string(before)}}});
+    m_status.OnStoreRestored();
+    m_published_placement = ~std::uint64_t{0};
+    // The watches in progress began at revisions of an earlier era.
+    for (auto& [prefix, watch] : m_watches) {
+      watch.pending = false;
+      watch.since_revision = 0;
+      watch.next = m_now;
+    }
+  }
+
+  std::uint64_t CopyEra() const {
+    return std::min(m_store_era.highest(), kMaxCopyEra);
+  }
+
+  void OnPlacementCopy(const PlacementCopy& copy) {
+    std::uint64_t era = copy.version >> kVersionBits;
+    if (era != CopyEra()) return;
+    std::uint64_t version = copy.version - (era << kVersionBits);
+    m_placement.OnPlacementObserved(version, copy.value, &m_out);
+  }
+
   /// Applies the result of an exchange with other daemons.
   void ApplyPeerResult(PeerExchangeResult result) {
+    if (result.store_era > m_store_era.highest()) ObserveEra(result.store_era);
     for (SendPeer& send : result.send) m_out.push_back(std::move(send));
     for (LogDecision& line : result.log) m_out.push_back(std::move(line));
     if (result.live_changed) {
@@ -202,8 +242,7 @@
       m_out.push_back(std::move(entry));
     }
     if (result.placement) {
-      m_placement.OnPlacementObserved(result.placement->version,
-                                      result.placement->value, &m_out);
+      OnPlacementCopy(*result.placement);
     }
     if (result.candidate) {
       m_config.OfferHead(EncodeHead(result.candidate->head), m_now, &m_out);
@@ -254,7 +293,7 @@
     }
     if (m_published_placement != m_placement.store().version()) {
       m_published_placement = m_placement.store().version();
-      m_peers.SetPlacement({m_published_placement,
+      m_peers.SetPlacement({(CopyEra() << kVersionBits) + m_published_placement,
                             EncodePlacement(m_placement.store().placement())});
     }
     if (m_placement.lease().IsValid(m_now)) {
@@ -371,6 +410,7 @@
   PlacementControl m_placement;
   Status m_status;
   PeerExchange m_peers;
+  StoreEra m_store_era;
   std::vector<std::string> m_live;  ///< Live daemons, including this one.
   /// Assigned probers by host, for the daemons in m_live.
   std::map<std::string, std::vector<std::string>> m_probers;
--- a/core/core.h
+++ b/core/core.h
@@ -96,6 +96,14 @@
   std::uint64_t if_version = 0;
 };
 
+/// Era of the platform's store; see core/store_era.h. As an event: an answer to
+/// another component, or another daemon, stated it first. As an action: the
+/// store was restored, or its era has become known; the other components have
+/// to read and write their objects again.
+struct StoreEraSeen {
+  std::uint64_t era = 0;
+};
+
 struct ObjectReply {
   CallId call = 0;
   ObjectStatus status = ObjectStatus::kUnknown;
@@ -278,7 +286,7 @@
                  AttemptStalled, ServerBusy, ServerEnded, LoadReported,
                  CacheEvents, GroupsChanged, ConfigurationChanged,
                  QuarantineLearned, DaemonsChanged, DrainStarted, ObjectReply,
-                 Tick>;
+                 StoreEraSeen, Tick>;
 
 enum class RefusalReason {
   kUnknownModel,
@@ -538,8 +546,8 @@
 using ControlEvent =
     std::variant<HostsListed, HostsUnavailable, ObjectsChanged, WatchFailed,
                  ProbeAnswered, ProbeFailed, OrderAnswered, PeerMessageReceived,
-                 HostSuspected, QuarantineFound, ObjectReply, DrainStarted,
-                 Tick>;
+                 HostSuspected, QuarantineFound, ObjectReply, StoreEraSeen,
+                 DrainStarted, Tick>;
 
 // Actions of the control plane, besides GetObject, PutObject, DeleteObject,
 // GroupsChanged, ConfigurationChanged, DaemonsChanged, QuarantineLearned,
@@ -580,7 +588,7 @@
     std::variant<ListHosts, Watch, ProbeHost, SendOrder, SendPeer, ConnectPeer,
                  DisconnectPeer, GetObject, PutObject, DeleteObject,
                  GroupsChanged, ConfigurationChanged, DaemonsChanged,
-                 QuarantineLearned, LoadReported, LogDecision>;
+                 QuarantineLearned, LoadReported, StoreEraSeen, LogDecision>;
 
 struct PlannerInput;   ///< See core/placement.h.
 struct PlannerResult;  ///< See core/placement.h.
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -44,12 +44,6 @@
 struct EvacuationsChanged {
   std::set<std::string> data_centres;
 };
-/// Era of the platform's store; see StoreEra. As an event: an answer to another
-/// component, or another daemon, stated it first. As an action: the store was
-/// restored; the other components have to read and write their objects again.
-struct StoreEraSeen {
-  std::uint64_t era = 0;
-};
 /// Result of a QueryServerStatus. `server` is the report of the backend server
 /// about itself, or empty when the query failed.
 struct ServerStatusResult {
--- a/core/peer_exchange.cc
+++ b/core/peer_exchange.cc
@@ -75,6 +75,7 @@
   message->presence_digest = m_presence_digest;
   message->placement_version = m_placement.version;
   message->coordinator = m_coordinator;
+  message->store_era = m_store_era;
   for (auto& [key, pending] : m_presence) {
     if (message->presence.size() >= kMaxUpdatesPerMessage) break;
     if (pending.sends_left <= 0) continue;
@@ -222,6 +223,7 @@
   }
   if (message.sender.data_centre == m_self.data_centre) {
     ReceiveHeader(message);
+    result.store_era = message.store_era;
     ReceivePlacement(message, now, &result);
   }
   for (const PresenceUpdate& update : message.presence) {
--- a/core/peer_exchange.h
+++ b/core/peer_exchange.h
@@ -34,6 +34,7 @@
   std::vector<QuarantineLearned> quarantine;  ///< New entries of other daemons.
   std::optional<ConfigSnapshot> candidate;    ///< A newer configuration.
   std::optional<PlacementCopy> placement;     ///< A newer placement object.
+  std::uint64_t store_era = 0;  ///< As the sender states it; 0 if it doesn't.
 };
 
 struct PeerExchangeStats {
@@ -68,6 +69,11 @@
 
   /// Sets the known placement object, which other daemons can then pull.
   void SetPlacement(PlacementCopy placement);
+  /// Era that messages state.
+  void SetStoreEra(std::uint64_t era) {
+    m_store_era = era;
+    m_has_urgent_update = true;
+  }
 
   /// Records that this daemon holds the lease with this fencing token.
   void SetCoordinator(std::uint64_t fence);
@@ -138,6 +144,7 @@
   std::map<std::string, std::uint64_t> m_generations;  ///< By node.
   PlacementCopy m_placement;
   Coordinator m_coordinator;
+  std::uint64_t m_store_era = 0;
   /// The last generation and fence that the lease holder acknowledged, and the
   /// ping whose ack is outstanding.
   std::uint64_t m_reported_generation = 0;
--- a/core/peer_message.cc
+++ b/core/peer_message.cc
@@ -152,6 +152,7 @@
   message.want_presence = value.value("wp", false);
   message.presence_digest = value.value("i", std::uint64_t{0});
   message.placement_version = value.value("pv", std::uint64_t{0});
+  message.store_era = value.value("e", std::uint64_t{0});
   if (value.contains("c")) {
     value.at("c").at(0).get_to(message.coordinator.node);
     value.at("c").at(1).get_to(message.coordinator.fence);
@@ -185,6 +186,7 @@
   if (message.want_presence) out["wp"] = true;
   if (message.presence_digest != 0) out["i"] = message.presence_digest;
   if (message.placement_version != 0) out["pv"] = message.placement_version;
+  if (message.store_era != 0) out["e"] = message.store_era;
   if (message.coordinator.fence != 0) {
     out["c"] =
         Json::array({message.coordinator.node, message.coordinator.fence});
--- a/core/peer_message.h
+++ b/core/peer_message.h
@@ -108,6 +108,7 @@
   std::uint64_t members_digest = 0;   ///< Over the sender's live daemons.
   std::uint64_t presence_digest = 0;  ///< Over the sender's verdicts.
   std::uint64_t placement_version = 0;
+  std::uint64_t store_era = 0;  ///< See core/store_era.h; 0 if not stated.
   Coordinator coordinator;
   bool want_members = false;   ///< Requests all members in the ack.
   bool want_presence = false;  ///< Requests all verdicts.
--- a/core/placement_control.cc
+++ b/core/placement_control.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/store_era.h"
 #include "fmt/format.h"
 
 namespace clementine {
@@ -29,7 +30,10 @@
     : m_options(options),
       m_lease(
           {options.node, options.incarnation, "lease/" + options.data_centre,
-           options.lease_duration, options.longest_order, options.mutation},
+           options.lease_duration, options.longest_order, options.mutation,
+           // An absent lease counts as never held only if the placement is
+           // absent as well.
+           /*first_start=*/true},
           calls, jitter),
       m_store("placement/" + options.data_centre,
               fmt::format("{}.{}", options.node, options.incarnation), calls,
@@ -49,6 +53,16 @@
   }
 }
 
+void PlacementControl::OnStoreEra(std::uint64_t era, bool restored,
+                                  TimePoint now, Actions* out) {
+  if (!restored && !m_lease.IsHolder()) {
+    m_lease.SetStoreEra(era);
+    return;
+  }
+  m_lease.OnStoreRestored(era, now, out);
+  m_store.OnStoreRestored(FirstFenceOfEra(era));
+}
+
 void PlacementControl::OnOrderAnswered(const OrderAnswered& answer,
                                        TimePoint now, Actions* out) {
   m_orders.OnOrderAnswered(answer, now, out);
--- a/core/placement_control.h
+++ b/core/placement_control.h
@@ -48,6 +48,9 @@
                bool may_compete, TimePoint now, Actions* out);
 
   const Lease& lease() const { return m_lease; }
+  /// The era of the store has become known, or the store was restored.
+  void OnStoreEra(std::uint64_t era, bool restored, TimePoint now,
+                  Actions* out);
   const PlacementStore& store() const { return m_store; }
   const std::map<std::string, std::string>& waiting() const {
     return m_waiting;
--- a/core/placement_object.cc
+++ b/core/placement_object.cc
@@ -49,7 +49,9 @@
 }
 
 std::uint64_t Placement::NextEpoch(const std::string& group) {
-  return ++epochs[group];
+  std::uint64_t& epoch = epochs[group];
+  epoch = std::max(epoch, min_epoch) + 1;
+  return epoch;
 }
 
 std::set<std::string> Placement::TakenHosts() const {
@@ -105,6 +107,7 @@
                          {"groups", std::move(groups)},
                          {"released", std::move(released)},
                          {"epochs", placement.epochs}};
+  if (placement.min_epoch > 0) json["min_epoch"] = placement.min_epoch;
   return JsonText(json);
 }
 
@@ -122,6 +125,7 @@
                                   from.at("epoch").get<std::uint64_t>()};
     }
     value.at("epochs").get_to(placement.epochs);
+    placement.min_epoch = value.value("min_epoch", std::uint64_t{0});
     if (!placement.FindDuplicateHosts().empty()) {
       throw std::runtime_error(fmt::format("host {} is listed twice",
                                            placement.FindDuplicateHosts()[0]));
--- a/core/placement_object.h
+++ b/core/placement_object.h
@@ -52,6 +52,9 @@
   std::map<std::string, PlacedGroup> groups;     ///< Keyed by replica name.
   std::map<std::string, ReleasedHost> released;  ///< Keyed by host.
   std::map<std::string, std::uint64_t> epochs;   ///< Last epoch of each name.
+  /// Epochs are above this. Raised after the platform's store was restored,
+  /// because the copy may lack epochs that were used; 0 before.
+  std::uint64_t min_epoch = 0;
   /// Unique for each write, so that a write with a lost reply can be
   /// recognised.
   std::string write_id;
--- a/core/placement_store.cc
+++ b/core/placement_store.cc
@@ -24,6 +24,14 @@
   }
 }
 
+void PlacementStore::OnStoreRestored(std::uint64_t first_fence) {
+  m_first_fence = first_fence;
+  m_version = 0;
+  m_must_read = m_must_claim = true;
+  m_claimed = false;
+  m_next_call_at = TimePoint{};
+}
+
 void PlacementStore::Adopt(std::uint64_t version, const std::string& value,
                            Actions* out) {
   if (version == 0) {
@@ -45,6 +53,11 @@
       return;
     }
   }
+  if (m_known && read.fence < m_first_fence) {
+    m_damaged = false;
+    m_version = version;
+    return;
+  }
   // Epochs never decrease, even after an operator deleted the object.
   for (const auto& [group, epoch] : m_placement.epochs) {
     std::uint64_t& known = read.epochs[group];
@@ -136,6 +149,7 @@
 }
 
 void PlacementStore::Put(Placement next, TimePoint now, Actions* out) {
+  next.min_epoch = std::max(next.min_epoch, m_first_fence);
   next.write_id = fmt::format("{}/{}", m_writer, ++m_writes);
   m_written = std::move(next);
   m_pending =
--- a/core/placement_store.h
+++ b/core/placement_store.h
@@ -34,6 +34,11 @@
   void OnAbsenceObserved() { m_absent = !m_known; }
   void OnReply(const PendingCall& call, const ObjectReply& reply, TimePoint now,
                Actions* out);
+  /// The store was restored from a copy. The known placement stays in force and
+  /// is written again by the next lease holder. Objects whose fence was granted
+  /// before the era are ignored, except for their version.
+  /// @param first_fence See FirstFenceOfEra.
+  void OnStoreRestored(std::uint64_t first_fence);
   /// A new fence was granted. The object is read and claimed again.
   void OnNewFence() {
     m_must_read = m_must_claim = true;
@@ -71,7 +76,8 @@
   bool m_known = false;
   bool m_damaged = false;
   bool m_absent = false;
-  std::uint64_t m_version = 0;  ///< 0 when absent.
+  std::uint64_t m_version = 0;      ///< 0 when absent.
+  std::uint64_t m_first_fence = 0;  ///< Of the era; 0 before a restore.
   Placement m_placement;
   std::uint64_t m_changes = 0;
 
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -253,6 +253,15 @@
   EndRequest(active);
 }
 
+void RequestPath::Impl::On(const StoreEraSeen& event) {
+  StoreEra::Verdict verdict = m_store_era.Observe(event.era);
+  // The first era says nothing about when the store was restored.
+  if (verdict == StoreEra::Verdict::kFirst ||
+      verdict == StoreEra::Verdict::kRestored) {
+    m_ledger.OnStoreRestored(m_now, &m_actions);
+  }
+}
+
 void RequestPath::Impl::On(const Tick& event) {
   if (event.wall != std::chrono::system_clock::time_point()) {
     m_ledger.SetWallClock(event.wall, m_now);
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -21,6 +21,7 @@
 #include "core/quarantine.h"
 #include "core/retry_budget.h"
 #include "core/router.h"
+#include "core/store_era.h"
 
 namespace clementine {
 
@@ -123,6 +124,7 @@
   void On(const DaemonsChanged& event);
   void On(const DrainStarted& event);
   void On(const ObjectReply& event);
+  void On(const StoreEraSeen& event);
   void On(const Tick& event);
 
   // Arrival and admission.
@@ -224,6 +226,7 @@
   Admission m_admission;
   RetryBudget m_budget;
   ClaimLedger m_ledger;
+  StoreEra m_store_era;
   Quarantine m_quarantine;
   std::shared_ptr<const Configuration> m_configuration;
   std::uint64_t m_generation = 0;
--- a/core/status.h
+++ b/core/status.h
@@ -54,6 +54,8 @@
   /// Writes the object when the interval has passed. Only the lease holder
   /// calls this.
   void Advance(const StatusSources& sources, TimePoint now, Actions* out);
+  /// The store was restored from a copy: the version is read again.
+  void OnStoreRestored() { m_must_read = true; }
   void OnReply(const PendingCall& call, const ObjectReply& reply,
                TimePoint now);
 
--- a/core/store_era.cc
+++ b/core/store_era.cc
@@ -1,5 +1,6 @@
 #include "core/store_era.h"
 
+#include <charconv>
 #include <tuple>
 
 namespace clementine {
@@ -32,6 +33,14 @@
   return true;
 }
 
+std::optional<std::uint64_t> ParseStoreEra(std::string_view text) {
+  std::uint64_t era = 0;
+  const char* end = text.data() + text.size();
+  auto [stop, error] = std::from_chars(text.data(), end, era);
+  if (text.empty() || error != std::errc() || stop != end) return std::nullopt;
+  return era;
+}
+
 bool IsNewerState(std::uint64_t era, std::uint64_t revision,
                   std::uint64_t other_era, std::uint64_t other_revision) {
   return std::tie(era, revision) > std::tie(other_era, other_revision);
--- a/core/store_era.h
+++ b/core/store_era.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "core/core.h"
 
@@ -44,6 +45,15 @@
   std::optional<std::uint64_t> m_logged_older;
 };
 
+/// Time for which a daemon grants no claim that it cannot verify after a
+/// restore. Longer than kRewriteDuration, because daemons learn of a restore
+/// from each other and have to write claims whose first write may fail.
+inline constexpr milliseconds kUnverifiedClaimDuration{10'000};
+
+/// Decodes the number in an answer's header.
+/// @return Nothing if the text is empty or isn't a number.
+std::optional<std::uint64_t> ParseStoreEra(std::string_view text);
+
 /// Whether state at (era, revision) is newer than state at (other_era,
 /// other_revision).
 bool IsNewerState(std::uint64_t era, std::uint64_t revision,
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -53,6 +53,10 @@
               [this](const AnyEvent& event) { HandleEvent(event); }) {
   m_platform = std::make_unique<PlatformClient>(io, m_settings.platform,
                                                 m_settings.platform_token);
+  m_platform->SetEraHandler([this](std::uint64_t era) {
+    Feed(ControlEvent(StoreEraSeen{era}));
+    Feed(RequestEvent(StoreEraSeen{era}));
+  });
   BackendOptions backend_options;
   backend_options.token = m_settings.backend_token;
   backend_options.connect_timeout = m_settings.connect_timeout;
@@ -154,6 +158,9 @@
 }
 
 void Daemon::ForwardEvent(const RequestEvent& event) {
+  if (const auto* seen = std::get_if<StoreEraSeen>(&event)) {
+    m_platform->OnEraSeen(seen->era);
+  }
   if (const auto* groups = std::get_if<GroupsChanged>(&event)) {
     m_request_executor->SetGroups(groups->groups);
     m_cache_poller->SetGroups(groups->groups);
@@ -252,6 +259,8 @@
   m_metrics.SetTotal("clementine_peer_overflowed_total", "", peers.overflowed);
   m_metrics.SetTotal("clementine_platform_calls_total", "",
                      m_platform->calls());
+  m_metrics.Set("clementine_store_era", "",
+                static_cast<double>(m_platform->store_era()));
   m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
                      m_platform->dropped_answers());
   m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
--- a/net/net.h
+++ b/net/net.h
@@ -526,6 +526,14 @@
   PlatformClient(const PlatformClient&) = delete;
   PlatformClient& operator=(const PlatformClient&) = delete;
 
+  /// @param seen Called with the era of the store (see core/store_era.h) when
+  ///     it becomes known and each time that it has become higher, before the
+  ///     answer is passed on. Answers of an older era count as lost.
+  void SetEraHandler(std::function<void(std::uint64_t)> seen);
+  /// Another daemon has stated the era.
+  void OnEraSeen(std::uint64_t era);
+  std::uint64_t store_era() const;
+
   void Get(const GetObject& get, ObjectCallback done);
   /// A lost answer is kUnknown; kUnavailable only if nothing was sent.
   void Put(const PutObject& put, ObjectCallback done);
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/config.h"
+#include "core/store_era.h"
 #include "fmt/format.h"
 #include "net/http_transport.h"
 #include "net/net.h"
@@ -11,6 +12,8 @@
 namespace clementine {
 namespace {
 
+constexpr char kEraHeader[] = "Store-Era";
+
 namespace asio = boost::asio;
 using Json = nlohmann::json;
 using Answer = HttpTransport::Answer;
@@ -41,6 +44,7 @@
 ObjectReply DecodeReply(CallId call, const Answer& answer) {
   ObjectReply reply;
   reply.call = call;
+  reply.era = ParseStoreEra(FindHeader(answer.headers, kEraHeader));
   if (!answer.sent) {
     reply.status = ObjectStatus::kUnavailable;
     return reply;
@@ -117,8 +121,21 @@
              std::chrono::milliseconds extra_time,
              std::function<void(const Answer&)> done) {
     m_transport.Start(method, std::move(target), std::move(body), extra_time,
-                      std::move(done));
+                      [this, done = std::move(done)](const Answer& answer) {
+                        bool usable = answer.status == 0 || ObserveEra(answer);
+                        done(usable ? answer : Answer{true, 0, {}, ""});
+                      });
+  }
+  void Observe(std::optional<std::uint64_t> era) {
+    StoreEra::Verdict verdict = m_era.Observe(era);
+    bool higher = verdict == StoreEra::Verdict::kFirst ||
+                  verdict == StoreEra::Verdict::kRestored;
+    if (higher && m_era.highest() > 0 && on_era) on_era(m_era.highest());
   }
+  std::uint64_t era() const { return m_era.highest(); }
+
+  std::function<void(std::uint64_t)> on_era;
+
   std::uint64_t calls() const { return m_transport.calls(); }
   HttpTransport::Stats stats() const { return m_transport.stats(); }
 
@@ -128,6 +145,28 @@
     return {{"Authorization", "Bearer " + token}};
   }
 
+  /// @return Whether the answer may be used; false if its era is older.
+  bool ObserveEra(const Answer& answer) {
+    std::string_view text = FindHeader(answer.headers, kEraHeader);
+    std::optional<std::uint64_t> era = ParseStoreEra(text);
+    if (!text.empty() && !era && m_logged_malformed != text) {
+      m_logged_malformed = text;
+      LogEvent("store_era_malformed", {{"value", std::string(text)}});
+    }
+    if (era && *era < m_era.highest()) {
+      if (m_era.ShouldLogOlder(*era)) {
+        LogEvent("store_era_older",
+                 {{"era", std::to_string(*era)},
+                  {"highest", std::to_string(m_era.highest())}});
+      }
+      return false;
+    }
+    Observe(era);
+    return true;
+  }
+
+  StoreEra m_era;
+  std::string m_logged_malformed;
   HttpTransport m_transport;
 };
 
@@ -138,6 +177,16 @@
 
 PlatformClient::~PlatformClient() = default;
 
+void PlatformClient::SetEraHandler(std::function<void(std::uint64_t)> seen) {
+  m_impl->on_era = std::move(seen);
+}
+
+void PlatformClient::OnEraSeen(std::uint64_t era) {
+  if (era > m_impl->era()) m_impl->Observe(era);
+}
+
+std::uint64_t PlatformClient::store_era() const { return m_impl->era(); }
+
 void PlatformClient::Get(const clementine::GetObject& get,
                          ObjectCallback done) {
   m_impl->Start("GET", ObjectTarget(get.key), "", std::chrono::milliseconds(0),
--- a/testing/interface_parity_test.cc
+++ b/testing/interface_parity_test.cc
@@ -103,6 +103,9 @@
 Entry EntryOf(std::type_identity<ObjectReply>) {
   return {"ObjectReply", {"ObjectReply"}, {nullptr, kNoKeys}};
 }
+Entry EntryOf(std::type_identity<StoreEraSeen>) {
+  return {"StoreEraSeen", {"RequestEvent(StoreEraSeen{"}, {nullptr, kNoKeys}};
+}
 Entry EntryOf(std::type_identity<Tick>) {
   return {"Tick", {"Tick{"}, {"RequestEvent(Tick{})"}};
 }
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -10,6 +10,11 @@
 // GET /v1/history?key=K lists every version that a key had, so that tests can
 // check states that were soon replaced.
 //
+// POST /drill {"do": "copy"} copies the objects; {"do": "restore"} puts the
+// copy in their place and raises the era. Answers state the era if --era is at
+// least
+// 1. A watch from a revision that the platform doesn't have is answered 410.
+//
 // POST /faults changes the fields that it names:
 //   {"down": false | true | "refuse"}  true closes each connection without an
 //       answer except for /faults; "refuse" closes the listening socket, so
@@ -39,6 +44,7 @@
   std::string listen = "127.0.0.1:0";
   std::string control = "127.0.0.1:0";
   std::string token;
+  std::uint64_t era = 0;  ///< 0: not stated.
   int lag_ms = 0;
   int host_ttl_ms = 3000;
   double weights_per_second = 10.0;
@@ -99,6 +105,11 @@
   asio::awaitable<void> Handle(Exchange* exchange);
   asio::awaitable<void> Route(Exchange* exchange);
   asio::awaitable<void> HandleFaults(Exchange* exchange);
+  asio::awaitable<void> HandleDrill(Exchange* exchange);
+  Headers EraHeader() const {
+    if (m_options.era == 0) return {};
+    return {{"Store-Era", std::to_string(m_options.era)}};
+  }
   asio::awaitable<void> HandleObject(Exchange* exchange, std::string key);
   asio::awaitable<void> HandleWrite(Exchange* exchange, std::string key);
   asio::awaitable<void> HandleWatch(Exchange* exchange);
@@ -112,7 +123,9 @@
   PlatformOptions m_options;
   TokenBucket m_weights;
   std::map<std::string, Object> m_objects;  ///< Deleted ones included.
-  std::map<std::string, Json> m_history;    ///< Stored versions by key.
+  std::map<std::string, Object> m_copy;
+  std::uint64_t m_copy_revision = 1;
+  std::map<std::string, Json> m_history;  ///< Stored versions by key.
   std::uint64_t m_revision =
       1;  ///< Before the first write; since=0 asks for all.
   ChangeSignal m_changed;
@@ -132,6 +145,10 @@
     co_await HandleFaults(exchange);
     co_return;
   }
+  if (exchange->path() == "/drill") {
+    co_await HandleDrill(exchange);
+    co_return;
+  }
   if (m_down != false) {
     exchange->Drop();
     co_return;
@@ -169,7 +186,7 @@
   } else if (path == "/v1/objects" && exchange->method() == "GET") {
     ++m_calls["list"];
     Json answer = Changes(exchange->Query("prefix"), 0);
-    co_await exchange->Answer(200, answer);
+    co_await exchange->Answer(200, answer, EraHeader());
   } else if (path == "/v1/watch" && exchange->method() == "GET") {
     co_await HandleWatch(exchange);
   } else if (path == "/v1/history") {
@@ -204,6 +221,20 @@
   co_await exchange->Answer(200, now);
 }
 
+asio::awaitable<void> Platform::HandleDrill(Exchange* exchange) {
+  if (ParseJson(exchange->body()).at("do") == "copy") {
+    m_copy = m_objects;
+    m_copy_revision = m_revision;
+  } else {
+    m_objects = m_copy;
+    m_revision = m_copy_revision;
+    ++m_options.era;
+    m_changed.Notify();
+  }
+  Json done = Json::object();
+  co_await exchange->Answer(200, done);
+}
+
 asio::awaitable<void> Platform::HandleObject(Exchange* exchange,
                                              std::string key) {
   if (exchange->method() != "GET") {
@@ -213,7 +244,8 @@
   ++m_calls["get"];
   const Object& object = m_objects[key];
   Json answer = {{"version", object.version}, {"value", object.value}};
-  co_await exchange->Answer(object.version > 0 ? 200 : 404, answer);
+  co_await exchange->Answer(object.version > 0 ? 200 : 404, answer,
+                            EraHeader());
 }
 
 void Platform::Apply(const std::string& key, bool remove,
@@ -261,7 +293,7 @@
     }
   }
   if (status != 200) ++m_calls["refused_writes"];
-  co_await exchange->Answer(status, answer);
+  co_await exchange->Answer(status, answer, EraHeader());
 }
 
 Json Platform::Changes(const std::string& prefix, std::uint64_t since) const {
@@ -288,11 +320,18 @@
       exchange->QueryNumber("timeout_ms").value_or(kMaxWatchTime.count()));
   auto end = Clock::now() + std::min(timeout, kMaxWatchTime);
   Json answer = Changes(prefix, since);
-  while (since > 0 && answer["events"].empty() && Clock::now() < end) {
+  std::uint64_t era = m_options.era;
+  while (since > 0 && since <= m_revision && era == m_options.era &&
+         answer["events"].empty() && Clock::now() < end) {
     co_await m_changed.WaitUntil(end);
     answer = Changes(prefix, since);
   }
-  co_await exchange->Answer(200, answer);
+  if (since > m_revision) {
+    Json gone = {{"error", "no such revision"}};
+    co_await exchange->Answer(410, gone, EraHeader());
+    co_return;
+  }
+  co_await exchange->Answer(200, answer, EraHeader());
 }
 
 void Platform::HostsChanged() {
@@ -328,7 +367,7 @@
     m_host_lists.pop_front();
   }
   Json rows = m_host_lists.front().rows;
-  co_await exchange->Answer(200, rows);
+  co_await exchange->Answer(200, rows, EraHeader());
 }
 
 asio::awaitable<void> Platform::DropSilentHosts() {
@@ -372,6 +411,7 @@
   app.add_option("--control", options.control,
                  "IP:port that answers /faults also while the API refuses");
   app.add_option("--token", options.token, "Bearer token; empty: none needed");
+  app.add_option("--era", options.era, "Era of the objects; 0: not stated");
   app.add_option("--lag-ms", options.lag_ms, "Lag of the host list");
   app.add_option("--host-ttl-ms", options.host_ttl_ms,
                  "A host without a heartbeat for this long is dropped");
--- a/testing/process_restore_test.cc
+++ b/testing/process_restore_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "testing/process_fleet.h"
+#include "testing/process_site.h"
 
 namespace clementine {
 namespace {
@@ -30,8 +31,62 @@
   return true;
 }
 
+void Drill(testing::Site* site, const char* what) {
+  REQUIRE(site->Platform("POST", "/drill",
+                         std::string(R"({"do":")") + what + R"("})")
+              .status == 200);
+}
+
 }  // namespace
 
+// Guards against an order that runs twice because the restored store lacks its
+// claim: repeated at the daemon that ran it, and at one that doesn't know it.
+TEST_CASE("an order runs once although its claim was lost in a restore") {
+  using testing::Fetch;
+  using testing::kOrders;
+  using testing::WithKey;
+  testing::Site site({.platform_options = {"--era", "1"}});
+  // A daemon that has just started grants no claim, because it doesn't know
+  // when the store was restored.
+  REQUIRE(WaitFor(2 * kLongWait, [&] {
+    return Fetch(site.address(1), "POST", kOrders, "{}", WithKey("first"))
+               .status == 200;
+  }));
+  REQUIRE(WaitFor(2 * kLongWait, [&] {
+    return Fetch(site.address(0), "POST", kOrders, "{}", WithKey("second"))
+               .status == 200;
+  }));
+  std::size_t before = site.Runs("p1").size();
+  Drill(&site, "copy");
+  testing::Answer order =
+      Fetch(site.address(0), "POST", kOrders, "{}", WithKey("lost"));
+  REQUIRE(order.status == 200);
+  CHECK(site.Runs("p1").size() == before + 1);
+  Drill(&site, "restore");
+  // This daemon hasn't seen the claim. Its answer is that of the first run, or
+  // that the outcome is unknown.
+  testing::Answer other =
+      Fetch(site.address(1), "POST", kOrders, "{}", WithKey("lost"));
+  bool replayed = other.status == 200 && other.body == order.body;
+  CHECK((replayed || other.Header("X-Clementine-Outcome") == "unknown"));
+  testing::Answer same =
+      Fetch(site.address(0), "POST", kOrders, "{}", WithKey("lost"));
+  CHECK(same.status == 200);
+  CHECK(same.body == order.body);
+  CHECK(WaitFor(kLongWait, [&] {
+    return Fetch(site.address(1), "POST", kOrders, "{}", WithKey("lost"))
+               .body == order.body;
+  }));
+  CHECK(site.Runs("p1").size() == before + 1);
+  CHECK(site.Metric(0, "store_era") == 2);
+  CHECK(site.Metric(1, "store_era") == 2);
+  // Other orders run again after the time for which claims are unverified.
+  CHECK(WaitFor(2 * kLongWait, [&] {
+    return Fetch(site.address(1), "POST", kOrders, "{}", WithKey("new"))
+               .status == 200;
+  }));
+}
+
 // Guards against daemons that ignore the lower revisions of a restored store, a
 // configuration that goes back, two holders of the lease, and requests refused
 // because the copy lacks servers.
