Read a claim again if a restored store lacks its object

Cause: The outcome of a request whose claim was written before the restore got a conflict without an object; the claim counted as superseded and was forgotten. Change: After a restore, such a conflict is followed by a read. Test: claim_restore_test explores copies, two restores, repeats and a daemon that sees the restore up to 6 s later; it found the fault. Measured: unit_test -tc of the three cases passes.

--- a/core/claim_ledger.cc
+++ b/core/claim_ledger.cc
@@ -259,6 +259,12 @@
       return OnAcquired(entry, 1);
     }
   }
+  if (reply.status == ObjectStatus::kConflict && m_restored &&
+      !entry->claiming && reply.version == 0) {
+    // The restored store may lack the object.
+    ScheduleCall(entry, Call::kGet, now);
+    return std::nullopt;
+  }
   if (reply.status == ObjectStatus::kConflict) {
     return OnStoredObject(entry, reply, now, actions);
   }
