Test the lease after a restore

Cause: The decisions of the lease after a restore were only explored as a whole. Change: Three cases with scripted replies. Test: A late grant doesn't count; an old released lease is taken after the full wait, one of the same era at once.

--- a/testing/lease_test.cc
+++ b/testing/lease_test.cc
@@ -197,5 +197,71 @@
   CHECK(DecodeLease(tester.put.value).fence == 42);
 }
 
+/// Advances a lease whose reads find `stored`, until it writes or `end`.
+void ReadUntilWrite(LeaseTester* tester, const std::string& stored,
+                    TimePoint begin, TimePoint end) {
+  CallId written = tester->put.call;
+  for (TimePoint t = begin; t < end && tester->put.call == written;
+       t += milliseconds(100)) {
+    CallId call = tester->Advance(t);
+    if (call != 0 && tester->put.call == written) {
+      tester->Reply(call, ObjectStatus::kOk, 1, stored, t);
+    }
+  }
+}
+
+TEST_CASE("after a restore the lease isn't held until a new write is granted") {
+  // Guards against a planner that goes on under a lease that the restored store
+  // lacks, and against a grant by a write of the time before.
+  LeaseTester tester("a");
+  tester.AcquireAbsentLease(kStart);
+  std::string old_record = tester.put.value;
+  TimePoint now = kStart + seconds(1);
+  CallId renewal = 0;
+  while (renewal == 0 && now < kStart + seconds(9)) {
+    now += milliseconds(500);
+    renewal = tester.Advance(now);
+  }
+  REQUIRE(renewal == tester.put.call);
+  std::vector<ControlAction> out;
+  tester.lease.OnStoreRestored(2, now, &out);
+  CHECK_FALSE(tester.lease.IsValid(now));
+  tester.Reply(renewal, ObjectStatus::kOk, 1, "", now);
+  CHECK_FALSE(tester.lease.IsValid(now));
+  // Its own earlier record in the copy doesn't make it the holder either, but
+  // it may take the lease again, because its grant was unexpired.
+  tester.Reply(tester.Advance(now), ObjectStatus::kOk, 1, old_record, now);
+  CHECK_FALSE(tester.lease.IsValid(now));
+  CallId write = tester.Advance(now + milliseconds(100));
+  REQUIRE(write == tester.put.call);
+  CHECK(DecodeLease(tester.put.value).fence >= 2 * 65'536);
+  tester.Reply(write, ObjectStatus::kOk, 2, "", now + milliseconds(200));
+  CHECK(tester.lease.IsValid(now + milliseconds(200)));
+  CHECK(tester.lease.tenure() == 2);
+}
+
+TEST_CASE("a released lease of an earlier era is taken after the full wait") {
+  // Guards against a daemon that starts after a restore and takes a lease that
+  // is released only in the copy.
+  LeaseTester tester("b");
+  tester.lease.SetStoreEra(3);
+  tester.lease.NoteFence(5 * 65'536);
+  std::string released = EncodedLease("", 3);
+  ReadUntilWrite(&tester, released, kStart, kStart + seconds(15));
+  CHECK(tester.put.call == 0);
+  ReadUntilWrite(&tester, released, kStart + seconds(15), kStart + seconds(17));
+  REQUIRE(tester.put.call != 0);
+  CHECK(DecodeLease(tester.put.value).fence == 5 * 65'536 + 1);
+}
+
+TEST_CASE("a released lease of the same era is taken at once") {
+  // Guards against a planned stop that leaves the fleet without a planner.
+  LeaseTester tester("b");
+  tester.lease.SetStoreEra(3);
+  std::string released = EncodeLease({"", 1, 4, 3 * 65'536 + 2, 3});
+  ReadUntilWrite(&tester, released, kStart, kStart + seconds(5));
+  CHECK(tester.put.call != 0);
+}
+
 }  // namespace
 }  // namespace clementine
