Test a follower of a source that saw a restore first

Cause: The path of a restored state between daemons had no test with a feed. Change: One case of fleet_feed_test. Test: A follower takes whole frames of a higher era and ignores older ones.

--- a/testing/fleet_feed_test.cc
+++ b/testing/fleet_feed_test.cc
@@ -255,6 +255,53 @@
   CHECK(fixture.Run([&] { return fixture.versions.size() == 2; }));
 }
 
+// Guards against followers that ignore a source after a restore, and against a
+// source that hasn't seen the restore and counts as current.
+TEST_CASE("a follower takes the state of a restored store from its source") {
+  RestoreFixture fixture;
+  ChangeRelay source(Now, milliseconds(50));
+  HttpServer source_server(&fixture.io, "127.0.0.1:0", HttpLimits{},
+                           [&](const std::shared_ptr<HttpExchange>& exchange) {
+                             source.Accept(exchange);
+                           });
+  auto replace = [&](std::uint64_t era, std::uint64_t revision,
+                     const char* evacuated) {
+    platform::ObjectBatch batch;
+    batch.era = era;
+    batch.revision = revision;
+    for (ChangeKind kind : {ChangeKind::kServers, ChangeKind::kConfiguration,
+                            ChangeKind::kCrashes}) {
+      source.ReplaceObjects(kind, batch, Now());
+    }
+    batch.objects = {{evacuated, revision, "{}", false}};
+    source.ReplaceObjects(ChangeKind::kEvacuations, batch, Now());
+  };
+  replace(4, 90, "dc1");
+  REQUIRE(fixture.Run([&] { return fixture.versions.size() == 1; }));
+  FleetFeed::Role role;
+  role.roles.reads_platform = false;
+  role.roles.peers = {source_server.address()};
+  fixture.feed.SetRole(role);
+  REQUIRE(fixture.Run([&] { return source.followers() == 1; }));
+  // The platform itself doesn't answer in the new era.
+  fixture.era = "4";
+  replace(5, 60, "dc2");
+  REQUIRE(fixture.Run([&] { return fixture.evacuated.count("dc2") == 1; }));
+  CHECK(fixture.seen_era == 5);
+  CHECK(fixture.evacuated.count("dc1") == 1);
+  platform::ObjectBatch older;
+  older.era = 4;
+  older.revision = 99;
+  source.ReplaceObjects(ChangeKind::kEvacuations, older, Now());
+  platform::ObjectBatch change;
+  change.era = 5;
+  change.revision = 61;
+  change.objects = {{"dc3", 61, "{}", false}};
+  source.AddChanges(ChangeKind::kEvacuations, change, Now());
+  CHECK(fixture.Run([&] { return fixture.evacuated.count("dc3") == 1; }));
+  CHECK(fixture.evacuated.count("dc2") == 1);
+}
+
 // Guards against state of an older era, or a malformed era, that changes what a
 // daemon knows.
 TEST_CASE("an era that goes back or is malformed changes nothing") {
