--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -22,6 +22,7 @@
 #include "core/quarantine.h"
 #include "core/retry_budget.h"
 #include "core/router.h"
+#include "core/store_era.h"
 
 namespace clementine {
 
@@ -142,6 +143,7 @@
   void On(const DaemonsChanged& event);
   void On(const DrainStarted& event);
   void On(const ObjectReply& event);
+  void On(const StoreEraSeen& event);
   void On(const Tick& event);
 
   // Arrival and admission.
@@ -279,6 +281,7 @@
   RetryBudget m_budget;
   HedgeDelays m_hedge_delays;
   ClaimLedger m_ledger;
+  StoreEra m_store_era;
   Quarantine m_quarantine;
   std::shared_ptr<const Configuration> m_configuration;
   std::uint64_t m_generation = 0;
