--- a/testing/process_fleet.cc
+++ b/testing/process_fleet.cc
@@ -57,8 +57,8 @@
       "changes = 127.0.0.1:0\n[platform]\naddress = {}\n"
       "[timeouts]\nconnect_timeout = 300ms\ndrain_wait = 300ms\n"
       "leaving_notice = 2000ms\nconfiguration_notice = 2000ms\n"
-      "revocation_notice = 5000ms\nstop_limit = 7s\n",
-      index + 1, store);
+      "revocation_notice = 5000ms\nstop_limit = 7s\n[limits]\n{}",
+      index + 1, store, m_options.limits);
   std::string path =
       m_folder.Write(fmt::format("d{}.ini", index + 1), settings);
   return std::make_unique<Process>(
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -18,6 +18,7 @@
   bool keep_ids = false;  ///< Servers come back under the id that they had.
   /// Calls of all daemons to the platform pass links of their own.
   bool linked = false;
+  std::string limits{};  ///< Lines of section [limits].
 };
 
 class FleetSite {
--- a/testing/process_site.cc
+++ b/testing/process_site.cc
@@ -240,9 +240,9 @@
       "[platform]\naddress = {}\ntoken = {}\n"
       "[peers]\nkey = peer-key\n{}"
       "[timeouts]\nprobe_interval = 200ms\ndrain_wait = 300ms\n{}"
-      "[organisation_tokens]\nshop = shop-token\n",
+      "[limits]\n{}[organisation_tokens]\nshop = shop-token\n",
       index + 1, linked ? m_link->address() : m_platform.address(),
-      kPlatformToken, seeds, m_options.timeouts);
+      kPlatformToken, seeds, m_options.timeouts, m_options.limits);
   std::string path =
       m_folder.Write(fmt::format("d{}.ini", index + 1), settings);
   return std::make_unique<Process>(
--- a/testing/process_site.h
+++ b/testing/process_site.h
@@ -47,6 +47,7 @@
   int open_groups = 3;     ///< Gates that open before the constructor returns.
   int daemons = 2;         ///< Named d1, d2, ...
   std::string timeouts{};  ///< Further lines of section [timeouts].
+  std::string limits{};    ///< Lines of section [limits].
   int linked_daemon = -1;  ///< Its calls to the platform pass platform_link().
 };
 
