--- a/core/fleet.h
+++ b/core/fleet.h
@@ -82,12 +82,22 @@
   std::optional<int> priority;  ///< Overrides the route's priority.
 };
 
+/// What callers keep within; 0: not given.
+struct FleetLimits {
+  std::size_t max_header_bytes = 0;  ///< Of a request.
+  std::size_t max_body_bytes = 0;    ///< Of a request.
+  milliseconds header_timeout{0};    ///< In which a head is sent.
+  /// Callers reuse connections that have been idle for up to four fifths of it.
+  milliseconds idle_timeout{0};
+};
+
 /// One version of the operators' configuration; always adopted as a whole.
 struct FleetConfiguration {
   std::uint64_t version = 0;
   std::vector<RouteRule> routes;
   std::map<std::string, FleetService> services;
   std::vector<FleetOrganisation> organisations;
+  FleetLimits limits;
 };
 
 /// Returns the engine of a service; null for a plain or unknown service.
--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -12,14 +12,12 @@
 namespace clementine {
 namespace {
 
-/// More than a frame with a whole history (ChangeHistory::kMaxBytes).
-constexpr std::size_t kMaxHeldBytes = 25'165'824;
-
-BackendOptions ClientOptions(milliseconds silence_timeout) {
+BackendOptions ClientOptions(milliseconds silence_timeout,
+                             std::size_t max_held_bytes) {
   BackendOptions options;
   options.connect_timeout = silence_timeout;
   options.max_idle_per_address = 0;
-  options.max_held_bytes = kMaxHeldBytes;
+  options.max_held_bytes = max_held_bytes;
   return options;
 }
 
@@ -37,11 +35,11 @@
 
 ChangeClient::ChangeClient(boost::asio::io_context* io,
                            milliseconds silence_timeout, Hooks hooks,
-                           ChangeKeys keys)
+                           ChangeKeys keys, std::size_t max_held_bytes)
     : m_silence_timeout(silence_timeout),
       m_hooks(std::move(hooks)),
       m_keys(std::move(keys)),
-      m_client(io, ClientOptions(silence_timeout)) {}
+      m_client(io, ClientOptions(silence_timeout, max_held_bytes)) {}
 
 ChangeClient::~ChangeClient() {
   for (auto& [peer, stream] : m_streams) stream->call->Cancel();
--- a/daemon/change_client.h
+++ b/daemon/change_client.h
@@ -30,11 +30,16 @@
         on_ended;
   };
 
+  /// More than a frame with a whole history (ChangeHistory::kMaxBytes).
+  static constexpr std::size_t kMaxHeldBytes = 25'165'824;
+
   /// @param silence_timeout A subscription without data for this time has
   /// ended.
   /// @param keys Shared with the sources, which sign with them.
+  /// @param max_held_bytes Of unfinished frames of all sources.
   ChangeClient(boost::asio::io_context* io, milliseconds silence_timeout,
-               Hooks hooks, ChangeKeys keys = {});
+               Hooks hooks, ChangeKeys keys = {},
+               std::size_t max_held_bytes = kMaxHeldBytes);
   ~ChangeClient();
   ChangeClient(const ChangeClient&) = delete;
   ChangeClient& operator=(const ChangeClient&) = delete;
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -47,15 +47,18 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
+      m_limits(m_settings),
       m_tick(*io),
       m_stop_timer(*io),
       m_queue(&m_metrics,
               [this](const AnyEvent& event) { HandleEvent(event); }) {
   m_platform = std::make_unique<PlatformClient>(io, m_settings.platform,
                                                 m_settings.platform_token);
+  m_platform->SetMaxHeldBytes(m_limits.memory.plan.platform);
   BackendOptions backend_options;
   backend_options.token = m_settings.backend_token;
   backend_options.connect_timeout = m_settings.connect_timeout;
+  SetBackendLimits(m_limits, &backend_options);
   m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
   m_peers = std::make_unique<PeerTransport>(
       io, m_settings.peer_listen, m_settings.peer_key,
@@ -63,7 +66,7 @@
         Feed(ControlEvent(PeerMessageReceived{std::move(bytes)}));
       });
   m_server = std::make_unique<HttpServer>(
-      io, m_settings.listen, ServerLimits(m_settings),
+      io, m_settings.listen, m_limits.callers,
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         OnExchange(exchange);
       });
@@ -202,6 +205,8 @@
                 Outcome::kNotRun, milliseconds(1'000));
     return;
   }
+  // What runs is the body that was read from it.
+  exchange->TakeBody();
   m_request_executor->Accept(exchange, std::move(*read.request));
 }
 
@@ -235,6 +240,7 @@
   HttpServerStats server = m_server->stats();
   BackendStats backend = m_backends->stats();
   SetCommonMetrics(m_request_path->stats(), server, backend, &m_metrics);
+  SetListenerMetrics("callers", server, &m_metrics);
   m_metrics.SetTotal("clementine_refused_connections_total", "",
                      server.refused_connections);
   m_metrics.SetTotal("clementine_stream_gaps_total", "", backend.gaps);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -13,6 +13,7 @@
 #include "daemon/cache_poller.h"
 #include "daemon/control_executor.h"
 #include "daemon/event_queue.h"
+#include "daemon/process_limits.h"
 #include "daemon/request_executor.h"
 #include "net/net.h"
 
@@ -60,6 +61,7 @@
   boost::asio::io_context* m_io;
   Settings m_settings;
   std::uint64_t m_incarnation;  ///< Start time in ms since 1970.
+  ProcessLimits m_limits;
   Metrics m_metrics;
   std::unique_ptr<PlatformClient> m_platform;
   std::unique_ptr<BackendClient> m_backends;
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -31,16 +31,9 @@
 constexpr milliseconds kCallerIdleTimeout{120'000};
 /// Maximum idle connections of this daemon to one backend server.
 constexpr int kMaxIdleConnections = 32;
-/// Connections of daemons that subscribe to changes. ChangeRelay's own limit is
-/// lower.
-constexpr std::size_t kMaxChangeConnections = 600;
 /// Unsent bytes for one of these connections; holds several configurations of
 /// 1 MB.
 constexpr std::size_t kMaxChangeBufferedBytes = 4'194'304;
-/// Bytes held of requests: with those of callers and of answers, all limits
-/// together stay below the 160 MB of the smallest host.
-constexpr std::size_t kMaxChangeHeldBytes = 16'777'216;
-constexpr std::size_t kMaxHealthHeldBytes = 2'097'152;
 constexpr milliseconds kChangeWriteTimeout{2'000};
 /// A server's connection limit divided by this is the limit of its idle
 /// connections.
@@ -80,6 +73,7 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
+      m_limits(m_settings),
       m_crash_notices(io, PeerKeys(m_settings),
                       [this](const std::string& text) {
                         ApplyCrashMarks(
@@ -95,8 +89,10 @@
               [this](const AnyEvent& event) { HandleEvent(event); }) {
   m_store = std::make_unique<platform::ObjectStore>(io, m_settings.platform,
                                                     kPlatformTimeout);
+  m_store->SetMaxHeldBytes(m_limits.memory.plan.platform);
   BackendOptions backend_options;
   backend_options.connect_timeout = m_settings.connect_timeout;
+  SetBackendLimits(m_limits, &backend_options);
   m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
   Listen();
   if (m_settings.node.empty()) m_settings.node = m_server->address();
@@ -128,28 +124,23 @@
 }
 
 void FleetDaemon::Listen() {
-  HttpLimits limits = ServerLimits(m_settings);
-  limits.idle_timeout = kCallerIdleTimeout;
+  m_limits.callers.idle_timeout = kCallerIdleTimeout;
   m_server = std::make_unique<HttpServer>(
-      m_io, m_settings.listen, limits,
+      m_io, m_settings.listen, m_limits.callers,
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         m_executor->Accept(exchange);
       });
   if (!m_settings.health.empty()) {
-    HttpLimits health_limits;
-    health_limits.max_held_bytes = kMaxHealthHeldBytes;
     m_health = std::make_unique<HttpServer>(
-        m_io, m_settings.health, health_limits,
+        m_io, m_settings.health, m_limits.health,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
           OnHealthRequest(exchange.get());
         });
   }
   if (!m_settings.listen_changes.empty()) {
-    HttpLimits changes_limits;
-    changes_limits.max_connections = kMaxChangeConnections;
+    HttpLimits changes_limits = m_limits.peers;
     changes_limits.max_buffered_bytes = kMaxChangeBufferedBytes;
     changes_limits.write_timeout = kChangeWriteTimeout;
-    changes_limits.max_held_bytes = kMaxChangeHeldBytes;
     m_peer_server = std::make_unique<HttpServer>(
         m_io, m_settings.listen_changes, changes_limits,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
@@ -205,7 +196,8 @@
   m_feed = std::make_unique<FleetFeed>(
       m_io, m_store.get(), &m_change_relay, m_settings.seed ^ m_incarnation,
       FleetFeed::Bounds{ChangeBound(m_settings),
-                        m_settings.evacuation_notice > milliseconds(0)},
+                        m_settings.evacuation_notice > milliseconds(0),
+                        m_limits.memory.plan.changes},
       std::move(hooks), PeerKeys(m_settings));
   m_feed->Start();
 }
@@ -275,6 +267,12 @@
             {"routes", std::to_string(shared->routes.size())},
             {"services", std::to_string(shared->services.size())}});
   Feed(RequestEvent(std::move(changed)));
+  const HttpLimits& before = m_server->limits();
+  HttpLimits limits = WithFleetLimits(m_limits.callers, shared->limits);
+  if (DescribeLimits(limits) != DescribeLimits(before)) {
+    LogEvent("caller_limits", DescribeLimits(limits));
+  }
+  m_server->SetLimits(std::move(limits));
   m_executor->SetRoutes(m_routes);
   Feed(FleetEvent(FleetConfigured{std::move(shared)}));
   LimitIdleConnections();
@@ -454,6 +452,11 @@
 std::string FleetDaemon::RenderMetrics() {
   SetCommonMetrics(m_request_path->stats(), m_server->stats(),
                    m_backends->stats(), &m_metrics);
+  SetListenerMetrics("callers", m_server->stats(), &m_metrics);
+  if (m_health) SetListenerMetrics("health", m_health->stats(), &m_metrics);
+  if (m_peer_server) {
+    SetListenerMetrics("peers", m_peer_server->stats(), &m_metrics);
+  }
   m_metrics.SetTotal("clementine_platform_calls_total", "", m_store->calls());
   m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
                      m_store->dropped_answers());
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -17,6 +17,7 @@
 #include "daemon/crash_notices.h"
 #include "daemon/event_queue.h"
 #include "daemon/fleet_feed.h"
+#include "daemon/process_limits.h"
 #include "daemon/relay_executor.h"
 #include "net/net.h"
 #include "platform/platform.h"
@@ -92,6 +93,7 @@
   boost::asio::io_context* m_io;
   Settings m_settings;
   std::uint64_t m_incarnation;
+  ProcessLimits m_limits;
   Metrics m_metrics;
   std::unique_ptr<platform::ObjectStore> m_store;
   std::unique_ptr<BackendClient> m_backends;
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -42,7 +42,7 @@
                [this](const std::string& peer, const std::string& detail) {
                  OnPeerEnded(peer, detail);
                }},
-              std::move(keys)),
+              std::move(keys), bounds.max_frame_bytes),
       m_jitter(seed),
       m_servers(io),
       m_configuration(io),
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -53,6 +53,8 @@
   struct Bounds {
     milliseconds change{0};  ///< Within which changes have to take effect.
     bool follow_evacuations = false;
+    /// Bytes of unfinished frames from other daemons.
+    std::size_t max_frame_bytes = ChangeClient::kMaxHeldBytes;
   };
 
   /// @param store Must outlive the feed.
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -4,6 +4,9 @@
 // an address is in use; 2 the command line or the settings are invalid.
 
 #include <sys/resource.h>
+#ifdef __GLIBC__
+#include <malloc.h>
+#endif
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -34,6 +37,17 @@
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+/// Makes the memory of large blocks go back to the system when they are freed.
+/// By default, the threshold rises to the largest block that was ever freed, so
+/// that freed bodies stay resident.
+void FixAllocatorThresholds() {
+#ifdef __GLIBC__
+  constexpr int kThresholdBytes = 32'768;
+  ::mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+  ::mallopt(M_TRIM_THRESHOLD, kThresholdBytes);
+#endif
+}
+
 /// Runs a daemon until its graceful stop is complete.
 template <typename AnyDaemon>
 int Serve(Settings settings) {
@@ -69,6 +83,7 @@
   }
   if (!parsed.findings.empty()) return kExitUsage;
   RaiseDescriptorLimit();
+  FixAllocatorThresholds();
   std::signal(SIGPIPE, SIG_IGN);
   // Settings are read at start only. SIGHUP is ignored because there is no
   // reload.
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -227,7 +227,6 @@
   caller->routes = m_routes;
   caller->route = match.route;
   caller->forwarded_organisation = match.organisation;
-  caller->body = std::make_shared<const std::string>(http.body);
   caller->arrived = m_context.now();
   Request& request = caller->request;
   request.id = caller->id;
@@ -238,6 +237,7 @@
   request.path = http.path;
   request.content_digest = TextDigest(fmt::format(
       "{} {}?{}\n{}", http.method, http.path, http.query, http.body));
+  caller->body = std::make_shared<const std::string>(exchange->TakeBody());
   request.idempotent = match.route->kind == RouteKind::kIdempotent ||
                        (stream && match.route->resumable);
   request.max_attempts = std::max(1, match.route->max_attempts);
--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -143,7 +143,8 @@
   Impl(asio::io_context* io, BackendOptions options)
       : m_io(io),
         m_options(std::move(options)),
-        m_pool(m_options.max_idle_per_address, m_options.idle_timeout),
+        m_pool(m_options.max_idle_per_address, m_options.idle_timeout,
+               m_options.max_idle),
         m_sweep(*io) {}
 
   std::shared_ptr<BackendAttempt> Start(BackendCall call,
--- a/net/connection_pool.cc
+++ b/net/connection_pool.cc
@@ -42,6 +42,8 @@
 void ConnectionPool::Put(const std::string& address, Socket socket,
                          Clock::time_point now) {
   if (m_max_per_address == 0) return;
+  // Counting takes time for each address, so it's done only with a limit.
+  if (m_most > 0 && size() >= m_most) return;
   std::vector<Idle>& idle = m_idle[address];
   if (idle.size() >= m_max_per_address) idle.erase(idle.begin());
   idle.push_back({std::move(socket), now});
--- a/net/connection_pool.h
+++ b/net/connection_pool.h
@@ -27,9 +27,12 @@
   using Socket = boost::asio::ip::tcp::socket;
   using Clock = std::chrono::steady_clock;
 
+  /// @param most Of all addresses together; 0: unlimited.
   ConnectionPool(std::size_t max_per_address,
-                 std::chrono::milliseconds idle_timeout)
-      : m_max_per_address(max_per_address), m_idle_timeout(idle_timeout) {}
+                 std::chrono::milliseconds idle_timeout, std::size_t most = 0)
+      : m_max_per_address(max_per_address),
+        m_most(most),
+        m_idle_timeout(idle_timeout) {}
 
   /// Returns the most recently used connection that the server hasn't closed.
   std::optional<Socket> Take(const std::string& address);
@@ -55,6 +58,7 @@
   };
 
   std::size_t m_max_per_address;
+  std::size_t m_most;
   std::chrono::milliseconds m_idle_timeout;
   std::unordered_map<std::string, std::vector<Idle>> m_idle;
 };
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -5,7 +5,9 @@
 // one timer checks for all of them; arming a timer for each written token would
 // cost more than the write.
 
+#include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -17,15 +19,17 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <unordered_set>
 
 #include "fmt/format.h"
 #include "net/address.h"
 #include "net/header_name.h"
+#include "net/memory_account.h"
 #include "net/net.h"
-#include "net/read_some.h"
 
 namespace clementine {
 namespace {
@@ -43,6 +47,87 @@
 /// Wait after accept failed, which happens when descriptors run out.
 constexpr std::chrono::milliseconds kAcceptPause{100};
 
+/// Memory of a connection beside its request and answer: the session, the
+/// frames of its coroutines, the reactor's state and the kernel's socket.
+/// Measured with idle connections: 3 KB in the process.
+constexpr std::size_t kConnectionBytes = 8'192;
+
+/// Memory of a field beside its name and value, while it is parsed and in the
+/// copies of a running request.
+constexpr std::size_t kFieldBytes = 192;
+
+/// Bytes that are read at once of a head, of a chunked body and of a body of
+/// known length. All connections share the space: what isn't consumed at once
+/// is copied to the connection's own buffer. Bytes of the next request are at
+/// most those read with the end of a head or of a chunked body.
+constexpr std::size_t kHeadReadBytes = 4'096;
+constexpr std::size_t kChunkReadBytes = 16'384;
+constexpr std::size_t kBodyReadBytes = 65'536;
+
+/// A part of the account that was full is emptied by this share, so that the
+/// connections aren't ranked again for each byte.
+constexpr std::size_t kReclaimShare = 16;
+
+/// Shortest time after which a connection without a successful answer may be
+/// closed for a new one.
+constexpr std::chrono::milliseconds kLeastAge{500};
+
+/// Shortest field: a letter, a colon and the end of the line.
+constexpr std::size_t kShortestField = 4;
+
+/// Space for reading and for discarding, shared by all connections of the
+/// thread, as its bytes are never kept while a coroutine waits.
+std::array<char, kBodyReadBytes>& SharedSpace() {
+  static thread_local std::array<char, kBodyReadBytes> space;
+  return space;
+}
+
+/// Keeps a body. Its space grows in steps, not by the length that the head
+/// announces, so that an announced length costs nothing; but never beyond it.
+struct GrowingBody {
+  using value_type = std::string;
+  static std::uint64_t size(const value_type& body) { return body.size(); }
+
+  // Beast looks the type up by this name.
+  class reader {  // NOLINT(readability-identifier-naming)
+   public:
+    template <bool kRequest, class Fields>
+    reader(http::header<kRequest, Fields>& /*header*/, value_type& body)
+        : m_body(body) {}
+
+    void init(const boost::optional<std::uint64_t>& length, error_code& error) {
+      if (length) m_length = static_cast<std::size_t>(*length);
+      error = {};
+    }
+
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, error_code& error) {
+      std::size_t size = beast::buffer_bytes(buffers);
+      Reserve(m_body.size() + size);
+      for (auto buffer : beast::buffers_range_ref(buffers)) {
+        m_body.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      error = {};
+      return size;
+    }
+
+    void finish(error_code& error) { error = {}; }
+
+   private:
+    void Reserve(std::size_t size) {
+      if (size <= m_body.capacity()) return;
+      std::size_t space = std::max(size, 2 * m_body.size());
+      std::string grown;
+      grown.reserve(std::max(size, std::min(space, m_length)));
+      grown.append(m_body);
+      m_body.swap(grown);
+    }
+
+    value_type& m_body;
+    std::size_t m_length = std::numeric_limits<std::size_t>::max();
+  };
+};
+
 std::string FormatHead(int status, const HttpHeaders& headers, bool close) {
   fmt::memory_buffer out;
   auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -63,6 +148,28 @@
       message);
 }
 
+/// Answer to a connection for which there is no room.
+const std::string& RefusalText() {
+  static const std::string text =
+      FormatHead(503,
+                 {{"Content-Length", "0"},
+                  {"X-Clementine-Outcome", "not-run"},
+                  {"Retry-After", "1"}},
+                 true) +
+      "\r\n";
+  return text;
+}
+
+/// Bytes to read next of a request: never those of a later request's body.
+template <typename Parser>
+std::size_t ReadSize(const Parser& parser) {
+  if (!parser.is_header_done()) return kHeadReadBytes;
+  auto rest = parser.content_length_remaining();
+  if (!rest) return kChunkReadBytes;
+  return std::clamp<std::size_t>(static_cast<std::size_t>(*rest), 1,
+                                 kBodyReadBytes);
+}
+
 struct ReadFault {
   int status = 400;
   const char* type = "malformed_request";
@@ -71,6 +178,12 @@
 
 }  // namespace
 
+std::size_t HttpLimits::min_transfer_rate() const {
+  auto timeout_ms = static_cast<std::size_t>(
+      std::max<std::chrono::milliseconds::rep>(1, header_timeout.count()));
+  return std::max<std::size_t>(1, max_header_bytes * 1'000 / timeout_ms);
+}
+
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
     if (SameHeaderName(key, name)) return value;
@@ -85,10 +198,14 @@
   Impl(asio::io_context* io, const std::string& address, HttpLimits limits,
        Handler handler)
       : m_io(io),
-        m_limits(limits),
+        m_limits(std::move(limits)),
         m_handler(std::move(handler)),
         m_acceptor(*io),
-        m_sweep(*io) {
+        m_sweep(*io),
+        m_spare(::open("/dev/null", O_RDONLY | O_CLOEXEC)) {
+    m_memory = m_limits.memory
+                   ? m_limits.memory
+                   : std::make_shared<MemoryPart>(m_limits.max_held_bytes);
     tcp::endpoint endpoint = ParseEndpoint(address);
     try {
       m_acceptor.open(endpoint.protocol());
@@ -102,6 +219,12 @@
     m_address = FormatEndpoint(m_acceptor.local_endpoint());
   }
 
+  ~Impl() {
+    if (m_spare >= 0) ::close(m_spare);
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
   void Start() {
     asio::co_spawn(*m_io, Accept(shared_from_this()), asio::detached);
     asio::co_spawn(*m_io, Sweep(shared_from_this()), asio::detached);
@@ -110,29 +233,53 @@
   void Stop(bool abort);
 
   const HttpLimits& limits() const { return m_limits; }
+  void SetLimits(HttpLimits limits) {
+    limits.memory = m_limits.memory;
+    m_limits = std::move(limits);
+  }
+  MemoryPart* memory() const { return m_memory.get(); }
+  /// Largest number of fields of a head.
+  std::size_t max_fields() const {
+    return m_limits.max_header_fields > 0
+               ? m_limits.max_header_fields
+               : m_limits.max_header_bytes / kShortestField;
+  }
   const Handler& handler() const { return m_handler; }
   bool stopping() const { return m_stopping; }
   /// Whether answers end their connections.
   bool draining() const { return m_draining || m_stopping; }
   void StartDraining() { m_draining = true; }
-  /// Drops the unfinished requests that hold the most while all requests
-  /// together hold too much.
-  void BoundHeldBytes();
+  /// Closes connections in the order of ReclaimOrder if all together hold too
+  /// much. Called while a request is read, so it closes only those that send
+  /// one; ReclaimLater closes readers too.
+  void ReclaimFromSenders() { Reclaim(false); }
+  /// Closes connections if all together hold too much, from the event loop.
+  void ReclaimLater();
 
   std::string m_address;
   HttpServerStats m_stats;
   std::unordered_set<HttpSession*> m_sessions;
+  std::size_t m_open = 0;  ///< Sessions whose sockets are open.
 
  private:
   static asio::awaitable<void> Accept(std::shared_ptr<Impl> self);
   static asio::awaitable<void> Sweep(std::shared_ptr<Impl> self);
   void Admit(tcp::socket socket);
+  void Reclaim(bool with_readers);
+  /// Closes connections that send nothing useful. @return Whether there is room
+  /// for one more.
+  bool MakeRoom();
+  void Refuse(tcp::socket socket, const char* reason);
+  void RefuseWithSpare();
 
   asio::io_context* m_io;
   HttpLimits m_limits;
   Handler m_handler;
   tcp::acceptor m_acceptor;
   asio::steady_timer m_sweep;
+  std::shared_ptr<MemoryPart> m_memory;
+  int m_spare;  ///< Given up to refuse a connection when descriptors run out.
+  bool m_reclaim_due = false;
   bool m_stopping = false;
   bool m_draining = false;
 };
@@ -143,16 +290,20 @@
   HttpSession(std::shared_ptr<HttpServer::Impl> server, tcp::socket socket)
       : m_server(std::move(server)),
         m_socket(std::move(socket)),
-        m_wake(m_socket.get_executor()),
-        m_buffer(m_server->limits().max_header_bytes +
-                 m_server->limits().max_body_bytes) {
+        m_wake(m_socket.get_executor()) {
+    error_code ignored;
+    m_socket.non_blocking(true, ignored);
     m_wake.expires_at(Clock::time_point::max());
+    UpdateCharge();
     m_server->m_sessions.insert(this);
+    ++m_server->m_open;
     ++m_server->m_stats.connections;
   }
 
   ~HttpSession() {
+    Close();
     SetHeld(0);
+    m_server->memory()->Change(m_charged, 0);
     m_server->m_sessions.erase(this);
     --m_server->m_stats.connections;
   }
@@ -176,27 +327,29 @@
     }
   }
 
+  /// What it holds, and for how long it has made no progress.
+  HeldConnection Describe(Clock::time_point now) const;
+
   void StopIdle() {
     if (!m_answering && m_buffer.size() == 0 && !m_reading_request) Close();
   }
 
   void Close() {
+    if (!m_socket.is_open()) return;
     error_code ignored;
     m_socket.close(ignored);
+    --m_server->m_open;
   }
 
-  /// Bytes kept of a request that is not complete yet.
-  std::size_t unfinished_bytes() const {
-    return m_reading_request ? m_held : 0;
-  }
+  std::size_t charged() const { return m_charged; }
 
-  /// Ends the reading of a request because all requests together hold too much.
-  void DropRequest() {
-    m_dropped = true;
-    SetHeld(0);
-    error_code ignored;
-    m_socket.cancel(ignored);
-  }
+  /// Ends the connection because all together hold too much: a request that is
+  /// being read is refused, an idle connection and one whose client doesn't
+  /// read are closed.
+  void Reclaim();
+  /// Closes a connection without a running request at once, with an answer if
+  /// a part of a request has come.
+  void CloseForOthers();
 
   // Used by the exchange.
   void QueueHead(int status, const HttpHeaders& headers, std::string_view body);
@@ -204,6 +357,9 @@
   bool QueueChunk(std::string_view bytes);
   void FinishAnswer() {
     m_finished = true;
+    // The answer must not be cut off for the bytes of its own request.
+    m_head_bytes = m_fields = 0;
+    UpdateHeld(0);
     m_wake.cancel();
   }
   void Abort() {
@@ -221,13 +377,17 @@
   std::function<void()> m_drain_handler;
 
  private:
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<GrowingBody>;
 
   static asio::awaitable<void> Run(std::shared_ptr<HttpSession> self);
   asio::awaitable<bool> WaitForRequest();
   asio::awaitable<bool> ReadRequest();
   asio::awaitable<bool> ReadParts(Parser* parser, error_code* error);
   asio::awaitable<error_code> ReadBytes(Parser* parser);
+  error_code Receive(std::size_t most, std::string_view* bytes);
+  error_code Parse(Parser* parser, std::string_view bytes);
+  void Keep(std::string_view bytes);
+  void CountFields(std::string_view bytes);
   asio::awaitable<void> RejectRequest(error_code error);
   asio::awaitable<bool> WriteAnswer();
   asio::awaitable<error_code> WritePending();
@@ -236,33 +396,62 @@
   /// Counts the bytes kept of a request: those that are not parsed yet, its
   /// head as far as it is read, and its body.
   void UpdateHeld(std::size_t body_bytes) {
-    SetHeld(m_buffer.capacity() + m_head_bytes + body_bytes);
+    SetHeld(m_buffer.capacity() + m_head_bytes + m_fields * kFieldBytes +
+            body_bytes);
   }
   /// Frees what is kept of a request that was answered or rejected. Bytes of
   /// the next one remain.
   void ReleaseRequestBytes() {
     if (m_dropped) m_buffer.clear();
-    if (m_buffer.size() == 0) m_buffer.shrink_to_fit();
-    m_head_bytes = 0;
+    m_buffer.shrink_to_fit();
+    ReleaseString(&m_pending);
+    ReleaseString(&m_writing);
+    m_head_bytes = m_fields = 0;
     UpdateHeld(0);
   }
+  /// Gives back the space of a large answer.
+  static void ReleaseString(std::string* text) {
+    if (text->empty() && text->capacity() > kHeadReadBytes) {
+      std::string().swap(*text);
+    }
+  }
   void SetHeld(std::size_t bytes) {
     m_server->m_stats.held_bytes += bytes;
     m_server->m_stats.held_bytes -= m_held;
     m_held = bytes;
+    UpdateCharge();
+  }
+  /// Brings the account to what the connection holds now.
+  void UpdateCharge() {
+    std::size_t bytes =
+        kConnectionBytes + m_held + m_pending.capacity() + m_writing.capacity();
+    m_server->memory()->Change(m_charged, bytes);
+    m_charged = bytes;
   }
+  void OnQueued(int status);
   ReadFault Explain(error_code error) const;
   void TakeRequest(Parser::value_type message);
   void Leave(const char* reason);
   void SetDeadline(std::chrono::milliseconds timeout) {
     m_timed_out = false;
-    m_deadline = Clock::now() + timeout;
+    m_received = 0;
+    m_progress_at = Clock::now();
+    m_deadline = m_progress_at + timeout;
+  }
+  /// Sets the deadline of a transfer that began at `start` and goes on.
+  void ExtendDeadline(Clock::time_point start,
+                      std::chrono::milliseconds timeout, std::size_t bytes) {
+    if (m_timed_out) return;
+    m_deadline =
+        std::min(start + TransferTime(timeout, bytes,
+                                      m_server->limits().min_transfer_rate()),
+                 Clock::now() + timeout);
   }
 
   std::shared_ptr<HttpServer::Impl> m_server;
   tcp::socket m_socket;
-  asio::steady_timer m_wake;  ///< Cancelled when there is something to write.
-  beast::flat_buffer m_buffer;
+  asio::steady_timer m_wake;    ///< Cancelled when there is something to write.
+  beast::flat_buffer m_buffer;  ///< Received bytes that aren't parsed yet.
   HttpRequest m_request;
   Clock::time_point m_deadline = Clock::time_point::max();
   std::string m_pending;  ///< Queued bytes that aren't being written yet.
@@ -282,7 +471,12 @@
   bool m_full = false;     ///< Write returned false; the drain handler is due.
   std::size_t m_held = 0;  ///< Part of the server's `held_bytes`.
   std::size_t m_head_bytes = 0;
-  bool m_dropped = false;  ///< All requests together held too much.
+  std::size_t m_fields = 0;    ///< At least those of the head, as far as read.
+  std::size_t m_charged = 0;   ///< Its part of the account.
+  bool m_dropped = false;      ///< All requests together held too much.
+  bool m_proven = false;       ///< It had a successful answer.
+  std::size_t m_received = 0;  ///< Bytes of the request, so far.
+  Clock::time_point m_progress_at = Clock::now();  ///< See Describe.
 };
 
 namespace {
@@ -294,6 +488,7 @@
       : m_session(std::move(session)), m_request(m_session->ReleaseRequest()) {}
 
   const HttpRequest& request() const override { return m_request; }
+  std::string TakeBody() override { return std::move(m_request.body); }
 
   void Answer(int status, const HttpHeaders& headers,
               std::string_view body) override {
@@ -359,36 +554,83 @@
   if (abort) m_sweep.cancel();
 }
 
-void HttpServer::Impl::BoundHeldBytes() {
-  while (m_stats.held_bytes > m_limits.max_held_bytes) {
-    auto most =
-        std::max_element(m_sessions.begin(), m_sessions.end(),
-                         [](const HttpSession* a, const HttpSession* b) {
-                           return a->unfinished_bytes() < b->unfinished_bytes();
-                         });
-    if (most == m_sessions.end() || (*most)->unfinished_bytes() == 0) return;
-    (*most)->DropRequest();
+void HttpServer::Impl::ReclaimLater() {
+  if (m_memory->excess() == 0 || m_reclaim_due) return;
+  m_reclaim_due = true;
+  asio::post(*m_io, [self = shared_from_this()] {
+    self->m_reclaim_due = false;
+    self->Reclaim(true);
+  });
+}
+
+void HttpServer::Impl::Reclaim(bool with_readers) {
+  if (m_memory->excess() == 0) return;
+  Clock::time_point now = Clock::now();
+  std::vector<HttpSession*> sessions(m_sessions.begin(), m_sessions.end());
+  std::vector<HeldConnection> held;
+  held.reserve(sessions.size());
+  for (HttpSession* session : sessions) held.push_back(session->Describe(now));
+  std::size_t goal = m_memory->limit() - m_memory->limit() / kReclaimShare;
+  std::size_t used = m_memory->used();
+  for (std::size_t index : ReclaimOrder(held)) {
+    if (used <= goal) return;
+    if (held[index].use == ConnectionUse::kSending && !with_readers) {
+      ReclaimLater();
+      continue;
+    }
+    // Connections that have just begun are closed only as far as needed.
+    if (held[index].stalled < kLeastAge && used <= m_memory->limit()) return;
+    std::size_t bytes = held[index].bytes;
+    used -= std::min(used, bytes);
+    sessions[index]->Reclaim();
+  }
+}
+
+bool HttpServer::Impl::MakeRoom() {
+  Clock::time_point now = Clock::now();
+  std::vector<HttpSession*> sessions(m_sessions.begin(), m_sessions.end());
+  std::vector<HeldConnection> held;
+  held.reserve(sessions.size());
+  for (HttpSession* session : sessions) held.push_back(session->Describe(now));
+  std::size_t share = m_limits.max_connections / kReclaimShare;
+  for (std::size_t index : ReclaimOrder(held)) {
+    if (m_open + share < m_limits.max_connections) break;
+    bool sends = held[index].use == ConnectionUse::kUnproven;
+    if (sends && held[index].stalled >= kLeastAge) {
+      sessions[index]->CloseForOthers();
+    }
   }
+  return m_open < m_limits.max_connections;
+}
+
+void HttpServer::Impl::Refuse(tcp::socket socket, const char* reason) {
+  ++m_stats.refused_connections;
+  LogEvent("connection_refused", {{"reason", reason}});
+  error_code ignored;
+  socket.non_blocking(true, ignored);
+  socket.write_some(asio::buffer(RefusalText()), ignored);
+}
+
+void HttpServer::Impl::RefuseWithSpare() {
+  if (m_spare < 0) return;
+  ::close(m_spare);
+  error_code error;
+  m_acceptor.non_blocking(true, error);
+  tcp::socket socket(*m_io);
+  m_acceptor.accept(socket, error);
+  if (!error) Refuse(std::move(socket), "descriptors");
+  m_spare = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
 }
 
 void HttpServer::Impl::Admit(tcp::socket socket) {
-  if (m_sessions.size() >= m_limits.max_connections) {
-    ++m_stats.refused_connections;
-    LogEvent("connection_refused", {{"reason", "max_connections"}});
-    std::string answer = FormatHead(503,
-                                    {{"Content-Length", "0"},
-                                     {"X-Clementine-Outcome", "not-run"},
-                                     {"Retry-After", "1"}},
-                                    true) +
-                         "\r\n";
-    error_code ignored;
-    socket.non_blocking(true, ignored);
-    socket.write_some(asio::buffer(answer), ignored);
+  if (m_open >= m_limits.max_connections && !MakeRoom()) {
+    Refuse(std::move(socket), "max_connections");
     return;
   }
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   std::make_shared<HttpSession>(shared_from_this(), std::move(socket))->Start();
+  ReclaimLater();
 }
 
 asio::awaitable<void> HttpServer::Impl::Accept(std::shared_ptr<Impl> self) {
@@ -401,6 +643,12 @@
       self->Admit(std::move(socket));
     } else if (!self->m_stopping) {
       LogEvent("accept_failed", {{"error", error.message()}});
+      bool exhausted =
+          error == asio::error::no_descriptors || error.value() == ENFILE;
+      if (exhausted) {
+        self->MakeRoom();
+        self->RefuseWithSpare();
+      }
       pause.expires_after(kAcceptPause);
       co_await pause.async_wait(
           asio::redirect_error(asio::use_awaitable, error));
@@ -445,14 +693,20 @@
   if (m_buffer.size() > 0) co_return true;
   SetDeadline(m_first ? m_server->limits().header_timeout
                       : m_server->limits().idle_timeout);
-  error_code error;
-  std::size_t size = co_await m_socket.async_read_some(
-      m_buffer.prepare(
-          std::min<std::size_t>(4096, m_server->limits().max_header_bytes)),
-      asio::redirect_error(asio::use_awaitable, error));
-  m_buffer.commit(size);
+  error_code error = asio::error::would_block;
+  std::string_view bytes;
+  while (error == asio::error::would_block) {
+    // A connection that waits holds no buffer.
+    co_await m_socket.async_wait(
+        tcp::socket::wait_read,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error || m_timed_out) co_return false;
+    error = Receive(kHeadReadBytes, &bytes);
+  }
+  if (error) co_return false;
+  Keep(bytes);
   m_first = false;
-  co_return !error;
+  co_return true;
 }
 
 asio::awaitable<bool> HttpSession::ReadRequest() {
@@ -476,14 +730,24 @@
 asio::awaitable<bool> HttpSession::ReadParts(Parser* parser,
                                              error_code* error) {
   SetDeadline(m_server->limits().header_timeout);
+  m_head_bytes = m_fields = 0;
+  CountFields(
+      {static_cast<const char*>(m_buffer.data().data()), m_buffer.size()});
   while (!parser->is_header_done()) {
     *error = co_await ReadBytes(parser);
     if (*error) co_return false;
   }
+  m_fields = 0;
   for (const auto& field : parser->get()) {
     m_head_bytes += field.name_string().size() + field.value().size();
+    ++m_fields;
+  }
+  if (m_fields > m_server->max_fields()) {
+    *error = http::error::header_limit;
+    co_return false;
   }
   SetDeadline(m_server->limits().body_timeout);
+  Clock::time_point start = m_progress_at;
   if (SameHeaderName(parser->get()[http::field::expect], "100-continue")) {
     static constexpr std::string_view kContinue =
         "HTTP/1.1 100 Continue\r\n\r\n";
@@ -495,6 +759,8 @@
   while (!parser->is_done()) {
     *error = co_await ReadBytes(parser);
     if (*error) co_return false;
+    m_received = parser->get().body().size();
+    ExtendDeadline(start, m_server->limits().body_timeout, m_received);
   }
   if (!*error && parser->get().version() != 11 &&
       parser->get().version() != 10) {
@@ -503,16 +769,140 @@
   co_return !*error;
 }
 
+error_code HttpSession::Receive(std::size_t most, std::string_view* bytes) {
+  error_code error;
+  char* space = SharedSpace().data();
+  std::size_t size = m_socket.read_some(asio::buffer(space, most), error);
+  *bytes = {space, size};
+  return error;
+}
+
+void HttpSession::Keep(std::string_view bytes) {
+  if (bytes.empty()) return;
+  asio::buffer_copy(m_buffer.prepare(bytes.size()),
+                    asio::buffer(bytes.data(), bytes.size()));
+  m_buffer.commit(bytes.size());
+}
+
+void HttpSession::CountFields(std::string_view bytes) {
+  m_fields +=
+      static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+}
+
+error_code HttpSession::Parse(Parser* parser, std::string_view bytes) {
+  error_code error;
+  if (m_buffer.size() > 0) {
+    Keep(bytes);
+    m_buffer.consume(parser->put(m_buffer.data(), error));
+    if (m_buffer.size() == 0) m_buffer.shrink_to_fit();
+  } else {
+    bytes.remove_prefix(
+        parser->put(asio::buffer(bytes.data(), bytes.size()), error));
+    Keep(bytes);
+  }
+  bool overflow =
+      error == http::error::need_more &&
+      (m_buffer.size() >=
+           m_server->limits().max_header_bytes + kBodyReadBytes ||
+       (!parser->is_header_done() && m_fields > m_server->max_fields() + 2));
+  if (overflow) error = http::error::header_limit;
+  UpdateHeld(parser->get().body().capacity());
+  return error;
+}
+
 asio::awaitable<error_code> HttpSession::ReadBytes(Parser* parser) {
-  const std::function<void()> on_read = [this, parser] {
-    if (!m_dropped) UpdateHeld(parser->get().body().size());
-    m_server->BoundHeldBytes();
-  };
-  error_code error = co_await ReadSome(&m_socket, &m_buffer, parser, &on_read);
-  if (m_dropped) error = asio::error::no_memory;
+  error_code error = http::error::need_more;
+  if (m_buffer.size() > 0) {
+    error = Parse(parser, {});
+    if (error != http::error::need_more) {
+      // Lets other handlers run, such as those that write what was read before.
+      co_await asio::post(m_socket.get_executor(), asio::use_awaitable);
+    }
+  }
+  while (error == http::error::need_more) {
+    if (m_dropped) co_return asio::error::no_memory;
+    if (m_timed_out) co_return asio::error::timed_out;
+    std::string_view bytes;
+    error = Receive(ReadSize(*parser), &bytes);
+    if (error == asio::error::would_block) {
+      co_await m_socket.async_wait(
+          tcp::socket::wait_read,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (!error) error = http::error::need_more;
+      continue;
+    }
+    if (error) break;
+    if (!parser->is_header_done()) {
+      m_received += bytes.size();
+      CountFields(bytes);
+    }
+    UpdateHeld(parser->get().body().capacity() + bytes.size());
+    m_server->ReclaimFromSenders();
+    if (m_dropped) co_return asio::error::no_memory;
+    error = Parse(parser, bytes);
+    if (!parser->is_done()) {
+      // A fast sender must not keep the thread for itself.
+      co_await asio::post(m_socket.get_executor(), asio::use_awaitable);
+    }
+  }
+  if (m_dropped) co_return asio::error::no_memory;
+  if (error == asio::error::eof) {
+    if (!parser->got_some()) co_return http::error::end_of_stream;
+    error = {};
+    parser->put_eof(error);
+  }
   co_return error;
 }
 
+HeldConnection HttpSession::Describe(Clock::time_point now) const {
+  HeldConnection held;
+  held.bytes = m_charged;
+  auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - m_progress_at);
+  held.stalled = since;
+  if (m_answering) {
+    bool sends = !m_pending.empty() || !m_writing.empty();
+    held.use = sends ? ConnectionUse::kSending : ConnectionUse::kRunning;
+  } else if (m_reading_request) {
+    held.stalled =
+        std::max(std::chrono::milliseconds(0),
+                 since - TransferTime(std::chrono::milliseconds(0), m_received,
+                                      m_server->limits().min_transfer_rate()));
+  } else if (m_proven) {
+    held.use = ConnectionUse::kIdle;
+  }
+  return held;
+}
+
+void HttpSession::Reclaim() {
+  if (m_answering) {
+    ++m_server->m_stats.closed_readers;
+    Leave("memory");
+  } else if (m_reading_request && !m_dropped) {
+    m_dropped = true;
+    SetHeld(0);
+    error_code ignored;
+    m_socket.cancel(ignored);
+  } else {
+    ++m_server->m_stats.closed_idle;
+    Close();
+  }
+}
+
+void HttpSession::CloseForOthers() {
+  ++m_server->m_stats.closed_for_others;
+  LogEvent("connection_closed",
+           {{"reason", "max_connections"},
+            {"state", m_reading_request ? "request" : "idle"}});
+  if (m_reading_request && !m_dropped) {
+    error_code ignored;
+    m_socket.write_some(asio::buffer(RefusalText()), ignored);
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+  m_dropped = true;
+  Close();
+}
+
 ReadFault HttpSession::Explain(error_code error) const {
   if (m_timed_out) {
     return {408, "request_timeout", "the request didn't arrive in time"};
@@ -520,7 +910,7 @@
   if (m_dropped) {
     return {503, "held_bytes",
             fmt::format("all requests together hold more than {} bytes",
-                        m_server->limits().max_held_bytes)};
+                        m_server->memory()->limit())};
   }
   if (error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
@@ -536,8 +926,10 @@
 }
 
 asio::awaitable<void> HttpSession::RejectRequest(error_code error) {
+  if (!m_socket.is_open()) co_return;
   ++(m_dropped ? m_server->m_stats.dropped_requests
                : m_server->m_stats.malformed);
+  if (m_timed_out) ++m_server->m_stats.timed_out_requests;
   ReadFault fault = Explain(error);
   ReleaseRequestBytes();
   LogEvent("request_rejected",
@@ -567,11 +959,10 @@
   error_code error;
   m_socket.shutdown(tcp::socket::shutdown_send, error);
   SetDeadline(kDiscardTime);
-  std::array<char, 16'384> discarded{};
   std::size_t total = 0;
   while (!error && total < kMostDiscarded) {
     total += co_await m_socket.async_read_some(
-        asio::buffer(discarded),
+        asio::buffer(SharedSpace()),
         asio::redirect_error(asio::use_awaitable, error));
   }
 }
@@ -585,6 +976,7 @@
   if (question != std::string::npos) {
     m_request.query = target.substr(question + 1);
   }
+  m_request.headers.reserve(m_fields);
   for (const auto& field : message) {
     m_request.headers.emplace_back(std::string(field.name_string()),
                                    std::string(field.value()));
@@ -593,6 +985,7 @@
   m_head_request = message.method() == http::verb::head;
   m_http_1_0 = message.version() == 10;
   ++m_server->m_stats.requests;
+  UpdateHeld(m_request.body.capacity());
 }
 
 // ---------------------------------------------------------------------------
@@ -604,6 +997,7 @@
   m_pending += FormatHead(status, headers, !m_keep_alive);
   m_pending += fmt::format("Content-Length: {}\r\n\r\n", body.size());
   if (!m_head_request) m_pending += body;
+  OnQueued(status);
 }
 
 void HttpSession::QueueStreamHead(int status, const HttpHeaders& headers) {
@@ -613,9 +1007,16 @@
   m_pending += m_http_1_0 ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
   m_chunked = !m_http_1_0;
   m_unframed = m_http_1_0;
+  OnQueued(status);
   m_wake.cancel();
 }
 
+void HttpSession::OnQueued(int status) {
+  if (status < 400) m_proven = true;
+  UpdateCharge();
+  m_server->ReclaimLater();
+}
+
 bool HttpSession::QueueChunk(std::string_view bytes) {
   if (m_left || bytes.empty()) return true;
   if (m_unframed) {
@@ -625,6 +1026,8 @@
     m_pending.append(bytes).append("\r\n");
   }
   m_wake.cancel();
+  UpdateCharge();
+  m_server->ReclaimLater();
   if (m_pending.size() > m_server->limits().max_buffered_bytes) m_full = true;
   return !m_full;
 }
@@ -679,8 +1082,16 @@
   m_writing.swap(m_pending);
   m_pending.clear();
   error_code error;
-  co_await asio::async_write(m_socket, asio::buffer(m_writing),
-                             asio::redirect_error(asio::use_awaitable, error));
+  Clock::time_point start = m_progress_at;
+  std::size_t sent = 0;
+  while (!error && sent < m_writing.size()) {
+    sent += co_await m_socket.async_write_some(
+        asio::buffer(m_writing) + sent,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error || sent == m_writing.size()) break;
+    m_progress_at = Clock::now();
+    ExtendDeadline(start, m_server->limits().write_timeout, sent);
+  }
   m_writing.clear();
   if (m_full && !error && !m_left) {
     m_full = false;
@@ -721,14 +1132,24 @@
 
 HttpServer::HttpServer(asio::io_context* io, const std::string& address,
                        HttpLimits limits, Handler handler)
-    : m_impl(std::make_shared<Impl>(io, address, limits, std::move(handler))) {
+    : m_impl(std::make_shared<Impl>(io, address, std::move(limits),
+                                    std::move(handler))) {
   m_impl->Start();
 }
 
 HttpServer::~HttpServer() { m_impl->Stop(/*abort=*/true); }
 
 std::string HttpServer::address() const { return m_impl->m_address; }
-HttpServerStats HttpServer::stats() const { return m_impl->m_stats; }
+HttpServerStats HttpServer::stats() const {
+  HttpServerStats stats = m_impl->m_stats;
+  stats.charged_bytes = m_impl->memory()->used();
+  stats.charged_limit = m_impl->memory()->limit();
+  return stats;
+}
+const HttpLimits& HttpServer::limits() const { return m_impl->limits(); }
+void HttpServer::SetLimits(HttpLimits limits) {
+  m_impl->SetLimits(std::move(limits));
+}
 void HttpServer::StartDraining() { m_impl->StartDraining(); }
 void HttpServer::Stop() { m_impl->Stop(/*abort=*/false); }
 
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -91,6 +91,7 @@
 
   std::uint64_t calls() const { return m_calls; }
   const Stats& stats() const { return m_stats; }
+  void SetMaxHeldBytes(std::size_t bytes) { m_max_held_bytes = bytes; }
 
  private:
   using Parser = http::response_parser<http::string_body>;
@@ -179,7 +180,7 @@
     answer.sent = written > 0;
     if (write_error) co_return answer;
     Parser parser;
-    parser.body_limit(kMaxAnswerBytes);
+    parser.body_limit(std::min(kMaxAnswerBytes, m_max_held_bytes));
     boost::system::error_code read_error = co_await Read(connection, &parser);
     if (read_error) {
       // Whatever stopped this connection may have stopped the idle ones too.
@@ -236,7 +237,7 @@
 
   // Ends the answers that hold the most while all together hold too much.
   void BoundHeldBytes() {
-    while (m_stats.held_bytes > kMaxHeldBytes) {
+    while (m_stats.held_bytes > m_max_held_bytes) {
       ConnectionPtr most;
       for (const auto& weak : m_open) {
         ConnectionPtr connection = weak.lock();
@@ -270,6 +271,7 @@
   std::vector<std::weak_ptr<Connection>> m_open;  // Idle and busy.
   std::uint64_t m_calls = 0;
   Stats m_stats;
+  std::size_t m_max_held_bytes = kMaxHeldBytes;
   int m_logged_status = 0;
   bool m_stopped = false;
 };
@@ -296,4 +298,8 @@
 
 HttpTransport::Stats HttpTransport::stats() const { return m_impl->stats(); }
 
+void HttpTransport::SetMaxHeldBytes(std::size_t bytes) {
+  m_impl->SetMaxHeldBytes(bytes);
+}
+
 }  // namespace clementine
--- a/net/http_transport.h
+++ b/net/http_transport.h
@@ -55,6 +55,9 @@
 
   Stats stats() const;
 
+  /// Sets the limit of the bytes of all unfinished answers together.
+  void SetMaxHeldBytes(std::size_t bytes);
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/net/net.h
+++ b/net/net.h
@@ -101,6 +101,7 @@
 
 class HttpSession;
 class CallState;
+class MemoryPart;
 
 /// Finds a header by name without regard to case; empty when absent.
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name);
@@ -130,6 +131,8 @@
   HttpExchange& operator=(const HttpExchange&) = delete;
 
   virtual const HttpRequest& request() const = 0;
+  /// Takes the body out of the request, so that it isn't kept twice.
+  virtual std::string TakeBody() { return request().body; }
   virtual void Answer(int status, const HttpHeaders& headers,
                       std::string_view body) = 0;
 
@@ -158,10 +161,21 @@
   /// Of all requests together, from their first byte to the end of their
   /// answers. A request that would exceed it is refused as not run.
   std::size_t max_held_bytes = 33'554'432;
+  /// Part of the process's account that the connections are charged to; null:
+  /// one of its own, of max_held_bytes.
+  std::shared_ptr<MemoryPart> memory;
+  /// Fields of a request's head; 0: as many as fit into max_header_bytes.
+  std::size_t max_header_fields = 0;
   std::chrono::milliseconds header_timeout{10'000};
+  /// Longest time without progress of a body, and the time that it may take
+  /// beside the time that min_transfer_rate allows for its bytes.
   std::chrono::milliseconds body_timeout{30'000};
-  std::chrono::milliseconds write_timeout{30'000};  ///< No progress in writing.
+  std::chrono::milliseconds write_timeout{30'000};  ///< As body_timeout.
   std::chrono::milliseconds idle_timeout{60'000};   ///< Between requests.
+
+  /// Slowest average rate of a body, and of the reading of an answer, in bytes
+  /// a second: that of a client whose largest head just meets header_timeout.
+  std::size_t min_transfer_rate() const;
 };
 
 struct HttpServerStats {
@@ -172,7 +186,13 @@
   std::uint64_t refused_connections = 0;
   std::uint64_t callers_left = 0;
   std::uint64_t held_bytes = 0;  ///< Bytes kept of unanswered requests, now.
-  std::uint64_t dropped_requests = 0;  ///< Refused, as all held too much.
+  std::uint64_t dropped_requests = 0;    ///< Refused, as all held too much.
+  std::uint64_t timed_out_requests = 0;  ///< Part of `malformed`: too slow.
+  std::uint64_t closed_readers = 0;  ///< Read too slowly while memory was full.
+  std::uint64_t closed_idle = 0;     ///< Idle, without a successful answer.
+  std::uint64_t closed_for_others = 0;  ///< At the limit of connections.
+  std::uint64_t charged_bytes = 0;      ///< All that connections hold, now.
+  std::uint64_t charged_limit = 0;
 };
 
 /// HTTP/1.1 server. Malformed, oversized, slow and truncated requests get a
@@ -192,6 +212,11 @@
 
   std::string address() const;  ///< Bound IP:port.
   HttpServerStats stats() const;
+  const HttpLimits& limits() const;
+
+  /// Replaces the limits, except for `memory`. A larger limit takes effect for
+  /// what arrives next, also on present connections.
+  void SetLimits(HttpLimits limits);
 
   /// Closes each connection after its next answer, which says so. Goes on
   /// accepting, so that callers who don't know yet are served.
@@ -398,6 +423,7 @@
   std::chrono::milliseconds user_timeout{5'000};
   std::chrono::milliseconds idle_timeout{15'000};  ///< In the pool.
   std::size_t max_idle_per_address = 32;
+  std::size_t max_idle = 0;  ///< Of all addresses together; 0: unlimited.
   std::size_t max_body_bytes = 8'388'608;  ///< Of an answer.
   /// Of all answers together, with the bytes that are not parsed yet: a fifth
   /// of the smallest host of a daemon, which has 160 MB, and more than a whole
@@ -547,6 +573,8 @@
   std::uint64_t calls() const;
   std::uint64_t held_bytes() const;       ///< Bytes of unfinished answers, now.
   std::uint64_t dropped_answers() const;  ///< Ended as they exceeded a limit.
+  /// Sets the limit of the bytes of all unfinished answers together.
+  void SetMaxHeldBytes(std::size_t bytes);
 
  private:
   class Impl;
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -121,6 +121,9 @@
   }
   std::uint64_t calls() const { return m_transport.calls(); }
   HttpTransport::Stats stats() const { return m_transport.stats(); }
+  void SetMaxHeldBytes(std::size_t bytes) {
+    m_transport.SetMaxHeldBytes(bytes);
+  }
 
  private:
   static HttpHeaders Headers(const std::string& token) {
@@ -206,4 +209,8 @@
   return m_impl->stats().dropped_answers;
 }
 
+void PlatformClient::SetMaxHeldBytes(std::size_t bytes) {
+  m_impl->SetMaxHeldBytes(bytes);
+}
+
 }  // namespace clementine
