--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -47,6 +47,7 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
+      m_limits(m_settings),
       m_tick(*io),
       m_stop_timer(*io),
       m_queue(&m_metrics,
@@ -57,9 +58,11 @@
     Feed(ControlEvent(StoreEraSeen{era}));
     Feed(RequestEvent(StoreEraSeen{era}));
   });
+  m_platform->SetMaxHeldBytes(m_limits.memory.plan.platform);
   BackendOptions backend_options;
   backend_options.token = m_settings.backend_token;
   backend_options.connect_timeout = m_settings.connect_timeout;
+  SetBackendLimits(m_limits, &backend_options);
   m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
   m_peers = std::make_unique<PeerTransport>(
       io, m_settings.peer_listen, m_settings.peer_key,
@@ -67,7 +70,7 @@
         Feed(ControlEvent(PeerMessageReceived{std::move(bytes)}));
       });
   m_server = std::make_unique<HttpServer>(
-      io, m_settings.listen, ServerLimits(m_settings),
+      io, m_settings.listen, m_limits.callers,
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         OnExchange(exchange);
       });
@@ -209,6 +212,8 @@
                 Outcome::kNotRun, milliseconds(1'000));
     return;
   }
+  // What runs is the body that was read from it.
+  exchange->TakeBody();
   m_request_executor->Accept(exchange, std::move(*read.request));
 }
 
@@ -242,6 +247,7 @@
   HttpServerStats server = m_server->stats();
   BackendStats backend = m_backends->stats();
   SetCommonMetrics(m_request_path->stats(), server, backend, &m_metrics);
+  SetListenerMetrics("callers", server, &m_metrics);
   m_metrics.SetTotal("clementine_refused_connections_total", "",
                      server.refused_connections);
   m_metrics.SetTotal("clementine_stream_gaps_total", "", backend.gaps);
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -93,6 +93,7 @@
 
   std::uint64_t calls() const { return m_calls; }
   const Stats& stats() const { return m_stats; }
+  void SetMaxHeldBytes(std::size_t bytes) { m_max_held_bytes = bytes; }
 
  private:
   using Parser = http::response_parser<http::string_body>;
@@ -217,7 +218,7 @@
     int interim = 0;
     do {
       parser->emplace();
-      (*parser)->body_limit(kMaxAnswerBytes);
+      (*parser)->body_limit(std::min(kMaxAnswerBytes, m_max_held_bytes));
       error = co_await Read(connection, &**parser);
     } while (!error &&
              http_status::IsInterim(
@@ -261,7 +262,7 @@
 
   // Ends the answers that hold the most while all together hold too much.
   void BoundHeldBytes() {
-    while (m_stats.held_bytes > kMaxHeldBytes) {
+    while (m_stats.held_bytes > m_max_held_bytes) {
       ConnectionPtr most;
       for (const auto& weak : m_open) {
         ConnectionPtr connection = weak.lock();
@@ -295,6 +296,7 @@
   std::vector<std::weak_ptr<Connection>> m_open;  // Idle and busy.
   std::uint64_t m_calls = 0;
   Stats m_stats;
+  std::size_t m_max_held_bytes = kMaxHeldBytes;
   int m_logged_status = 0;
   bool m_stopped = false;
 };
@@ -321,4 +323,8 @@
 
 HttpTransport::Stats HttpTransport::stats() const { return m_impl->stats(); }
 
+void HttpTransport::SetMaxHeldBytes(std::size_t bytes) {
+  m_impl->SetMaxHeldBytes(bytes);
+}
+
 }  // namespace clementine
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -21,6 +21,7 @@
   bool linked = false;
   /// See Settings; 0 does not follow evacuations.
   std::chrono::milliseconds evacuation_notice{0};
+  std::string limits{};  ///< Lines of section [limits].
 };
 
 class FleetSite {
