--- a/testing/control_world.h
+++ b/testing/control_world.h
@@ -325,13 +325,14 @@
       daemon.seen_era = answer_era;
       Deliver(index, incarnation, StoreEraSeen{answer_era});
     }
-    if (answer_era >= daemon.seen_era) {
-      Deliver(index, incarnation, event);
-    } else if (const auto* reply = std::get_if<ObjectReply>(&event)) {
+    bool older = answer_era < daemon.seen_era;
+    const auto* reply = std::get_if<ObjectReply>(&event);
+    const auto* changed = std::get_if<ObjectsChanged>(&event);
+    if (older && reply != nullptr) {
       ObjectReply lost;
       lost.call = reply->call;
       Deliver(index, incarnation, lost);
-    } else if (const auto* changed = std::get_if<ObjectsChanged>(&event)) {
+    } else if (older && changed != nullptr) {
       Deliver(index, incarnation, WatchFailed{changed->prefix});
     } else {
       Deliver(index, incarnation, event);
