--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -35,6 +35,8 @@
 /// 1 MB.
 constexpr std::size_t kMaxChangeBufferedBytes = 4'194'304;
 constexpr milliseconds kChangeWriteTimeout{2'000};
+/// A follower that reads more slowly than this would be told too late.
+constexpr std::size_t kChangeBytesPerSecond = 2'097'152;
 /// A server's connection limit divided by this is the limit of its idle
 /// connections.
 constexpr int kIdleLimitDivisor = 2;
@@ -141,6 +143,7 @@
     HttpLimits changes_limits = m_limits.peers;
     changes_limits.max_buffered_bytes = kMaxChangeBufferedBytes;
     changes_limits.write_timeout = kChangeWriteTimeout;
+    changes_limits.transfer_rate = kChangeBytesPerSecond;
     m_peer_server = std::make_unique<HttpServer>(
         m_io, m_settings.listen_changes, changes_limits,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -72,6 +72,10 @@
 /// closed for a new one.
 constexpr std::chrono::milliseconds kLeastAge{500};
 
+/// Wait after no connection could be closed for a new one, as ranking them
+/// takes time for each connection.
+constexpr std::chrono::milliseconds kRoomPause{50};
+
 /// Shortest field: a letter, a colon and the end of the line.
 constexpr std::size_t kShortestField = 4;
 
@@ -179,6 +183,7 @@
 }  // namespace
 
 std::size_t HttpLimits::min_transfer_rate() const {
+  if (transfer_rate > 0) return transfer_rate;
   auto timeout_ms = static_cast<std::size_t>(
       std::max<std::chrono::milliseconds::rep>(1, header_timeout.count()));
   return std::max<std::size_t>(1, max_header_bytes * 1'000 / timeout_ms);
@@ -280,6 +285,7 @@
   std::shared_ptr<MemoryPart> m_memory;
   int m_spare;  ///< Given up to refuse a connection when descriptors run out.
   bool m_reclaim_due = false;
+  Clock::time_point m_no_room_until;
   bool m_stopping = false;
   bool m_draining = false;
 };
@@ -435,7 +441,7 @@
   void SetDeadline(std::chrono::milliseconds timeout) {
     m_timed_out = false;
     m_received = 0;
-    m_progress_at = Clock::now();
+    m_progress_at = m_received_at = Clock::now();
     m_deadline = m_progress_at + timeout;
   }
   /// Sets the deadline of a transfer that began at `start` and goes on.
@@ -477,6 +483,7 @@
   bool m_proven = false;       ///< It had a successful answer.
   std::size_t m_received = 0;  ///< Bytes of the request, so far.
   Clock::time_point m_progress_at = Clock::now();  ///< See Describe.
+  Clock::time_point m_received_at = m_progress_at;
 };
 
 namespace {
@@ -588,6 +595,7 @@
 
 bool HttpServer::Impl::MakeRoom() {
   Clock::time_point now = Clock::now();
+  if (now < m_no_room_until) return false;
   std::vector<HttpSession*> sessions(m_sessions.begin(), m_sessions.end());
   std::vector<HeldConnection> held;
   held.reserve(sessions.size());
@@ -595,12 +603,16 @@
   std::size_t share = m_limits.max_connections / kReclaimShare;
   for (std::size_t index : ReclaimOrder(held)) {
     if (m_open + share < m_limits.max_connections) break;
-    bool sends = held[index].use == ConnectionUse::kUnproven;
-    if (sends && held[index].stalled >= kLeastAge) {
+    if (held[index].stalled < kLeastAge) continue;
+    if (held[index].use == ConnectionUse::kUnproven) {
       sessions[index]->CloseForOthers();
+    } else if (held[index].stalled >= kStalledReader) {
+      sessions[index]->Reclaim();
     }
   }
-  return m_open < m_limits.max_connections;
+  if (m_open < m_limits.max_connections) return true;
+  m_no_room_until = now + kRoomPause;
+  return false;
 }
 
 void HttpServer::Impl::Refuse(tcp::socket socket, const char* reason) {
@@ -832,6 +844,7 @@
       continue;
     }
     if (error) break;
+    m_received_at = Clock::now();
     if (!parser->is_header_done()) {
       m_received += bytes.size();
       CountFields(bytes);
@@ -864,10 +877,12 @@
     bool sends = !m_pending.empty() || !m_writing.empty();
     held.use = sends ? ConnectionUse::kSending : ConnectionUse::kRunning;
   } else if (m_reading_request) {
-    held.stalled =
-        std::max(std::chrono::milliseconds(0),
-                 since - TransferTime(std::chrono::milliseconds(0), m_received,
-                                      m_server->limits().min_transfer_rate()));
+    // Bytes justify time only while they keep coming.
+    auto behind = since - TransferTime(std::chrono::milliseconds(0), m_received,
+                                       m_server->limits().min_transfer_rate());
+    auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - m_received_at);
+    held.stalled = std::max({std::chrono::milliseconds(0), behind, silent});
   } else if (m_proven) {
     held.use = ConnectionUse::kIdle;
   }
--- a/net/memory_account.cc
+++ b/net/memory_account.cc
@@ -10,9 +10,6 @@
 /// MB and a list of some thousand servers; a fifth of larger hosts' memory.
 constexpr std::size_t kProgramBytes = 24'000'000;
 
-/// Clients that have read nothing for this long count as stalled.
-constexpr std::chrono::milliseconds kStalledReader{1'000};
-
 /// Added to the time without progress, so that the larger of two connections
 /// that have just begun is closed first.
 constexpr std::chrono::milliseconds kLeastStall{50};
--- a/net/memory_account.h
+++ b/net/memory_account.h
@@ -97,12 +97,16 @@
   kSending,   ///< Bytes wait to be read by the client.
 };
 
+/// Clients that have read nothing for this long count as stalled.
+inline constexpr std::chrono::milliseconds kStalledReader{1'000};
+
 struct HeldConnection {
   ConnectionUse use = ConnectionUse::kUnproven;
   std::size_t bytes = 0;
-  /// Time for which it has made no progress: since its request began or since
-  /// it became idle, less the time that the received bytes justify; or since
-  /// the client last read something.
+  /// Time for which it has made no progress. Of a request that is being read,
+  /// the longer of the time since its last byte, and the time since it began
+  /// less what its bytes justify at the minimum rate; otherwise the time since
+  /// it became idle or since the client last read something.
   std::chrono::milliseconds stalled{0};
 };
 
--- a/net/net.h
+++ b/net/net.h
@@ -173,8 +173,12 @@
   std::chrono::milliseconds write_timeout{30'000};  ///< As body_timeout.
   std::chrono::milliseconds idle_timeout{60'000};   ///< Between requests.
 
-  /// Slowest average rate of a body, and of the reading of an answer, in bytes
-  /// a second: that of a client whose largest head just meets header_timeout.
+  /// Bytes a second; 0: those of a client whose largest head just meets
+  /// header_timeout.
+  std::size_t transfer_rate = 0;
+
+  /// Slowest average rate of a body and of the reading of an answer, in bytes a
+  /// second.
   std::size_t min_transfer_rate() const;
 };
 
