--- a/core/core.h
+++ b/core/core.h
@@ -28,6 +28,7 @@
 #ifndef CORE_CORE_H_
 #define CORE_CORE_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -96,6 +97,14 @@
   std::uint64_t if_version = 0;
 };
 
+/// Era of the platform's store; see core/store_era.h. As an event: an answer to
+/// another component, or another daemon, stated it first. As an action: the
+/// store was restored, or its era has become known; the other components have
+/// to read and write their objects again.
+struct StoreEraSeen {
+  std::uint64_t era = 0;
+};
+
 struct ObjectReply {
   CallId call = 0;
   ObjectStatus status = ObjectStatus::kUnknown;
@@ -133,6 +142,9 @@
   /// late answer is still of some use to the caller. 0 means that only
   /// `deadline` matters.
   milliseconds target{0};
+  /// Latency target of an answer that isn't a stream. Only steers the limit of
+  /// the pool; the request waits until its deadline. 0: none.
+  milliseconds answer_target{0};
   int priority = 0;      ///< From route or organisation; 0 is the most urgent.
   int max_attempts = 0;  ///< 0 selects RequestPathOptions::max_attempts.
 };
@@ -156,6 +168,9 @@
   bool leaving = false;  ///< Accepts no new requests.
   /// The data centre is being evacuated: the group gets no new requests.
   bool evacuated = false;
+  /// The data centre will be left soon: the group gets new requests only while
+  /// the other groups have no room.
+  bool evacuating = false;
   /// Requests per second that this daemon may send to the group until
   /// `cold_until`, because its head is cold. Unused once that time has passed.
   double cold_rate = 0.0;
@@ -278,7 +293,7 @@
                  AttemptStalled, ServerBusy, ServerEnded, LoadReported,
                  CacheEvents, GroupsChanged, ConfigurationChanged,
                  QuarantineLearned, DaemonsChanged, DrainStarted, ObjectReply,
-                 Tick>;
+                 StoreEraSeen, Tick>;
 
 enum class RefusalReason {
   kUnknownModel,
@@ -319,6 +334,10 @@
   std::string address;
   std::uint64_t resume_offset = 0;
   int priority = 0;  ///< Higher is more urgent.
+  /// The request has a running attempt already, and nothing of its answer was
+  /// delivered. The first attempt that delivers something wins; the other is
+  /// cancelled.
+  bool hedge = false;
 };
 struct CancelAttempt {
   AttemptId attempt = 0;
@@ -379,7 +398,8 @@
                              ///< control, as a baseline for comparison.
   RoutePolicy route_policy;  ///< Empty selects the weighted policy.
   int max_attempts = 3;
-  double retry_ratio = 0.1;  ///< Retries allowed per first attempt.
+  double retry_ratio = 0.1;  ///< Retries and hedges per first attempt.
+  double hedge_ratio = 0.0;  ///< Hedges per first attempt; 0 disables them.
   int crashes_to_quarantine = 2;
   /// Runs the next attempt of a request that was in flight at a crash on a
   /// group that runs nothing else.
@@ -394,20 +414,49 @@
   std::string broken_rule;
 };
 
+/// Concurrency limit of this daemon in a pool whose requests have targets.
+struct PoolLimitStats {
+  std::string pool;
+  double fair_share = 0.0;
+  int limit = 0;
+  double margin = 0.0;     ///< See CapacityLimit::margin.
+  std::uint64_t late = 0;  ///< First events that missed their target.
+  std::uint64_t full = 0;  ///< Requests that servers refused as full.
+};
+
+/// Reason against a second attempt of a request whose first attempt is slow.
+enum class HedgeDenial {
+  kDraining,  ///< This daemon shuts down.
+  kSuspect,   ///< The request may have caused a crash.
+  kQueue,     ///< Requests wait for the pool.
+  kFull,      ///< The pool's limit has no room.
+  kNoGroup,   ///< No other group is fast enough and has room.
+  kBudget,    ///< The budget of hedges or of retries is exhausted.
+};
+inline constexpr std::size_t kHedgeDenials = 6;
+const char* HedgeDenialName(HedgeDenial denial);
+
 /// Counters and gauges of the request path, for /metrics and status.
 struct RequestPathStats {
   std::uint64_t arrived = 0;
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;  ///< Refusals, except those counted in `unknown`.
   std::uint64_t unknown = 0;  ///< Refusals with Outcome::kUnknown.
-  std::uint64_t dispatched = 0;   ///< Attempts, including retries.
-  std::uint64_t retried = 0;      ///< Attempts after the first of a request.
+  std::uint64_t dispatched = 0;  ///< Attempts, including retries.
+  std::uint64_t retried = 0;     ///< Attempts after the first of a request.
+  std::uint64_t hedged = 0;      ///< Second attempts beside a running one.
+  std::uint64_t hedges_won = 0;  ///< Hedges whose answer counted.
+  /// Attempts cancelled because the other one of their request won.
+  std::uint64_t hedges_cancelled = 0;
+  std::array<std::uint64_t, kHedgeDenials> hedges_denied{};  ///< By reason.
   std::uint64_t quarantined = 0;  ///< Times that a digest was quarantined.
+  std::uint64_t cold_waits = 0;   ///< Requests that waited for a cold server.
   std::uint64_t crash_marks = 0;  ///< Crash marks created by this daemon.
   /// Digests in the quarantine table: suspect, quarantined and acquitted ones.
   std::uint64_t suspects = 0;
   std::uint64_t in_flight = 0;
   std::uint64_t queued = 0;
+  std::vector<PoolLimitStats> limits;
 };
 
 /// Handles requests from arrival to final answer. Each request gets exactly one
@@ -538,8 +587,8 @@
 using ControlEvent =
     std::variant<HostsListed, HostsUnavailable, ObjectsChanged, WatchFailed,
                  ProbeAnswered, ProbeFailed, OrderAnswered, PeerMessageReceived,
-                 HostSuspected, QuarantineFound, ObjectReply, DrainStarted,
-                 Tick>;
+                 HostSuspected, QuarantineFound, ObjectReply, StoreEraSeen,
+                 DrainStarted, Tick>;
 
 // Actions of the control plane, besides GetObject, PutObject, DeleteObject,
 // GroupsChanged, ConfigurationChanged, DaemonsChanged, QuarantineLearned,
@@ -580,7 +629,7 @@
     std::variant<ListHosts, Watch, ProbeHost, SendOrder, SendPeer, ConnectPeer,
                  DisconnectPeer, GetObject, PutObject, DeleteObject,
                  GroupsChanged, ConfigurationChanged, DaemonsChanged,
-                 QuarantineLearned, LoadReported, LogDecision>;
+                 QuarantineLearned, LoadReported, StoreEraSeen, LogDecision>;
 
 struct PlannerInput;   ///< See core/placement.h.
 struct PlannerResult;  ///< See core/placement.h.
--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -14,6 +14,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/cold_limit.h"
+#include "core/evacuation.h"
 #include "core/fleet.h"
 #include "core/group_planner.h"
 #include "core/jitter.h"
@@ -21,6 +23,7 @@
 #include "core/node_directory.h"
 #include "core/platform_calls.h"
 #include "core/server_list.h"
+#include "core/store_era.h"
 
 namespace clementine {
 
@@ -74,10 +77,10 @@
 
 using FleetEvent =
     std::variant<RequestsCounted, ServersListed, ServersChanged,
-                 ServerListUnavailable, FleetConfigured, EvacuationsChanged,
-                 ServerStatusResult, ServerLeaving, ServerBusy, OrderEnded,
-                 GroupUnresponsive, ObjectReply, NodesListed, DrainStarted,
-                 Tick>;
+                 ServerListUnavailable, StoreEraSeen, FleetConfigured,
+                 EvacuationsChanged, ServerStatusResult, ServerLeaving,
+                 ServerBusy, OrderEnded, GroupUnresponsive, ObjectReply,
+                 NodesListed, DrainStarted, Tick>;
 
 // Actions. GroupsChanged, DaemonsChanged, ServerEnded, GetObject, PutObject,
 // ListNodes and LogDecision are actions as well.
@@ -91,9 +94,10 @@
   std::string address;
 };
 
-using FleetAction = std::variant<SendGroupOrder, QueryServerStatus,
-                                 GroupsChanged, DaemonsChanged, ServerEnded,
-                                 GetObject, PutObject, ListNodes, LogDecision>;
+using FleetAction =
+    std::variant<SendGroupOrder, QueryServerStatus, GroupsChanged,
+                 DaemonsChanged, ServerEnded, GetObject, PutObject, ListNodes,
+                 StoreEraSeen, LogDecision>;
 
 struct FleetControlOptions {
   std::string node;
@@ -112,6 +116,12 @@
   /// run before. Loads of weights are free until the first request; see
   /// GroupPlanner::SetFreeLoads.
   bool first_start = false;
+  /// Whether evacuations are read. No group is published before they are known.
+  bool follow_evacuations = false;
+  milliseconds departure_delay{0};  ///< See Evacuation.
+  double cold_overshoot = 1.0;      ///< See ColdLimit.
+  double cold_tolerance = 0.0;
+  milliseconds list_delay{0};
 };
 
 /// Invariant: an order is sent only if this daemon's lease remains valid until
@@ -138,6 +148,13 @@
   std::vector<std::string> daemon_addresses() const {
     return m_nodes.addresses();
   }
+  /// See Evacuation::known_data_centres.
+  std::map<std::string, Evacuation::Phase> evacuations() const {
+    return m_evacuation.known_data_centres();
+  }
+  /// Number of published groups whose head is cold.
+  std::size_t cold_groups() const { return m_cold_hosts.size(); }
+  std::uint64_t store_era() const { return m_store_era.highest(); }
   bool servers_known() const { return m_list.known(); }
   /// Number of groups and plain hosts that accept requests.
   std::size_t open_groups() const { return m_open_groups; }
@@ -168,6 +185,7 @@
   void On(const ServersListed& event);
   void On(const ServersChanged& event);
   void On(const ServerListUnavailable& event);
+  void On(const StoreEraSeen& event);
   void On(const FleetConfigured& event);
   void On(const EvacuationsChanged& event);
   void On(const ServerStatusResult& event);
@@ -180,6 +198,11 @@
   void On(const DrainStarted& event);
   void On(const Tick& event);
 
+  /// Records the era of an answer of the platform's store.
+  /// @return Whether the answer may be used; false if its era is older.
+  bool ObserveEra(std::optional<std::uint64_t> era);
+  /// Reports the fence of the planner that chose a group's epoch to the lease.
+  void NoteEpoch(const GroupMembership& member);
   void LogChanges(const std::vector<ServerList::Change>& changes);
   void LogLapsedServers();
   /// Reports servers that have ended according to the latest list or changes.
@@ -205,6 +228,22 @@
                        std::vector<GroupView>* groups) const;
   void AddPlainHosts(const FleetService& service,
                      std::vector<GroupView>* groups) const;
+  void AdvanceEvacuations();
+  void ReportEvacuations(const std::vector<Evacuation::Change>& changes);
+  void ApplyEvacuation(GroupView* view) const;
+  /// Whether everything has been read that publishing groups and planning
+  /// depend on.
+  bool AreInputsKnown() const;
+  void PassEvacuationsToPlanner();
+  /// @return The service of a server if it limits requests to cold servers.
+  const FleetService* FindColdService(const BackendServer& server) const;
+  /// @param is_change See ColdLimit::Source.
+  void ObserveServer(const BackendServer& server, bool is_change,
+                     bool is_stale);
+  void ApplyColdLimit(GroupView* view) const;
+  /// Records and reports the cold groups that are about to be published.
+  void RecordColdGroups(const std::vector<GroupView>& groups);
+  void AdvanceColdServers();
   bool IsSuspected(const std::string& group, std::uint64_t epoch) const;
   void AppendActions(std::vector<ControlAction> actions);
   void Log(const char* event,
@@ -214,11 +253,16 @@
   Jitter m_jitter;
   PlatformCalls m_calls;
   Lease m_lease;
+  StoreEra m_store_era;
   NodeDirectory m_nodes;
   ServerList m_list;
   GroupPlanner m_planner;
   std::shared_ptr<const FleetConfiguration> m_configuration;
-  std::set<std::string> m_evacuated_data_centres;
+  Evacuation m_evacuation;
+  ColdLimit m_cold;
+  std::set<std::string> m_cold_hosts;  ///< Cold heads of published groups.
+  TimePoint m_next_cold_end = TimePoint::max();
+  std::chrono::system_clock::time_point m_wall;  ///< At the last tick.
   /// By host; used by the planner only.
   std::map<std::string, StatusQuery> m_queries;
   std::string m_last_queried_host;  ///< The next pass starts after this host.
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -32,10 +32,6 @@
 constexpr milliseconds kMaxRejoinTime{600};
 /// Maximum interval between the joins of one group's members.
 constexpr milliseconds kMaxJoinSpread{2'500};
-/// Greater than the number of epochs that a planner uses in one term. Terms
-/// below 2^33 keep epochs below 2^53, the limit up to which every JSON library
-/// preserves integers.
-constexpr std::uint64_t kEpochsPerTerm = std::uint64_t{1} << 20;
 
 }  // namespace
 
@@ -111,6 +107,7 @@
     pass.state = &m_services[name];
     pass.servers = &servers;
     pass.failed = &failed;
+    pass.evacuated = &m_evacuated;
     pass.now = now;
     PlanService(&pass);
     std::move(pass.orders.begin(), pass.orders.end(),
@@ -177,6 +174,7 @@
     if (member != nullptr) pass->hosts_in_active_groups.insert(member->id);
   }
   const BackendServer* head = group.members.front();
+  if (pass->IsEvacuated(*head)) return;
   ++pass->active_groups[{head->fabric_domain, group.model}];
   pass->active_group_keys.insert({group.name, group.epoch});
 }
@@ -194,6 +192,8 @@
     if (HasPendingOpen(head->id)) {
       ReserveMembers(group, pass);
       if (model != nullptr) CountActiveGroup(group, pass);
+    } else if (pass->IsEvacuated(*head)) {
+      ReserveMembers(group, pass);
     } else if (model != nullptr) {
       EvaluateFormingGroup(group, *model, pass);
     }
--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -128,6 +128,13 @@
   return true;
 }
 
+void NodeDirectory::OnStoreRestored(TimePoint now) {
+  m_own.SetExists(true);
+  m_next_put_at =
+      std::min(m_next_put_at,
+               now + m_jitter.Between(milliseconds(0), RenewalInterval() / 2));
+}
+
 void NodeDirectory::OnNodesListed(const NodesListed& listed, TimePoint now) {
   if (!listed.complete) return;
   m_last_list_at = now;
@@ -142,6 +149,11 @@
     record = std::move(newer);
   }
   UpdateLiveDaemons(now);
+  if (!IsRankKnown(now)) return;
+  m_listed_names = {m_node};
+  for (const auto& [name, record] : m_nodes) {
+    if (name != m_node) m_listed_names.push_back(name);
+  }
 }
 
 milliseconds NodeDirectory::RenewalInterval() const {
@@ -290,6 +302,12 @@
   }
 }
 
+bool NodeDirectory::HasDataCentre(const std::string& data_centre) const {
+  return std::any_of(m_nodes.begin(), m_nodes.end(), [&](const auto& entry) {
+    return entry.second.data_centre == data_centre;
+  });
+}
+
 bool NodeDirectory::IsRankKnown(TimePoint now) const {
   if (m_started_at == TimePoint()) return false;
   return m_last_list_at >= m_started_at + kDiscoveryDelay ||
--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -22,7 +22,9 @@
 struct NodesListed {
   bool complete = false;  ///< False if the platform did not answer.
   /// Names and values.
-  std::vector<std::pair<std::string, std::string>> nodes;
+  std::vector<std::pair<std::string, std::string>> nodes = {};
+  /// See ObjectReply::era.
+  std::optional<std::uint64_t> era = std::nullopt;
 };
 struct ListNodes {};
 
@@ -47,6 +49,10 @@
   std::vector<Action> Advance(TimePoint now);
   /// @return Whether the reply belongs to this directory.
   bool OnReply(const ObjectReply& reply, TimePoint now);
+  /// The store was restored from a copy that may lack this daemon's object or
+  /// have an earlier one: writes it again soon. The writes of all daemons are
+  /// spread over the time within which each of them renews its object.
+  void OnStoreRestored(TimePoint now);
   void OnNodesListed(const NodesListed& listed, TimePoint now);
 
   /// Sets the number of requests that this daemon has received since it
@@ -89,6 +95,17 @@
   /// of crash marks.
   std::vector<std::string> addresses() const;
 
+  /// Names of the live daemons, including this one, as of the last complete
+  /// list. Kept while the platform cannot be read: a daemon that then took the
+  /// others for dead would take over their shares. Empty until the other
+  /// daemons had time to be discovered.
+  const std::vector<std::string>& listed_names() const {
+    return m_listed_names;
+  }
+
+  /// Whether another live daemon is in a data centre.
+  bool HasDataCentre(const std::string& data_centre) const;
+
   /// This daemon's position, starting at 0, in an order of all live daemons
   /// that every daemon computes in the same way.
   int Rank() const { return m_rank; }
@@ -141,6 +158,7 @@
   std::map<std::string, NodeRecord> m_nodes;
   std::uint64_t m_renewal = 0;
   OwnObject m_own;
+  std::vector<std::string> m_listed_names;
   TimePoint m_started_at;    ///< Time of the first pass.
   TimePoint m_last_list_at;  ///< Time of the last complete list.
   TimePoint m_next_put_at;
--- a/core/request_arrival.cc
+++ b/core/request_arrival.cc
@@ -58,6 +58,23 @@
   return trial;
 }
 
+Admission::Decision RequestPath::Impl::OfferToPool(const Request& request,
+                                                   Pool* pool) {
+  bool refusable = request.target > milliseconds(0);
+  if (refusable || request.answer_target > milliseconds(0)) {
+    m_router.SteerLimit(pool, /*always_one=*/!refusable);
+  }
+  if (!m_options.admission) {
+    return {Admission::Disposition::kRun, milliseconds(0)};
+  }
+  Admission::PoolCapacity capacity;
+  capacity.limit = m_router.Limit(*pool, m_now);
+  capacity.has_room = m_router.HasRoom(*pool, m_now);
+  capacity.holds_late = pool->limit.has_value();
+  capacity.has_spare = m_router.HasSpareRoom(*pool, m_now);
+  return m_admission.Offer(request, pool->id, capacity, m_now);
+}
+
 void RequestPath::Impl::On(const RequestArrived& event) {
   const Request& request = event.request;
   if (m_requests.count(request.id) > 0) {
@@ -98,12 +115,7 @@
     Claim(&active);
     return;
   }
-  Admission::Decision decision{Admission::Disposition::kRun, milliseconds(0)};
-  if (m_options.admission) {
-    decision = m_admission.Offer(
-        request, pool->id, {m_router.Limit(*pool), m_router.HasRoom(*pool)},
-        m_now);
-  }
+  Admission::Decision decision = OfferToPool(request, pool);
   if (decision.disposition == Admission::Disposition::kRefuse) {
     refuse(RefusalReason::kOverloaded, decision.retry_after);
     return;
@@ -124,6 +136,7 @@
   active.request.shared_parts = {};  // As hashes in `keys`.
   active.keys = std::move(keys);
   active.pool = pool;
+  active.arrived_at = m_now;
   ++pool->users;
   SetTimer(&active, request.deadline);
   return active;
@@ -155,8 +168,9 @@
 void RequestPath::Impl::StartQueuedRequests() {
   for (Admission::PoolId id : m_admission.BackloggedPools()) {
     Pool* pool = m_queued_pools[id];
-    while (m_router.HasRoom(*pool)) {
-      std::optional<RequestId> next = m_admission.StartNext(id, m_now);
+    while (m_router.HasRoom(*pool, m_now)) {
+      std::optional<RequestId> next =
+          m_admission.StartNext(id, m_now, m_router.HasSpareRoom(*pool, m_now));
       if (!next) {
         break;
       }
@@ -172,8 +186,8 @@
 void RequestPath::Impl::RefusePredictedMisses() {
   for (Admission::PoolId id : m_admission.BackloggedPools()) {
     Pool* pool = m_queued_pools[id];
-    for (const Admission::PredictedMiss& miss :
-         m_admission.FindPredictedMisses(id, m_router.Limit(*pool), m_now)) {
+    for (const Admission::PredictedMiss& miss : m_admission.FindPredictedMisses(
+             id, m_router.Limit(*pool, m_now), m_now)) {
       RefuseActive(FindRequest(miss.request), RefusalReason::kOverloaded,
                    miss.retry_after);
     }
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -16,6 +16,7 @@
 constexpr milliseconds kInitialRetryDelay{20};
 constexpr milliseconds kMaxRetryDelay{1'000};
 constexpr milliseconds kIsolationPollInterval{20};
+constexpr milliseconds kMinColdWait{10};
 // A pool isolates at most one group, plus one for every 8 groups that it has.
 constexpr std::size_t kGroupsPerIsolatedRequest = 8;
 constexpr std::size_t kMaxAmbiguousEnds = 1024;
@@ -30,7 +31,9 @@
 constexpr int kMinServerErrorStatus = 500;
 constexpr int kTooManyRequests = 429;
 
-int Priority(RequestClass request_class) {
+}  // namespace
+
+int DispatchPriority(RequestClass request_class) {
   switch (request_class) {
     case RequestClass::kCounter:
       return 3;
@@ -44,8 +47,6 @@
   return 0;
 }
 
-}  // namespace
-
 bool ProvesNotRun(AttemptResult result) {
   return result == AttemptResult::kNotSent ||
          result == AttemptResult::kRefused ||
@@ -72,6 +73,7 @@
   const std::string& host = active.group->view.head_host;
   milliseconds wait = RequestedBackoff(event.status, event.retry_after);
   if (wait > milliseconds(0)) {
+    m_router.OnServerFull(active.pool, m_now);
     On(ServerBusy{host, wait});
   } else if (!ProvesNotRun(event.result)) {
     // A broken, timed-out or crashed attempt counts as accepted as well: its
@@ -119,6 +121,7 @@
     SetTimer(active, m_now + kIsolationPollInterval);
     return;
   }
+  if (group == nullptr && AwaitColdStart(active)) return;
   if (group == nullptr) {
     RefuseActive(active, RefusalReason::kNoGroup, TimeUntilGroup(active->pool));
     return;
@@ -126,6 +129,26 @@
   StartAttempt(active, group);
 }
 
+// Waits for a cold group's next token, unless the request would then be late. A
+// request that has begun is better late than cut off.
+// Requests that wait keep their admission, so the others of the pool queue.
+bool RequestPath::Impl::AwaitColdStart(ActiveRequest* active) {
+  std::optional<TimePoint> next =
+      m_router.NextColdStart(*active->pool, FindLastGroup(*active), m_now);
+  if (!next) return false;
+  TimePoint start_by = active->request.deadline;
+  milliseconds target = active->request.target;
+  if (target > milliseconds(0) && active->attempts == 0) {
+    start_by = std::min(start_by, active->admitted_at + target);
+  }
+  if (*next >= start_by) return false;
+  if (active->state != State::kAwaitingRetry) ++m_stats.cold_waits;
+  active->state = State::kAwaitingRetry;
+  // Several requests may wait for one token.
+  SetTimer(active, std::max(*next, m_now + kMinColdWait));
+  return true;
+}
+
 void RequestPath::Impl::StartAttempt(ActiveRequest* active,
                                      RoutedGroup* group) {
   SetReserved(active, false);
@@ -138,14 +161,18 @@
   active->first_progress_at = TimePoint();
   active->survived_start = false;
   m_attempts[active->attempt] = active->request.id;
-  m_router.OnAttemptStarted(group);
+  m_router.OnAttemptStarted(group, m_now);
+  if (active->request.target > milliseconds(0)) {
+    active->waiting_prompt_tokens = active->request.prompt_tokens;
+    group->waiting_prompt_tokens += active->waiting_prompt_tokens;
+  }
   if (active->attempts++ == 0) {
     m_budget.OnFirstAttempt(active->request.organisation, m_now);
   } else {
     ++m_stats.retried;
   }
   ++m_stats.dispatched;
-  SetTimer(active, active->request.deadline);
+  SetTimer(active, HedgeTime(*active));
   Log("route", active->request,
       {{"attempt", std::to_string(active->attempt)},
        {"group", group->view.group},
@@ -153,10 +180,10 @@
        {"in_flight", std::to_string(group->in_flight)},
        {"alone", active->holds_isolation ? "yes" : "no"},
        {"resume", std::to_string(active->offset)}});
-  m_actions.push_back(Dispatch{active->request.id, active->attempt,
-                               group->view.group, group->view.epoch,
-                               group->view.head_address, active->offset,
-                               Priority(active->request.request_class)});
+  m_actions.push_back(
+      Dispatch{active->request.id, active->attempt, group->view.group,
+               group->view.epoch, group->view.head_address, active->offset,
+               DispatchPriority(active->request.request_class)});
 }
 
 // Isolates a group for each waiting suspect. The suspect is dispatched once the
@@ -183,7 +210,7 @@
   Pool& pool = *active->pool;
   if (active->group != nullptr &&
       (!active->group->listed || !active->group->view.open ||
-       active->group->view.leaving)) {
+       active->group->view.leaving || active->group->view.evacuated)) {
     ReleaseGroup(active);
   }
   if (pool.size() == 0) {
@@ -211,7 +238,8 @@
     m_isolated_digests.insert(active->keys.digest);
     m_router.SetIsolated(group, true);
   }
-  if (active->group->in_flight > 0) {
+  if (active->group->in_flight > 0 ||
+      !Router::HasColdToken(*active->group, m_now)) {
     return false;
   }
   StartAttempt(active, active->group);
@@ -227,9 +255,15 @@
   active->group = nullptr;
 }
 
+void RequestPath::Impl::EndPromptWait(ActiveRequest* active) {
+  active->group->waiting_prompt_tokens -=
+      std::exchange(active->waiting_prompt_tokens, 0);
+}
+
 // Removes the running attempt from m_attempts and from its group.
 void RequestPath::Impl::ReleaseAttempt(ActiveRequest* active) {
   m_attempts.erase(active->attempt);
+  EndPromptWait(active);
   RoutedGroup* group = active->group;
   ReleaseGroup(active);
   m_router.OnAttemptEnded(group);
@@ -245,13 +279,26 @@
     return;
   }
   active.may_have_run = true;
+  SelectAttempt(&active, event.attempt);
+  if (active.other != nullptr) {
+    CancelOther(&active, /*lost=*/true);
+  }
   if (active.first_progress_at == TimePoint()) {
+    RecordFirstResult(active);
     m_router.OnRequestAccepted(active.group->view.head_host);
     active.first_progress_at = m_now;
     active.first_offset = event.offset;
-    active.group->speed.AddFirstProgress(
-        std::chrono::duration_cast<milliseconds>(m_now - active.dispatched_at),
-        m_now);
+    auto latency =
+        std::chrono::duration_cast<milliseconds>(m_now - active.dispatched_at);
+    active.group->speed.AddFirstProgress(latency, m_now);
+    if (active.request.target > milliseconds(0)) {
+      EndPromptWait(&active);
+      m_router.OnFirstEvent(active.pool, active.request.prompt_tokens, latency,
+                            active.request.target, m_now);
+      m_admission.RecordFirstEvent(
+          active.pool->id, active.request.priority, latency,
+          m_now - active.arrived_at > active.request.target);
+    }
   }
   active.offset = event.offset;
   active.last_progress_at = m_now;
@@ -278,6 +325,11 @@
         static_cast<double>(active.offset - active.first_offset) / time.count(),
         m_now);
   }
+  if (active.request.answer_target > milliseconds(0) &&
+      result == AttemptResult::kComplete) {
+    m_router.OnFirstEvent(active.pool, active.request.prompt_tokens, ran,
+                          active.request.answer_target, m_now);
+  }
   if (m_options.admission &&
       (result == AttemptResult::kComplete || result == AttemptResult::kError)) {
     m_admission.RecordServiceTime(active.pool->id, active.request.request_class,
@@ -309,12 +361,23 @@
     return;
   }
   ActiveRequest* active = FindRequest(found->second);
+  SelectAttempt(active, event.attempt);
+  bool succeeded = event.result == AttemptResult::kComplete &&
+                   (event.status == 0 || event.status / 100 == kSuccessClass);
+  if (active->other != nullptr &&
+      (succeeded || event.offset > active->offset)) {
+    CancelOther(active, /*lost=*/true);
+  }
+  if (succeeded && active->first_progress_at == TimePoint()) {
+    RecordFirstResult(*active);
+  }
   active->offset = std::max(active->offset, event.offset);
   RecordMeasurements(*active, event.result);
   if (event.result == AttemptResult::kCrashed) {
     OnCrash(BlamableKeys(*active), active->group_and_epoch,
             active->dispatched_at);
     active->trial = false;
+    active->after_crash = true;
   }
   if (event.result == AttemptResult::kBroken ||
       event.result == AttemptResult::kTimedOut) {
@@ -327,6 +390,11 @@
   active->last_group = active->group->view.group;
   UpdateServerBackoff(*active, event);
   ReleaseAttempt(active);
+  if (active->other != nullptr) {
+    active->may_have_run |= !ProvesNotRun(event.result);
+    ContinueWithOther(active, event.attempt, AttemptResultName(event.result));
+    return;
+  }
   if (event.result != AttemptResult::kComplete) {
     OnFailure(active, event);
     return;
@@ -344,6 +412,14 @@
       active->claimed) {
     return;
   }
+  SelectAttempt(active, event.attempt);
+  if (active->other != nullptr) {
+    RecordMeasurements(*active, AttemptResult::kTimedOut);
+    active->may_have_run = true;
+    CancelSelected(active);
+    ContinueWithOther(active, event.attempt, "stalled");
+    return;
+  }
   AttemptEnded stalled;
   stalled.attempt = event.attempt;
   stalled.result = AttemptResult::kTimedOut;
@@ -450,6 +526,11 @@
       marked.push_back({BlamableKeys(active), active.group_and_epoch,
                         event.host, active.dispatched_at, m_now});
     }
+    if (active.other != nullptr &&
+        active.other->group->view.head_host == event.host) {
+      marked.push_back({BlamableKeys(active), active.other->group_and_epoch,
+                        event.host, active.other->dispatched_at, m_now});
+    }
   }
   std::erase_if(m_ambiguous_ends, [&](const auto& entry) {
     const AmbiguousEnd& attempt = entry.second;
@@ -594,6 +675,7 @@
 
 void RequestPath::Impl::DetachAttempt(ActiveRequest* active) {
   m_attempts.erase(active->attempt);
+  EndPromptWait(active);
   m_detached[active->attempt] = {
       active->request.id,     active->group,
       BlamableKeys(*active),  active->group_and_epoch,
@@ -605,6 +687,13 @@
 }
 
 void RequestPath::Impl::CancelRunningAttempt(ActiveRequest* active) {
+  if (active->other != nullptr) {
+    CancelOther(active, /*lost=*/false);
+  }
+  CancelSelected(active);
+}
+
+void RequestPath::Impl::CancelSelected(ActiveRequest* active) {
   m_actions.push_back(CancelAttempt{active->attempt});
   RememberAmbiguousEnd(
       active->attempt,
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -52,8 +52,10 @@
       m_random(m_options.seed),
       m_router(m_options.data_centre, m_options.seed + 1,
                m_options.route_policy),
-      m_admission(m_options.max_queued),
-      m_budget(IsRuleBroken("retry_budget") ? 1e9 : m_options.retry_ratio),
+      m_admission(m_options.max_queued, std::mt19937_64(m_options.seed + 3)()),
+      m_budget(IsRuleBroken("retry_budget") ? 1e9 : m_options.retry_ratio,
+               m_options.hedge_ratio),
+      m_hedge_delays(m_options.hedge_ratio),
       m_ledger({m_options.node, m_options.incarnation, m_options.seed + 2,
                 m_options.claim_retention, !IsRuleBroken("claim_first"),
                 !IsRuleBroken("key_content")}),
@@ -91,6 +93,7 @@
   stats.suspects = m_quarantine.size();
   stats.in_flight = m_requests.size() - m_admission.queued();
   stats.queued = m_admission.queued();
+  stats.limits = m_router.LimitStats(m_now);
   return stats;
 }
 
@@ -165,6 +168,9 @@
   if (active->admitted) {
     m_admission.OnRequestEnded(active->request.organisation);
   }
+  if (active->other != nullptr) {
+    CancelOther(active, /*lost=*/false);
+  }
   if (active->group != nullptr) {
     ReleaseGroup(active);
   }
@@ -191,13 +197,14 @@
       group.open = true;
       group.leaving = false;
     }
-    m_router.SetGroups(all);
+    m_router.SetGroups(all, m_now);
   } else {
-    m_router.SetGroups(event.groups);
+    m_router.SetGroups(event.groups, m_now);
   }
   RefuseOrClaimUnserved();
   std::vector<Admission::PoolId> pools = m_router.PoolIds();
   m_admission.RetainPools(pools);
+  m_hedge_delays.RetainPools(pools);
   std::erase_if(m_queued_pools, [&](const auto& entry) {
     return std::find(pools.begin(), pools.end(), entry.first) == pools.end();
   });
@@ -253,12 +260,24 @@
   EndRequest(active);
 }
 
+void RequestPath::Impl::On(const StoreEraSeen& event) {
+  StoreEra::Verdict verdict = m_store_era.Observe(event.era);
+  // The first era says nothing about when the store was restored.
+  if (verdict == StoreEra::Verdict::kFirst ||
+      verdict == StoreEra::Verdict::kRestored) {
+    m_ledger.OnStoreRestored(m_now, &m_actions);
+  }
+}
+
 void RequestPath::Impl::On(const Tick& event) {
   if (event.wall != std::chrono::system_clock::time_point()) {
     m_ledger.SetWallClock(event.wall, m_now);
   }
   m_router.UpdateGroupSlowness(m_now);
   m_router.AdvanceBackoff(m_now);
+  for (LogDecision& line : m_router.AdvanceLimits(m_now)) {
+    m_actions.push_back(std::move(line));
+  }
   ExpireDetached();
   if (m_now - m_last_expiry_at < kExpiryInterval) {
     return;
@@ -287,8 +306,12 @@
 
 void RequestPath::Impl::OnTimer(ActiveRequest* active) {
   if (m_now < active->request.deadline) {
-    // Only the timer of a backoff expires before the deadline.
-    DispatchOrWait(active);
+    // Only the timers of a hedge and of a backoff expire before the deadline.
+    if (active->state == State::kRunning) {
+      TryHedge(active);
+    } else {
+      DispatchOrWait(active);
+    }
     return;
   }
   if (active->state == State::kRunning) {
--- a/core/router.cc
+++ b/core/router.cc
@@ -7,8 +7,10 @@
 // The cost of a group is its load relative to its capacity, multiplied by its
 // slowness, plus a term for the fraction of the prompt that it doesn't have
 // cached, plus penalties for a nearly full KV cache and for a group whose
-// maximum number of requests is reached by this daemon's requests alone. The
-// weight of the load of other daemons decays with the age of the load report.
+// maximum number of requests is reached by this daemon's requests alone. Where
+// requests have latency targets, prompts of this daemon that wait for their
+// first event count as load. The weight of the load of other daemons decays
+// with the age of the load report.
 //
 // Groups in the local data centre are preferred. Remote groups are used when
 // this daemon's share of the local capacity is in use.
@@ -18,6 +20,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "fmt/format.h"
+
 namespace clementine {
 
 namespace {
@@ -37,7 +41,20 @@
 constexpr double kFullGroupCost = 1.0;
 // Fraction of the capacity of other data centres that may be used.
 constexpr double kRemoteCapacityFraction = 0.5;
+// Groups that are looked at for a hedge; bounds its cost in a large pool.
+constexpr std::size_t kHedgeSampleSize = 64;
 constexpr std::chrono::seconds kSlownessUpdateInterval{1};
+// Sample where requests have latency targets: the requests of this daemon are
+// all that it knows of the groups' load, and a larger sample spreads them more
+// evenly.
+constexpr std::size_t kLargeSampleSize = 16;
+// Prompt tokens that have to be processed before a request delay it like one
+// more request in its group.
+constexpr double kPromptTokensPerRequest = 1'000.0;
+// A limit is logged when its margin has moved by this much, at most once per
+// interval.
+constexpr double kLoggedMarginChange = 0.5;
+constexpr std::chrono::seconds kLimitLogInterval{1};
 
 std::string PoolName(const std::string& service, const std::string& model,
                      const std::string& adapter) {
@@ -48,7 +65,8 @@
 }
 
 int Capacity(const RoutedGroup& group) {
-  return group.half_open ? 1 : std::max(1, group.view.max_running);
+  bool cold = group.view.cold_until != TimePoint();
+  return group.half_open || cold ? 1 : std::max(1, group.view.max_running);
 }
 
 }  // namespace
@@ -71,12 +89,13 @@
 
 Router::Router(std::string data_centre, std::uint64_t seed, RoutePolicy policy)
     : m_data_centre(std::move(data_centre)),
+      m_seed(seed),
       m_random(seed),
       m_policy(std::move(policy)),
       m_cache(kMaxCachedBlocks),
       m_backoff(seed + 1) {}
 
-void Router::SetGroups(const std::vector<GroupView>& groups) {
+void Router::SetGroups(const std::vector<GroupView>& groups, TimePoint now) {
   ClearPools();
   for (auto& [name, group] : m_groups) {
     group->listed = false;
@@ -94,7 +113,7 @@
       m_slots[state->slot] = state.get();
       m_cache.Reset(state->slot);
     }
-    UpdateGroup(state.get(), view);
+    UpdateGroup(state.get(), view, now);
   }
   m_backoff.RetainServers([&](const std::string& host) {
     return std::any_of(
@@ -104,7 +123,9 @@
   RemoveUnused();
 }
 
-void Router::UpdateGroup(RoutedGroup* group, const GroupView& view) {
+void Router::UpdateGroup(RoutedGroup* group, const GroupView& view,
+                         TimePoint now) {
+  if (group->view.cold_until == TimePoint()) group->cold_bucket = {0.0, now};
   if (group->view.epoch != view.epoch) {
     m_cache.Reset(group->slot);
     group->speed = GroupSpeed();
@@ -133,7 +154,8 @@
   Pool* pool = FindOrCreatePool(pool_name);
   bool already_added = std::find(group->pools.begin(), group->pools.end(),
                                  pool) != group->pools.end();
-  if (!group->view.open || group->view.leaving || already_added) {
+  if (!group->view.open || group->view.leaving || group->view.evacuated ||
+      already_added) {
     return;
   }
   if (auto until = m_backoff.BackoffUntil(group->view.head_host)) {
@@ -141,9 +163,18 @@
         std::min(pool->backoff_until.value_or(*until), *until);
     return;
   }
+  if (group->view.cold_until != TimePoint() && group->view.cold_rate <= 0.0) {
+    TimePoint until = group->view.cold_until;
+    pool->backoff_until = std::min(pool->backoff_until.value_or(until), until);
+    return;
+  }
   (group->local ? pool->local : pool->remote).push_back(group);
   (group->local ? pool->local_in_flight : pool->remote_in_flight) +=
       group->in_flight;
+  if (group->view.evacuating) {
+    pool->evacuating_in_flight += group->in_flight;
+    if (!group->isolated) pool->evacuating_capacity += Capacity(*group);
+  }
   if (group->isolated) {
     ++pool->isolated;
   } else {
@@ -162,6 +193,8 @@
     pool->local_in_flight = 0;
     pool->remote_in_flight = 0;
     pool->isolated = 0;
+    pool->evacuating_capacity = 0;
+    pool->evacuating_in_flight = 0;
     pool->backoff_until.reset();
   }
 }
@@ -286,13 +319,77 @@
   return pool.get();
 }
 
-int Router::Limit(const Pool& pool) const {
+double Router::FairShare(const Pool& pool) const {
+  return m_capacity_share *
+         (pool.local_capacity + kRemoteCapacityFraction * pool.remote_capacity);
+}
+
+int Router::Limit(const Pool& pool, TimePoint now) const {
   if (pool.local_capacity + pool.remote_capacity == 0) {
     return 0;
   }
-  double capacity =
-      pool.local_capacity + kRemoteCapacityFraction * pool.remote_capacity;
-  return std::max(1, static_cast<int>(capacity * m_capacity_share));
+  double fair_share = FairShare(pool);
+  if (!pool.limit) return std::max(1, static_cast<int>(fair_share));
+  int limit = pool.limit->RoundedLimit(fair_share, now);
+  return pool.always_one ? std::max(1, limit) : limit;
+}
+
+bool Router::HasSpareRoom(const Pool& pool, TimePoint now) const {
+  return pool.limit && HasRoom(pool, now) &&
+         InUse(pool) < pool.limit->SpareLimit(FairShare(pool));
+}
+
+void Router::SteerLimit(Pool* pool, bool always_one) {
+  pool->always_one = pool->always_one || always_one;
+  if (!pool->limit) pool->limit.emplace(std::mt19937_64(m_seed + pool->id)());
+}
+
+void Router::OnFirstEvent(Pool* pool, std::uint32_t prompt_tokens,
+                          milliseconds latency, milliseconds target,
+                          TimePoint now) {
+  if (!pool->limit) return;
+  pool->first_events.Add(prompt_tokens, latency);
+  if (!pool->first_events.ExceedsTarget(prompt_tokens, target)) {
+    pool->limit->OnFirstEvent(latency, target, FairShare(*pool), now);
+  }
+}
+
+void Router::OnServerFull(Pool* pool, TimePoint now) {
+  if (pool->limit) pool->limit->OnServerFull(FairShare(*pool), now);
+}
+
+std::vector<LogDecision> Router::AdvanceLimits(TimePoint now) {
+  std::vector<LogDecision> lines;
+  for (auto& [name, pool] : m_pools) {
+    if (!pool->limit) continue;
+    pool->limit->Advance(now);
+    double margin = pool->limit->margin();
+    if (std::abs(margin - pool->logged_margin) < kLoggedMarginChange ||
+        now - pool->logged_at < kLimitLogInterval) {
+      continue;
+    }
+    pool->logged_margin = margin;
+    pool->logged_at = now;
+    lines.push_back({"capacity_limit",
+                     {{"pool", name},
+                      {"fair_share", fmt::format("{:.2f}", FairShare(*pool))},
+                      {"margin", fmt::format("{:.2f}", margin)},
+                      {"limit", std::to_string(Limit(*pool, now))},
+                      {"in_use", std::to_string(InUse(*pool))},
+                      {"reason", LimitReasonName(pool->limit->reason())}}});
+  }
+  return lines;
+}
+
+std::vector<PoolLimitStats> Router::LimitStats(TimePoint now) const {
+  std::vector<PoolLimitStats> all;
+  for (const auto& [name, pool] : m_pools) {
+    if (!pool->limit) continue;
+    all.push_back({name, FairShare(*pool), Limit(*pool, now),
+                   pool->limit->margin(), pool->limit->late(),
+                   pool->limit->full()});
+  }
+  return all;
 }
 
 bool Router::IsLocalFull(const Pool& pool) const {
@@ -301,11 +398,33 @@
                   static_cast<int>(pool.local_capacity * m_capacity_share));
 }
 
+bool Router::HasRoomElsewhere(const Pool& pool, TimePoint now) const {
+  int capacity = pool.local_capacity + pool.remote_capacity;
+  int staying = capacity - pool.evacuating_capacity;
+  int in_flight =
+      pool.local_in_flight + pool.remote_in_flight - pool.evacuating_in_flight;
+  return staying > 0 &&
+         in_flight < std::max(1.0, static_cast<double>(Limit(pool, now)) *
+                                       staying / capacity);
+}
+
 RoutedGroup* Router::Pick(const Request& request, const Pool& pool,
                           const RoutedGroup* avoid, TimePoint now) {
+  if (pool.evacuating_capacity > 0 && HasRoomElsewhere(pool, now)) {
+    m_skip_evacuating = true;
+    RoutedGroup* group = PickEligible(request, pool, avoid, now);
+    m_skip_evacuating = false;
+    if (group != nullptr) return group;
+  }
+  return PickEligible(request, pool, avoid, now);
+}
+
+RoutedGroup* Router::PickEligible(const Request& request, const Pool& pool,
+                                  const RoutedGroup* avoid, TimePoint now) {
   if (m_policy) {
-    return PickByPolicy(request, pool, avoid);
+    return PickByPolicy(request, pool, avoid, now);
   }
+  std::size_t sample = pool.limit ? kLargeSampleSize : kSampleSize;
   bool prefer_remote = IsLocalFull(pool) && !pool.remote.empty();
   for (bool remote : {prefer_remote, !prefer_remote}) {
     double cost = 0.0;
@@ -313,7 +432,7 @@
         FindBestCached(request, pool, remote, avoid, &cost, now);
     double sample_cost = 0.0;
     RoutedGroup* sampled = PickBestOfSample(remote ? pool.remote : pool.local,
-                                            avoid, &sample_cost, now);
+                                            sample, avoid, &sample_cost, now);
     if (sampled != nullptr && (cached == nullptr || sample_cost < cost)) {
       return sampled;
     }
@@ -330,7 +449,9 @@
     std::chrono::duration<double> age = now - group.measured_at;
     other_load = group.other_load * std::exp2(-age / kReportHalfLife);
   }
-  return (group.in_flight + other_load + 1.0) / Capacity(group);
+  double prompts = static_cast<double>(group.waiting_prompt_tokens) /
+                   kPromptTokensPerRequest;
+  return (group.in_flight + other_load + prompts + 1.0) / Capacity(group);
 }
 
 double Router::Cost(const RoutedGroup& group, double cached_fraction,
@@ -347,11 +468,12 @@
 }
 
 RoutedGroup* Router::PickBestOfSample(const std::vector<RoutedGroup*>& list,
+                                      std::size_t sample,
                                       const RoutedGroup* avoid, double* cost,
                                       TimePoint now) {
   RoutedGroup* best = nullptr;
   auto consider = [&](RoutedGroup* group) {
-    if (!IsEligible(*group, avoid)) {
+    if (!IsEligible(*group, avoid, now)) {
       return;
     }
     double own = Cost(*group, 0.0, now);
@@ -364,9 +486,9 @@
     return nullptr;
   }
   std::size_t start = m_random() % list.size();
-  if (list.size() > kSampleSize) {
+  if (list.size() > sample) {
     consider(list[start]);
-    for (std::size_t i = 1; i < kSampleSize; ++i) {
+    for (std::size_t i = 1; i < sample; ++i) {
       consider(list[m_random() % list.size()]);
     }
   }
@@ -374,7 +496,7 @@
   for (std::size_t i = 0; i < list.size() && best == nullptr; ++i) {
     consider(list[(start + i) % list.size()]);
   }
-  if (list.size() <= kSampleSize) {
+  if (list.size() <= sample) {
     for (std::size_t i = 0; i < list.size(); ++i) {
       consider(list[(start + i) % list.size()]);
     }
@@ -393,7 +515,7 @@
   for (std::size_t i = 0; i < match.count; ++i) {
     RoutedGroup* group = m_slots[match.slots[i]];
     if (group == nullptr || group->local == remote ||
-        !IsEligible(*group, avoid) ||
+        !IsEligible(*group, avoid, now) ||
         std::find(group->pools.begin(), group->pools.end(), &pool) ==
             group->pools.end()) {
       continue;
@@ -408,13 +530,13 @@
 }
 
 RoutedGroup* Router::PickByPolicy(const Request& request, const Pool& pool,
-                                  const RoutedGroup* avoid) {
+                                  const RoutedGroup* avoid, TimePoint now) {
   std::vector<RoutedGroup*> groups;
   std::vector<const GroupView*> views;
   std::vector<int> in_flight;
   for (const auto* list : {&pool.local, &pool.remote}) {
     for (RoutedGroup* group : *list) {
-      if (IsEligible(*group, avoid)) {
+      if (IsEligible(*group, avoid, now)) {
         groups.push_back(group);
         views.push_back(&group->view);
         in_flight.push_back(group->in_flight);
@@ -432,8 +554,54 @@
   RoutedGroup* best = nullptr;
   for (const auto* list : {&pool.local, &pool.remote}) {
     for (RoutedGroup* group : *list) {
-      if (IsEligible(*group, avoid) &&
-          (best == nullptr || Load(*group, now) < Load(*best, now))) {
+      if (IsEligible(*group, avoid, now) &&
+          (best == nullptr ||
+           std::pair(group->view.evacuating, Load(*group, now)) <
+               std::pair(best->view.evacuating, Load(*best, now)))) {
+        best = group;
+      }
+    }
+  }
+  return best;
+}
+
+bool Router::CanHedge(const RoutedGroup& group, const RoutedGroup& first,
+                      TimePoint now) const {
+  return IsEligible(group, &first, now) && !group.half_open &&
+         group.view.head_host != first.view.head_host &&
+         group.speed.slowness() <= 1.0 && group.view.cold_until <= now &&
+         Load(group, now) <= 1.0;
+}
+
+RoutedGroup* Router::PickForHedge(const Pool& pool, const RoutedGroup& first,
+                                  TimePoint now) {
+  bool other_domain = false;  // The pool has a group in another domain.
+  for (const auto* list : {&pool.local, &pool.remote}) {
+    if (list->empty()) continue;
+    RoutedGroup* best = nullptr;
+    std::size_t start = m_random() % list->size();
+    std::size_t count = std::min(list->size(), kHedgeSampleSize);
+    for (std::size_t i = 0; i < count; ++i) {
+      RoutedGroup* group = (*list)[(start + i) % list->size()];
+      if (group->view.fabric_domain == first.view.fabric_domain &&
+          !group->view.fabric_domain.empty()) {
+        continue;
+      }
+      other_domain = true;
+      if (CanHedge(*group, first, now) &&
+          (best == nullptr || Cost(*group, 0.0, now) < Cost(*best, 0.0, now))) {
+        best = group;
+      }
+    }
+    if (best != nullptr) return best;
+  }
+  // A large pool has other domains, although the sample may not show them.
+  if (other_domain || pool.size() > kHedgeSampleSize) return nullptr;
+  RoutedGroup* best = nullptr;
+  for (const auto* list : {&pool.local, &pool.remote}) {
+    for (RoutedGroup* group : *list) {
+      if (CanHedge(*group, first, now) &&
+          (best == nullptr || Cost(*group, 0.0, now) < Cost(*best, 0.0, now))) {
         best = group;
       }
     }
@@ -449,6 +617,7 @@
   int change = isolated ? -Capacity(*group) : Capacity(*group);
   for (Pool* pool : group->pools) {
     (group->local ? pool->local_capacity : pool->remote_capacity) += change;
+    if (group->view.evacuating) pool->evacuating_capacity += change;
     pool->isolated += isolated ? 1 : -1;
   }
 }
@@ -457,7 +626,31 @@
   group->in_flight += delta;
   for (Pool* pool : group->pools) {
     (group->local ? pool->local_in_flight : pool->remote_in_flight) += delta;
+    if (group->view.evacuating) pool->evacuating_in_flight += delta;
+  }
+}
+
+std::optional<TimePoint> Router::NextColdStart(const Pool& pool,
+                                               const RoutedGroup* avoid,
+                                               TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const auto* list : {&pool.local, &pool.remote}) {
+    for (const RoutedGroup* group : *list) {
+      if (!IsAvailable(*group, avoid) || HasColdToken(*group, now)) continue;
+      TimePoint start =
+          std::min(group->view.cold_until,
+                   group->cold_bucket.NextTokenAt(group->view.cold_rate, now));
+      next = std::min(next.value_or(start), start);
+    }
+  }
+  return next;
+}
+
+void Router::OnAttemptStarted(RoutedGroup* group, TimePoint now) {
+  if (now < group->view.cold_until) {
+    group->cold_bucket.Take(group->view.cold_rate, now);
   }
+  AddInFlight(group, 1);
 }
 
 void Router::OnAttemptEnded(RoutedGroup* group) {
--- a/daemon/change_client.cc
+++ b/daemon/change_client.cc
@@ -12,14 +12,12 @@
 namespace clementine {
 namespace {
 
-/// More than a frame with a whole history (ChangeHistory::kMaxBytes).
-constexpr std::size_t kMaxHeldBytes = 25'165'824;
-
-BackendOptions ClientOptions(milliseconds silence_timeout) {
+BackendOptions ClientOptions(milliseconds silence_timeout,
+                             std::size_t max_held_bytes) {
   BackendOptions options;
   options.connect_timeout = silence_timeout;
   options.max_idle_per_address = 0;
-  options.max_held_bytes = kMaxHeldBytes;
+  options.max_held_bytes = max_held_bytes;
   return options;
 }
 
@@ -37,18 +35,19 @@
 
 ChangeClient::ChangeClient(boost::asio::io_context* io,
                            milliseconds silence_timeout, Hooks hooks,
-                           ChangeKeys keys)
+                           ChangeKeys keys, std::size_t max_held_bytes)
     : m_silence_timeout(silence_timeout),
       m_hooks(std::move(hooks)),
       m_keys(std::move(keys)),
-      m_client(io, ClientOptions(silence_timeout)) {}
+      m_client(io, ClientOptions(silence_timeout, max_held_bytes)) {}
 
 ChangeClient::~ChangeClient() {
   for (auto& [peer, stream] : m_streams) stream->call->Cancel();
 }
 
 void ChangeClient::Subscribe(const std::string& peer,
-                             const ChangeRevisions& known) {
+                             const ChangeRevisions& known,
+                             const ChangeRevisions& eras) {
   Unsubscribe(peer);
   auto stream = std::make_shared<Stream>();
   stream->peer = peer;
@@ -62,6 +61,9 @@
       "/changes?" + SignChangeQuery(m_keys, EncodeChangeQuery(known), &codes);
   stream->frames = ChangeFrameReader(std::move(codes));
   call.headers = {{"Host", peer}};
+  if (eras != ChangeRevisions{}) {
+    call.headers.emplace_back(kChangeErasHeader, EncodeChangeEras(eras));
+  }
   call.idempotent = false;
   call.first_byte_timeout = m_silence_timeout;
   call.gap_timeout = m_silence_timeout;
--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -9,12 +9,33 @@
                       const BackendStats& backend, Metrics* metrics) {
   metrics->SetTotal("clementine_dispatched_total", "", path.dispatched);
   metrics->SetTotal("clementine_retried_total", "", path.retried);
+  metrics->SetTotal("clementine_hedges_started_total", "", path.hedged);
+  metrics->SetTotal("clementine_hedges_won_total", "", path.hedges_won);
+  metrics->SetTotal("clementine_hedges_cancelled_total", "",
+                    path.hedges_cancelled);
+  for (std::size_t i = 0; i < kHedgeDenials; ++i) {
+    metrics->SetTotal(
+        "clementine_hedges_denied_total",
+        fmt::format("reason=\"{}\"", HedgeDenialName(HedgeDenial(i))),
+        path.hedges_denied[i]);
+  }
   metrics->SetTotal("clementine_quarantined_total", "", path.quarantined);
+  metrics->SetTotal("clementine_cold_waits_total", "", path.cold_waits);
   metrics->SetTotal("clementine_crash_marks_total", "", path.crash_marks);
   metrics->Set("clementine_crash_suspects", "",
                static_cast<double>(path.suspects));
   metrics->Set("clementine_in_flight", "", static_cast<double>(path.in_flight));
   metrics->Set("clementine_queued", "", static_cast<double>(path.queued));
+  for (const PoolLimitStats& limit : path.limits) {
+    std::string label = fmt::format("pool=\"{}\"", limit.pool);
+    metrics->Set("clementine_limit_fair_share", label, limit.fair_share);
+    metrics->Set("clementine_limit_margin", label, limit.margin);
+    metrics->Set("clementine_limit_requests", label, limit.limit);
+    metrics->SetTotal("clementine_limit_lowered_total",
+                      label + ",reason=\"late\"", limit.late);
+    metrics->SetTotal("clementine_limit_lowered_total",
+                      label + ",reason=\"server_full\"", limit.full);
+  }
   metrics->Set("clementine_connections", "",
                static_cast<double>(server.connections));
   metrics->SetTotal("clementine_malformed_total", "", server.malformed);
@@ -27,6 +48,8 @@
                     backend.dropped_answers);
   metrics->SetTotal("clementine_answers_oversized_total", "",
                     backend.oversized_answers);
+  metrics->SetTotal("clementine_answers_invalid_total", "",
+                    backend.invalid_answers);
   metrics->SetTotal("clementine_answers_unverified_total", "",
                     backend.unverified_answers);
   metrics->SetTotal("clementine_requests_dropped_total", "",
--- a/daemon/daemon.cc
+++ b/daemon/daemon.cc
@@ -47,15 +47,22 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
+      m_limits(m_settings),
       m_tick(*io),
       m_stop_timer(*io),
       m_queue(&m_metrics,
               [this](const AnyEvent& event) { HandleEvent(event); }) {
   m_platform = std::make_unique<PlatformClient>(io, m_settings.platform,
                                                 m_settings.platform_token);
+  m_platform->SetEraHandler([this](std::uint64_t era) {
+    Feed(ControlEvent(StoreEraSeen{era}));
+    Feed(RequestEvent(StoreEraSeen{era}));
+  });
+  m_platform->SetMaxHeldBytes(m_limits.memory.plan.platform);
   BackendOptions backend_options;
   backend_options.token = m_settings.backend_token;
   backend_options.connect_timeout = m_settings.connect_timeout;
+  SetBackendLimits(m_limits, &backend_options);
   m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
   m_peers = std::make_unique<PeerTransport>(
       io, m_settings.peer_listen, m_settings.peer_key,
@@ -63,7 +70,7 @@
         Feed(ControlEvent(PeerMessageReceived{std::move(bytes)}));
       });
   m_server = std::make_unique<HttpServer>(
-      io, m_settings.listen, ServerLimits(m_settings),
+      io, m_settings.listen, m_limits.callers,
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         OnExchange(exchange);
       });
@@ -154,6 +161,9 @@
 }
 
 void Daemon::ForwardEvent(const RequestEvent& event) {
+  if (const auto* seen = std::get_if<StoreEraSeen>(&event)) {
+    m_platform->OnEraSeen(seen->era);
+  }
   if (const auto* groups = std::get_if<GroupsChanged>(&event)) {
     m_request_executor->SetGroups(groups->groups);
     m_cache_poller->SetGroups(groups->groups);
@@ -202,6 +212,8 @@
                 Outcome::kNotRun, milliseconds(1'000));
     return;
   }
+  // What runs is the body that was read from it.
+  exchange->TakeBody();
   m_request_executor->Accept(exchange, std::move(*read.request));
 }
 
@@ -235,6 +247,7 @@
   HttpServerStats server = m_server->stats();
   BackendStats backend = m_backends->stats();
   SetCommonMetrics(m_request_path->stats(), server, backend, &m_metrics);
+  SetListenerMetrics("callers", server, &m_metrics);
   m_metrics.SetTotal("clementine_refused_connections_total", "",
                      server.refused_connections);
   m_metrics.SetTotal("clementine_stream_gaps_total", "", backend.gaps);
@@ -252,8 +265,12 @@
   m_metrics.SetTotal("clementine_peer_overflowed_total", "", peers.overflowed);
   m_metrics.SetTotal("clementine_platform_calls_total", "",
                      m_platform->calls());
+  m_metrics.Set("clementine_store_era", "",
+                static_cast<double>(m_platform->store_era()));
   m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
                      m_platform->dropped_answers());
+  m_metrics.SetTotal("clementine_platform_answers_invalid_total", "",
+                     m_platform->invalid_answers());
   m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
                 static_cast<double>(m_platform->held_bytes()));
   ControlStatus control = m_control_plane->status(Clock::now());
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -31,17 +31,12 @@
 constexpr milliseconds kCallerIdleTimeout{120'000};
 /// Maximum idle connections of this daemon to one backend server.
 constexpr int kMaxIdleConnections = 32;
-/// Connections of daemons that subscribe to changes. ChangeRelay's own limit is
-/// lower.
-constexpr std::size_t kMaxChangeConnections = 600;
 /// Unsent bytes for one of these connections; holds several configurations of
 /// 1 MB.
 constexpr std::size_t kMaxChangeBufferedBytes = 4'194'304;
-/// Bytes held of requests: with those of callers and of answers, all limits
-/// together stay below the 160 MB of the smallest host.
-constexpr std::size_t kMaxChangeHeldBytes = 16'777'216;
-constexpr std::size_t kMaxHealthHeldBytes = 2'097'152;
 constexpr milliseconds kChangeWriteTimeout{2'000};
+/// A follower that reads more slowly than this would be told too late.
+constexpr std::size_t kChangeBytesPerSecond = 2'097'152;
 /// A server's connection limit divided by this is the limit of its idle
 /// connections.
 constexpr int kIdleLimitDivisor = 2;
@@ -56,6 +51,15 @@
              : bound;
 }
 
+/// Time from learning of an evacuation until this daemon leaves the data
+/// centre. A request may need the whole connect timeout to reach its server,
+/// and departures are carried out with the ticks.
+milliseconds DepartureDelay(const Settings& settings) {
+  return Evacuation::DepartureDelay(
+      settings.evacuation_notice, ChangeBound(settings),
+      settings.connect_timeout + 2 * kTickInterval);
+}
+
 ChangeKeys PeerKeys(const Settings& settings) {
   ChangeKeys keys;
   for (const std::string& key :
@@ -80,6 +84,7 @@
     : m_io(io),
       m_settings(std::move(settings)),
       m_incarnation(MillisecondsSinceEpoch()),
+      m_limits(m_settings),
       m_crash_notices(io, PeerKeys(m_settings),
                       [this](const std::string& text) {
                         ApplyCrashMarks(
@@ -95,8 +100,10 @@
               [this](const AnyEvent& event) { HandleEvent(event); }) {
   m_store = std::make_unique<platform::ObjectStore>(io, m_settings.platform,
                                                     kPlatformTimeout);
+  m_store->SetMaxHeldBytes(m_limits.memory.plan.platform);
   BackendOptions backend_options;
   backend_options.connect_timeout = m_settings.connect_timeout;
+  SetBackendLimits(m_limits, &backend_options);
   m_backends = std::make_unique<BackendClient>(io, std::move(backend_options));
   Listen();
   if (m_settings.node.empty()) m_settings.node = m_server->address();
@@ -117,6 +124,7 @@
   path_options.seed = m_settings.seed ^ m_incarnation;
   path_options.max_queued = m_settings.max_queued;
   path_options.retry_ratio = m_settings.retry_ratio;
+  path_options.hedge_ratio = m_settings.hedge_ratio;
   path_options.admission = m_settings.admission;
   // A request is quarantined after three crashes. Until then, it runs like any
   // other request: reserving a group for one suspect would take capacity from
@@ -128,28 +136,24 @@
 }
 
 void FleetDaemon::Listen() {
-  HttpLimits limits = ServerLimits(m_settings);
-  limits.idle_timeout = kCallerIdleTimeout;
+  m_limits.callers.idle_timeout = kCallerIdleTimeout;
   m_server = std::make_unique<HttpServer>(
-      m_io, m_settings.listen, limits,
+      m_io, m_settings.listen, m_limits.callers,
       [this](const std::shared_ptr<HttpExchange>& exchange) {
         m_executor->Accept(exchange);
       });
   if (!m_settings.health.empty()) {
-    HttpLimits health_limits;
-    health_limits.max_held_bytes = kMaxHealthHeldBytes;
     m_health = std::make_unique<HttpServer>(
-        m_io, m_settings.health, health_limits,
+        m_io, m_settings.health, m_limits.health,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
           OnHealthRequest(exchange.get());
         });
   }
   if (!m_settings.listen_changes.empty()) {
-    HttpLimits changes_limits;
-    changes_limits.max_connections = kMaxChangeConnections;
+    HttpLimits changes_limits = m_limits.peers;
     changes_limits.max_buffered_bytes = kMaxChangeBufferedBytes;
     changes_limits.write_timeout = kChangeWriteTimeout;
-    changes_limits.max_held_bytes = kMaxChangeHeldBytes;
+    changes_limits.transfer_rate = kChangeBytesPerSecond;
     m_peer_server = std::make_unique<HttpServer>(
         m_io, m_settings.listen_changes, changes_limits,
         [this](const std::shared_ptr<HttpExchange>& exchange) {
@@ -171,6 +175,12 @@
   control_options.incarnation = m_incarnation;
   control_options.seed = m_settings.seed ^ m_incarnation;
   control_options.first_start = m_settings.first_start;
+  control_options.follow_evacuations =
+      m_settings.evacuation_notice > milliseconds(0);
+  control_options.departure_delay = DepartureDelay(m_settings);
+  control_options.cold_overshoot = m_settings.cold_overshoot;
+  control_options.cold_tolerance = m_settings.cold_tolerance;
+  control_options.list_delay = ChangeBound(m_settings);
   m_control = std::make_unique<FleetControl>(std::move(control_options));
   m_crash_exchange = std::make_unique<CrashExchange>(m_settings.node);
 }
@@ -205,7 +215,8 @@
   m_feed = std::make_unique<FleetFeed>(
       m_io, m_store.get(), &m_change_relay, m_settings.seed ^ m_incarnation,
       FleetFeed::Bounds{ChangeBound(m_settings),
-                        m_settings.evacuation_notice > milliseconds(0)},
+                        m_settings.evacuation_notice > milliseconds(0),
+                        m_limits.memory.plan.changes},
       std::move(hooks), PeerKeys(m_settings));
   m_feed->Start();
 }
@@ -256,6 +267,9 @@
     m_store->Put(*put, reply);
   } else if (std::holds_alternative<ListNodes>(action)) {
     ListAllNodes();
+  } else if (auto* restored = std::get_if<StoreEraSeen>(&action)) {
+    m_feed->OnEraSeen(restored->era);
+    m_crash_exchange->OnStoreRestored(SuspendAwareNow());
   } else if (auto* log = std::get_if<LogDecision>(&action)) {
     LogEvent(log->event, log->fields);
   }
@@ -275,6 +289,12 @@
             {"routes", std::to_string(shared->routes.size())},
             {"services", std::to_string(shared->services.size())}});
   Feed(RequestEvent(std::move(changed)));
+  const HttpLimits& before = m_server->limits();
+  HttpLimits limits = WithFleetLimits(m_limits.callers, shared->limits);
+  if (DescribeLimits(limits) != DescribeLimits(before)) {
+    LogEvent("caller_limits", DescribeLimits(limits));
+  }
+  m_server->SetLimits(std::move(limits));
   m_executor->SetRoutes(m_routes);
   Feed(FleetEvent(FleetConfigured{std::move(shared)}));
   LimitIdleConnections();
@@ -354,6 +374,7 @@
   m_store->List(kind, true, [this](const platform::ObjectBatch& b) {
     NodesListed listed;
     listed.complete = b.status == platform::ObjectBatch::Status::kOk;
+    listed.era = b.era;
     for (const platform::StoredObject& object : b.objects) {
       listed.nodes.emplace_back(object.name,
                                 platform::DecodeOwnValue(object.content));
@@ -372,6 +393,8 @@
 
 void FleetDaemon::ShareCrashMarks() {
   auto reply = [this](const ObjectReply& answer) {
+    // An answer of an older era doesn't show that the marks are stored.
+    if (answer.era && *answer.era < m_control->store_era()) return;
     m_crash_exchange->OnReply(answer, SuspendAwareNow());
   };
   for (const CrashExchange::Action& action : m_crash_exchange->Advance(
@@ -400,7 +423,7 @@
     RecordTickGap();
     Feed(FleetEvent(
         RequestsCounted{m_server->stats().requests, m_executor->demand()}));
-    Feed(FleetEvent(Tick{}));
+    Feed(FleetEvent(Tick{WallNow()}));
     Feed(RequestEvent(Tick{}));
     m_feed->SetRole(
         {m_control->change_roles(), m_control->is_planner_or_standby()});
@@ -433,7 +456,7 @@
 
 bool FleetDaemon::IsReady() const {
   // A daemon that does not know the crash marks would send requests that crash
-  // servers.
+  // servers. Groups are published only when the evacuations are known.
   return m_phase == Phase::kServing && m_routes != nullptr && m_groups_known &&
          m_crash_marks_known;
 }
@@ -454,11 +477,20 @@
 std::string FleetDaemon::RenderMetrics() {
   SetCommonMetrics(m_request_path->stats(), m_server->stats(),
                    m_backends->stats(), &m_metrics);
+  SetListenerMetrics("callers", m_server->stats(), &m_metrics);
+  if (m_health) SetListenerMetrics("health", m_health->stats(), &m_metrics);
+  if (m_peer_server) {
+    SetListenerMetrics("peers", m_peer_server->stats(), &m_metrics);
+  }
   m_metrics.SetTotal("clementine_platform_calls_total", "", m_store->calls());
   m_metrics.SetTotal("clementine_platform_answers_dropped_total", "",
                      m_store->dropped_answers());
+  m_metrics.SetTotal("clementine_platform_answers_invalid_total", "",
+                     m_store->invalid_answers());
   m_metrics.Set("clementine_held_bytes", "from=\"platform\"",
                 static_cast<double>(m_store->held_bytes()));
+  m_metrics.Set("clementine_cold_groups", "",
+                static_cast<double>(m_control->cold_groups()));
   m_metrics.Set("clementine_open_groups", "",
                 static_cast<double>(m_control->open_groups()));
   for (const auto& [model, groups] : m_control->OpenGroupsByModel()) {
@@ -472,6 +504,8 @@
     m_metrics.SetTotal("clementine_model_refused_total", label, count.refused);
   }
   SetControlMetrics();
+  m_metrics.Set("clementine_store_era", "",
+                static_cast<double>(m_control->store_era()));
   m_metrics.Set("clementine_holds_lease", "", m_control->holds_lease() ? 1 : 0);
   m_metrics.Set("clementine_live_daemons", "", m_control->live_nodes());
   m_metrics.Set(
@@ -481,6 +515,21 @@
 }
 
 void FleetDaemon::SetControlMetrics() {
+  std::map<std::string, Evacuation::Phase> evacuations =
+      m_control->evacuations();
+  // A data centre that is no longer evacuated keeps its series with value 0.
+  for (const auto& [name, phase] : evacuations) {
+    m_evacuated_names.insert(name);
+  }
+  for (const std::string& name : m_evacuated_names) {
+    auto found = evacuations.find(name);
+    std::string label = fmt::format("data_centre=\"{}\"", name);
+    bool active =
+        found != evacuations.end() && found->second != Evacuation::Phase::kNone;
+    bool left = active && found->second == Evacuation::Phase::kLeft;
+    m_metrics.Set("clementine_evacuation", label, active ? 1 : 0);
+    m_metrics.Set("clementine_evacuation_left", label, left ? 1 : 0);
+  }
   const GroupPlanner::OrderStats& orders = m_control->order_stats();
   m_metrics.SetTotal("clementine_order_effects_total", "",
                      orders.observed_effects);
--- a/daemon/fleet_daemon.h
+++ b/daemon/fleet_daemon.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -17,6 +18,7 @@
 #include "daemon/crash_notices.h"
 #include "daemon/event_queue.h"
 #include "daemon/fleet_feed.h"
+#include "daemon/process_limits.h"
 #include "daemon/relay_executor.h"
 #include "net/net.h"
 #include "platform/platform.h"
@@ -92,6 +94,7 @@
   boost::asio::io_context* m_io;
   Settings m_settings;
   std::uint64_t m_incarnation;
+  ProcessLimits m_limits;
   Metrics m_metrics;
   std::unique_ptr<platform::ObjectStore> m_store;
   std::unique_ptr<BackendClient> m_backends;
@@ -109,6 +112,8 @@
   boost::asio::steady_timer m_tick;
   TimePoint m_last_tick_at;
   EventQueue<AnyEvent> m_queue;
+  /// Data centres that were evacuated since the start, for metrics.
+  std::set<std::string> m_evacuated_names;
   int m_live_daemons = 1;
   bool m_groups_known = false;
   bool m_crash_marks_known = false;
--- a/net/http_transport.cc
+++ b/net/http_transport.cc
@@ -17,9 +17,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 #include "net/address.h"
 #include "net/connection_pool.h"
+#include "net/http_status.h"
 #include "net/read_some.h"
 
 namespace clementine {
@@ -91,6 +93,7 @@
 
   std::uint64_t calls() const { return m_calls; }
   const Stats& stats() const { return m_stats; }
+  void SetMaxHeldBytes(std::size_t bytes) { m_max_held_bytes = bytes; }
 
  private:
   using Parser = http::response_parser<http::string_body>;
@@ -178,22 +181,29 @@
         connection->stream, asio::buffer(message), kAwaitTuple);
     answer.sent = written > 0;
     if (write_error) co_return answer;
-    Parser parser;
-    parser.body_limit(kMaxAnswerBytes);
-    boost::system::error_code read_error = co_await Read(connection, &parser);
+    std::optional<Parser> parser;
+    boost::system::error_code read_error =
+        co_await ReadFinal(connection, &parser);
     if (read_error) {
       // Whatever stopped this connection may have stopped the idle ones too.
       if (read_error == beast::error::timeout) m_idle.clear();
       co_return answer;
     }
-    answer.status = static_cast<int>(parser.get().result_int());
-    for (const auto& field : parser.get()) {
+    int status = static_cast<int>(parser->get().result_int());
+    if (!http_status::IsFinal(status)) {
+      ++m_stats.invalid_answers;
+      LogEvent("answer_invalid",
+               {{"address", m_address}, {"status", std::to_string(status)}});
+      co_return answer;
+    }
+    answer.status = status;
+    for (const auto& field : parser->get()) {
       answer.headers.emplace_back(std::string(field.name_string()),
                                   std::string(field.value()));
     }
-    answer.body = std::move(parser.get().body());
+    answer.body = std::move(parser->get().body());
     LogUnexpected(answer.status);
-    if (parser.keep_alive() && connection->buffer.size() == 0 && !m_stopped &&
+    if (parser->keep_alive() && connection->buffer.size() == 0 && !m_stopped &&
         m_idle.size() < kMaxIdleConnections) {
       connection->stream.expires_never();
       m_idle.push_back(std::move(connection));
@@ -201,6 +211,22 @@
     co_return answer;
   }
 
+  // Reads the final answer, or the first invalid one.
+  asio::awaitable<boost::system::error_code> ReadFinal(
+      ConnectionPtr connection, std::optional<Parser>* parser) {
+    boost::system::error_code error;
+    int interim = 0;
+    do {
+      parser->emplace();
+      (*parser)->body_limit(std::min(kMaxAnswerBytes, m_max_held_bytes));
+      error = co_await Read(connection, &**parser);
+    } while (!error &&
+             http_status::IsInterim(
+                 static_cast<int>((*parser)->get().result_int())) &&
+             ++interim <= http_status::kMaxInterimAnswers);
+    co_return error;
+  }
+
   // Reads an answer within the limits of held bytes.
   asio::awaitable<boost::system::error_code> Read(ConnectionPtr connection,
                                                   Parser* parser) {
@@ -236,7 +262,7 @@
 
   // Ends the answers that hold the most while all together hold too much.
   void BoundHeldBytes() {
-    while (m_stats.held_bytes > kMaxHeldBytes) {
+    while (m_stats.held_bytes > m_max_held_bytes) {
       ConnectionPtr most;
       for (const auto& weak : m_open) {
         ConnectionPtr connection = weak.lock();
@@ -270,6 +296,7 @@
   std::vector<std::weak_ptr<Connection>> m_open;  // Idle and busy.
   std::uint64_t m_calls = 0;
   Stats m_stats;
+  std::size_t m_max_held_bytes = kMaxHeldBytes;
   int m_logged_status = 0;
   bool m_stopped = false;
 };
@@ -296,4 +323,8 @@
 
 HttpTransport::Stats HttpTransport::stats() const { return m_impl->stats(); }
 
+void HttpTransport::SetMaxHeldBytes(std::size_t bytes) {
+  m_impl->SetMaxHeldBytes(bytes);
+}
+
 }  // namespace clementine
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -16,8 +16,12 @@
   int daemons = 4;  ///< Named d1, d2, ...
   int servers = 12;
   bool keep_ids = false;  ///< Servers come back under the id that they had.
+  int era = 0;            ///< Of the store; 0: not stated.
   /// Calls of all daemons to the platform pass links of their own.
   bool linked = false;
+  /// See Settings; 0 does not follow evacuations.
+  std::chrono::milliseconds evacuation_notice{0};
+  std::string limits{};  ///< Lines of section [limits].
 };
 
 class FleetSite {
@@ -35,9 +39,14 @@
   int Runs(const std::string& body);
   /// Servers that ended so far.
   int Ended();
+  /// Writes or deletes the evacuation of the servers' data centre.
+  void SetEvacuated(bool evacuated);
   /// @param state "up", "busy" or "down".
   void SetStore(const std::string& state);
 
+  /// @param order See POST /control/drill of fleet_standin.
+  void Drill(const nlohmann::json& order);
+
   /// Kills a daemon and starts it again.
   /// @param wait Whether to wait until it's ready, which takes the platform.
   void Restart(int daemon, bool wait = true);
