Close pipelining connections after their answer at the limit

Cause: 2,500 connections with 5,000 pipelined requests each kept all connections of callers busy with running requests, which are never closed for others, so an ordinary caller got 503 as long as they stayed. Change: while 15 of 16 connections are taken, an answer to a connection that has pipelined requests says Connection: close. What was pipelined is not run.

--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -254,6 +254,11 @@
   /// Whether answers end their connections.
   bool draining() const { return m_draining || m_stopping; }
   void StartDraining() { m_draining = true; }
+  /// Whether nearly all connections of the limit are taken.
+  bool crowded() const {
+    return m_open + m_limits.max_connections / kReclaimShare >=
+           m_limits.max_connections;
+  }
   /// Closes connections in the order of ReclaimOrder if all together hold too
   /// much. Called while a request is read, so it closes only those that send
   /// one; ReclaimLater closes readers too.
@@ -435,6 +440,12 @@
     m_charged = bytes;
   }
   void OnQueued(int status);
+  /// Whether it has pipelined requests while others wait for a connection. It
+  /// is then closed after its current answer, which says so; what was pipelined
+  /// is not run.
+  bool HoldsOthersUp() const {
+    return m_buffer.size() > 0 && m_server->crowded();
+  }
   ReadFault Explain(error_code error) const;
   void TakeRequest(Parser::value_type message);
   void Leave(const char* reason);
@@ -1008,7 +1019,7 @@
 
 void HttpSession::QueueHead(int status, const HttpHeaders& headers,
                             std::string_view body) {
-  m_keep_alive = m_keep_alive && !m_server->draining();
+  m_keep_alive = m_keep_alive && !m_server->draining() && !HoldsOthersUp();
   m_pending += FormatHead(status, headers, !m_keep_alive);
   m_pending += fmt::format("Content-Length: {}\r\n\r\n", body.size());
   if (!m_head_request) m_pending += body;
@@ -1017,7 +1028,8 @@
 
 void HttpSession::QueueStreamHead(int status, const HttpHeaders& headers) {
   // HTTP/1.0 has no chunks; the end of the connection ends the answer.
-  m_keep_alive = m_keep_alive && !m_server->draining() && !m_http_1_0;
+  m_keep_alive =
+      m_keep_alive && !m_server->draining() && !m_http_1_0 && !HoldsOthersUp();
   m_pending += FormatHead(status, headers, !m_keep_alive);
   m_pending += m_http_1_0 ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
   m_chunked = !m_http_1_0;
--- a/testing/untrusted_clients_test.cc
+++ b/testing/untrusted_clients_test.cc
@@ -90,6 +90,17 @@
   CHECK(fixture.server.stats().connections <= 4);
 }
 
+// Guards against pipelined requests that keep all connections busy.
+TEST_CASE("at the limit of connections a pipelining one ends with its answer") {
+  HttpLimits limits;
+  limits.max_connections = 1;
+  Fixture fixture(limits);
+  auto caller = fixture.Send(std::string(kGet) + kGet + kGet);
+  CHECK(fixture.Got(caller, "Connection: close"));
+  CHECK(RunUntil(&fixture.io, [&] { return caller->closed; }));
+  CHECK(fixture.server.stats().requests == 1);
+}
+
 // Guards against an ordinary caller's idle connection that is closed just when
 // it's used again.
 TEST_CASE("connections of ordinary callers aren't closed for new ones") {
