Satisfy the linter in the merged parts

Cause: the whole lint of the merged tree had six findings (a C-style cast, parameters that are copied, an implicit widening).

--- a/daemon/common_metrics.cc
+++ b/daemon/common_metrics.cc
@@ -14,10 +14,10 @@
   metrics->SetTotal("clementine_hedges_cancelled_total", "",
                     path.hedges_cancelled);
   for (std::size_t i = 0; i < kHedgeDenials; ++i) {
-    metrics->SetTotal(
-        "clementine_hedges_denied_total",
-        fmt::format("reason=\"{}\"", HedgeDenialName(HedgeDenial(i))),
-        path.hedges_denied[i]);
+    metrics->SetTotal("clementine_hedges_denied_total",
+                      fmt::format("reason=\"{}\"",
+                                  HedgeDenialName(static_cast<HedgeDenial>(i))),
+                      path.hedges_denied[i]);
   }
   metrics->SetTotal("clementine_quarantined_total", "", path.quarantined);
   metrics->SetTotal("clementine_cold_waits_total", "", path.cold_waits);
--- a/testing/held_bytes_test.cc
+++ b/testing/held_bytes_test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "net/net.h"
 #include "platform/platform.h"
@@ -28,7 +29,7 @@
 
 struct ServerFixture {
   explicit ServerFixture(HttpLimits limits)
-      : server(&io, "127.0.0.1:0", limits,
+      : server(&io, "127.0.0.1:0", std::move(limits),
                [this](const std::shared_ptr<HttpExchange>& exchange) {
                  exchanges.push_back(exchange);
                }) {}
--- a/testing/lease_test.cc
+++ b/testing/lease_test.cc
@@ -245,7 +245,7 @@
   // is released only in the copy.
   LeaseTester tester("b");
   tester.lease.SetStoreEra(3);
-  tester.lease.NoteFence(5 * 65'536);
+  tester.lease.NoteFence(5 * std::uint64_t{65'536});
   std::string released = EncodedLease("", 3);
   ReadUntilWrite(&tester, released, kStart, kStart + seconds(15));
   CHECK(tester.put.call == 0);
--- a/testing/net_http_server_test.cc
+++ b/testing/net_http_server_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <utility>
+
 #include "net/net.h"
 #include "testing/net_test_support.h"
 
@@ -10,9 +12,10 @@
 
 struct Fixture {
   explicit Fixture(HttpLimits limits = {})
-      : server(&io, "127.0.0.1:0", limits, [this](ExchangePtr exchange) {
-          exchanges.push_back(std::move(exchange));
-        }) {}
+      : server(&io, "127.0.0.1:0", std::move(limits),
+               [this](ExchangePtr exchange) {
+                 exchanges.push_back(std::move(exchange));
+               }) {}
 
   std::shared_ptr<RawConnection> Connect() {
     return RawConnection::Connect(&io, server.address());
@@ -31,7 +34,7 @@
 // Sends bytes that aren't a valid request and returns the answer.
 std::string Rejected(const std::string& bytes, HttpLimits limits,
                      bool finish = false) {
-  Fixture fixture(limits);
+  Fixture fixture(std::move(limits));
   auto caller = fixture.Connect();
   caller->Send(bytes);
   if (finish) {
--- a/testing/process_fleet.cc
+++ b/testing/process_fleet.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 #include "config/config.h"
 #include "fmt/format.h"
@@ -27,7 +28,7 @@
 }  // namespace
 
 FleetSite::FleetSite(FleetOptions options)
-    : m_options(options), m_standin(StandinArguments(options)) {
+    : m_options(std::move(options)), m_standin(StandinArguments(m_options)) {
   for (int i = 0; i < m_options.daemons; ++i) Add();
 }
 
