Lower the rate at which followers have to read changes

Cause: followers were cut off below 2 MB/s, but a relay with a link of 20 Mbit/s and eight followers sends each 312 KB/s. Change: 256 KB/s. Test: none of its own; the change relay's cases cover the cut. Measured: computed from the limits of the smallest hosts.

--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -35,8 +35,9 @@
 /// 1 MB.
 constexpr std::size_t kMaxChangeBufferedBytes = 4'194'304;
 constexpr milliseconds kChangeWriteTimeout{2'000};
-/// A follower that reads more slowly than this would be told too late.
-constexpr std::size_t kChangeBytesPerSecond = 2'097'152;
+/// Followers that read more slowly are cut off. A host with a link of 20 Mbit/s
+/// sends eight followers 312 KB/s each.
+constexpr std::size_t kChangeBytesPerSecond = 262'144;
 /// A server's connection limit divided by this is the limit of its idle
 /// connections.
 constexpr int kIdleLimitDivisor = 2;
