--- a/core/admission.cc
+++ b/core/admission.cc
@@ -87,12 +87,12 @@
 constexpr double kMaxRefused = 0.9;
 // A less urgent request takes only spare room, and isn't queued, while more
 // urgent ones are refused or late more often, by more than this fraction of the
-// requests. A difference of 0.05 in favour of the less urgent ones is allowed.
-constexpr double kMaxFavour = 0.02;
+// requests. The difference may be at most 0.05.
+constexpr double kMaxLossDifference = 0.02;
 // More urgent requests count for this time after their last arrival; what was
 // measured of them before says nothing about the load now.
 constexpr std::chrono::seconds kFavourWindow{10};
-constexpr double kSampleWeightOfFractions = 0.05;
+constexpr double kFractionSampleWeight = 0.05;
 
 std::size_t ClassIndex(RequestClass request_class) {
   switch (request_class) {
@@ -218,7 +218,7 @@
   Flow* next = pool.backlog() == 0 ? nullptr : FindNextFlow(&pool, class_index);
   bool first = next == nullptr ||
                (!batch && key < next->queues[class_index].begin()->first);
-  bool yields = IsFavoured(pool, priority, now) && !capacity.has_spare;
+  bool yields = IsServedBetter(pool, priority, now) && !capacity.has_spare;
   if (capacity.has_room && first && !yields && MayRun(organisation)) {
     RecordStart(&pool, &flow, waiting);
     return {Disposition::kRun, milliseconds(0)};
@@ -278,8 +278,8 @@
 Admission::Decision Admission::RefuseWith(PoolQueues* pool,
                                           const QueuedRequest& request,
                                           milliseconds retry_after) {
-  AddFraction(&pool->refused, 1.0, kSampleWeightOfFractions);
-  AddFraction(&pool->lost[request.priority], 1.0, kSampleWeightOfFractions);
+  AddFraction(&pool->refused, 1.0, kFractionSampleWeight);
+  AddFraction(&pool->lost[request.priority], 1.0, kFractionSampleWeight);
   double wait =
       Ms(retry_after) *
       (1.0 + kRetryAfterPerPriority * static_cast<double>(request.priority));
@@ -291,11 +291,11 @@
   return {Disposition::kRefuse, RetryAfter(wait)};
 }
 
-bool Admission::IsFavoured(const PoolQueues& pool, std::size_t priority,
-                           TimePoint now) {
+bool Admission::IsServedBetter(const PoolQueues& pool, std::size_t priority,
+                               TimePoint now) {
   for (std::size_t i = 0; i < priority; ++i) {
     if (now - pool.arrived_at[i] < kFavourWindow &&
-        pool.lost[i] > pool.lost[priority] + kMaxFavour) {
+        pool.lost[i] > pool.lost[priority] + kMaxLossDifference) {
       return true;
     }
   }
@@ -342,9 +342,9 @@
 
 void Admission::RecordStart(PoolQueues* pool, Flow* flow,
                             const QueuedRequest& request) const {
-  AddFraction(&pool->refused, 0.0, kSampleWeightOfFractions);
+  AddFraction(&pool->refused, 0.0, kFractionSampleWeight);
   if (request.target == milliseconds(0)) {
-    AddFraction(&pool->lost[request.priority], 0.0, kSampleWeightOfFractions);
+    AddFraction(&pool->lost[request.priority], 0.0, kFractionSampleWeight);
   }
   double start = std::max(pool->virtual_time, flow->virtual_finish);
   flow->virtual_finish = start + request.cost / flow->organisation->weight;
@@ -483,7 +483,7 @@
   AddSample(&pool.first_event_ms,
             std::max(1.0, static_cast<double>(latency.count())));
   AddFraction(&pool.lost[PriorityLevel(priority)], late ? 1.0 : 0.0,
-              kSampleWeightOfFractions);
+              kFractionSampleWeight);
 }
 
 double Admission::DrainRate(const PoolQueues& pool, int limit,
--- a/core/admission.h
+++ b/core/admission.h
@@ -207,8 +207,8 @@
                              milliseconds retry_after);
   /// Whether more urgent requests of a pool are refused or late more often than
   /// those of a priority.
-  static bool IsFavoured(const PoolQueues& pool, std::size_t priority,
-                         TimePoint now);
+  static bool IsServedBetter(const PoolQueues& pool, std::size_t priority,
+                             TimePoint now);
   void Enqueue(PoolQueues* pool, Flow* flow, const std::string& organisation,
                std::size_t class_index, QueueKey key,
                const QueuedRequest& waiting);
--- a/core/capacity_limit.cc
+++ b/core/capacity_limit.cc
@@ -20,9 +20,8 @@
 namespace {
 
 // Late first events that don't lower the margin. Some are late at any load,
-// because of long prompts and slow groups. A late answer is worth a tenth to a
-// quarter of one in time, so rejecting to avoid more than these costs more
-// than it gains.
+// because of long prompts and slow groups. A late answer is still of use to its
+// caller, and a rejected caller is late as well when it returns.
 constexpr double kToleratedLateShare = 0.1;
 // Largest rise of the margin by one event in time.
 constexpr double kMaxRise = 0.1;
--- a/core/fleet_evacuation.cc
+++ b/core/fleet_evacuation.cc
@@ -26,6 +26,20 @@
   return "evacuation_unknown";
 }
 
+const char* ActionOf(Evacuation::Step step) {
+  switch (step) {
+    case Evacuation::Step::kStarted:
+      return "other data centres are preferred";
+    case Evacuation::Step::kLeft:
+      return "nothing new is sent there";
+    case Evacuation::Step::kEnded:
+      return "requests are sent there again";
+    case Evacuation::Step::kUnknown:
+      return "ignored while no server or daemon is in it";
+  }
+  return "";
+}
+
 }  // namespace
 
 void FleetControl::On(const EvacuationsChanged& event) {
@@ -50,7 +64,8 @@
 void FleetControl::ReportEvacuations(
     const std::vector<Evacuation::Change>& changes) {
   for (const Evacuation::Change& change : changes) {
-    Log(EventName(change.step), {{"data_centre", change.data_centre}});
+    Log(EventName(change.step), {{"data_centre", change.data_centre},
+                                 {"action", ActionOf(change.step)}});
     m_groups_dirty = true;
   }
 }
--- a/net/platform_client.cc
+++ b/net/platform_client.cc
@@ -154,7 +154,8 @@
     std::optional<std::uint64_t> era = ParseStoreEra(text);
     if (!text.empty() && !era && m_logged_malformed != text) {
       m_logged_malformed = text;
-      LogEvent("store_era_malformed", {{"value", std::string(text)}});
+      LogEvent("store_era_malformed",
+               {{"value", std::string(text)}, {"action", "ignored"}});
     }
     if (era && *era < m_era.highest()) {
       if (m_era.ShouldLogOlder(*era)) {
