Let the simulated servers behave as the pages say

Cause: the tests of the planner stood on servers that are kinder than the pages: late orders came after 0 to 6 s instead of 2 to 12 s, a join that the server already fulfilled was carried out again and counted, a join of a lower epoch was carried out, and a server that couldn't renew its entry got no orders either.

--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -1,5 +1,6 @@
 // The simulated servers check only what real ones check: the expected order
-// count, and whether an order fits their own state. Everything that only the
+// count, the epoch, and whether an order fits their own state. An order that
+// finds its state already reached isn't counted. Everything that only the
 // planner can prevent is recorded as a violation.
 
 #include "testing/fleet_world.h"
@@ -11,11 +12,17 @@
 
 constexpr milliseconds kRejoinDuration{200};
 constexpr milliseconds kOpenDuration{300};
-constexpr milliseconds kMaxOrderDelay{6'000};
+/// Orders without an answer are carried out 2 to 12 s later.
+constexpr milliseconds kMinOrderDelay{2'000};
+constexpr milliseconds kMaxOrderDelay{12'000};
+/// A head that has lost contact with a member for this time is broken.
+constexpr milliseconds kStallDuration{5'000};
 constexpr milliseconds kProbeTimeout{1'000};
 constexpr milliseconds kReportInterval{1'000};
 /// Delay after the end of a partition until the entries of heads return.
 constexpr milliseconds kEntryReturnDelay{1'600};
+/// Delay after which a server that was cut from the registry renews its entry.
+constexpr milliseconds kRenewalDelay{200};
 
 }  // namespace
 
@@ -76,12 +83,20 @@
   }
 }
 
+void FleetWorld::CutFromRegistry(const std::string& id, milliseconds duration) {
+  FakeServer& server = servers.at(id);
+  server.cut_at = now;
+  server.cut_until = now + duration;
+  server.cut_entry = server.entry;
+}
+
 std::map<std::string, BackendServer> FleetWorld::List() const {
   std::map<std::string, BackendServer> listed;
   for (const auto& [id, server] : servers) {
     if (!Listed(server)) continue;
     listed[id] =
         server.history.empty() ? server.entry : server.history.front().second;
+    if (server.cut_entry) listed[id] = *server.cut_entry;
     listed[id].orders = 0;  // Entries do not contain it.
     if (server.listed_state) listed[id].member.state = *server.listed_state;
   }
@@ -90,6 +105,7 @@
 
 bool FleetWorld::Listed(const FakeServer& server) const {
   if (server.is_unlisted) return false;
+  if (server.cut_entry && now >= server.cut_at + kEntryTtl) return false;
   if (server.offline) return now < server.unlisted_at;
   return now >= server.listed_at;
 }
@@ -100,6 +116,11 @@
   failed.clear();
 }
 
+void FleetWorld::ResetPlanner() {
+  planner.Reset(++m_term);
+  failed.clear();
+}
+
 int FleetWorld::ServingGroups(const std::string& model) const {
   return static_cast<int>(
       std::count_if(servers.begin(), servers.end(), [&](const auto& entry) {
@@ -195,7 +216,38 @@
   }
 }
 
+bool FleetWorld::IsHeadServing(const FakeServer& head) const {
+  return head.entry.member.state == GroupMemberState::kOpen ||
+         head.opens_at != TimePoint::max();
+}
+
+void FleetWorld::AdvanceStall(FakeServer* head) const {
+  const GroupMembership& group = head->entry.member;
+  bool stalled =
+      IsHeadServing(*head) &&
+      std::any_of(head->members.begin(), head->members.end(),
+                  [&](const std::string& id) {
+                    auto found = servers.find(id);
+                    return found == servers.end() || !found->second.alive ||
+                           found->second.entry.member.group != group.group ||
+                           found->second.entry.member.epoch != group.epoch;
+                  });
+  if (!stalled) {
+    head->stalled_since.reset();
+  } else if (!head->stalled_since) {
+    head->stalled_since = now;
+  } else if (now - *head->stalled_since >= kStallDuration) {
+    head->entry.member.state = GroupMemberState::kBroken;
+    head->opens_at = TimePoint::max();
+    head->stalled_since.reset();
+  }
+}
+
 void FleetWorld::AdvanceServer(FakeServer* server) {
+  if (server->cut_entry && now >= server->cut_until + kRenewalDelay) {
+    server->cut_entry.reset();
+  }
+  AdvanceStall(server);
   if (server->staged_at <= now) {
     server->staged_at = TimePoint::max();
     server->entry.staged = {server->staging};
@@ -229,9 +281,16 @@
     RequestReports(planned.order.group);
     return;
   }
-  if (uniform() < faults.late_order_rate) {
-    milliseconds delay(m_random() % kMaxOrderDelay.count());
-    m_delayed_orders.push_back({now + delay, planned.host, planned.order});
+  std::optional<milliseconds> delay;
+  if (faults.delay_order) {
+    delay = faults.delay_order(planned);
+  } else if (uniform() < faults.late_order_rate) {
+    delay = kMinOrderDelay +
+            milliseconds(m_random() %
+                         ((kMaxOrderDelay - kMinOrderDelay).count() + 1));
+  }
+  if (delay) {
+    m_delayed_orders.push_back({now + *delay, planned.host, planned.order});
     planner.OnOrderAnswered(planned.host, planned.order, OrderResult::kUnknown,
                             now);
     return;
@@ -253,6 +312,7 @@
                                       : model.load_time);
   server->joining_model = model.name;
   server->members = order.members;
+  server->highest_epoch = order.epoch;
   server->opens_at = TimePoint::max();
   member.group = order.group;
   member.epoch = order.epoch;
@@ -290,17 +350,28 @@
           server.staging != model->name) {
         return OrderResult::kRejected;
       }
+      if (order.epoch < server.highest_epoch) return OrderResult::kRejected;
+      if (same_group && server.members != order.members) {
+        return OrderResult::kRejected;
+      }
+      if (same_group && member.state != GroupMemberState::kNone &&
+          member.state != GroupMemberState::kBroken) {
+        return OrderResult::kNoOp;
+      }
       Join(&server, order, *model);
       break;
     case GroupOrder::Kind::kOpen:
-      if (!same_group || member.state != GroupMemberState::kReady) {
+      if (!same_group) return OrderResult::kRejected;
+      if (IsHeadServing(server)) return OrderResult::kNoOp;
+      if (member.state != GroupMemberState::kReady) {
         return OrderResult::kRejected;
       }
       server.opens_at = now + kOpenDuration;
       break;
     case GroupOrder::Kind::kClose:
       if (!same_group) return OrderResult::kRejected;
-      if (member.state != GroupMemberState::kOpen) return OrderResult::kNoOp;
+      if (!IsHeadServing(server)) return OrderResult::kNoOp;
+      server.opens_at = TimePoint::max();
       member.state = GroupMemberState::kReady;
       break;
     case GroupOrder::Kind::kStage:
@@ -319,13 +390,11 @@
   return head != servers.end() && head->second.alive &&
          head->second.entry.id != member.entry.id &&
          head->second.entry.member.group == member.entry.member.group &&
-         (head->second.entry.member.state == GroupMemberState::kOpen ||
-          head->second.opens_at != TimePoint::max());
+         IsHeadServing(head->second);
 }
 
 void FleetWorld::CheckJoin(const FakeServer& server, const GroupOrder& order) {
-  bool is_serving = server.entry.member.state == GroupMemberState::kOpen ||
-                    server.opens_at != TimePoint::max();
+  bool is_serving = IsHeadServing(server);
   if (order.group != server.entry.member.group &&
       (HeadServes(server) || is_serving)) {
     violations.push_back(server.entry.id + " joins " + order.group +
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -5,6 +5,7 @@
 #define TESTING_FLEET_WORLD_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -39,6 +40,13 @@
   bool is_unlisted = false;  ///< Not in the registry, but accepts orders.
   /// Outdated state that the list shows, as after an outage of the platform.
   std::optional<GroupMemberState> listed_state;
+  /// Cannot renew its entry before this time, but accepts orders and reports.
+  TimePoint cut_until;
+  TimePoint cut_at;
+  std::optional<BackendServer> cut_entry;  ///< As the list still shows it.
+  std::uint64_t highest_epoch = 0;         ///< Of the joins carried out.
+  /// Since when the head has stood still because a member left the group.
+  std::optional<TimePoint> stalled_since;
   bool refuses_connections = false;  ///< While partitioned.
   TimePoint reported_at;             ///< When the planner last got its report.
   /// The list shows the server's state of this long ago.
@@ -52,6 +60,9 @@
       0.0;  ///< That an order is carried out, but its answer is lost.
   double late_order_rate =
       0.0;  ///< That an order is carried out seconds later.
+  /// Returns the delay of an order that gets no answer; nullopt for others.
+  std::function<std::optional<milliseconds>(const GroupPlanner::Order&)>
+      delay_order;
 };
 
 class FleetWorld {
@@ -73,10 +84,16 @@
   void PartitionDomain(const std::string& domain);
   /// Ends a partition. Heads return to the list last.
   void EndPartition(const std::string& domain);
+  /// Prevents a server from renewing its entry. The list shows its last state
+  /// until the entry lapses.
+  void CutFromRegistry(const std::string& id, milliseconds duration);
   /// Returns the servers that the registry lists now.
   std::map<std::string, BackendServer> List() const;
   /// Replaces the planner, as when another daemon acquires the lease.
   void ReplacePlanner();
+  /// Starts a new term of the same planner, as when its daemon loses the lease
+  /// and acquires it again.
+  void ResetPlanner();
   void AddServer(const std::string& domain);
 
   /// Counts serving groups of a model whose members are all alive.
@@ -101,6 +118,9 @@
   };
 
   void AdvanceServer(FakeServer* server);
+  /// Breaks a head that has stood still for too long.
+  void AdvanceStall(FakeServer* head) const;
+  bool IsHeadServing(const FakeServer& head) const;
   /// Records the server's current state for a delayed list.
   void RecordHistory(FakeServer* server) const;
   /// Makes the members of a group report at the next step, as FleetControl
--- a/testing/group_planner_test.cc
+++ b/testing/group_planner_test.cc
@@ -455,7 +455,7 @@
   for (std::uint64_t seed = 1; seed <= 30; ++seed) {
     CAPTURE(seed);
     FleetWorld world = StartedWorld(2, 9, seed);
-    world.faults = {0.2, 0.15};
+    world.faults = {0.2, 0.15, nullptr};
     std::mt19937_64 random(seed);
     for (int step = 0; step < 400; ++step) {
       world.Step();
