Add a record of the orders that hosts may still carry out

Cause: "what may this host still carry out, and until when?" is asked in eight places of the planner, and each of them forgets by a rule of its own. Change: InDoubtOrders answers it. An order ends when its host answered it, when the host's count has passed it, when another incarnation runs, or when the maximum delay is over and a report, or the list after the time in which an entry lapses, shows it. An answer to another order that changed nothing ends nothing. The order kind "leave" counts at a head that is ready, where a close doesn't; it is what ends the doubt about an open order.

--- a/core/fleet.cc
+++ b/core/fleet.cc
@@ -47,6 +47,8 @@
       return "open";
     case GroupOrder::Kind::kClose:
       return "close";
+    case GroupOrder::Kind::kLeave:
+      return "leave";
     case GroupOrder::Kind::kStage:
       return "stage";
   }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -154,7 +154,7 @@
 
 /// An order to a backend server about its group or its staged weights.
 struct GroupOrder {
-  enum class Kind { kJoin, kOpen, kClose, kStage };
+  enum class Kind { kJoin, kOpen, kClose, kLeave, kStage };
   Kind kind = Kind::kJoin;
   std::string group;
   std::uint64_t epoch = 0;
--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -261,6 +261,8 @@
       return same && member.state != GroupMemberState::kReady;
     case GroupOrder::Kind::kClose:
       return !same || member.state != GroupMemberState::kOpen;
+    case GroupOrder::Kind::kLeave:
+      return !same || member.state == GroupMemberState::kNone;
     case GroupOrder::Kind::kStage:
       return sent.accepted;
   }
--- /dev/null
+++ b/core/in_doubt_orders.cc
@@ -0,0 +1,172 @@
+#include "core/in_doubt_orders.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace clementine {
+namespace {
+
+bool IsSameOrder(const GroupOrder& a, const GroupOrder& b) {
+  return a.kind == b.kind && a.group == b.group && a.epoch == b.epoch &&
+         a.expected_orders == b.expected_orders;
+}
+
+}  // namespace
+
+InDoubtOrders::Host* InDoubtOrders::FindHost(const std::string& host,
+                                             std::int64_t incarnation) {
+  auto [entry, added] = m_hosts.try_emplace(host);
+  Host& state = entry->second;
+  if (state.incarnation > incarnation) return nullptr;
+  if (state.incarnation != incarnation) {
+    state = Host();
+    state.incarnation = incarnation;
+  }
+  return &state;
+}
+
+void InDoubtOrders::RemoveCounted(Host* host, std::uint64_t count) {
+  std::erase_if(host->orders, [&](const InDoubtOrder& sent) {
+    return sent.order.expected_orders.value_or(count) < count;
+  });
+}
+
+void InDoubtOrders::OnTermStarted(TimePoint now) {
+  m_term_started_at = now;
+  for (auto& [id, host] : m_hosts) {
+    host.initial_count.reset();
+    host.accepted_in_term = false;
+  }
+}
+
+void InDoubtOrders::OnSent(const std::string& host, std::int64_t incarnation,
+                           const GroupOrder& order, TimePoint now) {
+  if (Host* state = FindHost(host, incarnation)) {
+    state->orders.push_back({order, now, false});
+  }
+}
+
+// Two copies of one order can be on their way. Which of them an answer belongs
+// to is unknown, so the later one is kept.
+void InDoubtOrders::OnAnswered(const std::string& host, const GroupOrder& order,
+                               OrderResult result) {
+  auto found = m_hosts.find(host);
+  if (found == m_hosts.end()) return;
+  Host& state = found->second;
+  auto is_answered = [&](const InDoubtOrder& sent) {
+    return !sent.ended && IsSameOrder(sent.order, order);
+  };
+  if (result == OrderResult::kUnknown) {
+    auto sent =
+        std::find_if(state.orders.rbegin(), state.orders.rend(), is_answered);
+    if (sent != state.orders.rend()) sent->ended = true;
+    return;
+  }
+  auto sent =
+      std::find_if(state.orders.begin(), state.orders.end(), is_answered);
+  if (sent == state.orders.end()) return;
+  TimePoint sent_at = sent->sent_at;
+  state.orders.erase(sent);
+  if (result != OrderResult::kAccepted) return;
+  state.accepted_in_term = true;
+  if (order.expected_orders) {
+    RemoveCounted(&state, *order.expected_orders + 1);
+    return;
+  }
+  // The host has now accepted more orders than those that were sent before can
+  // expect.
+  std::erase_if(state.orders, [&](const InDoubtOrder& earlier) {
+    return earlier.order.expected_orders && earlier.sent_at <= sent_at;
+  });
+}
+
+void InDoubtOrders::OnReport(const std::string& host, std::int64_t incarnation,
+                             std::uint64_t orders, TimePoint now) {
+  Host* state = FindHost(host, incarnation);
+  if (state == nullptr) return;
+  // A report may be older than the term.
+  bool may_be_older = now < m_term_started_at + kMaxReportDelay;
+  if (!state->initial_count || may_be_older) {
+    state->initial_count = std::max(state->initial_count.value_or(0), orders);
+  }
+  if (orders > *state->initial_count) state->accepted_in_term = true;
+  RemoveCounted(state, orders);
+  std::erase_if(state->orders, [&](const InDoubtOrder& sent) {
+    return now - sent.sent_at >=
+           kMaxOrderTransit + kMaxOrderDelay + kMaxReportDelay;
+  });
+}
+
+void InDoubtOrders::Expire(const std::map<std::string, BackendServer>& servers,
+                           TimePoint now) {
+  constexpr milliseconds kMaxDoubt =
+      kMaxOrderTransit + kMaxOrderDelay + kMaxEntryAge;
+  bool term_settled = now - m_term_started_at > kMaxDoubt;
+  for (auto entry = m_hosts.begin(); entry != m_hosts.end();) {
+    Host& host = entry->second;
+    auto listed = servers.find(entry->first);
+    bool replaced = listed != servers.end() &&
+                    listed->second.incarnation > host.incarnation;
+    std::erase_if(host.orders, [&](const InDoubtOrder& sent) {
+      return replaced || now - sent.sent_at > kMaxDoubt;
+    });
+    // Counts are needed for as long as orders of earlier planners are in doubt.
+    bool needed = !host.orders.empty() || (!replaced && !term_settled);
+    entry = needed ? std::next(entry) : m_hosts.erase(entry);
+  }
+}
+
+bool InDoubtOrders::MayOpen(const std::string& head,
+                            const GroupKey& group) const {
+  auto found = m_hosts.find(head);
+  return found != m_hosts.end() &&
+         std::any_of(found->second.orders.begin(), found->second.orders.end(),
+                     [&](const InDoubtOrder& sent) {
+                       return sent.order.kind == GroupOrder::Kind::kOpen &&
+                              sent.order.group == group.first &&
+                              sent.order.epoch == group.second;
+                     });
+}
+
+bool InDoubtOrders::MayLeave(const std::string& member,
+                             const GroupKey& group) const {
+  auto found = m_hosts.find(member);
+  return found != m_hosts.end() &&
+         std::any_of(found->second.orders.begin(), found->second.orders.end(),
+                     [&](const InDoubtOrder& sent) {
+                       bool same = sent.order.group == group.first &&
+                                   sent.order.epoch == group.second;
+                       switch (sent.order.kind) {
+                         case GroupOrder::Kind::kJoin:
+                           return !same;
+                         case GroupOrder::Kind::kClose:
+                         case GroupOrder::Kind::kLeave:
+                           return same;
+                         case GroupOrder::Kind::kOpen:
+                         case GroupOrder::Kind::kStage:
+                           return false;
+                       }
+                       return false;
+                     });
+}
+
+bool InDoubtOrders::MayObeyEarlierPlanner(const std::string& host,
+                                          TimePoint now) const {
+  auto found = m_hosts.find(host);
+  bool accepted = found != m_hosts.end() && found->second.accepted_in_term;
+  return !accepted && now - m_term_started_at <=
+                          kMaxOrderTransit + kMaxOrderDelay + kMaxReportDelay;
+}
+
+bool InDoubtOrders::NeedsReport(const std::string& host, TimePoint now) const {
+  auto found = m_hosts.find(host);
+  return found != m_hosts.end() &&
+         std::any_of(found->second.orders.begin(), found->second.orders.end(),
+                     [&](const InDoubtOrder& sent) {
+                       return now - sent.sent_at >= kMaxOrderTransit +
+                                                        kMaxOrderDelay +
+                                                        kMaxReportDelay;
+                     });
+}
+
+}  // namespace clementine
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -374,6 +374,14 @@
       server.opens_at = TimePoint::max();
       member.state = GroupMemberState::kReady;
       break;
+    case GroupOrder::Kind::kLeave:
+      if (!same_group || member.state == GroupMemberState::kNone) {
+        return OrderResult::kNoOp;
+      }
+      CheckLeave(server);
+      member = GroupMembership();
+      server.opens_at = server.joined_at = TimePoint::max();
+      break;
     case GroupOrder::Kind::kStage:
       ++loads;
       server.staging = order.model;
@@ -402,6 +410,13 @@
   }
 }
 
+void FleetWorld::CheckLeave(const FakeServer& server) {
+  if (HeadServes(server) || IsHeadServing(server)) {
+    violations.push_back(server.entry.id + " leaves " +
+                         server.entry.member.group + " while it serves");
+  }
+}
+
 void FleetWorld::CheckOpen(const FakeServer& head) {
   for (const std::string& id : head.members) {
     auto member = servers.find(id);
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -131,6 +131,7 @@
             const EngineModel& model);
   OrderResult Accept(const std::string& host, const GroupOrder& order);
   void CheckJoin(const FakeServer& server, const GroupOrder& order);
+  void CheckLeave(const FakeServer& server);
   void CheckOpen(const FakeServer& head);
   bool Listed(const FakeServer& server) const;
   bool HeadServes(const FakeServer& member) const;
--- a/testing/platform_adapter_test.cc
+++ b/testing/platform_adapter_test.cc
@@ -300,6 +300,15 @@
   body = ParseJson(*MakeOrderCall("a", "", stage).body);
   CHECK_FALSE(body.contains("group"));
   CHECK_FALSE(body.contains("expected"));
+  GroupOrder leave;
+  leave.kind = GroupOrder::Kind::kLeave;
+  leave.group = "m0.7";
+  leave.epoch = 7;
+  body = ParseJson(*MakeOrderCall("a", "", leave).body);
+  CHECK(body["operation"] == "leave");
+  CHECK(body["group"] == "m0.7");
+  CHECK(body["epoch"] == 7);
+  CHECK_FALSE(body.contains("members"));
   BackendEnd end;
   end.result = AttemptResult::kTimedOut;
   CHECK(DecodeOrderAnswer(end) == OrderResult::kUnknown);
