Wait for a head that has accepted its open order

Cause: a head counts an open order at once and reports that it is ready until it serves. If the order's answer was missing, the report that showed the count marked the order as accepted at the epoch of the clock, so the same report was taken as proof that the order had had no effect. Evidence: play: open without an answer, report with the count and state ready, order abandoned in that pass, a member joined, head open. Change: the time of acceptance is that of the report. InDoubtOrders keeps an accepted open in doubt until the head has had the time to open, whether the answer or a report shows the acceptance. This also covers a close that is answered "holds" while the head opens. Why it works: the members stay reserved until a report that was made after the opening must have ended. Test: "planner waits for a head that has accepted its open order" failed before (a member joins another group while its head serves), "an accepted open stays in doubt until the head has had time to open". The first test of in_doubt_orders_test now asks for this too. "planner releases no group that an earlier planner may still open" passes as well, though its cause remains ("planner considers the open orders of an earlier term").

--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -25,10 +25,6 @@
 /// Delay after which a host is asked for its report if the list does not show
 /// the effect of its order.
 constexpr milliseconds kListDelay{2'500};
-/// A report that arrives at least this long after an answer was created after
-/// that answer. Covers the age that a report may have when the server sends it
-/// (kMaxReportAge in fleet_control.cc) and the duration of the query.
-constexpr milliseconds kMaxReportDelay{1'500};
 /// Delay after a rejected order until the next order to the same host.
 constexpr milliseconds kRejectionBackoff{1'000};
 /// Number of epochs skipped after a rejected join, to pass epochs that an
@@ -52,7 +48,7 @@
 
 void GroupPlanner::OnReport(const std::string& host,
                             const BackendServer& report, TimePoint now) {
-  RecordAcceptedOrders(host, report.incarnation, report.orders);
+  RecordAcceptedOrders(host, report.incarnation, report.orders, now);
   m_in_doubt.OnReport(host, report.incarnation, report.orders, now);
   HostRecord& record = m_hosts[host];
   record.reported_at = now;
@@ -64,7 +60,7 @@
 
 void GroupPlanner::RecordAcceptedOrders(const std::string& host,
                                         std::int64_t incarnation,
-                                        std::uint64_t orders) {
+                                        std::uint64_t orders, TimePoint now) {
   HostRecord& record = m_hosts[host];
   // Ignores a late report of an earlier incarnation.
   if (record.incarnation > incarnation) return;
@@ -72,21 +68,23 @@
     record = HostRecord();
     record.incarnation = incarnation;
   }
-  // A report can be older than an answer that arrived before it (see
-  // kMaxReportDelay). Order counts only increase within an incarnation.
+  // A report can be older than an answer that arrived before it. Order counts
+  // only increase within an incarnation.
   record.order_count = std::max(record.order_count, orders);
   record.order_count_known = true;
   auto sent = m_sent_orders.find(host);
   if (sent != m_sent_orders.end() && sent->second.incarnation == incarnation &&
-      orders > sent->second.order.expected_orders.value_or(orders)) {
+      orders > sent->second.order.expected_orders.value_or(orders) &&
+      !sent->second.accepted) {
     sent->second.accepted = true;
+    sent->second.accepted_at = now;
   }
 }
 
 void GroupPlanner::OnOrderAnswered(const std::string& host,
                                    const GroupOrder& order, OrderResult result,
                                    TimePoint now) {
-  m_in_doubt.OnAnswered(host, order, result);
+  m_in_doubt.OnAnswered(host, order, result, now);
   auto unresponsive = m_unresponsive_heads.find({order.group, order.epoch});
   if (unresponsive != m_unresponsive_heads.end() &&
       unresponsive->second.host == host &&
@@ -132,7 +130,7 @@
     found->second.accepted_at = now;
     m_hosts[host].fenced_at = now;
     RecordAcceptedOrders(host, found->second.incarnation,
-                         order.expected_orders.value_or(0) + 1);
+                         order.expected_orders.value_or(0) + 1, now);
     if (order.kind == GroupOrder::Kind::kStage) m_sent_orders.erase(found);
     if (order.kind == GroupOrder::Kind::kLeave) {
       m_dissolved_groups.insert({order.group, order.epoch});
@@ -193,8 +191,12 @@
   const HostRecord& record = found->second;
   BackendServer reported;
   reported.member = record.member;
+  milliseconds min_delay = InDoubtOrders::kMaxReportDelay;
+  if (sent.order.kind == GroupOrder::Kind::kOpen) {
+    min_delay += InDoubtOrders::kMaxOpenDuration;
+  }
   return record.incarnation == sent.incarnation &&
-         record.reported_at >= sent.accepted_at + kMaxReportDelay &&
+         record.reported_at >= sent.accepted_at + min_delay &&
          !HasTakenEffect(sent, reported);
 }
 
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -194,7 +194,7 @@
     std::int64_t incarnation = 0;
     TimePoint sent_at;
     bool accepted = false;
-    TimePoint accepted_at;
+    TimePoint accepted_at;   ///< Arrival of the answer or report that shows it.
     bool is_repeat = false;  ///< Joins the group that the host is already in.
   };
   /// Orders that one incarnation of a host has accepted, and its last report.
@@ -437,7 +437,7 @@
   /// assumed to be half done.
   double JoinSeconds(const BackendServer& host, const EngineModel& model) const;
   void RecordAcceptedOrders(const std::string& host, std::int64_t incarnation,
-                            std::uint64_t orders);
+                            std::uint64_t orders, TimePoint now);
   bool HasTakenEffect(const SentOrder& sent, const BackendServer& host) const;
   bool HasPendingOrder(const std::string& host) const {
     return m_sent_orders.count(host) > 0;
--- a/core/in_doubt_orders.cc
+++ b/core/in_doubt_orders.cc
@@ -25,12 +25,22 @@
   return &state;
 }
 
-void InDoubtOrders::RemoveCounted(Host* host, std::uint64_t count) {
-  std::erase_if(host->orders, [&](const InDoubtOrder& sent) {
-    return sent.order.expected_orders.value_or(count) < count;
+void InDoubtOrders::RemoveCounted(Host* host, std::uint64_t count,
+                                  TimePoint now) {
+  std::erase_if(host->orders, [&](InDoubtOrder& sent) {
+    if (sent.order.expected_orders.value_or(count) >= count) return false;
+    if (sent.order.kind != GroupOrder::Kind::kOpen) return true;
+    if (!sent.counted_at) sent.counted_at = now;
+    return false;
   });
 }
 
+TimePoint InDoubtOrders::DecidingReportAt(const InDoubtOrder& sent) {
+  return sent.counted_at ? *sent.counted_at + kMaxOpenDuration + kMaxReportDelay
+                         : sent.sent_at + kMaxOrderTransit + kMaxOrderDelay +
+                               kMaxReportDelay;
+}
+
 void InDoubtOrders::OnTermStarted(TimePoint now) {
   m_term_started_at = now;
   for (auto& [id, host] : m_hosts) {
@@ -42,14 +52,14 @@
 void InDoubtOrders::OnSent(const std::string& host, std::int64_t incarnation,
                            const GroupOrder& order, TimePoint now) {
   if (Host* state = FindHost(host, incarnation)) {
-    state->orders.push_back({order, now, false});
+    state->orders.push_back({order, now, false, {}});
   }
 }
 
 // Two copies of one order can be on their way. Which of them an answer belongs
 // to is unknown, so the later one is kept.
 void InDoubtOrders::OnAnswered(const std::string& host, const GroupOrder& order,
-                               OrderResult result) {
+                               OrderResult result, TimePoint now) {
   auto found = m_hosts.find(host);
   if (found == m_hosts.end()) return;
   Host& state = found->second;
@@ -65,19 +75,23 @@
   auto sent =
       std::find_if(state.orders.begin(), state.orders.end(), is_answered);
   if (sent == state.orders.end()) return;
-  TimePoint sent_at = sent->sent_at;
+  InDoubtOrder answered = *sent;
   state.orders.erase(sent);
   if (result != OrderResult::kAccepted) return;
   state.accepted_in_term = true;
-  if (order.expected_orders) {
-    RemoveCounted(&state, *order.expected_orders + 1);
-    return;
-  }
-  // The host has now accepted more orders than those that were sent before can
-  // expect.
-  std::erase_if(state.orders, [&](const InDoubtOrder& earlier) {
-    return earlier.order.expected_orders && earlier.sent_at <= sent_at;
+  // Every order that was sent before expects a lower count than the host has
+  // now. This one ends what an earlier one began, unless it stages weights.
+  bool stages = order.kind == GroupOrder::Kind::kStage;
+  std::erase_if(state.orders, [&](const InDoubtOrder& other) {
+    if (!other.order.expected_orders) return false;
+    if (!order.expected_orders) return other.sent_at <= answered.sent_at;
+    return *other.order.expected_orders == *order.expected_orders ||
+           (*other.order.expected_orders < *order.expected_orders && !stages);
   });
+  if (order.kind == GroupOrder::Kind::kOpen) {
+    answered.counted_at = now;
+    state.orders.push_back(answered);
+  }
 }
 
 void InDoubtOrders::OnReport(const std::string& host, std::int64_t incarnation,
@@ -90,10 +104,9 @@
     state->initial_count = std::max(state->initial_count.value_or(0), orders);
   }
   if (orders > *state->initial_count) state->accepted_in_term = true;
-  RemoveCounted(state, orders);
+  RemoveCounted(state, orders, now);
   std::erase_if(state->orders, [&](const InDoubtOrder& sent) {
-    return now - sent.sent_at >=
-           kMaxOrderTransit + kMaxOrderDelay + kMaxReportDelay;
+    return now >= DecidingReportAt(sent);
   });
 }
 
@@ -163,9 +176,7 @@
   return found != m_hosts.end() &&
          std::any_of(found->second.orders.begin(), found->second.orders.end(),
                      [&](const InDoubtOrder& sent) {
-                       return now - sent.sent_at >= kMaxOrderTransit +
-                                                        kMaxOrderDelay +
-                                                        kMaxReportDelay;
+                       return now >= DecidingReportAt(sent);
                      });
 }
 
--- a/core/in_doubt_orders.h
+++ b/core/in_doubt_orders.h
@@ -18,10 +18,12 @@
 namespace clementine {
 
 /// An order is in doubt from when it is sent until one of these is known:
-/// - The server answered it.
+/// - The server answered it. An accepted open order remains in doubt until the
+///   head has had the time to open.
 /// - The server has accepted more orders than it expects. A later answer to
 ///   another order proves nothing else: an order that finds the server already
-///   in the ordered state is not counted.
+///   in the ordered state is not counted. If only a report shows this, the
+///   order itself may be what was accepted.
 /// - Another incarnation of the server runs.
 /// - The server reported after the maximum delay, or the maximum delay and the
 ///   time for which an entry of the list may be outdated have passed.
@@ -43,6 +45,9 @@
   /// that event. Covers the age that a report may have when the server sends it
   /// and the duration of the query.
   static constexpr milliseconds kMaxReportDelay{1'500};
+  /// Maximum time from accepting an open order until the head is open. The head
+  /// has counted the order by then, and still reports that it is ready.
+  static constexpr milliseconds kMaxOpenDuration{1'000};
   /// Maximum time for which the list shows an outdated entry: the entry of a
   /// server that cannot renew it lapses within this time.
   static constexpr milliseconds kMaxEntryAge{5'000};
@@ -52,7 +57,7 @@
   void OnSent(const std::string& host, std::int64_t incarnation,
               const GroupOrder& order, TimePoint now);
   void OnAnswered(const std::string& host, const GroupOrder& order,
-                  OrderResult result);
+                  OrderResult result, TimePoint now);
   /// @param orders Number of orders that the incarnation has accepted.
   void OnReport(const std::string& host, std::int64_t incarnation,
                 std::uint64_t orders, TimePoint now);
@@ -77,6 +82,9 @@
     GroupOrder order;
     TimePoint sent_at;
     bool ended = false;  ///< The connection was closed without an answer.
+    /// When it was first known that an open order, or another that expected the
+    /// same count, had been accepted.
+    std::optional<TimePoint> counted_at;
   };
   struct Host {
     std::int64_t incarnation = 0;
@@ -91,8 +99,10 @@
   /// Returns the host's state; discards that of an earlier incarnation. Null if
   /// the incarnation is not the current one.
   Host* FindHost(const std::string& host, std::int64_t incarnation);
-  /// Removes the orders that expect a lower count.
-  static void RemoveCounted(Host* host, std::uint64_t count);
+  /// Returns the time from which a report that arrives ends the doubt.
+  static TimePoint DecidingReportAt(const InDoubtOrder& sent);
+  /// Removes the orders that expect a lower count; marks open orders instead.
+  static void RemoveCounted(Host* host, std::uint64_t count, TimePoint now);
 
   std::map<std::string, Host> m_hosts;  ///< By id.
   TimePoint m_term_started_at;
--- a/testing/in_doubt_orders_test.cc
+++ b/testing/in_doubt_orders_test.cc
@@ -34,8 +34,8 @@
   orders.OnTermStarted(kStart - std::chrono::minutes(1));
   orders.OnSent("head", kIncarnation, Open(2), kStart);
   orders.OnSent("member", kIncarnation, JoinOther(2), kStart);
-  orders.OnAnswered("head", Open(2), OrderResult::kUnknown);
-  orders.OnAnswered("member", JoinOther(2), OrderResult::kUnknown);
+  orders.OnAnswered("head", Open(2), OrderResult::kUnknown, kStart);
+  orders.OnAnswered("member", JoinOther(2), OrderResult::kUnknown, kStart);
   return orders;
 }
 
@@ -55,16 +55,18 @@
   GroupOrder repeat =
       MakeOrder(GroupOrder::Kind::kJoin, kGroup.first, std::uint64_t{2});
   orders.OnSent("member", kIncarnation, repeat, kStart + milliseconds(1'500));
-  orders.OnAnswered("member", repeat, OrderResult::kNoOp);
+  orders.OnAnswered("member", repeat, OrderResult::kNoOp, kStart);
   GroupOrder close = MakeOrder(GroupOrder::Kind::kClose, kGroup.first, {});
   orders.OnSent("head", kIncarnation, close, kStart + milliseconds(1'500));
-  orders.OnAnswered("head", close, OrderResult::kNoOp);
+  orders.OnAnswered("head", close, OrderResult::kNoOp, kStart);
   orders.OnReport("head", kIncarnation, 2, kStart + milliseconds(3'000));
   orders.Expire({}, kStart + milliseconds(12'000));
   CHECK(orders.MayOpen("head", kGroup));
   CHECK(orders.MayLeave("member", kGroup));
-  orders.OnReport("head", kIncarnation, 3, kStart + milliseconds(12'000));
-  orders.OnReport("member", kIncarnation, 3, kStart + milliseconds(12'000));
+  orders.OnReport("head", kIncarnation, 3, kStart + milliseconds(10'000));
+  orders.OnReport("member", kIncarnation, 3, kStart + milliseconds(10'000));
+  CHECK(orders.MayOpen("head", kGroup));
+  orders.OnReport("head", kIncarnation, 3, kStart + milliseconds(12'500));
   CHECK_FALSE(orders.MayOpen("head", kGroup));
   CHECK_FALSE(orders.MayLeave("member", kGroup));
 }
@@ -80,12 +82,37 @@
                   counted ? std::optional<std::uint64_t>(2) : std::nullopt);
     orders.OnSent("head", kIncarnation, close, kStart + milliseconds(1'500));
     CHECK(orders.MayOpen("head", kGroup));
-    orders.OnAnswered("head", close, OrderResult::kAccepted);
+    orders.OnAnswered("head", close, OrderResult::kAccepted, kStart);
     CHECK_FALSE(orders.MayOpen("head", kGroup));
     CHECK(orders.MayLeave("member", kGroup));
   }
 }
 
+// Guards against releasing a head that reports its open order as accepted, and
+// reports that it is ready until it has opened.
+TEST_CASE(
+    "an accepted open stays in doubt until the head has had time to open") {
+  constexpr milliseconds kDecidingDelay =
+      InDoubtOrders::kMaxOpenDuration + InDoubtOrders::kMaxReportDelay;
+  for (bool answered : {true, false}) {
+    CAPTURE(answered);
+    InDoubtOrders orders;
+    orders.OnSent("head", kIncarnation, Open(2), kStart);
+    if (answered) {
+      orders.OnAnswered("head", Open(2), OrderResult::kAccepted, kStart);
+    } else {
+      orders.OnReport("head", kIncarnation, 3, kStart);
+    }
+    orders.OnReport("head", kIncarnation, 3,
+                    kStart + kDecidingDelay - milliseconds(1));
+    CHECK(orders.MayOpen("head", kGroup));
+    CHECK_FALSE(orders.NeedsReport("head", kStart));
+    CHECK(orders.NeedsReport("head", kStart + kDecidingDelay));
+    orders.OnReport("head", kIncarnation, 3, kStart + kDecidingDelay);
+    CHECK_FALSE(orders.MayOpen("head", kGroup));
+  }
+}
+
 // Guards against counting a refused copy of an order as the end of an earlier
 // copy without an answer.
 TEST_CASE("the answer to one copy leaves an earlier copy in doubt") {
@@ -93,7 +120,7 @@
                              OrderResult::kUnreachable, OrderResult::kNoOp}) {
     InDoubtOrders orders = UnansweredOrders();
     orders.OnSent("head", kIncarnation, Open(2), kStart + milliseconds(1'500));
-    orders.OnAnswered("head", Open(2), result);
+    orders.OnAnswered("head", Open(2), result, kStart);
     CHECK(orders.MayOpen("head", kGroup));
   }
 }
@@ -153,7 +180,7 @@
       orders.MayObeyEarlierPlanner("other", kStart + milliseconds(2'000)));
   // An accepted order of this term.
   orders.OnSent("member", kIncarnation, JoinOther(3), kStart);
-  orders.OnAnswered("member", JoinOther(3), OrderResult::kAccepted);
+  orders.OnAnswered("member", JoinOther(3), OrderResult::kAccepted, kStart);
   CHECK_FALSE(
       orders.MayObeyEarlierPlanner("member", kStart + milliseconds(100)));
 }
