Open no group whose members may still join another

Cause: a join without an answer was forgotten when a newer join of the group that the host was already in was answered "holds". That order isn't counted, so the earlier one, with the same expected count, was carried out up to 12 s later. It was also forgotten when the entry lapsed. Change: a ready group whose member may still join another isn't opened. Its members are released and form a group of a higher epoch at once. The same for a head that an uncounted close may still reach. The planner's own memory of one pending join a host is gone; InDoubtOrders has all of them. Why it works: a host that has joined a group rejects joins of lower epochs (412), whatever it has counted. Rejoining takes 0.2 s, so callers don't wait for the 12 s in which the late order may come. Two cases for InDoubtOrders.

--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -115,7 +115,6 @@
     // not change that. IsFenced waits for kMaxRejoinTime.
     HostRecord& record = m_hosts[host];
     record.fenced_at = now;
-    record.pending_join_expires_at = TimePoint();
     // The host is in the group, even if the list does not show it yet.
     if (order.kind == GroupOrder::Kind::kJoin &&
         order.epoch > record.member.epoch) {
@@ -152,11 +151,6 @@
     }
     if (!HasTimedOut(entry.first, sent, now)) return false;
     AbandonOrder(entry.first, sent, now);
-    if (!sent.accepted && sent.order.kind == GroupOrder::Kind::kJoin) {
-      HostRecord& record = m_hosts[entry.first];
-      record.pending_join_count = sent.order.expected_orders.value_or(0);
-      record.pending_join_expires_at = sent.sent_at + kMaxOrderEffectDelay;
-    }
     return true;
   });
   std::erase_if(m_loads, [&](const auto& entry) {
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -237,13 +237,17 @@
             pass);
 }
 
-// Whether an unanswered join of this planner to another group may still be
-// carried out.
-bool GroupPlanner::MayStillJoinAnother(const BackendServer& member,
-                                       TimePoint now) const {
-  const HostRecord* record = FindHostRecord(member);
-  return record != nullptr && now < record->pending_join_expires_at &&
-         record->pending_join_count == record->order_count;
+// Whether an unanswered order of this planner may still take a member out of
+// the group, or close it, after it was opened. Repeating the members' joins
+// would not prevent this: a host that is in the group does not count them. A
+// join of the head is excluded by the open order, which the head counts.
+bool GroupPlanner::MayBreakUp(const ReportedGroup& group) const {
+  GroupKey key{group.name, group.epoch};
+  return m_in_doubt.MayClose(group.members.front()->id, key) ||
+         std::any_of(group.members.begin() + 1, group.members.end(),
+                     [&](const BackendServer* member) {
+                       return m_in_doubt.MayJoinAnother(member->id, key);
+                     });
 }
 
 bool GroupPlanner::IsForming(const GroupKey& group, const Pass& pass) const {
@@ -260,15 +264,13 @@
                      });
 }
 
-// Whether no outstanding join, of this planner or an earlier one, can take a
-// member out of the group after the group was opened. Members that have
-// accepted an order of this planner reject those of an earlier planner.
+// Whether no outstanding order can take a member out of the group after the
+// group was opened. Members that have accepted an order of this planner reject
+// those of an earlier planner.
 bool GroupPlanner::IsFenced(const ReportedGroup& group, TimePoint now) const {
   bool has_outstanding_order = std::any_of(
       group.members.begin(), group.members.end(),
-      [&](const BackendServer* member) {
-        return HasPendingOrder(member->id) || MayStillJoinAnother(*member, now);
-      });
+      [&](const BackendServer* member) { return HasPendingOrder(member->id); });
   if (has_outstanding_order) return false;
   if (m_forming.count({group.name, group.epoch}) > 0) return true;
   // The head is fenced by the open order itself, which increases its order
@@ -288,10 +290,8 @@
   // The list may not yet show that the previous planner opened the group.
   if (pass->now - m_term_started_at < kMaxOpenListDelay) return;
   const BackendServer& member = *group.members[rank];
-  bool fenced = m_hosts[member.id].fenced_at.has_value() &&
-                !MayStillJoinAnother(member, pass->now);
-  if (fenced || HasPendingOrder(member.id) || !IsOrderCountKnown(member) ||
-      m_hosts[member.id].not_before > pass->now) {
+  if (m_hosts[member.id].fenced_at || HasPendingOrder(member.id) ||
+      !IsOrderCountKnown(member) || m_hosts[member.id].not_before > pass->now) {
     return;
   }
   SendOrder(member,
@@ -387,18 +387,18 @@
            (!formed_here && !reported && age > kMaxJoinSpread);
   }
   milliseconds timeout = JoinTimeout(model);
-  if (lost || (!ready && age > timeout)) {
+  // The members then form a group of a higher epoch, which no earlier order
+  // affects.
+  bool unsafe = ready && MayBreakUp(group);
+  if (lost || unsafe || (!ready && age > timeout)) {
     ReleaseGroup(group, pass);
     return;
   }
   ReserveMembers(group, pass);
   CountActiveGroup(group, pass);
   if (ready && !IsFenced(group, pass->now)) {
-    for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
-      bool head = rank == 0;
-      if (!head || MayStillJoinAnother(*group.members[0], pass->now)) {
-        RepeatJoin(group, rank, pass);
-      }
+    for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+      RepeatJoin(group, rank, pass);
     }
     return;
   }
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -210,10 +210,6 @@
     /// earlier planner from then on. A no-op does not increase the count; an
     /// earlier order may still arrive, and IsFenced only waits kMaxRejoinTime.
     std::optional<TimePoint> fenced_at;
-    /// Order count that the last unanswered join expects.
-    std::uint64_t pending_join_count = 0;
-    /// Time until which that join may still be carried out.
-    TimePoint pending_join_expires_at;
     /// Epoch of the group for which this head was last sent a close order that
     /// evicts the requests.
     std::uint64_t evicted_epoch = 0;
@@ -372,7 +368,7 @@
   const HostRecord* FindHostRecord(const BackendServer& host) const;
   static GroupOrder JoinOrder(const GroupKey& group, const std::string& model,
                               const Hosts& members);
-  bool MayStillJoinAnother(const BackendServer& member, TimePoint now) const;
+  bool MayBreakUp(const ReportedGroup& group) const;
   bool MayStillBeOpened(const ReportedGroup& group, const Pass& pass) const;
   void ReleaseGroup(const ReportedGroup& group, Pass* pass);
   bool HeadMayReturn(const ReportedGroup& group, const Pass& pass) const;
--- a/core/in_doubt_orders.cc
+++ b/core/in_doubt_orders.cc
@@ -129,38 +129,40 @@
   }
 }
 
-bool InDoubtOrders::MayOpen(const std::string& head,
-                            const GroupKey& group) const {
-  auto found = m_hosts.find(head);
+bool InDoubtOrders::HasOrder(
+    const std::string& host,
+    const std::function<bool(const InDoubtOrder&)>& predicate) const {
+  auto found = m_hosts.find(host);
   return found != m_hosts.end() &&
          std::any_of(found->second.orders.begin(), found->second.orders.end(),
-                     [&](const InDoubtOrder& sent) {
-                       return sent.order.kind == GroupOrder::Kind::kOpen &&
-                              sent.order.group == group.first &&
-                              sent.order.epoch == group.second;
-                     });
+                     predicate);
+}
+
+bool InDoubtOrders::MayOpen(const std::string& head,
+                            const GroupKey& group) const {
+  return HasOrder(head, [&](const InDoubtOrder& sent) {
+    return sent.order.kind == GroupOrder::Kind::kOpen &&
+           GroupKey(sent.order.group, sent.order.epoch) == group;
+  });
 }
 
-bool InDoubtOrders::MayLeave(const std::string& member,
+bool InDoubtOrders::MayJoinAnother(const std::string& member,
+                                   const GroupKey& group) const {
+  return HasOrder(member, [&](const InDoubtOrder& sent) {
+    return sent.order.kind == GroupOrder::Kind::kJoin &&
+           sent.order.epoch >= group.second &&
+           GroupKey(sent.order.group, sent.order.epoch) != group;
+  });
+}
+
+bool InDoubtOrders::MayClose(const std::string& head,
                              const GroupKey& group) const {
-  auto found = m_hosts.find(member);
-  return found != m_hosts.end() &&
-         std::any_of(found->second.orders.begin(), found->second.orders.end(),
-                     [&](const InDoubtOrder& sent) {
-                       bool same = sent.order.group == group.first &&
-                                   sent.order.epoch == group.second;
-                       switch (sent.order.kind) {
-                         case GroupOrder::Kind::kJoin:
-                           return !same;
-                         case GroupOrder::Kind::kClose:
-                         case GroupOrder::Kind::kLeave:
-                           return same;
-                         case GroupOrder::Kind::kOpen:
-                         case GroupOrder::Kind::kStage:
-                           return false;
-                       }
-                       return false;
-                     });
+  return HasOrder(head, [&](const InDoubtOrder& sent) {
+    bool closes = sent.order.kind == GroupOrder::Kind::kClose ||
+                  sent.order.kind == GroupOrder::Kind::kLeave;
+    return closes && !sent.order.expected_orders &&
+           GroupKey(sent.order.group, sent.order.epoch) == group;
+  });
 }
 
 bool InDoubtOrders::MayObeyEarlierPlanner(const std::string& host,
@@ -172,12 +174,9 @@
 }
 
 bool InDoubtOrders::NeedsReport(const std::string& host, TimePoint now) const {
-  auto found = m_hosts.find(host);
-  return found != m_hosts.end() &&
-         std::any_of(found->second.orders.begin(), found->second.orders.end(),
-                     [&](const InDoubtOrder& sent) {
-                       return now >= DecidingReportAt(sent);
-                     });
+  return HasOrder(host, [&](const InDoubtOrder& sent) {
+    return now >= DecidingReportAt(sent);
+  });
 }
 
 }  // namespace clementine
--- a/core/in_doubt_orders.h
+++ b/core/in_doubt_orders.h
@@ -7,6 +7,7 @@
 #define CORE_IN_DOUBT_ORDERS_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -69,9 +70,12 @@
   /// Whether an order of this process to open the group may still be carried
   /// out by its head.
   bool MayOpen(const std::string& head, const GroupKey& group) const;
-  /// Whether an order of this process may still make a member leave the group,
-  /// or close the group if the member is its head.
-  bool MayLeave(const std::string& member, const GroupKey& group) const;
+  /// Whether an order of this process may still make a member of the group join
+  /// another group. Hosts reject joins of lower epochs than they have seen.
+  bool MayJoinAnother(const std::string& member, const GroupKey& group) const;
+  /// Whether an uncounted order of this process may still close the group. An
+  /// order that expects a count is rejected once the head has been opened.
+  bool MayClose(const std::string& head, const GroupKey& group) const;
   /// Whether an earlier planner's order may still be carried out by the host.
   bool MayObeyEarlierPlanner(const std::string& host, TimePoint now) const;
   /// Whether the host's report is needed to end the doubt about an order.
@@ -104,6 +108,11 @@
   /// Removes the orders that expect a lower count; marks open orders instead.
   static void RemoveCounted(Host* host, std::uint64_t count, TimePoint now);
 
+  /// Whether an order in doubt at the host satisfies the predicate.
+  bool HasOrder(
+      const std::string& host,
+      const std::function<bool(const InDoubtOrder&)>& predicate) const;
+
   std::map<std::string, Host> m_hosts;  ///< By id.
   TimePoint m_term_started_at;
 };
--- a/testing/in_doubt_orders_test.cc
+++ b/testing/in_doubt_orders_test.cc
@@ -24,7 +24,9 @@
 }
 
 GroupOrder JoinOther(std::uint64_t expected) {
-  return MakeOrder(GroupOrder::Kind::kJoin, "large.2", expected);
+  GroupOrder join = MakeOrder(GroupOrder::Kind::kJoin, "large.2", expected);
+  join.epoch = 2;
+  return join;
 }
 
 /// Returns a term in which an open order to "head" and a join order to "member"
@@ -62,13 +64,13 @@
   orders.OnReport("head", kIncarnation, 2, kStart + milliseconds(3'000));
   orders.Expire({}, kStart + milliseconds(12'000));
   CHECK(orders.MayOpen("head", kGroup));
-  CHECK(orders.MayLeave("member", kGroup));
+  CHECK(orders.MayJoinAnother("member", kGroup));
   orders.OnReport("head", kIncarnation, 3, kStart + milliseconds(10'000));
   orders.OnReport("member", kIncarnation, 3, kStart + milliseconds(10'000));
   CHECK(orders.MayOpen("head", kGroup));
   orders.OnReport("head", kIncarnation, 3, kStart + milliseconds(12'500));
   CHECK_FALSE(orders.MayOpen("head", kGroup));
-  CHECK_FALSE(orders.MayLeave("member", kGroup));
+  CHECK_FALSE(orders.MayJoinAnother("member", kGroup));
 }
 
 // Guards against hosts that are withheld although their order cannot be carried
@@ -84,7 +86,7 @@
     CHECK(orders.MayOpen("head", kGroup));
     orders.OnAnswered("head", close, OrderResult::kAccepted, kStart);
     CHECK_FALSE(orders.MayOpen("head", kGroup));
-    CHECK(orders.MayLeave("member", kGroup));
+    CHECK(orders.MayJoinAnother("member", kGroup));
   }
 }
 
@@ -140,10 +142,10 @@
   orders.OnReport("head", kIncarnation, 2, after);
   CHECK_FALSE(orders.MayOpen("head", kGroup));
   orders.Expire({}, kStart + kLast + InDoubtOrders::kMaxEntryAge);
-  CHECK(orders.MayLeave("member", kGroup));
+  CHECK(orders.MayJoinAnother("member", kGroup));
   orders.Expire({},
                 kStart + kLast + InDoubtOrders::kMaxEntryAge + milliseconds(1));
-  CHECK_FALSE(orders.MayLeave("member", kGroup));
+  CHECK_FALSE(orders.MayJoinAnother("member", kGroup));
 }
 
 // Guards against a host that is withheld for the orders to a process that has
@@ -156,7 +158,33 @@
   CHECK_FALSE(orders.MayOpen("head", kGroup));
   orders.OnSent("member", kIncarnation + 1, JoinOther(0), kStart);
   orders.OnReport("member", kIncarnation, 9, kStart);
-  CHECK(orders.MayLeave("member", kGroup));
+  CHECK(orders.MayJoinAnother("member", kGroup));
+}
+
+// Guards against breaking up a group whose members reject the late order.
+TEST_CASE("late joins of lower epochs take no member out of a group") {
+  InDoubtOrders orders = UnansweredOrders();
+  CHECK(orders.MayJoinAnother("member", kGroup));
+  CHECK_FALSE(orders.MayJoinAnother("member", {"large.2", 2}));
+  CHECK_FALSE(orders.MayJoinAnother("member", {"large.3", 3}));
+}
+
+// Guards against closes that reach a head after it was opened again.
+TEST_CASE("only uncounted orders may close a group after it was opened") {
+  for (bool counted : {true, false}) {
+    for (GroupOrder::Kind kind :
+         {GroupOrder::Kind::kClose, GroupOrder::Kind::kLeave}) {
+      CAPTURE(counted);
+      GroupOrder order =
+          MakeOrder(kind, kGroup.first,
+                    counted ? std::optional<std::uint64_t>(2) : std::nullopt);
+      InDoubtOrders orders;
+      orders.OnSent("head", kIncarnation, order, kStart);
+      orders.OnAnswered("head", order, OrderResult::kUnknown, kStart);
+      CHECK(orders.MayClose("head", kGroup) != counted);
+      CHECK_FALSE(orders.MayClose("head", {"large.1", 2}));
+    }
+  }
 }
 
 // Guards against trusting a host that may still carry out an order of an
