Consider the orders of earlier planners until they cannot arrive

Cause: a group of an earlier planner counted as safe 0.6 s after its members had answered a repeated join. They answer "holds", which isn't counted, so the earlier planner's late orders were still valid for up to 12 s. Its open order was considered only for a listed, ready head, and a close that changed nothing ended it. Change: a ready group that this planner didn't form isn't opened in the first 14.1 s of a term unless its hosts have accepted an order of the term: the head is ordered to leave, which is counted, and the members form a group of a higher epoch. Unlisted and unanswering heads are treated alike. Repeated joins and the time of the last answer per host are gone. Why it works: a counted order voids all that expect a lower count, and a group of this term has a higher epoch than any order of an earlier one.

--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -111,7 +111,8 @@
     bool stayed_unresponsive =
         orphan.unanswered_attempts >= kMinUnansweredCloses &&
         pass->now - orphan.missing_since >= kMaxLeaveTime &&
-        !m_in_doubt.MayOpen(orphan.head.id, key);
+        !m_in_doubt.MayOpen(orphan.head.id, key) &&
+        !m_in_doubt.MayObeyEarlierPlanner(orphan.head.id, pass->now);
     if (known_unresponsive || stayed_unresponsive) {
       orphan.release_at = pass->now;
       continue;
@@ -145,7 +146,9 @@
   // The head does not serve the group now. A head that was not open has not
   // counted the close order, so an earlier open order can still take effect.
   orphan.unanswered_attempts = 0;
-  orphan.may_be_opened = !leave && m_in_doubt.MayOpen(host, found->first);
+  orphan.may_be_opened =
+      !leave && (m_in_doubt.MayOpen(host, found->first) ||
+                 m_in_doubt.MayObeyEarlierPlanner(host, now));
   if (!orphan.may_be_opened) {
     orphan.release_at = std::min(orphan.release_at, now + kEvictDuration);
   }
--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -110,11 +110,9 @@
     m_hosts[host].order_count = 0;
     m_hosts[host].not_before = now + kRejectionBackoff;
   } else if (result == OrderResult::kNoOp) {
-    // The host did not count this order, so an earlier planner's order with the
-    // same expected count may still be carried out. Repeating the order would
-    // not change that. IsFenced waits for kMaxRejoinTime.
+    // The host did not count this order, so an earlier one with the same
+    // expected count may still be carried out, see InDoubtOrders.
     HostRecord& record = m_hosts[host];
-    record.fenced_at = now;
     // The host is in the group, even if the list does not show it yet.
     if (order.kind == GroupOrder::Kind::kJoin &&
         order.epoch > record.member.epoch) {
@@ -127,7 +125,6 @@
   } else if (result == OrderResult::kAccepted) {
     found->second.accepted = true;
     found->second.accepted_at = now;
-    m_hosts[host].fenced_at = now;
     RecordAcceptedOrders(host, found->second.incarnation,
                          order.expected_orders.value_or(0) + 1, now);
     if (order.kind == GroupOrder::Kind::kStage) m_sent_orders.erase(found);
@@ -250,8 +247,7 @@
       member.group == sent.order.group && member.epoch == sent.order.epoch;
   switch (sent.order.kind) {
     case GroupOrder::Kind::kJoin:
-      return same && member.state != GroupMemberState::kNone &&
-             (sent.accepted || !sent.is_repeat);
+      return same && member.state != GroupMemberState::kNone;
     case GroupOrder::Kind::kOpen:
       return same && member.state != GroupMemberState::kReady;
     case GroupOrder::Kind::kClose:
@@ -308,13 +304,16 @@
 }
 
 void GroupPlanner::SendOrder(const BackendServer& host, GroupOrder order,
-                             Pass* pass, bool is_repeat) {
+                             Pass* pass) {
   HostRecord& record = m_hosts[host.id];
   order.expected_orders = record.order_count;
   if (order.kind == GroupOrder::Kind::kJoin) record.last_model = order.model;
+  if (order.kind == GroupOrder::Kind::kLeave) {
+    record.last_model = GroupModel(order.group);
+  }
   m_in_doubt.OnSent(host.id, host.incarnation, order, pass->now);
-  m_sent_orders[host.id] = {order, host.incarnation, pass->now,
-                            false, TimePoint(),      is_repeat};
+  m_sent_orders[host.id] = {order, host.incarnation, pass->now, false,
+                            TimePoint()};
   pass->orders.push_back({host.id, host.address, std::move(order)});
 }
 
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -29,8 +29,6 @@
 
 /// Maximum time until the list shows that another planner opened a group.
 constexpr milliseconds kMaxOpenListDelay{1'000};
-/// Maximum time from a repeated join until the member is listed as ready.
-constexpr milliseconds kMaxRejoinTime{600};
 /// Maximum interval between the joins of one group's members.
 constexpr milliseconds kMaxJoinSpread{2'500};
 
@@ -92,7 +90,10 @@
 std::vector<GroupPlanner::Order> GroupPlanner::Plan(
     const FleetConfiguration& configuration, const Servers& servers,
     const std::set<std::string>& failed, TimePoint now) {
-  if (m_term_started_at == TimePoint()) m_term_started_at = now;
+  if (m_term_started_at == TimePoint()) {
+    m_term_started_at = now;
+    m_in_doubt.OnTermStarted(now);
+  }
   ResolveOrders(servers, now);
   RecordServingHeads(configuration, servers, now);
   std::erase_if(m_unresponsive_heads, [&](const auto& entry) {
@@ -156,7 +157,6 @@
   m_retired_groups.clear();
   for (auto& [host, record] : m_hosts) {
     record.order_count_known = false;
-    record.fenced_at.reset();
   }
   m_loads.clear();
   m_forming.clear();
@@ -237,16 +237,20 @@
             pass);
 }
 
-// Whether an unanswered order of this planner may still take a member out of
-// the group, or close it, after it was opened. Repeating the members' joins
-// would not prevent this: a host that is in the group does not count them. A
-// join of the head is excluded by the open order, which the head counts.
-bool GroupPlanner::MayBreakUp(const ReportedGroup& group) const {
+// Whether an unanswered order, of this planner or an earlier one, may still
+// take a member out of the group, or close it, after it was opened. Repeating
+// the members' joins would not prevent this: a host that is in the group does
+// not count them. This planner's own joins of the head are excluded by the open
+// order, which the head counts.
+bool GroupPlanner::MayBreakUp(const ReportedGroup& group,
+                              const Pass& pass) const {
   GroupKey key{group.name, group.epoch};
   return m_in_doubt.MayClose(group.members.front()->id, key) ||
-         std::any_of(group.members.begin() + 1, group.members.end(),
+         std::any_of(group.members.begin(), group.members.end(),
                      [&](const BackendServer* member) {
-                       return m_in_doubt.MayJoinAnother(member->id, key);
+                       return MayObeyEarlierPlanner(group, *member, pass) ||
+                              (member != group.members.front() &&
+                               m_in_doubt.MayJoinAnother(member->id, key));
                      });
 }
 
@@ -264,93 +268,46 @@
                      });
 }
 
-// Whether no outstanding order can take a member out of the group after the
-// group was opened. Members that have accepted an order of this planner reject
-// those of an earlier planner.
-bool GroupPlanner::IsFenced(const ReportedGroup& group, TimePoint now) const {
-  bool has_outstanding_order = std::any_of(
-      group.members.begin(), group.members.end(),
-      [&](const BackendServer* member) { return HasPendingOrder(member->id); });
-  if (has_outstanding_order) return false;
-  if (m_forming.count({group.name, group.epoch}) > 0) return true;
-  // The head is fenced by the open order itself, which increases its order
-  // count.
-  return std::all_of(group.members.begin() + 1, group.members.end(),
-                     [&](const BackendServer* member) {
-                       const HostRecord* record = FindHostRecord(*member);
-                       return record != nullptr && record->fenced_at &&
-                              now - *record->fenced_at >= kMaxRejoinTime;
-                     });
+bool GroupPlanner::MayObeyEarlierPlanner(const ReportedGroup& group,
+                                         const BackendServer& member,
+                                         const Pass& pass) const {
+  return m_forming.count({group.name, group.epoch}) == 0 &&
+         m_in_doubt.MayObeyEarlierPlanner(member.id, pass.now);
 }
 
-// Repeats a member's join to fence it. The repeat only costs the time of a
-// rejoin.
-void GroupPlanner::RepeatJoin(const ReportedGroup& group, std::size_t rank,
-                              Pass* pass) {
-  // The list may not yet show that the previous planner opened the group.
-  if (pass->now - m_term_started_at < kMaxOpenListDelay) return;
-  const BackendServer& member = *group.members[rank];
-  if (m_hosts[member.id].fenced_at || HasPendingOrder(member.id) ||
-      !IsOrderCountKnown(member) || m_hosts[member.id].not_before > pass->now) {
-    return;
-  }
-  SendOrder(member,
-            JoinOrder({group.name, group.epoch}, group.model, group.members),
-            pass,
-            /*is_repeat=*/true);
-}
-
-bool GroupPlanner::IsOpenInDoubt(const ReportedGroup& group) const {
-  return m_in_doubt.MayOpen(group.members.front()->id,
-                            {group.name, group.epoch});
-}
-
-// Whether an earlier planner's order to open the group may still be carried
-// out. Once the head has accepted an order of this planner, it cannot be.
-bool GroupPlanner::MayStillBeOpened(const ReportedGroup& group,
-                                    const Pass& pass) const {
+bool GroupPlanner::IsOpenInDoubt(const ReportedGroup& group,
+                                 const Pass& pass) const {
   const BackendServer& head = *group.members.front();
-  if (m_forming.count({group.name, group.epoch}) > 0 ||
-      head.member.state != GroupMemberState::kReady) {
-    return false;
-  }
-  const HostRecord* record = FindHostRecord(head);
-  bool fenced = record != nullptr && record->fenced_at;
-  return !fenced && pass.now - m_term_started_at <= kMaxOrderEffectDelay;
+  return m_in_doubt.MayOpen(head.id, {group.name, group.epoch}) ||
+         (head.member.state != GroupMemberState::kBroken &&
+          MayObeyEarlierPlanner(group, head, pass));
 }
 
 void GroupPlanner::DissolveGroup(const ReportedGroup& group, Pass* pass) {
   const BackendServer& head = *group.members.front();
   if (HasPendingOrder(head.id) || !IsOrderCountKnown(head) ||
-      m_hosts[head.id].not_before > pass->now ||
+      pass->now < m_hosts[head.id].not_before ||
       pass->failed->count(head.id) > 0) {
     return;
   }
+  // The list may not show yet that the head serves.
+  const GroupMembership& reported = m_hosts[head.id].member;
+  bool reported_serving = reported.group == group.name &&
+                          reported.epoch == group.epoch &&
+                          IsServing(reported.state);
+  if (reported_serving || pass->now - m_term_started_at < kMaxOpenListDelay) {
+    return;
+  }
   SendOrder(head, LeaveOrder({group.name, group.epoch}), pass);
 }
 
 // Releases the members, unless an order may still open the group; they then
-// stay reserved until its head has left the group. An earlier planner's order
-// is excluded by repeating the head's join. If not all members are listed or
-// the head does not answer, the head alone is left free instead: the next join
-// that it accepts increases its order count, and it then rejects the earlier
-// order.
-void GroupPlanner::ReleaseGroup(const ReportedGroup& group, Pass* pass) {
-  if (IsOpenInDoubt(group)) {
-    ReserveMembers(group, pass);
-    DissolveGroup(group, pass);
-    return;
-  }
-  if (!MayStillBeOpened(group, *pass)) return;
+// stay reserved until its head has left the group.
+bool GroupPlanner::ReleaseGroup(const ReportedGroup& group, Pass* pass) {
+  if (!IsOpenInDoubt(group, *pass)) return true;
   ReserveMembers(group, pass);
-  const std::string& head = group.members.front()->id;
-  bool listed =
-      std::count(group.members.begin(), group.members.end(), nullptr) == 0;
-  if (listed && pass->failed->count(head) == 0) {
-    RepeatJoin(group, 0, pass);
-  } else {
-    pass->reserved_hosts.erase(head);
-  }
+  DissolveGroup(group, pass);
+  return false;
 }
 
 // Handles a group whose head is not serving: opens it, waits for it, or
@@ -387,22 +344,24 @@
            (!formed_here && !reported && age > kMaxJoinSpread);
   }
   milliseconds timeout = JoinTimeout(model);
-  // The members then form a group of a higher epoch, which no earlier order
-  // affects.
-  bool unsafe = ready && MayBreakUp(group);
-  if (lost || unsafe || (!ready && age > timeout)) {
+  if (lost || (!ready && age > timeout)) {
     ReleaseGroup(group, pass);
     return;
   }
-  ReserveMembers(group, pass);
-  CountActiveGroup(group, pass);
-  if (ready && !IsFenced(group, pass->now)) {
-    for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
-      RepeatJoin(group, rank, pass);
-    }
+  if (ready && MayBreakUp(group, *pass)) {
+    // The members form a group of a higher epoch, which no earlier order
+    // affects, when they are released.
+    if (!ReleaseGroup(group, pass)) CountActiveGroup(group, pass);
     return;
   }
-  if (ready && !HasPendingOrder(group.members.front()->id) &&
+  ReserveMembers(group, pass);
+  CountActiveGroup(group, pass);
+  bool has_pending_order =
+      std::any_of(group.members.begin(), group.members.end(),
+                  [&](const BackendServer* member) {
+                    return member != nullptr && HasPendingOrder(member->id);
+                  });
+  if (ready && !has_pending_order &&
       IsOrderCountKnown(*group.members.front())) {
     GroupOrder open;
     open.kind = GroupOrder::Kind::kOpen;
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -164,8 +164,6 @@
  private:
   using GroupKey = std::pair<std::string, std::uint64_t>;
   static constexpr milliseconds kMaxOrderDelay = InDoubtOrders::kMaxOrderDelay;
-  /// kMaxOrderDelay plus the time until the list shows the order's effect.
-  static constexpr milliseconds kMaxOrderEffectDelay{13'000};
   /// Maximum interval between consecutive registrations of one domain's hosts
   /// at the first start. All are taken to have registered when their number has
   /// not increased for this time.
@@ -194,8 +192,7 @@
     std::int64_t incarnation = 0;
     TimePoint sent_at;
     bool accepted = false;
-    TimePoint accepted_at;   ///< Arrival of the answer or report that shows it.
-    bool is_repeat = false;  ///< Joins the group that the host is already in.
+    TimePoint accepted_at;  ///< Arrival of the answer or report that shows it.
   };
   /// Orders that one incarnation of a host has accepted, and its last report.
   struct HostRecord {
@@ -204,18 +201,12 @@
     bool busy = false;  ///< With an order of an earlier planner.
     std::uint64_t order_count = 0;
     TimePoint not_before;  ///< Backoff after a rejected order.
-    /// When the host last accepted an order of this planner or answered that it
-    /// already was in the ordered state (kNoOp). An accepted order increased
-    /// the host's order count, so the host rejects any outstanding order of an
-    /// earlier planner from then on. A no-op does not increase the count; an
-    /// earlier order may still arrive, and IsFenced only waits kMaxRejoinTime.
-    std::optional<TimePoint> fenced_at;
     /// Epoch of the group for which this head was last sent a close order that
     /// evicts the requests.
     std::uint64_t evicted_epoch = 0;
     TimePoint reported_at;   ///< Arrival of the last report.
     GroupMembership member;  ///< As in that report, or of a later no-op join.
-    std::string last_model;  ///< Of the last join order that was sent to it.
+    std::string last_model;  ///< Of the group that it last joined or left.
   };
   /// A load from the weight store that a host was ordered to do.
   struct PendingLoad {
@@ -326,8 +317,14 @@
 
   static bool IsServing(GroupMemberState state);
   bool MayBeServing(const BackendServer& head) const;
+  /// Whether a member may still carry out an earlier planner's order that
+  /// affects the group. Earlier planners do not know the groups that this one
+  /// formed.
+  bool MayObeyEarlierPlanner(const ReportedGroup& group,
+                             const BackendServer& member,
+                             const Pass& pass) const;
   /// Whether an order to open the group may still be carried out.
-  bool IsOpenInDoubt(const ReportedGroup& group) const;
+  bool IsOpenInDoubt(const ReportedGroup& group, const Pass& pass) const;
   void RecordHeadless(const ReportedGroup& group, const Pass& pass);
   /// Maximum time from the join orders until all members are ready.
   static milliseconds JoinTimeout(const EngineModel& model);
@@ -362,15 +359,13 @@
   void EvaluateGroup(const ReportedGroup& group, Pass* pass);
   void EvaluateFormingGroup(const ReportedGroup& group,
                             const EngineModel& model, Pass* pass);
-  bool IsFenced(const ReportedGroup& group, TimePoint now) const;
-  void RepeatJoin(const ReportedGroup& group, std::size_t rank, Pass* pass);
   /// Returns the record of the host's current incarnation; null if none exists.
   const HostRecord* FindHostRecord(const BackendServer& host) const;
   static GroupOrder JoinOrder(const GroupKey& group, const std::string& model,
                               const Hosts& members);
-  bool MayBreakUp(const ReportedGroup& group) const;
-  bool MayStillBeOpened(const ReportedGroup& group, const Pass& pass) const;
-  void ReleaseGroup(const ReportedGroup& group, Pass* pass);
+  bool MayBreakUp(const ReportedGroup& group, const Pass& pass) const;
+  /// @return Whether the members may join other groups now.
+  bool ReleaseGroup(const ReportedGroup& group, Pass* pass);
   bool HeadMayReturn(const ReportedGroup& group, const Pass& pass) const;
   /// Counts the failure of the last close order if members reported before the
   /// attempt and again after it. Returns whether enough such failures prove
@@ -416,8 +411,7 @@
                   Pass* pass);
   /// Returns the model whose weights a host has or is loading; empty if none.
   const std::string& ModelOnHost(const BackendServer& host) const;
-  void SendOrder(const BackendServer& host, GroupOrder order, Pass* pass,
-                 bool is_repeat = false);
+  void SendOrder(const BackendServer& host, GroupOrder order, Pass* pass);
   void StartLoad(const BackendServer& host, const EngineModel& model,
                  TimePoint now);
 
--- a/core/in_doubt_orders.cc
+++ b/core/in_doubt_orders.cc
@@ -45,7 +45,8 @@
   m_term_started_at = now;
   for (auto& [id, host] : m_hosts) {
     host.initial_count.reset();
-    host.accepted_in_term = false;
+    host.accepted_at.reset();
+    host.fenced = false;
   }
 }
 
@@ -78,7 +79,7 @@
   InDoubtOrder answered = *sent;
   state.orders.erase(sent);
   if (result != OrderResult::kAccepted) return;
-  state.accepted_in_term = true;
+  state.fenced = true;
   // Every order that was sent before expects a lower count than the host has
   // now. This one ends what an earlier one began, unless it stages weights.
   bool stages = order.kind == GroupOrder::Kind::kStage;
@@ -103,7 +104,12 @@
   if (!state->initial_count || may_be_older) {
     state->initial_count = std::max(state->initial_count.value_or(0), orders);
   }
-  if (orders > *state->initial_count) state->accepted_in_term = true;
+  if (orders > *state->initial_count) {
+    if (!state->accepted_at) state->accepted_at = now;
+    state->fenced =
+        state->fenced ||
+        now >= *state->accepted_at + kMaxOpenDuration + kMaxReportDelay;
+  }
   RemoveCounted(state, orders, now);
   std::erase_if(state->orders, [&](const InDoubtOrder& sent) {
     return now >= DecidingReportAt(sent);
@@ -168,9 +174,9 @@
 bool InDoubtOrders::MayObeyEarlierPlanner(const std::string& host,
                                           TimePoint now) const {
   auto found = m_hosts.find(host);
-  bool accepted = found != m_hosts.end() && found->second.accepted_in_term;
-  return !accepted && now - m_term_started_at <=
-                          kMaxOrderTransit + kMaxOrderDelay + kMaxReportDelay;
+  bool fenced = found != m_hosts.end() && found->second.fenced;
+  return !fenced && now - m_term_started_at <=
+                        kMaxOrderTransit + kMaxOrderDelay + kMaxReportDelay;
 }
 
 bool InDoubtOrders::NeedsReport(const std::string& host, TimePoint now) const {
--- a/core/in_doubt_orders.h
+++ b/core/in_doubt_orders.h
@@ -31,7 +31,8 @@
 ///
 /// Orders of earlier planners are unknown. Any order is therefore in doubt at
 /// each host from the start of a term until the maximum delay has passed or the
-/// host has accepted an order in this term.
+/// host has accepted an order in this term. If only a report shows this, the
+/// host may have accepted an open order.
 class InDoubtOrders {
  public:
   using GroupKey = std::pair<std::string, std::uint64_t>;
@@ -95,9 +96,13 @@
     std::vector<InDoubtOrder> orders;  ///< Oldest first.
     /// Count at the start of the term, as far as reports show it.
     std::optional<std::uint64_t> initial_count;
-    /// Whether the host has accepted an order in this term. It then rejects the
-    /// orders of earlier planners, which expect a lower count.
-    bool accepted_in_term = false;
+    /// When it was first known that the host has accepted an order in this
+    /// term. It then rejects the orders of earlier planners, which expect a
+    /// lower count.
+    std::optional<TimePoint> accepted_at;
+    /// Whether that was an order of this planner, or the time has passed in
+    /// which a head opens.
+    bool fenced = false;
   };
 
   /// Returns the host's state; discards that of an earlier incarnation. Null if
--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -190,7 +190,7 @@
     if (due || !planner.IsOrderCountKnown(server.entry)) {
       server.reported_at = now;
       BackendServer report = server.entry;
-      report.busy = server.staged_at != TimePoint::max();
+      report.busy = IsCarryingOutOrder(server);
       planner.OnReport(id, report, now);
     }
   }
@@ -216,6 +216,12 @@
   }
 }
 
+bool FleetWorld::IsCarryingOutOrder(const FakeServer& server) {
+  return server.staged_at != TimePoint::max() ||
+         server.opens_at != TimePoint::max() ||
+         server.entry.member.state == GroupMemberState::kJoining;
+}
+
 bool FleetWorld::IsHeadServing(const FakeServer& head) const {
   return head.entry.member.state == GroupMemberState::kOpen ||
          head.opens_at != TimePoint::max();
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -120,6 +120,8 @@
   void AdvanceServer(FakeServer* server);
   /// Breaks a head that has stood still for too long.
   void AdvanceStall(FakeServer* head) const;
+  /// Whether the server reports that it is busy.
+  static bool IsCarryingOutOrder(const FakeServer& server);
   bool IsHeadServing(const FakeServer& head) const;
   /// Records the server's current state for a delayed list.
   void RecordHistory(FakeServer* server) const;
