Record a head as one that may serve when it is opened

Callers saw: members taken out of a group whose head served, if its entry lapsed in the moment after its open order. Cause: the heads that may be serving were recorded at the start of a pass, from the list. A head that left the list between its open order and the next pass was never recorded, so nobody closed it, and its members were free. Change: the head is recorded when the open order is sent. Why it works: the next pass finds it missing and handles it as an orphan. Measured: the tests of the planner, the orders in doubt and the fleet pass.

--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -370,6 +370,8 @@
     auto forming = m_forming.find(key);
     if (forming != m_forming.end()) forming->second.open_sent = true;
     SendOrder(*group.members.front(), open, pass);
+    // The head may leave the list before the next pass.
+    m_serving_heads[key] = *group.members.front();
   }
 }
 
