Use a head that has left its group at once

Cause: a host whose last report shows a higher epoch than the list counts as ahead of the list. A head that has left has no group, so its last report before that was taken for a newer one, until the next report. Change: the epoch of the group that a host left by an order is remembered. Why it works: the list is ahead of such a report, not behind it. Test: "a head that has left its group joins another at once" fails before (no group of the model after 9 s).

--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -119,7 +119,7 @@
       record.member = {order.group, order.epoch, 0, GroupMemberState::kJoining};
     }
     if (order.kind == GroupOrder::Kind::kLeave) {
-      m_dissolved_groups.insert({order.group, order.epoch});
+      RecordLeft(host, order);
     }
     m_sent_orders.erase(found);
   } else if (result == OrderResult::kAccepted) {
@@ -128,9 +128,7 @@
     RecordAcceptedOrders(host, found->second.incarnation,
                          order.expected_orders.value_or(0) + 1, now);
     if (order.kind == GroupOrder::Kind::kStage) m_sent_orders.erase(found);
-    if (order.kind == GroupOrder::Kind::kLeave) {
-      m_dissolved_groups.insert({order.group, order.epoch});
-    }
+    if (order.kind == GroupOrder::Kind::kLeave) RecordLeft(host, order);
   }
 }
 
@@ -144,6 +142,9 @@
     }
     if (HasTakenEffect(sent, host->second)) {
       RecordEffect(sent, now);
+      if (sent.order.kind == GroupOrder::Kind::kLeave) {
+        RecordLeft(entry.first, sent.order);
+      }
       return true;
     }
     if (!HasTimedOut(entry.first, sent, now)) return false;
@@ -205,10 +206,13 @@
   return unseen || m_in_doubt.NeedsReport(host.id, now);
 }
 
-// Within one incarnation of a host, the epochs of its groups only increase.
+// Within one incarnation of a host, the epochs of its groups only increase. A
+// host that has left its group is listed without one.
 bool GroupPlanner::IsAheadOfList(const BackendServer& host) const {
   const HostRecord* record = FindHostRecord(host);
-  return record != nullptr && record->member.epoch > host.member.epoch &&
+  return record != nullptr &&
+         record->member.epoch >
+             std::max(host.member.epoch, record->left_epoch) &&
          record->member.state != GroupMemberState::kNone;
 }
 
@@ -226,9 +230,13 @@
   m_order_stats.total_effect_delay += time;
   m_order_stats.max_effect_delay =
       std::max(m_order_stats.max_effect_delay, time);
-  if (sent.order.kind == GroupOrder::Kind::kLeave) {
-    m_dissolved_groups.insert({sent.order.group, sent.order.epoch});
-  }
+}
+
+void GroupPlanner::RecordLeft(const std::string& host,
+                              const GroupOrder& order) {
+  m_dissolved_groups.insert({order.group, order.epoch});
+  std::uint64_t& left_epoch = m_hosts[host].left_epoch;
+  left_epoch = std::max(left_epoch, order.epoch);
 }
 
 void GroupPlanner::AbandonOrder(const std::string& host, const SentOrder& sent,
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -204,6 +204,8 @@
     /// Epoch of the group for which this head was last sent a close order that
     /// evicts the requests.
     std::uint64_t evicted_epoch = 0;
+    /// Highest epoch of the groups that it left by an order.
+    std::uint64_t left_epoch = 0;
     TimePoint reported_at;   ///< Arrival of the last report.
     GroupMembership member;  ///< As in that report, or of a later no-op join.
     std::string last_model;  ///< Of the group that it last joined or left.
@@ -343,6 +345,7 @@
   /// group or has an outstanding order.
   bool IsForming(const GroupKey& group, const Pass& pass) const;
   void RecordEffect(const SentOrder& sent, TimePoint now);
+  void RecordLeft(const std::string& host, const GroupOrder& order);
   /// Makes the head of a group leave it, so that it can't be opened any more.
   void DissolveGroup(const ReportedGroup& group, Pass* pass);
   void AbandonOrder(const std::string& host, const SentOrder& sent,
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -106,6 +106,7 @@
   std::set<std::string> failed;  ///< As passed to the planner.
   std::vector<std::string> violations;
   int loads = 0;
+  int rejections = 0;  ///< Of orders that were not delayed.
   int orders = 0;
   TimePoint now = TimePoint() + std::chrono::hours(1);
   GroupPlanner planner;
@@ -133,7 +134,7 @@
             const EngineModel& model);
   OrderResult Accept(const std::string& host, const GroupOrder& order);
   void CheckJoin(const FakeServer& server, const GroupOrder& order);
-  void CheckLeave(const FakeServer& server);
+  void CheckLeave(const FakeServer& server, const GroupOrder& order);
   void CheckOpen(const FakeServer& head);
   bool Listed(const FakeServer& server) const;
   bool HeadServes(const FakeServer& member) const;
--- a/testing/late_orders_test.cc
+++ b/testing/late_orders_test.cc
@@ -131,6 +131,19 @@
   CheckNoViolations(world);
 }
 
+// Guards against withholding a head that has left its group, because its last
+// report is of the time before.
+TEST_CASE("a head that has left its group joins another at once") {
+  FleetWorld world(1, 9, 1);
+  std::string head = OpenLate(&world, milliseconds(11'900));
+  REQUIRE(!head.empty());
+  world.Kill(world.servers.at(head).members.back());
+  world.Kill("h8");  // The next group needs the head.
+  world.Run(milliseconds(9'000));
+  CHECK(world.ServingGroups("large") == 1);
+  CheckNoViolations(world);
+}
+
 // Guards against reusing the members of a head that leaves the list before the
 // planner's next pass after its open order.
 TEST_CASE("planner keeps the members of a head that is unlisted once opened") {
