Count the order by which a head has left its group

Callers saw: nothing; the head's next group was formed a second later. Cause: the answer 200 means that an order is done or that nothing had to be done. The planner took it for the latter, so the head's next join expected a count too low by one, was rejected and repeated after a backoff. Change: a leave that expects a count is taken as counted; if it wasn't, the next order is rejected and the count is asked for, as before. InDoubtOrders goes on to take the answer as proof of nothing. Test: "planner counts the order by which a head has left its group" fails before (one rejection).

--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -120,6 +120,10 @@
     }
     if (order.kind == GroupOrder::Kind::kLeave) {
       RecordLeft(host, order);
+      // A host leaves at once, so it has most likely counted the order. If it
+      // has not, it rejects the next one and reports its count.
+      RecordAcceptedOrders(host, found->second.incarnation,
+                           order.expected_orders.value_or(0) + 1, now);
     }
     m_sent_orders.erase(found);
   } else if (result == OrderResult::kAccepted) {
--- a/testing/late_orders_test.cc
+++ b/testing/late_orders_test.cc
@@ -131,6 +131,20 @@
   CheckNoViolations(world);
 }
 
+// Guards against expecting a wrong order count of a head that has left its
+// group: a host answers a leave order that it has carried out as if nothing had
+// changed.
+TEST_CASE("planner counts the order by which a head has left its group") {
+  FleetWorld world(1, 9, 1);
+  std::string head = OpenLate(&world, milliseconds(11'900));
+  REQUIRE(!head.empty());
+  world.Kill(world.servers.at(head).members.back());
+  world.Kill("h8");  // The next group needs the head.
+  world.Run(kSettleTime);
+  CHECK(world.rejections == 0);
+  CheckNoViolations(world);
+}
+
 // Guards against withholding a head that has left its group, because its last
 // report is of the time before.
 TEST_CASE("a head that has left its group joins another at once") {
