Split a function of the simulated servers that became too long

Change: FleetWorld::CarryOut has the part that depends on the order's kind. Test: the tests of late orders pass; no change of behaviour.

--- a/testing/fleet_world.cc
+++ b/testing/fleet_world.cc
@@ -329,78 +329,83 @@
       order.members.begin());
 }
 
-OrderResult FleetWorld::Accept(const std::string& host,
-                               const GroupOrder& order) {
-  auto found = servers.find(host);
-  if (found == servers.end() || !found->second.alive) {
-    return OrderResult::kUnknown;
-  }
-  FakeServer& server = found->second;
-  GroupMembership& member = server.entry.member;
+OrderResult FleetWorld::CarryOut(FakeServer* server, const GroupOrder& order,
+                                 const EngineModel* model) {
+  GroupMembership& member = server->entry.member;
   bool same_group = member.group == order.group && member.epoch == order.epoch;
-  if (order.expected_orders.value_or(server.entry.orders) !=
-      server.entry.orders) {
-    return OrderResult::kRejected;
-  }
-  const EngineModel* model =
-      FindModel(*FindEngine(configuration, server.entry.service), order.model);
-  bool needs_model = order.kind == GroupOrder::Kind::kJoin ||
-                     order.kind == GroupOrder::Kind::kStage;
-  if (needs_model && model == nullptr) {
-    violations.push_back(host + " is ordered to load unknown model " +
-                         order.model);
-    return OrderResult::kRejected;
-  }
   switch (order.kind) {
     case GroupOrder::Kind::kJoin:
-      if (server.staged_at != TimePoint::max() &&
-          server.staging != model->name) {
+      if (server->staged_at != TimePoint::max() &&
+          server->staging != model->name) {
         return OrderResult::kRejected;
       }
-      if (order.epoch < server.highest_epoch) return OrderResult::kRejected;
-      if (same_group && server.members != order.members) {
+      if (order.epoch < server->highest_epoch) return OrderResult::kRejected;
+      if (same_group && server->members != order.members) {
         return OrderResult::kRejected;
       }
       if (same_group && member.state != GroupMemberState::kNone &&
           member.state != GroupMemberState::kBroken) {
         return OrderResult::kNoOp;
       }
-      Join(&server, order, *model);
+      Join(server, order, *model);
       break;
     case GroupOrder::Kind::kOpen:
       if (!same_group) return OrderResult::kRejected;
-      if (IsHeadServing(server)) return OrderResult::kNoOp;
+      if (IsHeadServing(*server)) return OrderResult::kNoOp;
       if (member.state != GroupMemberState::kReady) {
         return OrderResult::kRejected;
       }
-      server.opens_at = now + kOpenDuration;
+      server->opens_at = now + kOpenDuration;
       break;
     case GroupOrder::Kind::kClose:
       if (!same_group) return OrderResult::kRejected;
-      if (!IsHeadServing(server)) return OrderResult::kNoOp;
-      server.opens_at = TimePoint::max();
+      if (!IsHeadServing(*server)) return OrderResult::kNoOp;
+      server->opens_at = TimePoint::max();
       member.state = GroupMemberState::kReady;
       break;
     case GroupOrder::Kind::kLeave:
       if (!same_group || member.state == GroupMemberState::kNone) {
         return OrderResult::kNoOp;
       }
-      CheckLeave(server, order);
+      CheckLeave(*server, order);
       member = GroupMembership();
-      server.opens_at = server.joined_at = TimePoint::max();
+      server->opens_at = server->joined_at = TimePoint::max();
       // The order is done at once, which has the same answer as a no-op.
-      ++server.entry.orders;
+      ++server->entry.orders;
       return OrderResult::kNoOp;
     case GroupOrder::Kind::kStage:
       ++loads;
-      server.staging = order.model;
-      server.staged_at = now + model->load_time;
+      server->staging = order.model;
+      server->staged_at = now + model->load_time;
       break;
   }
-  ++server.entry.orders;
+  ++server->entry.orders;
   return OrderResult::kAccepted;
 }
 
+OrderResult FleetWorld::Accept(const std::string& host,
+                               const GroupOrder& order) {
+  auto found = servers.find(host);
+  if (found == servers.end() || !found->second.alive) {
+    return OrderResult::kUnknown;
+  }
+  FakeServer& server = found->second;
+  if (order.expected_orders.value_or(server.entry.orders) !=
+      server.entry.orders) {
+    return OrderResult::kRejected;
+  }
+  const EngineModel* model =
+      FindModel(*FindEngine(configuration, server.entry.service), order.model);
+  bool needs_model = order.kind == GroupOrder::Kind::kJoin ||
+                     order.kind == GroupOrder::Kind::kStage;
+  if (needs_model && model == nullptr) {
+    violations.push_back(host + " is ordered to load unknown model " +
+                         order.model);
+    return OrderResult::kRejected;
+  }
+  return CarryOut(&server, order, model);
+}
+
 bool FleetWorld::HeadServes(const FakeServer& member) const {
   if (member.members.empty()) return false;
   auto head = servers.find(member.members.front());
--- a/testing/fleet_world.h
+++ b/testing/fleet_world.h
@@ -133,6 +133,11 @@
   void Join(FakeServer* server, const GroupOrder& order,
             const EngineModel& model);
   OrderResult Accept(const std::string& host, const GroupOrder& order);
+  /// Carries out an order that expects the server's count, if it fits the
+  /// server's state.
+  /// @param model The order's model; null for orders without one.
+  OrderResult CarryOut(FakeServer* server, const GroupOrder& order,
+                       const EngineModel* model);
   void CheckJoin(const FakeServer& server, const GroupOrder& order);
   void CheckLeave(const FakeServer& server, const GroupOrder& order);
   void CheckOpen(const FakeServer& head);
