Name earlier planners' orders plainly and bound their transit once

Cause: read as a newcomer: a host "obeyed" an earlier planner, and the time in which a connection delivers an order stood in two headers, tied by a comment. Change: MayCarryOutEarlierOrder, RecordLeave; the default of FleetControlOptions::max_order_duration is InDoubtOrders::kMaxOrderTransit. Test: 138 test cases about orders, planners and groups pass; no change of behaviour. Measured: nothing.

--- a/core/fleet_control.h
+++ b/core/fleet_control.h
@@ -18,6 +18,7 @@
 #include "core/evacuation.h"
 #include "core/fleet.h"
 #include "core/group_planner.h"
+#include "core/in_doubt_orders.h"
 #include "core/jitter.h"
 #include "core/lease.h"
 #include "core/node_directory.h"
@@ -111,7 +112,7 @@
   /// than the time for which the group of that host is unavailable in any case
   /// while it is repaired.
   milliseconds lease_duration{2'000};
-  milliseconds max_order_duration{500};
+  milliseconds max_order_duration = InDoubtOrders::kMaxOrderTransit;
   /// True when the whole system starts for the first time and no request has
   /// run before. Loads of weights are free until the first request; see
   /// GroupPlanner::SetFreeLoads.
--- a/core/group_heads.cc
+++ b/core/group_heads.cc
@@ -112,7 +112,7 @@
         orphan.unanswered_attempts >= kMinUnansweredCloses &&
         pass->now - orphan.missing_since >= kMaxLeaveTime &&
         !m_in_doubt.MayOpen(orphan.head.id, key) &&
-        !m_in_doubt.MayObeyEarlierPlanner(orphan.head.id, pass->now);
+        !m_in_doubt.MayCarryOutEarlierOrder(orphan.head.id, pass->now);
     if (known_unresponsive || stayed_unresponsive) {
       orphan.release_at = pass->now;
       continue;
@@ -148,7 +148,7 @@
   orphan.unanswered_attempts = 0;
   orphan.may_be_opened =
       !leave && (m_in_doubt.MayOpen(host, found->first) ||
-                 m_in_doubt.MayObeyEarlierPlanner(host, now));
+                 m_in_doubt.MayCarryOutEarlierOrder(host, now));
   if (!orphan.may_be_opened) {
     orphan.release_at = std::min(orphan.release_at, now + kEvictDuration);
   }
--- a/core/group_orders.cc
+++ b/core/group_orders.cc
@@ -119,7 +119,7 @@
       record.member = {order.group, order.epoch, 0, GroupMemberState::kJoining};
     }
     if (order.kind == GroupOrder::Kind::kLeave) {
-      RecordLeft(host, order);
+      RecordLeave(host, order);
       // A host leaves at once, so it has most likely counted the order. If it
       // has not, it rejects the next one and reports its count.
       RecordAcceptedOrders(host, found->second.incarnation,
@@ -132,7 +132,7 @@
     RecordAcceptedOrders(host, found->second.incarnation,
                          order.expected_orders.value_or(0) + 1, now);
     if (order.kind == GroupOrder::Kind::kStage) m_sent_orders.erase(found);
-    if (order.kind == GroupOrder::Kind::kLeave) RecordLeft(host, order);
+    if (order.kind == GroupOrder::Kind::kLeave) RecordLeave(host, order);
   }
 }
 
@@ -147,7 +147,7 @@
     if (HasTakenEffect(sent, host->second)) {
       RecordEffect(sent, now);
       if (sent.order.kind == GroupOrder::Kind::kLeave) {
-        RecordLeft(entry.first, sent.order);
+        RecordLeave(entry.first, sent.order);
       }
       return true;
     }
@@ -236,8 +236,8 @@
       std::max(m_order_stats.max_effect_delay, time);
 }
 
-void GroupPlanner::RecordLeft(const std::string& host,
-                              const GroupOrder& order) {
+void GroupPlanner::RecordLeave(const std::string& host,
+                               const GroupOrder& order) {
   m_dissolved_groups.insert({order.group, order.epoch});
   std::uint64_t& left_epoch = m_hosts[host].left_epoch;
   left_epoch = std::max(left_epoch, order.epoch);
--- a/core/group_planner.cc
+++ b/core/group_planner.cc
@@ -248,7 +248,7 @@
   return m_in_doubt.MayClose(group.members.front()->id, key) ||
          std::any_of(group.members.begin(), group.members.end(),
                      [&](const BackendServer* member) {
-                       return MayObeyEarlierPlanner(group, *member, pass) ||
+                       return MayCarryOutEarlierOrder(group, *member, pass) ||
                               (member != group.members.front() &&
                                m_in_doubt.MayJoinAnother(member->id, key));
                      });
@@ -268,11 +268,11 @@
                      });
 }
 
-bool GroupPlanner::MayObeyEarlierPlanner(const ReportedGroup& group,
-                                         const BackendServer& member,
-                                         const Pass& pass) const {
+bool GroupPlanner::MayCarryOutEarlierOrder(const ReportedGroup& group,
+                                           const BackendServer& member,
+                                           const Pass& pass) const {
   return m_forming.count({group.name, group.epoch}) == 0 &&
-         m_in_doubt.MayObeyEarlierPlanner(member.id, pass.now);
+         m_in_doubt.MayCarryOutEarlierOrder(member.id, pass.now);
 }
 
 bool GroupPlanner::IsOpenInDoubt(const ReportedGroup& group,
@@ -280,7 +280,7 @@
   const BackendServer& head = *group.members.front();
   return m_in_doubt.MayOpen(head.id, {group.name, group.epoch}) ||
          (head.member.state != GroupMemberState::kBroken &&
-          MayObeyEarlierPlanner(group, head, pass));
+          MayCarryOutEarlierOrder(group, head, pass));
 }
 
 void GroupPlanner::DissolveGroup(const ReportedGroup& group, Pass* pass) {
--- a/core/group_planner.h
+++ b/core/group_planner.h
@@ -322,9 +322,9 @@
   /// Whether a member may still carry out an earlier planner's order that
   /// affects the group. Earlier planners do not know the groups that this one
   /// formed.
-  bool MayObeyEarlierPlanner(const ReportedGroup& group,
-                             const BackendServer& member,
-                             const Pass& pass) const;
+  bool MayCarryOutEarlierOrder(const ReportedGroup& group,
+                               const BackendServer& member,
+                               const Pass& pass) const;
   /// Whether an order to open the group may still be carried out.
   bool IsOpenInDoubt(const ReportedGroup& group, const Pass& pass) const;
   void RecordHeadless(const ReportedGroup& group, const Pass& pass);
@@ -345,7 +345,7 @@
   /// group or has an outstanding order.
   bool IsForming(const GroupKey& group, const Pass& pass) const;
   void RecordEffect(const SentOrder& sent, TimePoint now);
-  void RecordLeft(const std::string& host, const GroupOrder& order);
+  void RecordLeave(const std::string& host, const GroupOrder& order);
   /// Makes the head of a group leave it, so that it can't be opened any more.
   void DissolveGroup(const ReportedGroup& group, Pass* pass);
   void AbandonOrder(const std::string& host, const SentOrder& sent,
--- a/core/in_doubt_orders.cc
+++ b/core/in_doubt_orders.cc
@@ -171,8 +171,8 @@
   });
 }
 
-bool InDoubtOrders::MayObeyEarlierPlanner(const std::string& host,
-                                          TimePoint now) const {
+bool InDoubtOrders::MayCarryOutEarlierOrder(const std::string& host,
+                                            TimePoint now) const {
   auto found = m_hosts.find(host);
   bool fenced = found != m_hosts.end() && found->second.fenced;
   return !fenced && now - m_term_started_at <=
--- a/core/in_doubt_orders.h
+++ b/core/in_doubt_orders.h
@@ -41,7 +41,7 @@
   /// received.
   static constexpr milliseconds kMaxOrderDelay{12'000};
   /// Maximum time until a server has received an order; then the connection is
-  /// closed. Equals FleetControlOptions::max_order_duration.
+  /// closed. The default of FleetControlOptions::max_order_duration.
   static constexpr milliseconds kMaxOrderTransit{500};
   /// A report that arrives at least this long after an event was created after
   /// that event. Covers the age that a report may have when the server sends it
@@ -78,7 +78,7 @@
   /// order that expects a count is rejected once the head has been opened.
   bool MayClose(const std::string& head, const GroupKey& group) const;
   /// Whether an earlier planner's order may still be carried out by the host.
-  bool MayObeyEarlierPlanner(const std::string& host, TimePoint now) const;
+  bool MayCarryOutEarlierOrder(const std::string& host, TimePoint now) const;
   /// Whether the host's report is needed to end the doubt about an order.
   bool NeedsReport(const std::string& host, TimePoint now) const;
 
--- a/testing/in_doubt_orders_test.cc
+++ b/testing/in_doubt_orders_test.cc
@@ -191,32 +191,32 @@
 // earlier planner, and against doing so for longer than necessary.
 TEST_CASE("orders of an earlier planner are in doubt at the start of a term") {
   InDoubtOrders orders = UnansweredOrders();
-  CHECK_FALSE(orders.MayObeyEarlierPlanner("head", kStart));
+  CHECK_FALSE(orders.MayCarryOutEarlierOrder("head", kStart));
   orders.OnTermStarted(kStart);
   CHECK(orders.MayOpen("head", kGroup));
   for (const char* host : {"head", "member", "other"}) {
-    CHECK(orders.MayObeyEarlierPlanner(host, kStart + milliseconds(12'000)));
+    CHECK(orders.MayCarryOutEarlierOrder(host, kStart + milliseconds(12'000)));
     CHECK_FALSE(
-        orders.MayObeyEarlierPlanner(host, kStart + milliseconds(14'100)));
+        orders.MayCarryOutEarlierOrder(host, kStart + milliseconds(14'100)));
   }
   // Reports of the first moments may be older than the term.
   orders.OnReport("other", kIncarnation, 4, kStart + milliseconds(100));
   orders.OnReport("other", kIncarnation, 5, kStart + milliseconds(1'400));
-  CHECK(orders.MayObeyEarlierPlanner("other", kStart + milliseconds(2'000)));
+  CHECK(orders.MayCarryOutEarlierOrder("other", kStart + milliseconds(2'000)));
   // The order that this report shows may open the host.
   TimePoint counted = kStart + milliseconds(2'000);
   TimePoint opened = counted + InDoubtOrders::kMaxOpenDuration +
                      InDoubtOrders::kMaxReportDelay;
   orders.OnReport("other", kIncarnation, 6, counted);
   orders.OnReport("other", kIncarnation, 6, opened - milliseconds(1));
-  CHECK(orders.MayObeyEarlierPlanner("other", opened));
+  CHECK(orders.MayCarryOutEarlierOrder("other", opened));
   orders.OnReport("other", kIncarnation, 6, opened);
-  CHECK_FALSE(orders.MayObeyEarlierPlanner("other", opened));
+  CHECK_FALSE(orders.MayCarryOutEarlierOrder("other", opened));
   // An accepted order of this term.
   orders.OnSent("member", kIncarnation, JoinOther(3), kStart);
   orders.OnAnswered("member", JoinOther(3), OrderResult::kAccepted, kStart);
   CHECK_FALSE(
-      orders.MayObeyEarlierPlanner("member", kStart + milliseconds(100)));
+      orders.MayCarryOutEarlierOrder("member", kStart + milliseconds(100)));
 }
 
 }  // namespace clementine
