--- /dev/null
+++ b/review/standin-3/standin.py
@@ -0,0 +1,447 @@
+"""Stand-ins for the review cases: the platform's store, workers, clients.
+
+They follow the pages of the users. Each case is one asyncio program that also
+starts the daemons with the command and the template of the deploy file.
+"""
+
+import asyncio
+import json
+import os
+import re
+import signal
+import socket
+import sys
+import tempfile
+import time
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+SIGNATURE = "X-Clementinelb-Response-Signature"
+ATTEMPT = "X-Clementinelb-Attempt-Id"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+
+class CannotRun(Exception):
+    """The case couldn't run; says nothing about the rule."""
+
+
+class Record:
+    """Writes what was sent, answered and run, with the time since the start."""
+
+    def __init__(self, folder):
+        self.file = open(Path(folder) / "record.txt", "w")
+        self.start = time.monotonic()
+
+    def now(self):
+        return time.monotonic() - self.start
+
+    def __call__(self, text):
+        self.file.write(f"{self.now():8.3f} {text}\n")
+        self.file.flush()
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def read_head(reader):
+    """Reads a head: its first line and the headers by lower-case name."""
+    raw = await reader.readuntil(b"\r\n\r\n")
+    lines = raw.decode("latin-1").split("\r\n")[:-2]
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_body(reader, headers, to_end=False):
+    if "chunked" in headers.get("transfer-encoding", "").lower():
+        body = b""
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            if size == 0:
+                while (await reader.readline()) not in (b"\r\n", b""):
+                    pass
+                return body
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"]))
+    return await reader.read() if to_end else b""
+
+
+def head_text(status, headers):
+    lines = [f"HTTP/1.1 {status} -"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+# -----------------------------------------------------------------------------
+# The platform's store.
+
+
+class Store:
+    """Objects by kind and name, with revisions, lists and watches."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.address = None
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        known = self.objects.setdefault(kind, {}).get(name)
+        created = self.revision
+        if known and not known["deleted"]:
+            created = known["created"]
+        self.objects[kind][name] = {
+            "spec": spec, "revision": self.revision, "created": created,
+            "deleted": False}
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def remove(self, kind, name):
+        entry = self.objects.get(kind, {}).get(name)
+        if entry is None or entry["deleted"]:
+            return
+        self.revision += 1
+        entry.update(deleted=True, revision=self.revision)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def text(self, name, entry):
+        return {"metadata": {"name": name, "revision": entry["revision"],
+                             "created": entry["created"], "finalizers": [],
+                             "deletion_pending": False},
+                "spec": entry["spec"], "status": None}
+
+    def events(self, kind, since):
+        found = [(entry["revision"], name, entry) for name, entry
+                 in self.objects.get(kind, {}).items()
+                 if entry["revision"] > since]
+        return [{"object": self.text(name, entry), "deleted": entry["deleted"]}
+                for _, name, entry in sorted(found, key=lambda item: item[0])]
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line, headers = await read_head(reader)
+                body = await read_body(reader, headers)
+                method, target, _ = line.split(" ")
+                status, answer = await self.call(method, target, body)
+                data = json.dumps(answer).encode()
+                writer.write(head_text(status, [
+                    ("Content-Type", "application/json"),
+                    ("Content-Length", len(data))]) + data)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def call(self, method, target, body):
+        path, _, query = target.partition("?")
+        options = dict(part.split("=", 1) for part in query.split("&") if part)
+        parts = path.split("/")[2:]
+        kind = parts[0]
+        name = parts[1] if len(parts) > 1 else ""
+        objects = self.objects.setdefault(kind, {})
+        entry = objects.get(name)
+        if entry and entry["deleted"]:
+            entry = None
+        if method == "GET" and name:
+            return (200, self.text(name, entry)) if entry else (404, {})
+        if method == "GET" and "watch" in options:
+            since = int(options["watch"])
+            end = time.monotonic() + int(options.get("wait_ms", 0)) / 1000
+            events = self.events(kind, since)
+            while not events and time.monotonic() < end:
+                try:
+                    await asyncio.wait_for(self.changed.wait(),
+                                           end - time.monotonic())
+                except asyncio.TimeoutError:
+                    break
+                events = self.events(kind, since)
+            return 200, {"events": events, "at": self.revision}
+        if method == "GET":
+            entries = [self.text(key, value) for key, value
+                       in sorted(objects.items()) if not value["deleted"]]
+            return 200, {"entries": entries, "has_more": False,
+                         "at": self.revision}
+        if method == "DELETE":
+            if entry is None:
+                return 404, {}
+            if "revision" in options and \
+                    int(options["revision"]) != entry["revision"]:
+                return 409, self.text(name, entry)
+            self.remove(kind, name)
+            return 200, self.text(name, objects[name])
+        sent = json.loads(body)
+        metadata = sent.get("metadata", {})
+        if method == "POST":
+            name = metadata["name"]
+            entry = objects.get(name)
+            if entry and not entry["deleted"]:
+                return 409, self.text(name, entry)
+            self.put(kind, name, sent.get("spec"))
+            return 201, self.text(name, objects[name])
+        if entry is None:
+            return 404, {}
+        wanted = metadata.get("revision")
+        if wanted is not None and wanted != entry["revision"]:
+            return 409, self.text(name, entry)
+        if entry["spec"] != sent.get("spec"):
+            self.put(kind, name, sent.get("spec"))
+        return 200, self.text(name, objects[name])
+
+
+# -----------------------------------------------------------------------------
+# Workers.
+
+
+class Request:
+    def __init__(self, line, headers):
+        self.method, self.target, _ = line.split(" ", 2)
+        self.headers = headers
+        self.body = b""
+        self.attempt = headers.get(ATTEMPT.lower(), "")
+
+
+class Worker:
+    """A worker of a plain service. `run` answers the requests that run."""
+
+    def __init__(self, store, record, service, name, run, slots=6):
+        self.store = store
+        self.record = record
+        self.service = service
+        self.name = name
+        self.run = run
+        self.slots = slots
+        self.runs = []  # (time, Request) of each request that began to run.
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.connections = set()
+        self.beats = None
+        self.server = None
+        self.address = None
+        self.keep_alive = None  # Seconds after which it closes idle ones.
+
+    async def start(self, host="127.0.0.1"):
+        self.server = await asyncio.start_server(self.serve, host, 0)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        self.beats = asyncio.create_task(self.beat())
+
+    def entry(self):
+        return {"service": self.service, "address": self.address,
+                "zone": "zone-a", "version": "v1", "slots": self.slots,
+                "state": self.state, "cold_remaining_ms": 0,
+                "sequence": self.sequence, "born": self.born}
+
+    async def beat(self):
+        while True:
+            self.sequence += 1
+            self.store.put("servers", self.name, self.entry())
+            await asyncio.sleep(1.2)
+
+    def is_own(self, request):
+        expected = request.headers.get("x-clementinelb-expected-instance")
+        return expected in (None, self.name)
+
+    async def serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while True:
+                head = read_head(reader)
+                if self.keep_alive is not None:
+                    head = asyncio.wait_for(head, self.keep_alive)
+                line, headers = await head
+                request = Request(line, headers)
+                if not self.is_own(request):
+                    await read_body(reader, headers)
+                    writer.write(head_text(421, [
+                        (ATTEMPT, request.attempt), ("Content-Length", 0),
+                        ("X-Clementinelb-Instance-Id", self.name)]))
+                    await writer.drain()
+                    continue
+                request.body = await read_body(reader, headers)
+                if request.target.startswith("/healthz"):
+                    writer.write(head_text(200, [
+                        ("X-Clementinelb-Instance-Id", self.name),
+                        ("Content-Length", 0)]))
+                    await writer.drain()
+                    continue
+                self.runs.append((self.record.now(), request))
+                self.record(f"worker {self.name} runs {request.method} "
+                            f"{request.target} attempt {request.attempt}")
+                if not await self.run(self, request, writer):
+                    return
+        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+    def crash(self):
+        """Ends as a killed process does: no listener, connections closed."""
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.connections):
+            writer.close()
+
+
+async def answer(worker, request, writer, body, status=200, headers=()):
+    writer.write(head_text(status, [
+        (ATTEMPT, request.attempt), (SIGNATURE, f"signed.{request.attempt}"),
+        ("Content-Length", len(body)), *headers]) + body)
+    await writer.drain()
+
+
+# -----------------------------------------------------------------------------
+# Daemons.
+
+
+def render(template, fields):
+    def look(name):
+        value = fields
+        for part in name.split("."):
+            if isinstance(value, list):
+                value = value[int(part)]
+            elif isinstance(value, dict) and part in value:
+                value = value[part]
+            else:
+                return None
+        return value
+
+    def section(match):
+        return match.group(2) if look(match.group(1)) else ""
+
+    def text(match):
+        value = look(match.group(1))
+        if isinstance(value, bool):
+            return "true" if value else "false"
+        return "" if value is None else str(value)
+
+    template = re.sub(r"\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?", section,
+                      template, flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}", text, template)
+
+
+class Daemon:
+    """A daemon, started with the command and the template of the deploy file."""
+
+    def __init__(self, folder, store, record, name, bounds=None,
+                 memory_mb=260, host="127.0.0.1"):
+        self.record = record
+        self.name = name
+        self.frontend = f"{host}:{free_port()}"
+        self.ready = f"{host}:{free_port()}"
+        port = free_port()
+        fields = {
+            "node_name": name, "zone": "zone-a", "region": "region-a",
+            "ip_address": host, "port_range": [port, port + 15],
+            "bootstrap": True,
+            "listen_addrs": {"frontend": self.frontend, "ready": self.ready},
+            "limits": {"cpu_quota": 0.25, "memory_mb": memory_mb,
+                       "max_fds": 4200},
+            "bounds": {"drain_ms": 2000, "config_apply_ms": 2000,
+                       "revoke_ms": 5000, **(bounds or {})},
+            "platform": {"address": store.address}}
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        role = deploy["roles"]["entry"]
+        settings = Path(folder) / f"{name}.ini"
+        settings.write_text(render((ROOT / role["template"]).read_text(),
+                                   fields))
+        self.command = [str(settings) if word.startswith("/etc/") else word
+                        for word in role["run"].split()]
+        self.log = Path(folder) / f"{name}.log"
+        self.process = None
+
+    async def start(self):
+        if not (ROOT / self.command[0]).exists():
+            raise CannotRun(f"{self.command[0]} isn't built")
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, cwd=ROOT, stdout=log, stderr=log)
+        self.record(f"daemon {self.name} started")
+
+    async def wait_ready(self, seconds=20):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            try:
+                status, _, _ = await fetch(self.ready, "GET", "/readyz", [])
+                if status == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.1)
+        raise CannotRun(f"daemon {self.name} isn't ready")
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    async def end(self):
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+# -----------------------------------------------------------------------------
+# Clients.
+
+
+async def connect(address):
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def fetch(address, method, target, headers, body=b"", timeout=10):
+    """One request on a new connection: status, headers, body."""
+    async def run():
+        reader, writer = await connect(address)
+        try:
+            lines = [f"{method} {target} HTTP/1.1"]
+            lines += [f"{name}: {value}" for name, value in headers]
+            if body or method != "GET":
+                lines.append(f"Content-Length: {len(body)}")
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            line, answered = await read_head(reader)
+            status = int(line.split(" ")[1])
+            return status, answered, await read_body(reader, answered, True)
+        finally:
+            writer.close()
+    return await asyncio.wait_for(run(), timeout)
+
+
+def main(case):
+    """Runs a case: exits with 1 if the rule was broken, 0 if it held, else 2."""
+    folder = Path(sys.argv[0]).resolve().parent
+    record = Record(folder)
+
+    async def run():
+        children = []
+        with tempfile.TemporaryDirectory() as temporary:
+            try:
+                return await asyncio.wait_for(
+                    case(record, temporary, children), 115)
+            finally:
+                for daemon in children:
+                    await daemon.end()
+
+    try:
+        broken = asyncio.run(run())
+    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        record(f"the case couldn't run: {error!r}")
+        sys.exit(2)
+    record("the rule was broken" if broken else "the rule held")
+    sys.exit(1 if broken else 0)
