Add review case 13: an unlisted open head after a restart of all daemons

Cause: a planner that has never seen a group's head listed releases the other members after six seconds, although the head may still serve.

--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -280,6 +280,8 @@
                         ("Content-Length", 0)]))
                     await writer.drain()
                     continue
+                if await self.handle(request, writer):
+                    continue
                 self.runs.append((self.record.now(), request))
                 self.record(f"worker {self.name} runs {request.method} "
                             f"{request.target} attempt {request.attempt}")
@@ -292,6 +294,9 @@
             self.connections.discard(writer)
             writer.close()
 
+    async def handle(self, request, writer):
+        return False
+
     def crash(self):
         """Ends as a killed process does: no listener, connections closed."""
         self.beats.cancel()
@@ -300,6 +305,170 @@
             writer.close()
 
 
+class EngineWorker(Worker):
+    """A worker of a model that spans several workers."""
+
+    STALL_S = 5.0
+    FORM_S = 0.3
+
+    def __init__(self, store, record, service, name, run, fleet, models):
+        super().__init__(store, record, service, name, run)
+        self.fleet = fleet  # All engine workers, by name.
+        self.models = models  # Size, load and warm-up seconds by name.
+        fleet[name] = self
+        self.group = None  # name, epoch, rank, state, members, model
+        self.last_model = None
+        self.staged = []
+        self.orders = 0
+        self.highest_epoch = 0
+        self.busy = False
+        self.listed = True  # Whether it still writes its entry.
+        self.broken_rules = []
+
+    def member_of(self):
+        if self.group is None:
+            return None
+        return {key: self.group[key]
+                for key in ("name", "epoch", "rank", "state")}
+
+    def facts(self):
+        return {"domain": "domain-a", "staged_models": list(self.staged),
+                "group": self.member_of(), "born": self.born,
+                "phase": "combined", "model_list": []}
+
+    def entry(self):
+        return {**super().entry(), **self.facts()}
+
+    def changed(self):
+        if self.listed:
+            self.sequence += 1
+            self.store.put("servers", self.name, self.entry())
+
+    async def beat(self):
+        while True:
+            self.changed()
+            await asyncio.sleep(1.2)
+
+    def set_state(self, state):
+        self.group["state"] = state
+        self.record(f"worker {self.name} is {state} in {self.group['name']}")
+        self.changed()
+
+    def check_join(self, order):
+        """Rule TWO: the head of the group that it is in must not serve."""
+        if self.group is None:
+            return
+        key = (self.group["name"], self.group["epoch"])
+        head = self.fleet[self.group["members"][0]]
+        if head is self or head.group is None:
+            return
+        same = (head.group["name"], head.group["epoch"]) == key
+        if same and head.group["state"] in ("open", "closing"):
+            text = (f"TWO: {self.name} joins {order['group']} while "
+                    f"{head.name}, head of {key[0]}, is "
+                    f"{head.group['state']}")
+            self.broken_rules.append(text)
+            self.record(text)
+
+    async def begin(self, group, seconds, state):
+        """Ends an order after its time, unless another one has replaced it."""
+        await asyncio.sleep(seconds)
+        if self.group is not group:
+            return
+        self.busy = False
+        if state == "ready":
+            self.last_model = group["model"]
+            self.staged = [group["model"]]
+        self.set_state(state)
+
+    def order(self, sent):
+        """Status of an order; begins what it asks."""
+        kind = sent.get("operation")
+        expected = sent.get("expected")
+        group, epoch = sent.get("group"), sent.get("epoch", 0)
+        mine = self.group and (self.group["name"],
+                               self.group["epoch"]) == (group, epoch)
+        if kind == "join":
+            if epoch < self.highest_epoch:
+                return 412
+            if mine:
+                same = self.group["members"] == sent["members"]
+                return 200 if same else 412
+        elif kind in ("open", "close", "leave"):
+            state = self.group["state"] if mine else None
+            if kind == "open" and state == "open":
+                return 200
+            if kind == "close" and state in ("ready", "closing", "joining"):
+                return 200
+            if kind == "leave" and not mine:
+                return 200
+            fits = {"open": state == "ready", "close": state == "open",
+                    "leave": True}[kind]
+            if not mine or not fits:
+                return 409
+        elif kind == "phase":
+            if sent["model_name"] in self.staged:
+                return 200
+        else:
+            return 400
+        if expected is not None and expected != self.orders:
+            return 409
+        self.orders += 1
+        if kind == "join":
+            self.check_join(sent)
+            model = sent["model_name"]
+            size, load_s, warm_s = self.models[model]
+            seconds = load_s
+            if model == self.last_model:
+                seconds = 0.2
+            elif model in self.staged:
+                seconds = warm_s
+            self.highest_epoch = epoch
+            self.busy = True
+            self.group = {"name": group, "epoch": epoch, "model": model,
+                          "members": sent["members"], "state": "joining",
+                          "rank": sent["members"].index(self.name)}
+            self.changed()
+            asyncio.create_task(self.begin(self.group, seconds, "ready"))
+        elif kind == "open":
+            asyncio.create_task(self.begin(self.group, self.FORM_S, "open"))
+        elif kind == "close":
+            self.set_state("ready")
+        elif kind == "leave":
+            self.group = None
+            self.changed()
+        elif kind == "phase":
+            asyncio.create_task(self.stage(sent["model_name"]))
+        return 202
+
+    async def stage(self, model):
+        await asyncio.sleep(self.models[model][1])
+        self.staged = [model]
+        self.changed()
+
+    async def handle(self, request, writer):
+        """Answers calls other than requests. @return Whether it was one."""
+        if request.target == "/report":
+            body = json.dumps({
+                **self.facts(), "busy": self.busy, "sequence": self.orders,
+                "queued": 0, "active": 0, "kv_in_use": 0,
+                "kv_capacity_total": 90000, "kv_handles": 0}).encode()
+            status = 200
+        elif request.target == "/order":
+            sent = json.loads(request.body)
+            status = self.order(sent)
+            body = b""
+            self.record(f"worker {self.name} answers {status} to "
+                        f"{json.dumps(sent)}")
+        else:
+            return False
+        writer.write(head_text(status, [
+            ("Content-Type", "application/json"),
+            ("Content-Length", len(body))]) + body)
+        await writer.drain()
+        return True
+
+
 async def answer(worker, request, writer, body, status=200, headers=()):
     writer.write(head_text(status, [
         (ATTEMPT, request.attempt), (SIGNATURE, f"signed.{request.attempt}"),
@@ -341,7 +510,7 @@
     """A daemon, started with the command and the template of the deploy file."""
 
     def __init__(self, folder, store, record, name, bounds=None,
-                 memory_mb=260, host="127.0.0.1"):
+                 memory_mb=260, host="127.0.0.1", bootstrap=True):
         self.record = record
         self.name = name
         self.frontend = f"{host}:{free_port()}"
@@ -350,7 +519,7 @@
         fields = {
             "node_name": name, "zone": "zone-a", "region": "region-a",
             "ip_address": host, "port_range": [port, port + 15],
-            "bootstrap": True,
+            "bootstrap": bootstrap,
             "listen_addrs": {"frontend": self.frontend, "ready": self.ready},
             "limits": {"cpu_quota": 0.25, "memory_mb": memory_mb,
                        "max_fds": 4200},
@@ -360,8 +529,9 @@
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["entry"]
         settings = Path(folder) / f"{name}.ini"
-        settings.write_text(render((ROOT / role["template"]).read_text(),
-                                   fields))
+        self.settings = settings
+        self.fields = fields
+        self.template = (ROOT / role["template"]).read_text()
         self.command = [str(settings) if word.startswith("/etc/") else word
                         for word in role["run"].split()]
         self.log = Path(folder) / f"{name}.log"
@@ -370,6 +540,9 @@
     async def start(self):
         if not (ROOT / self.command[0]).exists():
             raise CannotRun(f"{self.command[0]} isn't built")
+        self.settings.write_text(render(self.template, self.fields))
+        # Only the first start of the whole system is a bootstrap.
+        self.fields["bootstrap"] = False
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command, cwd=ROOT, stdout=log, stderr=log)
