--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -359,8 +359,8 @@
         if self.group is None:
             return
         key = (self.group["name"], self.group["epoch"])
-        head = self.fleet[self.group["members"][0]]
-        if head is self or head.group is None:
+        head = self.fleet.get(self.group["members"][0])
+        if head is None or head is self or head.group is None:
             return
         same = (head.group["name"], head.group["epoch"]) == key
         if same and head.group["state"] in ("open", "closing"):
