--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -287,9 +287,9 @@
                             f"{request.target} attempt {request.attempt}")
                 if not await self.run(self, request, writer):
                     return
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError,
-                asyncio.CancelledError):
-            pass
+        except (OSError, RuntimeError, asyncio.IncompleteReadError,
+                asyncio.TimeoutError, asyncio.CancelledError):
+            pass  # The connection has ended.
         finally:
             self.connections.discard(writer)
             writer.close()
