--- a/review/13/case.py
+++ b/review/13/case.py
@@ -16,7 +16,7 @@
                                 "..", "standin-3"))
 import standin
 
-ROUNDS = 6
+ROUNDS = 30
 SLOTS = 6
 IDLE_S = 0.4  # The worker closes idle connections after this time.
 WORK_S = 1.6
