--- a/review/13/case.py
+++ b/review/13/case.py
@@ -16,8 +16,10 @@
                                 "..", "standin-3"))
 import standin
 
-ROUNDS = 30
+ROUNDS = 30  # At most: the first broken rule ends the case.
 SLOTS = 6
+WORKERS = 10  # One of them, i-0, resets connections, a tenth.
+ORDERS = SLOTS * WORKERS
 IDLE_S = 0.4  # The worker closes idle connections after this time.
 WORK_S = 1.6
 FIRST, SECOND = b"order taken: two bottles of " * 10, b"colour 417; paid\n"
@@ -60,18 +62,18 @@
         await writer.drain()
         self.batch.append((request.attempt, writer))
         ended = self.ended
-        if len(self.batch) == SLOTS:
+        if len(self.batch) == 1:
+            await asyncio.sleep(WORK_S)
             batch, self.batch = self.batch, []
             self.ended = asyncio.Event()
-            await asyncio.sleep(WORK_S)
-            self.finish(batch)
+            self.finish(batch, worker.name == "i-0")
             ended.set()
         await ended.wait()
         return False
 
-    def finish(self, batch):
+    def finish(self, batch, resets):
         for index, (attempt, writer) in enumerate(batch):
-            if standin.TROUBLE and index % 2 == 1:
+            if standin.TROUBLE and resets and index % 2 == 1:
                 self.record(f"the worker resets the connection of {attempt}")
                 reset(writer)
             else:
@@ -83,18 +85,20 @@
 async def case(record, folder, children):
     store = standin.Store()
     await store.start()
-    desk = Desk(record)
-    worker = standin.Worker(store, record, "desk", "i-0", desk.run, SLOTS)
-    worker.keep_alive = IDLE_S
-    await worker.start()
+    for index in range(WORKERS):
+        worker = standin.Worker(store, record, "desk", f"i-{index}",
+                                Desk(record).run, SLOTS)
+        worker.keep_alive = IDLE_S
+        await worker.start()
     store.put("config", "main", CONFIGURATION)
     daemon = standin.Daemon(folder, store, record, "edge-1")
     children.append(daemon)
     await daemon.start()
     await daemon.wait_ready()
-    truncated = answered = 0
-    for number in range(ROUNDS):
-        attempts = [f"order-{number}-{index}" for index in range(SLOTS)]
+    truncated = answered = rounds = 0
+    while rounds < ROUNDS and not truncated:
+        number, rounds = rounds, rounds + 1
+        attempts = [f"order-{number}-{index}" for index in range(ORDERS)]
         answers = await asyncio.gather(*[
             standin.fetch(daemon.frontend, "POST", "/orders/1", [
                 ("Host", "desk.example"), (standin.ATTEMPT, attempt),
@@ -110,8 +114,9 @@
             record(f"{attempt} gets {status}, {len(body)} bytes, "
                    f"{'the whole body' if whole else 'not the whole body'}")
             truncated += status == 200 and not whole
-    record(f"{answered} successes, {truncated} of them truncated")
-    if not standin.TROUBLE and answered != ROUNDS * SLOTS:
+    record(f"{answered} successes in {rounds} rounds, {truncated} of them "
+           "truncated")
+    if not standin.TROUBLE and answered != ROUNDS * ORDERS:
         raise standin.CannotRun("the orders weren't answered")
     return truncated > 0
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -14,6 +14,7 @@
 import standin
 
 PIECES = 16
+WORKERS = 8  # One of them leaves, an eighth.
 GAP_S = 0.4
 IDLE_S = 1.0  # A worker closes idle connections after this time.
 DRAIN_S = 2.0  # drain_ms
@@ -54,7 +55,7 @@
     store = standin.Store()
     await store.start()
     workers = [standin.Worker(store, record, "desk", f"i-{index}", stream)
-               for index in range(3)]
+               for index in range(WORKERS)]
     for worker in workers:
         worker.keep_alive = IDLE_S
         await worker.start()
