--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -252,6 +252,11 @@
             self.store.put("servers", self.name, self.entry())
             await asyncio.sleep(1.2)
 
+    def kept(self):
+        """States the idle timeout in whole seconds, if there are any."""
+        seconds = int(self.keep_alive or 0)
+        return [("Keep-Alive", f"timeout={seconds}")] if seconds else []
+
     def is_own(self, request):
         expected = request.headers.get("x-clementinelb-expected-instance")
         return expected in (None, self.name)
@@ -269,14 +274,15 @@
                     await read_body(reader, headers)
                     writer.write(head_text(421, [
                         (ATTEMPT, request.attempt), ("Content-Length", 0),
-                        ("X-Clementinelb-Instance-Id", self.name)]))
+                        ("X-Clementinelb-Instance-Id", self.name),
+                        *self.kept()]))
                     await writer.drain()
                     continue
                 request.body = await read_body(reader, headers)
                 if request.target.startswith("/healthz"):
                     writer.write(head_text(200, [
                         ("X-Clementinelb-Instance-Id", self.name),
-                        ("Content-Length", 0)]))
+                        ("Content-Length", 0), *self.kept()]))
                     await writer.drain()
                     continue
                 if await self.handle(request, writer):
