Log what is known of a server when an unframed answer ends

Change: event=unframed_end gives the verdict, the state of the liveness connection and the number of connections made, the other calls to the server and the notice of leaving; event=pending_error_taken names the socket whose error a look has taken. No decision changes.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -292,6 +292,8 @@
   void HoldIfUnframed();
   asio::awaitable<void> JudgeByAddress();
   void SetUnverified(Address address, const char* reason);
+  /// Logs what is known of the server when the answer's end is judged.
+  void LogUnframedEnd(LivenessConnection::Verdict verdict);
   /// Begins to check whether the server lives.
   void StartProbing();
   void TakeTokens(std::string_view bytes);
@@ -868,6 +870,7 @@
     if (m_cancelled) co_return;
     verdict = JudgeByConnections();
   }
+  LogUnframedEnd(verdict);
   if (verdict == LivenessConnection::Verdict::kUnknown) {
     m_end.evidence = EndEvidence::kAddress;
     co_await JudgeByAddress();
@@ -880,6 +883,27 @@
   SetUnverified(address, "all connections to its server ended");
 }
 
+void CallState::LogUnframedEnd(LivenessConnection::Verdict verdict) {
+  using Verdict = LivenessConnection::Verdict;
+  int other_calls = 0;
+  int paused = 0;
+  for (const CallState* other : m_client->m_calls) {
+    if (other == this || other->m_call.address != m_call.address) continue;
+    ++other_calls;
+    if (other->m_paused) ++paused;
+  }
+  LogEvent("unframed_end",
+           {{"address", m_call.address},
+            {"attempt", m_call.attempt},
+            {"verdict", verdict == Verdict::kUnknown    ? "unknown"
+                        : verdict == Verdict::kOutlived ? "outlived"
+                                                        : "ended_with"},
+            {"liveness", m_liveness ? m_liveness->Describe() : "-"},
+            {"other_calls", std::to_string(other_calls)},
+            {"paused_calls", std::to_string(paused)},
+            {"leaving", m_end.leaving ? "yes" : "no"}});
+}
+
 LivenessConnection::Verdict CallState::JudgeByConnections() {
   using Verdict = LivenessConnection::Verdict;
   Verdict verdict =
@@ -898,9 +922,18 @@
 }
 
 bool CallState::IsOpenSince(Clock::time_point time) {
-  return m_connected_at < time &&
-         m_connection_end == Clock::time_point::max() && m_socket.is_open() &&
-         !HasEnded(&m_socket);
+  if (m_connected_at >= time || m_connection_end != Clock::time_point::max() ||
+      !m_socket.is_open()) {
+    return false;
+  }
+  int taken_error = 0;
+  bool ended = HasEnded(&m_socket, &taken_error);
+  if (taken_error != 0) {
+    LogEvent("pending_error_taken", {{"address", m_call.address},
+                                     {"attempt", m_call.attempt},
+                                     {"errno", std::to_string(taken_error)}});
+  }
+  return !ended;
 }
 
 // Without another connection, all that can be asked is whether somebody listens
--- a/net/liveness_connection.cc
+++ b/net/liveness_connection.cc
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "fmt/format.h"
 #include "net/address.h"
 #include "net/connection_pool.h"
 
@@ -48,13 +49,15 @@
   /// When a connection was established that the server has just closed; empty
   /// once all ends that were simultaneous have been handled.
   std::optional<Clock::time_point> just_closed_opened_at;
+  int made = 0;  ///< Connections since Run began.
   bool running = false;
   bool stopped = false;
 };
 
 asio::awaitable<void> LivenessConnection::State::Run(
     std::shared_ptr<State> self) {
-  for (int made = 0; made < kMaxConnections && !self->stopped; ++made) {
+  for (self->made = 0; self->made < kMaxConnections && !self->stopped;) {
+    ++self->made;
     self->socket = tcp::socket(self->pause.get_executor());
     error_code error;
     co_await self->socket.async_connect(
@@ -128,4 +131,12 @@
   return ended_with ? Verdict::kEndedWith : Verdict::kUnknown;
 }
 
+std::string LivenessConnection::Describe() const {
+  const char* state = m_state->opened_at               ? "open"
+                      : m_state->just_closed_opened_at ? "just_ended"
+                      : m_state->running               ? "connecting"
+                                                       : "none";
+  return fmt::format("{},made={}", state, m_state->made);
+}
+
 }  // namespace clementine
--- a/net/liveness_connection.h
+++ b/net/liveness_connection.h
@@ -46,6 +46,11 @@
   /// @param answer_end When the end of the answer's connection was seen.
   Verdict Judge(Clock::time_point answer_end);
 
+  /// Whether a connection is open, and how many have been made since the last
+  /// call that had to make one.
+  /// @return For logs, such as "open,made=1".
+  std::string Describe() const;
+
  private:
   struct State;
   std::shared_ptr<State> m_state;
