Keep a connection to the server for as long as an unframed answer is read

Cause: an answer without length and chunks is judged by a connection to its server that has to outlive it. Change: the connection is made anew for as long as such an answer is read; after one that is refused or closed within 100 ms, with a growing delay. Test: "an unframed answer that lasts for many idle timeouts is broken", both interfaces, leaving or not, port refusing or taken over; sound ones beside it ("an unframed answer that outlives idle connections is complete"). Evidence: unframed_end with liveness="none,made=3". Why it works: the kernel closes all connections of a process in one moment, so a connection that is there at the end of the answer tells.

--- a/net/liveness_connection.cc
+++ b/net/liveness_connection.cc
@@ -3,6 +3,7 @@
 
 #include "net/liveness_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
@@ -25,8 +26,11 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/// Connections made, one after the other, until the next call needs one.
-constexpr int kMaxConnections = 3;
+/// A server that closes a connection sooner doesn't do so for its idle timeout:
+/// it refuses connections or has too many. The next one waits.
+constexpr std::chrono::milliseconds kMinLifetime{100};
+constexpr std::chrono::milliseconds kMinRetryDelay{50};
+constexpr std::chrono::milliseconds kMaxRetryDelay{800};
 /// Bytes that a server may send unasked, such as an answer that tells of its
 /// idle timeout.
 constexpr std::size_t kMaxUnaskedBytes = 16'384;
@@ -56,8 +60,10 @@
 
 asio::awaitable<void> LivenessConnection::State::Run(
     std::shared_ptr<State> self) {
-  for (self->made = 0; self->made < kMaxConnections && !self->stopped;) {
+  std::chrono::milliseconds retry_delay = kMinRetryDelay;
+  while (!self->stopped) {
     ++self->made;
+    Clock::time_point begin = Clock::now();
     self->socket = tcp::socket(self->pause.get_executor());
     error_code error;
     co_await self->socket.async_connect(
@@ -69,8 +75,18 @@
       if (self->stopped) break;
       self->opened_at.reset();
     }
+    bool short_lived = error || Clock::now() - begin < kMinLifetime;
     co_await self->WaitForSimultaneousEnds();
     self->just_closed_opened_at.reset();
+    if (self->stopped) break;
+    if (!short_lived) {
+      retry_delay = kMinRetryDelay;
+      continue;
+    }
+    self->pause.expires_after(retry_delay);
+    co_await self->pause.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    retry_delay = std::min(retry_delay * 2, kMaxRetryDelay);
   }
   self->running = false;
 }
--- a/net/liveness_connection.h
+++ b/net/liveness_connection.h
@@ -13,9 +13,9 @@
 /// A connection that is held to a server while answers are read whose end only
 /// the end of their connection tells. When a process ends, the kernel closes
 /// all its connections in the same moment, whoever listens at its address
-/// afterwards. Nothing is sent on it. If the server closes it, a few more are
-/// made, each after a pause, so that none is made to a successor in the moment
-/// in which the process ends.
+/// afterwards. Nothing is sent on it. If the server closes it, as it does after
+/// its idle timeout, another one is made after a pause, so that none is made to
+/// a successor in the moment in which the process ends.
 class LivenessConnection {
  public:
   using Clock = std::chrono::steady_clock;
@@ -46,8 +46,7 @@
   /// @param answer_end When the end of the answer's connection was seen.
   Verdict Judge(Clock::time_point answer_end);
 
-  /// Whether a connection is open, and how many have been made since the last
-  /// call that had to make one.
+  /// Whether a connection is open, and how many have been made.
   /// @return For logs, such as "open,made=1".
   std::string Describe() const;
 
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <optional>
 #include <thread>
 
@@ -21,6 +22,10 @@
 using nettest::RunUntil;
 using nettest::ScriptedServer;
 
+/// A short idle timeout of a server, and an answer that lasts for many of them.
+constexpr milliseconds kIdleTimeout{150};
+constexpr milliseconds kLong{1'100};
+
 const char kHead[] = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
 
 /// Calls a server that answers, waits for all of `calls` requests, and ends
@@ -59,6 +64,18 @@
     }
   }
 
+  /// Closes those that have had none for a time.
+  void CloseIdleFor(milliseconds timeout) {
+    Clock::time_point now = Clock::now();
+    for (auto& raw : server.connections) {
+      if (std::find(waiting.begin(), waiting.end(), raw) != waiting.end() ||
+          now - first_seen.emplace(raw, now).first->second < timeout) {
+        continue;
+      }
+      raw->Close();
+    }
+  }
+
   std::vector<BackendEnd> Run(bool relay, bool leaving = false) {
     for (int i = 0; i < calls; ++i) {
       BackendCall call;
@@ -82,6 +99,7 @@
   boost::asio::steady_timer timer{io};
   BackendClient client;
   std::vector<std::shared_ptr<RawConnection>> waiting;
+  std::map<std::shared_ptr<RawConnection>, Clock::time_point> first_seen;
   ScriptedServer server;
   std::vector<BackendEnd> ends;
 };
@@ -123,6 +141,20 @@
 /// The answers end; the process lives.
 void EndAnswers(Fixture* fixture) { fixture->CloseAnswers(); }
 
+/// The server closes connections that have no request after an idle timeout,
+/// for a while before `end`.
+Fixture::End AfterIdleTimeouts(milliseconds idle_timeout, milliseconds duration,
+                               const Fixture::End& end) {
+  constexpr milliseconds kStep{10};
+  return [=](Fixture* fixture) {
+    if (duration <= milliseconds(0)) return end(fixture);
+    fixture->CloseIdleFor(idle_timeout);
+    fixture->After(kStep, [=] {
+      AfterIdleTimeouts(idle_timeout, duration - kStep, end)(fixture);
+    });
+  };
+}
+
 /// The client, on the same thread, does nothing for a while after the end.
 Fixture::End PauseAfter(const Fixture::End& end) {
   return [end](Fixture* fixture) {
@@ -267,13 +299,41 @@
       fixture->After(milliseconds(100), [=] { fixture->CloseAnswers(); });
     });
     CHECK(lives.Run(relay)[0].result == AttemptResult::kComplete);
+    // The process ends some time after its last answer.
     Fixture leaves([](Fixture* fixture) {
+      fixture->CloseAnswers();
+      fixture->After(milliseconds(300), [=] { fixture->server.Stop(); });
+    });
+    CHECK(leaves.Run(relay, /*leaving=*/true)[0].result ==
+          AttemptResult::kComplete);
+    Fixture stops([](Fixture* fixture) {
       fixture->server.StopListening();
       fixture->CloseIdle();
       fixture->After(milliseconds(100), [=] { fixture->server.Stop(); });
     });
-    CHECK(leaves.Run(relay, /*leaving=*/true)[0].result ==
+    CHECK(stops.Run(relay, /*leaving=*/true)[0].result ==
           AttemptResult::kComplete);
+    Fixture times_out(AfterIdleTimeouts(kIdleTimeout, kLong, EndAnswers), 3);
+    for (const BackendEnd& end : times_out.Run(relay, /*leaving=*/true)) {
+      CHECK(end.result == AttemptResult::kComplete);
+    }
+  }
+}
+
+// Guards against broken answers that count as complete because they lasted for
+// more idle timeouts of their server than connections were made to it (ORDER).
+TEST_CASE("an unframed answer that lasts for many idle timeouts is broken") {
+  for (bool relay : {false, true}) {
+    for (bool leaving : {false, true}) {
+      CAPTURE(relay);
+      CAPTURE(leaving);
+      CHECK(Fixture(AfterIdleTimeouts(kIdleTimeout, kLong, EndServer))
+                .Run(relay, leaving)[0]
+                .result == AttemptResult::kCrashed);
+      CHECK(Fixture(AfterIdleTimeouts(kIdleTimeout, kLong, ReplaceServer))
+                .Run(relay, leaving)[0]
+                .result == AttemptResult::kBroken);
+    }
   }
 }
 
