Don't take a leaving server's refusal for the end of a whole answer

Change: without evidence an answer is not complete, whoever its server is. The end of a leaving server is no crash, so that no request is blamed for it. Why it works: a verdict of "complete" now always rests on something that is open after the answer.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -294,8 +294,6 @@
   void SetUnverified(Address address, const char* reason);
   /// Logs what is known of the server when the answer's end is judged.
   void LogUnframedEnd(LivenessConnection::Verdict verdict);
-  /// Begins to check whether the server lives.
-  void StartProbing();
   void TakeTokens(std::string_view bytes);
   void Classify(const Parser& parser);
   void Fail(const char* phase, error_code error);
@@ -359,8 +357,6 @@
   bool m_first_token = false;
   bool m_broken = false;      ///< The connection failed after bytes were sent.
   bool m_unverified = false;  ///< Only the connection's end ended the answer.
-  bool m_probing = false;     ///< Has begun to check whether its server lives.
-  bool m_ended_with_others = false;  ///< As other answers of its server.
   bool m_reported = false;
   bool m_not_run = false;           ///< Relayed: the head says so.
   bool m_dropped = false;           ///< All answers together kept too much.
@@ -838,7 +834,6 @@
 // A process that exits closes its connections before or after its listening
 // socket, so one accepted connection doesn't prove that it lives.
 asio::awaitable<CallState::Address> CallState::ProbeAddress() {
-  StartProbing();
   asio::steady_timer pause(*m_client->m_io);
   for (int probe = 1;; ++probe) {
     error_code error;
@@ -937,23 +932,20 @@
 }
 
 // Without another connection, all that can be asked is whether somebody listens
-// at the address.
+// at the address. A server that is leaving may have stopped listening before it
+// sent the end of its last answer, or may have cut it off: without evidence an
+// answer isn't complete.
 asio::awaitable<void> CallState::JudgeByAddress() {
   Address address = co_await ProbeAddress();
   if (address == Address::kAccepts || m_cancelled) co_return;
-  bool leaves = m_end.leaving ||
-                (m_handlers.server_leaving && m_handlers.server_leaving());
-  if (address == Address::kRefuses && leaves) {
-    // Lets the ends of other answers in the same moment arrive.
-    asio::steady_timer pause(*m_client->m_io, kCrashProbePause);
-    error_code ignored;
-    co_await pause.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
-    if (m_cancelled || !m_ended_with_others) co_return;
-  }
   SetUnverified(address, address == Address::kRefuses
                              ? "its server refuses connections"
                              : "its server can't be reached");
+  // A server that has announced its end doesn't crash because of a request.
+  if (m_end.leaving ||
+      (m_handlers.server_leaving && m_handlers.server_leaving())) {
+    m_end.result = AttemptResult::kBroken;
+  }
 }
 
 void CallState::SetUnverified(Address address, const char* reason) {
@@ -964,18 +956,6 @@
   m_end.detail = fmt::format("answer without a length ended and {}", reason);
 }
 
-// Answers that end in the same moment point to the end of the process.
-void CallState::StartProbing() {
-  m_probing = true;
-  for (CallState* other : m_client->m_calls) {
-    if (other == this || !other->m_probing ||
-        other->m_call.address != m_call.address) {
-      continue;
-    }
-    m_ended_with_others = other->m_ended_with_others = true;
-  }
-}
-
 void CallState::Report() {
   if (m_reported || m_cancelled) return;
   m_reported = true;
--- a/net/net.h
+++ b/net/net.h
@@ -390,9 +390,8 @@
   std::function<AnswerHead(int status, const HttpHeaders& headers)> head;
   /// Relayed calls: the next bytes of an accepted answer's body.
   std::function<void(std::string_view bytes)> bytes;
-  /// Whether the server has announced that it is leaving. Such a server may end
-  /// after its last answer, when it has closed all other connections before.
-  /// Empty: it has not.
+  /// Whether the server has announced that it is leaving. The end of such a
+  /// server isn't a crash. Empty: it has not.
   std::function<bool()> server_leaving;
   std::function<void(BackendEnd end)> end;  ///< Exactly once unless cancelled.
 };
