Judge unframed answers by what each connection's own reader sees

Cause: whether a server's process outlived an answer was answered in part by a look (recv with MSG_PEEK) at the sockets of other calls. Change: net/server_connections.h owns the question. Each reader notes when it waits for bytes; a read that still waits after the event loop has handled what had arrived shows that its connection is open, at no system call. A witness has one rule: open together with the answer's connection, and open a moment after the answer's end. A connection that isn't being read tells nothing. Test: "a reset unframed answer is broken beside answers that end" and "unread bytes of another answer are no evidence of a live server". "simultaneous ends stay so if a handler runs late" checks the same three verdicts on the new part, whose predecessor's function is gone. Measured: callers got 200 with a part of the body as a whole answer. Evidence: three pending_error_taken with errno 104 for three reset answers. Why it works: nothing but its reader touches a socket, so no order of events can take a reset away from it.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -34,6 +34,7 @@
 #include "net/liveness_connection.h"
 #include "net/net.h"
 #include "net/read_some.h"
+#include "net/server_connections.h"
 
 namespace clementine {
 namespace {
@@ -146,6 +147,11 @@
         m_options(std::move(options)),
         m_pool(m_options.max_idle_per_address, m_options.idle_timeout,
                m_options.max_idle),
+        m_servers(std::make_shared<ServerConnections>(
+            io,
+            [this](const std::string& address, Clock::time_point time) {
+              return m_pool.HasOpenSince(address, time);
+            })),
         m_sweep(*io) {}
 
   std::shared_ptr<BackendAttempt> Start(BackendCall call,
@@ -167,6 +173,7 @@
   asio::io_context* m_io;
   BackendOptions m_options;
   ConnectionPool m_pool;
+  std::shared_ptr<ServerConnections> m_servers;
   BackendStats m_stats;
   std::unordered_set<CallState*> m_calls;
   std::unordered_map<std::string, std::weak_ptr<LivenessConnection>>
@@ -203,6 +210,7 @@
     ++m_client->m_stats.calls;
   }
   ~CallState() override {
+    LeaveConnection();
     ReleaseHeld();
     ReleaseLiveness();
     m_client->m_calls.erase(this);
@@ -285,15 +293,12 @@
   asio::awaitable<void> FinishTrailer(Parser* parser);
   asio::awaitable<Address> ProbeAddress();
   asio::awaitable<void> VerifyUnframedEnd();
-  /// What other connections to the server tell of an answer that has ended.
-  LivenessConnection::Verdict JudgeByConnections();
-  bool IsOpenSince(Clock::time_point time);
   /// Holds a liveness connection if the framing of the answer needs one.
   void HoldIfUnframed();
   asio::awaitable<void> JudgeByAddress();
   void SetUnverified(Address address, const char* reason);
   /// Logs what is known of the server when the answer's end is judged.
-  void LogUnframedEnd(LivenessConnection::Verdict verdict);
+  void LogUnframedEnd(ServerConnections::Verdict verdict);
   void TakeTokens(std::string_view bytes);
   void Classify(const Parser& parser);
   void Fail(const char* phase, error_code error);
@@ -331,22 +336,34 @@
   }
   void Close() {
     error_code ignored;
+    LeaveConnection();
     m_socket.close(ignored);
   }
+  void EnterConnection() {
+    m_connection = m_client->m_servers->Add(m_call.address);
+  }
+  void LeaveConnection() {
+    if (!m_connection) return;
+    m_client->m_servers->Remove(m_call.address, m_connection.get());
+  }
 
   std::shared_ptr<BackendClient::Impl> m_client;
   BackendCall m_call;
   BackendHandlers m_handlers;
   tcp::socket m_socket;
-  asio::steady_timer m_resumed;  ///< Cancelled by Resume.
-  Clock::time_point m_connected_at = Clock::time_point::max();
-  /// When the connection was seen to have ended.
-  Clock::time_point m_connection_end = Clock::time_point::max();
+  asio::steady_timer m_resumed;                  ///< Cancelled by Resume.
+  std::shared_ptr<ReadConnection> m_connection;  ///< Null before it is made.
   /// Held while an answer is read that only the end of its connection ends.
   std::shared_ptr<LivenessConnection> m_liveness;
   EventStreamReader m_reader;
   beast::flat_buffer m_buffer;
-  const std::function<void()> m_on_read = [this] { UpdateHeld(); };
+  const std::function<void()> m_before_read = [this] {
+    m_connection->BeginRead();
+  };
+  const std::function<void()> m_on_read = [this] {
+    m_connection->EndRead();
+    UpdateHeld();
+  };
   std::array<char, kReadBytes> m_bytes{};
   BackendEnd m_end;
   Clock::time_point m_deadline = Clock::time_point::max();
@@ -439,10 +456,9 @@
   std::weak_ptr<LivenessConnection>& entry = m_liveness_connections[address];
   std::shared_ptr<LivenessConnection> held = entry.lock();
   if (!held) {
-    held = std::make_shared<LivenessConnection>(m_io, address);
+    held = std::make_shared<LivenessConnection>(m_io, m_servers, address);
     entry = held;
   }
-  held->Ensure();
   return held;
 }
 
@@ -515,7 +531,7 @@
     if (reused) {
       m_socket = std::move(*reused);
       m_end.reused = true;
-      m_connected_at = Clock::now();
+      EnterConnection();
       ++m_client->m_stats.reused;
       co_return true;
     }
@@ -540,7 +556,7 @@
     m_broken = m_timed_out = false;
     co_return false;
   }
-  m_connected_at = Clock::now();
+  EnterConnection();
   PrepareSocket(&m_socket, m_client->m_options.user_timeout);
   co_return true;
 }
@@ -580,7 +596,8 @@
     (*parser)->body_limit(boost::none);
     if (m_call.method == "HEAD") (*parser)->skip(true);
     while (!error && !(*parser)->is_header_done()) {
-      error = co_await ReadSome(&m_socket, &m_buffer, &**parser, &m_on_read);
+      error = co_await ReadSome(&m_socket, &m_buffer, &**parser, &m_on_read,
+                                &m_before_read);
     }
   } while (
       !error &&
@@ -708,8 +725,8 @@
   body.data = m_bytes.data();
   body.size = m_bytes.size();
   body.more = true;
-  error_code error =
-      co_await ReadSome(&m_socket, &m_buffer, parser, &m_on_read);
+  error_code error = co_await ReadSome(&m_socket, &m_buffer, parser, &m_on_read,
+                                       &m_before_read);
   if (error == http::error::need_buffer) error = {};
   *bytes = std::string_view(m_bytes.data(), m_bytes.size() - body.size);
   co_return error;
@@ -820,7 +837,6 @@
     LogDropped("unparsed_bytes", m_buffer.size());
   }
   m_broken = true;
-  m_connection_end = Clock::now();
   m_end.lost = !m_timed_out;
   m_end.result =
       m_timed_out ? AttemptResult::kTimedOut : AttemptResult::kBroken;
@@ -853,82 +869,33 @@
 }
 
 asio::awaitable<void> CallState::VerifyUnframedEnd() {
-  m_connection_end = Clock::now();
+  using Verdict = ServerConnections::Verdict;
   Close();
-  LivenessConnection::Verdict verdict = JudgeByConnections();
-  if (verdict == LivenessConnection::Verdict::kOutlived) {
-    asio::steady_timer pause(*m_client->m_io,
-                             LivenessConnection::kSimultaneous);
-    error_code ignored;
-    co_await pause.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
-    if (m_cancelled) co_return;
-    verdict = JudgeByConnections();
-  }
+  Verdict verdict =
+      co_await m_client->m_servers->Judge(m_call.address, m_connection);
+  if (m_cancelled) co_return;
   LogUnframedEnd(verdict);
-  if (verdict == LivenessConnection::Verdict::kUnknown) {
+  if (verdict == Verdict::kUnknown) {
     m_end.evidence = EndEvidence::kAddress;
     co_await JudgeByAddress();
     co_return;
   }
   m_end.evidence = EndEvidence::kConnections;
-  if (verdict == LivenessConnection::Verdict::kOutlived) co_return;
+  if (verdict == Verdict::kOutlived) co_return;
   Address address = co_await ProbeAddress();
   if (m_cancelled) co_return;
   SetUnverified(address, "all connections to its server ended");
 }
 
-void CallState::LogUnframedEnd(LivenessConnection::Verdict verdict) {
-  using Verdict = LivenessConnection::Verdict;
-  int other_calls = 0;
-  int paused = 0;
-  for (const CallState* other : m_client->m_calls) {
-    if (other == this || other->m_call.address != m_call.address) continue;
-    ++other_calls;
-    if (other->m_paused) ++paused;
-  }
-  LogEvent("unframed_end",
-           {{"address", m_call.address},
-            {"attempt", m_call.attempt},
-            {"verdict", verdict == Verdict::kUnknown    ? "unknown"
-                        : verdict == Verdict::kOutlived ? "outlived"
-                                                        : "ended_with"},
-            {"liveness", m_liveness ? m_liveness->Describe() : "-"},
-            {"other_calls", std::to_string(other_calls)},
-            {"paused_calls", std::to_string(paused)},
-            {"leaving", m_end.leaving ? "yes" : "no"}});
-}
-
-LivenessConnection::Verdict CallState::JudgeByConnections() {
-  using Verdict = LivenessConnection::Verdict;
-  Verdict verdict =
-      m_liveness ? m_liveness->Judge(m_connection_end) : Verdict::kUnknown;
-  if (verdict == Verdict::kOutlived ||
-      m_client->m_pool.HasOpenSince(m_call.address, m_connection_end)) {
-    return Verdict::kOutlived;
-  }
-  bool outlived = std::any_of(
-      m_client->m_calls.begin(), m_client->m_calls.end(),
-      [this](CallState* other) {
-        return other != this && other->m_call.address == m_call.address &&
-               other->IsOpenSince(m_connection_end);
-      });
-  return outlived ? Verdict::kOutlived : verdict;
-}
-
-bool CallState::IsOpenSince(Clock::time_point time) {
-  if (m_connected_at >= time || m_connection_end != Clock::time_point::max() ||
-      !m_socket.is_open()) {
-    return false;
-  }
-  int taken_error = 0;
-  bool ended = HasEnded(&m_socket, &taken_error);
-  if (taken_error != 0) {
-    LogEvent("pending_error_taken", {{"address", m_call.address},
-                                     {"attempt", m_call.attempt},
-                                     {"errno", std::to_string(taken_error)}});
-  }
-  return !ended;
+void CallState::LogUnframedEnd(ServerConnections::Verdict verdict) {
+  LogEvent(
+      "unframed_end",
+      {{"address", m_call.address},
+       {"verdict", VerdictName(verdict)},
+       {"liveness_made", m_liveness ? std::to_string(m_liveness->made()) : "-"},
+       {"connections",
+        std::to_string(m_client->m_servers->Count(m_call.address))},
+       {"leaving", m_end.leaving ? "yes" : "no"}});
 }
 
 // Without another connection, all that can be asked is whether somebody listens
@@ -970,6 +937,7 @@
   if (!parser.keep_alive() || m_buffer.size() > 0 || !m_socket.is_open()) {
     return;
   }
+  LeaveConnection();
   m_client->m_pool.Put(m_call.address, std::move(m_socket), Clock::now());
 }
 
--- a/net/connection_pool.cc
+++ b/net/connection_pool.cc
@@ -17,16 +17,6 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-bool HasEnded(boost::asio::ip::tcp::socket* socket, int* taken_error) {
-  char byte = 0;
-  ssize_t size =
-      ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (size >= 0) return size == 0;
-  bool failed = errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
-  if (failed && taken_error != nullptr) *taken_error = errno;
-  return failed;
-}
-
 std::optional<ConnectionPool::Socket> ConnectionPool::Take(
     const std::string& address) {
   auto found = m_idle.find(address);
--- a/net/connection_pool.h
+++ b/net/connection_pool.h
@@ -16,12 +16,6 @@
 /// unasked.
 bool StillOpen(boost::asio::ip::tcp::socket* socket);
 
-/// Whether the peer has closed or reset a connection and no byte from before is
-/// left to read.
-/// @param taken_error Set to the socket's pending error, if there was one: it
-///     is gone afterwards.
-bool HasEnded(boost::asio::ip::tcp::socket* socket, int* taken_error = nullptr);
-
 /// Keeps connections that are proven idle. Invariant: at most
 /// `max_per_address` connections for an address.
 class ConnectionPool {
--- a/net/read_some.h
+++ b/net/read_some.h
@@ -19,12 +19,14 @@
 /// before it returns: parses buffered bytes, and reads more until the parser
 /// makes progress.
 /// @param on_read Called after each read from the connection.
+/// @param before_read Called before each, if given.
 /// @return http::error::buffer_overflow if a part of the message that has to be
 ///     parsed as a whole exceeds the maximum size of the buffer.
 template <typename Stream, typename Parser>
 boost::asio::awaitable<boost::system::error_code> ReadSome(
     Stream* stream, boost::beast::flat_buffer* buffer, Parser* parser,
-    const std::function<void()>* on_read) {
+    const std::function<void()>* on_read,
+    const std::function<void()>* before_read = nullptr) {
   namespace http = boost::beast::http;
   constexpr std::size_t kMaxReadBytes = 65'536;
   boost::system::error_code error = http::error::need_more;
@@ -41,6 +43,7 @@
     std::size_t size = boost::beast::read_size(*buffer, kMaxReadBytes);
     if (size == 0) co_return http::error::buffer_overflow;
     error = {};
+    if (before_read != nullptr) (*before_read)();
     std::size_t read = co_await stream->async_read_some(
         buffer->prepare(size),
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
--- /dev/null
+++ b/net/server_connections.cc
@@ -0,0 +1,127 @@
+// The end of a connection that has arrived is handled within some turns of the
+// event loop, so a read that still waits after them shows that the connection
+// was open before them. That costs no system call for each connection, and is
+// right also if this process got no processor time meanwhile.
+
+#include "net/server_connections.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace clementine {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Handlers run in turn, and one turn delivers a bounded number of events.
+asio::awaitable<void> RunPendingHandlers(asio::io_context* io) {
+  constexpr int kTurns = 8;
+  for (int turn = 0; turn < kTurns; ++turn) {
+    co_await asio::post(*io, asio::use_awaitable);
+  }
+}
+
+}  // namespace
+
+std::shared_ptr<ReadConnection> ServerConnections::Add(
+    const std::string& address) {
+  return m_connections[address].emplace_back(
+      std::make_shared<ReadConnection>(Clock::now()));
+}
+
+void ServerConnections::Remove(const std::string& address,
+                               const ReadConnection* connection) {
+  auto found = m_connections.find(address);
+  if (found == m_connections.end()) return;
+  std::erase_if(found->second, [connection](const auto& entry) {
+    return entry.get() == connection;
+  });
+  if (found->second.empty()) m_connections.erase(found);
+}
+
+asio::awaitable<void> ServerConnections::Refresh(std::string address) {
+  // The caller may be about to begin a read.
+  co_await asio::post(*m_io, asio::use_awaitable);
+  auto found = m_connections.find(address);
+  if (found == m_connections.end()) co_return;
+  Clock::time_point now = Clock::now();
+  std::vector<std::pair<std::shared_ptr<ReadConnection>, std::uint64_t>>
+      waiting;
+  for (const auto& connection : found->second) {
+    if (connection->reading) {
+      waiting.emplace_back(connection, connection->reads);
+    }
+  }
+  co_await RunPendingHandlers(m_io);
+  std::erase_if(waiting, [](const auto& entry) {
+    const auto& [connection, reads] = entry;
+    return !connection->reading || connection->reads != reads;
+  });
+  Clock::time_point since = now;
+  for (const auto& [connection, reads] : waiting) {
+    since = std::min(since, connection->process_since);
+  }
+  for (const auto& [connection, reads] : waiting) {
+    connection->open_until = std::max(connection->open_until, now);
+    connection->process_since = since;
+  }
+}
+
+asio::awaitable<ServerConnections::Verdict> ServerConnections::Judge(
+    std::string address, std::shared_ptr<const ReadConnection> answer) {
+  Clock::time_point end = Clock::now();
+  // Those that end meanwhile are removed from the list.
+  List others;
+  auto found = m_connections.find(address);
+  if (found != m_connections.end()) others = found->second;
+  if (!others.empty()) {
+    asio::steady_timer pause(*m_io, kSimultaneous);
+    boost::system::error_code ignored;
+    co_await pause.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    co_await Refresh(address);
+  }
+  if (m_has_idle_since(address, answer->open_until)) {
+    co_return Verdict::kOutlived;
+  }
+  Verdict verdict = Verdict::kUnknown;
+  for (const auto& other : others) {
+    if (other->process_since > answer->open_until) continue;
+    if (other->open_until >= end + kSimultaneous) co_return Verdict::kOutlived;
+    if (other->ended) verdict = Verdict::kEndedWith;
+  }
+  co_return verdict;
+}
+
+std::size_t ServerConnections::Count(const std::string& address) const {
+  auto found = m_connections.find(address);
+  return found == m_connections.end() ? 0 : found->second.size();
+}
+
+const char* VerdictName(ServerConnections::Verdict verdict) {
+  switch (verdict) {
+    case ServerConnections::Verdict::kUnknown:
+      return "unknown";
+    case ServerConnections::Verdict::kOutlived:
+      return "outlived";
+    case ServerConnections::Verdict::kEndedWith:
+      return "ended_with";
+  }
+  return "unknown";
+}
+
+// A process without processor time may run the handler of one end long after
+// that of the other. Timers are served after the sockets that are ready, so the
+// other end has been handled when this returns.
+asio::awaitable<void> WaitForSimultaneousEnds(asio::io_context* io) {
+  asio::steady_timer pause(*io, ServerConnections::kSimultaneous);
+  boost::system::error_code ignored;
+  co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  co_await RunPendingHandlers(io);
+}
+
+}  // namespace clementine
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -4,13 +4,18 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <thread>
 
 #include "net/liveness_connection.h"
 #include "net/net.h"
+#include "net/server_connections.h"
 #include "testing/net_test_support.h"
 
 namespace clementine {
@@ -256,21 +261,99 @@
 // Guards against two ends that count as unrelated since the daemon got no
 // processor time between their handlers.
 TEST_CASE("simultaneous ends stay so if a handler runs late") {
-  using Verdict = LivenessConnection::Verdict;
+  using Verdict = ServerConnections::Verdict;
   boost::asio::io_context io;
   ScriptedServer server(&io, [](RawConnection&, const std::string&) {});
-  LivenessConnection liveness(&io, server.address);
-  liveness.Ensure();
+  auto servers = std::make_shared<ServerConnections>(
+      &io, [](const std::string&, Clock::time_point) { return false; });
+  LivenessConnection liveness(&io, servers, server.address);
   REQUIRE(RunUntil(&io, [&] { return server.connections.size() == 1; }));
-  RunFor(&io, milliseconds(20));
-  CHECK(liveness.Judge(Clock::now()) == Verdict::kOutlived);
-  server.connections[0]->Close();
-  RunFor(&io, milliseconds(5));
-  std::this_thread::sleep_for(milliseconds(100));
-  CHECK(liveness.Judge(Clock::now()) == Verdict::kEndedWith);
+  // Judges an answer whose connection is open now and ends after `meanwhile`.
+  auto judge = [&](const std::function<void()>& meanwhile) {
+    std::shared_ptr<ReadConnection> answer = servers->Add(server.address);
+    RunFor(&io, milliseconds(20));
+    servers->Remove(server.address, answer.get());
+    answer->open_until = Clock::now();
+    meanwhile();
+    std::optional<Verdict> verdict;
+    boost::asio::co_spawn(
+        io, servers->Judge(server.address, answer),
+        [&](const std::exception_ptr&, Verdict value) { verdict = value; });
+    REQUIRE(RunUntil(&io, [&] { return verdict.has_value(); }));
+    return *verdict;
+  };
+  CHECK(judge([] {}) == Verdict::kOutlived);
+  CHECK(judge([&] {
+          server.connections[0]->Close();
+          RunFor(&io, milliseconds(5));
+          std::this_thread::sleep_for(milliseconds(100));
+        }) == Verdict::kEndedWith);
   // An end that is handled after that is another one.
   RunFor(&io, milliseconds(100));
-  CHECK(liveness.Judge(Clock::now()) == Verdict::kOutlived);
+  CHECK(judge([] {}) == Verdict::kOutlived);
+}
+
+// Guards against a reset that a look at its socket takes away from its reader,
+// which then sees a regular end: a truncated answer counts as whole (MIXED).
+TEST_CASE("a reset unframed answer is broken beside answers that end") {
+  for (bool relay : {false, true}) {
+    CAPTURE(relay);
+    // Without an idle connection, as of a server that closes them at once.
+    Fixture batch(AfterIdleTimeouts(milliseconds(0), milliseconds(600),
+                                    [](Fixture* fixture) {
+                                      std::size_t half =
+                                          fixture->waiting.size() / 2;
+                                      for (std::size_t i = 0; i < half; ++i) {
+                                        fixture->waiting[i]->Close();
+                                        fixture->waiting[half + i]->Reset();
+                                      }
+                                    }),
+                  6);
+    int complete = 0;
+    int broken = 0;
+    for (const BackendEnd& end : batch.Run(relay)) {
+      if (end.result == AttemptResult::kComplete) ++complete;
+      if (end.result == AttemptResult::kBroken) ++broken;
+    }
+    CHECK(complete == 3);
+    CHECK(broken == 3);
+  }
+}
+
+// Guards against a truncated answer that counts as whole because another answer
+// of its server, which ended too, has unread bytes (MIXED).
+TEST_CASE("unread bytes of another answer are no evidence of a live server") {
+  boost::asio::io_context io;
+  ScriptedServer server(&io, [](RawConnection& raw, const std::string&) {
+    raw.Send(std::string(kHead) + "text");
+  });
+  BackendClient client(&io, BackendOptions());
+  auto start = [&](std::function<void(std::string_view)> on_bytes,
+                   std::optional<BackendEnd>* end) {
+    BackendCall call;
+    call.address = server.address;
+    call.target = "/";
+    call.relay = call.verify_unframed = true;
+    call.idempotent = false;
+    BackendHandlers handlers;
+    handlers.bytes = std::move(on_bytes);
+    handlers.end = [end](const BackendEnd& received) { *end = received; };
+    return client.Start(call, std::move(handlers));
+  };
+  std::shared_ptr<BackendAttempt> slow;
+  std::optional<BackendEnd> slow_end;
+  slow = start([&](std::string_view) { slow->Pause(); }, &slow_end);
+  REQUIRE(RunUntil(&io, [&] { return !server.requests.empty(); }));
+  RunFor(&io, milliseconds(50));
+  std::optional<BackendEnd> end;
+  auto attempt = start([](std::string_view) {}, &end);
+  RunFor(&io, milliseconds(50));
+  for (auto& raw : server.connections) raw->Send("more");
+  RunFor(&io, milliseconds(20));
+  for (auto& raw : server.connections) raw->Close();
+  REQUIRE(RunUntil(&io, [&] { return end.has_value(); }));
+  CHECK(end->result == AttemptResult::kBroken);
+  slow->Cancel();
 }
 
 // Guards against sound answers that are no longer served.
