Let connections to a server overlap while an unframed answer is read

Cause: while a slow caller keeps the daemon from reading, the end of an answer is seen long after it came. Change: the next connection to the server is made at half of its idle timeout, which is learned, so that connections overlap. Those that overlap lead to the same process, and a connection of a successor can't be linked to the answer. If an answer was not read for over 100 ms before its end and nothing links it to a process that lives, it isn't complete.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -178,8 +178,10 @@
   std::unordered_set<CallState*> m_calls;
   std::unordered_map<std::string, std::weak_ptr<LivenessConnection>>
       m_liveness_connections;
-  /// Addresses whose last answer only the end of its connection ended.
-  std::unordered_set<std::string> m_unframed_servers;
+  /// Idle timeouts by address, of servers whose last answer only the end of its
+  /// connection ended.
+  std::unordered_map<std::string, std::shared_ptr<milliseconds>>
+      m_unframed_servers;
 
  private:
   static asio::awaitable<void> Sweep(std::shared_ptr<Impl> self);
@@ -401,6 +403,10 @@
     Clock::time_point now = Clock::now();
     std::vector<CallState*> calls(self->m_calls.begin(), self->m_calls.end());
     for (CallState* call : calls) call->CheckDeadline(now);
+    for (const auto& [address, liveness] : self->m_liveness_connections) {
+      asio::co_spawn(*self->m_io, self->m_servers->Refresh(address),
+                     asio::detached);
+    }
     self->m_pool.Expire(now);
   }
   self->m_sweeping = false;
@@ -456,7 +462,10 @@
   std::weak_ptr<LivenessConnection>& entry = m_liveness_connections[address];
   std::shared_ptr<LivenessConnection> held = entry.lock();
   if (!held) {
-    held = std::make_shared<LivenessConnection>(m_io, m_servers, address);
+    std::shared_ptr<milliseconds>& idle_timeout = m_unframed_servers[address];
+    if (!idle_timeout) idle_timeout = std::make_shared<milliseconds>(0);
+    held = std::make_shared<LivenessConnection>(m_io, m_servers, address,
+                                                idle_timeout);
     entry = held;
   }
   return held;
@@ -652,14 +661,14 @@
 // Remembers the server, because its next answer may end as soon as it begins: a
 // connection that is made then comes too late.
 void CallState::HoldIfUnframed() {
-  std::unordered_set<std::string>& unframed = m_client->m_unframed_servers;
+  auto& unframed = m_client->m_unframed_servers;
   if (m_end.framing != AnswerFraming::kConnection) {
     unframed.erase(m_call.address);
     ReleaseLiveness();
     return;
   }
   if (unframed.size() >= kMaxUnframedServers) unframed.clear();
-  unframed.insert(m_call.address);
+  unframed.try_emplace(m_call.address);
   if (!m_liveness) {
     m_liveness = m_client->ShareLivenessConnection(m_call.address);
   }
@@ -687,6 +696,7 @@
   std::size_t received = 0;
   while (!parser->is_done()) {
     while (m_paused && !m_cancelled) {
+      m_connection->unread = true;
       error_code ignored;
       co_await m_resumed.async_wait(
           asio::redirect_error(asio::use_awaitable, ignored));
@@ -884,7 +894,9 @@
   if (verdict == Verdict::kOutlived) co_return;
   Address address = co_await ProbeAddress();
   if (m_cancelled) co_return;
-  SetUnverified(address, "all connections to its server ended");
+  SetUnverified(address, verdict == Verdict::kReadLate
+                             ? "its end was read late"
+                             : "all connections to its server ended");
 }
 
 void CallState::LogUnframedEnd(ServerConnections::Verdict verdict) {
--- a/net/liveness_connection.h
+++ b/net/liveness_connection.h
@@ -3,6 +3,7 @@
 #define NET_LIVENESS_CONNECTION_H_
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -19,10 +20,12 @@
  public:
   /// @param connections Is told of them.
   /// @param address IP:port of the server.
+  /// @param idle_timeout Of the server, as seen so far; 0: unknown. Updated.
   /// @throws std::runtime_error if it isn't one.
   LivenessConnection(boost::asio::io_context* io,
                      std::shared_ptr<ServerConnections> connections,
-                     const std::string& address);
+                     const std::string& address,
+                     std::shared_ptr<std::chrono::milliseconds> idle_timeout);
   ~LivenessConnection();
   LivenessConnection(const LivenessConnection&) = delete;
   LivenessConnection& operator=(const LivenessConnection&) = delete;
--- a/net/server_connections.cc
+++ b/net/server_connections.cc
@@ -17,6 +17,9 @@
 
 namespace asio = boost::asio;
 
+/// No number of a read.
+constexpr std::uint64_t kNoRead = 0;
+
 /// Handlers run in turn, and one turn delivers a bounded number of events.
 asio::awaitable<void> RunPendingHandlers(asio::io_context* io) {
   constexpr int kTurns = 8;
@@ -29,43 +32,58 @@
 
 std::shared_ptr<ReadConnection> ServerConnections::Add(
     const std::string& address) {
-  return m_connections[address].emplace_back(
+  return m_servers[address].connections.emplace_back(
       std::make_shared<ReadConnection>(Clock::now()));
 }
 
+void ServerConnections::End(const std::string& address,
+                            ReadConnection* connection) {
+  connection->ended = true;
+  auto found = m_servers.find(address);
+  if (found != m_servers.end()) found->second.last_end = Clock::now();
+}
+
 void ServerConnections::Remove(const std::string& address,
                                const ReadConnection* connection) {
-  auto found = m_connections.find(address);
-  if (found == m_connections.end()) return;
-  std::erase_if(found->second, [connection](const auto& entry) {
+  auto found = m_servers.find(address);
+  if (found == m_servers.end()) return;
+  std::erase_if(found->second.connections, [connection](const auto& entry) {
     return entry.get() == connection;
   });
-  if (found->second.empty()) m_connections.erase(found);
+  if (found->second.connections.empty()) m_servers.erase(found);
 }
 
 asio::awaitable<void> ServerConnections::Refresh(std::string address) {
   // The caller may be about to begin a read.
   co_await asio::post(*m_io, asio::use_awaitable);
-  auto found = m_connections.find(address);
-  if (found == m_connections.end()) co_return;
+  auto found = m_servers.find(address);
+  if (found == m_servers.end()) co_return;
   Clock::time_point now = Clock::now();
-  std::vector<std::pair<std::shared_ptr<ReadConnection>, std::uint64_t>>
-      waiting;
-  for (const auto& connection : found->second) {
-    if (connection->reading) {
-      waiting.emplace_back(connection, connection->reads);
-    }
+  std::vector<std::pair<std::shared_ptr<ReadConnection>, std::uint64_t>> seen;
+  for (const auto& connection : found->second.connections) {
+    seen.emplace_back(connection,
+                      connection->reading ? connection->reads : kNoRead);
   }
   co_await RunPendingHandlers(m_io);
-  std::erase_if(waiting, [](const auto& entry) {
-    const auto& [connection, reads] = entry;
-    return !connection->reading || connection->reads != reads;
-  });
+  found = m_servers.find(address);
+  if (found == m_servers.end()) co_return;
+  Clock::time_point last_end = found->second.last_end;
+  std::vector<ReadConnection*> open;
+  for (const auto& [connection, reads] : seen) {
+    if (connection->reading && connection->reads == reads) {
+      connection->waited_at = now;
+      connection->unread = false;
+      open.push_back(connection.get());
+    } else if (last_end < connection->opened_at &&
+               connection->read_at >= now - kMaxUnreadTime) {
+      open.push_back(connection.get());
+    }
+  }
   Clock::time_point since = now;
-  for (const auto& [connection, reads] : waiting) {
+  for (const ReadConnection* connection : open) {
     since = std::min(since, connection->process_since);
   }
-  for (const auto& [connection, reads] : waiting) {
+  for (ReadConnection* connection : open) {
     connection->open_until = std::max(connection->open_until, now);
     connection->process_since = since;
   }
@@ -75,9 +93,9 @@
     std::string address, std::shared_ptr<const ReadConnection> answer) {
   Clock::time_point end = Clock::now();
   // Those that end meanwhile are removed from the list.
-  List others;
-  auto found = m_connections.find(address);
-  if (found != m_connections.end()) others = found->second;
+  std::vector<std::shared_ptr<ReadConnection>> others;
+  auto found = m_servers.find(address);
+  if (found != m_servers.end()) others = found->second.connections;
   if (!others.empty()) {
     asio::steady_timer pause(*m_io, kSimultaneous);
     boost::system::error_code ignored;
@@ -88,24 +106,28 @@
   if (m_has_idle_since(address, answer->open_until)) {
     co_return Verdict::kOutlived;
   }
-  Verdict verdict = Verdict::kUnknown;
+  Verdict verdict = answer->unread && end - answer->open_until > kMaxUnreadTime
+                        ? Verdict::kReadLate
+                        : Verdict::kUnknown;
   for (const auto& other : others) {
     if (other->process_since > answer->open_until) continue;
-    if (other->open_until >= end + kSimultaneous) co_return Verdict::kOutlived;
+    if (other->waited_at >= end + kSimultaneous) co_return Verdict::kOutlived;
     if (other->ended) verdict = Verdict::kEndedWith;
   }
   co_return verdict;
 }
 
 std::size_t ServerConnections::Count(const std::string& address) const {
-  auto found = m_connections.find(address);
-  return found == m_connections.end() ? 0 : found->second.size();
+  auto found = m_servers.find(address);
+  return found == m_servers.end() ? 0 : found->second.connections.size();
 }
 
 const char* VerdictName(ServerConnections::Verdict verdict) {
   switch (verdict) {
     case ServerConnections::Verdict::kUnknown:
       return "unknown";
+    case ServerConnections::Verdict::kReadLate:
+      return "read_late";
     case ServerConnections::Verdict::kOutlived:
       return "outlived";
     case ServerConnections::Verdict::kEndedWith:
--- a/net/server_connections.h
+++ b/net/server_connections.h
@@ -23,20 +23,32 @@
   using Clock = std::chrono::steady_clock;
 
   explicit ReadConnection(Clock::time_point now)
-      : opened_at(now), open_until(now), process_since(now) {}
+      : opened_at(now),
+        waited_at(now),
+        read_at(now),
+        open_until(now),
+        process_since(now) {}
 
   void BeginRead() {
     reading = true;
     ++reads;
   }
-  void EndRead() { reading = false; }
+  void EndRead() {
+    reading = false;
+    if (!unread) read_at = Clock::now();
+  }
 
   Clock::time_point opened_at;
-  /// Latest time at which the connection is known to have been open.
+  /// Latest time at which a read on it waited, so that it was open.
+  Clock::time_point waited_at;
+  /// When a read returned last, unless the reader had stopped before.
+  Clock::time_point read_at;
+  /// Latest time at which the connection is taken to have been open.
   Clock::time_point open_until;
   /// Earliest time since which the process at the other end is known to run.
   Clock::time_point process_since;
   bool reading = false;  ///< A read waits for bytes or for the end.
+  bool unread = false;   ///< Its reader has stopped since `open_until`.
   /// The server has ended it, and nothing but its process had a reason to: set
   /// for connections without a request only.
   bool ended = false;
@@ -49,8 +61,11 @@
 /// outlived an answer if another connection to it
 ///   - was open while the answer's was, directly or through others, and
 ///   - is open a moment after the answer's has ended.
-/// A connection is known to be open if a read on it waits. One that isn't being
-/// read tells nothing: bytes may be left from before its end.
+/// A connection is known to be open while a read on it waits. One that isn't
+/// being read tells nothing of the other's end: bytes may be left from before.
+/// Bytes may also come faster than they are read. So until a connection to its
+/// server ends, an answer's own connection is taken to be open if bytes came a
+/// moment ago.
 class ServerConnections {
  public:
   using Clock = std::chrono::steady_clock;
@@ -60,8 +75,14 @@
   /// A server's process has to outlive an answer by this time.
   static constexpr std::chrono::milliseconds kSimultaneous{20};
 
+  /// No process ends and is replaced at its address within this time. So an
+  /// answer whose reader had stopped for longer before it came to the end may
+  /// come from a process that has been replaced since.
+  static constexpr std::chrono::milliseconds kMaxUnreadTime{100};
+
   enum class Verdict {
     kUnknown,    ///< No other connection tells.
+    kReadLate,   ///< As kUnknown, and the end may have come long before.
     kOutlived,   ///< One that was open with the answer's is open after it.
     kEndedWith,  ///< All that were open with it ended in the same moment.
   };
@@ -77,6 +98,8 @@
 
   /// Adds a connection that has just been established.
   std::shared_ptr<ReadConnection> Add(const std::string& address);
+  /// Notes that the server has ended a connection without a request.
+  void End(const std::string& address, ReadConnection* connection);
   /// Removes a connection that its owner closes or no longer reads.
   void Remove(const std::string& address, const ReadConnection* connection);
 
@@ -94,11 +117,14 @@
   std::size_t Count(const std::string& address) const;
 
  private:
-  using List = std::vector<std::shared_ptr<ReadConnection>>;
+  struct Server {
+    std::vector<std::shared_ptr<ReadConnection>> connections;
+    Clock::time_point last_end = Clock::time_point::min();
+  };
 
   boost::asio::io_context* m_io;
   std::function<bool(const std::string&, Clock::time_point)> m_has_idle_since;
-  std::unordered_map<std::string, List> m_connections;
+  std::unordered_map<std::string, Server> m_servers;
 };
 
 /// @return For logs.
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -168,6 +168,46 @@
   };
 }
 
+/// Reads an answer that ends while its caller has stopped reading for a while.
+BackendEnd ReadLate(bool replaced, milliseconds idle_timeout) {
+  boost::asio::io_context io;
+  ScriptedServer server(&io, [](RawConnection& raw, const std::string&) {
+    raw.Send(std::string(kHead) + "text");
+  });
+  BackendClient client(&io, BackendOptions());
+  BackendCall call;
+  call.address = server.address;
+  call.target = "/";
+  call.relay = call.verify_unframed = true;
+  std::shared_ptr<BackendAttempt> attempt;
+  std::optional<BackendEnd> received;
+  BackendHandlers handlers;
+  handlers.bytes = [&](std::string_view) { attempt->Pause(); };
+  handlers.end = [&](const BackendEnd& end) { received = end; };
+  attempt = client.Start(call, std::move(handlers));
+  // The first connection is the answer's.
+  std::map<std::shared_ptr<RawConnection>, Clock::time_point> first_seen;
+  auto run_for = [&](milliseconds time) {
+    for (auto end = Clock::now() + time; Clock::now() < end;) {
+      RunFor(&io, milliseconds(10));
+      for (std::size_t i = 1; i < server.connections.size(); ++i) {
+        auto& raw = server.connections[i];
+        Clock::time_point seen =
+            first_seen.emplace(raw, Clock::now()).first->second;
+        if (Clock::now() - seen >= idle_timeout) raw->Close();
+      }
+    }
+  };
+  run_for(milliseconds(50));
+  for (auto& raw : server.connections) {
+    if (replaced || raw == server.connections[0]) raw->Close();
+  }
+  run_for(milliseconds(600));
+  attempt->Resume();
+  REQUIRE(RunUntil(&io, [&] { return received.has_value(); }));
+  return *received;
+}
+
 }  // namespace
 
 // Guards against an answer that counts as complete although its server ended,
@@ -221,29 +261,22 @@
 }
 
 // Guards against an end that is seen so late, as the caller reads slowly, that
-// a connection to the server's successor counts as evidence.
+// a connection to the server's successor counts as evidence (ORDER).
 TEST_CASE("an unframed answer read late from a replaced server is broken") {
-  boost::asio::io_context io;
-  ScriptedServer server(&io, [](RawConnection& raw, const std::string&) {
-    raw.Send(std::string(kHead) + "text");
-  });
-  BackendClient client(&io, BackendOptions());
-  BackendCall call;
-  call.address = server.address;
-  call.target = "/";
-  call.relay = call.verify_unframed = true;
-  std::shared_ptr<BackendAttempt> attempt;
-  std::optional<BackendEnd> received;
-  BackendHandlers handlers;
-  handlers.bytes = [&](std::string_view) { attempt->Pause(); };
-  handlers.end = [&](const BackendEnd& end) { received = end; };
-  attempt = client.Start(call, std::move(handlers));
-  RunFor(&io, milliseconds(50));
-  for (auto& raw : server.connections) raw->Close();
-  RunFor(&io, milliseconds(200));
-  attempt->Resume();
-  REQUIRE(RunUntil(&io, [&] { return received.has_value(); }));
-  CHECK(received->result == AttemptResult::kBroken);
+  for (milliseconds idle_timeout : {kIdleTimeout, milliseconds(60'000)}) {
+    CAPTURE(idle_timeout.count());
+    CHECK(ReadLate(/*replaced=*/true, idle_timeout).result ==
+          AttemptResult::kBroken);
+  }
+}
+
+// Guards against sound answers that are cut because their caller reads slowly.
+TEST_CASE("an unframed answer read late from a server that lives is complete") {
+  for (milliseconds idle_timeout : {kIdleTimeout, milliseconds(60'000)}) {
+    CAPTURE(idle_timeout.count());
+    CHECK(ReadLate(/*replaced=*/false, idle_timeout).result ==
+          AttemptResult::kComplete);
+  }
 }
 
 // Guards against a verdict that depends on when a daemon which was paused or
@@ -266,7 +299,8 @@
   ScriptedServer server(&io, [](RawConnection&, const std::string&) {});
   auto servers = std::make_shared<ServerConnections>(
       &io, [](const std::string&, Clock::time_point) { return false; });
-  LivenessConnection liveness(&io, servers, server.address);
+  LivenessConnection liveness(&io, servers, server.address,
+                              std::make_shared<milliseconds>(60'000));
   REQUIRE(RunUntil(&io, [&] { return server.connections.size() == 1; }));
   // Judges an answer whose connection is open now and ends after `meanwhile`.
   auto judge = [&](const std::function<void()>& meanwhile) {
