Keep ServerConnections alive while it notes which connections are open

Cause: found by reading: Refresh runs as a coroutine of its own for some turns of the event loop, and held a plain pointer to its object; a client that is destroyed in between would leave it dangling. Change: the coroutine shares the object. Test: the 23 cases on unframed answers and the HTTP server pass; no test shows the old fault, as the event loop ends with the client in all of them.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -404,8 +404,7 @@
     std::vector<CallState*> calls(self->m_calls.begin(), self->m_calls.end());
     for (CallState* call : calls) call->CheckDeadline(now);
     for (const auto& [address, liveness] : self->m_liveness_connections) {
-      asio::co_spawn(*self->m_io, self->m_servers->Refresh(address),
-                     asio::detached);
+      self->m_servers->Refresh(address);
     }
     self->m_pool.Expire(now);
   }
--- a/net/liveness_connection.cc
+++ b/net/liveness_connection.cc
@@ -127,8 +127,7 @@
     std::shared_ptr<State> self, std::shared_ptr<Link> link) {
   std::shared_ptr<ReadConnection> connection =
       self->connections->Add(self->address);
-  asio::co_spawn(*self->io, self->connections->Refresh(self->address),
-                 asio::detached);
+  self->connections->Refresh(self->address);
   std::array<char, 512> bytes{};
   error_code error;
   std::size_t received = 0;
--- a/net/server_connections.cc
+++ b/net/server_connections.cc
@@ -6,6 +6,8 @@
 #include "net/server_connections.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -53,20 +55,25 @@
   if (found->second.connections.empty()) m_servers.erase(found);
 }
 
-asio::awaitable<void> ServerConnections::Refresh(std::string address) {
+void ServerConnections::Refresh(const std::string& address) {
+  asio::co_spawn(*m_io, NoteOpen(shared_from_this(), address), asio::detached);
+}
+
+asio::awaitable<void> ServerConnections::NoteOpen(
+    std::shared_ptr<ServerConnections> self, std::string address) {
   // The caller may be about to begin a read.
-  co_await asio::post(*m_io, asio::use_awaitable);
-  auto found = m_servers.find(address);
-  if (found == m_servers.end()) co_return;
+  co_await asio::post(*self->m_io, asio::use_awaitable);
+  auto found = self->m_servers.find(address);
+  if (found == self->m_servers.end()) co_return;
   Clock::time_point now = Clock::now();
   std::vector<std::pair<std::shared_ptr<ReadConnection>, std::uint64_t>> seen;
   for (const auto& connection : found->second.connections) {
     seen.emplace_back(connection,
                       connection->reading ? connection->reads : kNoRead);
   }
-  co_await RunPendingHandlers(m_io);
-  found = m_servers.find(address);
-  if (found == m_servers.end()) co_return;
+  co_await RunPendingHandlers(self->m_io);
+  found = self->m_servers.find(address);
+  if (found == self->m_servers.end()) co_return;
   Clock::time_point last_end = found->second.last_end;
   std::vector<ReadConnection*> open;
   for (const auto& [connection, reads] : seen) {
@@ -101,7 +108,7 @@
     boost::system::error_code ignored;
     co_await pause.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
-    co_await Refresh(address);
+    co_await NoteOpen(shared_from_this(), address);
   }
   if (m_has_idle_since(address, answer->open_until)) {
     co_return Verdict::kOutlived;
--- a/net/server_connections.h
+++ b/net/server_connections.h
@@ -66,7 +66,8 @@
 /// Bytes may also come faster than they are read. So until a connection to its
 /// server ends, an answer's own connection is taken to be open if bytes came a
 /// moment ago.
-class ServerConnections {
+class ServerConnections
+    : public std::enable_shared_from_this<ServerConnections> {
  public:
   using Clock = std::chrono::steady_clock;
 
@@ -103,9 +104,8 @@
   /// Removes a connection that its owner closes or no longer reads.
   void Remove(const std::string& address, const ReadConnection* connection);
 
-  /// Notes which connections to an address are open. Returns after the ends
-  /// that had arrived when it was called have been handled.
-  boost::asio::awaitable<void> Refresh(std::string address);
+  /// Begins to note which connections to an address are open.
+  void Refresh(const std::string& address);
 
   /// Returns the verdict on an answer whose end has just been handled. Takes
   /// kSimultaneous and a little more if there are other connections.
@@ -117,6 +117,11 @@
   std::size_t Count(const std::string& address) const;
 
  private:
+  /// Returns after the ends that had arrived when it was called have been
+  /// handled.
+  static boost::asio::awaitable<void> NoteOpen(
+      std::shared_ptr<ServerConnections> self, std::string address);
+
   struct Server {
     std::vector<std::shared_ptr<ReadConnection>> connections;
     Clock::time_point last_end = Clock::time_point::min();
