Name the parts of the liveness check by what they do

Cause: a second reading: Hold, BoundLinks, NoteOpen and Enter/LeaveConnection didn't say what they do. Change: names and comments only. Test: the 24 cases on unframed answers and the HTTP server pass. Measured: not measured; no code path differs.

--- a/net/backend_client.cc
+++ b/net/backend_client.cc
@@ -212,7 +212,7 @@
     ++m_client->m_stats.calls;
   }
   ~CallState() override {
-    LeaveConnection();
+    UntrackConnection();
     ReleaseHeld();
     ReleaseLiveness();
     m_client->m_calls.erase(this);
@@ -338,13 +338,13 @@
   }
   void Close() {
     error_code ignored;
-    LeaveConnection();
+    UntrackConnection();
     m_socket.close(ignored);
   }
-  void EnterConnection() {
+  void TrackConnection() {
     m_connection = m_client->m_servers->Add(m_call.address);
   }
-  void LeaveConnection() {
+  void UntrackConnection() {
     if (!m_connection) return;
     m_client->m_servers->Remove(m_call.address, m_connection.get());
   }
@@ -539,7 +539,7 @@
     if (reused) {
       m_socket = std::move(*reused);
       m_end.reused = true;
-      EnterConnection();
+      TrackConnection();
       ++m_client->m_stats.reused;
       co_return true;
     }
@@ -564,7 +564,7 @@
     m_broken = m_timed_out = false;
     co_return false;
   }
-  EnterConnection();
+  TrackConnection();
   PrepareSocket(&m_socket, m_client->m_options.user_timeout);
   co_return true;
 }
@@ -948,7 +948,7 @@
   if (!parser.keep_alive() || m_buffer.size() > 0 || !m_socket.is_open()) {
     return;
   }
-  LeaveConnection();
+  UntrackConnection();
   m_client->m_pool.Put(m_call.address, std::move(m_socket), Clock::now());
 }
 
--- a/net/liveness_connection.cc
+++ b/net/liveness_connection.cc
@@ -74,13 +74,13 @@
   };
 
   static asio::awaitable<void> Run(std::shared_ptr<State> self);
-  /// Reads a connection until it ends.
-  static asio::awaitable<void> Hold(std::shared_ptr<State> self,
-                                    std::shared_ptr<Link> link);
+  /// Reads a connection until it ends, and learns the idle timeout from that.
+  static asio::awaitable<void> ReadUntilClosed(std::shared_ptr<State> self,
+                                               std::shared_ptr<Link> link);
   asio::awaitable<void> Wait(std::chrono::milliseconds time);
   /// Closes the oldest connection if there are too many: the server's idle
   /// timeout is longer than assumed.
-  void BoundLinks();
+  void CloseExcessLinks();
 
   asio::io_context* io;
   std::shared_ptr<ServerConnections> connections;
@@ -108,8 +108,8 @@
       co_await WaitForSimultaneousEnds(self->io);
     } else {
       self->links.push_back(link);
-      self->BoundLinks();
-      asio::co_spawn(*self->io, Hold(self, link), asio::detached);
+      self->CloseExcessLinks();
+      asio::co_spawn(*self->io, ReadUntilClosed(self, link), asio::detached);
       // The next one overlaps with it, so that one is open at any time.
       co_await self->Wait(*self->idle_timeout / 2);
       if (link->open || link->age() >= kMinLifetime) {
@@ -123,7 +123,7 @@
 }
 
 // The end stays known until those that are simultaneous with it are handled.
-asio::awaitable<void> LivenessConnection::State::Hold(
+asio::awaitable<void> LivenessConnection::State::ReadUntilClosed(
     std::shared_ptr<State> self, std::shared_ptr<Link> link) {
   std::shared_ptr<ReadConnection> connection =
       self->connections->Add(self->address);
@@ -159,7 +159,7 @@
   co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-void LivenessConnection::State::BoundLinks() {
+void LivenessConnection::State::CloseExcessLinks() {
   if (links.size() <= kMaxLinks) return;
   *idle_timeout = std::min(*idle_timeout * 2, kMaxIdleTimeout);
   error_code ignored;
--- a/net/server_connections.cc
+++ b/net/server_connections.cc
@@ -56,10 +56,10 @@
 }
 
 void ServerConnections::Refresh(const std::string& address) {
-  asio::co_spawn(*m_io, NoteOpen(shared_from_this(), address), asio::detached);
+  asio::co_spawn(*m_io, MarkOpen(shared_from_this(), address), asio::detached);
 }
 
-asio::awaitable<void> ServerConnections::NoteOpen(
+asio::awaitable<void> ServerConnections::MarkOpen(
     std::shared_ptr<ServerConnections> self, std::string address) {
   // The caller may be about to begin a read.
   co_await asio::post(*self->m_io, asio::use_awaitable);
@@ -108,7 +108,7 @@
     boost::system::error_code ignored;
     co_await pause.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
-    co_await NoteOpen(shared_from_this(), address);
+    co_await MarkOpen(shared_from_this(), address);
   }
   if (m_has_idle_since(address, answer->open_until)) {
     co_return Verdict::kOutlived;
--- a/net/server_connections.h
+++ b/net/server_connections.h
@@ -104,12 +104,14 @@
   /// Removes a connection that its owner closes or no longer reads.
   void Remove(const std::string& address, const ReadConnection* connection);
 
-  /// Begins to note which connections to an address are open.
+  /// Begins to mark the connections to an address that are open.
   void Refresh(const std::string& address);
 
   /// Returns the verdict on an answer whose end has just been handled. Takes
   /// kSimultaneous and a little more if there are other connections.
-  /// @param answer Of the answer's connection, removed before.
+  /// @param answer The record of the answer's connection, which has been
+  /// removed.
+  /// @return kUnknown also without any other connection.
   boost::asio::awaitable<Verdict> Judge(
       std::string address, std::shared_ptr<const ReadConnection> answer);
 
@@ -117,9 +119,9 @@
   std::size_t Count(const std::string& address) const;
 
  private:
-  /// Returns after the ends that had arrived when it was called have been
-  /// handled.
-  static boost::asio::awaitable<void> NoteOpen(
+  /// Marks the connections that are open. Returns after the ends that had
+  /// arrived when it was called have been handled.
+  static boost::asio::awaitable<void> MarkOpen(
       std::shared_ptr<ServerConnections> self, std::string address);
 
   struct Server {
