--- a/net/liveness_connection.cc
+++ b/net/liveness_connection.cc
@@ -36,7 +36,7 @@
 constexpr std::chrono::milliseconds kFirstIdleTimeout{200};
 constexpr std::chrono::milliseconds kMaxIdleTimeout{60'000};
 /// Connections to a server that are open at the same time.
-constexpr std::size_t kMaxLinks = 3;
+constexpr std::size_t kMaxOpen = 3;
 /// Bytes that a server may send unasked, such as an answer that tells of its
 /// idle timeout.
 constexpr std::size_t kMaxUnaskedBytes = 16'384;
@@ -45,11 +45,11 @@
 
 struct LivenessConnection::State {
   State(asio::io_context* io_context,
-        std::shared_ptr<ServerConnections> server_connections,
+        std::shared_ptr<ServerConnections> connections,
         const std::string& server_address,
         std::shared_ptr<std::chrono::milliseconds> server_idle_timeout)
       : io(io_context),
-        connections(std::move(server_connections)),
+        server_connections(std::move(connections)),
         address(server_address),
         endpoint(ParseEndpoint(server_address)),
         idle_timeout(std::move(server_idle_timeout)),
@@ -59,37 +59,37 @@
     }
   }
 
-  /// An established connection until its end has been handled.
-  struct Link {
-    explicit Link(asio::io_context* io)
-        : socket(*io), opened_at(Clock::now()) {}
+  /// A connection, from the attempt to make it until its end has been handled.
+  struct Connection {
+    explicit Connection(asio::io_context* io)
+        : socket(*io), begun_at(Clock::now()) {}
     std::chrono::milliseconds age() const {
       return std::chrono::duration_cast<std::chrono::milliseconds>(
-          Clock::now() - opened_at);
+          Clock::now() - begun_at);
     }
 
     tcp::socket socket;
-    Clock::time_point opened_at;
-    bool open = true;
+    Clock::time_point begun_at;
+    bool ended = false;
   };
 
   static asio::awaitable<void> Run(std::shared_ptr<State> self);
   /// Reads a connection until it ends, and learns the idle timeout from that.
-  static asio::awaitable<void> ReadUntilClosed(std::shared_ptr<State> self,
-                                               std::shared_ptr<Link> link);
+  static asio::awaitable<void> ReadUntilClosed(
+      std::shared_ptr<State> self, std::shared_ptr<Connection> connection);
   asio::awaitable<void> Wait(std::chrono::milliseconds time);
   /// Closes the oldest connection if there are too many: the server's idle
   /// timeout is longer than assumed.
-  void CloseExcessLinks();
+  void CloseExcess();
 
   asio::io_context* io;
-  std::shared_ptr<ServerConnections> connections;
+  std::shared_ptr<ServerConnections> server_connections;
   std::string address;
   tcp::endpoint endpoint;
   std::shared_ptr<std::chrono::milliseconds> idle_timeout;
-  std::deque<std::shared_ptr<Link>> links;  ///< Open ones, the oldest first.
-  std::shared_ptr<Link> newest;  ///< May be connecting, or have ended.
-  asio::steady_timer pause;      ///< Of Run.
+  std::deque<std::shared_ptr<Connection>> open;  ///< The oldest first.
+  std::shared_ptr<Connection> newest;  ///< May be connecting, or have ended.
+  asio::steady_timer pause;            ///< Of Run.
   int made = 0;
   bool stopped = false;
 };
@@ -99,20 +99,21 @@
   std::chrono::milliseconds retry_delay = kMinRetryDelay;
   while (!self->stopped) {
     ++self->made;
-    auto link = self->newest = std::make_shared<Link>(self->io);
+    auto connection = self->newest = std::make_shared<Connection>(self->io);
     error_code error;
-    co_await link->socket.async_connect(
+    co_await connection->socket.async_connect(
         self->endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (self->stopped) break;
     if (error) {
       co_await WaitForSimultaneousEnds(self->io);
     } else {
-      self->links.push_back(link);
-      self->CloseExcessLinks();
-      asio::co_spawn(*self->io, ReadUntilClosed(self, link), asio::detached);
+      self->open.push_back(connection);
+      self->CloseExcess();
+      asio::co_spawn(*self->io, ReadUntilClosed(self, connection),
+                     asio::detached);
       // The next one overlaps with it, so that one is open at any time.
       co_await self->Wait(*self->idle_timeout / 2);
-      if (link->open || link->age() >= kMinLifetime) {
+      if (!connection->ended || connection->age() >= kMinLifetime) {
         retry_delay = kMinRetryDelay;
         continue;
       }
@@ -124,32 +125,32 @@
 
 // The end stays known until those that are simultaneous with it are handled.
 asio::awaitable<void> LivenessConnection::State::ReadUntilClosed(
-    std::shared_ptr<State> self, std::shared_ptr<Link> link) {
-  std::shared_ptr<ReadConnection> connection =
-      self->connections->Add(self->address);
-  self->connections->Refresh(self->address);
+    std::shared_ptr<State> self, std::shared_ptr<Connection> connection) {
+  std::shared_ptr<ReadConnection> record =
+      self->server_connections->Add(self->address);
+  self->server_connections->Refresh(self->address);
   std::array<char, 512> bytes{};
   error_code error;
   std::size_t received = 0;
   while (!error && received <= kMaxUnaskedBytes) {
-    connection->BeginRead();
-    received += co_await link->socket.async_read_some(
+    record->BeginRead();
+    received += co_await connection->socket.async_read_some(
         asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-    connection->EndRead();
+    record->EndRead();
   }
-  std::chrono::milliseconds lifetime = link->age();
-  std::erase(self->links, link);
+  std::chrono::milliseconds lifetime = connection->age();
+  std::erase(self->open, connection);
   // A connection that is given up here says nothing about the server.
   bool ended = error && error != asio::error::operation_aborted;
-  link->socket.close(error);
+  connection->socket.close(error);
   if (ended) {
-    self->connections->End(self->address, connection.get());
+    self->server_connections->End(self->address, record.get());
     if (lifetime >= kMinLifetime) *self->idle_timeout = lifetime;
     co_await WaitForSimultaneousEnds(self->io);
   }
-  self->connections->Remove(self->address, connection.get());
-  link->open = false;
-  if (link == self->newest) self->pause.cancel();
+  self->server_connections->Remove(self->address, record.get());
+  connection->ended = true;
+  if (connection == self->newest) self->pause.cancel();
 }
 
 asio::awaitable<void> LivenessConnection::State::Wait(
@@ -159,12 +160,12 @@
   co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-void LivenessConnection::State::CloseExcessLinks() {
-  if (links.size() <= kMaxLinks) return;
+void LivenessConnection::State::CloseExcess() {
+  if (open.size() <= kMaxOpen) return;
   *idle_timeout = std::min(*idle_timeout * 2, kMaxIdleTimeout);
   error_code ignored;
-  links.front()->socket.close(ignored);
-  links.pop_front();
+  open.front()->socket.close(ignored);
+  open.pop_front();
 }
 
 LivenessConnection::LivenessConnection(
@@ -180,7 +181,9 @@
   error_code ignored;
   m_state->stopped = true;
   m_state->pause.cancel();
-  for (const auto& link : m_state->links) link->socket.close(ignored);
+  for (const auto& connection : m_state->open) {
+    connection->socket.close(ignored);
+  }
   if (m_state->newest) m_state->newest->socket.close(ignored);
 }
 
--- a/testing/net_test_support.h
+++ b/testing/net_test_support.h
@@ -2,6 +2,7 @@
 #ifndef TESTING_NET_TEST_SUPPORT_H_
 #define TESTING_NET_TEST_SUPPORT_H_
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -113,6 +114,8 @@
     m_socket.close(ignored);
   }
 
+  const std::chrono::steady_clock::time_point opened_at =
+      std::chrono::steady_clock::now();
   std::string received;
   std::size_t flooded = 0;  ///< Bytes that Flood has sent.
   bool closed = false;
@@ -157,6 +160,18 @@
     }
   }
 
+  /// Closes connections that have been open for an idle timeout, but for those
+  /// that are in use.
+  void CloseIdle(milliseconds timeout,
+                 const std::vector<std::shared_ptr<RawConnection>>& in_use) {
+    auto now = std::chrono::steady_clock::now();
+    for (auto& connection : connections) {
+      bool idle =
+          std::find(in_use.begin(), in_use.end(), connection) == in_use.end();
+      if (idle && now - connection->opened_at >= timeout) connection->Close();
+    }
+  }
+
   std::string address;
   std::vector<std::shared_ptr<RawConnection>> connections;
   std::vector<std::string> requests;
--- a/testing/unframed_end_fuzz_test.cc
+++ b/testing/unframed_end_fuzz_test.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdlib>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -62,7 +61,7 @@
   /// @return Whether all answers have ended.
   bool Advance(milliseconds now) {
     if (!m_ended && m_answers.size() == m_calls.size()) {
-      CloseIdle();
+      m_server.CloseIdle(m_idle_timeout, m_answers);
       if (now >= m_end_at) End();
     }
     bool done = true;
@@ -115,15 +114,6 @@
            m_answers.end();
   }
 
-  void CloseIdle() {
-    Clock::time_point now = Clock::now();
-    for (auto& raw : m_server.connections) {
-      if (IsAnswer(raw)) continue;
-      Clock::time_point seen = m_first_seen.emplace(raw, now).first->second;
-      if (now - seen >= m_idle_timeout) raw->Close();
-    }
-  }
-
   void End() {
     m_ended = true;
     if (m_fate == ServerFate::kEnds) m_server.StopListening();
@@ -163,7 +153,6 @@
   std::vector<Call> m_calls;
   std::vector<std::shared_ptr<RawConnection>> m_answers;
   std::string m_first_request;  ///< Of the first answer.
-  std::map<std::shared_ptr<RawConnection>, Clock::time_point> m_first_seen;
 };
 
 void RunSeed(std::uint64_t seed) {
--- a/testing/unframed_end_test.cc
+++ b/testing/unframed_end_test.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <exception>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -60,25 +59,9 @@
     for (auto& raw : waiting) raw->Close();
   }
 
-  /// Closes the connections that have no request.
-  void CloseIdle() {
-    for (auto& raw : server.connections) {
-      if (std::find(waiting.begin(), waiting.end(), raw) == waiting.end()) {
-        raw->Close();
-      }
-    }
-  }
-
-  /// Closes those that have had none for a time.
-  void CloseIdleFor(milliseconds timeout) {
-    Clock::time_point now = Clock::now();
-    for (auto& raw : server.connections) {
-      if (std::find(waiting.begin(), waiting.end(), raw) != waiting.end() ||
-          now - first_seen.emplace(raw, now).first->second < timeout) {
-        continue;
-      }
-      raw->Close();
-    }
+  /// Closes the connections that have had no request for a time.
+  void CloseIdle(milliseconds timeout = milliseconds(0)) {
+    server.CloseIdle(timeout, waiting);
   }
 
   std::vector<BackendEnd> Run(bool relay, bool leaving = false) {
@@ -104,7 +87,6 @@
   boost::asio::steady_timer timer{io};
   BackendClient client;
   std::vector<std::shared_ptr<RawConnection>> waiting;
-  std::map<std::shared_ptr<RawConnection>, Clock::time_point> first_seen;
   ScriptedServer server;
   std::vector<BackendEnd> ends;
 };
@@ -153,7 +135,7 @@
   constexpr milliseconds kStep{10};
   return [=](Fixture* fixture) {
     if (duration <= milliseconds(0)) return end(fixture);
-    fixture->CloseIdleFor(idle_timeout);
+    fixture->CloseIdle(idle_timeout);
     fixture->After(kStep, [=] {
       AfterIdleTimeouts(idle_timeout, duration - kStep, end)(fixture);
     });
@@ -185,17 +167,11 @@
   handlers.bytes = [&](std::string_view) { attempt->Pause(); };
   handlers.end = [&](const BackendEnd& end) { received = end; };
   attempt = client.Start(call, std::move(handlers));
-  // The first connection is the answer's.
-  std::map<std::shared_ptr<RawConnection>, Clock::time_point> first_seen;
   auto run_for = [&](milliseconds time) {
     for (auto end = Clock::now() + time; Clock::now() < end;) {
       RunFor(&io, milliseconds(10));
-      for (std::size_t i = 1; i < server.connections.size(); ++i) {
-        auto& raw = server.connections[i];
-        Clock::time_point seen =
-            first_seen.emplace(raw, Clock::now()).first->second;
-        if (Clock::now() - seen >= idle_timeout) raw->Close();
-      }
+      // The first connection is the answer's.
+      server.CloseIdle(idle_timeout, {server.connections.at(0)});
     }
   };
   run_for(milliseconds(50));
