Log the sources that a daemon avoids and the age that it believes

Change: changes_old and changes_current give the age by kind and the state of each source while the data is so old that the platform is asked; change_source and change_source_left give the age. No decision changes. Test: change_follower, fleet_feed, change_relay and docs tests pass. Measured: nothing.

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -108,7 +108,7 @@
 }
 
 void ChangeFollower::OnPeerEnded(const std::string& peer, TimePoint now) {
-  AvoidPeer(peer, now);
+  AvoidPeer(peer, "lost", now);
   m_streams.erase(peer);
 }
 
@@ -185,6 +185,36 @@
   return best;
 }
 
+std::vector<ChangeFollower::PeerStatus> ChangeFollower::PeerStatuses(
+    TimePoint now) const {
+  std::vector<std::string> peers = m_roles.peers;
+  for (const auto& [peer, stream] : m_streams) {
+    if (PeerRank(peer) == m_roles.peers.size()) peers.push_back(peer);
+  }
+  std::vector<PeerStatus> statuses;
+  for (const std::string& peer : peers) {
+    PeerStatus status;
+    status.peer = peer;
+    auto stream = m_streams.find(peer);
+    status.subscribed = stream != m_streams.end();
+    if (status.subscribed && stream->second.HasData()) {
+      status.data_age = std::chrono::duration_cast<milliseconds>(
+          now - stream->second.OldestAsOf());
+    }
+    auto avoided = m_avoided.find(peer);
+    if (avoided != m_avoided.end()) {
+      const Avoidance& avoidance = avoided->second;
+      status.avoided_for =
+          std::max(milliseconds(0),
+                   std::chrono::ceil<milliseconds>(avoidance.until - now));
+      status.failures = avoidance.failures;
+      status.reason = avoidance.reason;
+    }
+    statuses.push_back(status);
+  }
+  return statuses;
+}
+
 void ChangeFollower::MarkLaggingStreams(TimePoint now) {
   if (Age(now) <= m_times.hedge_age) return;
   for (auto& [peer, stream] : m_streams) {
@@ -200,8 +230,10 @@
 
 // The delay is randomised. Followers that left a source at the same time would
 // otherwise return at the same time, which could make the source fail again.
-void ChangeFollower::AvoidPeer(const std::string& peer, TimePoint now) {
+void ChangeFollower::AvoidPeer(const std::string& peer, const char* reason,
+                               TimePoint now) {
   Avoidance& avoidance = m_avoided[peer];
+  avoidance.reason = reason;
   auto stream = m_streams.find(peer);
   bool lasted = stream != m_streams.end() &&
                 now - stream->second.opened_at > kMaxAvoidDuration;
@@ -213,7 +245,7 @@
 
 void ChangeFollower::DropStream(const std::string& peer, const char* reason,
                                 bool avoid, TimePoint now, Actions* out) {
-  if (avoid) AvoidPeer(peer, now);
+  if (avoid) AvoidPeer(peer, reason, now);
   m_streams.erase(peer);
   out->push_back(Unsubscribe{peer, reason});
 }
@@ -281,14 +313,17 @@
 // ---------------------------------------------------------------------------
 // Queries to the platform.
 
+milliseconds ChangeFollower::QueryAge() const {
+  milliseconds age = m_times.platform_query_age + m_query_spread;
+  return m_roles.reads_platform ? age + m_own_watch_duration : age;
+}
+
 void ChangeFollower::QueryPlatformIfStale(TimePoint now, Actions* out) {
   // Without any source, the platform is queried at the rate at which a source
   // would watch it.
   bool no_peers =
       m_streams.empty() && NextPeer(now) == nullptr && !m_roles.reads_platform;
-  milliseconds limit = no_peers ? m_times.watch_duration
-                                : m_times.platform_query_age + m_query_spread;
-  if (m_roles.reads_platform) limit += m_own_watch_duration;
+  milliseconds limit = no_peers ? m_times.watch_duration : QueryAge();
   // While queries are unanswered, only one kind is retried.
   auto retried =
       std::find_if(m_unanswered_queries.begin(), m_unanswered_queries.end(),
--- a/core/change_follower.h
+++ b/core/change_follower.h
@@ -97,6 +97,17 @@
   };
   using Action = std::variant<Subscribe, Unsubscribe, QueryPlatform>;
 
+  /// What this daemon knows of a peer; for logs.
+  struct PeerStatus {
+    std::string peer;
+    bool subscribed = false;
+    /// Age of the peer's data; empty before its first data.
+    std::optional<milliseconds> data_age;
+    milliseconds avoided_for{0};  ///< 0 if the peer isn't avoided.
+    int failures = 0;             ///< Consecutive.
+    const char* reason = "";      ///< Of the last failure.
+  };
+
   ChangeFollower(milliseconds bound, std::uint64_t seed);
 
   /// @param own_watch_duration Maximum time that the platform holds this
@@ -129,6 +140,13 @@
   /// the required kinds.
   TimePoint::duration Age(TimePoint now) const;
 
+  /// Whether the data is so old that the platform is queried for it.
+  bool IsOutdated(TimePoint now) const { return Age(now) > QueryAge(); }
+
+  /// @return All peers that may be subscribed to, in order of preference, and
+  ///     then the other ones to which a subscription is open.
+  std::vector<PeerStatus> PeerStatuses(TimePoint now) const;
+
   const FollowerTimings& times() const { return m_times; }
 
  private:
@@ -151,6 +169,7 @@
   struct Avoidance {
     TimePoint until;
     int failures = 0;  ///< Consecutive.
+    const char* reason = "";
   };
 
   void RecordAsOf(ChangeKind kind, TimePoint as_of);
@@ -161,6 +180,8 @@
   bool ReadsPlatformSuccessfully() const {
     return m_roles.reads_platform && m_platform_failures == 0;
   }
+  /// Age of the data from which on the platform is queried.
+  milliseconds QueryAge() const;
   std::size_t TargetStreamCount(TimePoint now) const;
   bool IsStale(const Stream& stream, TimePoint now) const;
   bool HasBetterPeer(TimePoint now) const;
@@ -170,7 +191,7 @@
   std::map<std::string, Stream>::const_iterator BestStream() const;
   void DropStream(const std::string& peer, const char* reason, bool avoid,
                   TimePoint now, Actions* out);
-  void AvoidPeer(const std::string& peer, TimePoint now);
+  void AvoidPeer(const std::string& peer, const char* reason, TimePoint now);
   void MarkLaggingStreams(TimePoint now);
   void DropUnresponsiveStreams(TimePoint now, Actions* out);
   void DropSurplusStreams(TimePoint now, Actions* out);
--- a/daemon/fleet_feed.cc
+++ b/daemon/fleet_feed.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "core/exponential_backoff.h"
+#include "fmt/format.h"
 
 namespace clementine {
 namespace {
@@ -28,6 +29,32 @@
 /// state earlier in most cases.
 constexpr int kRelistsPerBound = 4;
 
+std::string FormatAge(const std::optional<milliseconds>& age) {
+  return age ? std::to_string(age->count()) : "-";
+}
+
+/// @return For each source its address and "idle", "opening", "open" with the
+///     age of its data, or "avoided" with the time left, the reason and the
+///     number of failures; times in ms.
+std::string FormatSources(
+    const std::vector<ChangeFollower::PeerStatus>& statuses) {
+  std::string text;
+  for (const ChangeFollower::PeerStatus& status : statuses) {
+    if (!text.empty()) text += ",";
+    text += status.peer + "=";
+    if (status.subscribed) {
+      text += status.data_age ? fmt::format("open/{}", status.data_age->count())
+                              : "opening";
+    } else if (status.avoided_for > milliseconds(0)) {
+      text += fmt::format("avoided/{}/{}/{}", status.avoided_for.count(),
+                          status.reason, status.failures);
+    } else {
+      text += "idle";
+    }
+  }
+  return text.empty() ? "-" : text;
+}
+
 }  // namespace
 
 FleetFeed::FleetFeed(boost::asio::io_context* io, platform::ObjectStore* store,
@@ -146,7 +173,8 @@
   for (const ChangeFollower::Action& action :
        m_follower.Advance(m_hooks.now())) {
     if (const auto* open = std::get_if<ChangeFollower::Subscribe>(&action)) {
-      LogEvent("change_source", {{"from", open->peer}});
+      LogEvent("change_source",
+               {{"from", open->peer}, {"age_ms", FormatAge(Age())}});
       m_peers.Subscribe(
           open->peer,
           {m_servers.revision, m_configuration.revision, m_crashes.revision,
@@ -155,8 +183,9 @@
            m_evacuations.era});
     } else if (const auto* end =
                    std::get_if<ChangeFollower::Unsubscribe>(&action)) {
-      LogEvent("change_source_left",
-               {{"from", end->peer}, {"reason", end->reason}});
+      LogEvent("change_source_left", {{"from", end->peer},
+                                      {"reason", end->reason},
+                                      {"age_ms", FormatAge(Age())}});
       ++m_dropped_sources[end->reason];
       m_peers.Unsubscribe(end->peer);
     } else {
@@ -169,6 +198,38 @@
   EndHeldEvacuations();
   RereadIncompleteConfiguration();
   ReportOutdated();
+  LogOldChanges();
+}
+
+void FleetFeed::LogOldChanges() {
+  TimePoint now = m_hooks.now();
+  std::optional<milliseconds> age = Age();
+  if (!age) return;
+  if (!m_follower.IsOutdated(now)) {
+    if (std::exchange(m_changes_old, false)) {
+      LogEvent("changes_current",
+               {{"longest_age_ms", std::to_string(m_max_age.count())}});
+    }
+    m_max_age = milliseconds(0);
+    return;
+  }
+  m_max_age = std::max(m_max_age, *age);
+  if (m_changes_old && now < m_next_old_log_at) return;
+  m_changes_old = true;
+  m_next_old_log_at = now + m_bound;
+  std::string ages;
+  for (const KindState* state : FollowedKinds()) {
+    auto as_of = m_follower.CurrentAsOf(state->kind);
+    if (!as_of) continue;
+    auto kind_age = std::chrono::duration_cast<milliseconds>(now - *as_of);
+    ages += fmt::format("{}{}={}", ages.empty() ? "" : ",", state->object_kind,
+                        kind_age.count());
+  }
+  LogEvent("changes_old",
+           {{"age_ms", std::to_string(age->count())},
+            {"ages_ms", ages},
+            {"platform_failures", std::to_string(m_configuration.failures)},
+            {"sources", FormatSources(m_follower.PeerStatuses(now))}});
 }
 
 // ---------------------------------------------------------------------------
@@ -416,7 +477,8 @@
 
 void FleetFeed::OnPeerEnded(const std::string& peer,
                             const std::string& detail) {
-  LogEvent("change_source_left", {{"from", peer}, {"reason", detail}});
+  LogEvent("change_source_left",
+           {{"from", peer}, {"reason", detail}, {"age_ms", FormatAge(Age())}});
   m_follower.OnPeerEnded(peer, m_hooks.now());
   ++m_dropped_sources["lost"];
 }
--- a/daemon/fleet_feed.h
+++ b/daemon/fleet_feed.h
@@ -149,6 +149,9 @@
   void OnPlatformFailure(KindState* state);
   void SetReachable(KindState* state, bool reached);
   void ReportOutdated();
+  /// Logs the ages of all kinds and the state of all sources while the data is
+  /// so old that the platform is queried for it.
+  void LogOldChanges();
   void ScheduleRead(KindState* state, milliseconds delay);
   milliseconds WatchDuration(ChangeKind kind) const;
   milliseconds ReadPause(const KindState& state, bool empty) const;
@@ -188,6 +191,9 @@
   std::uint64_t m_version = 0;  ///< Of the configuration in force.
   Role m_role;
   std::map<std::string, std::uint64_t> m_dropped_sources;
+  bool m_changes_old = false;  ///< See LogOldChanges.
+  TimePoint m_next_old_log_at;
+  milliseconds m_max_age{0};  ///< While m_changes_old.
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
