Reproduce daemons that are late with a configuration in spells in series

Cause: change_follower_test plays each trouble once, at one moment; what a first one leaves behind meets no second one later.

--- a/testing/change_follower_test.cc
+++ b/testing/change_follower_test.cc
@@ -2,6 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
 #include "testing/change_world.h"
 
 namespace clementine {
@@ -9,6 +15,7 @@
 
 using testing::ChangeWorld;
 using testing::DaemonFault;
+using testing::FleetSize;
 
 constexpr milliseconds kBound{3'000};
 const TimePoint kStart = TimePoint() + std::chrono::hours(1);
@@ -60,6 +67,61 @@
   CHECK(world.false_current_claims() == 0);
 }
 
+/// Spells in which the platform doesn't answer c0 and sometimes another daemon
+/// of a small fleet, one after the other. The other daemons pause or die in
+/// turn, at most one of them at a time.
+class SpellSeries {
+ public:
+  SpellSeries(milliseconds bound, std::uint64_t seed)
+      : m_random(seed),
+        m_world(bound, /*dead_peers=*/false, seed, FleetSize::kSmall) {}
+
+  void Run(int spells) {
+    m_world.Run(milliseconds(3'000));
+    for (int spell = 0; spell < spells; ++spell) RunSpell();
+  }
+  const ChangeWorld& world() const { return m_world; }
+
+ private:
+  int Pick(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(m_random);
+  }
+
+  void RunSpell() {
+    DaemonFault fault =
+        Pick(0, 1) == 0 ? DaemonFault::kRefused : DaemonFault::kPartitioned;
+    std::vector<std::string> rejected = {"c0"};
+    std::vector<std::string> others = {"a0", "a1", "a2", "b0", "b1"};
+    if (Pick(0, 2) == 0) {
+      int index = Pick(0, 4);
+      rejected.push_back(others[static_cast<std::size_t>(index)]);
+      others.erase(others.begin() + index);
+    }
+    for (const std::string& name : rejected) m_world.SetFault(name, fault);
+    bool calm = Pick(0, 2) == 0;
+    milliseconds left(Pick(6'000, 12'000));
+    while (left > milliseconds(0)) {
+      const std::string& name = others[static_cast<std::size_t>(
+          Pick(0, static_cast<int>(others.size()) - 1))];
+      milliseconds time = std::min(left, milliseconds(Pick(1'000, 3'000)));
+      if (!calm) {
+        m_world.SetFault(name, Pick(0, 2) == 0 ? DaemonFault::kDead
+                                               : DaemonFault::kUnresponsive);
+      }
+      m_world.Run(time);
+      m_world.SetFault(name, DaemonFault::kNone);
+      left -= time;
+    }
+    for (const std::string& name : rejected) {
+      m_world.SetFault(name, DaemonFault::kNone);
+    }
+    m_world.Run(milliseconds(Pick(2'000, 5'000)));
+  }
+
+  std::mt19937_64 m_random;
+  ChangeWorld m_world;
+};
+
 /// Returns the actions of one type.
 template <typename Action>
 std::vector<Action> ActionsOfType(
@@ -129,6 +191,24 @@
   }
 }
 
+// Guards against a daemon that finds no source to follow, although sound ones
+// exist, because of what an earlier spell has left behind (CONFIG).
+TEST_CASE(
+    "rejected daemons learn of changes in time through spells in series") {
+  // Of the users' rules: the time for a change, and what is added to it while
+  // the platform turns some daemons away.
+  constexpr milliseconds kSmallBound{2'000};
+  constexpr milliseconds kUnstableBound{5'000};
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    SpellSeries series(kSmallBound, seed);
+    series.Run(/*spells=*/4);
+    CAPTURE(seed);
+    CHECK(series.world().max_rejected_staleness() <=
+          kSmallBound + kUnstableBound);
+    CHECK(series.world().false_current_claims() == 0);
+  }
+}
+
 // Guards against platform calls that grow with the number of daemons.
 TEST_CASE(
     "followers do not query the platform while their sources are current") {
--- a/testing/change_world.cc
+++ b/testing/change_world.cc
@@ -22,17 +22,25 @@
 }  // namespace
 
 ChangeWorld::ChangeWorld(milliseconds bound, bool dead_peers,
-                         std::uint64_t seed)
+                         std::uint64_t seed, FleetSize size)
     : m_bound(bound), m_random(seed) {
-  const std::map<std::string, std::vector<std::string>> peers = {
+  using Peers = std::map<std::string, std::vector<std::string>>;
+  bool small = size == FleetSize::kSmall;
+  m_own_watch_duration =
+      small ? bound : DeriveFollowerTimings(bound).watch_duration;
+  const Peers large_peers = {
       {"a0", {"a1", "b0", "c0"}},       {"a1", {"a0", "b0", "c0"}},
       {"a2", {"a0", "a1", "c0", "b0"}}, {"a3", {"a0", "a1", "b0", "c0"}},
       {"b0", {"b1", "a0", "c0"}},       {"b1", {"b0", "c0", "a0"}},
       {"c0", {"c1", "b0", "a0"}},       {"c1", {"c0", "a0", "b0"}}};
+  const Peers small_peers = {
+      {"a0", {"a1", "b0", "c0"}}, {"a1", {"a0", "b0", "c0"}},
+      {"a2", {"a0", "a1", "c0"}}, {"b0", {"b1", "a0", "c0"}},
+      {"b1", {"b0", "c0", "a0"}}, {"c0", {"b0", "a0"}}};
   for (auto& versions : m_versions) versions.emplace_back(m_now, m_revision);
-  for (const auto& [name, list] : peers) {
+  for (const auto& [name, list] : small ? small_peers : large_peers) {
     ChangeRoles& roles = m_roles[name];
-    roles.reads_platform = name.back() == '0';
+    roles.reads_platform = small || name.back() == '0';
     roles.peers = list;
     if (dead_peers) roles.peers.insert(roles.peers.begin(), {"g0", "g1"});
     m_daemons[name].name = name;
@@ -45,8 +53,7 @@
   *daemon = Daemon();
   daemon->name = name;
   daemon->follower = std::make_unique<ChangeFollower>(m_bound, m_random());
-  daemon->follower->SetRoles(m_roles.at(name),
-                             daemon->follower->times().watch_duration);
+  daemon->follower->SetRoles(m_roles.at(name), m_own_watch_duration);
   daemon->reads = m_roles.at(name).reads_platform;
   daemon->next_watch.fill(m_now + kStartDuration);
 }
@@ -126,7 +133,7 @@
   call.list = !daemon->listed[kind];
   call.since = daemon->revisions[kind];
   call.sent = m_now;
-  if (!call.list) call.wait = daemon->follower->times().watch_duration;
+  if (!call.list) call.wait = m_own_watch_duration;
   daemon->watching[kind] = true;
   daemon->calls.push_back(call);
   ++m_calls;
@@ -264,10 +271,12 @@
   }
 }
 
-// Only daemons without a fault are checked. A daemon that has just started is
-// allowed as much time as a change.
+// Only daemons without a fault of their own are checked. A daemon that has just
+// started is allowed as much time as a change.
 void ChangeWorld::MeasureStaleness(const Daemon& daemon) {
-  if (daemon.fault != DaemonFault::kNone) return;
+  bool rejected = daemon.fault == DaemonFault::kRefused ||
+                  daemon.fault == DaemonFault::kPartitioned;
+  if (daemon.fault != DaemonFault::kNone && !rejected) return;
   for (std::size_t kind = 0; kind < kChangeKinds; ++kind) {
     if (daemon.versions[kind] >= m_versions[kind].size()) continue;
     auto current = daemon.follower->CurrentAsOf(static_cast<ChangeKind>(kind));
@@ -276,7 +285,9 @@
     // The time since the version that replaced the known one was made.
     auto lacked = std::chrono::duration_cast<milliseconds>(
         m_now - m_versions[kind][daemon.versions[kind]].first);
-    if (lacked > m_max_staleness) {
+    if (rejected) {
+      m_max_rejected_staleness = std::max(m_max_rejected_staleness, lacked);
+    } else if (lacked > m_max_staleness) {
       m_max_staleness = lacked;
       m_stalest_daemon = daemon.name;
     }
--- a/testing/change_world.h
+++ b/testing/change_world.h
@@ -30,15 +30,24 @@
   kRestarted,     ///< It restarts without state.
 };
 
-/// Daemons a0 to a3, b0, b1, c0 and c1 in three data centres. Those whose name
-/// ends in 0 read the platform. Objects of all kinds change continuously.
+enum class FleetSize {
+  /// Daemons a0 to a3, b0, b1, c0 and c1 in three data centres. Those whose
+  /// name ends in 0 read the platform.
+  kLarge,
+  /// Daemons a0 to a2, b0, b1 and c0, all of which read the platform with long
+  /// watches. c0 is alone in its data centre and knows two of the others.
+  kSmall,
+};
+
+/// Objects of all kinds change continuously.
 class ChangeWorld {
  public:
   static constexpr milliseconds kStep{10};
 
   /// @param dead_peers Whether lists of peers begin with daemons that no
   ///     longer exist.
-  ChangeWorld(milliseconds bound, bool dead_peers, std::uint64_t seed);
+  ChangeWorld(milliseconds bound, bool dead_peers, std::uint64_t seed,
+              FleetSize size = FleetSize::kLarge);
 
   void SetFault(const std::string& daemon, DaemonFault fault);
   void SetPlatformSlow() { m_platform_latency = milliseconds(200); }
@@ -49,6 +58,11 @@
   /// Maximum time for which a daemon without a fault lacked a change.
   milliseconds max_staleness() const { return m_max_staleness; }
   std::string stalest_daemon() const { return m_stalest_daemon; }
+  /// The same for daemons without another fault than that the platform doesn't
+  /// answer them.
+  milliseconds max_rejected_staleness() const {
+    return m_max_rejected_staleness;
+  }
   int platform_calls() const { return m_calls; }
   /// Number of times that a daemon claimed to be current but lacked a change.
   int false_current_claims() const { return m_false_current_claims; }
@@ -129,7 +143,9 @@
   std::uint64_t m_last_stream = 0;
   int m_calls = 0;
   int m_false_current_claims = 0;
+  milliseconds m_own_watch_duration{0};
   milliseconds m_max_staleness{0};
+  milliseconds m_max_rejected_staleness{0};
   std::string m_stalest_daemon;
 };
 
--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -24,10 +24,17 @@
 // the copy in its place and raises the era. "rewrite_ms" later (default 1,000)
 // the operator and the servers write again what the copy lacks of theirs.
 // {"do": "configure", "version": N} writes a version of the configuration.
+// With "routes": N beside it, the N newest versions each have a route of their
+// own, with the prefix /vVERSION/; so each further version adds one route and
+// removes one.
 // Answers of the store state its era if --era is at least 1. A watch from a
 // revision that the store doesn't have is answered 410.
 // POST /control/faults {"store": "up" | "busy" | "down"}: "busy" answers calls
-// to the store 503, "down" closes their connections.
+// to the store 503, "down" closes their connections. With "address": I it holds
+// for callers of the I-th address of the store only, and "limited" (429),
+// "reset" and "silent" work too; other callers are served meanwhile.
+// GET /control/calls answers {"calls": [N, ...]}: calls to the store so far, by
+// its addresses.
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -236,11 +243,20 @@
 /// All servers and the store's address.
 class Fleet {
  public:
-  Fleet(asio::io_context* io, int servers, bool keep_ids, std::uint64_t era)
+  Fleet(asio::io_context* io, int servers, bool keep_ids, std::uint64_t era,
+        int store_addresses)
       : m_io(io),
         m_keep_ids(keep_ids),
         m_front(io, "127.0.0.1:0",
                 [this](Exchange* exchange) { return Front(exchange); }) {
+    for (int i = 0; i < store_addresses; ++i) {
+      auto entrance = std::make_unique<Entrance>();
+      Entrance* raw = entrance.get();
+      entrance->http = std::make_unique<HttpServer>(
+          io, "127.0.0.1:0",
+          [this, raw](Exchange* exchange) { return Enter(raw, exchange); });
+      m_entrances.push_back(std::move(entrance));
+    }
     m_store.SetEra(era);
     m_store.Put("config", "main", Configuration(1));
     for (int i = 0; i < servers; ++i) {
@@ -256,8 +272,22 @@
   }
 
   std::string address() const { return m_front.address(); }
+  /// Further addresses of the store, separated by commas.
+  std::string store_addresses() const {
+    std::string addresses;
+    for (const auto& entrance : m_entrances) {
+      addresses += (addresses.empty() ? "" : ",") + entrance->http->address();
+    }
+    return addresses;
+  }
 
  private:
+  /// An address of the store, used by one daemon.
+  struct Entrance {
+    std::unique_ptr<HttpServer> http;
+    std::string state = "up";
+    int calls = 0;
+  };
   struct Server {
     int number = 0;
     int life = 0;  ///< Starts so far.
@@ -265,7 +295,8 @@
     std::unique_ptr<HttpServer> http;
   };
 
-  static Json Configuration(int version) {
+  /// @param own_routes Number of newest versions that have a route.
+  static Json Configuration(int version, int own_routes = 0) {
     auto route = [](const char* prefix, const char* type) {
       return Json{{"name", std::string("r-") + type},
                   {"hostname", "desk.example"},
@@ -290,6 +321,12 @@
     repeated["name"] = "r-repeat";
     repeated["max_attempts"] = 2;
     routes.push_back(std::move(repeated));
+    for (int own = std::max(1, version - own_routes + 1);
+         own_routes > 0 && own <= version; ++own) {
+      Json added = route(fmt::format("/v{}/", own).c_str(), "idempotent");
+      added["name"] = fmt::format("r-v{}", own);
+      routes.push_back(std::move(added));
+    }
     Json service = {{"name", kService},
                     {"health_path", "/healthz"},
                     {"max_connections", 400},
@@ -434,7 +471,8 @@
       m_store.Copy();
     } else if (what == "configure") {
       int version = order.at("version").get<int>();
-      m_store.Put("config", "main", Configuration(version));
+      m_store.Put("config", "main",
+                  Configuration(version, order.value("routes", 0)));
     } else {
       m_store.Restore();
       asio::co_spawn(*m_io,
@@ -451,6 +489,44 @@
     m_store.Rewrite(kinds);
   }
 
+  /// A call to one of the store's addresses.
+  asio::awaitable<void> Enter(Entrance* entrance, Exchange* exchange) {
+    ++entrance->calls;
+    if (entrance->state == "busy" || entrance->state == "limited") {
+      int status = entrance->state == "busy" ? 503 : 429;
+      co_await exchange->Answer(status, std::string());
+    } else if (entrance->state == "reset") {
+      exchange->Drop(/*reset=*/true);
+    } else {
+      co_await m_store.Handle(exchange);
+    }
+  }
+
+  /// Connections that are open when the state changes are lost.
+  static void SetEntranceState(Entrance* entrance, const std::string& state) {
+    bool silent = state == "silent";
+    if (silent || entrance->state == "silent") {
+      entrance->http->SilenceConnections(nullptr);
+    } else {
+      entrance->http->CloseConnections(nullptr);
+    }
+    entrance->http->set_frozen(silent);
+    entrance->state = state;
+  }
+
+  asio::awaitable<void> SetFaults(Exchange* exchange) {
+    Json faults = ParseJson(exchange->body());
+    std::string state = faults.at("store").get<std::string>();
+    if (faults.contains("address")) {
+      auto index = faults["address"].get<std::size_t>();
+      SetEntranceState(m_entrances.at(index).get(), state);
+    } else {
+      m_state = state;
+    }
+    Json done = Json::object();
+    co_await exchange->Answer(200, done);
+  }
+
   asio::awaitable<void> Front(Exchange* exchange) {
     if (exchange->path() == "/control/runs") {
       Json runs = m_runs;
@@ -459,9 +535,12 @@
     } else if (exchange->path() == "/control/drill") {
       co_await Drill(exchange);
     } else if (exchange->path() == "/control/faults") {
-      m_state = ParseJson(exchange->body()).at("store").get<std::string>();
-      Json done = Json::object();
-      co_await exchange->Answer(200, done);
+      co_await SetFaults(exchange);
+    } else if (exchange->path() == "/control/calls") {
+      Json calls = Json::array();
+      for (const auto& entrance : m_entrances) calls.push_back(entrance->calls);
+      Json answer = {{"calls", std::move(calls)}};
+      co_await exchange->Answer(200, answer);
     } else if (m_state == "down") {
       exchange->Drop();
     } else if (m_state == "busy") {
@@ -477,6 +556,7 @@
   bool m_keep_ids;
   Store m_store;
   HttpServer m_front;
+  std::vector<std::unique_ptr<Entrance>> m_entrances;
   std::vector<std::unique_ptr<Server>> m_servers;
   std::map<std::string, int> m_runs;  ///< By body.
   int m_ended = 0;
@@ -490,15 +570,20 @@
   int servers = 6;
   bool keep_ids = false;
   std::uint64_t era = 0;
+  int store_addresses = 0;
   CLI::App app("Stand-in of the users' platform and its servers for tests");
   app.add_option("--servers", servers, "Plain backend servers");
   app.add_flag("--keep-ids", keep_ids,
                "Servers come back under the id that they had");
   app.add_option("--era", era, "Era of the store; 0: not stated");
+  app.add_option("--store-addresses", store_addresses,
+                 "Further addresses of the store");
   CLI11_PARSE(app, argc, argv);
   boost::asio::io_context io(1);
-  clementine::standin::Fleet fleet(&io, servers, keep_ids, era);
-  clementine::LogEvent("listening", {{"address", fleet.address()}});
+  clementine::standin::Fleet fleet(&io, servers, keep_ids, era,
+                                   store_addresses);
+  clementine::LogEvent("listening", {{"address", fleet.address()},
+                                     {"stores", fleet.store_addresses()}});
   clementine::standin::RunUntilTerminated(&io);
   clementine::LogEvent("stopped", {});
   return 0;
--- a/testing/node_directory_test.cc
+++ b/testing/node_directory_test.cc
@@ -174,6 +174,50 @@
   CHECK(std::find(after.begin(), after.end(), before[0]) == after.end());
 }
 
+// Guards against a daemon that the platform turns away and that then knows no
+// other daemon to learn of changes from (CONFIG).
+TEST_CASE("node directory keeps the other daemons while it can't list them") {
+  NodeDirectory directory("n0", 1, 1);
+  directory.SetContact("c", "n0:1");
+  std::vector<std::pair<std::string, std::string>> nodes = {
+      {"n1", "1/1/5 - a n1:1"}, {"n2", "1/1/5 - b n2:1"}};
+  directory.OnNodesListed({true, nodes}, kStart);
+  REQUIRE(directory.change_roles().peers.size() == 2);
+  TimePoint now = kStart;
+  for (; now < kStart + std::chrono::seconds(60); now += milliseconds(500)) {
+    directory.Advance(now);
+    directory.OnNodesListed({false, {}}, now);
+  }
+  CHECK(directory.live() == 3);
+  CHECK(directory.change_roles().peers.size() == 2);
+  // Once it lists them again, those that ended meanwhile are gone.
+  nodes[0].second = "1/9/5 - a n1:1";
+  directory.OnNodesListed({true, nodes}, now);
+  CHECK(directory.live() == 2);
+  CHECK(directory.change_roles().peers == std::vector<std::string>{"n1:1"});
+}
+
+// Guards against a daemon that knows two others although there are more, and
+// learns of no change while those two fail (CONFIG).
+TEST_CASE("a daemon of a small fleet knows more others than may fail at once") {
+  std::vector<std::pair<std::string, std::string>> nodes;
+  for (const char* name : {"a1", "a2", "a3", "b1", "b2", "c1"}) {
+    nodes.emplace_back(name, fmt::format("1/1/5 - {} {}:1", name[0], name));
+  }
+  for (const auto& node : nodes) {
+    const std::string& name = node.first;
+    NodeDirectory directory(name, 1, 1);
+    directory.SetContact(std::string(1, name[0]), name + ":1");
+    directory.OnNodesListed({true, nodes}, kStart);
+    std::vector<std::string> peers = directory.change_roles().peers;
+    std::set<std::string> distinct(peers.begin(), peers.end());
+    CAPTURE(name);
+    CHECK(distinct.size() >= 4);
+    CHECK(distinct.size() == peers.size());
+    CHECK(distinct.count(name + ":1") == 0);
+  }
+}
+
 // Guards against platform calls that grow with the square of the fleet's size:
 // each daemon renews one object and lists the objects of all daemons.
 TEST_CASE("node directory calls the platform less often in a large fleet") {
--- a/testing/process_fleet.cc
+++ b/testing/process_fleet.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <sstream>
 #include <utility>
 
 #include "config/config.h"
@@ -22,6 +23,10 @@
     arguments.insert(arguments.end(), {"--era", std::to_string(options.era)});
   }
   if (options.keep_ids) arguments.emplace_back("--keep-ids");
+  if (options.own_stores) {
+    arguments.insert(arguments.end(),
+                     {"--store-addresses", std::to_string(options.daemons)});
+  }
   return arguments;
 }
 
@@ -37,8 +42,14 @@
   if (m_options.linked) {
     m_links.push_back(std::make_unique<Link>(m_standin.address()));
   }
+  m_listen.emplace_back(
+      "address = 127.0.0.1:0\nhealth = 127.0.0.1:0\nchanges = 127.0.0.1:0\n");
   m_daemons.push_back(Start(index));
   REQUIRE(WaitFor(kLongWait, [&] { return Ready(index); }));
+  Process& process = daemon(index);
+  m_listen.back() = fmt::format(
+      "address = {}\nhealth = {}\nchanges = {}\n", process.Listening("listen"),
+      process.Listening("health"), process.Listening("peer_listen"));
   return index;
 }
 
@@ -52,18 +63,23 @@
 }
 
 std::unique_ptr<Process> FleetSite::Start(int index) {
+  auto number = static_cast<std::size_t>(index);
   std::string store =
       m_options.linked ? platform_link(index).address() : m_standin.address();
+  if (m_options.own_stores) store = StoreAddresses().at(number);
+  std::string data_centre = number < m_options.data_centres.size()
+                                ? m_options.data_centres[number]
+                                : "dc1";
   std::string settings = fmt::format(
-      "[node]\nname = d{}\nregion = r1\ndata_centre = dc1\n"
+      "[node]\nname = d{}\nregion = r1\ndata_centre = {}\n"
       "interface = relay\nfirst_start = true\n"
-      "[listen]\naddress = 127.0.0.1:0\nhealth = 127.0.0.1:0\n"
-      "changes = 127.0.0.1:0\n[platform]\naddress = {}\n"
+      "[listen]\n{}[platform]\naddress = {}\n"
       "[timeouts]\nconnect_timeout = 300ms\ndrain_wait = 300ms\n"
       "leaving_notice = 2000ms\nconfiguration_notice = 2000ms\n"
       "revocation_notice = 5000ms\nstop_limit = 7s\n"
       "evacuation_notice = {}ms\n[limits]\n{}",
-      index + 1, store, m_options.evacuation_notice.count(), m_options.limits);
+      index + 1, data_centre, m_listen[number], store,
+      m_options.evacuation_notice.count(), m_options.limits);
   std::string path =
       m_folder.Write(fmt::format("d{}.ini", index + 1), settings);
   return std::make_unique<Process>(
@@ -128,6 +144,28 @@
           .status == 200);
 }
 
+std::vector<std::string> FleetSite::StoreAddresses() {
+  std::vector<std::string> addresses;
+  std::stringstream text(m_standin.Listening("stores"));
+  for (std::string address; std::getline(text, address, ',');) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+void FleetSite::SetStoreFor(int daemon, const std::string& state) {
+  nlohmann::json faults = {{"store", state}, {"address", daemon}};
+  REQUIRE(
+      Fetch(m_standin.address(), "POST", "/control/faults", JsonText(faults))
+          .status == 200);
+}
+
+std::vector<int> FleetSite::StoreCalls() {
+  return Fetch(m_standin.address(), "GET", "/control/calls")
+      .Json()["calls"]
+      .get<std::vector<int>>();
+}
+
 void FleetSite::Drill(const nlohmann::json& order) {
   REQUIRE(Fetch(m_standin.address(), "POST", "/control/drill", JsonText(order))
               .status == 200);
--- a/testing/process_fleet.h
+++ b/testing/process_fleet.h
@@ -22,6 +22,10 @@
   /// See Settings; 0 does not follow evacuations.
   std::chrono::milliseconds evacuation_notice{0};
   std::string limits{};  ///< Lines of section [limits].
+  /// Data centres of the daemons; those that aren't named are in "dc1".
+  std::vector<std::string> data_centres{};
+  /// Each daemon calls an address of the store of its own; see SetStoreFor.
+  bool own_stores = false;
 };
 
 class FleetSite {
@@ -43,11 +47,18 @@
   void SetEvacuated(bool evacuated);
   /// @param state "up", "busy" or "down".
   void SetStore(const std::string& state);
+  /// Sets what the store does with the calls of one daemon. Requires
+  /// FleetOptions::own_stores.
+  /// @param state "up", "busy" (503), "limited" (429), "reset" or "silent".
+  void SetStoreFor(int daemon, const std::string& state);
+  /// Calls to the store so far, by daemon. Requires FleetOptions::own_stores.
+  std::vector<int> StoreCalls();
 
   /// @param order See POST /control/drill of fleet_standin.
   void Drill(const nlohmann::json& order);
 
-  /// Kills a daemon and starts it again.
+  /// Kills a daemon, if it still runs, and starts it again at the addresses
+  /// that it had.
   /// @param wait Whether to wait until it's ready, which takes the platform.
   void Restart(int daemon, bool wait = true);
   Process& daemon(int index) {
@@ -68,11 +79,14 @@
  private:
   std::unique_ptr<Process> Start(int index);
   bool Ready(int daemon);
+  std::vector<std::string> StoreAddresses();
 
   FleetOptions m_options;
   TemporaryFolder m_folder;
   Process m_standin;
   std::vector<std::unique_ptr<Link>> m_links;
+  /// Sections [listen] of the daemons' settings.
+  std::vector<std::string> m_listen;
   std::vector<std::unique_ptr<Process>> m_daemons;
   std::atomic<int> m_requests{0};
 };
