Keep the records of other daemons while the platform can't be read

Cause: a record lapsed 18 s after its last change that this daemon had seen, and a daemon that the platform turns away sees none: it then knew no other daemon to learn changes from. The same class as the penalties of sources: a time-out that runs on while what it measures can't be observed. Callers saw: routes that were in force refused, and a route served that was gone, at a daemon in its second spell. Change: records lapse only as far as a list could have shown them: at most one renewal interval after the last complete list. While lists succeed nothing changes.

--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -314,9 +314,12 @@
          now - m_started_at >= kMaxDiscoveryDelay;
 }
 
+// While the platform doesn't list the daemons, nothing is known of them, and
+// their records don't lapse: they are then needed to learn of changes.
 void NodeDirectory::UpdateLiveDaemons(TimePoint now) {
+  TimePoint known_until = std::min(now, m_last_list_at + RenewalInterval());
   std::size_t lapsed = std::erase_if(m_nodes, [&](const auto& entry) {
-    return now - entry.second.changed_at >
+    return known_until - entry.second.changed_at >
            RenewalInterval() * kIntervalsUntilDead + kMaxListAge;
   });
   m_live = 1 + static_cast<int>(m_nodes.size()) -
