List further daemons as sources of changes where few are near

Cause: a daemon listed two daemons of its own data centre and one of each other one. Alone in its data centre, with two others, it listed two of five, which fail together more easily than five. Callers saw: an old configuration at the only entry of its zone while both its sources were in trouble and three sound entries were not asked. Change: places that are left go to any other daemon; a small fleet lists all. A daemon follows no more of them than before while they are current.

--- a/core/node_directory.cc
+++ b/core/node_directory.cc
@@ -298,6 +298,24 @@
   }
   // Each daemon orders the remote sources differently.
   for (const std::string& name : RankNodes(m_node, remote, kRemoteSources)) {
+    chosen.push_back(name);
+    m_roles.peers.push_back(address(name));
+  }
+  // Where there are few daemons, they fail together more easily. A place that
+  // is left goes to any other one, and a small fleet lists all of them: further
+  // sources cost nothing until they are needed.
+  std::vector<std::string> rest;
+  for (const auto& [centre, names] : by_centre) {
+    for (const std::string& name : names) {
+      bool known =
+          std::find(chosen.begin(), chosen.end(), name) != chosen.end();
+      if (!known && name != m_node) rest.push_back(name);
+    }
+  }
+  bool small = m_live <= kMaxDaemonsWithoutRelay;
+  std::size_t places =
+      small ? rest.size() : kLocalSources + kRemoteSources - chosen.size();
+  for (const std::string& name : RankNodes(m_node, rest, places)) {
     m_roles.peers.push_back(address(name));
   }
 }
