Let the failures of a source order the sources, not forbid them

Cause: a source that failed was avoided for 5 to 40 s, whatever the bound (2 s), and while all known sources were avoided none was asked. Sources were blamed as lagging for an age that the daemon's own lost path had caused, and the penalty doubled with each spell. Callers saw: routes that were in force for longer than the bound refused, and removed routes served, at a daemon that the store turned away; mostly the only one of its data centre. Change: from hedge_age on, sources that failed are tried again, the one whose pause ended first before the others; the pause is bound/8 to bound/4. Avoidance (2 to 16 bounds) only puts a source behind the others. From the age at which the platform is queried, up to four sources are used at once. A source lags only if its data is older than what this daemon knows by another way at the same time, for a heartbeat period; a daemon whose reads work again blames none. Stale sources are replaced one at a time, and only if no place is free. All pauses derive from the bound. Evidence: changes_old in the daemon's log, before: both sources avoided for 10.9 s more (reason lagged), age 11,050 ms, four others sound. Why it works: no state that an earlier trouble leaves delays the next try by more than a quarter of the bound. Test: a configuration is in force in time through spells in series (real processes); rejected daemons learn of changes in time through spells in series (virtual clock).

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -26,14 +26,12 @@
 constexpr int kPlatformQueryAgesPerBound = 2;
 constexpr int kQuerySpreadsPerBound = 20;
 constexpr int kQueriesPerBound = 8;
+constexpr int kRetriesPerBound = 8;
+constexpr int kLateRetriesPerBound = 4;
 constexpr int kCrashMarkSlacksPerBound = 4;
-/// Minimum time before a failed source is used again. It is doubled with each
-/// consecutive failure. Meanwhile another source or the platform provides the
-/// same data.
-constexpr milliseconds kMinAvoidDuration{5'000};
-constexpr milliseconds kMaxAvoidDuration{40'000};
-/// Maximum interval between queries while the platform answers none.
-constexpr milliseconds kMaxQueryInterval{2'000};
+/// Bounds for which a source that failed comes after the others.
+constexpr int kBoundsAvoided = 2;
+constexpr int kMaxBoundsAvoided = 16;
 /// Surplus sources are dropped when the best source has been open for this
 /// number of heartbeat periods.
 constexpr int kSettlingHeartbeats = 4;
@@ -50,6 +48,11 @@
   times.platform_query_age = bound / kPlatformQueryAgesPerBound;
   times.query_spread = bound / kQuerySpreadsPerBound;
   times.query_interval = bound / kQueriesPerBound;
+  times.max_query_interval = bound;
+  times.retry_interval = bound / kRetriesPerBound;
+  times.max_retry_interval = bound / kLateRetriesPerBound;
+  times.avoid_duration = bound * kBoundsAvoided;
+  times.max_avoid_duration = bound * kMaxBoundsAvoided;
   times.crash_mark_slack = bound / kCrashMarkSlacksPerBound;
   return times;
 }
@@ -72,7 +75,7 @@
                               milliseconds own_watch_duration) {
   m_roles = roles;
   m_own_watch_duration = own_watch_duration;
-  std::erase_if(m_avoided, [this](const auto& entry) {
+  std::erase_if(m_failures, [this](const auto& entry) {
     return PeerRank(entry.first) == m_roles.peers.size();
   });
 }
@@ -108,7 +111,7 @@
 }
 
 void ChangeFollower::OnPeerEnded(const std::string& peer, TimePoint now) {
-  AvoidPeer(peer, "lost", now);
+  RecordFailure(peer, "lost", now);
   m_streams.erase(peer);
 }
 
@@ -137,8 +140,13 @@
 // Sources.
 
 bool ChangeFollower::IsAvoided(const std::string& peer, TimePoint now) const {
-  auto found = m_avoided.find(peer);
-  return found != m_avoided.end() && found->second.until > now;
+  auto found = m_failures.find(peer);
+  return found != m_failures.end() && found->second.avoided_until > now;
+}
+
+bool ChangeFollower::MayRetry(const std::string& peer, TimePoint now) const {
+  auto found = m_failures.find(peer);
+  return found == m_failures.end() || found->second.retry_at <= now;
 }
 
 std::size_t ChangeFollower::PeerRank(const std::string& peer) const {
@@ -147,11 +155,19 @@
       m_roles.peers.begin());
 }
 
+// Peers that are avoided follow the others, in the order in which they may be
+// tried again.
 const std::string* ChangeFollower::NextPeer(TimePoint now) const {
+  const std::string* next = nullptr;
+  bool may_use_avoided = Age(now) > m_times.hedge_age;
   for (const std::string& peer : m_roles.peers) {
-    if (m_streams.count(peer) == 0 && !IsAvoided(peer, now)) return &peer;
+    if (m_streams.count(peer) > 0 || !MayRetry(peer, now)) continue;
+    if (!IsAvoided(peer, now)) return &peer;
+    bool earlier = next == nullptr ||
+                   m_failures.at(peer).retry_at < m_failures.at(*next).retry_at;
+    if (may_use_avoided && earlier) next = &peer;
   }
-  return nullptr;
+  return next;
 }
 
 bool ChangeFollower::HasBetterPeer(TimePoint now) const {
@@ -163,26 +179,37 @@
                      });
 }
 
+// Where each daemon reads the platform, watches are long, and the data of a
+// sound peer is up to a watch older than that of a source.
+milliseconds ChangeFollower::StaleAge() const {
+  return m_roles.reads_platform ? m_times.hedge_age + m_own_watch_duration
+                                : m_times.hedge_age;
+}
+
 bool ChangeFollower::IsStale(const Stream& stream, TimePoint now) const {
-  return stream.HasData() && now - stream.OldestAsOf() > m_times.hedge_age;
+  return stream.HasData() && now - stream.OldestAsOf() > StaleAge();
 }
 
-// Returns the most preferred stream among those that kept this daemon current.
-// If there is none, returns the stream with the most recent data.
-std::map<std::string, ChangeFollower::Stream>::const_iterator
-ChangeFollower::BestStream() const {
-  auto best = m_streams.end();
-  for (auto it = m_streams.begin(); it != m_streams.end(); ++it) {
-    const Stream& stream = it->second;
+// The most preferred streams among those that keep this daemon current come
+// first, then those with the most recent data.
+std::vector<std::string> ChangeFollower::RankStreams(TimePoint now) const {
+  std::vector<std::string> sound;
+  std::vector<std::string> others;
+  for (const auto& [peer, stream] : m_streams) {
     if (!stream.HasData()) continue;
-    if (best == m_streams.end() || best->second.lagged != stream.lagged) {
-      if (best == m_streams.end() || best->second.lagged) best = it;
-    } else if (stream.lagged ? stream.OldestAsOf() > best->second.OldestAsOf()
-                             : PeerRank(it->first) < PeerRank(best->first)) {
-      best = it;
-    }
+    bool is_sound = !stream.lagged && !IsStale(stream, now);
+    (is_sound ? sound : others).push_back(peer);
   }
-  return best;
+  std::stable_sort(sound.begin(), sound.end(),
+                   [this](const auto& a, const auto& b) {
+                     return PeerRank(a) < PeerRank(b);
+                   });
+  std::stable_sort(
+      others.begin(), others.end(), [this](const auto& a, const auto& b) {
+        return m_streams.at(a).OldestAsOf() > m_streams.at(b).OldestAsOf();
+      });
+  sound.insert(sound.end(), others.begin(), others.end());
+  return sound;
 }
 
 std::vector<ChangeFollower::PeerStatus> ChangeFollower::PeerStatuses(
@@ -201,51 +228,68 @@
       status.data_age = std::chrono::duration_cast<milliseconds>(
           now - stream->second.OldestAsOf());
     }
-    auto avoided = m_avoided.find(peer);
-    if (avoided != m_avoided.end()) {
-      const Avoidance& avoidance = avoided->second;
-      status.avoided_for =
-          std::max(milliseconds(0),
-                   std::chrono::ceil<milliseconds>(avoidance.until - now));
-      status.failures = avoidance.failures;
-      status.reason = avoidance.reason;
+    auto failed = m_failures.find(peer);
+    if (failed != m_failures.end()) {
+      const Failure& failure = failed->second;
+      status.avoided_for = std::max(
+          milliseconds(0),
+          std::chrono::ceil<milliseconds>(failure.avoided_until - now));
+      status.failures = failure.count;
+      status.reason = failure.reason;
     }
     statuses.push_back(status);
   }
   return statuses;
 }
 
+// A stream is compared with what this daemon knows by any way, at the same
+// time: its own lost path makes all of them old. Right after such a loss, one
+// stream may deliver a moment before another.
 void ChangeFollower::MarkLaggingStreams(TimePoint now) {
-  if (Age(now) <= m_times.hedge_age) return;
+  TimePoint current_as_of = now - Age(now);
   for (auto& [peer, stream] : m_streams) {
-    stream.lagged = stream.lagged || stream.HasData();
+    bool behind =
+        stream.HasData() && current_as_of - stream.OldestAsOf() > StaleAge();
+    if (!behind) {
+      stream.behind_since.reset();
+      continue;
+    }
+    if (!stream.behind_since) stream.behind_since = now;
+    if (now - *stream.behind_since >= m_times.heartbeat_period) {
+      stream.lagged = true;
+    }
   }
 }
 
 std::size_t ChangeFollower::TargetStreamCount(TimePoint now) const {
   if (ReadsPlatformSuccessfully()) return 0;
+  if (IsOutdated(now)) return kMaxStreams;
   bool second = Age(now) > m_times.hedge_age || HasBetterPeer(now);
   return second ? 2 : 1;
 }
 
-// The delay is randomised. Followers that left a source at the same time would
+// The times are randomised. Followers that left a source at the same time would
 // otherwise return at the same time, which could make the source fail again.
-void ChangeFollower::AvoidPeer(const std::string& peer, const char* reason,
-                               TimePoint now) {
-  Avoidance& avoidance = m_avoided[peer];
-  avoidance.reason = reason;
+void ChangeFollower::RecordFailure(const std::string& peer, const char* reason,
+                                   TimePoint now) {
+  Failure& failure = m_failures[peer];
+  failure.reason = reason;
   auto stream = m_streams.find(peer);
-  bool lasted = stream != m_streams.end() &&
-                now - stream->second.opened_at > kMaxAvoidDuration;
-  avoidance.failures = lasted ? 1 : avoidance.failures + 1;
-  milliseconds pause = ExponentialBackoff(kMinAvoidDuration, kMaxAvoidDuration,
-                                          avoidance.failures - 1);
-  avoidance.until = now + m_jitter.Between(pause, pause + pause / 4);
+  bool lasted = stream != m_streams.end() && stream->second.HasData() &&
+                now - stream->second.opened_at > m_times.avoid_duration;
+  failure.count = lasted ? 1 : failure.count + 1;
+  milliseconds pause = ExponentialBackoff(
+      m_times.retry_interval, m_times.max_retry_interval, failure.count - 1);
+  failure.retry_at = now + m_jitter.Between(pause / 2, pause);
+  milliseconds avoided = ExponentialBackoff(
+      m_times.avoid_duration, m_times.max_avoid_duration, failure.count - 1);
+  failure.avoided_until =
+      now + m_jitter.Between(avoided, avoided + avoided / 4);
 }
 
 void ChangeFollower::DropStream(const std::string& peer, const char* reason,
-                                bool avoid, TimePoint now, Actions* out) {
-  if (avoid) AvoidPeer(peer, reason, now);
+                                bool failed, TimePoint now, Actions* out) {
+  if (failed) RecordFailure(peer, reason, now);
   m_streams.erase(peer);
   out->push_back(Unsubscribe{peer, reason});
 }
@@ -259,45 +303,53 @@
     }
   }
   for (const std::string& peer : unresponsive) {
-    DropStream(peer, "silent", /*avoid=*/true, now, out);
+    DropStream(peer, "silent", /*failed=*/true, now, out);
   }
 }
 
 // Keeps only the best source once the data is current and that source has
-// settled.
+// settled. A daemon whose own reads fail keeps two: where all daemons read, the
+// age of a sound source exceeds hedge_age again and again.
 void ChangeFollower::DropSurplusStreams(TimePoint now, Actions* out) {
-  std::size_t keep = ReadsPlatformSuccessfully() ? 0 : 1;
+  std::size_t keep = m_roles.reads_platform ? 2 : 1;
+  if (ReadsPlatformSuccessfully()) keep = 0;
   if (m_streams.size() <= keep || Age(now) > m_times.hedge_age) return;
-  auto best = BestStream();
-  bool settled = best != m_streams.end() &&
-                 now - best->second.opened_at >
-                     m_times.heartbeat_period * kSettlingHeartbeats;
+  std::vector<std::string> ranked = RankStreams(now);
+  bool settled =
+      !ranked.empty() && now - m_streams.at(ranked.front()).opened_at >
+                             m_times.heartbeat_period * kSettlingHeartbeats;
   if (!settled) return;
-  std::string kept = keep > 0 ? best->first : "";
-  std::vector<std::pair<std::string, bool>> others;
-  for (const auto& [peer, stream] : m_streams) {
+  std::vector<std::string> surplus;
+  if (keep > 0) {
     // A stream without data yet may turn out to be the better one. If it sends
     // nothing, it is dropped as unresponsive.
-    bool judged = keep == 0 || stream.HasData();
-    if (peer != kept && judged) others.emplace_back(peer, stream.lagged);
+    ranked.erase(ranked.begin(),
+                 ranked.begin() + static_cast<std::ptrdiff_t>(
+                                      std::min(keep, ranked.size())));
+    surplus = std::move(ranked);
+  } else {
+    for (const auto& [peer, stream] : m_streams) surplus.push_back(peer);
   }
-  for (const auto& [peer, lagged] : others) {
-    DropStream(peer, lagged ? "lagged" : "spare", /*avoid=*/lagged, now, out);
+  for (const std::string& peer : surplus) {
+    bool lagged = keep > 0 && m_streams.at(peer).lagged;
+    DropStream(peer, lagged ? "lagged" : "spare", /*failed=*/lagged, now, out);
   }
 }
 
-// Drops stale sources if other peers are available. The source with the most
-// recent data is kept, because it may be the first to recover.
-void ChangeFollower::DropStaleStreams(TimePoint now, Actions* out) {
-  if (Age(now) <= m_times.hedge_age || NextPeer(now) == nullptr) return;
-  auto best = BestStream();
-  std::vector<std::string> stale;
-  for (auto it = m_streams.cbegin(); it != m_streams.cend(); ++it) {
-    if (it != best && IsStale(it->second, now)) stale.push_back(it->first);
-  }
-  for (const std::string& peer : stale) {
-    DropStream(peer, "stale", /*avoid=*/true, now, out);
-  }
+// Replaces a stale source if all places are taken and another peer may be
+// tried. That all sources are stale is no failure of this one. The source with
+// the most recent data is kept, because it may be the first to recover.
+void ChangeFollower::ReplaceStaleStream(TimePoint now, Actions* out) {
+  bool full = m_streams.size() >= TargetStreamCount(now);
+  if (!full || Age(now) <= StaleAge() || NextPeer(now) == nullptr) return;
+  std::vector<std::string> ranked = RankStreams(now);
+  if (ranked.size() < 2 || !IsStale(m_streams.at(ranked.back()), now)) return;
+  bool lagged = m_streams.at(ranked.back()).lagged;
+  DropStream(ranked.back(), "stale", /*failed=*/lagged, now, out);
+  Failure& failure = m_failures[ranked.back()];
+  failure.reason = "stale";
+  failure.retry_at = now + m_jitter.Between(m_times.max_retry_interval / 2,
+                                            m_times.max_retry_interval);
 }
 
 void ChangeFollower::OpenStreams(TimePoint now, Actions* out) {
@@ -322,7 +374,7 @@
   // Without any source, the platform is queried at the rate at which a source
   // would watch it.
   bool no_peers =
-      m_streams.empty() && NextPeer(now) == nullptr && !m_roles.reads_platform;
+      m_streams.empty() && m_roles.peers.empty() && !m_roles.reads_platform;
   milliseconds limit = no_peers ? m_times.watch_duration : QueryAge();
   // While queries are unanswered, only one kind is retried.
   auto retried =
@@ -341,8 +393,8 @@
     // fault. Later ones back off, because the platform is then likely to be
     // down.
     m_next_query_at[kind] =
-        now + ExponentialBackoff(m_times.query_interval, kMaxQueryInterval,
-                                 unanswered - 1);
+        now + ExponentialBackoff(m_times.query_interval,
+                                 m_times.max_query_interval, unanswered - 1);
     out->push_back(
         QueryPlatform{static_cast<ChangeKind>(kind), unanswered > 0});
     ++unanswered;
@@ -358,7 +410,7 @@
   MarkLaggingStreams(now);
   DropUnresponsiveStreams(now, &out);
   DropSurplusStreams(now, &out);
-  DropStaleStreams(now, &out);
+  ReplaceStaleStream(now, &out);
   OpenStreams(now, &out);
   QueryPlatformIfStale(now, &out);
   return out;
--- a/core/change_follower.h
+++ b/core/change_follower.h
@@ -9,10 +9,16 @@
 //
 //   age: time since the point up to which all changes are known
 //   0 ......... hedge_age ..... platform_query_age ............... bound
-//   one source   a second source     the platform is queried as well
+//   one source   a second source     the platform is queried as well, and
+//                                    up to kMaxStreams sources are used
 //
 // Each step starts at a fixed age instead of after the failure of the previous
 // step, so that the detection times of simultaneous failures do not add up.
+//
+// A source that failed comes after the others for a time. This only orders the
+// sources: from hedge_age on, those that failed are tried again as well, after
+// pauses that are a small part of the bound. So however many troubles came
+// before, an old state is always accompanied by attempts to renew it.
 #ifndef CORE_CHANGE_FOLLOWER_H_
 #define CORE_CHANGE_FOLLOWER_H_
 
@@ -44,8 +50,8 @@
 
 /// Durations derived from the bound within which a change reaches each daemon.
 /// Invariants: 2 * watch_duration + batch_window < hedge_age <
-/// platform_query_age, and platform_query_age + query_spread + 2 *
-/// query_interval < bound.
+/// platform_query_age, platform_query_age + query_spread + 2 * query_interval <
+/// bound, and hedge_age + max_retry_interval + silence_timeout < bound.
 struct FollowerTimings {
   /// The platform answers a watch without changes after this time.
   milliseconds watch_duration{0};
@@ -59,7 +65,17 @@
   milliseconds platform_query_age{0};
   /// Daemons spread their queries to the platform over this time.
   milliseconds query_spread{0};
-  milliseconds query_interval{0};  ///< Between unanswered queries.
+  /// Between unanswered queries. It is doubled with each of them.
+  milliseconds query_interval{0};
+  milliseconds max_query_interval{0};
+  /// A source that failed is not tried again for this time. It is doubled with
+  /// each consecutive failure.
+  milliseconds retry_interval{0};
+  milliseconds max_retry_interval{0};
+  /// Other sources are preferred to one that failed for this time. It is
+  /// doubled with each consecutive failure.
+  milliseconds avoid_duration{0};
+  milliseconds max_avoid_duration{0};
   /// Additional age allowed for crash marks, which saves most of the watches
   /// for them on the platform.
   milliseconds crash_mark_slack{0};
@@ -108,6 +124,9 @@
     const char* reason = "";      ///< Of the last failure.
   };
 
+  /// Maximum number of sources at the same time.
+  static constexpr std::size_t kMaxStreams = 4;
+
   ChangeFollower(milliseconds bound, std::uint64_t seed);
 
   /// @param own_watch_duration Maximum time that the platform holds this
@@ -156,8 +175,11 @@
     TimePoint opened_at;
     TimePoint last_data_at;
     std::array<TimePoint, kChangeKinds> as_of{};
-    /// The age of this daemon's data exceeded hedge_age while this stream was
-    /// open and had sent data.
+    /// Time since which the peer's data has been older than this daemon's by
+    /// more than StaleAge().
+    std::optional<TimePoint> behind_since;
+    /// It has been so for a heartbeat period once: the peer was slower than
+    /// another source at the same time.
     bool lagged = false;
 
     bool HasData() const { return last_data_at != TimePoint(); }
@@ -165,10 +187,11 @@
     TimePoint OldestAsOf() const;
   };
 
-  /// A peer that failed is not subscribed to again before `until`.
-  struct Avoidance {
-    TimePoint until;
-    int failures = 0;  ///< Consecutive.
+  /// A peer whose subscription has ended.
+  struct Failure {
+    TimePoint retry_at;       ///< It is not subscribed to before this time.
+    TimePoint avoided_until;  ///< Other peers are preferred until then.
+    int count = 0;            ///< Consecutive.
     const char* reason = "";
   };
 
@@ -182,20 +205,26 @@
   }
   /// Age of the data from which on the platform is queried.
   milliseconds QueryAge() const;
+  /// Age from which on a peer's data is older than that of a sound peer.
+  milliseconds StaleAge() const;
   std::size_t TargetStreamCount(TimePoint now) const;
   bool IsStale(const Stream& stream, TimePoint now) const;
   bool HasBetterPeer(TimePoint now) const;
+  /// @return The peer to subscribe to next; null if there is none.
   const std::string* NextPeer(TimePoint now) const;
+  bool MayRetry(const std::string& peer, TimePoint now) const;
   bool IsAvoided(const std::string& peer, TimePoint now) const;
   std::size_t PeerRank(const std::string& peer) const;
-  std::map<std::string, Stream>::const_iterator BestStream() const;
-  void DropStream(const std::string& peer, const char* reason, bool avoid,
+  /// @return The peers whose streams have data, best first.
+  std::vector<std::string> RankStreams(TimePoint now) const;
+  void DropStream(const std::string& peer, const char* reason, bool failed,
                   TimePoint now, Actions* out);
-  void AvoidPeer(const std::string& peer, const char* reason, TimePoint now);
+  void RecordFailure(const std::string& peer, const char* reason,
+                     TimePoint now);
   void MarkLaggingStreams(TimePoint now);
   void DropUnresponsiveStreams(TimePoint now, Actions* out);
   void DropSurplusStreams(TimePoint now, Actions* out);
-  void DropStaleStreams(TimePoint now, Actions* out);
+  void ReplaceStaleStream(TimePoint now, Actions* out);
   void OpenStreams(TimePoint now, Actions* out);
   void QueryPlatformIfStale(TimePoint now, Actions* out);
 
@@ -204,8 +233,8 @@
   milliseconds m_query_spread;
   ChangeRoles m_roles;
   milliseconds m_own_watch_duration{0};
-  std::map<std::string, Stream> m_streams;     ///< By address.
-  std::map<std::string, Avoidance> m_avoided;  ///< By address.
+  std::map<std::string, Stream> m_streams;    ///< By address.
+  std::map<std::string, Failure> m_failures;  ///< By address.
   std::array<std::optional<TimePoint>, kChangeKinds> m_current_as_of;
   std::array<TimePoint, kChangeKinds> m_next_query_at{};
   std::array<int, kChangeKinds> m_unanswered_queries{};
