Reproduce a planned stop that ends a request without an answer

Cause: not fixed yet. Test: a planned stop answers the requests that it can't finish; fails on: the connection is closed 7 s after SIGTERM with neither an answer nor a refusal (log: outcome=cut_off reason=stopping). Measured: nothing else.

--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -321,6 +321,11 @@
     repeated["name"] = "r-repeat";
     repeated["max_attempts"] = 2;
     routes.push_back(std::move(repeated));
+    Json patient = route("/patient/", "idempotent");
+    patient["name"] = "r-patient";
+    patient["timeout_ms"] = 30'000;
+    patient["max_attempts"] = 2;
+    routes.push_back(std::move(patient));
     for (int own = std::max(1, version - own_routes + 1);
          own_routes > 0 && own <= version; ++own) {
       Json added = route(fmt::format("/v{}/", own).c_str(), "idempotent");
@@ -386,9 +391,9 @@
       co_await exchange->Answer(200, std::string("ok\n"), headers);
       co_return;
     }
-    ++m_runs[exchange->body()];
     Json body = TryParseJson(exchange->body());
     if (!body.is_object()) body = Json::object();
+    ++m_runs[exchange->body()];
     if (body.value("crash", false) || HasDeadlyPart(*exchange)) {
       milliseconds down(body.value("down_ms", kDefaultDown.count()));
       asio::co_spawn(*m_io, End(server, down), asio::detached);
--- a/testing/process_stop_test.cc
+++ b/testing/process_stop_test.cc
@@ -73,4 +73,27 @@
   site.daemon(0).WaitForExit();
 }
 
+// Guards against requests that a planned stop ends by closing their connection,
+// without an answer or a refusal (LOST).
+TEST_CASE("a planned stop answers the requests that it can't finish") {
+  testing::FleetOptions options;
+  options.daemons = 2;
+  testing::FleetSite site(options);
+  SlowCaller caller(site.daemon(0).Listening("listen"));
+  const std::string body = R"({"work_ms":20000})";
+  caller.Send(
+      fmt::format("POST /patient/x HTTP/1.1\r\nHost: desk.example\r\n"
+                  "X-Clementinelb-Attempt-Id: long\r\n"
+                  "X-Clementinelb-Deadline-Ms: 25000\r\n"
+                  "Content-Length: {}\r\n\r\n{}",
+                  body.size(), body));
+  REQUIRE(testing::WaitFor(testing::kLongWait,
+                           [&] { return site.Runs(body) == 1; }));
+  site.daemon(0).Signal(SIGTERM);
+  std::string answer = caller.ReadAll();
+  // It may have run, so the answer must not say that it has not.
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(site.daemon(0).WaitForExit() == 0);
+}
+
 }  // namespace clementine
