Refuse the requests that a planned stop can't finish

Cause: at stop_limit a daemon closed the connections of all requests that had been sent to a server once, also of those that ran nowhere: turned away there and waiting again. Such a request can arrive until 2.5 s after SIGTERM with 8 s left. Callers saw: a whole request that got neither an answer nor a refusal, 7 s after the SIGTERM of the daemon that had it. Change: the request path ends all unfinished requests (RequestsStopped) as it does at their deadlines: 503 with Retry-After if no attempt can have run it, else 502. Streams that have begun are still cut off. AbortRequests of the relay executor, a second decision about the same outcome, is gone. Why it works: the outcome comes from the component that knows all attempts, and its refusal is written before the daemon ends.

--- a/core/core.h
+++ b/core/core.h
@@ -282,6 +282,8 @@
 };
 /// This daemon shuts down. It refuses new requests, and releases its lease.
 struct DrainStarted {};
+/// This daemon ends soon: refuses every request that is not finished.
+struct RequestsStopped {};
 struct Tick {
   /// Wall clock time, for the retention of claims. The default value
   /// means unknown.
@@ -292,8 +294,8 @@
     std::variant<RequestArrived, CallerLeft, AttemptProgress, AttemptEnded,
                  AttemptStalled, ServerBusy, ServerEnded, LoadReported,
                  CacheEvents, GroupsChanged, ConfigurationChanged,
-                 QuarantineLearned, DaemonsChanged, DrainStarted, ObjectReply,
-                 StoreEraSeen, Tick>;
+                 QuarantineLearned, DaemonsChanged, DrainStarted,
+                 RequestsStopped, ObjectReply, StoreEraSeen, Tick>;
 
 enum class RefusalReason {
   kUnknownModel,
--- a/core/request_path.cc
+++ b/core/request_path.cc
@@ -234,6 +234,15 @@
 
 void RequestPath::Impl::On(const DrainStarted& /*event*/) { m_draining = true; }
 
+void RequestPath::Impl::On(const RequestsStopped& /*event*/) {
+  std::vector<RequestId> unfinished;
+  for (const auto& [id, active] : m_requests) unfinished.push_back(id);
+  std::sort(unfinished.begin(), unfinished.end());
+  for (RequestId id : unfinished) {
+    EndUnfinished(FindRequest(id), RefusalReason::kDraining);
+  }
+}
+
 void RequestPath::Impl::On(const ObjectReply& event) {
   std::optional<ClaimLedger::Result> result =
       m_ledger.OnReply(event, m_now, &m_actions);
@@ -314,6 +323,11 @@
     }
     return;
   }
+  EndUnfinished(active, RefusalReason::kDeadline);
+}
+
+void RequestPath::Impl::EndUnfinished(ActiveRequest* active,
+                                      RefusalReason reason) {
   if (active->state == State::kRunning) {
     active->may_have_run = true;
     if (active->claimed) {
@@ -325,7 +339,7 @@
     m_ledger.Settle(active->request.id, ClaimState::kReleased, 0, "", m_now,
                     &m_actions);
   }
-  RefuseActive(active, RefusalReason::kDeadline, kDefaultRetryAfter);
+  RefuseActive(active, reason, kDefaultRetryAfter);
 }
 
 // ---------------------------------------------------------------------------
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -142,6 +142,7 @@
   void On(const QuarantineLearned& event);
   void On(const DaemonsChanged& event);
   void On(const DrainStarted& event);
+  void On(const RequestsStopped& event);
   void On(const ObjectReply& event);
   void On(const StoreEraSeen& event);
   void On(const Tick& event);
@@ -263,6 +264,8 @@
   void SetTimer(ActiveRequest* active, TimePoint wake_at);
   void RunTimers();
   void OnTimer(ActiveRequest* active);
+  /// Ends a request in any state, with what is known of its attempts.
+  void EndUnfinished(ActiveRequest* active, RefusalReason reason);
   void ExpireDetached();
 
   void SetReserved(ActiveRequest* active, bool reserve);
--- a/daemon/fleet_daemon.cc
+++ b/daemon/fleet_daemon.cc
@@ -577,7 +577,7 @@
     m_server->Stop();
   }
   if (m_phase != Phase::kFinishing && m_phase != Phase::kReleasing) return;
-  if (elapsed >= m_settings.stop_limit) m_executor->AbortRequests();
+  if (elapsed >= m_settings.stop_limit) Feed(RequestEvent(RequestsStopped{}));
   bool finished =
       m_executor->unfinished() == 0 && m_server->stats().exchanges == 0;
   if (m_phase == Phase::kFinishing && finished) m_phase = Phase::kReleasing;
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -658,22 +658,6 @@
                    latency.count(), now);
 }
 
-void RelayExecutor::AbortRequests() {
-  std::vector<RequestId> ids;
-  for (const auto& [id, caller] : m_callers) ids.push_back(id);
-  for (RequestId id : ids) {
-    std::shared_ptr<Caller> caller = TakeCaller(id);
-    m_context.feed(CallerLeft{id});
-    if (caller->current == 0) {
-      RefuseWithoutAttempt(caller->exchange.get(), http_status::kUnavailable,
-                           "stopping", caller->headers.request_id);
-    } else {
-      caller->exchange->Abort();
-      LogAnswer(*caller, "cut_off", caller->status, "stopping");
-    }
-  }
-}
-
 // Forwarded requests have no idempotency keys; nothing is stored for them.
 void RelayExecutor::On(const Replay& /*replay*/) {}
 void RelayExecutor::On(const GetObject& /*get*/) {}
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -72,10 +72,6 @@
   /// This process did not run for `time` until now.
   void OnProcessPaused(milliseconds time) { m_silence.OnDaemonPaused(time); }
 
-  /// Ends all requests: refuses those that were not sent to a backend server,
-  /// and aborts the others.
-  void AbortRequests();
-
  private:
   struct Caller;
   struct Attempt;
--- a/testing/interface_parity_test.cc
+++ b/testing/interface_parity_test.cc
@@ -100,6 +100,12 @@
            "a daemon that stops takes requests until its server "
            "stops, and finishes them"}};
 }
+Entry EntryOf(std::type_identity<RequestsStopped>) {
+  return {
+      "RequestsStopped",
+      {nullptr, "a daemon ends only after its requests, at their deadlines"},
+      {"RequestEvent(RequestsStopped{})"}};
+}
 Entry EntryOf(std::type_identity<ObjectReply>) {
   return {"ObjectReply", {"ObjectReply"}, {nullptr, kNoKeys}};
 }
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -703,4 +703,25 @@
 }
 
 }  // namespace
+// Guards against requests that a planned stop leaves without an answer: one
+// that runs, and one that waits because a server has turned it away (LOST).
+TEST_CASE("requests that a stop can't finish are refused by what is known") {
+  Fixture f;
+  Dispatch rejected = f.SendRequest(f.MakeRequest("rejected"));
+  f.EndAttempt(rejected.attempt, AttemptResult::kRefused);
+  REQUIRE(f.ActionsOfType<Refuse>().empty());
+  Dispatch running = f.SendRequest(f.MakeRequest("running"));
+  f.Feed(RequestsStopped{});
+  CHECK(f.SingleAction<CancelAttempt>().attempt == running.attempt);
+  std::vector<Refuse> refused = f.ActionsOfType<Refuse>();
+  REQUIRE(refused.size() == 2);
+  CHECK(refused[0].request == rejected.request);
+  CHECK(refused[0].outcome == Outcome::kNotRun);
+  CHECK(refused[1].request == running.request);
+  CHECK(refused[1].outcome == Outcome::kUnknown);
+  CHECK(refused[0].reason == RefusalReason::kDraining);
+  f.AdvanceTime(milliseconds(60'000));
+  CHECK(f.actions.empty());
+}
+
 }  // namespace clementine
