Bound the pause between failed reads of the configuration

Cause: on the project's own interface, watches of the configuration and reads of its sections used the general backoff, up to 10 s, longer than the 9 s within which a configuration has to be in force. A daemon could handle requests by an old configuration for up to 10 s after the platform answers again. Change: the pause of these calls is at most a quarter of the bound. Lists of hosts and watches of the placement keep theirs. Why it works: the pause is derived from the bound and leaves three quarters of it for the call and for the other daemons.

--- a/core/config_watch.h
+++ b/core/config_watch.h
@@ -55,7 +55,7 @@
   struct Fetch {
     bool pending = false;
     TimePoint next;
-    Backoff backoff;
+    Backoff backoff{milliseconds(200), kMaxConfigurationRetry};
   };
 
   void TryAdopt(TimePoint now, Actions* out);
--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -85,7 +85,8 @@
                  &m_calls, &m_jitter),
         m_peers(MakeMembershipOptions(m_options)),
         m_placement_key("placement/" + m_options.data_centre) {
-    m_watches[kHeadKey];
+    m_watches[kHeadKey].backoff =
+        Backoff(milliseconds(200), kMaxConfigurationRetry);
     m_watches[m_placement_key];
     m_presence.probes_host = [this](const std::string& host) {
       return ShouldProbeHost(host);
--- a/core/platform_calls.h
+++ b/core/platform_calls.h
@@ -14,6 +14,13 @@
 
 namespace clementine {
 
+/// Time within which a configuration has to be in force at all daemons
+/// (docs/CAPACITY.md).
+inline constexpr milliseconds kConfigurationBound{9'000};
+/// Maximum pause between failed calls that read the configuration. It leaves
+/// the larger part of the bound for the call itself and for the other daemons.
+inline constexpr milliseconds kMaxConfigurationRetry = kConfigurationBound / 4;
+
 /// Component that issued a call and gets its reply.
 enum class CallOwner { kLease, kPlacement, kConfig, kStatus };
 
