--- a/testing/change_follower_test.cc
+++ b/testing/change_follower_test.cc
@@ -150,6 +150,8 @@
     FollowerTimings times = DeriveFollowerTimings(bound);
     CHECK(2 * times.watch_duration + times.batch_window < times.hedge_age);
     CHECK(times.hedge_age < times.platform_query_age);
+    CHECK(times.hedge_age + times.max_retry_interval + times.silence_timeout <
+          bound);
     CHECK(times.platform_query_age + times.query_spread +
               2 * times.query_interval <
           bound);
