Replace watches of the configuration that fell silent within the bound

Cause: a watch of the configuration waited for 30 s, and was taken for lost 5 s later; on a connection that fell silent a change was seen after 31 s, where 9 s are allowed. If the connections of all daemons that watch fall silent, each daemon handles requests by the old configuration for up to half a minute. Change: the watch of the configuration lasts half of the bound and is replaced a quarter of the bound later. Watches of the placement keep their times. Why it works: both times derive from the bound and add up to three quarters of it.

--- a/core/control_plane.cc
+++ b/core/control_plane.cc
@@ -36,6 +36,10 @@
 /// A watch is taken for lost if its reply is later than its timeout by more
 /// than this.
 constexpr milliseconds kWatchGrace{5'000};
+/// The same for the watch of the configuration. Both together are less than the
+/// bound, so that a watch on a connection that fell silent is replaced in time.
+constexpr milliseconds kConfigurationWatchTimeout = kConfigurationBound / 2;
+constexpr milliseconds kConfigurationWatchGrace = kConfigurationBound / 4;
 constexpr milliseconds kReplyTimeout{10'000};
 constexpr milliseconds kStatusMeasureInterval{200};
 constexpr milliseconds kPublishInterval{50};
@@ -53,6 +57,9 @@
   TimePoint sent;
   TimePoint next;
   std::uint64_t since_revision = 0;  ///< A watch returns later changes.
+  /// A watch without changes is answered after this time.
+  milliseconds timeout = kWatchTimeout;
+  milliseconds grace = kWatchGrace;
   Backoff backoff;
 };
 
@@ -85,8 +92,10 @@
                  &m_calls, &m_jitter),
         m_peers(MakeMembershipOptions(m_options)),
         m_placement_key("placement/" + m_options.data_centre) {
-    m_watches[kHeadKey].backoff =
-        Backoff(milliseconds(200), kMaxConfigurationRetry);
+    PeriodicCall& head_watch = m_watches[kHeadKey];
+    head_watch.timeout = kConfigurationWatchTimeout;
+    head_watch.grace = kConfigurationWatchGrace;
+    head_watch.backoff = Backoff(milliseconds(200), kMaxConfigurationRetry);
     m_watches[m_placement_key];
     m_presence.probes_host = [this](const std::string& host) {
       return ShouldProbeHost(host);
@@ -362,12 +371,12 @@
       m_list.pending = m_calls.List(m_now, &m_out);
     }
     for (auto& [prefix, watch] : m_watches) {
-      if (watch.pending && m_now - watch.sent > kWatchTimeout + kWatchGrace) {
+      if (watch.pending && m_now - watch.sent > watch.timeout + watch.grace) {
         watch.pending = false;
       }
       if (!watch.pending && m_now >= watch.next && m_watches_platform) {
         watch.pending = m_calls.StartWatch(prefix, watch.since_revision,
-                                           kWatchTimeout, m_now, &m_out);
+                                           watch.timeout, m_now, &m_out);
         watch.sent = m_now;
       }
     }
