Judge the soak of spells by when its events were carried out

Cause: spans in which a daemon or the store counts as disturbed were taken from the plan; on a busy machine an event is carried out later. Change: the spans are noted as they begin and end. A daemon that has been disturbed is left alone for contact_ms, so that more answers are judged. Test: a configuration is in force in time through spells in series.

--- a/testing/process_spells_test.cc
+++ b/testing/process_spells_test.cc
@@ -239,6 +239,7 @@
     std::vector<bool> rejected(kDaemons, false);
     rejected[kAlone] = true;
     if (Pick(0, 1) == 0) rejected[static_cast<std::size_t>(Pick(0, 4))] = true;
+    Add(at, "store unstable", [this] { Begin(&m_unstable); });
     for (int i = 0; i < kDaemons; ++i) {
       if (!rejected[static_cast<std::size_t>(i)]) continue;
       Add(at, fmt::format("store {} for d{}", state, i + 1),
@@ -246,7 +247,7 @@
       Add(end, fmt::format("store up for d{}", i + 1),
           [this, i] { m_site.SetStoreFor(i, "up"); });
     }
-    m_unstable_plan.emplace_back(at, end);
+    Add(end, "store stable", [this] { End(&m_unstable); });
     return rejected;
   }
 
@@ -266,28 +267,41 @@
     }
   }
 
+  /// A daemon is disturbed by one thing at a time.
   void Disturb(int daemon, milliseconds at, milliseconds time) {
+    auto index = static_cast<std::size_t>(daemon);
+    if (at <= m_disturbed_until[index]) return;
+    m_disturbed_until[index] = at + time + kContact;
     int kind = Pick(0, 4);
     std::string name = fmt::format("d{}", daemon + 1);
-    auto overlaps = [&](const auto& span) {
-      return at <= span.second && span.first <= at + time;
-    };
-    auto& planned = m_disturbed_plan[static_cast<std::size_t>(daemon)];
-    if (std::any_of(planned.begin(), planned.end(), overlaps)) return;
-    // A start takes up to a second.
-    planned.emplace_back(at, at + time + milliseconds(1'000));
-    if (kind < 3) {
-      Add(at, "pause " + name,
-          [this, daemon] { m_site.daemon(daemon).Signal(SIGSTOP); });
-      Add(at + time, "continue " + name,
-          [this, daemon] { m_site.daemon(daemon).Signal(SIGCONT); });
-      return;
-    }
-    int signal = kind == 3 ? SIGTERM : SIGKILL;
-    Add(at, (kind == 3 ? "stop " : "kill ") + name,
-        [this, daemon, signal] { m_site.daemon(daemon).Signal(signal); });
-    Add(at + time, "start " + name,
-        [this, daemon] { m_site.Restart(daemon, /*wait=*/false); });
+    std::vector<Span>* spans = &m_disturbed[index];
+    bool pauses = kind < 3;
+    int signal = pauses ? SIGSTOP : kind == 3 ? SIGTERM : SIGKILL;
+    Add(at,
+        (pauses      ? "pause "
+         : kind == 3 ? "stop "
+                     : "kill ") +
+            name,
+        [this, daemon, signal, spans] {
+          Begin(spans);
+          m_site.daemon(daemon).Signal(signal);
+        });
+    Add(at + time, (pauses ? "continue " : "start ") + name,
+        [this, daemon, pauses, spans] {
+          if (pauses) {
+            m_site.daemon(daemon).Signal(SIGCONT);
+          } else {
+            m_site.Restart(daemon, /*wait=*/false);
+          }
+          End(spans);
+        });
+  }
+
+  static void Begin(std::vector<Span>* spans) {
+    spans->emplace_back(Clock::now(), Clock::time_point::max());
+  }
+  static void End(std::vector<Span>* spans) {
+    spans->back().second = Clock::now();
   }
 
   void WriteVersionsUntil(Clock::time_point end) {
@@ -345,10 +359,9 @@
   }
 
   bool IsDisturbed(int daemon, Clock::time_point when) const {
-    const auto& planned = m_disturbed_plan[static_cast<std::size_t>(daemon)];
-    return std::any_of(planned.begin(), planned.end(), [&](const auto& span) {
-      return m_start + span.first <= when &&
-             when < m_start + span.second + kContact;
+    const auto& spans = m_disturbed[static_cast<std::size_t>(daemon)];
+    return std::any_of(spans.begin(), spans.end(), [&](const Span& span) {
+      return span.first <= when && when - kContact < span.second;
     });
   }
 
@@ -356,10 +369,9 @@
   bool IsPastBound(int version, Clock::time_point when) const {
     auto acknowledged = AcknowledgedAt(version);
     if (!acknowledged) return false;
-    bool unstable = std::any_of(
-        m_unstable_plan.begin(), m_unstable_plan.end(), [&](const auto& span) {
-          return m_start + span.first <= when &&
-                 *acknowledged < m_start + span.second + kContact;
+    bool unstable =
+        std::any_of(m_unstable.begin(), m_unstable.end(), [&](const Span& s) {
+          return s.first <= when && *acknowledged - kContact < s.second;
         });
     milliseconds bound = kApplyBound;
     if (unstable) bound += kUnstableStoreBound;
@@ -389,9 +401,11 @@
   std::vector<std::string> m_addresses;
   std::vector<Event> m_events;
   std::string m_plan;
-  using PlannedSpan = std::pair<milliseconds, milliseconds>;
-  std::vector<PlannedSpan> m_unstable_plan;
-  std::array<std::vector<PlannedSpan>, kDaemons> m_disturbed_plan;
+  /// By daemon, as planned.
+  std::array<milliseconds, kDaemons> m_disturbed_until{};
+  // As carried out.
+  std::array<std::vector<Span>, kDaemons> m_disturbed;
+  std::vector<Span> m_unstable;
   Clock::time_point m_start;
   Clock::time_point m_next_version_at;
   int m_version = 1;  ///< Newest that was written.
