--- a/core/node_directory.h
+++ b/core/node_directory.h
@@ -66,7 +66,8 @@
   /// the others.
   DemandByModel Demand() const;
 
-  /// Number of daemons that accept requests, including this one.
+  /// Number of daemons that accept requests, including this one. Kept while the
+  /// platform cannot be read; see listed_names.
   int live() const { return m_live; }
   /// Sets the properties of this daemon that are published to other daemons.
   /// @param changes_address Address at which this daemon relays changes and
