Don't let a kind that peers keep current hold back other queries

Cause: while a query to the platform was unanswered, only its kind was retried, also once peers kept that kind current. Callers saw: none was seen; found by reading. A daemon whose peers know the servers, but not the newest configuration, would serve by an old one for as long as no query for servers is answered. Change: only a kind that is old is retried, and only such a one holds back the others. Why it works: a kind that is old is either retried itself, or waits for an answer for one that is retried.

--- a/core/change_follower.cc
+++ b/core/change_follower.cc
@@ -376,19 +376,24 @@
   bool no_peers =
       m_streams.empty() && m_roles.peers.empty() && !m_roles.reads_platform;
   milliseconds limit = no_peers ? m_times.watch_duration : QueryAge();
-  // While queries are unanswered, only one kind is retried.
-  auto retried =
-      std::find_if(m_unanswered_queries.begin(), m_unanswered_queries.end(),
-                   [](int count) { return count > 0; });
+  std::array<bool, kChangeKinds> old{};
   for (std::size_t kind = 0; kind < kChangeKinds; ++kind) {
-    int& unanswered = m_unanswered_queries[kind];
-    bool held_back =
-        retried != m_unanswered_queries.end() && &unanswered != &*retried;
     if (!m_current_as_of[kind]) continue;
     TimePoint current =
         AddKindSlack(static_cast<ChangeKind>(kind), *m_current_as_of[kind]);
-    bool old = now - current > limit;
-    if (!old || held_back || now < m_next_query_at[kind]) continue;
+    old[kind] = now - current > limit;
+  }
+  // While queries are unanswered, only one kind is retried: one that peers
+  // don't keep current.
+  std::size_t retried = 0;
+  while (retried < kChangeKinds &&
+         !(old[retried] && m_unanswered_queries[retried] > 0)) {
+    ++retried;
+  }
+  for (std::size_t kind = 0; kind < kChangeKinds; ++kind) {
+    int& unanswered = m_unanswered_queries[kind];
+    bool held_back = retried < kChangeKinds && kind != retried;
+    if (!old[kind] || held_back || now < m_next_query_at[kind]) continue;
     // The first retries are immediate, because a single connection may be at
     // fault. Later ones back off, because the platform is then likely to be
     // down.
--- a/testing/change_follower_test.cc
+++ b/testing/change_follower_test.cc
@@ -310,6 +310,32 @@
   CHECK(asked <= 16);
 }
 
+// Guards against a configuration that nobody asks for as the platform didn't
+// answer a query for servers, which a peer has kept current since (CONFIG).
+TEST_CASE("a kind that peers keep current doesn't hold back other queries") {
+  ChangeFollower follower(kBound, 1);
+  follower.SetRoles({false, false, {"a"}}, milliseconds(0));
+  follower.OnPlatformAnswer(ChangeKind::kServers, kStart);
+  follower.OnPlatformAnswer(ChangeKind::kConfiguration, kStart);
+  follower.Advance(kStart);
+  TimePoint old = kStart + kBound;
+  REQUIRE_FALSE(
+      ActionsOfType<ChangeFollower::QueryPlatform>(follower.Advance(old))
+          .empty());
+  follower.OnPlatformFailure();
+  bool asked = false;
+  for (milliseconds passed{50}; passed < kBound; passed += milliseconds(50)) {
+    TimePoint now = old + passed;
+    follower.OnPeerUpdate("a", ChangeKind::kServers, now, now);
+    for (const auto& query :
+         ActionsOfType<ChangeFollower::QueryPlatform>(follower.Advance(now))) {
+      CHECK(query.kind == ChangeKind::kConfiguration);
+      asked = true;
+    }
+  }
+  CHECK(asked);
+}
+
 // Guards against a preferred source that is subscribed to and dropped before it
 // could answer. 13 followers did so 20 times per second each, which kept the
 // source too busy to answer any of them in time.
