Reproduce a stream that is cut off after a short silence

Cause: as the tests show: an attempt without data is cancelled before another server has accepted the request; if that one rejects it, or is silent too, both attempts are used up. Change: tests only; fleet_standin answers with a pause ("pause_ms", "later").

--- a/testing/fleet_standin.cc
+++ b/testing/fleet_standin.cc
@@ -14,6 +14,10 @@
 //       its port goes on accepting, as if another process listened there;
 //       "leaving": the answer says that the server is leaving; "closes_idle":
 //       the other connections end 100 ms before this one.
+//   {"pause_ms": N}     answers the first run with a stream that pauses for so
+//       long after 5 of its 20 events. Later runs are rejected as by a server
+//       that is full; with "later": "whole" they answer at once, with "silent"
+//       after 30 s.
 // A request whose prompt has a part named "deadly" before its last one does
 // the same, whatever its body.
 // A server that ended comes back under a new id, and its old entry is removed a
@@ -56,6 +60,7 @@
 constexpr milliseconds kDefaultDown{500};
 constexpr milliseconds kDefaultWork{5};
 constexpr milliseconds kMostWatchTime{30'000};
+constexpr int kStreamEvents = 20;
 
 /// The platform's objects, by kind and name.
 class Store {
@@ -408,9 +413,39 @@
       co_await AnswerUnframed(server, exchange, body, headers);
       co_return;
     }
+    if (body.contains("pause_ms")) {
+      co_await AnswerWithPause(exchange, body, headers);
+      co_return;
+    }
     co_await exchange->Answer(200, std::string("done\n"), headers);
   }
 
+  static asio::awaitable<void> SendEvents(Exchange* exchange, int first,
+                                          int last) {
+    for (int event = first; event <= last; ++event) {
+      std::string text = fmt::format("id: {}\ndata: x\n\n", event);
+      co_await exchange->Send(std::move(text));
+    }
+  }
+
+  asio::awaitable<void> AnswerWithPause(Exchange* exchange, Json how,
+                                        Headers headers) {
+    constexpr int kEventsBeforePause = 5;
+    std::string later = how.value("later", "rejected");
+    bool first = m_runs[exchange->body()] == 1;
+    if (!first && later == "rejected") {
+      headers.emplace_back("X-Clementinelb-Not-Executed", "1");
+      co_await exchange->Answer(503, std::string(), headers);
+      co_return;
+    }
+    if (!first && later == "silent") co_await Sleep(kMostWatchTime);
+    co_await exchange->StartStream(headers);
+    co_await SendEvents(exchange, 1, kEventsBeforePause);
+    if (first) co_await Sleep(milliseconds(how["pause_ms"].get<int>()));
+    co_await SendEvents(exchange, kEventsBeforePause + 1, kStreamEvents);
+    co_await exchange->EndStream();
+  }
+
   asio::awaitable<void> AnswerUnframed(Server* server, Exchange* exchange,
                                        Json how, Headers headers) {
     std::string type =
@@ -421,10 +456,7 @@
         co_return;
       }
       co_await exchange->StartStream(headers);
-      for (int event = 1; event <= 20; ++event) {
-        std::string text = fmt::format("id: {}\ndata: x\n\n", event);
-        co_await exchange->Send(std::move(text));
-      }
+      co_await SendEvents(exchange, 1, kStreamEvents);
       co_await exchange->EndStream();
       co_return;
     }
--- a/testing/relay_stall_test.cc
+++ b/testing/relay_stall_test.cc
@@ -57,6 +57,15 @@
     return *dispatch;
   }
 
+  std::vector<RequestAction> End(AttemptId attempt, AttemptResult result,
+                                 int status) {
+    AttemptEnded ended;
+    ended.attempt = attempt;
+    ended.result = result;
+    ended.status = status;
+    return path.Handle(ended, kStart + milliseconds(700));
+  }
+
   std::vector<RequestAction> Stall(AttemptId attempt) {
     return path.Handle(AttemptStalled{attempt}, kStart + milliseconds(600));
   }
@@ -80,6 +89,31 @@
   CHECK(second->group != first.group);
 }
 
+// Guards against an answer that is cut off although its server still works on
+// it: it was given up for its silence before another server had accepted the
+// request, and that one rejected it (LOST).
+TEST_CASE("a stalled request is kept until another server continues it") {
+  for (AttemptResult result : {AttemptResult::kRefused, AttemptResult::kNotSent,
+                               AttemptResult::kBroken, AttemptResult::kError}) {
+    CAPTURE(AttemptResultName(result));
+    PathFixture fixture;
+    Dispatch first = fixture.Start(true);
+    std::vector<RequestAction> actions = fixture.Stall(first.attempt);
+    CHECK_FALSE(FindAction<CancelAttempt>(actions));
+    auto second = FindAction<Dispatch>(actions);
+    REQUIRE(second);
+    CHECK(second->group != first.group);
+    CHECK(fixture.Stall(first.attempt).empty());
+    actions = fixture.End(second->attempt, result,
+                          result == AttemptResult::kBroken ? 0 : 503);
+    CHECK_FALSE(FindAction<Refuse>(actions));
+    CHECK_FALSE(FindAction<Finish>(actions));
+    CHECK(FindAction<Finish>(
+        fixture.End(first.attempt, AttemptResult::kComplete, 200)));
+    CHECK(fixture.path.stats().in_flight == 0);
+  }
+}
+
 // Guards against an answer that is aborted because its server sends no data for
 // some time, although no other group can answer the request.
 TEST_CASE("a stalled request continues if no other group can take it") {
