Keep a silent attempt until another server continues its request

Cause: an attempt without data for 0.5 to 1.4 s was cancelled before another server had accepted its request. If that one rejected it or was silent too, nothing was left: both attempts were used up, and the caller's connection was closed in the middle of the answer. Callers saw: a stream that had begun ended without its rest, while its first server still worked on it. Change: the new attempt runs beside the stalled one; the first of the two that delivers something wins and the other is cancelled (as with hedges, also after the beginning of the answer). If the new one ends without that, the stalled one goes on; if it is silent as well, another one replaces it. What is known of a running attempt is kept for each of the two. Suspects, which must run alone, are moved as before. Evidence: the daemon's log of the reproduction, before: moved, attempt_cancelled, attempt_ended result=refused, answer outcome=cut_off reason=retries_exhausted. Why it works: an answer in progress is given up only for one that has gone further.

--- a/core/core.h
+++ b/core/core.h
@@ -223,9 +223,10 @@
   std::string body;
 };
 /// The group of an attempt sends no data. The request is moved to another group
-/// if it is idempotent, holds no claim, isn't isolated, and may be retried.
-/// Otherwise the attempt continues, because a pause in an answer doesn't prove
-/// that the attempt has failed.
+/// if it is idempotent, holds no claim, isn't isolated, and may be retried. The
+/// attempt continues until the new one delivers something, and if there is
+/// none, because a pause in an answer doesn't prove that the attempt has
+/// failed.
 struct AttemptStalled {
   AttemptId attempt = 0;
 };
@@ -336,10 +337,9 @@
   std::string address;
   std::uint64_t resume_offset = 0;
   int priority = 0;  ///< Higher is more urgent.
-  /// The request has a running attempt already, and nothing of its answer was
-  /// delivered. The first attempt that delivers something wins; the other is
-  /// cancelled.
-  bool hedge = false;
+  /// The request has another running attempt. The first of the two that
+  /// delivers something from now on wins; the other is cancelled.
+  bool concurrent = false;
 };
 struct CancelAttempt {
   AttemptId attempt = 0;
--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -180,10 +180,15 @@
        {"in_flight", std::to_string(group->in_flight)},
        {"alone", active->holds_isolation ? "yes" : "no"},
        {"resume", std::to_string(active->offset)}});
-  m_actions.push_back(
-      Dispatch{active->request.id, active->attempt, group->view.group,
-               group->view.epoch, group->view.head_address, active->offset,
-               DispatchPriority(active->request.request_class)});
+  Dispatch dispatch{active->request.id,
+                    active->attempt,
+                    group->view.group,
+                    group->view.epoch,
+                    group->view.head_address,
+                    active->offset,
+                    DispatchPriority(active->request.request_class)};
+  dispatch.concurrent = active->other != nullptr;
+  m_actions.push_back(std::move(dispatch));
 }
 
 // Isolates a group for each waiting suspect. The suspect is dispatched once the
@@ -255,9 +260,9 @@
   active->group = nullptr;
 }
 
-void RequestPath::Impl::EndPromptWait(ActiveRequest* active) {
-  active->group->waiting_prompt_tokens -=
-      std::exchange(active->waiting_prompt_tokens, 0);
+void RequestPath::Impl::EndPromptWait(RunningAttempt* attempt) {
+  attempt->group->waiting_prompt_tokens -=
+      std::exchange(attempt->waiting_prompt_tokens, 0);
 }
 
 // Removes the running attempt from m_attempts and from its group.
@@ -374,7 +379,7 @@
   active->offset = std::max(active->offset, event.offset);
   RecordMeasurements(*active, event.result);
   if (event.result == AttemptResult::kCrashed) {
-    OnCrash(BlamableKeys(*active), active->group_and_epoch,
+    OnCrash(BlamableKeys(*active, *active), active->group_and_epoch,
             active->dispatched_at);
     active->trial = false;
     active->after_crash = true;
@@ -383,7 +388,7 @@
       event.result == AttemptResult::kTimedOut) {
     RememberAmbiguousEnd(
         event.attempt,
-        {BlamableKeys(*active), active->group_and_epoch,
+        {BlamableKeys(*active, *active), active->group_and_epoch,
          active->group->view.head_host, active->dispatched_at, m_now});
   }
   AcquitIfSuccessful(active->keys, event);
@@ -412,6 +417,13 @@
       active->claimed) {
     return;
   }
+  if (active->other != nullptr && active->moving) {
+    AttemptId older = std::min(active->attempt, active->other->attempt);
+    if (event.attempt == older) return;
+    SelectAttempt(active, older);
+    MoveToOtherGroup(active);
+    return;
+  }
   SelectAttempt(active, event.attempt);
   if (active->other != nullptr) {
     RecordMeasurements(*active, AttemptResult::kTimedOut);
@@ -420,23 +432,50 @@
     ContinueWithOther(active, event.attempt, "stalled");
     return;
   }
+  MoveToOtherGroup(active);
+}
+
+// The stalled attempt runs on until the new one makes progress: the new server
+// may reject the request. If that one is silent as well, another one replaces
+// it.
+void RequestPath::Impl::MoveToOtherGroup(ActiveRequest* active) {
   AttemptEnded stalled;
-  stalled.attempt = event.attempt;
+  stalled.attempt = active->attempt;
   stalled.result = AttemptResult::kTimedOut;
   std::string group_before = active->last_group;
   active->last_group = active->group->view.group;
-  if (CheckRetry(*active, stalled, milliseconds(0))) {
+  bool suspect =
+      m_options.isolate_suspects &&
+      m_quarantine.Classify(active->keys, m_now) != Quarantine::State::kClear;
+  RoutedGroup* group = nullptr;
+  if (!suspect) {
+    group = m_router.Pick(active->request, *active->pool,
+                          FindLastGroup(*active), m_now);
+  }
+  bool runs_there = active->other != nullptr && active->other->group == group;
+  bool possible = suspect || (group != nullptr && !runs_there);
+  if (!possible || CheckRetry(*active, stalled, milliseconds(0))) {
     active->last_group = group_before;
     return;
   }
   Log("moved", active->request,
-      {{"attempt", std::to_string(event.attempt)},
+      {{"attempt", std::to_string(active->attempt)},
        {"group", active->last_group}});
   RecordMeasurements(*active, stalled.result);
   active->may_have_run = true;
-  CancelRunningAttempt(active);
-  SetReserved(active, true);
-  DispatchOrWait(active);
+  if (suspect) {
+    // It would run on two groups, and waits for one of its own instead.
+    CancelRunningAttempt(active);
+    SetReserved(active, true);
+    DispatchOrWait(active);
+    return;
+  }
+  if (active->other != nullptr) CancelOther(active, /*lost=*/false);
+  EndPromptWait(active);
+  active->other = std::make_unique<RunningAttempt>(
+      std::move(static_cast<RunningAttempt&>(*active)));
+  active->moving = true;
+  StartAttempt(active, group);
 }
 
 void RequestPath::Impl::OnCrash(const CrashKeys& keys, const std::string& group,
@@ -471,8 +510,9 @@
   }
 }
 
-CrashKeys RequestPath::Impl::BlamableKeys(const ActiveRequest& active) {
-  if (active.survived_start) return {active.keys.digest, nullptr};
+CrashKeys RequestPath::Impl::BlamableKeys(const ActiveRequest& active,
+                                          const RunningAttempt& attempt) {
+  if (attempt.survived_start) return {active.keys.digest, nullptr};
   return active.keys;
 }
 
@@ -504,8 +544,10 @@
 void RequestPath::Impl::CancelBlamedAttempts() {
   std::vector<RequestId> blamed;
   for (const auto& [id, active] : m_requests) {
-    bool ended_by_blame = active.state == State::kRunning &&
-                          active.first_progress_at == TimePoint() &&
+    bool began = active.first_progress_at != TimePoint() ||
+                 (active.other != nullptr &&
+                  active.other->first_progress_at != TimePoint());
+    bool ended_by_blame = active.state == State::kRunning && !began &&
                           !active.claimed && active.keys.has_parts();
     if (ended_by_blame && IsQuarantined(active)) blamed.push_back(id);
   }
@@ -523,13 +565,14 @@
   for (const auto& [id, active] : m_requests) {
     if (active.state == State::kRunning &&
         active.group->view.head_host == event.host) {
-      marked.push_back({BlamableKeys(active), active.group_and_epoch,
+      marked.push_back({BlamableKeys(active, active), active.group_and_epoch,
                         event.host, active.dispatched_at, m_now});
     }
     if (active.other != nullptr &&
         active.other->group->view.head_host == event.host) {
-      marked.push_back({BlamableKeys(active), active.other->group_and_epoch,
-                        event.host, active.other->dispatched_at, m_now});
+      marked.push_back({BlamableKeys(active, *active.other),
+                        active.other->group_and_epoch, event.host,
+                        active.other->dispatched_at, m_now});
     }
   }
   std::erase_if(m_ambiguous_ends, [&](const auto& entry) {
@@ -608,7 +651,7 @@
   milliseconds delay = RetryDelay(*active);
   std::optional<RefusalReason> reason = CheckRetry(*active, event, delay);
   bool answered = event.result == AttemptResult::kError &&
-                  event.status >= kMinClientErrorStatus && event.offset == 0;
+                  event.status >= kMinClientErrorStatus && active->offset == 0;
   if (reason && answered) {
     // The error answer of the backend server tells the caller more than a
     // refusal would.
@@ -676,11 +719,13 @@
 void RequestPath::Impl::DetachAttempt(ActiveRequest* active) {
   m_attempts.erase(active->attempt);
   EndPromptWait(active);
-  m_detached[active->attempt] = {
-      active->request.id,     active->group,
-      BlamableKeys(*active),  active->group_and_epoch,
-      active->dispatched_at,  active->request.deadline + kClaimGracePeriod,
-      active->holds_isolation};
+  m_detached[active->attempt] = {active->request.id,
+                                 active->group,
+                                 BlamableKeys(*active, *active),
+                                 active->group_and_epoch,
+                                 active->dispatched_at,
+                                 active->request.deadline + kClaimGracePeriod,
+                                 active->holds_isolation};
   active->holds_isolation = false;
   active->group = nullptr;
   active->claimed = false;
@@ -697,7 +742,7 @@
   m_actions.push_back(CancelAttempt{active->attempt});
   RememberAmbiguousEnd(
       active->attempt,
-      {BlamableKeys(*active), active->group_and_epoch,
+      {BlamableKeys(*active, *active), active->group_and_epoch,
        active->group->view.head_host, active->dispatched_at, m_now});
   ReleaseAttempt(active);
 }
--- a/core/request_hedges.cc
+++ b/core/request_hedges.cc
@@ -13,8 +13,8 @@
                                               : m_options.max_attempts;
   return m_options.hedge_ratio > 0.0 && active.request.idempotent &&
          !active.claimed && !active.trial && !active.holds_isolation &&
-         !active.after_crash && active.hedge == 0 && active.offset == 0 &&
-         active.attempts < limit;
+         !active.after_crash && active.hedge == 0 && active.other == nullptr &&
+         active.offset == 0 && active.attempts < limit;
 }
 
 TimePoint RequestPath::Impl::HedgeTime(const ActiveRequest& active) const {
@@ -60,8 +60,9 @@
 }
 
 void RequestPath::Impl::StartHedge(ActiveRequest* active, RoutedGroup* group) {
-  active->other = std::make_unique<OtherAttempt>();
-  OtherAttempt& hedge = *active->other;
+  active->other = std::make_unique<RunningAttempt>();
+  active->moving = false;
+  RunningAttempt& hedge = *active->other;
   active->hedge = hedge.attempt = ++m_last_attempt;
   hedge.group = group;
   hedge.group_and_epoch =
@@ -89,33 +90,33 @@
   dispatch.epoch = group->view.epoch;
   dispatch.address = group->view.head_address;
   dispatch.priority = DispatchPriority(active->request.request_class);
-  dispatch.hedge = true;
+  dispatch.concurrent = true;
   m_actions.push_back(std::move(dispatch));
 }
 
 void RequestPath::Impl::SelectAttempt(ActiveRequest* active,
                                       AttemptId attempt) {
   if (active->other == nullptr || active->other->attempt != attempt) return;
-  // The prompt is counted for the group of the first attempt.
-  EndPromptWait(active);
-  OtherAttempt& other = *active->other;
-  std::swap(active->attempt, other.attempt);
-  std::swap(active->group, other.group);
-  std::swap(active->group_and_epoch, other.group_and_epoch);
-  std::swap(active->dispatched_at, other.dispatched_at);
+  std::swap(static_cast<RunningAttempt&>(*active), *active->other);
 }
 
 void RequestPath::Impl::CancelOther(ActiveRequest* active, bool lost) {
-  OtherAttempt other = std::move(*active->other);
+  RunningAttempt other = std::move(*active->other);
   active->other.reset();
+  EndPromptWait(&other);
   if (!IsRuleBroken("cancel_loser")) {
     m_actions.push_back(CancelAttempt{other.attempt});
   }
   RememberAmbiguousEnd(
-      other.attempt, {BlamableKeys(*active), other.group_and_epoch,
+      other.attempt, {BlamableKeys(*active, other), other.group_and_epoch,
                       other.group->view.head_host, other.dispatched_at, m_now});
   active->may_have_run = true;
-  if (lost) {
+  if (lost && active->moving) {
+    Log("move_decided", active->request,
+        {{"won", active->attempt > other.attempt ? "new" : "stalled"},
+         {"group", active->group->view.group},
+         {"cancelled_group", other.group->view.group}});
+  } else if (lost) {
     bool hedge_won = active->attempt == active->hedge;
     ++m_stats.hedges_cancelled;
     auto ran =
@@ -144,13 +145,9 @@
 
 void RequestPath::Impl::ContinueWithOther(ActiveRequest* active,
                                           AttemptId ended, const char* result) {
-  OtherAttempt other = std::move(*active->other);
+  static_cast<RunningAttempt&>(*active) = std::move(*active->other);
   active->other.reset();
-  active->attempt = other.attempt;
-  active->group = other.group;
-  active->group_and_epoch = std::move(other.group_and_epoch);
-  active->dispatched_at = other.dispatched_at;
-  Log("hedge_continued", active->request,
+  Log(active->moving ? "move_continued" : "hedge_continued", active->request,
       {{"ended", std::to_string(ended)},
        {"result", result},
        {"group", active->group->view.group}});
--- a/core/request_path_impl.h
+++ b/core/request_path_impl.h
@@ -56,21 +56,28 @@
   enum class State {
     kQueued,            ///< In a queue of m_admission.
     kClaiming,          ///< The claim of its idempotency key is being written.
-    kRunning,           ///< Has a running attempt, or two with a hedge.
+    kRunning,           ///< Has a running attempt, or two; see `other`.
     kAwaitingRetry,     ///< Waits for a retry delay, isolated or cold groups.
     kAwaitingIsolation  ///< Suspect that waits for a group of its own.
   };
 
-  /// Running attempt beside the one in ActiveRequest.
-  /// Invariant: it exists only while neither of the two has made progress.
-  struct OtherAttempt {
+  /// What is known of a running attempt.
+  struct RunningAttempt {
     AttemptId attempt = 0;
-    RoutedGroup* group = nullptr;
-    std::string group_and_epoch;
+    RoutedGroup* group = nullptr;  ///< Runs the attempt, or is isolated for it.
+    std::string group_and_epoch;   ///< "<group>@<epoch>".
     TimePoint dispatched_at;
+    TimePoint first_progress_at;
+    TimePoint last_progress_at;
+    std::uint64_t first_offset = 0;
+    /// Counted in RoutedGroup::waiting_prompt_tokens.
+    std::uint64_t waiting_prompt_tokens = 0;
+    /// Has gone on after the beginning of its answer.
+    bool survived_start = false;
   };
 
-  struct ActiveRequest {
+  /// The attempt is the running or the last one, or the selected one of two.
+  struct ActiveRequest : RunningAttempt {
     Request request;
     State state = State::kQueued;
     Pool* pool = nullptr;
@@ -81,9 +88,6 @@
     bool claimed = false;   ///< Holds the claim of its idempotency key.
     bool may_have_run = false;
     int attempts = 0;
-    AttemptId attempt = 0;         ///< The running attempt.
-    RoutedGroup* group = nullptr;  ///< Runs the attempt, or is isolated for it.
-    std::string group_and_epoch;   ///< "<group>@<epoch>" of the last attempt.
     bool holds_isolation = false;  ///< `group` is isolated for this request.
     /// Group of the last attempt that ended or was moved, which the next one
     /// avoids.
@@ -91,18 +95,14 @@
     std::uint64_t offset = 0;  ///< Tokens or bytes delivered to the caller.
     TimePoint arrived_at;
     TimePoint admitted_at;
-    TimePoint dispatched_at;
-    TimePoint first_progress_at;
-    TimePoint last_progress_at;
-    std::uint64_t first_offset = 0;
-    /// Counted in RoutedGroup::waiting_prompt_tokens.
-    std::uint64_t waiting_prompt_tokens = 0;
-    std::unique_ptr<OtherAttempt> other;  ///< Null unless hedged.
+    /// Runs beside the selected attempt, until one of the two makes progress.
+    /// Null unless the request is hedged or being moved.
+    std::unique_ptr<RunningAttempt> other;
+    /// The newer of the two is to replace the older one, which has stalled.
+    bool moving = false;
     AttemptId hedge = 0;       ///< Its hedge, also after the end of it.
     bool after_crash = false;  ///< An attempt has ended with a crash.
-    /// The running attempt has gone on after the beginning of its answer.
-    bool survived_start = false;
-    TimePoint wake_at;  ///< Entry in m_timers.
+    TimePoint wake_at;         ///< Entry in m_timers.
   };
   using Requests = std::unordered_map<RequestId, ActiveRequest>;
 
@@ -176,6 +176,9 @@
   /// @return False while the suspect still waits.
   bool AdvanceIsolation(ActiveRequest* active);
   bool AwaitColdStart(ActiveRequest* active);
+  /// The selected attempt has stalled: starts another one beside it if the
+  /// request may be retried and a group can take it.
+  void MoveToOtherGroup(ActiveRequest* active);
 
   // Hedges; see docs/design/hedging.md.
   /// @return Whether a hedge of this request is allowed by what it is and by
@@ -205,7 +208,7 @@
   void RecordFirstResult(const ActiveRequest& active);
   void ReleaseAttempt(ActiveRequest* active);
   /// The running attempt has its first event, or ends.
-  void EndPromptWait(ActiveRequest* active);
+  void EndPromptWait(RunningAttempt* attempt);
   void ReleaseGroup(ActiveRequest* active);
   void RecordMeasurements(const ActiveRequest& active, AttemptResult result);
   const RoutedGroup* FindLastGroup(const ActiveRequest& active) const;
@@ -227,8 +230,10 @@
   void AcquitParts(const ActiveRequest& active);
   /// Acquits all keys if the attempt completed successfully.
   void AcquitIfSuccessful(const CrashKeys& keys, const AttemptEnded& event);
-  /// Keys that a crash of the running attempt's server can be blamed on.
-  static CrashKeys BlamableKeys(const ActiveRequest& active);
+  /// Keys that a crash of the server of one of a request's attempts can be
+  /// blamed on.
+  static CrashKeys BlamableKeys(const ActiveRequest& active,
+                                const RunningAttempt& attempt);
   bool IsQuarantined(const ActiveRequest& active) const;
   void RefuseQuarantined(ActiveRequest* active);
   /// Ends running attempts that a new cause of crashes is blamed for and that
--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -76,8 +76,8 @@
   TimePoint first_event;
   AttemptId current = 0;
   RelayStream stream;  ///< Of the current attempt.
-  /// The current attempt has delivered something or answered with success: a
-  /// hedge can't take its place.
+  /// Since the last attempt began, the current one has delivered something or
+  /// answered with success: one that runs beside it can't take its place.
   bool decided = false;
   bool head_sent = false;
   // The answer, set when an attempt has returned one.
@@ -106,8 +106,9 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
-  /// Set for a hedge until it becomes the current attempt.
-  std::unique_ptr<RelayStream> hedge_stream;
+  /// Set for an attempt that runs beside another one, until it becomes the
+  /// current one: the caller's stream as far as it was delivered.
+  std::unique_ptr<RelayStream> own_stream;
   bool is_stream = false;       ///< The answer is a stream of events.
   bool names_request = false;   ///< The answer contains the request id.
   bool server_leaving = false;  ///< The answer says so.
@@ -314,8 +315,10 @@
   attempt->epoch = dispatch.epoch;
   attempt->host = m_head_hosts[dispatch.group];
   attempt->started = m_context.now();
-  if (dispatch.hedge) {
-    attempt->hedge_stream = std::make_unique<RelayStream>();
+  if (dispatch.concurrent) {
+    attempt->own_stream = std::make_unique<RelayStream>(caller->stream);
+    attempt->own_stream->Restart();
+    caller->decided = false;
   } else {
     caller->current = dispatch.attempt;
     caller->group = dispatch.group;
@@ -344,7 +347,7 @@
   attempt->call = m_context.backends->Start(MakeCall(dispatch, *caller),
                                             std::move(handlers));
   caller->attempted_hosts.insert(attempt->host);
-  if (!dispatch.hedge) ResumeOnDrain(*attempt);
+  if (!dispatch.concurrent) ResumeOnDrain(*attempt);
 }
 
 void RelayExecutor::ResumeOnDrain(const Attempt& attempt) {
@@ -357,12 +360,12 @@
 bool RelayExecutor::CanAnswer(const Attempt& attempt) {
   const Caller& caller = *attempt.caller;
   return caller.current == attempt.id ||
-         (attempt.hedge_stream != nullptr && !caller.decided);
+         (attempt.own_stream != nullptr && !caller.decided);
 }
 
 RelayStream* RelayExecutor::StreamOf(Attempt* attempt) {
-  return attempt->hedge_stream != nullptr ? attempt->hedge_stream.get()
-                                          : &attempt->caller->stream;
+  return attempt->own_stream != nullptr ? attempt->own_stream.get()
+                                        : &attempt->caller->stream;
 }
 
 void RelayExecutor::Decide(Attempt* attempt) {
@@ -371,8 +374,8 @@
   if (caller->current == attempt->id) return;
   caller->current = attempt->id;
   caller->group = attempt->group;
-  caller->stream = std::move(*attempt->hedge_stream);
-  attempt->hedge_stream.reset();
+  caller->stream = std::move(*attempt->own_stream);
+  attempt->own_stream.reset();
   ResumeOnDrain(*attempt);
 }
 
@@ -540,7 +543,9 @@
   AttemptEnded ended;
   ended.attempt = attempt->id;
   ended.result = end.result;
-  ended.offset = StreamOf(attempt.get())->events();
+  // An attempt that runs beside another one and wasn't decided for has
+  // delivered nothing.
+  if (attempt->own_stream == nullptr) ended.offset = caller->stream.events();
   ended.retry_after = end.retry_after;
   ended.status = end.status;
   m_context.feed(std::move(ended));
--- a/daemon/relay_executor.h
+++ b/daemon/relay_executor.h
@@ -37,8 +37,9 @@
 /// Forwards requests to backend servers and their answers to callers.
 /// Invariant: bytes of an attempt are sent to a caller only while it is the
 /// current attempt of that caller's request; of a stream, only complete events
-/// are sent. A hedge becomes the current attempt with its first event or its
-/// complete answer, unless the attempt beside it has delivered one before.
+/// are sent. An attempt that runs beside another one becomes the current one
+/// with its first event or its complete answer, unless the other one has
+/// delivered one meanwhile.
 class RelayExecutor {
  public:
   explicit RelayExecutor(RelayContext context);
@@ -95,7 +96,7 @@
   AnswerHead OnHead(Attempt* attempt, int status, const HttpHeaders& headers);
   /// Lets an attempt that was paused go on when its caller reads again.
   static void ResumeOnDrain(const Attempt& attempt);
-  /// Whether the attempt is current, or is a hedge that may still become so.
+  /// Whether the attempt is the current one or may still become so.
   static bool CanAnswer(const Attempt& attempt);
   /// Returns the stream that the attempt's bytes belong to.
   static RelayStream* StreamOf(Attempt* attempt);
