Send nothing to a server whose connections have all ended

Cause: when an answer of unknown length ended together with all other connections to its server, the daemon knew that the process was gone, but went on sending to it as long as its address accepted connections. Callers saw: 502, outcome unknown, for requests that any other server could have served. Change: such an end is reported as the end of a process that refuses connections is: its group is suspected, gets no requests and is queried at once. Why it works: suspected groups aren't picked.

--- a/daemon/relay_executor.cc
+++ b/daemon/relay_executor.cc
@@ -562,12 +562,15 @@
 }
 
 // A head that refuses connections or does not accept any is reported as
-// unresponsive.
+// unresponsive, and so is one whose connections have all ended: its process is
+// gone, though its address may accept connections for a while.
 void RelayExecutor::ReportUnresponsiveGroup(const Attempt& attempt,
                                             const BackendEnd& end) {
   bool unresponsive = end.result == AttemptResult::kTimedOut;
   bool unreachable = end.result == AttemptResult::kNotSent;
-  bool gone = end.result == AttemptResult::kCrashed;
+  bool gone = end.result == AttemptResult::kCrashed ||
+              (end.result == AttemptResult::kBroken &&
+               end.evidence == EndEvidence::kConnections);
   if (!unresponsive && !unreachable && !gone) return;
   if (unresponsive && m_silence.HasGroupRespondedSince(attempt.id)) return;
   m_context.feed_fleet(GroupUnresponsive{attempt.group, attempt.epoch});
--- a/testing/process_unframed_test.cc
+++ b/testing/process_unframed_test.cc
@@ -155,6 +155,21 @@
   }
 }
 
+// Guards against requests that are sent to a server whose process has ended, as
+// its address still accepts connections: their outcome is then unknown.
+TEST_CASE("a server whose connections have all ended gets no request") {
+  for (int run = 0; run < 3; ++run) {
+    FleetSite site({.daemons = 1, .servers = 2});
+    nlohmann::json how =
+        With(Body("half", false), {{"gone", true}, {"refuses_after_ms", 300}});
+    CHECK(CallOnce(&site, {"/order/a", how}).status() == 502);
+    for (int order = 0; order < 12; ++order) {
+      CAPTURE(order);
+      CHECK(CallOnce(&site, {"/order/b", {{"work_ms", 40}}}).status() == 200);
+    }
+  }
+}
+
 // Guards against broken answers that count as complete because their server
 // had said that it is leaving (ORDER).
 TEST_CASE("a leaving server that ends with its answer has broken it off") {
