Answer a request whose handler fails

Callers saw: none was seen; found by reading, and by the test. Change: 500 if no answer has begun, and the connection stays open; what the handler had begun ends as if the caller had left. An answer that has begun is cut off as before. Evidence: event=handler_failed and a closed connection in the test. Why it works: the session itself answers, whatever the handler did. Test: http server answers a request whose handler fails; failed before.

--- a/net/http_session.cc
+++ b/net/http_session.cc
@@ -526,12 +526,14 @@
     asio::co_spawn(m_socket.get_executor(), WatchCaller(shared_from_this()),
                    asio::detached);
   }
+  auto exchange = std::make_shared<SessionExchange>(shared_from_this());
   try {
-    m_server->handler()(std::make_shared<SessionExchange>(shared_from_this()));
+    m_server->handler()(exchange);
   } catch (const std::exception& error) {
     LogEvent("handler_failed", {{"error", error.what()}});
-    Leave("handler_failed");
+    RefuseAfterFailure(exchange.get());
   }
+  exchange.reset();
   while (!m_left && (!m_finished || !m_pending.empty())) {
     error_code error;
     if (m_pending.empty()) {
@@ -609,6 +611,18 @@
   if (size <= 0) self->Leave("closed");
 }
 
+// What the handler has begun for the request ends as if its caller had left.
+void HttpSession::RefuseAfterFailure(HttpExchange* exchange) {
+  if (m_finished) return;
+  if (m_chunked || m_unframed) {
+    Leave("handler_failed");
+    return;
+  }
+  std::function<void()> handler = std::move(m_leave_handler);
+  exchange->Answer(500, {}, "internal error\n");
+  if (handler) handler();
+}
+
 void HttpSession::Leave(const char* reason) {
   if (m_left || !m_answering) return;
   m_left = true;
--- a/net/http_session.h
+++ b/net/http_session.h
@@ -373,6 +373,9 @@
   ReadFault Explain(boost::system::error_code error) const;
   void TakeRequest(Parser::value_type message);
   void Leave(const char* reason);
+  /// Answers a request whose handler threw with status 500. An answer that has
+  /// begun is cut off.
+  void RefuseAfterFailure(HttpExchange* exchange);
   void SetDeadline(std::chrono::milliseconds timeout) {
     m_timed_out = false;
     m_received = 0;
--- a/testing/net_http_server_test.cc
+++ b/testing/net_http_server_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <stdexcept>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -107,6 +108,28 @@
   CHECK(fixture.exchanges[0]->request().body == "body");
 }
 
+// Guards against a whole request that gets no answer because an error escapes
+// while it is handled (LOST).
+TEST_CASE("http server answers a request whose handler fails") {
+  asio::io_context io;
+  int requests = 0;
+  bool left = false;
+  HttpServer server(&io, "127.0.0.1:0", {}, [&](const ExchangePtr& exchange) {
+    exchange->SetLeaveHandler([&left] { left = true; });
+    if (++requests == 1) throw std::runtime_error("no memory");
+    exchange->Answer(200, {}, "ok");
+  });
+  auto caller = RawConnection::Connect(&io, server.address());
+  caller->Send(std::string(kGet) + kGet);
+  RunUntil(&io, [&] {
+    return caller->closed || caller->received.find("ok") != std::string::npos;
+  });
+  CHECK(caller->received.starts_with("HTTP/1.1 500"));
+  CHECK(caller->received.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(left);
+  CHECK(server.stats().callers_left == 0);
+}
+
 // Guards against callers that are taken for gone because the rest of their
 // request, sent just after its head, was read before the event of its arrival
 // (LOST).
