Don't move a quarantined request to another server

Cause: started the new attempt of a silent request without the check that each other dispatch has. Callers saw: nothing; found in a reading of the change before it landed. A request that crashes its servers would have reached one more when its server is silent. Change: such a request is refused, as before, unless its answer has begun; then it runs on where it is. Evidence: the test's stalled request was sent on after two crashes of its copies. Why it works: the check comes before any choice of a group. Test: a stalled request that is quarantined is sent to no other group; failed before.

--- a/core/request_attempts.cc
+++ b/core/request_attempts.cc
@@ -439,6 +439,14 @@
 // may reject the request. If that one is silent as well, another one replaces
 // it.
 void RequestPath::Impl::MoveToOtherGroup(ActiveRequest* active) {
+  if (IsQuarantined(*active)) {
+    // No other server may get it. An answer that has begun may still go on.
+    if (active->offset > 0) return;
+    active->may_have_run = true;
+    CancelRunningAttempt(active);
+    RefuseQuarantined(active);
+    return;
+  }
   AttemptEnded stalled;
   stalled.attempt = active->attempt;
   stalled.result = AttemptResult::kTimedOut;
@@ -453,8 +461,8 @@
                           FindLastGroup(*active), m_now);
   }
   bool runs_there = active->other != nullptr && active->other->group == group;
-  bool possible = suspect || (group != nullptr && !runs_there);
-  if (!possible || CheckRetry(*active, stalled, milliseconds(0))) {
+  bool has_group = suspect || (group != nullptr && !runs_there);
+  if (!has_group || CheckRetry(*active, stalled, milliseconds(0))) {
     active->last_group = group_before;
     return;
   }
--- a/testing/relay_stall_test.cc
+++ b/testing/relay_stall_test.cc
@@ -41,11 +41,11 @@
     path.Handle(changed, kStart);
   }
 
-  /// Starts a request.
+  /// Starts a request. All have the same content.
   /// @return Its dispatch.
   Dispatch Start(bool idempotent, int max_attempts = 2) {
     Request request;
-    request.id = 1;
+    request.id = ++requests;
     request.organisation = "shop";
     request.model = "chat";
     request.idempotent = idempotent;
@@ -71,6 +71,7 @@
   }
 
   RequestPath path;
+  RequestId requests = 0;
 };
 
 }  // namespace
@@ -149,6 +150,30 @@
   CHECK(fixture.path.stats().in_flight == 0);
 }
 
+// Guards against a request that has crashed too many servers and is sent to one
+// more as its server is silent (BUDGET).
+TEST_CASE("a stalled request that is quarantined is sent to no other group") {
+  for (bool began : {false, true}) {
+    CAPTURE(began);
+    PathFixture fixture;
+    fixture.SetGroups({"a", "b", "c", "d", "e", "f", "g", "h"});
+    Dispatch first = fixture.Start(true);
+    if (began) {
+      fixture.path.Handle(AttemptProgress{first.attempt, 1}, kStart);
+    }
+    for (int crashes = 0; crashes < 2; ++crashes) {
+      fixture.End(fixture.Start(false, 1).attempt, AttemptResult::kCrashed, 0);
+    }
+    std::vector<RequestAction> actions = fixture.Stall(first.attempt);
+    CHECK_FALSE(FindAction<Dispatch>(actions));
+    // An answer that has begun is kept.
+    auto refuse = FindAction<Refuse>(actions);
+    CHECK(refuse.has_value() == !began);
+    if (refuse) CHECK(refuse->reason == RefusalReason::kQuarantined);
+    CHECK(FindAction<CancelAttempt>(actions).has_value() == !began);
+  }
+}
+
 // Guards against an answer that is aborted because its server sends no data for
 // some time, although no other group can answer the request.
 TEST_CASE("a stalled request continues if no other group can take it") {
